Close the web server's connections before its context

Cause: h2o's context asserts that no timeout entry is linked when it is disposed. Idle keep-alive connections and the graceful shutdown entry of its HTTP/2 part were still linked, so a stop after any request aborted. Ruled out: the HTTP client's own timeout (the backtrace names the context).

Connections are now tracked, cut and awaited, and the entry is unlinked. Before: exit 134 after one request. After: exit 0, also under the sanitizers with a connection left idle.

--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -20,6 +20,8 @@
 /* Period of the look for callers that left before their answer, in ms. */
 #define CALLER_CHECK_INTERVAL_MS 50
 #define LISTEN_BACKLOG 1024
+/* Turns of the loop in which cut connections must be gone. */
+#define CLOSE_TURNS 100
 
 struct route {
 	struct list link;
@@ -38,6 +40,7 @@
 	char *address;
 	struct list routes;
 	struct list requests;
+	struct list connections;
 	unsigned running;
 	uv_timer_t caller_timer;
 	struct counter *requests_total;
@@ -71,6 +74,12 @@
 	struct web_request *request;
 };
 
+/* A connection that was accepted, until its handle is closed. */
+struct connection {
+	struct list link;
+	uv_tcp_t tcp;
+};
+
 struct route_handler {
 	h2o_handler_t super;
 	struct web *web;
@@ -243,22 +252,32 @@
 	}
 }
 
+static void on_connection_closed(uv_handle_t *handle)
+{
+	struct connection *conn = list_entry(handle, struct connection, tcp);
+
+	list_remove(&conn->link);
+	g_free(conn);
+}
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	struct web *web = listener->data;
-	uv_tcp_t *conn;
+	struct connection *conn;
 	h2o_socket_t *sock;
 
 	if (status != 0)
 		return;
-	conn = h2o_mem_alloc(sizeof(*conn));
-	uv_tcp_init(web->loop, conn);
-	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
-		uv_close((uv_handle_t *)conn, (uv_close_cb)free);
+	conn = g_new0(struct connection, 1);
+	list_append(&web->connections, &conn->link);
+	uv_tcp_init(web->loop, &conn->tcp);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+		uv_close((uv_handle_t *)&conn->tcp, on_connection_closed);
 		return;
 	}
-	uv_tcp_nodelay(conn, 1);
-	sock = h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free);
+	uv_tcp_nodelay(&conn->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
+				    on_connection_closed);
 	h2o_accept(&web->accept, sock);
 }
 
@@ -354,6 +373,7 @@
 	web->loop = options->loop;
 	list_init(&web->routes);
 	list_init(&web->requests);
+	list_init(&web->connections);
 	web->requests_total = metrics_counter(
 		options->metrics, "briarplank_http_requests_total", "");
 	web->callers_left = metrics_counter(
@@ -395,12 +415,35 @@
 	}
 }
 
+/* Ends the connections the way a lost peer would, so that h2o frees them. */
+static void cut_connections(struct web *web)
+{
+	unsigned turns;
+	struct list *pos;
+	uv_os_fd_t fd;
+
+	list_for_each (pos, &web->connections) {
+		struct connection *conn =
+			list_entry(pos, struct connection, link);
+
+		if (!uv_fileno((uv_handle_t *)&conn->tcp, &fd))
+			shutdown(fd, SHUT_RDWR);
+	}
+	for (turns = 0; turns < CLOSE_TURNS; turns++) {
+		if (list_empty(&web->connections))
+			return;
+		uv_run(web->loop, UV_RUN_NOWAIT);
+	}
+}
+
 void web_destroy(struct web *web)
 {
 	web_stop_listening(web);
+	cut_connections(web);
 	uv_timer_stop(&web->caller_timer);
 	uv_close((uv_handle_t *)&web->caller_timer, NULL);
 	uv_run(web->loop, UV_RUN_NOWAIT);
+	h2o_timeout_unlink(&web->context.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&web->context);
 	h2o_config_dispose(&web->config);
 	if (web->accept.ssl_ctx)
--- /dev/null
+++ b/include/core/members.h
@@ -0,0 +1,109 @@
+/**
+ * What a node knows of the other nodes.
+ *
+ * Pure state: facts and the time go in, pings and changes come out. The VM
+ * list is a hint that lags; direct observation decides whether a node is up.
+ */
+#ifndef BRIARPLANK_CORE_MEMBERS_H
+#define BRIARPLANK_CORE_MEMBERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/list.h"
+
+enum member_role { MEMBER_ENTRY, MEMBER_AGENT };
+
+enum member_state {
+	/** Listed, not heard yet. */
+	MEMBER_UNKNOWN,
+	MEMBER_UP,
+	/** Silent for a while: gets no new work, is still probed. */
+	MEMBER_SUSPECT,
+	MEMBER_DOWN,
+};
+
+/** Load of a backend server as its agent measures it. */
+struct member_load {
+	uint32_t running_online;
+	uint32_t running_batch;
+	uint32_t queued_online;
+	uint32_t concurrency_limit;
+	uint32_t expected_wait_us;
+	uint64_t sequence;
+	uint64_t received_ms;
+	bool ready;
+};
+
+/** One other node. */
+struct member {
+	struct list link;
+	char *name;
+	enum member_role role;
+	char *address;
+	char *data_centre;
+	char *region;
+	/** Service of the server beside an agent, else empty. */
+	char *service;
+	enum member_state state;
+	/** The platform or the node itself says that it goes. */
+	bool leaving;
+	/** Incarnation last heard; 0 while unheard. */
+	uint64_t incarnation;
+	uint64_t heard_ms;
+	uint64_t pinged_ms;
+	uint32_t round_trip_us;
+	struct member_load load;
+	/** Ledger shards that an entry says it owns, with their epochs. */
+	uint32_t *owned_shards;
+	uint64_t *owned_epochs;
+	uint32_t owned_nr;
+};
+
+/** How a node is known when it is first told of. */
+struct member_facts {
+	const char *name;
+	enum member_role role;
+	const char *address;
+	const char *data_centre;
+	const char *region;
+	const char *service;
+	bool leaving;
+};
+
+struct members;
+
+struct members_options {
+	/** Name of this node, which is no member of its own list. */
+	const char *self;
+	enum member_role self_role;
+	const char *data_centre;
+	const char *region;
+	uint32_t ping_interval_ms;
+	uint32_t suspect_after_ms;
+	uint32_t down_after_ms;
+	/** Share of members, in percent, above which silence is taken for this node's own isolation. */
+	uint32_t panic_percent;
+	uint64_t seed;
+};
+
+struct members *members_create(const struct members_options *options);
+void members_destroy(struct members *members);
+
+/** Adds or updates a node from settings or the VM list. */
+struct member *members_learn(struct members *members,
+			     const struct member_facts *facts);
+
+/** Returns a node by name, or NULL. */
+struct member *members_find(const struct members *members, const char *name);
+
+/** Returns the list of all members, linked by member.link. */
+const struct list *members_all(const struct members *members);
+
+/** Number of members with this role that are up and not leaving. */
+unsigned members_up_nr(const struct members *members, enum member_role role);
+
+/** Tells whether new work may go to a member. */
+bool member_usable(const struct member *member);
+
+#endif
