--- /dev/null
+++ b/tests/fleet/fleet.sh
@@ -0,0 +1,187 @@
+# Starts stand-ins and nodes on loopback for tests of whole processes.
+#
+# Everything binds port 0; the addresses are read from what the processes
+# print and given to the nodes through the list of VMs. A test sources this
+# file, calls fleet_begin and then what it needs. All processes end with the
+# test.
+#
+# BUILD names the build directory.
+
+FLEET_WAIT_MS=${FLEET_WAIT_MS:-20000}
+
+fleet_begin () {
+	BUILD=${BUILD:-build}
+	FLEET_DIR=$(mktemp -d)
+	FLEET_PIDS=
+	FLEET_ROWS=
+	trap 'status=$?; fleet_end $status' EXIT
+	trap 'exit 130' INT TERM
+}
+
+fleet_end () {
+	trap - EXIT
+	for pid in $FLEET_PIDS
+	do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+	if test "$1" -ne 0
+	then
+		for log in "$FLEET_DIR"/*.log
+		do
+			echo "--- $(basename "$log")" >&2
+			tail -n 25 "$log" >&2
+		done
+	fi
+	rm -rf "$FLEET_DIR"
+	exit "$1"
+}
+
+fleet_fail () {
+	echo "FAILED: $*" >&2
+	exit 1
+}
+
+# Waits until a command succeeds, at most FLEET_WAIT_MS.
+wait_until () {
+	waited=0
+	while ! "$@" >/dev/null 2>&1
+	do
+		test "$waited" -lt "$FLEET_WAIT_MS" ||
+			fleet_fail "timed out waiting for: $*"
+		sleep 0.05
+		waited=$((waited + 50))
+	done
+}
+
+# Prints the word after a label in a process's output.
+fleet_word () {
+	sed -n "s/.*$2 \\([0-9.]*:[0-9]*\\).*/\\1/p" "$FLEET_DIR/$1.log" |
+		head -n 1
+}
+
+fleet_has_word () {
+	test -n "$(fleet_word "$1" "$2")"
+}
+
+fleet_pid () {
+	cat "$FLEET_DIR/$1.pid"
+}
+
+fleet_spawn () {
+	name=$1
+	shift
+	"$@" >"$FLEET_DIR/$name.log" 2>&1 &
+	echo $! >"$FLEET_DIR/$name.pid"
+	FLEET_PIDS="$FLEET_PIDS $!"
+}
+
+# fleet_standin NAME KIND [ARGS]: starts a stand-in.
+fleet_standin () {
+	name=$1
+	kind=$2
+	shift 2
+	fleet_spawn "$name" "$BUILD/tests/standin/standin" "$kind" \
+		--listen 127.0.0.1:0 "$@"
+	wait_until fleet_has_word "$name" "listens:"
+}
+
+# Prints the address of a stand-in.
+fleet_address () {
+	fleet_word "$1" "listens:"
+}
+
+# Starts the log as "log" and the list of VMs as "vms".
+fleet_platform () {
+	fleet_standin log log "$@"
+	fleet_standin vms vms
+	FLEET_LOG=$(fleet_address log)
+	FLEET_VMS=$(fleet_address vms)
+}
+
+# Access rules of all entries; the key of each is its name.
+fleet_access () {
+	printf '%s' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
+	do
+		sum=$(printf '%s' "$caller" | sha256sum | cut -d' ' -f1)
+		test "$flag" = operator && op=true || op=false
+		printf '{"name":"%s","class":"%s","key_sha256":"%s","operator":%s},' \
+			"$caller" "${class:-default}" "$sum" "$op"
+	done | sed 's/,$//'
+}
+
+# fleet_entry NAME DATA_CENTRE REGION: starts an entry.
+fleet_entry () {
+	cat >"$FLEET_DIR/$1.json" <<EOF
+{
+	"node": { "name": "$1", "role": "entry", "data_centre": "$2",
+		  "region": "$3", "bus": "127.0.0.1:0" },
+	"log": { "level": "${FLEET_LEVEL:-info}" },
+	"web": { "listen": "127.0.0.1:0" },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
+	"ledger": { "shards": ${FLEET_SHARDS:-4} },
+	"access": [ ${FLEET_ACCESS:-} ]
+}
+EOF
+	fleet_start_node "$1"
+	fleet_row "$1" entry "$2" "$3" ""
+}
+
+# fleet_agent NAME DATA_CENTRE REGION SERVICE SERVER [KIND]: starts an agent.
+fleet_agent () {
+	cat >"$FLEET_DIR/$1.json" <<EOF
+{
+	"node": { "name": "$1", "role": "agent", "data_centre": "$2",
+		  "region": "$3", "bus": "127.0.0.1:0" },
+	"log": { "level": "${FLEET_LEVEL:-info}" },
+	"web": { "listen": "127.0.0.1:0" },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
+	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
+	"ledger": { "shards": ${FLEET_SHARDS:-4} }
+}
+EOF
+	fleet_start_node "$1"
+	fleet_row "$1" agent "$2" "$3" "$4"
+}
+
+# Starts a node from its settings; also used to start it again.
+fleet_start_node () {
+	fleet_spawn "$1" "$BUILD/briarplankd/briarplankd" \
+		--config "$FLEET_DIR/$1.json"
+	wait_until fleet_has_word "$1" "bus"
+}
+
+# Notes a node's row of the list of VMs, in place of an older one.
+fleet_row () {
+	printf '%s\n' "{\"name\":\"$1\",\"role\":\"$2\",\"state\":\"${6:-live}\",\"address\":\"$(fleet_word "$1" bus)\",\"data_centre\":\"$3\",\"region\":\"$4\",\"service\":\"$5\"}" \
+		>"$FLEET_DIR/$1.row"
+}
+
+# Gives the list of VMs the rows of all nodes.
+fleet_publish () {
+	paste -s -d, "$FLEET_DIR"/*.row | sed 's/^/[/; s/$/]/' \
+		>"$FLEET_DIR/vms.json"
+	curl -sf -X POST --data-binary "@$FLEET_DIR/vms.json" \
+		"http://$FLEET_VMS/v1/vms" >/dev/null ||
+		fleet_fail "the list of VMs was not taken"
+}
+
+# Prints an entry's or agent's base URL.
+fleet_url () {
+	echo "http://$(fleet_word "$1" web)"
+}
+
+fleet_ready () {
+	curl -sf "$(fleet_url "$1")/readyz" >/dev/null
+}
+
+# Sends a signal to a node by its name.
+fleet_signal () {
+	kill "-$2" "$(fleet_pid "$1")"
+}
+
+# Waits for a process to end and returns its exit status.
+fleet_wait () {
+	wait "$(fleet_pid "$1")"
+}
