Say a metric family's type once and keep its series together

Cause: each series carried its own TYPE line, which the Prometheus text format allows only once a family. Before: two labels of one counter gave two TYPE lines.

--- a/common/metrics.c
+++ b/common/metrics.c
@@ -185,36 +185,48 @@
 	return histogram->count ? bucket_bound(HISTOGRAM_BUCKETS - 1) : 0;
 }
 
+/* The type of a family is said once, before its first series. */
+static void render_type(GHashTable *seen, const char *name, const char *type,
+			GString *out)
+{
+	if (!g_hash_table_add(seen, (char *)name))
+		return;
+	g_string_append_printf(out, "# TYPE %s %s\n", name, type);
+}
+
 static void render_counter(const struct counter *counter, GString *out)
 {
-	g_string_append_printf(out, "# TYPE %s %s\n", counter->name,
-			       counter->gauge ? "gauge" : "counter");
-	g_string_append_printf(out, "%s", counter->name);
+	g_string_append(out, counter->name);
 	if (*counter->labels)
 		g_string_append_printf(out, "{%s}", counter->labels);
 	g_string_append_printf(out, " %" G_GUINT64_FORMAT "\n", counter->value);
 }
 
-static void render_histogram(const struct histogram *histogram, GString *out)
+static void render_bucket(const struct histogram *histogram, const char *bound,
+			  uint64_t nr, GString *out)
 {
 	const char *sep = *histogram->labels ? "," : "";
+
+	g_string_append_printf(
+		out, "%s_bucket{%s%sle=\"%s\"} %" G_GUINT64_FORMAT "\n",
+		histogram->name, histogram->labels, sep, bound, nr);
+}
+
+static void render_histogram(const struct histogram *histogram, GString *out)
+{
 	uint64_t seen = 0;
+	char bound[32];
 	unsigned i;
 
-	g_string_append_printf(out, "# TYPE %s histogram\n", histogram->name);
 	for (i = 0; i < HISTOGRAM_BUCKETS; i++) {
 		if (!histogram->buckets[i])
 			continue;
 		seen += histogram->buckets[i];
-		g_string_append_printf(
-			out,
-			"%s_bucket{%s%sle=\"%.6f\"} %" G_GUINT64_FORMAT "\n",
-			histogram->name, histogram->labels, sep,
-			(double)bucket_bound(i) / 1e6, seen);
+		g_snprintf(bound, sizeof(bound), "%.6f",
+			   (double)bucket_bound(i) / 1e6);
+		render_bucket(histogram, bound, seen, out);
 	}
-	g_string_append_printf(
-		out, "%s_bucket{%s%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
-		histogram->name, histogram->labels, sep, histogram->count);
+	render_bucket(histogram, "+Inf", histogram->count, out);
 	g_string_append_printf(out, "%s_sum{%s} %.6f\n", histogram->name,
 			       histogram->labels,
 			       (double)histogram->sum_us / 1e6);
@@ -223,12 +235,57 @@
 			       histogram->count);
 }
 
+/* Renders the series of one family together, as the format asks. */
+static void render_counters(const struct metrics *metrics, GHashTable *seen,
+			    GString *out)
+{
+	struct list *family, *pos;
+
+	list_for_each (family, &metrics->counters) {
+		struct counter *first =
+			list_entry(family, struct counter, link);
+
+		if (g_hash_table_contains(seen, first->name))
+			continue;
+		render_type(seen, first->name,
+			    first->gauge ? "gauge" : "counter", out);
+		list_for_each (pos, &metrics->counters) {
+			struct counter *counter =
+				list_entry(pos, struct counter, link);
+
+			if (!strcmp(counter->name, first->name))
+				render_counter(counter, out);
+		}
+	}
+}
+
+static void render_histograms(const struct metrics *metrics, GHashTable *seen,
+			      GString *out)
+{
+	struct list *family, *pos;
+
+	list_for_each (family, &metrics->histograms) {
+		struct histogram *first =
+			list_entry(family, struct histogram, link);
+
+		if (g_hash_table_contains(seen, first->name))
+			continue;
+		render_type(seen, first->name, "histogram", out);
+		list_for_each (pos, &metrics->histograms) {
+			struct histogram *histogram =
+				list_entry(pos, struct histogram, link);
+
+			if (!strcmp(histogram->name, first->name))
+				render_histogram(histogram, out);
+		}
+	}
+}
+
 void metrics_render(const struct metrics *metrics, GString *out)
 {
-	struct list *pos;
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-	list_for_each (pos, &metrics->counters)
-		render_counter(list_entry(pos, struct counter, link), out);
-	list_for_each (pos, &metrics->histograms)
-		render_histogram(list_entry(pos, struct histogram, link), out);
+	render_counters(metrics, seen, out);
+	render_histograms(metrics, seen, out);
+	g_hash_table_destroy(seen);
 }
