Add an open-loop load tool

Arrivals follow a Poisson process with a fixed seed and optional bursts, so that a slow system can't hide its delay. It counts whole, not run, unknown and broken answers and prints first-byte and gap quantiles. Not run against the fleet yet.

--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,349 @@
+/*
+ * An open-loop load tool: requests arrive by a Poisson process, whether or not
+ * earlier ones have ended, so that a slow system can't hide its delay.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "common/list.h"
+#include "common/metrics.h"
+#include "platform/http_client.h"
+
+#define US_PER_S 1000000ULL
+#define MARK_DONE "data: [DONE]"
+
+static char **addresses;
+static char *service = "claim-desk";
+static char *path = "v1/completions";
+static char *key = "";
+static char *phase_text = "";
+static gboolean non_idempotent;
+static double rate = 10;
+static double burst_rate;
+static double burst_every_s;
+static double burst_length_s;
+static double duration_s = 10;
+static int max_tokens = 32;
+static int prompt_words = 40;
+static int prefixes = 20;
+static int seed = 1;
+static int timeout_ms = 10000;
+
+static const GOptionEntry options[] = {
+	{ "address", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &addresses,
+	  "Entry to send to; may be given several times", "IP:PORT" },
+	{ "service", 's', 0, G_OPTION_ARG_STRING, &service, "Service", "NAME" },
+	{ "path", 'p', 0, G_OPTION_ARG_STRING, &path, "Path", "PATH" },
+	{ "key", 'k', 0, G_OPTION_ARG_STRING, &key, "Bearer key", "KEY" },
+	{ "label", 'l', 0, G_OPTION_ARG_STRING, &phase_text,
+	  "Label of the printed line", "TEXT" },
+	{ "rate", 'r', 0, G_OPTION_ARG_DOUBLE, &rate, "Requests a second",
+	  "N" },
+	{ "burst-rate", 0, 0, G_OPTION_ARG_DOUBLE, &burst_rate,
+	  "Requests a second within a burst", "N" },
+	{ "burst-every", 0, 0, G_OPTION_ARG_DOUBLE, &burst_every_s,
+	  "Seconds between the starts of bursts", "S" },
+	{ "burst-length", 0, 0, G_OPTION_ARG_DOUBLE, &burst_length_s,
+	  "Seconds of a burst", "S" },
+	{ "duration", 'd', 0, G_OPTION_ARG_DOUBLE, &duration_s,
+	  "Seconds of load", "S" },
+	{ "tokens", 't', 0, G_OPTION_ARG_INT, &max_tokens,
+	  "Tokens of each answer", "N" },
+	{ "words", 'w', 0, G_OPTION_ARG_INT, &prompt_words,
+	  "Words of each prompt", "N" },
+	{ "prefixes", 0, 0, G_OPTION_ARG_INT, &prefixes,
+	  "Number of shared prompt prefixes", "N" },
+	{ "non-idempotent", 0, 0, G_OPTION_ARG_NONE, &non_idempotent,
+	  "Mark requests as not to be repeated", NULL },
+	{ "timeout", 0, 0, G_OPTION_ARG_INT, &timeout_ms,
+	  "Deadline of each request, ms", "MS" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the arrivals", "N" },
+	{ 0 },
+};
+
+struct load {
+	uv_loop_t loop;
+	struct http_client *http;
+	GRand *random;
+	uv_timer_t arrival;
+	uint64_t start_us;
+	uint64_t next_us;
+	uint64_t end_us;
+	unsigned running;
+	unsigned sent;
+	unsigned whole;
+	unsigned not_run;
+	unsigned unknown;
+	unsigned broken;
+	unsigned unsent;
+	uint64_t tokens;
+	struct metrics *metrics;
+	struct histogram *first_byte;
+	struct histogram *gap;
+	struct histogram *total;
+};
+
+struct request {
+	struct load *load;
+	uint64_t start_us;
+	uint64_t last_us;
+	int status;
+	bool not_run;
+	GString *body;
+};
+
+static uint64_t now_us(void)
+{
+	return uv_hrtime() / 1000;
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	struct request *request = ctx;
+	size_t i;
+
+	request->status = status;
+	for (i = 0; i < nr; i++) {
+		if (!strcmp(fields[i].name, "briarplank-outcome"))
+			request->not_run = !strcmp(fields[i].value, "not_run");
+	}
+}
+
+static unsigned count_tokens(const char *data, size_t len)
+{
+	const char *at = data;
+	const char *end = data + len;
+	unsigned nr = 0;
+
+	while ((at = memmem(at, end - at, "data: ", 6)) != NULL) {
+		nr++;
+		at += 6;
+	}
+	return nr;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct request *request = ctx;
+	struct load *load = request->load;
+	uint64_t now = now_us();
+
+	if (request->status == 200 && !request->last_us)
+		histogram_record(load->first_byte, now - request->start_us);
+	else if (request->status == 200)
+		histogram_record(load->gap, now - request->last_us);
+	request->last_us = now;
+	load->tokens += count_tokens(data, len);
+	g_string_append_len(request->body, data, (gssize)len);
+}
+
+static void count_end(struct request *request, enum http_end end)
+{
+	struct load *load = request->load;
+	bool done = strstr(request->body->str, MARK_DONE) != NULL;
+
+	if (end == HTTP_NOT_SENT)
+		load->unsent++;
+	else if (end == HTTP_WHOLE && request->status == 200 && done)
+		load->whole++;
+	else if (end == HTTP_WHOLE && request->not_run)
+		load->not_run++;
+	else if (request->status == 200)
+		load->broken++;
+	else
+		load->unknown++;
+}
+
+static void finish(struct load *load)
+{
+	if (!load->running && now_us() >= load->end_us)
+		uv_stop(&load->loop);
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct request *request = ctx;
+	struct load *load = request->load;
+
+	count_end(request, end);
+	histogram_record(load->total, now_us() - request->start_us);
+	load->running--;
+	g_string_free(request->body, TRUE);
+	g_free(request);
+	finish(load);
+}
+
+static char *make_body(struct load *load)
+{
+	GString *prompt = g_string_new(NULL);
+	struct json_object *root = json_object_new_object();
+	char *text;
+	int i;
+
+	g_string_printf(prompt, "prefix %d",
+			g_rand_int_range(load->random, 0, MAX(prefixes, 1)));
+	for (i = 0; i < prompt_words; i++)
+		g_string_append_printf(
+			prompt, " w%d",
+			i < prompt_words / 2 ?
+				i :
+				g_rand_int_range(load->random, 0, 1000));
+	json_object_object_add(root, "prompt",
+			       json_object_new_string(prompt->str));
+	json_object_object_add(root, "max_tokens",
+			       json_object_new_int(max_tokens));
+	json_object_object_add(root, "stream", json_object_new_boolean(1));
+	text = g_strdup(json_object_to_json_string(root));
+	json_object_put(root);
+	g_string_free(prompt, TRUE);
+	return text;
+}
+
+static void send_request(struct load *load)
+{
+	struct request *request = g_new0(struct request, 1);
+	char *full = g_strdup_printf("/v1/services/%s/%s", service, path);
+	char *bearer = g_strdup_printf("Bearer %s", key);
+	char *limit = g_strdup_printf("%dms", timeout_ms);
+	char *body = make_body(load);
+	struct http_field fields[] = {
+		{ "authorization", bearer },
+		{ "content-type", "application/json" },
+		{ "briarplank-timeout", limit },
+		{ "briarplank-idempotent", non_idempotent ? "false" : "true" },
+	};
+	struct http_call_options call = {
+		.address = addresses[load->sent % g_strv_length(addresses)],
+		.method = "POST",
+		.path = full,
+		.fields = fields,
+		.fields_nr = G_N_ELEMENTS(fields),
+		.body = body,
+		.body_len = strlen(body),
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = request,
+	};
+
+	request->load = load;
+	request->start_us = now_us();
+	request->body = g_string_new(NULL);
+	load->sent++;
+	load->running++;
+	http_call_start(load->http, &call);
+	g_free(full);
+	g_free(bearer);
+	g_free(limit);
+	g_free(body);
+}
+
+static double current_rate(const struct load *load)
+{
+	double since_s = (double)(now_us() - load->start_us) / US_PER_S;
+
+	if (burst_every_s <= 0 || fmod(since_s, burst_every_s) > burst_length_s)
+		return rate;
+	return burst_rate;
+}
+
+static void schedule(struct load *load);
+
+static void on_arrival(uv_timer_t *timer)
+{
+	struct load *load = timer->data;
+	uint64_t now = now_us();
+
+	while (load->next_us <= now && load->next_us < load->end_us) {
+		double u = g_rand_double(load->random);
+
+		send_request(load);
+		load->next_us +=
+			(uint64_t)(-log(1 - u) * US_PER_S / current_rate(load));
+	}
+	schedule(load);
+}
+
+static void on_last(uv_timer_t *timer)
+{
+	finish(timer->data);
+}
+
+static void schedule(struct load *load)
+{
+	uint64_t now = now_us();
+	uint64_t at = MIN(load->next_us, load->end_us);
+	uint64_t wait_ms = at > now ? (at - now) / 1000 + 1 : 0;
+
+	uv_timer_start(&load->arrival,
+		       load->next_us < load->end_us ? on_arrival : on_last,
+		       wait_ms, 0);
+}
+
+static void print_quantiles(const char *name, const struct histogram *times)
+{
+	printf(" %s_p50=%.2fms %s_p95=%.2fms %s_p99=%.2fms", name,
+	       (double)histogram_quantile(times, 0.50) / 1000, name,
+	       (double)histogram_quantile(times, 0.95) / 1000, name,
+	       (double)histogram_quantile(times, 0.99) / 1000);
+}
+
+static void print_result(const struct load *load)
+{
+	double took_s = (double)(now_us() - load->start_us) / US_PER_S;
+
+	printf("%s sent=%u whole=%u not_run=%u unknown=%u broken=%u unsent=%u",
+	       phase_text, load->sent, load->whole, load->not_run,
+	       load->unknown, load->broken, load->unsent);
+	print_quantiles("first", load->first_byte);
+	print_quantiles("gap", load->gap);
+	print_quantiles("total", load->total);
+	printf(" tokens_per_s=%.0f\n", (double)load->tokens / took_s);
+}
+
+static void run(struct load *load)
+{
+	uv_loop_init(&load->loop);
+	load->http = http_client_create(&load->loop);
+	load->random = g_rand_new_with_seed(seed);
+	load->metrics = metrics_create();
+	load->first_byte = metrics_histogram(load->metrics, "first", "");
+	load->gap = metrics_histogram(load->metrics, "gap", "");
+	load->total = metrics_histogram(load->metrics, "total", "");
+	load->start_us = now_us();
+	load->next_us = load->start_us;
+	load->end_us = load->start_us + (uint64_t)(duration_s * US_PER_S);
+	uv_timer_init(&load->loop, &load->arrival);
+	load->arrival.data = load;
+	schedule(load);
+	uv_run(&load->loop, UV_RUN_DEFAULT);
+	print_result(load);
+	http_client_destroy(load->http);
+	metrics_destroy(load->metrics);
+	g_rand_free(load->random);
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	struct load load = { 0 };
+
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "load: %s\n", error->message);
+		return 2;
+	}
+	g_option_context_free(context);
+	if (!addresses || rate <= 0) {
+		fprintf(stderr, "load: --address and a rate are needed\n");
+		return 2;
+	}
+	run(&load);
+	return 0;
+}
