Track the other nodes by direct pings

Members come from the settings and from the nodes that introduce themselves with a ping. Silence counts from the first ping without an answer.

--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -3,10 +3,14 @@
 typedef struct task *(*task_create_fn)(void);
 
 static const task_create_fn entry_tasks[] = {
+	members_task_create,
+	config_task_create,
 	NULL,
 };
 
 static const task_create_fn agent_tasks[] = {
+	members_task_create,
+	config_task_create,
 	NULL,
 };
 
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "common/list.h"
 
 enum member_role { MEMBER_ENTRY, MEMBER_AGENT };
@@ -52,6 +54,12 @@
 	uint64_t incarnation;
 	uint64_t heard_ms;
 	uint64_t pinged_ms;
+	/** Time of the first ping without an answer; 0 when none is open. */
+	uint64_t unanswered_ms;
+	/** Named in this node's settings, so never forgotten. */
+	bool fixed;
+	/** Pinged at each interval; the others in turn. */
+	bool watched;
 	uint32_t round_trip_us;
 	struct member_load load;
 	/** Ledger shards that an entry says it owns, with their epochs. */
@@ -69,6 +77,29 @@
 	const char *region;
 	const char *service;
 	bool leaving;
+	bool fixed;
+};
+
+enum members_change_kind {
+	MEMBERS_CAME_UP,
+	MEMBERS_WENT_DOWN,
+	MEMBERS_LEAVES,
+};
+
+/** A change of what may be expected of a member. */
+struct members_change {
+	enum members_change_kind kind;
+	/** Name of the member, valid until the next call on members. */
+	const char *name;
+};
+
+/** What an entry says of itself in answer to a ping. */
+struct members_pong {
+	uint64_t incarnation;
+	bool leaving;
+	const uint32_t *shards;
+	const uint64_t *epochs;
+	uint32_t shards_nr;
 };
 
 struct members;
@@ -94,6 +125,34 @@
 struct member *members_learn(struct members *members,
 			     const struct member_facts *facts);
 
+/** Notes that any message of this incarnation came from a member. */
+void members_heard(struct members *members, const char *name,
+		   uint64_t incarnation, uint64_t now_ms);
+
+/** Notes an answer to a ping. */
+void members_ponged(struct members *members, const char *name,
+		    const struct members_pong *pong, uint64_t now_ms);
+
+/** Stores a report unless a later one of the same incarnation came before. */
+void members_loaded(struct members *members, const char *name,
+		    const struct member_load *load);
+
+/** Notes that a member takes no new work from now on. */
+void members_set_leaving(struct members *members, const char *name);
+
+/**
+ * Judges silence and appends the members to ping now (struct member *).
+ * Call at each ping interval.
+ */
+void members_tick(struct members *members, uint64_t now_ms, GPtrArray *pings);
+
+/** Takes the next change, in the order in which they came; false for none. */
+bool members_next_change(struct members *members,
+			 struct members_change *change);
+
+/** Tells whether silence is taken for this node's own isolation. */
+bool members_isolated(const struct members *members);
+
 /** Returns a node by name, or NULL. */
 struct member *members_find(const struct members *members, const char *name);
 
--- a/wire/member.pb-c.c
+++ b/wire/member.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "member.pb-c.h"
+void   briarplank__node_facts__init
+                     (Briarplank__NodeFacts         *message)
+{
+  static const Briarplank__NodeFacts init_value = BRIARPLANK__NODE_FACTS__INIT;
+  *message = init_value;
+}
+size_t briarplank__node_facts__get_packed_size
+                     (const Briarplank__NodeFacts *message)
+{
+  assert(message->base.descriptor == &briarplank__node_facts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__node_facts__pack
+                     (const Briarplank__NodeFacts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__node_facts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__node_facts__pack_to_buffer
+                     (const Briarplank__NodeFacts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__node_facts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__NodeFacts *
+       briarplank__node_facts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__NodeFacts *)
+     protobuf_c_message_unpack (&briarplank__node_facts__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__node_facts__free_unpacked
+                     (Briarplank__NodeFacts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__node_facts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__ping__init
                      (Briarplank__Ping         *message)
 {
@@ -142,7 +187,97 @@
   assert(message->base.descriptor == &briarplank__load_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[1] =
+static const ProtobufCFieldDescriptor briarplank__node_facts__field_descriptors[5] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__NodeFacts, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__NodeFacts, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__NodeFacts, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__NodeFacts, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__NodeFacts, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__node_facts__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = data_centre */
+  3,   /* field[3] = region */
+  0,   /* field[0] = role */
+  4,   /* field[4] = service */
+};
+static const ProtobufCIntRange briarplank__node_facts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor briarplank__node_facts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.NodeFacts",
+  "NodeFacts",
+  "Briarplank__NodeFacts",
+  "briarplank",
+  sizeof(Briarplank__NodeFacts),
+  5,
+  briarplank__node_facts__field_descriptors,
+  briarplank__node_facts__field_indices_by_name,
+  1,  briarplank__node_facts__number_ranges,
+  (ProtobufCMessageInit) briarplank__node_facts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[2] =
 {
   {
     "nonce",
@@ -156,14 +291,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "facts",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Ping, facts),
+    &briarplank__node_facts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__ping__field_indices_by_name[] = {
+  1,   /* field[1] = facts */
   0,   /* field[0] = nonce */
 };
 static const ProtobufCIntRange briarplank__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor briarplank__ping__descriptor =
 {
@@ -173,7 +321,7 @@
   "Briarplank__Ping",
   "briarplank",
   sizeof(Briarplank__Ping),
-  1,
+  2,
   briarplank__ping__field_descriptors,
   briarplank__ping__field_indices_by_name,
   1,  briarplank__ping__number_ranges,
--- a/wire/member.pb-c.h
+++ b/wire/member.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Briarplank__NodeFacts Briarplank__NodeFacts;
 typedef struct Briarplank__Ping Briarplank__Ping;
 typedef struct Briarplank__Pong Briarplank__Pong;
 typedef struct Briarplank__LoadReport Briarplank__LoadReport;
@@ -25,6 +26,26 @@
 
 /* --- messages --- */
 
+/*
+ * What a node says of itself to one that may not have it listed yet.
+ */
+struct  Briarplank__NodeFacts
+{
+  ProtobufCMessage base;
+  /*
+   * 0 for an entry, 1 for an agent.
+   */
+  uint32_t role;
+  char *address;
+  char *data_centre;
+  char *region;
+  char *service;
+};
+#define BRIARPLANK__NODE_FACTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__node_facts__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 /*
  * A direct ping. Answered with Pong carrying the same nonce.
  */
@@ -32,10 +53,14 @@
 {
   ProtobufCMessage base;
   uint64_t nonce;
+  /*
+   * Set until the peer has answered once.
+   */
+  Briarplank__NodeFacts *facts;
 };
 #define BRIARPLANK__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__ping__descriptor) \
-    , 0 }
+    , 0, NULL }
 
 
 struct  Briarplank__Pong
@@ -81,6 +106,25 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/* Briarplank__NodeFacts methods */
+void   briarplank__node_facts__init
+                     (Briarplank__NodeFacts         *message);
+size_t briarplank__node_facts__get_packed_size
+                     (const Briarplank__NodeFacts   *message);
+size_t briarplank__node_facts__pack
+                     (const Briarplank__NodeFacts   *message,
+                      uint8_t             *out);
+size_t briarplank__node_facts__pack_to_buffer
+                     (const Briarplank__NodeFacts   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__NodeFacts *
+       briarplank__node_facts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__node_facts__free_unpacked
+                     (Briarplank__NodeFacts *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__Ping methods */
 void   briarplank__ping__init
                      (Briarplank__Ping         *message);
@@ -140,6 +184,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Briarplank__NodeFacts_Closure)
+                 (const Briarplank__NodeFacts *message,
+                  void *closure_data);
 typedef void (*Briarplank__Ping_Closure)
                  (const Briarplank__Ping *message,
                   void *closure_data);
@@ -155,6 +202,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor briarplank__node_facts__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__ping__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__pong__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__load_report__descriptor;
