--- a/bench/bus_rate.c
+++ b/bench/bus_rate.c
@@ -155,9 +155,9 @@
 	g_thread_join(thread);
 	took_s = (double)(g_get_monotonic_time() - start) / 1e6;
 	cpu_s = process_cpu_s();
-	printf("bus messages=%d bytes=%d rate=%.0f/s "
+	printf("bytes_%d messages=%d rate_per_s=%.0f "
 	       "receiver_us=%.2f sender_us=%.2f all_us=%.2f\n",
-	       messages, bytes, messages / took_s,
+	       bytes, messages, messages / took_s,
 	       receiver.cpu_s * 1e6 / messages, thread_cpu_s() * 1e6 / messages,
 	       cpu_s * 1e6 / messages);
 	g_free(sender.piece);
