Add stand-ins for the platform and the backend servers

Closing a connection without an answer showed that a write to a peer that left ended the process by SIGPIPE.

--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -370,6 +371,8 @@
 {
 	struct web *web = g_new0(struct web, 1);
 
+	/* A write to a caller that left is an error, not the end. */
+	signal(SIGPIPE, SIG_IGN);
 	web->loop = options->loop;
 	list_init(&web->routes);
 	list_init(&web->requests);
@@ -641,3 +644,15 @@
 	request->whole = whole;
 	stream_push(request);
 }
+
+void web_cut(struct web_request *request)
+{
+	h2o_socket_t *sock;
+
+	if (!request->req)
+		return;
+	sock = request->req->conn->callbacks->get_socket(request->req->conn);
+	if (sock)
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	web_stream_end(request, false);
+}
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -98,4 +98,7 @@
 /** Ends the stream, whole or visibly broken. */
 void web_stream_end(struct web_request *request, bool whole);
 
+/** Closes the caller's connection without an answer, or in the midst of one. */
+void web_cut(struct web_request *request);
+
 #endif
--- /dev/null
+++ b/tests/standin/engine.h
@@ -0,0 +1,87 @@
+/**
+ * Parts of the engine's stand-in.
+ */
+#ifndef BRIARPLANK_TESTS_ENGINE_H
+#define BRIARPLANK_TESTS_ENGINE_H
+
+#include "common/list.h"
+#include "standin.h"
+
+struct engine_settings {
+	int64_t base_gap_us;
+	int64_t knee;
+	int64_t slope_us;
+	int64_t max_running;
+	int64_t prefill_us_per_token;
+	int64_t cache_tokens;
+	int64_t load_lag_ms;
+	int64_t fencing;
+	int64_t order_ms;
+};
+
+enum call_phase { CALL_QUEUED, CALL_PREFILL, CALL_RUNNING };
+
+/** A completion that is queued or runs. */
+struct engine_call {
+	struct list link;
+	struct engine_batch *batch;
+	struct web_request *request;
+	char *id;
+	char *prompt;
+	uint64_t prompt_hash;
+	enum call_phase phase;
+	bool stream;
+	bool resumed;
+	uint32_t next;
+	uint32_t max_tokens;
+	/** Prompt tokens still to be computed. */
+	uint32_t prefill_left;
+	GString *text;
+};
+
+/** Continuous batching: a step gives each running call its next token. */
+struct engine_batch {
+	struct standin *standin;
+	const struct engine_settings *settings;
+	struct engine_cache *cache;
+	struct list calls;
+	uint32_t running;
+	uint32_t waiting;
+	/** Call id to the number of times that it was started. */
+	GHashTable *runs;
+	GArray *samples;
+	uv_timer_t *timer;
+	uint64_t due_us;
+	bool stepping;
+};
+
+struct engine_batch *engine_batch_create(
+	struct standin *standin, const struct engine_settings *settings);
+void engine_batch_destroy(struct engine_batch *batch);
+
+/** Queues a call, which the batch then owns. */
+void engine_batch_add(struct engine_batch *batch, struct engine_call *call);
+
+/** Ends a call by id with a broken answer; false when there is none. */
+bool engine_batch_cancel(struct engine_batch *batch, const char *id);
+
+/** Breaks every call that runs. */
+void engine_batch_kill(struct engine_batch *batch);
+
+/** Reports the load as it was load_lag_ms ago. */
+struct json_object *engine_batch_load(struct engine_batch *batch);
+
+/** Text of a token of the answer to a prompt. */
+void engine_token(uint64_t prompt_hash, uint32_t index, char out[32]);
+
+struct engine_cache *engine_cache_create(int64_t max_tokens);
+void engine_cache_destroy(struct engine_cache *cache);
+
+/** Returns the tokens of a prompt that are not cached, and caches them. */
+uint32_t engine_cache_miss(struct engine_cache *cache, const char *prompt);
+
+struct engine_orders *engine_orders_create(struct standin *standin,
+					   const struct engine_settings *set);
+void engine_orders_destroy(struct engine_orders *orders);
+
+#endif
