--- /dev/null
+++ b/briarplankd/agent/attempt.c
@@ -0,0 +1,701 @@
+/*
+ * Online attempts at the gate: from the dispatch to the last confirmed piece.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "gate.h"
+#include "common/log.h"
+
+#define PART "gate"
+
+/* Bytes of an answer kept for a resume, and unsent before it pauses. */
+#define KEEP_BYTES (256 << 10)
+#define PAUSE_BYTES (256 << 10)
+#define PIECE_BYTES (32 << 10)
+/* Time for which a complete answer can be resumed; shorter when leaving. */
+#define LINGER_MS 10000
+#define LINGER_LEAVING_MS 500
+/* Time after which the attempts of a lost entry are cancelled. */
+#define ORPHAN_MS 5000
+/* Time after a thaw in which messages may be as old as the freeze. */
+#define THAW_US 300000
+
+enum attempt_state {
+	/** Handed to the adapter; no byte has left yet. */
+	ATTEMPT_STARTED,
+	/** The server may have seen the request. */
+	ATTEMPT_SENT,
+	/** The outcome is known; the answer may still be on its way. */
+	ATTEMPT_ENDED,
+};
+
+struct attempt {
+	struct gate *gate;
+	/* Request id and attempt number; names the call to the server too. */
+	char *key;
+	char *entry;
+	Briarplank__Dispatch *dispatch;
+	enum attempt_state state;
+	uint64_t received_us;
+	uint64_t started_us;
+	uint64_t deadline_us;
+	uint64_t last_token_us;
+	/* When the last of the outcome went out; 0 before. */
+	uint64_t told_us;
+	uint64_t entry_down_us;
+	struct backend_call *call;
+	struct answer_buffer *buffer;
+	Briarplank__AnswerHead *head;
+	bool head_sent;
+	bool paused;
+	bool confirmed;
+	bool failed;
+	bool failure_sent;
+	Briarplank__AnswerFailed__Cause cause;
+};
+
+static char *make_key(const char *request_id, uint32_t number)
+{
+	return g_strdup_printf("%s-%u", request_id, number);
+}
+
+static struct attempt *attempt_find(struct gate *gate, const char *request_id,
+				    uint32_t number)
+{
+	char *key = make_key(request_id, number);
+	struct attempt *attempt = g_hash_table_lookup(gate->attempts, key);
+
+	g_free(key);
+	return attempt;
+}
+
+/* A copy that outlives the envelope. */
+static Briarplank__Dispatch *copy_dispatch(const Briarplank__Dispatch *dispatch)
+{
+	size_t len = briarplank__dispatch__get_packed_size(dispatch);
+	uint8_t *bytes = g_malloc(len);
+	Briarplank__Dispatch *copy;
+
+	briarplank__dispatch__pack(dispatch, bytes);
+	copy = briarplank__dispatch__unpack(NULL, len, bytes);
+	g_free(bytes);
+	return copy;
+}
+
+static void head_free(Briarplank__AnswerHead *head)
+{
+	if (head)
+		briarplank__answer_head__free_unpacked(head, NULL);
+}
+
+static void attempt_free(struct attempt *attempt)
+{
+	if (attempt->call)
+		attempt->gate->backend->ops->cancel(attempt->call);
+	head_free(attempt->head);
+	answer_buffer_destroy(attempt->buffer);
+	briarplank__dispatch__free_unpacked(attempt->dispatch, NULL);
+	g_free(attempt->entry);
+	g_free(attempt->key);
+	g_free(attempt);
+}
+
+/* Removes an attempt; its id is remembered. */
+static void attempt_remove(struct attempt *attempt, enum tombstone_kind kind)
+{
+	struct gate *gate = attempt->gate;
+
+	if (attempt->state == ATTEMPT_STARTED || attempt->state == ATTEMPT_SENT)
+		gate->running_online--;
+	tombstones_add(gate->tombstones, attempt->key, kind,
+		       node_now_ms(gate->task.node));
+	g_hash_table_remove(gate->attempts, attempt->key);
+	attempt_free(attempt);
+}
+
+static void send_refused(struct gate *gate, const char *entry,
+			 const char *request_id, uint32_t number,
+			 Briarplank__Refused__Reason reason,
+			 uint32_t retry_after_ms)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Refused body = BRIARPLANK__REFUSED__INIT;
+	const ProtobufCEnumValue *value = protobuf_c_enum_descriptor_get_value(
+		&briarplank__refused__reason__descriptor, reason);
+
+	body.request_id = (char *)request_id;
+	body.attempt = number;
+	body.reason = reason;
+	body.retry_after_ms = retry_after_ms;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_REFUSED;
+	env.refused = &body;
+	bus_send(gate->task.node->bus, entry, &env);
+	gate_count_refusal(gate, value->name);
+	log_debug(PART, "refused %s/%u: %s", request_id, number, value->name);
+}
+
+/* Refuses an attempt of which nothing ran. */
+static void attempt_refuse(struct attempt *attempt,
+			   Briarplank__Refused__Reason reason,
+			   uint32_t retry_after_ms)
+{
+	send_refused(attempt->gate, attempt->entry,
+		     attempt->dispatch->request_id, attempt->dispatch->attempt,
+		     reason, retry_after_ms);
+	attempt_remove(attempt, TOMBSTONE_NEVER_STARTED);
+}
+
+static void send_admitted(struct attempt *attempt)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Admitted body = BRIARPLANK__ADMITTED__INIT;
+
+	body.request_id = attempt->dispatch->request_id;
+	body.attempt = attempt->dispatch->attempt;
+	body.queued_us = attempt->started_us - attempt->received_us;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ADMITTED;
+	env.admitted = &body;
+	bus_send(attempt->gate->task.node->bus, attempt->entry, &env);
+}
+
+static bool send_head(struct attempt *attempt)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_HEAD;
+	env.answer_head = attempt->head;
+	attempt->head_sent = bus_send(attempt->gate->task.node->bus,
+				      attempt->entry, &env) == BUS_OK;
+	return attempt->head_sent;
+}
+
+static bool send_piece(struct attempt *attempt,
+		       const struct answer_piece *piece)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__AnswerChunk body = BRIARPLANK__ANSWER_CHUNK__INIT;
+
+	body.request_id = attempt->dispatch->request_id;
+	body.attempt = attempt->dispatch->attempt;
+	body.sequence = piece->sequence;
+	body.data.data = (uint8_t *)piece->data;
+	body.data.len = piece->len;
+	body.last = piece->last;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_CHUNK;
+	env.answer_chunk = &body;
+	return bus_send(attempt->gate->task.node->bus, attempt->entry, &env) ==
+	       BUS_OK;
+}
+
+static bool send_failed(struct attempt *attempt)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__AnswerFailed body = BRIARPLANK__ANSWER_FAILED__INIT;
+
+	body.request_id = attempt->dispatch->request_id;
+	body.attempt = attempt->dispatch->attempt;
+	body.cause = attempt->cause;
+	body.started = true;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_FAILED;
+	env.answer_failed = &body;
+	attempt->failure_sent = bus_send(attempt->gate->task.node->bus,
+					 attempt->entry, &env) == BUS_OK;
+	return attempt->failure_sent;
+}
+
+/* Tells whether the entry was sent the whole outcome. */
+static bool attempt_told(const struct attempt *attempt)
+{
+	return attempt->failed ? attempt->failure_sent :
+				 answer_buffer_drained(attempt->buffer);
+}
+
+static void update_pause(struct attempt *attempt)
+{
+	bool full = answer_buffer_full(attempt->buffer);
+
+	if (!attempt->call || full == attempt->paused)
+		return;
+	attempt->paused = full;
+	attempt->gate->backend->ops->pause(attempt->call, full);
+}
+
+/* Sends what may go out now, in order; the rest waits for credit or a tick. */
+static void attempt_pump(struct attempt *attempt)
+{
+	struct answer_piece piece;
+
+	if (attempt->head && !attempt->head_sent && !send_head(attempt))
+		return;
+	while (answer_buffer_next(attempt->buffer, &piece)) {
+		if (!send_piece(attempt, &piece))
+			return;
+		answer_buffer_sent(attempt->buffer);
+	}
+	if (attempt->failed && !attempt->failure_sent)
+		send_failed(attempt);
+	if (attempt_told(attempt) && !attempt->told_us)
+		attempt->told_us = node_now_us();
+	update_pause(attempt);
+}
+
+static void attempt_end(struct attempt *attempt)
+{
+	if (attempt->state != ATTEMPT_ENDED)
+		attempt->gate->running_online--;
+	attempt->state = ATTEMPT_ENDED;
+}
+
+static void attempt_fail(struct attempt *attempt,
+			 Briarplank__AnswerFailed__Cause cause)
+{
+	if (attempt->call)
+		attempt->gate->backend->ops->cancel(attempt->call);
+	attempt->call = NULL;
+	attempt->failed = true;
+	attempt->cause = cause;
+	attempt_end(attempt);
+	attempt_pump(attempt);
+}
+
+static void on_sent(void *ctx)
+{
+	struct attempt *attempt = ctx;
+
+	attempt->state = ATTEMPT_SENT;
+	counter_add(attempt->gate->metrics.admitted, 1);
+	send_admitted(attempt);
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	struct attempt *attempt = ctx;
+	Briarplank__AnswerHead *head = g_malloc(sizeof(*head));
+	size_t i;
+
+	briarplank__answer_head__init(head);
+	head->request_id = g_strdup(attempt->dispatch->request_id);
+	head->attempt = attempt->dispatch->attempt;
+	head->status = status;
+	head->headers = g_new0(Briarplank__HeaderField *, nr);
+	head->n_headers = nr;
+	for (i = 0; i < nr; i++) {
+		head->headers[i] = g_malloc(sizeof(*head->headers[i]));
+		briarplank__header_field__init(head->headers[i]);
+		head->headers[i]->name = g_strdup(fields[i].name);
+		head->headers[i]->value = g_strdup(fields[i].value);
+	}
+	attempt->head = head;
+	attempt_pump(attempt);
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct attempt *attempt = ctx;
+	struct gate *gate = attempt->gate;
+	uint64_t now = node_now_us();
+
+	if (!attempt->last_token_us)
+		histogram_record(gate->metrics.first_token,
+				 now - attempt->received_us);
+	else
+		histogram_record(gate->metrics.token_gap,
+				 now - attempt->last_token_us);
+	attempt->last_token_us = now;
+	answer_buffer_push(attempt->buffer, data, len);
+	attempt_pump(attempt);
+}
+
+static Briarplank__AnswerFailed__Cause failure_cause(
+	const struct attempt *attempt, enum http_end end)
+{
+	if (end != HTTP_TIMEOUT)
+		return BRIARPLANK__ANSWER_FAILED__CAUSE__SERVER_LOST;
+	if (!attempt->head && node_now_us() >= attempt->deadline_us)
+		return BRIARPLANK__ANSWER_FAILED__CAUSE__DEADLINE;
+	return BRIARPLANK__ANSWER_FAILED__CAUSE__SERVER_STALLED;
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct attempt *attempt = ctx;
+	struct gate *gate = attempt->gate;
+
+	gate_wake(gate);
+	attempt->call = NULL;
+	if (end == HTTP_NOT_SENT) {
+		attempt_refuse(attempt,
+			       BRIARPLANK__REFUSED__REASON__CONNECT_FAILED, 0);
+	} else if (end == HTTP_WHOLE) {
+		answer_buffer_finish(attempt->buffer);
+		attempt_end(attempt);
+		attempt_pump(attempt);
+	} else {
+		attempt_fail(attempt, failure_cause(attempt, end));
+	}
+	gate_schedule(gate);
+}
+
+static struct http_field *copy_fields(const Briarplank__Dispatch *dispatch)
+{
+	struct http_field *fields =
+		g_new0(struct http_field, dispatch->n_headers);
+	size_t i;
+
+	for (i = 0; i < dispatch->n_headers; i++) {
+		fields[i].name = dispatch->headers[i]->name;
+		fields[i].value = dispatch->headers[i]->value;
+	}
+	return fields;
+}
+
+static void attempt_start(struct attempt *attempt)
+{
+	struct gate *gate = attempt->gate;
+	const Briarplank__Dispatch *dispatch = attempt->dispatch;
+	struct http_field *fields = copy_fields(dispatch);
+	uint64_t now = node_now_us();
+	struct backend_call_options options = {
+		.call_id = attempt->key,
+		.method = dispatch->method,
+		.path = dispatch->path,
+		.fields = fields,
+		.fields_nr = dispatch->n_headers,
+		.body = dispatch->body.data,
+		.body_len = dispatch->body.len,
+		.idempotent = dispatch->idempotent,
+		.first_byte_timeout_ms =
+			(attempt->deadline_us - now) / 1000 + 1,
+		.idle_timeout_ms = SERVER_STALL_MS,
+		.on_sent = on_sent,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = attempt,
+	};
+
+	attempt->started_us = now;
+	histogram_record(gate->metrics.queue_wait, now - attempt->received_us);
+	gate->running_online++;
+	attempt->call = gate->backend->ops->call(gate->backend, &options);
+	g_free(fields);
+}
+
+/* Time left; a message read after a thaw may be as old as the freeze. */
+static uint64_t remaining_ms(const struct gate *gate,
+			     const Briarplank__Dispatch *dispatch)
+{
+	uint64_t left = dispatch->remaining_ms;
+
+	if (gate->thawed_us && node_now_us() < gate->thawed_us + THAW_US)
+		return left > gate->frozen_ms ? left - gate->frozen_ms : 0;
+	return left;
+}
+
+static struct attempt *attempt_create(struct gate *gate, const char *entry,
+				      const Briarplank__Dispatch *dispatch)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+	struct answer_buffer_options options = {
+		.credit_bytes = dispatch->credit_bytes,
+		.keep_bytes = KEEP_BYTES,
+		.pause_bytes = PAUSE_BYTES,
+		.piece_bytes = PIECE_BYTES,
+	};
+
+	attempt->gate = gate;
+	attempt->key = make_key(dispatch->request_id, dispatch->attempt);
+	attempt->entry = g_strdup(entry);
+	attempt->dispatch = copy_dispatch(dispatch);
+	attempt->received_us = node_now_us();
+	attempt->deadline_us =
+		attempt->received_us + remaining_ms(gate, dispatch) * 1000;
+	attempt->buffer = answer_buffer_create(&options);
+	g_hash_table_insert(gate->attempts, attempt->key, attempt);
+	return attempt;
+}
+
+/* Tells why a dispatch can't be taken, or -1. */
+static int refusal_of(struct gate *gate, const Briarplank__Dispatch *dispatch,
+		      enum tombstone_kind kind)
+{
+	const struct node *node = gate->task.node;
+
+	if (dispatch->agent_incarnation != node->incarnation)
+		return BRIARPLANK__REFUSED__REASON__WRONG_INCARNATION;
+	if (strcmp(dispatch->service, node->settings->service) != 0)
+		return BRIARPLANK__REFUSED__REASON__WRONG_SERVICE;
+	if (kind == TOMBSTONE_NEVER_STARTED)
+		return BRIARPLANK__REFUSED__REASON__CANCELLED;
+	if (gate->leaving)
+		return BRIARPLANK__REFUSED__REASON__LEAVING;
+	if (!remaining_ms(gate, dispatch))
+		return BRIARPLANK__REFUSED__REASON__DEADLINE;
+	return -1;
+}
+
+static void note_entry(struct gate *gate, const char *entry)
+{
+	uint64_t *at = g_new(uint64_t, 1);
+
+	*at = node_now_ms(gate->task.node);
+	g_hash_table_replace(gate->entries, g_strdup(entry), at);
+}
+
+/* A second copy of a dispatch starts nothing. */
+static bool is_duplicate(struct gate *gate,
+			 const Briarplank__Dispatch *dispatch,
+			 enum tombstone_kind kind)
+{
+	struct attempt *attempt =
+		attempt_find(gate, dispatch->request_id, dispatch->attempt);
+
+	if (!attempt && kind != TOMBSTONE_ENDED)
+		return false;
+	counter_add(gate->metrics.duplicates, 1);
+	if (attempt && attempt->state != ATTEMPT_STARTED)
+		send_admitted(attempt);
+	return true;
+}
+
+static void on_dispatch(void *ctx, const Briarplank__Envelope *env)
+{
+	struct gate *gate = ctx;
+	const Briarplank__Dispatch *dispatch = env->dispatch;
+	char *key = make_key(dispatch->request_id, dispatch->attempt);
+	enum tombstone_kind kind;
+	int reason;
+
+	gate_wake(gate);
+	note_entry(gate, env->sender);
+	kind = tombstones_find(gate->tombstones, key,
+			       node_now_ms(gate->task.node));
+	g_free(key);
+	if (is_duplicate(gate, dispatch, kind))
+		return;
+	reason = refusal_of(gate, dispatch, kind);
+	if (reason >= 0)
+		send_refused(gate, env->sender, dispatch->request_id,
+			     dispatch->attempt, reason, 0);
+	else
+		attempt_start(attempt_create(gate, env->sender, dispatch));
+}
+
+static void send_cancel_result(struct gate *gate, const char *entry,
+			       const Briarplank__Cancel *cancel,
+			       Briarplank__CancelResult__State state)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__CancelResult body = BRIARPLANK__CANCEL_RESULT__INIT;
+
+	body.request_id = cancel->request_id;
+	body.attempt = cancel->attempt;
+	body.state = state;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_CANCEL_RESULT;
+	env.cancel_result = &body;
+	bus_send(gate->task.node->bus, entry, &env);
+}
+
+/* An attempt that isn't here: from now on it will never start. */
+static void cancel_absent(struct gate *gate, const char *entry,
+			  const Briarplank__Cancel *cancel)
+{
+	char *key = make_key(cancel->request_id, cancel->attempt);
+	uint64_t now = node_now_ms(gate->task.node);
+	enum tombstone_kind kind = tombstones_find(gate->tombstones, key, now);
+
+	if (kind == TOMBSTONE_ENDED)
+		send_cancel_result(gate, entry, cancel,
+				   BRIARPLANK__CANCEL_RESULT__STATE__ENDED);
+	else if (tombstones_add(gate->tombstones, key, TOMBSTONE_NEVER_STARTED,
+				now))
+		send_cancel_result(
+			gate, entry, cancel,
+			BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED);
+	else
+		log_warn(PART, "no room to remember that %s must not start",
+			 key);
+	g_free(key);
+}
+
+static void cancel_running(struct attempt *attempt,
+			   const Briarplank__Cancel *cancel)
+{
+	struct gate *gate = attempt->gate;
+
+	if (cancel->only_if_not_started) {
+		send_cancel_result(gate, attempt->entry, cancel,
+				   BRIARPLANK__CANCEL_RESULT__STATE__RUNNING);
+		return;
+	}
+	send_cancel_result(gate, attempt->entry, cancel,
+			   BRIARPLANK__CANCEL_RESULT__STATE__STOPPED);
+	attempt_remove(attempt, TOMBSTONE_ENDED);
+	gate_schedule(gate);
+}
+
+static void on_cancel(void *ctx, const Briarplank__Envelope *env)
+{
+	struct gate *gate = ctx;
+	const Briarplank__Cancel *cancel = env->cancel;
+	struct attempt *attempt =
+		attempt_find(gate, cancel->request_id, cancel->attempt);
+
+	gate_wake(gate);
+	if (!attempt) {
+		cancel_absent(gate, env->sender, cancel);
+	} else if (attempt->state == ATTEMPT_SENT) {
+		cancel_running(attempt, cancel);
+	} else if (attempt->state == ATTEMPT_ENDED) {
+		send_cancel_result(gate, env->sender, cancel,
+				   BRIARPLANK__CANCEL_RESULT__STATE__ENDED);
+	} else {
+		send_cancel_result(
+			gate, env->sender, cancel,
+			BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED);
+		attempt_remove(attempt, TOMBSTONE_NEVER_STARTED);
+	}
+}
+
+static void on_credit(void *ctx, const Briarplank__Envelope *env)
+{
+	struct gate *gate = ctx;
+	const Briarplank__Credit *credit = env->credit;
+	struct attempt *attempt =
+		attempt_find(gate, credit->request_id, credit->attempt);
+
+	gate_wake(gate);
+	if (!attempt)
+		return;
+	answer_buffer_credit(attempt->buffer, credit->next_sequence,
+			     credit->bytes);
+	attempt->confirmed = answer_buffer_drained(attempt->buffer) &&
+			     answer_buffer_empty(attempt->buffer);
+	attempt_pump(attempt);
+}
+
+static void send_gone(struct gate *gate, const char *entry,
+		      const Briarplank__Resume *resume)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__AnswerFailed body = BRIARPLANK__ANSWER_FAILED__INIT;
+
+	body.request_id = resume->request_id;
+	body.attempt = resume->attempt;
+	body.cause = BRIARPLANK__ANSWER_FAILED__CAUSE__BUFFER_OVERFLOW;
+	body.started = true;
+	body.message = "the answer is kept no more";
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_FAILED;
+	env.answer_failed = &body;
+	bus_send(gate->task.node->bus, entry, &env);
+}
+
+static void on_resume(void *ctx, const Briarplank__Envelope *env)
+{
+	struct gate *gate = ctx;
+	const Briarplank__Resume *resume = env->resume;
+	struct attempt *attempt =
+		attempt_find(gate, resume->request_id, resume->attempt);
+
+	gate_wake(gate);
+	if (!attempt) {
+		send_gone(gate, env->sender, resume);
+		return;
+	}
+	if (!answer_buffer_rewind(attempt->buffer, resume->from_sequence)) {
+		send_gone(gate, env->sender, resume);
+		attempt_remove(attempt, TOMBSTONE_ENDED);
+		return;
+	}
+	if (!resume->from_sequence)
+		attempt->head_sent = false;
+	attempt->failure_sent = false;
+	attempt->entry_down_us = 0;
+	attempt_pump(attempt);
+}
+
+void attempts_register(struct gate *gate)
+{
+	struct bus *bus = gate->task.node->bus;
+
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_DISPATCH, on_dispatch, gate);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL, on_cancel, gate);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CREDIT, on_credit, gate);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_RESUME, on_resume, gate);
+}
+
+static void tick_running(struct attempt *attempt, uint64_t now)
+{
+	bool orphan = attempt->entry_down_us &&
+		      now > attempt->entry_down_us + ORPHAN_MS * 1000;
+
+	/* Once the answer has begun, the entry judges how long to wait. */
+	if (!attempt->head && now > attempt->deadline_us)
+		attempt_fail(attempt,
+			     BRIARPLANK__ANSWER_FAILED__CAUSE__DEADLINE);
+	else if (orphan && attempt->dispatch->idempotent)
+		attempt_fail(attempt,
+			     BRIARPLANK__ANSWER_FAILED__CAUSE__CANCELLED);
+	else
+		attempt_pump(attempt);
+}
+
+static void tick_ended(struct attempt *attempt, uint64_t now)
+{
+	uint64_t linger =
+		attempt->gate->leaving ? LINGER_LEAVING_MS : LINGER_MS;
+	bool over =
+		attempt_told(attempt) && now > attempt->told_us + linger * 1000;
+	bool orphan = attempt->entry_down_us &&
+		      now > attempt->entry_down_us + ORPHAN_MS * 1000;
+
+	if (attempt->confirmed || over || orphan)
+		attempt_remove(attempt, TOMBSTONE_ENDED);
+	else
+		attempt_pump(attempt);
+}
+
+void attempts_tick(struct gate *gate)
+{
+	uint64_t now = node_now_us();
+	GList *all = g_hash_table_get_values(gate->attempts);
+	GList *pos;
+
+	for (pos = all; pos; pos = pos->next) {
+		struct attempt *attempt = pos->data;
+
+		if (attempt->state == ATTEMPT_ENDED)
+			tick_ended(attempt, now);
+		else
+			tick_running(attempt, now);
+	}
+	g_list_free(all);
+}
+
+void attempts_entry_down(struct gate *gate, const char *entry, bool down)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct attempt *attempt = value;
+
+		if (!strcmp(attempt->entry, entry))
+			attempt->entry_down_us = down ? node_now_us() : 0;
+	}
+}
+
+void attempts_destroy(struct gate *gate)
+{
+	GList *all = g_hash_table_get_values(gate->attempts);
+	GList *pos;
+
+	g_hash_table_destroy(gate->attempts);
+	for (pos = all; pos; pos = pos->next)
+		attempt_free(pos->data);
+	g_list_free(all);
+}
--- /dev/null
+++ b/briarplankd/agent/batch.c
@@ -0,0 +1,642 @@
+/*
+ * The agent's task that pulls batch items from the owners of ledger shards,
+ * runs them through the gate and reports how they ended.
+ *
+ * A grant is a lease. Only the owner's answer to a renewal extends it, by the
+ * time at which the renewal was sent.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "gate.h"
+#include "briarplankd/members_task.h"
+#include "briarplankd/tasks.h"
+#include "common/hash.h"
+#include "common/log.h"
+
+#define PART "batch"
+
+#define TICK_MS 50
+/* Wait for the answer to a pull, in ms. */
+#define PULL_TIMEOUT_MS 2000
+/* Wait before an owner without items is asked again, if it names none. */
+#define PULL_PAUSE_MS 250
+/* Results held unconfirmed before pulling stops, in bytes. */
+#define RESULTS_MAX_BYTES (16 << 20)
+#define PULL_MAX_BYTES (1 << 20)
+/* First and longest wait before an outcome is sent again, in ms. */
+#define RESEND_MIN_MS 500
+#define RESEND_MAX_MS 15000
+/* Outcomes in one message. */
+#define COMPLETIONS_MAX 256
+#define COMPLETIONS_MAX_BYTES (2 << 20)
+/* Parts of a lease after which it is renewed. */
+#define RENEW_DIVISOR 3
+
+struct item {
+	struct list link;
+	struct batch *batch;
+	Briarplank__Grant *grant;
+	/* Entry that granted it. */
+	char *owner;
+	uint64_t lease_until_us;
+	struct gate_work *work;
+	/* NULL while the work goes on. */
+	Briarplank__ItemOutcome *outcome;
+	uint64_t send_after_ms;
+	uint32_t send_pause_ms;
+	/* Owner that the outcome was last sent to. */
+	char *told;
+};
+
+struct owner {
+	struct list link;
+	char *name;
+	uint64_t ask_after_ms;
+	/* Oldest renewal without an answer; 0 when there is none. */
+	uint64_t renew_sent_us;
+	uint64_t renew_after_ms;
+};
+
+struct batch {
+	struct task task;
+	struct gate *gate;
+	uv_timer_t timer;
+	bool timer_open;
+	struct list items;
+	struct list owners;
+	struct owner *next_owner;
+	uint64_t pull_id;
+	uint64_t pull_until_ms;
+	size_t result_bytes;
+	bool leaving;
+	uint64_t stop_at_ms;
+	struct counter *granted;
+	struct counter *ended;
+	struct counter *voided;
+	struct counter *lapsed;
+};
+
+static uint64_t now_ms(const struct batch *batch)
+{
+	return node_now_ms(batch->task.node);
+}
+
+static struct owner *owner_find(struct batch *batch, const char *name)
+{
+	struct owner *owner;
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		owner = list_entry(pos, struct owner, link);
+		if (!strcmp(owner->name, name))
+			return owner;
+	}
+	owner = g_new0(struct owner, 1);
+	owner->name = g_strdup(name);
+	list_append(&batch->owners, &owner->link);
+	return owner;
+}
+
+static void outcome_free(Briarplank__ItemOutcome *outcome)
+{
+	if (outcome)
+		briarplank__item_outcome__free_unpacked(outcome, NULL);
+}
+
+static void item_free(struct item *item)
+{
+	if (item->work)
+		gate_work_cancel(item->work);
+	if (item->outcome)
+		item->batch->result_bytes -= item->outcome->body.len;
+	outcome_free(item->outcome);
+	briarplank__grant__free_unpacked(item->grant, NULL);
+	list_remove(&item->link);
+	g_free(item->owner);
+	g_free(item->told);
+	g_free(item);
+}
+
+static struct item *item_find(struct batch *batch,
+			      const Briarplank__GrantRef *ref)
+{
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (item->grant->grant_id == ref->grant_id &&
+		    item->grant->shard == ref->shard &&
+		    item->grant->epoch == ref->epoch)
+			return item;
+	}
+	return NULL;
+}
+
+static void item_end(struct item *item, Briarplank__ItemOutcome__Result result,
+		     int status, const GString *body)
+{
+	Briarplank__ItemOutcome *outcome = g_malloc(sizeof(*outcome));
+
+	briarplank__item_outcome__init(outcome);
+	outcome->grant = g_malloc(sizeof(*outcome->grant));
+	briarplank__grant_ref__init(outcome->grant);
+	outcome->grant->shard = item->grant->shard;
+	outcome->grant->epoch = item->grant->epoch;
+	outcome->grant->grant_id = item->grant->grant_id;
+	outcome->result = result;
+	outcome->http_status = status;
+	if (body && body->len) {
+		outcome->body.data = g_memdup2(body->str, body->len);
+		outcome->body.len = body->len;
+	}
+	item->work = NULL;
+	item->outcome = outcome;
+	item->send_pause_ms = RESEND_MIN_MS;
+	item->batch->result_bytes += outcome->body.len;
+	counter_add(item->batch->ended, 1);
+}
+
+static Briarplank__ItemOutcome__Result result_of(enum gate_result result,
+						 int status)
+{
+	if (result == GATE_NOT_RUN)
+		return BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN;
+	if (result == GATE_LOST)
+		return BRIARPLANK__ITEM_OUTCOME__RESULT__LOST;
+	return status >= 200 && status < 300 ?
+		       BRIARPLANK__ITEM_OUTCOME__RESULT__DONE :
+		       BRIARPLANK__ITEM_OUTCOME__RESULT__FAILED;
+}
+
+static void on_work_end(void *ctx, enum gate_result result, int status,
+			const GString *body)
+{
+	struct item *item = ctx;
+
+	item_end(item, result_of(result, status), status, body);
+}
+
+/* Names the grant towards the server; another grant is another call. */
+static char *work_id(const Briarplank__Grant *grant)
+{
+	char hex[2 * HASH128_BYTES + 1];
+
+	if (grant->job_id.len != HASH128_BYTES)
+		return g_strdup_printf("item-%u-%" G_GUINT64_FORMAT,
+				       grant->shard, grant->grant_id);
+	hash_to_hex(grant->job_id.data, HASH128_BYTES, hex);
+	return g_strdup_printf("%s-%u-%" G_GUINT64_FORMAT, hex, grant->item,
+			       grant->grant_id);
+}
+
+static Briarplank__Grant *copy_grant(const Briarplank__Grant *grant)
+{
+	size_t len = briarplank__grant__get_packed_size(grant);
+	uint8_t *bytes = g_malloc(len);
+	Briarplank__Grant *copy;
+
+	briarplank__grant__pack(grant, bytes);
+	copy = briarplank__grant__unpack(NULL, len, bytes);
+	g_free(bytes);
+	return copy;
+}
+
+static void item_submit(struct item *item)
+{
+	const Briarplank__Grant *grant = item->grant;
+	char *id = work_id(grant);
+	char *path = g_strdup_printf("%s%s", *grant->path == '/' ? "" : "/",
+				     grant->path);
+	struct gate_work_options options = {
+		.id = id,
+		.method = *grant->method ? grant->method : "POST",
+		.path = path,
+		.body = grant->body.data,
+		.body_len = grant->body.len,
+		.idempotent = grant->idempotent,
+		.on_end = on_work_end,
+		.ctx = item,
+	};
+
+	item->work = gate_work_submit(item->batch->gate, &options);
+	g_free(path);
+	g_free(id);
+}
+
+static void item_create(struct batch *batch, const char *owner,
+			const Briarplank__Grant *grant, uint64_t granted_us)
+{
+	struct item *item = g_new0(struct item, 1);
+
+	item->batch = batch;
+	item->grant = copy_grant(grant);
+	item->owner = g_strdup(owner);
+	item->lease_until_us = granted_us + (uint64_t)grant->lease_ms * 1000;
+	list_append(&batch->items, &item->link);
+	counter_add(batch->granted, 1);
+	if (batch->leaving)
+		item_end(item, BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN, 0,
+			 NULL);
+	else
+		item_submit(item);
+}
+
+/* Cancels the work of each grant whose lease has lapsed. */
+static void drop_lapsed(struct batch *batch)
+{
+	uint64_t now = node_now_us();
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (!item->work || now < item->lease_until_us)
+			continue;
+		log_info(PART,
+			 "the lease of grant %" G_GUINT64_FORMAT
+			 " lapsed, its work is cancelled",
+			 item->grant->grant_id);
+		counter_add(batch->lapsed, 1);
+		item_free(item);
+	}
+}
+
+static void on_thaw(void *ctx)
+{
+	drop_lapsed(ctx);
+}
+
+static void on_grants(void *ctx, const Briarplank__Envelope *env)
+{
+	struct batch *batch = ctx;
+	const Briarplank__Grants *grants = env->grants;
+	struct owner *owner = owner_find(batch, env->sender);
+	uint64_t pause = grants->retry_after_ms;
+	size_t i;
+
+	gate_wake(batch->gate);
+	if (grants->pull_id == batch->pull_id)
+		batch->pull_until_ms = 0;
+	if (!pause && !grants->n_grants)
+		pause = PULL_PAUSE_MS;
+	owner->ask_after_ms = now_ms(batch) + pause;
+	for (i = 0; i < grants->n_grants; i++) {
+		const Briarplank__Grant *grant = grants->grants[i];
+		Briarplank__GrantRef ref = BRIARPLANK__GRANT_REF__INIT;
+
+		ref.shard = grant->shard;
+		ref.epoch = grant->epoch;
+		ref.grant_id = grant->grant_id;
+		if (!item_find(batch, &ref))
+			item_create(batch, env->sender, grant, node_now_us());
+	}
+	gate_schedule(batch->gate);
+}
+
+/* Drops grants that are durable or void. */
+static void drop_refs(struct batch *batch, Briarplank__GrantRef **refs,
+		      size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		struct item *item = item_find(batch, refs[i]);
+
+		if (item)
+			item_free(item);
+	}
+}
+
+static void extend_leases(struct batch *batch, const struct owner *owner,
+			  uint32_t lease_ms)
+{
+	uint64_t until = owner->renew_sent_us + (uint64_t)lease_ms * 1000;
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (!strcmp(item->owner, owner->name))
+			item->lease_until_us = MAX(item->lease_until_us, until);
+	}
+}
+
+static void on_renew_result(void *ctx, const Briarplank__Envelope *env)
+{
+	struct batch *batch = ctx;
+	const Briarplank__RenewResult *result = env->renew_result;
+	struct owner *owner = owner_find(batch, env->sender);
+
+	gate_wake(batch->gate);
+	counter_add(batch->voided, result->n_revoked);
+	drop_refs(batch, result->revoked, result->n_revoked);
+	if (owner->renew_sent_us && result->lease_ms)
+		extend_leases(batch, owner, result->lease_ms);
+	owner->renew_sent_us = 0;
+	gate_schedule(batch->gate);
+}
+
+static void on_completions_ack(void *ctx, const Briarplank__Envelope *env)
+{
+	struct batch *batch = ctx;
+	const Briarplank__CompletionsAck *ack = env->completions_ack;
+
+	gate_wake(batch->gate);
+	counter_add(batch->voided, ack->n_void_grants);
+	drop_refs(batch, ack->durable, ack->n_durable);
+	drop_refs(batch, ack->void_grants, ack->n_void_grants);
+}
+
+/* Adds the present owners of all shards. */
+static void learn_owners(struct batch *batch)
+{
+	struct node *node = batch->task.node;
+	uint32_t shard;
+
+	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
+		const char *name = node_shard_owner(node, shard);
+
+		if (name)
+			owner_find(batch, name);
+	}
+}
+
+static bool owns_shards(struct batch *batch, const struct owner *owner)
+{
+	struct node *node = batch->task.node;
+	uint32_t shard;
+
+	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
+		const char *name = node_shard_owner(node, shard);
+
+		if (name && !strcmp(name, owner->name))
+			return true;
+	}
+	return false;
+}
+
+/* The next owner in turn that may be asked now. */
+static struct owner *choose_owner(struct batch *batch)
+{
+	uint64_t now = now_ms(batch);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		if (now < owner->ask_after_ms || !owns_shards(batch, owner))
+			continue;
+		list_remove(pos);
+		list_append(&batch->owners, pos);
+		return owner;
+	}
+	return NULL;
+}
+
+static void pull(struct batch *batch)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Pull body = BRIARPLANK__PULL__INIT;
+	unsigned room = gate_batch_room(batch->gate);
+	struct owner *owner;
+
+	if (batch->leaving || !room || now_ms(batch) < batch->pull_until_ms ||
+	    batch->result_bytes >= RESULTS_MAX_BYTES)
+		return;
+	owner = choose_owner(batch);
+	if (!owner)
+		return;
+	body.service = batch->task.node->settings->service;
+	body.max_items = room;
+	body.max_bytes = PULL_MAX_BYTES;
+	body.pull_id = ++batch->pull_id;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_PULL;
+	env.pull = &body;
+	owner->ask_after_ms = now_ms(batch) + PULL_PAUSE_MS;
+	if (bus_send(batch->task.node->bus, owner->name, &env) == BUS_OK)
+		batch->pull_until_ms = now_ms(batch) + PULL_TIMEOUT_MS;
+}
+
+/* Sends one renewal for all grants of an owner. */
+static void renew(struct batch *batch, struct owner *owner)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Renew body = BRIARPLANK__RENEW__INIT;
+	GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
+	uint32_t lease_ms = UINT32_MAX;
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+		Briarplank__GrantRef *ref;
+
+		if (strcmp(item->owner, owner->name) != 0)
+			continue;
+		ref = g_new(Briarplank__GrantRef, 1);
+		briarplank__grant_ref__init(ref);
+		ref->shard = item->grant->shard;
+		ref->epoch = item->grant->epoch;
+		ref->grant_id = item->grant->grant_id;
+		g_ptr_array_add(refs, ref);
+		lease_ms = MIN(lease_ms, item->grant->lease_ms);
+	}
+	if (refs->len) {
+		body.grants = (Briarplank__GrantRef **)refs->pdata;
+		body.n_grants = refs->len;
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW;
+		env.renew = &body;
+		if (!owner->renew_sent_us)
+			owner->renew_sent_us = node_now_us();
+		bus_send(batch->task.node->bus, owner->name, &env);
+		owner->renew_after_ms =
+			now_ms(batch) + lease_ms / RENEW_DIVISOR;
+	}
+	g_ptr_array_free(refs, TRUE);
+}
+
+static void renew_all(struct batch *batch)
+{
+	uint64_t now = now_ms(batch);
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		if (now >= owner->renew_after_ms)
+			renew(batch, owner);
+	}
+}
+
+/* Outcomes go to who owns the shard now, else to who granted the item. */
+static const char *item_receiver(const struct item *item)
+{
+	const char *owner =
+		node_shard_owner(item->batch->task.node, item->grant->shard);
+
+	return owner ? owner : item->owner;
+}
+
+static bool item_due(const struct item *item, const char *receiver,
+		     uint64_t now)
+{
+	if (!item->outcome || strcmp(item_receiver(item), receiver) != 0)
+		return false;
+	return now >= item->send_after_ms || !item->told ||
+	       strcmp(item->told, receiver) != 0;
+}
+
+static void note_sent(struct item *item, const char *receiver, uint64_t now)
+{
+	item->send_after_ms = now + item->send_pause_ms;
+	item->send_pause_ms = MIN(2 * item->send_pause_ms, RESEND_MAX_MS);
+	g_free(item->told);
+	item->told = g_strdup(receiver);
+}
+
+static void send_completions(struct batch *batch, const char *receiver)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Completions body = BRIARPLANK__COMPLETIONS__INIT;
+	Briarplank__ItemOutcome *outcomes[COMPLETIONS_MAX];
+	uint64_t now = now_ms(batch);
+	size_t bytes = 0;
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (body.n_outcomes == COMPLETIONS_MAX ||
+		    bytes >= COMPLETIONS_MAX_BYTES)
+			break;
+		if (!item_due(item, receiver, now))
+			continue;
+		outcomes[body.n_outcomes++] = item->outcome;
+		bytes += item->outcome->body.len;
+		note_sent(item, receiver, now);
+	}
+	if (!body.n_outcomes)
+		return;
+	body.outcomes = outcomes;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS;
+	env.completions = &body;
+	bus_send(batch->task.node->bus, receiver, &env);
+}
+
+static void complete(struct batch *batch)
+{
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		send_completions(batch, owner->name);
+	}
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct batch *batch = timer->data;
+
+	gate_wake(batch->gate);
+	drop_lapsed(batch);
+	learn_owners(batch);
+	renew_all(batch);
+	complete(batch);
+	pull(batch);
+}
+
+static bool batch_start(struct task *task)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+	struct node *node = task->node;
+	struct metrics *metrics = node->metrics;
+
+	batch->gate = gate_of(node);
+	batch->gate->on_thaw = on_thaw;
+	batch->gate->thaw_ctx = batch;
+	batch->granted =
+		metrics_counter(metrics, "briarplank_batch_granted_total", "");
+	batch->ended =
+		metrics_counter(metrics, "briarplank_batch_ended_total", "");
+	batch->voided =
+		metrics_counter(metrics, "briarplank_batch_void_total", "");
+	batch->lapsed =
+		metrics_counter(metrics, "briarplank_batch_lapsed_total", "");
+	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_GRANTS, on_grants,
+		   batch);
+	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT,
+		   on_renew_result, batch);
+	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_COMPLETIONS_ACK,
+		   on_completions_ack, batch);
+	uv_timer_init(&node->loop, &batch->timer);
+	batch->timer_open = true;
+	batch->timer.data = batch;
+	uv_timer_start(&batch->timer, on_timer, TICK_MS, TICK_MS);
+	return true;
+}
+
+/* Hands back what the server has not seen. */
+static void batch_stop(struct task *task)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+	struct list *pos;
+
+	batch->leaving = true;
+	batch->stop_at_ms = now_ms(batch) + task->node->settings->stop_limit_ms;
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (item->work && gate_work_withdraw(item->work))
+			item_end(item,
+				 BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN, 0,
+				 NULL);
+	}
+	complete(batch);
+}
+
+static bool batch_stopped(struct task *task)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+
+	return list_empty(&batch->items) || now_ms(batch) >= batch->stop_at_ms;
+}
+
+static void batch_destroy(struct task *task)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &batch->items)
+		item_free(list_entry(pos, struct item, link));
+	list_for_each_safe (pos, tmp, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		g_free(owner->name);
+		g_free(owner);
+	}
+	if (batch->timer_open)
+		uv_close((uv_handle_t *)&batch->timer, NULL);
+	uv_run(&task->node->loop, UV_RUN_NOWAIT);
+	g_free(batch);
+}
+
+static const struct task_ops batch_ops = {
+	.name = "batch",
+	.start = batch_start,
+	.stop = batch_stop,
+	.stopped = batch_stopped,
+	.destroy = batch_destroy,
+};
+
+struct task *batch_task_create(void)
+{
+	struct batch *batch = g_new0(struct batch, 1);
+
+	batch->task.ops = &batch_ops;
+	list_init(&batch->items);
+	list_init(&batch->owners);
+	return &batch->task;
+}
--- /dev/null
+++ b/briarplankd/agent/gate.c
@@ -0,0 +1,245 @@
+/*
+ * The agent's task that is the only way to the backend server.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "gate.h"
+#include "briarplankd/members_task.h"
+#include "briarplankd/tasks.h"
+#include "common/log.h"
+
+#define PART "gate"
+
+/* Period of the gate's timer, in ms. */
+#define TICK_MS 20
+/* A pause of the loop that counts as frozen, in ms. */
+#define FROZEN_MIN_MS 1000
+/* Period of load reports, and how long an entry that dispatched gets them. */
+#define REPORT_INTERVAL_MS 500
+#define REPORT_KEEP_MS 10000
+/* Ids remembered so that they never start, and for how long. */
+#define TOMBSTONES_MAX 65536
+#define TOMBSTONE_KEEP_MS 120000
+/* Batch streams that run side by side. */
+#define BATCH_STREAMS 4
+
+static const struct task_ops gate_ops;
+
+struct gate *gate_of(struct node *node)
+{
+	struct list *pos;
+
+	list_for_each (pos, &node->tasks) {
+		struct task *task = list_entry(pos, struct task, link);
+
+		if (task->ops == &gate_ops)
+			return list_entry(task, struct gate, task);
+	}
+	return NULL;
+}
+
+void gate_wake(struct gate *gate)
+{
+	uint64_t now = node_now_us();
+	uint64_t gap_ms = (now - gate->seen_us) / 1000;
+
+	gate->seen_us = now;
+	if (gap_ms < FROZEN_MIN_MS)
+		return;
+	log_warn(PART, "the process was frozen for %" G_GUINT64_FORMAT " ms",
+		 gap_ms);
+	gate->frozen_ms = gap_ms;
+	gate->thawed_us = now;
+	if (gate->on_thaw)
+		gate->on_thaw(gate->thaw_ctx);
+}
+
+void gate_count_refusal(struct gate *gate, const char *reason)
+{
+	char *labels = g_strdup_printf("reason=\"%s\"", reason);
+
+	counter_add(metrics_counter(gate->task.node->metrics,
+				    "briarplank_gate_refusals_total", labels),
+		    1);
+	g_free(labels);
+}
+
+void gate_schedule(struct gate *gate)
+{
+	works_schedule(gate, BATCH_STREAMS);
+}
+
+unsigned gate_batch_room(const struct gate *gate)
+{
+	unsigned held = 0;
+	struct list *pos;
+
+	if (gate->leaving)
+		return 0;
+	list_for_each (pos, &gate->works)
+		held++;
+	return held < BATCH_STREAMS * 2 ? BATCH_STREAMS * 2 - held : 0;
+}
+
+static void fill_report(struct gate *gate, Briarplank__LoadReport *report)
+{
+	const struct daemon_settings *settings = gate->task.node->settings;
+
+	briarplank__load_report__init(report);
+	report->service = settings->service;
+	report->data_centre = settings->data_centre;
+	report->running_online = gate->running_online;
+	report->running_batch = gate->running_batch;
+	report->leaving = gate->leaving;
+	report->ready = !gate->leaving;
+	report->sequence = ++gate->report_sequence;
+}
+
+static bool entry_is_recent(gpointer name, gpointer value, gpointer ctx)
+{
+	const struct gate *gate = ctx;
+
+	(void)name;
+	return node_now_ms(gate->task.node) <
+	       *(const uint64_t *)value + REPORT_KEEP_MS;
+}
+
+static gboolean entry_is_old(gpointer name, gpointer value, gpointer ctx)
+{
+	return !entry_is_recent(name, value, ctx);
+}
+
+/* Tells the entries that use this server how loaded it is. */
+static void report(struct gate *gate)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__LoadReport body;
+	GHashTableIter iter;
+	gpointer name;
+
+	fill_report(gate, &body);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_LOAD_REPORT;
+	env.load_report = &body;
+	g_hash_table_foreach_remove(gate->entries, entry_is_old, gate);
+	g_hash_table_iter_init(&iter, gate->entries);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		bus_send(gate->task.node->bus, name, &env);
+	gate->reported_ms = node_now_ms(gate->task.node);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct gate *gate = timer->data;
+
+	gate_wake(gate);
+	attempts_tick(gate);
+	gate_schedule(gate);
+	if (node_now_ms(gate->task.node) >=
+	    gate->reported_ms + REPORT_INTERVAL_MS)
+		report(gate);
+}
+
+static void make_metrics(struct gate *gate)
+{
+	struct metrics *metrics = gate->task.node->metrics;
+
+	gate->metrics.admitted =
+		metrics_counter(metrics, "briarplank_gate_admitted_total", "");
+	gate->metrics.duplicates = metrics_counter(
+		metrics, "briarplank_gate_duplicates_total", "");
+	gate->metrics.preemptions = metrics_counter(
+		metrics, "briarplank_gate_preemptions_total", "");
+	gate->metrics.queue_wait = metrics_histogram(
+		metrics, "briarplank_gate_queue_wait_seconds", "");
+	gate->metrics.first_token = metrics_histogram(
+		metrics, "briarplank_gate_first_token_seconds", "");
+	gate->metrics.token_gap = metrics_histogram(
+		metrics, "briarplank_gate_token_gap_seconds", "");
+	gate->metrics.item_time =
+		metrics_histogram(metrics, "briarplank_gate_item_seconds", "");
+}
+
+static bool gate_start(struct task *task)
+{
+	struct gate *gate = list_entry(task, struct gate, task);
+	struct node *node = task->node;
+	const struct daemon_settings *settings = node->settings;
+
+	gate->backend =
+		settings->server_kind == SERVER_ENGINE ?
+			engine_http_create(node->http, settings->server) :
+			plain_http_create(node->http, settings->server);
+	make_metrics(gate);
+	attempts_register(gate);
+	gate->seen_us = node_now_us();
+	uv_timer_init(&node->loop, &gate->timer);
+	gate->timer_open = true;
+	gate->timer.data = gate;
+	uv_timer_start(&gate->timer, on_timer, TICK_MS, TICK_MS);
+	return true;
+}
+
+static void gate_stop(struct task *task)
+{
+	struct gate *gate = list_entry(task, struct gate, task);
+
+	gate->leaving = true;
+	report(gate);
+}
+
+static bool gate_stopped(struct task *task)
+{
+	struct gate *gate = list_entry(task, struct gate, task);
+
+	return !g_hash_table_size(gate->attempts) && list_empty(&gate->works);
+}
+
+static void gate_event(struct task *task, const struct node_event *event)
+{
+	struct gate *gate = list_entry(task, struct gate, task);
+
+	if (event->kind == NODE_PEER_DOWN)
+		attempts_entry_down(gate, event->peer, true);
+	if (event->kind == NODE_PEER_UP)
+		attempts_entry_down(gate, event->peer, false);
+}
+
+static void gate_destroy(struct task *task)
+{
+	struct gate *gate = list_entry(task, struct gate, task);
+
+	attempts_destroy(gate);
+	works_destroy(gate);
+	if (gate->timer_open)
+		uv_close((uv_handle_t *)&gate->timer, NULL);
+	uv_run(&task->node->loop, UV_RUN_NOWAIT);
+	if (gate->backend)
+		gate->backend->ops->destroy(gate->backend);
+	tombstones_destroy(gate->tombstones);
+	g_hash_table_destroy(gate->entries);
+	g_free(gate);
+}
+
+static const struct task_ops gate_ops = {
+	.name = "gate",
+	.start = gate_start,
+	.stop = gate_stop,
+	.stopped = gate_stopped,
+	.event = gate_event,
+	.destroy = gate_destroy,
+};
+
+struct task *gate_task_create(void)
+{
+	struct gate *gate = g_new0(struct gate, 1);
+
+	gate->task.ops = &gate_ops;
+	gate->attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	gate->tombstones = tombstones_create(TOMBSTONES_MAX, TOMBSTONE_KEEP_MS);
+	gate->entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	list_init(&gate->works);
+	return &gate->task;
+}
--- /dev/null
+++ b/briarplankd/agent/gate.h
@@ -0,0 +1,130 @@
+/**
+ * The gate to the backend server: the parts that the agent's files share.
+ *
+ * Everything that goes to the server passes the gate: online attempts
+ * (attempt.c) and batch work (work.c).
+ */
+#ifndef BRIARPLANKD_AGENT_GATE_H
+#define BRIARPLANKD_AGENT_GATE_H
+
+#include <uv.h>
+
+#include "briarplankd/node.h"
+#include "common/list.h"
+#include "core/answer_buffer.h"
+#include "core/tombstones.h"
+#include "platform/backend.h"
+
+/** Longest silence of a server within an answer, in ms. */
+#define SERVER_STALL_MS 10000
+/** Longest wait for the head of a batch item's answer, in ms. */
+#define WORK_FIRST_BYTE_MS 120000
+
+struct attempt;
+struct gate_work;
+
+struct gate {
+	struct task task;
+	struct backend *backend;
+	/* Attempts that are queued, run, or wait for their last piece. */
+	GHashTable *attempts;
+	struct tombstones *tombstones;
+	/* Batch work at the gate, in the order of arrival. */
+	struct list works;
+	unsigned running_online;
+	unsigned running_batch;
+	uv_timer_t timer;
+	bool timer_open;
+	/* When the loop was last seen to run, and how long it was frozen. */
+	uint64_t seen_us;
+	uint64_t frozen_ms;
+	uint64_t thawed_us;
+	/* Called at the first event after a freeze, before all else. */
+	void (*on_thaw)(void *ctx);
+	void *thaw_ctx;
+	bool leaving;
+	uint64_t report_sequence;
+	uint64_t reported_ms;
+	/* Entries that dispatched lately: name to the time of it. */
+	GHashTable *entries;
+	struct {
+		struct counter *admitted;
+		struct counter *duplicates;
+		struct counter *preemptions;
+		struct histogram *queue_wait;
+		struct histogram *first_token;
+		struct histogram *token_gap;
+		struct histogram *item_time;
+	} metrics;
+};
+
+/** Returns the node's gate, or NULL. */
+struct gate *gate_of(struct node *node);
+
+/** Looks at the clock; called first by each handler of an event. */
+void gate_wake(struct gate *gate);
+
+/** Starts what may start now, and makes batch work give way. */
+void gate_schedule(struct gate *gate);
+
+/** Counts a refusal by its reason. */
+void gate_count_refusal(struct gate *gate, const char *reason);
+
+/** Handles each message about an attempt. */
+void attempts_register(struct gate *gate);
+
+/** Looks at deadlines, lost entries and unsent pieces of all attempts. */
+void attempts_tick(struct gate *gate);
+
+/** Notes that an entry is gone, or back. */
+void attempts_entry_down(struct gate *gate, const char *entry, bool down);
+
+void attempts_destroy(struct gate *gate);
+
+/** How a batch work ended. */
+enum gate_result {
+	/** The whole answer is there; its status may be an error. */
+	GATE_DONE,
+	/** Proven not run. */
+	GATE_NOT_RUN,
+	/** The server was lost, or fell silent, with the work in flight. */
+	GATE_LOST,
+};
+
+/** A piece of batch work for the server. Strings and body are copied. */
+struct gate_work_options {
+	/** Names the work towards the server. */
+	const char *id;
+	const char *method;
+	const char *path;
+	const void *body;
+	size_t body_len;
+	bool idempotent;
+	/** Called once, unless the work was cancelled; then it is freed. */
+	void (*on_end)(void *ctx, enum gate_result result, int status,
+		       const GString *body);
+	void *ctx;
+};
+
+/** Hands over a piece of batch work; no callback comes before this returns. */
+struct gate_work *gate_work_submit(struct gate *gate,
+				   const struct gate_work_options *options);
+
+/** Ends a piece of work without on_end; the server is told to stop. */
+void gate_work_cancel(struct gate_work *work);
+
+/**
+ * Takes back a piece of work that was never sent to the server; false when it
+ * was.
+ */
+bool gate_work_withdraw(struct gate_work *work);
+
+/** Number of pieces of batch work that the gate would take beside its own. */
+unsigned gate_batch_room(const struct gate *gate);
+
+/** Starts, preempts and resumes batch work up to a number of streams. */
+void works_schedule(struct gate *gate, unsigned streams);
+
+void works_destroy(struct gate *gate);
+
+#endif
--- /dev/null
+++ b/briarplankd/agent/work.c
@@ -0,0 +1,292 @@
+/*
+ * Batch work at the gate. A stream that must give way is cancelled; its
+ * tokens are kept and it goes on from there later.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "gate.h"
+#include "common/log.h"
+
+#define PART "gate"
+
+/* Longest answer of a batch item, in bytes. */
+#define WORK_BODY_MAX (8 << 20)
+
+struct gate_work {
+	struct list link;
+	struct gate *gate;
+	char *id;
+	char *method;
+	char *path;
+	GString *request;
+	bool idempotent;
+	void (*on_end)(void *ctx, enum gate_result result, int status,
+		       const GString *body);
+	void *ctx;
+	struct backend_call *call;
+	/* The server may have seen the request, now or before a preemption. */
+	bool sent;
+	bool resumed;
+	bool streams;
+	int status;
+	GString *body;
+	uint64_t arrived_us;
+	uint64_t started_us;
+};
+
+static bool work_running(const struct gate_work *work)
+{
+	return work->call != NULL;
+}
+
+static void work_free(struct gate_work *work)
+{
+	list_remove(&work->link);
+	g_string_free(work->request, TRUE);
+	g_string_free(work->body, TRUE);
+	g_free(work->id);
+	g_free(work->method);
+	g_free(work->path);
+	g_free(work);
+}
+
+static void work_stop_call(struct gate_work *work)
+{
+	if (!work->call)
+		return;
+	work->gate->backend->ops->cancel(work->call);
+	work->call = NULL;
+	work->gate->running_batch--;
+}
+
+/* Whole events of a stream, each of which carries a token. */
+static uint32_t count_tokens(const GString *body)
+{
+	static const char mark[] = "data: ";
+	const char *at = body->str;
+	uint32_t nr = 0;
+
+	while ((at = strstr(at, mark)) != NULL) {
+		at += sizeof(mark) - 1;
+		if (strncmp(at, "[DONE]", 6) != 0)
+			nr++;
+	}
+	return nr;
+}
+
+/* Cuts off an event that has come only in part. */
+static void drop_partial_event(GString *body)
+{
+	char *end = g_strrstr_len(body->str, (gssize)body->len, "\n\n");
+
+	g_string_truncate(body, end ? end + 2 - body->str : 0);
+}
+
+static void on_sent(void *ctx)
+{
+	struct gate_work *work = ctx;
+
+	work->sent = true;
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	struct gate_work *work = ctx;
+	size_t i;
+
+	work->status = status;
+	work->streams = false;
+	for (i = 0; i < nr; i++) {
+		if (!g_ascii_strcasecmp(fields[i].name, "content-type"))
+			work->streams = g_str_has_prefix(fields[i].value,
+							 "text/event-stream");
+	}
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct gate_work *work = ctx;
+
+	if (work->body->len + len <= WORK_BODY_MAX)
+		g_string_append_len(work->body, data, (gssize)len);
+}
+
+static void work_end(struct gate_work *work, enum gate_result result)
+{
+	struct gate *gate = work->gate;
+
+	histogram_record(gate->metrics.item_time,
+			 node_now_us() - work->arrived_us);
+	work->on_end(work->ctx, result, work->status, work->body);
+	work_free(work);
+}
+
+/* The server can't go on with the stream: run it again from the start. */
+static void work_restart(struct gate_work *work)
+{
+	g_string_truncate(work->body, 0);
+	work->resumed = false;
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct gate_work *work = ctx;
+	struct gate *gate = work->gate;
+
+	gate_wake(gate);
+	work->call = NULL;
+	gate->running_batch--;
+	if (end == HTTP_WHOLE && work->resumed && work->status != 200)
+		work_restart(work);
+	else if (end == HTTP_WHOLE)
+		work_end(work, GATE_DONE);
+	else if (end == HTTP_NOT_SENT && !work->sent)
+		work_end(work, GATE_NOT_RUN);
+	else
+		work_end(work, GATE_LOST);
+	gate_schedule(gate);
+}
+
+static void work_start(struct gate_work *work)
+{
+	struct gate *gate = work->gate;
+	struct http_field type = { "content-type", "application/json" };
+	struct backend_call_options options = {
+		.call_id = work->id,
+		.method = work->method,
+		.path = work->path,
+		.fields = &type,
+		.fields_nr = 1,
+		.body = work->request->str,
+		.body_len = work->request->len,
+		.idempotent = work->idempotent,
+		.first_byte_timeout_ms = WORK_FIRST_BYTE_MS,
+		.idle_timeout_ms = SERVER_STALL_MS,
+		.on_sent = on_sent,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = work,
+	};
+
+	if (work->body->len) {
+		options.resume_from = count_tokens(work->body);
+		work->resumed = true;
+	}
+	work->started_us = node_now_us();
+	gate->running_batch++;
+	work->call = gate->backend->ops->call(gate->backend, &options);
+}
+
+/* Only what may run twice can be stopped and begun again. */
+static bool work_preemptible(const struct gate_work *work)
+{
+	return work_running(work) && work->idempotent &&
+	       work->gate->backend->resumable;
+}
+
+static void work_preempt(struct gate_work *work)
+{
+	log_debug(PART, "batch work %s gives way", work->id);
+	work_stop_call(work);
+	if (work->streams)
+		drop_partial_event(work->body);
+	else
+		g_string_truncate(work->body, 0);
+	counter_add(work->gate->metrics.preemptions, 1);
+}
+
+/* The one that began last has the least to lose. */
+static struct gate_work *choose_victim(struct gate *gate)
+{
+	struct gate_work *victim = NULL;
+	struct list *pos;
+
+	list_for_each (pos, &gate->works) {
+		struct gate_work *work =
+			list_entry(pos, struct gate_work, link);
+
+		if (!work_preemptible(work))
+			continue;
+		if (!victim || work->started_us >= victim->started_us)
+			victim = work;
+	}
+	return victim;
+}
+
+static struct gate_work *choose_waiting(struct gate *gate)
+{
+	struct list *pos;
+
+	list_for_each (pos, &gate->works) {
+		struct gate_work *work =
+			list_entry(pos, struct gate_work, link);
+
+		if (!work_running(work))
+			return work;
+	}
+	return NULL;
+}
+
+void works_schedule(struct gate *gate, unsigned streams)
+{
+	struct gate_work *work;
+
+	while (gate->running_batch > streams) {
+		work = choose_victim(gate);
+		if (!work)
+			return;
+		work_preempt(work);
+	}
+	while (gate->running_batch < streams) {
+		work = choose_waiting(gate);
+		if (!work)
+			return;
+		work_start(work);
+	}
+}
+
+struct gate_work *gate_work_submit(struct gate *gate,
+				   const struct gate_work_options *options)
+{
+	struct gate_work *work = g_new0(struct gate_work, 1);
+
+	work->gate = gate;
+	work->id = g_strdup(options->id);
+	work->method = g_strdup(options->method);
+	work->path = g_strdup(options->path);
+	work->request =
+		g_string_new_len(options->body, (gssize)options->body_len);
+	work->idempotent = options->idempotent;
+	work->on_end = options->on_end;
+	work->ctx = options->ctx;
+	work->body = g_string_new(NULL);
+	work->arrived_us = node_now_us();
+	list_append(&gate->works, &work->link);
+	return work;
+}
+
+void gate_work_cancel(struct gate_work *work)
+{
+	work_stop_call(work);
+	work_free(work);
+}
+
+bool gate_work_withdraw(struct gate_work *work)
+{
+	if (work->sent || work->call)
+		return false;
+	work_free(work);
+	return true;
+}
+
+void works_destroy(struct gate *gate)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &gate->works)
+		gate_work_cancel(list_entry(pos, struct gate_work, link));
+}
