--- a/include/platform/backend.h
+++ b/include/platform/backend.h
@@ -14,7 +14,10 @@
 struct backend;
 struct backend_call;
 
-/** One call to the server. Strings and body are copied. */
+/**
+ * One call to the server. Strings and body are copied. An engine's call_id
+ * must be of letters, digits and "-._~", as it becomes a part of a path.
+ */
 struct backend_call_options {
 	/** Names the call towards engines, for cancel and resume. */
 	const char *call_id;
@@ -54,6 +57,8 @@
 	const char *model;
 	const char *version;
 	const char *adapter;
+	/** Role to change to. Members that don't matter may be NULL. */
+	const char *role;
 	uint64_t fencing_number;
 };
 
--- a/include/platform/http_client.h
+++ b/include/platform/http_client.h
@@ -57,6 +57,8 @@
 	void (*on_body)(void *ctx, const char *data, size_t len);
 	/** Called once, last, unless the call was cancelled. */
 	void (*on_end)(void *ctx, enum http_end end);
+	/** Called after all else, also when the call was cancelled. */
+	void (*on_free)(void *ctx);
 	void *ctx;
 };
 
@@ -66,14 +68,18 @@
 /** Cancels what runs and frees the client. */
 void http_client_destroy(struct http_client *client);
 
-/** Starts a call; no callback comes before this returns. */
+/**
+ * Starts a call; no callback comes before this returns. Fields that belong to
+ * one connection (such as Host or Transfer-Encoding) are left out. A method,
+ * path or field that would break the request's form ends it as HTTP_NOT_SENT.
+ */
 struct http_call *http_call_start(struct http_client *client,
 				  const struct http_call_options *options);
 
 /** Ends a call without on_end; the connection is closed. */
 void http_call_cancel(struct http_call *call);
 
-/** Pauses or goes on reading the answer's body. */
+/** Pauses or goes on reading the answer's body; a piece may still come. */
 void http_call_pause(struct http_call *call, bool pause);
 
 #endif
