--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -21,8 +21,18 @@
 #define ORPHAN_MS 5000
 /* Time after a thaw in which messages may be as old as the freeze. */
 #define THAW_US 300000
+/* Cost of a request without a body, in units of its body's bytes. */
+#define COST_BASE 512
+
+static const Briarplank__Refused__Reason refusal_reasons[] = {
+	[ADMISSION_OVERLOADED] = BRIARPLANK__REFUSED__REASON__OVERLOADED,
+	[ADMISSION_CALLER_LIMIT] = BRIARPLANK__REFUSED__REASON__CALLER_LIMIT,
+	[ADMISSION_DEADLINE] = BRIARPLANK__REFUSED__REASON__DEADLINE,
+};
 
 enum attempt_state {
+	/** Waits in the queue of online requests. */
+	ATTEMPT_QUEUED,
 	/** Handed to the adapter; no byte has left yet. */
 	ATTEMPT_STARTED,
 	/** The server may have seen the request. */
@@ -49,6 +59,7 @@
 	struct answer_buffer *buffer;
 	Briarplank__AnswerHead *head;
 	bool head_sent;
+	bool streams;
 	bool paused;
 	bool confirmed;
 	bool failed;
@@ -102,13 +113,22 @@
 	g_free(attempt);
 }
 
+static bool attempt_running(const struct attempt *attempt)
+{
+	return attempt->state == ATTEMPT_STARTED ||
+	       attempt->state == ATTEMPT_SENT;
+}
+
 /* Removes an attempt; its id is remembered. */
 static void attempt_remove(struct attempt *attempt, enum tombstone_kind kind)
 {
 	struct gate *gate = attempt->gate;
 
-	if (attempt->state == ATTEMPT_STARTED || attempt->state == ATTEMPT_SENT)
+	if (attempt->state == ATTEMPT_QUEUED)
+		admission_remove(gate->admission, attempt);
+	if (attempt_running(attempt))
 		gate->running_online--;
+	gate_streams_changed(gate);
 	tombstones_add(gate->tombstones, attempt->key, kind,
 		       node_now_ms(gate->task.node));
 	g_hash_table_remove(gate->attempts, attempt->key);
@@ -243,9 +263,12 @@
 
 static void attempt_end(struct attempt *attempt)
 {
-	if (attempt->state != ATTEMPT_ENDED)
-		attempt->gate->running_online--;
+	struct gate *gate = attempt->gate;
+
+	if (attempt_running(attempt))
+		gate->running_online--;
 	attempt->state = ATTEMPT_ENDED;
+	gate_streams_changed(gate);
 }
 
 static void attempt_fail(struct attempt *attempt,
@@ -289,24 +312,46 @@
 		head->headers[i]->value = g_strdup(fields[i].value);
 	}
 	attempt->head = head;
+	attempt->streams = gate_is_stream(fields, nr);
 	attempt_pump(attempt);
 }
 
+static void note_first_token(struct attempt *attempt)
+{
+	struct gate *gate = attempt->gate;
+
+	histogram_record(gate->metrics.first_token,
+			 node_now_us() - attempt->received_us);
+	if (attempt->streams)
+		gate_first_token(gate, attempt->started_us);
+}
+
+static void note_gap(struct attempt *attempt, const char *data, size_t len)
+{
+	struct gate *gate = attempt->gate;
+	unsigned tokens = attempt->streams ? gate_count_tokens(data, len) : 0;
+	uint64_t gap = gate_tokens(gate, attempt->last_token_us, tokens);
+
+	if (!attempt->streams)
+		return;
+	histogram_record(gate->metrics.token_gap, gap);
+	batch_share_online_gap(gate->share, gap, gate->batch_starting > 0);
+}
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct attempt *attempt = ctx;
-	struct gate *gate = attempt->gate;
-	uint64_t now = node_now_us();
+	bool first = !attempt->last_token_us;
 
-	if (!attempt->last_token_us)
-		histogram_record(gate->metrics.first_token,
-				 now - attempt->received_us);
+	if (first)
+		note_first_token(attempt);
 	else
-		histogram_record(gate->metrics.token_gap,
-				 now - attempt->last_token_us);
-	attempt->last_token_us = now;
+		note_gap(attempt, data, len);
+	attempt->last_token_us = node_now_us();
 	answer_buffer_push(attempt->buffer, data, len);
 	attempt_pump(attempt);
+	if (first)
+		gate_schedule(attempt->gate);
 }
 
 static Briarplank__AnswerFailed__Cause failure_cause(
@@ -330,6 +375,8 @@
 		attempt_refuse(attempt,
 			       BRIARPLANK__REFUSED__REASON__CONNECT_FAILED, 0);
 	} else if (end == HTTP_WHOLE) {
+		admission_served(gate->admission,
+				 node_now_us() - attempt->started_us);
 		answer_buffer_finish(attempt->buffer);
 		attempt_end(attempt);
 		attempt_pump(attempt);
@@ -377,7 +424,9 @@
 		.ctx = attempt,
 	};
 
+	attempt->state = ATTEMPT_STARTED;
 	attempt->started_us = now;
+	gate_streams_changed(gate);
 	histogram_record(gate->metrics.queue_wait, now - attempt->received_us);
 	gate->running_online++;
 	attempt->call = gate->backend->ops->call(gate->backend, &options);
@@ -456,11 +505,45 @@
 	if (!attempt && kind != TOMBSTONE_ENDED)
 		return false;
 	counter_add(gate->metrics.duplicates, 1);
-	if (attempt && attempt->state != ATTEMPT_STARTED)
+	if (attempt && attempt->state >= ATTEMPT_SENT)
 		send_admitted(attempt);
 	return true;
 }
 
+/* Queues a new attempt, or refuses it when it would wait too long. */
+static void attempt_offer(struct attempt *attempt)
+{
+	struct gate *gate = attempt->gate;
+	struct admission_request request = {
+		.owner = attempt,
+		.caller = attempt->dispatch->caller,
+		.deadline_us = attempt->deadline_us,
+		.cost = COST_BASE + attempt->dispatch->body.len,
+	};
+	uint64_t retry_us;
+	enum admission_status status =
+		admission_offer(gate->admission, &request, gate->running_online,
+				concurrency_online_limit(gate->concurrency),
+				node_now_us(), &retry_us);
+
+	if (status != ADMISSION_QUEUED)
+		attempt_refuse(attempt, refusal_reasons[status],
+			       (retry_us + 999) / 1000);
+}
+
+void attempts_schedule(struct gate *gate, unsigned limit)
+{
+	uint64_t now = node_now_us();
+	struct attempt *attempt;
+
+	while ((attempt = admission_expired(gate->admission, now)) != NULL)
+		attempt_refuse(attempt, BRIARPLANK__REFUSED__REASON__DEADLINE,
+			       0);
+	while (gate->running_online < limit &&
+	       (attempt = admission_next(gate->admission, now)) != NULL)
+		attempt_start(attempt);
+}
+
 static void on_dispatch(void *ctx, const Briarplank__Envelope *env)
 {
 	struct gate *gate = ctx;
@@ -481,7 +564,8 @@
 		send_refused(gate, env->sender, dispatch->request_id,
 			     dispatch->attempt, reason, 0);
 	else
-		attempt_start(attempt_create(gate, env->sender, dispatch));
+		attempt_offer(attempt_create(gate, env->sender, dispatch));
+	gate_schedule(gate);
 }
 
 static void send_cancel_result(struct gate *gate, const char *entry,
@@ -557,6 +641,7 @@
 			gate, env->sender, cancel,
 			BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED);
 		attempt_remove(attempt, TOMBSTONE_NEVER_STARTED);
+		gate_schedule(gate);
 	}
 }
 
@@ -669,12 +754,29 @@
 
 		if (attempt->state == ATTEMPT_ENDED)
 			tick_ended(attempt, now);
-		else
+		else if (attempt_running(attempt))
 			tick_running(attempt, now);
 	}
 	g_list_free(all);
 }
 
+unsigned attempts_starting(const struct gate *gate, uint64_t since_us)
+{
+	GHashTableIter iter;
+	unsigned nr = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct attempt *attempt = value;
+
+		if (attempt_running(attempt) && !attempt->last_token_us &&
+		    attempt->started_us > since_us)
+			nr++;
+	}
+	return nr;
+}
+
 void attempts_entry_down(struct gate *gate, const char *entry, bool down)
 {
 	GHashTableIter iter;
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "gate.h"
+#include "briarplankd/config_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/log.h"
@@ -22,8 +23,17 @@
 /* Ids remembered so that they never start, and for how long. */
 #define TOMBSTONES_MAX 65536
 #define TOMBSTONE_KEEP_MS 120000
-/* Batch streams that run side by side. */
-#define BATCH_STREAMS 4
+/* Online requests that wait at most, and bytes that a caller may send in a
+ * turn. */
+#define QUEUE_MAX 1024
+#define QUEUE_QUANTUM 4096
+/* Batch work held beside what runs, at least. */
+#define PREFETCH_MIN 2
+/* Weight of one first token in the mean, and the mean before any, in us. */
+#define FIRST_TOKEN_WEIGHT 0.1
+#define FIRST_TOKEN_FIRST_US 100000
+/* Mean first-token times after which a call counts as begun. */
+#define STARTING_FACTOR 3
 
 static const struct task_ops gate_ops;
 
@@ -66,32 +76,105 @@
 	g_free(labels);
 }
 
+void gate_streams_changed(struct gate *gate)
+{
+	gate->changed_us = node_now_us();
+}
+
+void gate_first_token(struct gate *gate, uint64_t started_us)
+{
+	uint64_t now = node_now_us();
+
+	gate->first_token_us +=
+		FIRST_TOKEN_WEIGHT *
+		((double)(now - started_us) - gate->first_token_us);
+	concurrency_first_token(gate->concurrency,
+				gate->running_online + gate->running_batch,
+				now - started_us, now);
+	gate_streams_changed(gate);
+}
+
+uint64_t gate_tokens(struct gate *gate, uint64_t last_us, unsigned tokens)
+{
+	uint64_t now = node_now_us();
+
+	/* A gap in which streams came or went tells of no one number. */
+	if (last_us >= gate->changed_us && !gate->starting)
+		concurrency_gap(gate->concurrency,
+				gate->running_online + gate->running_batch,
+				now - last_us, tokens, now);
+	return now - last_us;
+}
+
+static void plan_batch(struct gate *gate, uint64_t now)
+{
+	uint64_t since =
+		now - (uint64_t)(STARTING_FACTOR * gate->first_token_us);
+	struct batch_share_load load = {
+		.online_running = gate->running_online,
+		.online_waiting = admission_waiting(gate->admission),
+		.online_starting = attempts_starting(gate, since),
+		.batch_running = gate->running_batch,
+		.batch_starting = works_starting(gate, since),
+		.batch_waiting = works_waiting(gate),
+	};
+
+	gate->starting = load.online_starting + load.batch_starting;
+	gate->batch_starting = load.batch_starting;
+	gate->plan =
+		batch_share_plan(gate->share, gate->concurrency, &load, now);
+}
+
 void gate_schedule(struct gate *gate)
 {
-	works_schedule(gate, BATCH_STREAMS);
+	attempts_schedule(gate, concurrency_online_limit(gate->concurrency));
+	plan_batch(gate, node_now_us());
+	works_schedule(gate, &gate->plan);
 }
 
 unsigned gate_batch_room(const struct gate *gate)
 {
-	unsigned held = 0;
-	struct list *pos;
+	unsigned held = gate->running_batch + works_waiting(gate);
+	unsigned wanted =
+		gate->plan.keep + MAX(PREFETCH_MIN, gate->plan.keep / 2);
 
-	if (gate->leaving)
+	if (gate->leaving || held >= wanted)
 		return 0;
-	list_for_each (pos, &gate->works)
-		held++;
-	return held < BATCH_STREAMS * 2 ? BATCH_STREAMS * 2 - held : 0;
+	return wanted - held;
+}
+
+/* Takes over the service's policy from the configuration in force. */
+static void apply_policy(struct gate *gate)
+{
+	struct node *node = gate->task.node;
+	struct service_policy policy = { 0 };
+	struct concurrency_options targets;
+	struct batch_share_options share;
+
+	config_service(node, node->settings->service, &policy);
+	targets.gap_target_us = (uint64_t)policy.token_gap_target_ms * 1000;
+	targets.first_token_target_us =
+		(uint64_t)policy.first_byte_target_ms * 1000;
+	concurrency_set(gate->concurrency, &targets);
+	share.weight = policy.batch_weight;
+	share.gap_target_us = targets.gap_target_us;
+	batch_share_set(gate->share, &share);
 }
 
 static void fill_report(struct gate *gate, Briarplank__LoadReport *report)
 {
 	const struct daemon_settings *settings = gate->task.node->settings;
+	unsigned limit = concurrency_online_limit(gate->concurrency);
 
 	briarplank__load_report__init(report);
 	report->service = settings->service;
 	report->data_centre = settings->data_centre;
 	report->running_online = gate->running_online;
 	report->running_batch = gate->running_batch;
+	report->queued_online = admission_waiting(gate->admission);
+	report->concurrency_limit = limit;
+	report->expected_wait_us =
+		admission_wait_us(gate->admission, gate->running_online, limit);
 	report->leaving = gate->leaving;
 	report->ready = !gate->leaving;
 	report->sequence = ++gate->report_sequence;
@@ -172,6 +255,7 @@
 			engine_http_create(node->http, settings->server) :
 			plain_http_create(node->http, settings->server);
 	make_metrics(gate);
+	apply_policy(gate);
 	attempts_register(gate);
 	gate->seen_us = node_now_us();
 	uv_timer_init(&node->loop, &gate->timer);
@@ -200,6 +284,8 @@
 {
 	struct gate *gate = list_entry(task, struct gate, task);
 
+	if (event->kind == NODE_CONFIG_CHANGED)
+		apply_policy(gate);
 	if (event->kind == NODE_PEER_DOWN)
 		attempts_entry_down(gate, event->peer, true);
 	if (event->kind == NODE_PEER_UP)
@@ -217,6 +303,9 @@
 	uv_run(&task->node->loop, UV_RUN_NOWAIT);
 	if (gate->backend)
 		gate->backend->ops->destroy(gate->backend);
+	batch_share_destroy(gate->share);
+	admission_destroy(gate->admission);
+	concurrency_destroy(gate->concurrency);
 	tombstones_destroy(gate->tombstones);
 	g_hash_table_destroy(gate->entries);
 	g_free(gate);
@@ -234,7 +323,17 @@
 struct task *gate_task_create(void)
 {
 	struct gate *gate = g_new0(struct gate, 1);
-
+	struct admission_options admission = {
+		.max_waiting = QUEUE_MAX,
+		.quantum = QUEUE_QUANTUM,
+	};
+	struct concurrency_options concurrency = { 0 };
+	struct batch_share_options share = { 0 };
+
+	gate->concurrency = concurrency_create(&concurrency);
+	gate->admission = admission_create(&admission);
+	gate->share = batch_share_create(&share);
+	gate->first_token_us = FIRST_TOKEN_FIRST_US;
 	gate->task.ops = &gate_ops;
 	gate->attempts = g_hash_table_new(g_str_hash, g_str_equal);
 	gate->tombstones = tombstones_create(TOMBSTONES_MAX, TOMBSTONE_KEEP_MS);
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -11,7 +11,10 @@
 
 #include "briarplankd/node.h"
 #include "common/list.h"
+#include "core/admission.h"
 #include "core/answer_buffer.h"
+#include "core/batch_share.h"
+#include "core/concurrency.h"
 #include "core/tombstones.h"
 #include "platform/backend.h"
 
@@ -29,6 +32,18 @@
 	/* Attempts that are queued, run, or wait for their last piece. */
 	GHashTable *attempts;
 	struct tombstones *tombstones;
+	struct concurrency *concurrency;
+	struct admission *admission;
+	struct batch_share *share;
+	/* What the last plan allows for batch work. */
+	struct batch_share_plan plan;
+	/* Streams that had no token yet at the last plan. */
+	unsigned starting;
+	unsigned batch_starting;
+	/* When a stream last began, had its first token, or ended. */
+	uint64_t changed_us;
+	/* Mean time from a call's start to its first token. */
+	double first_token_us;
 	/* Batch work at the gate, in the order of arrival. */
 	struct list works;
 	unsigned running_online;
@@ -67,12 +82,36 @@
 /** Starts what may start now, and makes batch work give way. */
 void gate_schedule(struct gate *gate);
 
+/** Notes that the set of streams changed, so that gaps across it don't count. */
+void gate_streams_changed(struct gate *gate);
+
+/** Notes a first token, started_us after the clock's zero. */
+void gate_first_token(struct gate *gate, uint64_t started_us);
+
+/**
+ * Notes further tokens of a stream whose last ones came at last_us; returns
+ * the gap.
+ */
+uint64_t gate_tokens(struct gate *gate, uint64_t last_us, unsigned tokens);
+
+/** Tells from an answer's fields whether its body is a stream of events. */
+bool gate_is_stream(const struct http_field *fields, size_t nr);
+
+/** Number of tokens, one an event, that begin in a part of a stream. */
+unsigned gate_count_tokens(const char *data, size_t len);
+
 /** Counts a refusal by its reason. */
 void gate_count_refusal(struct gate *gate, const char *reason);
 
 /** Handles each message about an attempt. */
 void attempts_register(struct gate *gate);
 
+/** Starts queued attempts while fewer than the limit run. */
+void attempts_schedule(struct gate *gate, unsigned limit);
+
+/** Number of attempts started after since_us that have no token yet. */
+unsigned attempts_starting(const struct gate *gate, uint64_t since_us);
+
 /** Looks at deadlines, lost entries and unsent pieces of all attempts. */
 void attempts_tick(struct gate *gate);
 
@@ -122,8 +161,14 @@
 /** Number of pieces of batch work that the gate would take beside its own. */
 unsigned gate_batch_room(const struct gate *gate);
 
-/** Starts, preempts and resumes batch work up to a number of streams. */
-void works_schedule(struct gate *gate, unsigned streams);
+/** Preempts, resumes and starts batch work as planned. */
+void works_schedule(struct gate *gate, const struct batch_share_plan *plan);
+
+/** Number of works started after since_us that have no token yet. */
+unsigned works_starting(const struct gate *gate, uint64_t since_us);
+
+/** Number of works that don't run. */
+unsigned works_waiting(const struct gate *gate);
 
 void works_destroy(struct gate *gate);
 
--- a/briarplankd/agent/work.c
+++ b/briarplankd/agent/work.c
@@ -13,6 +13,8 @@
 
 /* Longest answer of a batch item, in bytes. */
 #define WORK_BODY_MAX (8 << 20)
+/* Least time between a preemption and the resume, in us. */
+#define RESUME_PAUSE_US 100000
 
 struct gate_work {
 	struct list link;
@@ -34,6 +36,10 @@
 	GString *body;
 	uint64_t arrived_us;
 	uint64_t started_us;
+	/* When the last token of this run came; 0 before the first. */
+	uint64_t last_token_us;
+	/* Not before this time, so that the cancel can't meet the resume. */
+	uint64_t resume_after_us;
 };
 
 static bool work_running(const struct gate_work *work)
@@ -56,21 +62,33 @@
 {
 	if (!work->call)
 		return;
+	gate_streams_changed(work->gate);
 	work->gate->backend->ops->cancel(work->call);
 	work->call = NULL;
 	work->gate->running_batch--;
 }
 
-/* Whole events of a stream, each of which carries a token. */
-static uint32_t count_tokens(const GString *body)
+bool gate_is_stream(const struct http_field *fields, size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		if (!g_ascii_strcasecmp(fields[i].name, "content-type"))
+			return g_str_has_prefix(fields[i].value,
+						"text/event-stream");
+	}
+	return false;
+}
+
+unsigned gate_count_tokens(const char *data, size_t len)
 {
 	static const char mark[] = "data: ";
-	const char *at = body->str;
-	uint32_t nr = 0;
+	const char *end = data + len;
+	unsigned nr = 0;
 
-	while ((at = strstr(at, mark)) != NULL) {
-		at += sizeof(mark) - 1;
-		if (strncmp(at, "[DONE]", 6) != 0)
+	while ((data = g_strstr_len(data, end - data, mark)) != NULL) {
+		data += sizeof(mark) - 1;
+		if (end - data < 6 || memcmp(data, "[DONE]", 6) != 0)
 			nr++;
 	}
 	return nr;
@@ -95,23 +113,27 @@
 		    size_t nr)
 {
 	struct gate_work *work = ctx;
-	size_t i;
 
 	work->status = status;
-	work->streams = false;
-	for (i = 0; i < nr; i++) {
-		if (!g_ascii_strcasecmp(fields[i].name, "content-type"))
-			work->streams = g_str_has_prefix(fields[i].value,
-							 "text/event-stream");
-	}
+	work->streams = gate_is_stream(fields, nr);
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct gate_work *work = ctx;
-
+	struct gate *gate = work->gate;
+	bool first = !work->last_token_us;
+
+	if (work->streams && first)
+		gate_first_token(gate, work->started_us);
+	else if (work->streams)
+		gate_tokens(gate, work->last_token_us,
+			    gate_count_tokens(data, len));
+	work->last_token_us = node_now_us();
 	if (work->body->len + len <= WORK_BODY_MAX)
 		g_string_append_len(work->body, data, (gssize)len);
+	if (first)
+		gate_schedule(gate);
 }
 
 static void work_end(struct gate_work *work, enum gate_result result)
@@ -139,6 +161,7 @@
 	gate_wake(gate);
 	work->call = NULL;
 	gate->running_batch--;
+	gate_streams_changed(gate);
 	if (end == HTTP_WHOLE && work->resumed && work->status != 200)
 		work_restart(work);
 	else if (end == HTTP_WHOLE)
@@ -173,11 +196,14 @@
 	};
 
 	if (work->body->len) {
-		options.resume_from = count_tokens(work->body);
+		options.resume_from =
+			gate_count_tokens(work->body->str, work->body->len);
 		work->resumed = true;
 	}
 	work->started_us = node_now_us();
+	work->last_token_us = 0;
 	gate->running_batch++;
+	gate_streams_changed(gate);
 	work->call = gate->backend->ops->call(gate->backend, &options);
 }
 
@@ -192,6 +218,7 @@
 {
 	log_debug(PART, "batch work %s gives way", work->id);
 	work_stop_call(work);
+	work->resume_after_us = node_now_us() + RESUME_PAUSE_US;
 	if (work->streams)
 		drop_partial_event(work->body);
 	else
@@ -219,34 +246,60 @@
 
 static struct gate_work *choose_waiting(struct gate *gate)
 {
+	uint64_t now = node_now_us();
 	struct list *pos;
 
 	list_for_each (pos, &gate->works) {
 		struct gate_work *work =
 			list_entry(pos, struct gate_work, link);
 
-		if (!work_running(work))
+		if (!work_running(work) && now >= work->resume_after_us)
 			return work;
 	}
 	return NULL;
 }
 
-void works_schedule(struct gate *gate, unsigned streams)
+void works_schedule(struct gate *gate, const struct batch_share_plan *plan)
 {
+	unsigned start = plan->start;
 	struct gate_work *work;
 
-	while (gate->running_batch > streams) {
+	while (gate->running_batch > plan->keep) {
 		work = choose_victim(gate);
 		if (!work)
 			return;
 		work_preempt(work);
 	}
-	while (gate->running_batch < streams) {
-		work = choose_waiting(gate);
-		if (!work)
-			return;
+	while (start-- && (work = choose_waiting(gate)) != NULL)
 		work_start(work);
+}
+
+unsigned works_starting(const struct gate *gate, uint64_t since_us)
+{
+	unsigned nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &gate->works) {
+		const struct gate_work *work =
+			list_entry(pos, struct gate_work, link);
+
+		if (work_running(work) && !work->last_token_us &&
+		    work->started_us > since_us)
+			nr++;
 	}
+	return nr;
+}
+
+unsigned works_waiting(const struct gate *gate)
+{
+	unsigned nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &gate->works) {
+		if (!work_running(list_entry(pos, struct gate_work, link)))
+			nr++;
+	}
+	return nr;
 }
 
 struct gate_work *gate_work_submit(struct gate *gate,
--- /dev/null
+++ b/core/admission.c
@@ -0,0 +1,250 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/list.h"
+#include "core/admission.h"
+
+/* Weight of one more service time in the mean. */
+#define SERVICE_WEIGHT 0.1
+/* Service time that is taken before any is known, in us. */
+#define SERVICE_FIRST_US 500000.0
+/* Part of the queue, as a divisor, up to which callers aren't limited. */
+#define FREE_DIVISOR 2
+/* Shortest time after which a refused request may come again, in us. */
+#define RETRY_MIN_US 100000
+
+struct waiting {
+	/* In the caller's queue. */
+	struct list link;
+	/* In the order of all deadlines. */
+	GSequenceIter *by_deadline;
+	struct caller *caller;
+	struct admission_request request;
+};
+
+struct caller {
+	/* In the ring of callers that have something waiting. */
+	struct list link;
+	char *name;
+	struct list queue;
+	unsigned waiting;
+	int64_t deficit;
+	/* The caller got its quantum of this turn. */
+	bool on_turn;
+};
+
+struct admission {
+	struct admission_options options;
+	struct list ring;
+	GHashTable *callers;
+	GHashTable *by_owner;
+	GSequence *deadlines;
+	double service_us;
+	bool service_known;
+};
+
+struct admission *admission_create(const struct admission_options *options)
+{
+	struct admission *admission = g_new0(struct admission, 1);
+
+	admission->options = *options;
+	list_init(&admission->ring);
+	admission->callers = g_hash_table_new(g_str_hash, g_str_equal);
+	admission->by_owner = g_hash_table_new(NULL, NULL);
+	admission->deadlines = g_sequence_new(NULL);
+	admission->service_us = SERVICE_FIRST_US;
+	return admission;
+}
+
+static void caller_free(struct admission *admission, struct caller *caller)
+{
+	g_hash_table_remove(admission->callers, caller->name);
+	list_remove(&caller->link);
+	g_free(caller->name);
+	g_free(caller);
+}
+
+static void *take(struct admission *admission, struct waiting *waiting)
+{
+	struct caller *caller = waiting->caller;
+	void *owner = waiting->request.owner;
+
+	g_hash_table_remove(admission->by_owner, owner);
+	g_sequence_remove(waiting->by_deadline);
+	list_remove(&waiting->link);
+	g_free(waiting);
+	if (!--caller->waiting)
+		caller_free(admission, caller);
+	return owner;
+}
+
+void admission_destroy(struct admission *admission)
+{
+	while (g_sequence_get_length(admission->deadlines))
+		take(admission, g_sequence_get(g_sequence_get_begin_iter(
+					admission->deadlines)));
+	g_sequence_free(admission->deadlines);
+	g_hash_table_destroy(admission->by_owner);
+	g_hash_table_destroy(admission->callers);
+	g_free(admission);
+}
+
+unsigned admission_waiting(const struct admission *admission)
+{
+	return g_hash_table_size(admission->by_owner);
+}
+
+uint64_t admission_wait_us(const struct admission *admission, unsigned running,
+			   unsigned limit)
+{
+	unsigned waiting = admission_waiting(admission);
+
+	if (running < limit && !waiting)
+		return 0;
+	return (uint64_t)(admission->service_us * (waiting + 1) /
+			  MAX(limit, 1));
+}
+
+static struct caller *caller_find(struct admission *admission, const char *name)
+{
+	struct caller *caller = g_hash_table_lookup(admission->callers, name);
+
+	if (caller)
+		return caller;
+	caller = g_new0(struct caller, 1);
+	caller->name = g_strdup(name);
+	list_init(&caller->queue);
+	list_append(&admission->ring, &caller->link);
+	g_hash_table_insert(admission->callers, caller->name, caller);
+	return caller;
+}
+
+/* In a queue that fills, no caller holds more than its part of it. */
+static bool holds_share(const struct admission *admission, const char *name)
+{
+	const struct caller *caller =
+		g_hash_table_lookup(admission->callers, name);
+	unsigned max = admission->options.max_waiting;
+	unsigned callers = g_hash_table_size(admission->callers);
+
+	if (!caller || admission_waiting(admission) < max / FREE_DIVISOR)
+		return false;
+	return caller->waiting >= MAX(max / (callers + 1), 1);
+}
+
+static enum admission_status judge(const struct admission *admission,
+				   const struct admission_request *request,
+				   uint64_t wait_us, uint64_t now_us)
+{
+	if (now_us >= request->deadline_us)
+		return ADMISSION_DEADLINE;
+	if (admission_waiting(admission) >= admission->options.max_waiting)
+		return ADMISSION_OVERLOADED;
+	if (now_us + wait_us >= request->deadline_us)
+		return ADMISSION_OVERLOADED;
+	if (holds_share(admission, request->caller))
+		return ADMISSION_CALLER_LIMIT;
+	return ADMISSION_QUEUED;
+}
+
+static gint compare_deadlines(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const struct waiting *x = a, *y = b;
+
+	(void)ctx;
+	return x->request.deadline_us < y->request.deadline_us ? -1 :
+	       x->request.deadline_us > y->request.deadline_us ? 1 :
+								 0;
+}
+
+static void enqueue(struct admission *admission,
+		    const struct admission_request *request)
+{
+	struct waiting *waiting = g_new0(struct waiting, 1);
+
+	waiting->caller = caller_find(admission, request->caller);
+	waiting->request = *request;
+	waiting->request.caller = waiting->caller->name;
+	waiting->caller->waiting++;
+	list_append(&waiting->caller->queue, &waiting->link);
+	waiting->by_deadline = g_sequence_insert_sorted(
+		admission->deadlines, waiting, compare_deadlines, NULL);
+	g_hash_table_insert(admission->by_owner, request->owner, waiting);
+}
+
+enum admission_status admission_offer(struct admission *admission,
+				      const struct admission_request *request,
+				      unsigned running, unsigned limit,
+				      uint64_t now_us, uint64_t *retry_after_us)
+{
+	uint64_t wait_us = admission_wait_us(admission, running, limit);
+	enum admission_status status =
+		judge(admission, request, wait_us, now_us);
+
+	*retry_after_us = MAX(wait_us, RETRY_MIN_US);
+	if (status == ADMISSION_QUEUED)
+		enqueue(admission, request);
+	return status;
+}
+
+static void next_turn(struct admission *admission, struct caller *caller)
+{
+	caller->on_turn = false;
+	list_remove(&caller->link);
+	list_append(&admission->ring, &caller->link);
+}
+
+void *admission_next(struct admission *admission, uint64_t now_us)
+{
+	(void)now_us;
+	while (!list_empty(&admission->ring)) {
+		struct caller *caller = list_entry(list_first(&admission->ring),
+						   struct caller, link);
+		struct waiting *first = list_entry(list_first(&caller->queue),
+						   struct waiting, link);
+
+		if (!caller->on_turn)
+			caller->deficit += admission->options.quantum;
+		caller->on_turn = true;
+		if (caller->deficit >= first->request.cost) {
+			caller->deficit -= first->request.cost;
+			return take(admission, first);
+		}
+		next_turn(admission, caller);
+	}
+	return NULL;
+}
+
+void *admission_expired(struct admission *admission, uint64_t now_us)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(admission->deadlines);
+	struct waiting *waiting;
+
+	if (g_sequence_iter_is_end(first))
+		return NULL;
+	waiting = g_sequence_get(first);
+	if (now_us < waiting->request.deadline_us)
+		return NULL;
+	return take(admission, waiting);
+}
+
+bool admission_remove(struct admission *admission, const void *owner)
+{
+	struct waiting *waiting =
+		g_hash_table_lookup(admission->by_owner, owner);
+
+	if (!waiting)
+		return false;
+	take(admission, waiting);
+	return true;
+}
+
+void admission_served(struct admission *admission, uint64_t service_us)
+{
+	double weight = admission->service_known ? SERVICE_WEIGHT : 1;
+
+	admission->service_known = true;
+	admission->service_us +=
+		weight * ((double)service_us - admission->service_us);
+}
--- /dev/null
+++ b/core/concurrency.c
@@ -0,0 +1,293 @@
+#include <math.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "core/concurrency.h"
+
+/*
+ * The quantile of gaps that is followed. Below the median, as steps that also
+ * compute a prompt are longer and must not hide the effect of the streams.
+ */
+#define GAP_QUANTILE 0.4
+/* Relative step of the quantile's estimate, at first and later. */
+#define STEP_FIRST 0.25
+#define STEP_LAST 0.03
+/* Observations after which a number of streams counts as known. */
+#define KNOWN_SAMPLES 24
+/* Most observations that weigh in the fit. */
+#define WEIGHT_MAX 200.0
+/* Time in which the weight of what was learned falls to 1/e, in us. */
+#define MEMORY_US 60e6
+/* Time after which a number of streams should be measured again, in us. */
+#define FRESH_US 120000000
+/* Weight below which a point is left out of the fit. */
+#define WEIGHT_MIN 0.5
+/* Share of the first-token target that one call may take at the engine. */
+#define FIRST_TOKEN_SHARE 0.5
+/* A slow engine may widen the gap of a lone stream by this factor. */
+#define GAP_SLACK 1.5
+/* Least limit of online streams. */
+#define ONLINE_LIMIT_MIN 4
+
+/* What was seen at one number of streams. */
+struct point {
+	double gap_us;
+	double first_token_us;
+	uint32_t gaps;
+	uint32_t first_tokens;
+	uint64_t seen_us;
+};
+
+/* A stretch of the fitted curve with one value. */
+struct block {
+	double gap_us;
+	double weight;
+	unsigned first;
+	unsigned last;
+};
+
+struct concurrency {
+	struct concurrency_options options;
+	struct point points[CONCURRENCY_MAX + 1];
+	unsigned highest;
+	uint64_t now_us;
+	/* The fit, made when it is asked for after a change. */
+	double fit[CONCURRENCY_MAX + 1];
+	unsigned fit_highest;
+	bool stale;
+};
+
+struct concurrency *concurrency_create(
+	const struct concurrency_options *options)
+{
+	struct concurrency *concurrency = g_new0(struct concurrency, 1);
+
+	concurrency->options = *options;
+	return concurrency;
+}
+
+void concurrency_destroy(struct concurrency *concurrency)
+{
+	g_free(concurrency);
+}
+
+void concurrency_set(struct concurrency *concurrency,
+		     const struct concurrency_options *options)
+{
+	concurrency->options = *options;
+}
+
+static struct point *point_at(struct concurrency *concurrency, unsigned streams,
+			      uint64_t now_us)
+{
+	struct point *point;
+
+	streams = CLAMP(streams, 1, CONCURRENCY_MAX);
+	concurrency->highest = MAX(concurrency->highest, streams);
+	concurrency->now_us = MAX(concurrency->now_us, now_us);
+	concurrency->stale = true;
+	point = &concurrency->points[streams];
+	point->seen_us = now_us;
+	return point;
+}
+
+/* Moves an estimate towards a quantile by steps in proportion to itself. */
+static double follow(double estimate, double sample, uint32_t seen)
+{
+	double step = MAX(STEP_LAST, STEP_FIRST / (1 + seen / 4.0));
+
+	if (!seen)
+		return sample;
+	if (sample > estimate)
+		return estimate * (1 + step * GAP_QUANTILE);
+	if (sample < estimate)
+		return estimate * (1 - step * (1 - GAP_QUANTILE));
+	return estimate;
+}
+
+void concurrency_gap(struct concurrency *concurrency, unsigned streams,
+		     uint64_t gap_us, unsigned tokens, uint64_t now_us)
+{
+	struct point *point;
+
+	if (!tokens || !gap_us)
+		return;
+	point = point_at(concurrency, streams, now_us);
+	point->gap_us =
+		follow(point->gap_us, (double)gap_us / tokens, point->gaps);
+	point->gaps++;
+}
+
+void concurrency_first_token(struct concurrency *concurrency, unsigned streams,
+			     uint64_t us, uint64_t now_us)
+{
+	struct point *point = point_at(concurrency, streams, now_us);
+
+	point->first_token_us =
+		follow(point->first_token_us, (double)us, point->first_tokens);
+	point->first_tokens++;
+}
+
+static double point_weight(const struct concurrency *concurrency,
+			   const struct point *point)
+{
+	double age = (double)(concurrency->now_us - point->seen_us);
+
+	return MIN(point->gaps, WEIGHT_MAX) * exp(-age / MEMORY_US);
+}
+
+/* Joins blocks from the end until the curve no longer falls. */
+static unsigned pool(struct block *blocks, unsigned nr)
+{
+	while (nr > 1 && blocks[nr - 2].gap_us > blocks[nr - 1].gap_us) {
+		struct block *a = &blocks[nr - 2];
+		const struct block *b = &blocks[nr - 1];
+		double weight = a->weight + b->weight;
+
+		a->gap_us = (a->gap_us * a->weight + b->gap_us * b->weight) /
+			    weight;
+		a->weight = weight;
+		a->last = b->last;
+		nr--;
+	}
+	return nr;
+}
+
+static void fill(double *fit, const struct block *blocks, unsigned nr)
+{
+	unsigned i, n, end;
+
+	for (i = 0; i < nr; i++) {
+		const struct block *next = i + 1 < nr ? &blocks[i + 1] : NULL;
+
+		for (n = blocks[i].first; n <= blocks[i].last; n++)
+			fit[n] = blocks[i].gap_us;
+		end = next ? next->first : blocks[i].last;
+		for (; next && n < end; n++)
+			fit[n] = blocks[i].gap_us +
+				 (next->gap_us - blocks[i].gap_us) *
+					 (n - blocks[i].last) /
+					 (end - blocks[i].last);
+	}
+	for (n = 0; nr && n < blocks[0].first; n++)
+		fit[n] = blocks[0].gap_us;
+}
+
+/* Fits a curve that never falls: pool adjacent violators. */
+static void make_fit(struct concurrency *concurrency)
+{
+	struct block blocks[CONCURRENCY_MAX + 1];
+	unsigned nr = 0, n;
+
+	for (n = 1; n <= concurrency->highest; n++) {
+		const struct point *point = &concurrency->points[n];
+		double weight = point_weight(concurrency, point);
+
+		if (weight < WEIGHT_MIN)
+			continue;
+		blocks[nr].gap_us = point->gap_us;
+		blocks[nr].weight = weight;
+		blocks[nr].first = n;
+		blocks[nr].last = n;
+		nr = pool(blocks, nr + 1);
+	}
+	memset(concurrency->fit, 0, sizeof(concurrency->fit));
+	fill(concurrency->fit, blocks, nr);
+	concurrency->fit_highest = nr ? blocks[nr - 1].last : 0;
+	concurrency->stale = false;
+}
+
+static void refresh(const struct concurrency *concurrency)
+{
+	if (concurrency->stale)
+		make_fit((struct concurrency *)concurrency);
+}
+
+/* Slope of the fit's last part, in us for each stream. */
+static double end_slope(const struct concurrency *concurrency)
+{
+	unsigned last = concurrency->fit_highest;
+	unsigned from = last > 4 ? last - 4 : 1;
+
+	if (last <= from)
+		return 0;
+	return (concurrency->fit[last] - concurrency->fit[from]) /
+	       (last - from);
+}
+
+uint64_t concurrency_gap_at(const struct concurrency *concurrency,
+			    unsigned streams)
+{
+	unsigned last;
+
+	refresh(concurrency);
+	last = concurrency->fit_highest;
+	streams = MIN(streams, CONCURRENCY_MAX);
+	if (!last)
+		return 0;
+	if (streams <= last)
+		return (uint64_t)concurrency->fit[streams];
+	return (uint64_t)(concurrency->fit[last] +
+			  end_slope(concurrency) * (streams - last));
+}
+
+double concurrency_rate_at(const struct concurrency *concurrency,
+			   unsigned streams)
+{
+	uint64_t gap = concurrency_gap_at(concurrency, streams);
+
+	return gap ? streams * 1e6 / (double)gap : 0;
+}
+
+unsigned concurrency_explored(const struct concurrency *concurrency)
+{
+	refresh(concurrency);
+	return concurrency->fit_highest;
+}
+
+bool concurrency_known(const struct concurrency *concurrency, unsigned streams,
+		       uint64_t now_us)
+{
+	const struct point *point =
+		&concurrency->points[MIN(streams, CONCURRENCY_MAX)];
+
+	return point->gaps >= KNOWN_SAMPLES &&
+	       now_us < point->seen_us + FRESH_US;
+}
+
+/* First tokens at this number of streams come too late. */
+static bool starts_late(const struct concurrency *concurrency, unsigned streams)
+{
+	const struct point *point = &concurrency->points[streams];
+	double limit = FIRST_TOKEN_SHARE *
+		       (double)concurrency->options.first_token_target_us;
+
+	return point->first_tokens >= KNOWN_SAMPLES &&
+	       point_weight(concurrency, point) >= WEIGHT_MIN &&
+	       point->first_token_us > limit;
+}
+
+/* Longest gap that the limit lets come about, in us. */
+static double gap_limit(const struct concurrency *concurrency)
+{
+	return MAX((double)concurrency->options.gap_target_us,
+		   GAP_SLACK * concurrency->fit[1]);
+}
+
+unsigned concurrency_online_limit(const struct concurrency *concurrency)
+{
+	double limit;
+	unsigned n;
+
+	refresh(concurrency);
+	limit = gap_limit(concurrency);
+	for (n = ONLINE_LIMIT_MIN + 1; n <= concurrency->highest; n++) {
+		if (starts_late(concurrency, n))
+			return n - 1;
+		if (n <= concurrency->fit_highest &&
+		    concurrency->fit[n] > limit)
+			return n - 1;
+	}
+	return CONCURRENCY_MAX;
+}
