--- a/wire/config.pb-c.c
+++ b/wire/config.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &briarplank__config_value__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__config_command__init
+                     (Briarplank__ConfigCommand         *message)
+{
+  static const Briarplank__ConfigCommand init_value = BRIARPLANK__CONFIG_COMMAND__INIT;
+  *message = init_value;
+}
+size_t briarplank__config_command__get_packed_size
+                     (const Briarplank__ConfigCommand *message)
+{
+  assert(message->base.descriptor == &briarplank__config_command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__config_command__pack
+                     (const Briarplank__ConfigCommand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__config_command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__config_command__pack_to_buffer
+                     (const Briarplank__ConfigCommand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__config_command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__ConfigCommand *
+       briarplank__config_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__ConfigCommand *)
+     protobuf_c_message_unpack (&briarplank__config_command__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__config_command__free_unpacked
+                     (Briarplank__ConfigCommand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__config_command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__config_snapshot__init
                      (Briarplank__ConfigSnapshot         *message)
 {
@@ -560,7 +605,110 @@
   (ProtobufCMessageInit) briarplank__config_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__config_snapshot__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__config_command__field_descriptors[6] =
+{
+  {
+    "operator_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "command_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, command_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigCommand, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__config_command__field_indices_by_name[] = {
+  1,   /* field[1] = command_id */
+  5,   /* field[5] = content */
+  2,   /* field[2] = offset */
+  0,   /* field[0] = operator_name */
+  3,   /* field[3] = outcome */
+  4,   /* field[4] = revision */
+};
+static const ProtobufCIntRange briarplank__config_command__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor briarplank__config_command__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.ConfigCommand",
+  "ConfigCommand",
+  "Briarplank__ConfigCommand",
+  "briarplank",
+  sizeof(Briarplank__ConfigCommand),
+  6,
+  briarplank__config_command__field_descriptors,
+  briarplank__config_command__field_indices_by_name,
+  1,  briarplank__config_command__number_ranges,
+  (ProtobufCMessageInit) briarplank__config_command__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__config_snapshot__field_descriptors[5] =
 {
   {
     "revision",
@@ -598,8 +746,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commands",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__ConfigSnapshot, n_commands),
+    offsetof(Briarplank__ConfigSnapshot, commands),
+    &briarplank__config_command__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forgotten_revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigSnapshot, forgotten_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__config_snapshot__field_indices_by_name[] = {
+  3,   /* field[3] = commands */
+  4,   /* field[4] = forgotten_revision */
   1,   /* field[1] = next_offset */
   0,   /* field[0] = revision */
   2,   /* field[2] = values */
@@ -607,7 +781,7 @@
 static const ProtobufCIntRange briarplank__config_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor briarplank__config_snapshot__descriptor =
 {
@@ -617,7 +791,7 @@
   "Briarplank__ConfigSnapshot",
   "briarplank",
   sizeof(Briarplank__ConfigSnapshot),
-  3,
+  5,
   briarplank__config_snapshot__field_descriptors,
   briarplank__config_snapshot__field_indices_by_name,
   1,  briarplank__config_snapshot__number_ranges,
@@ -675,7 +849,7 @@
   (ProtobufCMessageInit) briarplank__config_append__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__config_fetch__field_descriptors[1] =
+static const ProtobufCFieldDescriptor briarplank__config_fetch__field_descriptors[2] =
 {
   {
     "after_revision",
@@ -689,14 +863,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigFetch, next_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__config_fetch__field_indices_by_name[] = {
   0,   /* field[0] = after_revision */
+  1,   /* field[1] = next_offset */
 };
 static const ProtobufCIntRange briarplank__config_fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor briarplank__config_fetch__descriptor =
 {
@@ -706,14 +893,14 @@
   "Briarplank__ConfigFetch",
   "briarplank",
   sizeof(Briarplank__ConfigFetch),
-  1,
+  2,
   briarplank__config_fetch__field_descriptors,
   briarplank__config_fetch__field_indices_by_name,
   1,  briarplank__config_fetch__number_ranges,
   (ProtobufCMessageInit) briarplank__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__config_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor briarplank__config_update__field_descriptors[6] =
 {
   {
     "from_revision",
@@ -775,8 +962,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from_offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ConfigUpdate, from_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__config_update__field_indices_by_name[] = {
+  5,   /* field[5] = from_offset */
   0,   /* field[0] = from_revision */
   1,   /* field[1] = next_offset */
   3,   /* field[3] = offsets */
@@ -786,7 +986,7 @@
 static const ProtobufCIntRange briarplank__config_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__config_update__descriptor =
 {
@@ -796,7 +996,7 @@
   "Briarplank__ConfigUpdate",
   "briarplank",
   sizeof(Briarplank__ConfigUpdate),
-  5,
+  6,
   briarplank__config_update__field_descriptors,
   briarplank__config_update__field_indices_by_name,
   1,  briarplank__config_update__number_ranges,
--- a/wire/config.pb-c.h
+++ b/wire/config.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Briarplank__ConfigRecord Briarplank__ConfigRecord;
 typedef struct Briarplank__ConfigValue Briarplank__ConfigValue;
+typedef struct Briarplank__ConfigCommand Briarplank__ConfigCommand;
 typedef struct Briarplank__ConfigSnapshot Briarplank__ConfigSnapshot;
 typedef struct Briarplank__ConfigAppend Briarplank__ConfigAppend;
 typedef struct Briarplank__ConfigFetch Briarplank__ConfigFetch;
@@ -72,7 +73,31 @@
 
 
 /*
- * All values in force at a revision.
+ * What became of a command, so that a resend gets the first result.
+ */
+struct  Briarplank__ConfigCommand
+{
+  ProtobufCMessage base;
+  char *operator_name;
+  char *command_id;
+  uint64_t offset;
+  /*
+   * 0 applied, 1 conflict, 2 void.
+   */
+  uint32_t outcome;
+  /*
+   * Revision of the value that stood in the way of a conflict.
+   */
+  uint64_t revision;
+  uint64_t content;
+};
+#define BRIARPLANK__CONFIG_COMMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__config_command__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * The whole state of the fold before next_offset. Removed keys have no value.
  */
 struct  Briarplank__ConfigSnapshot
 {
@@ -81,10 +106,16 @@
   uint64_t next_offset;
   size_t n_values;
   Briarplank__ConfigValue **values;
+  size_t n_commands;
+  Briarplank__ConfigCommand **commands;
+  /*
+   * Highest revision of a removed key that is no longer remembered.
+   */
+  uint64_t forgotten_revision;
 };
 #define BRIARPLANK__CONFIG_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__config_snapshot__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Briarplank__ConfigAppend
@@ -105,10 +136,14 @@
 {
   ProtobufCMessage base;
   uint64_t after_revision;
+  /*
+   * First offset that the sender has not folded; 0 when it knows nothing.
+   */
+  uint64_t next_offset;
 };
 #define BRIARPLANK__CONFIG_FETCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__config_fetch__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Briarplank__ConfigUpdate
@@ -124,10 +159,14 @@
   size_t n_offsets;
   uint64_t *offsets;
   Briarplank__ConfigSnapshot *snapshot;
+  /*
+   * The records are all that count between from_offset and next_offset.
+   */
+  uint64_t from_offset;
 };
 #define BRIARPLANK__CONFIG_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__config_update__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, NULL }
+    , 0, 0, 0,NULL, 0,NULL, NULL, 0 }
 
 
 /*
@@ -197,6 +236,25 @@
 void   briarplank__config_value__free_unpacked
                      (Briarplank__ConfigValue *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__ConfigCommand methods */
+void   briarplank__config_command__init
+                     (Briarplank__ConfigCommand         *message);
+size_t briarplank__config_command__get_packed_size
+                     (const Briarplank__ConfigCommand   *message);
+size_t briarplank__config_command__pack
+                     (const Briarplank__ConfigCommand   *message,
+                      uint8_t             *out);
+size_t briarplank__config_command__pack_to_buffer
+                     (const Briarplank__ConfigCommand   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__ConfigCommand *
+       briarplank__config_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__config_command__free_unpacked
+                     (Briarplank__ConfigCommand *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__ConfigSnapshot methods */
 void   briarplank__config_snapshot__init
                      (Briarplank__ConfigSnapshot         *message);
@@ -319,6 +377,9 @@
 typedef void (*Briarplank__ConfigValue_Closure)
                  (const Briarplank__ConfigValue *message,
                   void *closure_data);
+typedef void (*Briarplank__ConfigCommand_Closure)
+                 (const Briarplank__ConfigCommand *message,
+                  void *closure_data);
 typedef void (*Briarplank__ConfigSnapshot_Closure)
                  (const Briarplank__ConfigSnapshot *message,
                   void *closure_data);
@@ -345,6 +406,7 @@
 
 extern const ProtobufCMessageDescriptor briarplank__config_record__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__config_value__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__config_command__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__config_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__config_append__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__config_fetch__descriptor;
