--- /dev/null
+++ b/briarplankd/config_publish.c
@@ -0,0 +1,245 @@
+/*
+ * Publishes operators' changes: appends each to the log until its result is
+ * known. The command id makes repeated appends harmless.
+ */
+#include <string.h>
+
+#include "config_private.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "core/config_keys.h"
+
+#define PART CONFIG_PART
+
+/* Time after which a change that isn't seen in the log is in doubt, in ms. */
+#define PUBLISH_LIMIT_MS 6000
+/* Wait before an append that is in doubt is sent again, in ms. */
+#define APPEND_RETRY_MS 300
+/* Wait before the log is read again for a change, in ms. */
+#define READ_RETRY_MS 100
+
+struct publish {
+	struct list link;
+	struct config_task *task;
+	char *operator_name;
+	char *command_id;
+	char *key;
+	char *value;
+	uint64_t base_revision;
+	config_publish_fn done;
+	void *ctx;
+	uint64_t deadline_ms;
+	bool appending;
+	/* An append was stored, or may have been. */
+	bool stored;
+	bool in_doubt;
+	uint64_t append_at_ms;
+	uint64_t read_at_ms;
+	/* Known before anything was appended. */
+	bool decided;
+	struct config_published result;
+	char *message;
+};
+
+static void publish_free(struct publish *publish)
+{
+	list_remove(&publish->link);
+	g_free(publish->operator_name);
+	g_free(publish->command_id);
+	g_free(publish->key);
+	g_free(publish->value);
+	g_free(publish->message);
+	g_free(publish);
+}
+
+void config_publishes_free(struct config_task *task)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &task->publishes)
+		publish_free(list_entry(pos, struct publish, link));
+}
+
+__attribute__((format(printf, 4, 5))) static void decide(
+	struct publish *publish, enum config_publish_status status,
+	uint64_t revision, const char *fmt, ...)
+{
+	va_list args;
+
+	va_start(args, fmt);
+	g_free(publish->message);
+	publish->message = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	publish->decided = true;
+	publish->result.status = status;
+	publish->result.revision = revision;
+	publish->result.message = publish->message;
+}
+
+static void decide_conflict(struct publish *publish, uint64_t revision)
+{
+	const struct config_store *store = publish->task->store;
+	const char *value = config_store_value(store, publish->key);
+
+	decide(publish, CONFIG_PUBLISH_CONFLICT, revision,
+	       "%s was changed at revision %" G_GUINT64_FORMAT
+	       "; it is %s at revision %" G_GUINT64_FORMAT,
+	       publish->key, revision, value ? value : "not set",
+	       config_store_key_revision(store, publish->key));
+}
+
+/* Takes the result from the fold once the command is in it. */
+static bool decide_from_fold(struct publish *publish)
+{
+	struct config_command command;
+
+	if (!config_store_command(publish->task->store, publish->operator_name,
+				  publish->command_id, &command))
+		return false;
+	if (command.content !=
+	    config_content_hash(publish->key, publish->value))
+		decide(publish, CONFIG_PUBLISH_BAD, command.offset,
+		       "the id %s was used for another command",
+		       publish->command_id);
+	else if (command.outcome == CONFIG_APPLIED)
+		decide(publish, CONFIG_PUBLISH_DONE, command.offset,
+		       "%s is in force at revision %" G_GUINT64_FORMAT,
+		       publish->key, command.offset);
+	else if (command.outcome == CONFIG_CONFLICT)
+		decide_conflict(publish, command.revision);
+	else
+		decide(publish, CONFIG_PUBLISH_BAD, command.offset,
+		       "the change was void");
+	return true;
+}
+
+static void decide_before_append(struct publish *publish)
+{
+	struct config_task *task = publish->task;
+	uint64_t current = config_store_key_revision(task->store, publish->key);
+
+	if (decide_from_fold(publish))
+		return;
+	if (config_key_check(publish->key, publish->value) != CONFIG_CHECK_GOOD)
+		decide(publish, CONFIG_PUBLISH_BAD, 0, "%s", error_last());
+	else if (!task->synced)
+		decide(publish, CONFIG_PUBLISH_NOT_DONE, 0,
+		       "the configuration is not known here yet");
+	else if (!task->super.node->log)
+		decide(publish, CONFIG_PUBLISH_NOT_DONE, 0,
+		       "no log service is set");
+	else if (publish->base_revision && current > publish->base_revision)
+		decide_conflict(publish, current);
+	if (!publish->base_revision)
+		publish->base_revision = config_store_revision(task->store);
+}
+
+static void on_appended(void *ctx, enum log_service_status status,
+			uint64_t offset)
+{
+	struct publish *publish = ctx;
+	struct config_task *task = publish->task;
+
+	publish->appending = false;
+	if (status == LOG_SERVICE_OK) {
+		publish->stored = true;
+		log_debug(PART,
+			  "command %s is at offset %" G_GUINT64_FORMAT
+			  " of the log",
+			  publish->command_id, offset);
+	} else if (status == LOG_SERVICE_REFUSED && !publish->in_doubt) {
+		decide(publish, CONFIG_PUBLISH_NOT_DONE, 0,
+		       "the log takes no records now; nothing was changed");
+	} else {
+		publish->in_doubt = true;
+		publish->append_at_ms =
+			node_now_ms(task->super.node) + APPEND_RETRY_MS;
+	}
+	config_publishes_check(task);
+}
+
+static void append(struct publish *publish)
+{
+	struct log_service *log = publish->task->super.node->log;
+	Briarplank__ConfigAppend message = BRIARPLANK__CONFIG_APPEND__INIT;
+	Briarplank__ConfigRecord record = BRIARPLANK__CONFIG_RECORD__INIT;
+	uint8_t *bytes;
+	size_t len;
+
+	record.command_id = publish->command_id;
+	record.operator_name = publish->operator_name;
+	record.key = publish->key;
+	record.value = publish->value;
+	record.base_revision = publish->base_revision;
+	record.published_ms = node_wall_ms();
+	message.record = &record;
+	len = briarplank__config_append__get_packed_size(&message);
+	bytes = g_malloc(len);
+	briarplank__config_append__pack(&message, bytes);
+	publish->appending = true;
+	log->ops->append(log, CONFIG_STREAM, bytes, len, on_appended, publish);
+	g_free(bytes);
+}
+
+static void finish(struct publish *publish)
+{
+	publish->done(publish->ctx, &publish->result);
+	publish_free(publish);
+}
+
+static void carry_on(struct publish *publish, uint64_t now_ms)
+{
+	if (!publish->stored && now_ms >= publish->append_at_ms)
+		append(publish);
+	else if (publish->stored && now_ms >= publish->read_at_ms) {
+		publish->read_at_ms = now_ms + READ_RETRY_MS;
+		config_read_soon(publish->task);
+	}
+}
+
+static void check(struct publish *publish, uint64_t now_ms)
+{
+	if (publish->appending)
+		return;
+	if (!publish->decided && (publish->stored || publish->in_doubt))
+		decide_from_fold(publish);
+	if (!publish->decided && now_ms >= publish->deadline_ms)
+		decide(publish, CONFIG_PUBLISH_UNKNOWN, 0,
+		       "the change may be in the log or not; send it again "
+		       "with the id %s",
+		       publish->command_id);
+	if (publish->decided)
+		finish(publish);
+	else
+		carry_on(publish, now_ms);
+}
+
+void config_publishes_check(struct config_task *task)
+{
+	uint64_t now_ms = node_now_ms(task->super.node);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &task->publishes)
+		check(list_entry(pos, struct publish, link), now_ms);
+}
+
+void config_publish(struct node *node, const struct config_change *change,
+		    config_publish_fn done, void *ctx)
+{
+	struct config_task *task = config_task_of(node);
+	struct publish *publish = g_new0(struct publish, 1);
+
+	publish->task = task;
+	publish->operator_name = g_strdup(change->operator_name);
+	publish->command_id = g_strdup(change->command_id);
+	publish->key = g_strdup(change->key);
+	publish->value = g_strdup(change->value);
+	publish->base_revision = change->base_revision;
+	publish->done = done;
+	publish->ctx = ctx;
+	publish->deadline_ms = node_now_ms(node) + PUBLISH_LIMIT_MS;
+	list_append(&task->publishes, &publish->link);
+	decide_before_append(publish);
+	if (!publish->decided)
+		append(publish);
+}
--- a/briarplankd/config_task.c
+++ b/briarplankd/config_task.c
@@ -1,84 +1,378 @@
 /*
- * Holds the configuration in force.
+ * Holds the configuration in force, and reads it from the log when this node
+ * is a relay of its data centre.
  */
 #include <string.h>
 
-#include "briarplankd/config_task.h"
+#include "config_private.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "core/relays.h"
 
-struct config_task {
-	struct task super;
-};
+#define PART CONFIG_PART
 
-static const struct service_policy default_policy = {
-	.idempotent = false,
-	.timeout_ms = 60000,
-	.batch_weight = 50,
-	.first_byte_target_ms = 1000,
-	.token_gap_target_ms = 100,
-	.item_attempts = 3,
-};
+/* Period of the task's own timer, in ms. */
+#define TICK_INTERVAL_MS 100
+/* Time in which the first peers are heard of before relays are chosen, in ms. */
+#define SETTLE_MS 300
+/* Time without a peer's answer after which a fresh node reads the log, in ms. */
+#define PEERS_FIRST_MS 1500
+/* Longest wait of a read for the next record, in ms. */
+#define READ_WAIT_MS 10000
+#define READ_MAX_BYTES (4 << 20)
+/* Least time between two reads that bring nothing, in ms. */
+#define READ_PAUSE_MS 100
+#define READ_BACKOFF_MAX_MS 2000
+/* Spread of the relays' snapshots, so that one of them is first, in ms. */
+#define SNAPSHOT_SPREAD_MS 60000
+#define SNAPSHOT_SPREAD_PERCENT 20
 
-static bool config_start(struct task *base)
+struct config_task *config_task_of(struct node *node)
 {
-	base->node->config = base;
-	return true;
+	return (struct config_task *)node->config;
 }
 
-static void config_destroy(struct task *base)
+static void apply_log_level(struct config_task *task)
 {
-	g_free(base);
+	struct node *node = task->super.node;
+	char *key = g_strdup_printf("node.%s.log_level", node->settings->name);
+	const char *value = config_value(node, key);
+	enum log_level level = node->settings->log_level;
+	char *text;
+
+	if (!value)
+		value = config_value(node, "log.level");
+	text = value ? g_strndup(value + 1, strlen(value) - 2) : NULL;
+	if (text)
+		log_level_parse(text, &level);
+	log_set_level(level);
+	g_free(text);
+	g_free(key);
 }
 
-static const struct task_ops config_ops = {
-	.name = "config",
-	.start = config_start,
-	.destroy = config_destroy,
-};
+void config_advanced(struct config_task *task, uint64_t old_revision)
+{
+	uint64_t revision = config_store_revision(task->store);
+	struct node_event event = {
+		.kind = NODE_CONFIG_CHANGED,
+		.revision = revision,
+	};
 
-struct task *config_task_create(void)
+	config_publishes_check(task);
+	if (revision == old_revision)
+		return;
+	counter_set(task->revision_gauge, revision);
+	log_info(PART, "revision %" G_GUINT64_FORMAT " is in force", revision);
+	apply_log_level(task);
+	config_spread_push(task);
+	node_publish(task->super.node, &event);
+}
+
+static bool wants_read(const struct config_task *task, uint64_t now_ms)
 {
-	struct config_task *task = g_new0(struct config_task, 1);
+	bool alone = now_ms - task->started_ms >= PEERS_FIRST_MS;
 
-	task->super.ops = &config_ops;
-	return &task->super;
+	if (!task->super.node->log || task->reading ||
+	    now_ms < task->read_after_ms)
+		return false;
+	return task->relay || task->read_wanted || (!task->synced && alone);
 }
 
-uint64_t config_revision(struct node *node)
+static void note_log_out(struct config_task *task, uint64_t now_ms)
 {
-	(void)node;
-	return 0;
+	if (!task->log_out)
+		log_warn(PART, "the log can't be read");
+	task->log_out = true;
+	task->read_backoff_ms =
+		MIN(MAX(task->read_backoff_ms * 2, READ_PAUSE_MS),
+		    READ_BACKOFF_MAX_MS);
+	task->read_after_ms = now_ms + task->read_backoff_ms;
 }
 
-const char *config_value(struct node *node, const char *key)
+static void fold_page(struct config_task *task,
+		      const struct log_service_page *page)
 {
-	(void)node;
-	(void)key;
-	return NULL;
+	struct config_page_entry *entries =
+		g_new0(struct config_page_entry, page->nr + 1);
+	struct config_page folded = {
+		.from = task->read_from,
+		.first_offset = page->first_offset,
+		.end_offset = page->end_offset,
+		.entries = entries,
+		.nr = page->nr,
+	};
+	size_t i;
+
+	for (i = 0; i < page->nr; i++) {
+		entries[i].offset = page->entries[i].offset;
+		entries[i].stored_ms = page->entries[i].stored_ms;
+		entries[i].payload = page->entries[i].payload;
+		entries[i].len = page->entries[i].len;
+	}
+	config_reader_page(task->reader, &folded);
+	g_free(entries);
 }
 
-/* A server that serves it makes a service exist before it is configured. */
-static bool service_has_agent(struct node *node, const char *service)
+static void set_synced(struct config_task *task, const char *source)
 {
-	const struct daemon_settings *settings = node->settings;
-	struct list *pos;
+	if (task->synced)
+		return;
+	task->synced = true;
+	log_info(PART, "revision %" G_GUINT64_FORMAT " is known from %s",
+		 config_store_revision(task->store), source);
+}
 
-	if (settings->service && !strcmp(settings->service, service))
-		return true;
-	list_for_each (pos, members_all(node_members(node))) {
-		struct member *member = list_entry(pos, struct member, link);
+static void on_page(struct config_task *task,
+		    const struct log_service_page *page, uint64_t now_ms)
+{
+	uint64_t old = config_store_revision(task->store);
+	const char *trouble;
 
-		if (member->role == MEMBER_AGENT &&
-		    !strcmp(member->service, service))
-			return true;
-	}
-	return false;
+	if (task->log_out)
+		log_info(PART, "the log can be read again");
+	task->log_out = false;
+	task->read_backoff_ms = 0;
+	fold_page(task, page);
+	trouble = config_reader_trouble(task->reader);
+	if (trouble)
+		log_warn(PART, "%s", trouble);
+	if (config_reader_current(task->reader))
+		set_synced(task, "the log");
+	if (!page->nr)
+		task->read_after_ms = now_ms + READ_PAUSE_MS;
+	if (!trouble && !config_reader_current(task->reader))
+		task->read_wanted = true;
+	config_advanced(task, old);
+}
+
+static void read_log(struct config_task *task);
+
+static void on_read(void *ctx, enum log_service_status status,
+		    const struct log_service_page *page)
+{
+	struct config_task *task = ctx;
+	uint64_t now_ms = node_now_ms(task->super.node);
+
+	task->reading = false;
+	if (status == LOG_SERVICE_OK)
+		on_page(task, page, now_ms);
+	else
+		note_log_out(task, now_ms);
+	if (wants_read(task, now_ms))
+		read_log(task);
+}
+
+static void read_log(struct config_task *task)
+{
+	struct log_service *log = task->super.node->log;
+	bool waits = task->relay && !task->read_wanted;
+
+	task->reading = true;
+	task->read_wanted = false;
+	task->read_from = config_reader_next(task->reader);
+	counter_add(task->reads_total, 1);
+	log->ops->read(log, CONFIG_STREAM, task->read_from, READ_MAX_BYTES,
+		       waits ? READ_WAIT_MS : 0, on_read, task);
+}
+
+void config_read_soon(struct config_task *task)
+{
+	uint64_t now_ms = node_now_ms(task->super.node);
+
+	task->read_wanted = true;
+	if (wants_read(task, now_ms))
+		read_log(task);
+}
+
+static void choose_relay(struct config_task *task, uint64_t now_ms)
+{
+	struct node *node = task->super.node;
+	struct relay_self self = {
+		.name = node->settings->name,
+		.role = node->settings->role == ROLE_AGENT ? MEMBER_AGENT :
+							     MEMBER_ENTRY,
+		.data_centre = node->settings->data_centre,
+		.leaving = node->stopping,
+	};
+	bool chosen = node->log && now_ms - task->started_ms >= SETTLE_MS &&
+		      relays_self_chosen(node_members(node), &self);
+
+	if (chosen != task->relay)
+		log_info(PART, "%s",
+			 chosen ? "this node relays for its data centre" :
+				  "this node no longer relays");
+	if (chosen && !task->relay)
+		task->snapshot_from_ms = node_wall_ms();
+	task->relay = chosen;
+	counter_set(task->relay_gauge, chosen);
+}
+
+static void on_snapshot_appended(void *ctx, enum log_service_status status,
+				 uint64_t offset)
+{
+	struct config_task *task = ctx;
+
+	task->snapshot_running = false;
+	if (status == LOG_SERVICE_OK)
+		log_info(PART, "a snapshot is at offset %" G_GUINT64_FORMAT,
+			 offset);
+}
+
+static void append_snapshot(struct config_task *task)
+{
+	struct log_service *log = task->super.node->log;
+	Briarplank__ConfigAppend append = BRIARPLANK__CONFIG_APPEND__INIT;
+	uint8_t *bytes;
+	size_t len;
+
+	append.snapshot = config_store_snapshot(task->store);
+	len = briarplank__config_append__get_packed_size(&append);
+	bytes = g_malloc(len);
+	briarplank__config_append__pack(&append, bytes);
+	task->snapshot_running = true;
+	log->ops->append(log, CONFIG_STREAM, bytes, len, on_snapshot_appended,
+			 task);
+	g_free(bytes);
+	briarplank__config_snapshot__free_unpacked(append.snapshot, NULL);
 }
 
-void config_service(struct node *node, const char *service,
-		    struct service_policy *policy)
+/* Appends the state anew before the log drops the records that made it. */
+static void renew_snapshot(struct config_task *task)
 {
-	*policy = default_policy;
-	policy->exists = service_has_agent(node, service);
+	struct node *node = task->super.node;
+	uint64_t interval_ms =
+		1000 * g_ascii_strtoull(
+			       config_value(node, "config.snapshot_interval_s"),
+			       NULL, 10);
+	uint64_t spread_ms = MIN(interval_ms * SNAPSHOT_SPREAD_PERCENT / 100,
+				 SNAPSHOT_SPREAD_MS);
+	uint64_t from_ms = MAX(config_reader_snapshot_ms(task->reader),
+			       task->snapshot_from_ms);
+	uint64_t due_ms =
+		from_ms + interval_ms +
+		hash_string(node->settings->name, 0) % (spread_ms + 1);
+
+	if (!task->relay || !task->synced || task->snapshot_running ||
+	    task->log_out || config_store_next_offset(task->store) <= 1 ||
+	    node_wall_ms() < due_ms)
+		return;
+	task->snapshot_from_ms = node_wall_ms() - interval_ms;
+	append_snapshot(task);
+}
+
+/* Without any log there is nothing to wait for. */
+static void begin_without_log(struct config_task *task)
+{
+	const struct daemon_settings *settings = task->super.node->settings;
+
+	if (task->super.node->log || settings->role != ROLE_ENTRY)
+		return;
+	config_store_begin(task->store);
+	set_synced(task, "the defaults, as no log is set");
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct config_task *task = timer->data;
+	uint64_t now_ms = node_now_ms(task->super.node);
+
+	choose_relay(task, now_ms);
+	config_spread_tick(task, now_ms);
+	if (!task->synced && config_store_next_offset(task->store) &&
+	    config_store_revision(task->store) >= task->heard_revision)
+		set_synced(task, "peers");
+	config_publishes_check(task);
+	renew_snapshot(task);
+	if (wants_read(task, now_ms))
+		read_log(task);
+}
+
+static void make_metrics(struct config_task *task)
+{
+	struct metrics *metrics = task->super.node->metrics;
+
+	task->revision_gauge =
+		metrics_gauge(metrics, "briarplank_config_revision", "");
+	task->relay_gauge =
+		metrics_gauge(metrics, "briarplank_config_relay", "");
+	task->fetches_total =
+		metrics_counter(metrics, "briarplank_config_fetches_total", "");
+	task->reads_total =
+		metrics_counter(metrics, "briarplank_config_reads_total", "");
+}
+
+static bool config_start(struct task *base)
+{
+	struct config_task *task = (struct config_task *)base;
+	struct node *node = base->node;
+
+	node->config = base;
+	task->started_ms = node_now_ms(node);
+	make_metrics(task);
+	config_spread_start(task);
+	uv_timer_init(&node->loop, &task->tick);
+	task->tick.data = task;
+	uv_timer_start(&task->tick, on_tick, 0, TICK_INTERVAL_MS);
+	begin_without_log(task);
+	return true;
+}
+
+static const char *config_unready(struct task *base)
+{
+	struct config_task *task = (struct config_task *)base;
+	const char *trouble = config_reader_trouble(task->reader);
+
+	if (task->synced)
+		return NULL;
+	if (trouble)
+		return trouble;
+	if (task->log_out)
+		return "the configuration is not known: neither the log nor "
+		       "a peer answers";
+	return "the configuration is not known yet";
+}
+
+static void config_task_free(struct config_task *task)
+{
+	config_publishes_free(task);
+	config_reader_destroy(task->reader);
+	config_store_destroy(task->store);
+	g_free(task->heard_peer);
+	g_free(task);
+}
+
+static void on_tick_closed(uv_handle_t *handle)
+{
+	config_task_free(handle->data);
+}
+
+/* Answers of the log may still come until the loop closes the timer. */
+static void config_destroy(struct task *base)
+{
+	struct config_task *task = (struct config_task *)base;
+
+	if (task->started_ms)
+		uv_close((uv_handle_t *)&task->tick, on_tick_closed);
+	else
+		config_task_free(task);
+}
+
+static const struct task_ops config_ops = {
+	.name = "config",
+	.start = config_start,
+	.unready = config_unready,
+	.destroy = config_destroy,
+};
+
+struct task *config_task_create(void)
+{
+	struct config_task *task = g_new0(struct config_task, 1);
+
+	task->super.ops = &config_ops;
+	task->store = config_store_create();
+	task->reader = config_reader_create(task->store);
+	list_init(&task->publishes);
+	return &task->super;
 }
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "briarplankd/config_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/log.h"
@@ -188,6 +189,7 @@
 
 	members_heard(task->members, env->sender, env->incarnation,
 		      node_now_ms(task->super.node));
+	config_heard(task->super.node, env->sender, env->config_revision);
 	publish_changes(task);
 }
 
@@ -258,20 +260,30 @@
 	}
 }
 
-static void members_task_destroy(struct task *base)
+static void members_task_free(struct members_task *task)
 {
-	struct members_task *task = (struct members_task *)base;
-
-	if (task->members) {
-		uv_close((uv_handle_t *)&task->timer, NULL);
-		uv_run(&base->node->loop, UV_RUN_NOWAIT);
+	if (task->members)
 		members_destroy(task->members);
-	}
 	g_free(task->shards);
 	g_free(task->epochs);
 	g_free(task);
 }
 
+static void on_timer_closed(uv_handle_t *handle)
+{
+	members_task_free(handle->data);
+}
+
+static void members_task_destroy(struct task *base)
+{
+	struct members_task *task = (struct members_task *)base;
+
+	if (task->members)
+		uv_close((uv_handle_t *)&task->timer, on_timer_closed);
+	else
+		members_task_free(task);
+}
+
 static const struct task_ops members_ops = {
 	.name = "members",
 	.start = members_start,
--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "briarplankd/config_task.h"
 #include "briarplankd/node.h"
 #include "common/error.h"
 #include "common/log.h"
@@ -80,6 +81,11 @@
 	g_string_free(out, TRUE);
 }
 
+static uint64_t read_revision(void *ctx)
+{
+	return config_revision(ctx);
+}
+
 static bool open_bus(struct node *node)
 {
 	const struct daemon_settings *settings = node->settings;
@@ -91,6 +97,8 @@
 		.keys = { settings->bus_public_key, settings->bus_secret_key,
 			  settings->bus_fleet_key },
 		.metrics = node->metrics,
+		.revision = read_revision,
+		.revision_ctx = node,
 	};
 
 	node->bus = bus_create(&options);
--- /dev/null
+++ b/core/relays.c
@@ -0,0 +1,76 @@
+#include <string.h>
+
+#include "common/hash.h"
+#include "core/relays.h"
+
+struct candidate {
+	const char *name;
+	enum member_role role;
+	const char *data_centre;
+};
+
+static uint64_t weight(const char *name, const char *data_centre)
+{
+	return hash_mix(hash_string(name, 0), hash_string(data_centre, 0));
+}
+
+static bool outranks(const struct candidate *a, const struct candidate *b)
+{
+	uint64_t wa = weight(a->name, a->data_centre);
+	uint64_t wb = weight(b->name, b->data_centre);
+
+	/* Entries always have a log; agents stand in without any entry. */
+	if (a->role != b->role)
+		return a->role == MEMBER_ENTRY;
+	return wa != wb ? wa > wb : strcmp(a->name, b->name) < 0;
+}
+
+static bool rivals(const struct candidate *a, const struct candidate *b)
+{
+	return !strcmp(a->data_centre, b->data_centre) &&
+	       strcmp(a->name, b->name) != 0;
+}
+
+static bool chosen(const struct members *members, const struct relay_self *self,
+		   const struct candidate *candidate)
+{
+	struct candidate own = { self->name, self->role, self->data_centre };
+	bool entry_seen = candidate->role == MEMBER_ENTRY;
+	unsigned above = 0;
+	struct list *pos;
+
+	if (!self->leaving && rivals(&own, candidate)) {
+		above += outranks(&own, candidate);
+		entry_seen |= own.role == MEMBER_ENTRY;
+	}
+	list_for_each (pos, members_all(members)) {
+		struct member *member = list_entry(pos, struct member, link);
+		struct candidate other = { member->name, member->role,
+					   member->data_centre };
+
+		if (!member_usable(member) || !rivals(&other, candidate))
+			continue;
+		above += outranks(&other, candidate);
+		entry_seen |= other.role == MEMBER_ENTRY;
+	}
+	if (candidate->role == MEMBER_AGENT && entry_seen)
+		return false;
+	return above < RELAYS_PER_DATA_CENTRE;
+}
+
+bool relays_self_chosen(const struct members *members,
+			const struct relay_self *self)
+{
+	struct candidate own = { self->name, self->role, self->data_centre };
+
+	return !self->leaving && chosen(members, self, &own);
+}
+
+bool relays_chosen(const struct members *members, const struct relay_self *self,
+		   const struct member *member)
+{
+	struct candidate candidate = { member->name, member->role,
+				       member->data_centre };
+
+	return member_usable(member) && chosen(members, self, &candidate);
+}
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -56,6 +56,8 @@
 	uint64_t pinged_ms;
 	/** Time of the first ping without an answer; 0 when none is open. */
 	uint64_t unanswered_ms;
+	/** Configuration revision on the last message heard. */
+	uint64_t config_revision;
 	/** Named in this node's settings, so never forgotten. */
 	bool fixed;
 	/** Pinged at each interval; the others in turn. */
--- /dev/null
+++ b/include/core/relays.h
@@ -0,0 +1,34 @@
+/**
+ * Which nodes of a data centre read the log for the others.
+ */
+#ifndef BRIARPLANK_CORE_RELAYS_H
+#define BRIARPLANK_CORE_RELAYS_H
+
+#include <stdbool.h>
+
+#include "core/members.h"
+
+/** Nodes of each data centre that read the configuration from the log. */
+#define RELAYS_PER_DATA_CENTRE 2
+
+/** The node that asks. */
+struct relay_self {
+	const char *name;
+	enum member_role role;
+	const char *data_centre;
+	bool leaving;
+};
+
+/**
+ * Tells whether this node is a relay: it is among the highest by rendezvous
+ * hash of the usable entries in its data centre, or of the agents when there
+ * is no entry.
+ */
+bool relays_self_chosen(const struct members *members,
+			const struct relay_self *self);
+
+/** Tells whether a member is a relay of its data centre, as seen from here. */
+bool relays_chosen(const struct members *members, const struct relay_self *self,
+		   const struct member *member);
+
+#endif
