--- /dev/null
+++ b/briarplankd/entry/answer.c
@@ -0,0 +1,152 @@
+/*
+ * Passes an answer on to the caller as it comes, whole or visibly broken.
+ */
+#include "briarplankd/online.h"
+#include "common/log.h"
+#include "platform/http_client.h"
+
+#define PART "online"
+
+static void field_free(void *data)
+{
+	struct http_field *field = data;
+
+	g_free((char *)field->name);
+	g_free((char *)field->value);
+	g_free(field);
+}
+
+void online_answer_head(struct online_request *request,
+			const Briarplank__AnswerHead *head)
+{
+	size_t i;
+
+	if (request->fields)
+		return;
+	request->status = (int)head->status;
+	request->fields = g_ptr_array_new_with_free_func(field_free);
+	for (i = 0; i < head->n_headers; i++) {
+		struct http_field *field;
+
+		if (!online_http_passes(head->headers[i]->name))
+			continue;
+		field = g_new0(struct http_field, 1);
+		field->name = g_strdup(head->headers[i]->name);
+		field->value = g_strdup(head->headers[i]->value);
+		g_ptr_array_add(request->fields, field);
+	}
+	outcome_admitted(&request->outcome);
+}
+
+static void send_credit(struct online_request *request, uint32_t bytes)
+{
+	struct node *node = request->online->super.node;
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Credit credit = BRIARPLANK__CREDIT__INIT;
+
+	credit.request_id = request->id;
+	credit.attempt = request->outcome.attempt;
+	credit.next_sequence = stream_resume_from(request->stream);
+	credit.bytes = bytes;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_CREDIT;
+	env.credit = &credit;
+	bus_send(node->bus, request->agent, &env);
+}
+
+static size_t queued(const struct online_request *request)
+{
+	return request->web ? web_stream_queued(request->web) : 0;
+}
+
+static void grant(struct online_request *request)
+{
+	uint32_t bytes = stream_grant(request->stream, queued(request));
+
+	if (bytes)
+		send_credit(request, bytes);
+}
+
+static void on_taken(void *ctx)
+{
+	struct online_request *request = ctx;
+
+	if (request->outcome.state == OUTCOME_FIRST_BYTE)
+		grant(request);
+}
+
+static void pass_on(struct online_request *request, GBytes *piece)
+{
+	size_t len;
+	const void *data = g_bytes_get_data(piece, &len);
+
+	if (request->outcome.state != OUTCOME_FIRST_BYTE) {
+		outcome_first_byte(&request->outcome);
+		online_http_begin(request);
+		web_on_taken(request->web, on_taken, request);
+	}
+	if (len)
+		web_stream_write(request->web, data, len);
+}
+
+static void end_whole(struct online_request *request)
+{
+	struct web_request *web = request->web;
+
+	outcome_ended(&request->outcome, true);
+	log_debug(PART, "%s: completed by %s", request->id, request->agent);
+	online_request_destroy(request);
+	web_stream_end(web, true);
+}
+
+void online_answer_chunk(struct online_request *request,
+			 const Briarplank__AnswerChunk *chunk)
+{
+	GBytes *piece;
+
+	if (!request->fields && chunk->sequence > 0)
+		log_debug(PART, "%s: piece before the head", request->id);
+	stream_insert(request->stream, chunk->sequence, chunk->data.data,
+		      chunk->data.len, chunk->last);
+	if (!request->fields) {
+		online_answer_resume(request);
+		return;
+	}
+	while ((piece = stream_next(request->stream)) != NULL) {
+		pass_on(request, piece);
+		g_bytes_unref(piece);
+	}
+	if (stream_ended(request->stream))
+		end_whole(request);
+	else
+		grant(request);
+}
+
+void online_answer_resume(struct online_request *request)
+{
+	struct node *node = request->online->super.node;
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Resume resume = BRIARPLANK__RESUME__INIT;
+
+	resume.request_id = request->id;
+	resume.attempt = request->outcome.attempt;
+	resume.from_sequence = stream_resume_from(request->stream);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_RESUME;
+	env.resume = &resume;
+	bus_send(node->bus, request->agent, &env);
+	send_credit(request,
+		    stream_grant_again(request->stream, queued(request)));
+}
+
+void online_answer_reset(struct online_request *request)
+{
+	struct stream_options options = {
+		.window_bytes = ONLINE_WINDOW_BYTES,
+		.max_held = ONLINE_MAX_HELD,
+	};
+
+	stream_destroy(request->stream);
+	request->stream = stream_create(&options);
+	if (request->fields)
+		g_ptr_array_free(request->fields, TRUE);
+	request->fields = NULL;
+}
--- /dev/null
+++ b/briarplankd/entry/online.c
@@ -0,0 +1,207 @@
+/*
+ * The task of online requests: takes them from callers, and hands messages
+ * of agents to the request that they belong to.
+ */
+#include <string.h>
+
+#include "briarplankd/members_task.h"
+#include "briarplankd/online.h"
+#include "briarplankd/tasks.h"
+#include "common/log.h"
+
+#define PART "online"
+#define PREFIX "/v1/services/"
+
+static void on_caller_gone(void *ctx, bool sent)
+{
+	struct online_request *request = ctx;
+
+	(void)sent;
+	log_debug(PART, "%s: the caller left", request->id);
+	request->web = NULL;
+	if (request->outcome.state != OUTCOME_NOT_SENT)
+		online_request_send_cancel(request, false);
+	online_request_destroy(request);
+}
+
+static void on_call(void *ctx, struct web_request *web)
+{
+	struct online *online = ctx;
+	struct online_request *request = online_http_accept(online, web);
+
+	if (!request)
+		return;
+	if (online->super.node->stopping) {
+		online_http_problem(request, 503, 0, "Not run",
+				    "this entry is stopping");
+		online_request_destroy(request);
+		return;
+	}
+	web_on_close(web, on_caller_gone, request);
+	online_request_start(request);
+}
+
+/* Finds the request whose present attempt a message belongs to. */
+static struct online_request *find(struct online *online,
+				   const Briarplank__Envelope *env,
+				   const char *id, uint32_t attempt)
+{
+	struct online_request *request = g_hash_table_lookup(online->by_id, id);
+
+	if (!request || !request->agent ||
+	    strcmp(request->agent, env->sender) != 0 ||
+	    !outcome_accepts(&request->outcome, attempt, env->incarnation))
+		return NULL;
+	return request;
+}
+
+static void on_refused(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request =
+		find(ctx, env, env->refused->request_id, env->refused->attempt);
+
+	if (request)
+		online_request_refused(request, env->refused);
+}
+
+static void on_admitted(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request = find(
+		ctx, env, env->admitted->request_id, env->admitted->attempt);
+
+	if (!request)
+		return;
+	online_request_heard(request);
+	outcome_admitted(&request->outcome);
+}
+
+static void on_head(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request =
+		find(ctx, env, env->answer_head->request_id,
+		     env->answer_head->attempt);
+
+	if (!request)
+		return;
+	online_request_heard(request);
+	online_answer_head(request, env->answer_head);
+}
+
+static void on_chunk(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request =
+		find(ctx, env, env->answer_chunk->request_id,
+		     env->answer_chunk->attempt);
+
+	if (!request)
+		return;
+	online_request_heard(request);
+	online_answer_chunk(request, env->answer_chunk);
+}
+
+static void on_failed(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request =
+		find(ctx, env, env->answer_failed->request_id,
+		     env->answer_failed->attempt);
+
+	if (request)
+		online_request_failed(request, env->answer_failed);
+}
+
+static void on_cancel_result(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online_request *request =
+		find(ctx, env, env->cancel_result->request_id,
+		     env->cancel_result->attempt);
+
+	if (request)
+		online_request_cancelled(request, env->cancel_result);
+}
+
+static bool online_start(struct task *task)
+{
+	struct online *online = (struct online *)task;
+	struct bus *bus = task->node->bus;
+
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_REFUSED, on_refused, online);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_ADMITTED, on_admitted,
+		   online);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_ANSWER_HEAD, on_head,
+		   online);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_ANSWER_CHUNK, on_chunk,
+		   online);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_ANSWER_FAILED, on_failed,
+		   online);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL_RESULT,
+		   on_cancel_result, online);
+	web_route(task->node->web, PREFIX, on_call, online);
+	return true;
+}
+
+static bool online_stopped(struct task *task)
+{
+	return list_empty(&((struct online *)task)->requests);
+}
+
+/* Requests at an agent that is gone, or that started anew, are lost. */
+static void peer_changed(struct online *online, const char *peer, bool down)
+{
+	const struct member *member =
+		members_find(node_members(online->super.node), peer);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &online->requests) {
+		struct online_request *request =
+			list_entry(pos, struct online_request, link);
+
+		if (!request->agent || strcmp(request->agent, peer) != 0 ||
+		    request->outcome.state == OUTCOME_NOT_SENT)
+			continue;
+		if (down || !member ||
+		    member->incarnation != request->outcome.incarnation)
+			online_request_agent_lost(request);
+		else if (request->outcome.state != OUTCOME_SENT)
+			online_answer_resume(request);
+	}
+}
+
+static void online_event(struct task *task, const struct node_event *event)
+{
+	struct online *online = (struct online *)task;
+
+	if (event->kind == NODE_PEER_DOWN || event->kind == NODE_PEER_UP)
+		peer_changed(online, event->peer,
+			     event->kind == NODE_PEER_DOWN);
+}
+
+static void online_destroy(struct task *task)
+{
+	struct online *online = (struct online *)task;
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &online->requests)
+		online_request_destroy(
+			list_entry(pos, struct online_request, link));
+	uv_run(&task->node->loop, UV_RUN_NOWAIT);
+	g_hash_table_destroy(online->by_id);
+	g_free(online);
+}
+
+static const struct task_ops online_ops = {
+	.name = "online",
+	.start = online_start,
+	.stopped = online_stopped,
+	.event = online_event,
+	.destroy = online_destroy,
+};
+
+struct task *online_task_create(void)
+{
+	struct online *online = g_new0(struct online, 1);
+
+	online->super.ops = &online_ops;
+	online->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	list_init(&online->requests);
+	return &online->super;
+}
--- /dev/null
+++ b/briarplankd/entry/online_http.c
@@ -0,0 +1,276 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include <openssl/sha.h>
+
+#include "briarplankd/members_task.h"
+#include "briarplankd/online.h"
+#include "common/hash.h"
+#include "platform/http_client.h"
+
+#define PREFIX "/v1/services/"
+#define BEARER "Bearer "
+/* Bounds of the time limit that a caller may name, in ms. */
+#define TIMEOUT_MIN_MS 1
+#define TIMEOUT_MAX_MS 3600000
+#define MS_PER_S 1000
+
+/* Fields that belong to one connection, or to this system. */
+static const char *const own_fields[] = {
+	"authorization",
+	"briarplank-idempotent",
+	"briarplank-outcome",
+	"briarplank-request-id",
+	"briarplank-timeout",
+	"connection",
+	"content-length",
+	"date",
+	"expect",
+	"host",
+	"keep-alive",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"server",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+};
+
+bool online_http_passes(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(own_fields); i++) {
+		if (!g_ascii_strcasecmp(name, own_fields[i]))
+			return false;
+	}
+	return true;
+}
+
+/* A caller that the settings name by the hash of its key. */
+static const struct access_settings *find_access(
+	const struct daemon_settings *settings, const char *key)
+{
+	const struct access_settings *access = settings->access.items;
+	uint8_t digest[SHA256_DIGEST_LENGTH];
+	char hex[2 * SHA256_DIGEST_LENGTH + 1];
+	size_t i;
+
+	SHA256((const uint8_t *)key, strlen(key), digest);
+	hash_to_hex(digest, sizeof(digest), hex);
+	for (i = 0; i < settings->access.nr; i++) {
+		if (!g_ascii_strcasecmp(access[i].key_sha256, hex))
+			return &access[i];
+	}
+	return NULL;
+}
+
+static bool identify(struct online_request *request)
+{
+	const struct daemon_settings *settings =
+		request->online->super.node->settings;
+	const struct access_settings *access = NULL;
+	const char *field = web_field(request->web, "authorization");
+
+	if (!settings->access.nr) {
+		request->caller = g_strdup("anonymous");
+		request->class = g_strdup("default");
+		return true;
+	}
+	if (field && !g_ascii_strncasecmp(field, BEARER, strlen(BEARER)))
+		access = find_access(settings, field + strlen(BEARER));
+	if (!access) {
+		online_http_problem(request, 401, 0, "Unknown key",
+				    "the bearer key names no caller");
+		return false;
+	}
+	request->caller = g_strdup(access->name);
+	request->class = g_strdup(access->class);
+	return true;
+}
+
+static bool split_target(struct online_request *request)
+{
+	const char *rest = web_path(request->web) + strlen(PREFIX);
+	const char *slash = strchr(rest, '/');
+	const char *query = web_query(request->web);
+
+	if (!slash || slash == rest) {
+		online_http_problem(request, 404, 0, "Not found",
+				    "a service and a path must follow " PREFIX);
+		return false;
+	}
+	request->service = g_strndup(rest, slash - rest);
+	request->path = g_strconcat(slash, *query ? "?" : "", query, NULL);
+	return true;
+}
+
+/* A service exists when it was created, or when a server says it has it. */
+static bool service_known(struct online_request *request)
+{
+	struct node *node = request->online->super.node;
+	struct list *pos;
+
+	config_service(node, request->service, &request->policy);
+	if (request->policy.exists)
+		return true;
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (member->role == MEMBER_AGENT &&
+		    !strcmp(member->service, request->service))
+			return true;
+	}
+	online_http_problem(request, 404, 0, "Unknown service",
+			    "there is no service %s", request->service);
+	return false;
+}
+
+static bool read_idempotent(struct online_request *request)
+{
+	const char *field = web_field(request->web, "briarplank-idempotent");
+	bool idempotent = request->policy.idempotent;
+
+	if (field && !g_ascii_strcasecmp(field, "true")) {
+		idempotent = true;
+	} else if (field && !g_ascii_strcasecmp(field, "false")) {
+		idempotent = false;
+	} else if (field) {
+		online_http_problem(request, 400, 0, "Bad field",
+				    "Briarplank-Idempotent must be true or "
+				    "false");
+		return false;
+	}
+	outcome_init(&request->outcome, idempotent);
+	return true;
+}
+
+/* Reads "1500ms" or "2s"; 0 when it is neither. */
+static uint64_t parse_timeout(const char *text)
+{
+	char *end;
+	uint64_t amount = g_ascii_strtoull(text, &end, 10);
+
+	if (!g_ascii_isdigit(*text) || amount > TIMEOUT_MAX_MS)
+		return 0;
+	if (!strcmp(end, "s"))
+		amount *= MS_PER_S;
+	else if (strcmp(end, "ms") != 0)
+		return 0;
+	return amount <= TIMEOUT_MAX_MS ? amount : 0;
+}
+
+static bool read_timeout(struct online_request *request)
+{
+	const char *field = web_field(request->web, "briarplank-timeout");
+	uint64_t timeout_ms = request->policy.timeout_ms;
+
+	if (field)
+		timeout_ms = parse_timeout(field);
+	if (timeout_ms < TIMEOUT_MIN_MS) {
+		online_http_problem(request, 400, 0, "Bad field",
+				    "Briarplank-Timeout must be like 1500ms, "
+				    "at most %d ms",
+				    TIMEOUT_MAX_MS);
+		return false;
+	}
+	request->deadline_ms =
+		node_now_ms(request->online->super.node) + timeout_ms;
+	return true;
+}
+
+struct online_request *online_http_accept(struct online *online,
+					  struct web_request *web)
+{
+	struct online_request *request = online_request_create(online, web);
+
+	if (identify(request) && split_target(request) &&
+	    service_known(request) && read_idempotent(request) &&
+	    read_timeout(request))
+		return request;
+	online_request_destroy(request);
+	return NULL;
+}
+
+static void add_outcome(struct online_request *request,
+			enum outcome_statement statement)
+{
+	web_add_field(request->web, "Briarplank-Request-Id", request->id);
+	web_add_field(request->web, "Briarplank-Outcome",
+		      outcome_statement_text(statement));
+}
+
+void online_http_problem(struct online_request *request, int status,
+			 uint32_t retry_after_ms, const char *title,
+			 const char *fmt, ...)
+{
+	char *detail, *seconds;
+	va_list args;
+
+	if (!request->web)
+		return;
+	va_start(args, fmt);
+	detail = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	add_outcome(request, outcome_statement(&request->outcome));
+	if (status == 429 || status == 503) {
+		seconds = g_strdup_printf(
+			"%u",
+			MAX(1, (retry_after_ms + MS_PER_S - 1) / MS_PER_S));
+		web_add_field(request->web, "Retry-After", seconds);
+		g_free(seconds);
+	}
+	if (request->online->super.node->stopping)
+		web_add_field(request->web, "Connection", "close");
+	web_problem(request->web, status, title, "%s", detail);
+	g_free(detail);
+}
+
+static void field_free(void *data)
+{
+	Briarplank__HeaderField *field = data;
+
+	g_free(field->name);
+	g_free(field->value);
+	g_free(field);
+}
+
+static void add_field(GPtrArray *fields, const char *name, const char *value)
+{
+	Briarplank__HeaderField *field = g_new(Briarplank__HeaderField, 1);
+
+	briarplank__header_field__init(field);
+	field->name = g_strdup(name);
+	field->value = g_strdup(value);
+	g_ptr_array_add(fields, field);
+}
+
+GPtrArray *online_http_fields(struct online_request *request)
+{
+	GPtrArray *fields = g_ptr_array_new_with_free_func(field_free);
+	size_t i;
+
+	for (i = 0; i < web_fields_nr(request->web); i++) {
+		const char *name, *value;
+
+		web_field_at(request->web, i, &name, &value);
+		if (online_http_passes(name))
+			add_field(fields, name, value);
+	}
+	add_field(fields, "briarplank-request-id", request->id);
+	return fields;
+}
+
+void online_http_begin(struct online_request *request)
+{
+	guint i;
+
+	for (i = 0; i < request->fields->len; i++) {
+		const struct http_field *field = request->fields->pdata[i];
+
+		web_add_field(request->web, field->name, field->value);
+	}
+	add_outcome(request, OUTCOME_COMPLETED);
+	web_stream_begin(request->web, request->status, NULL);
+}
