--- a/briarplankd/entry/answer.c
+++ b/briarplankd/entry/answer.c
@@ -93,6 +93,8 @@
 	struct web_request *web = request->web;
 
 	outcome_ended(&request->outcome, true);
+	/* Confirms the last piece, so that the agent keeps it no longer. */
+	send_credit(request, 0);
 	log_debug(PART, "%s: completed by %s", request->id, request->agent);
 	online_request_destroy(request);
 	web_stream_end(web, true);
@@ -130,11 +132,10 @@
 	resume.request_id = request->id;
 	resume.attempt = request->outcome.attempt;
 	resume.from_sequence = stream_resume_from(request->stream);
+	resume.credit_bytes = stream_resume(request->stream, queued(request));
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_RESUME;
 	env.resume = &resume;
 	bus_send(node->bus, request->agent, &env);
-	send_credit(request,
-		    stream_grant_again(request->stream, queued(request)));
 }
 
 void online_answer_reset(struct online_request *request)
--- a/briarplankd/entry/request.c
+++ b/briarplankd/entry/request.c
@@ -260,21 +260,6 @@
 		try_again(request, text);
 }
 
-void online_request_cancelled(struct online_request *request,
-			      const Briarplank__CancelResult *result)
-{
-	online_request_heard(request);
-	if (result->state == BRIARPLANK__CANCEL_RESULT__STATE__RUNNING) {
-		outcome_admitted(&request->outcome);
-		return;
-	}
-	if (result->state != BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED ||
-	    !outcome_proven_not_run(&request->outcome))
-		return;
-	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
-	try_again(request, "the server did not start it in time");
-}
-
 static const char *const failure_texts[] = {
 	[BRIARPLANK__ANSWER_FAILED__CAUSE__SERVER_LOST] = "the server was lost",
 	[BRIARPLANK__ANSWER_FAILED__CAUSE__SERVER_STALLED] =
@@ -297,6 +282,31 @@
 	try_again(request, detail);
 }
 
+static void never_started(struct online_request *request)
+{
+	if (!outcome_proven_not_run(&request->outcome))
+		return;
+	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
+	try_again(request, "the server did not start it in time");
+}
+
+void online_request_cancelled(struct online_request *request,
+			      const Briarplank__CancelResult *result)
+{
+	switch (result->state) {
+	case BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED:
+		never_started(request);
+		break;
+	case BRIARPLANK__CANCEL_RESULT__STATE__STOPPED:
+		attempt_lost(request, "cancelled");
+		break;
+	default:
+		online_request_heard(request);
+		outcome_admitted(&request->outcome);
+		online_answer_resume(request);
+	}
+}
+
 void online_request_failed(struct online_request *request,
 			   const Briarplank__AnswerFailed *failed)
 {
--- a/core/stream.c
+++ b/core/stream.c
@@ -118,21 +118,21 @@
 
 uint32_t stream_grant(struct stream *stream, size_t queued)
 {
-	uint32_t open = open_bytes(stream, queued);
-	uint64_t limit = stream->given + open;
+	uint64_t limit = stream->given + open_bytes(stream, queued);
+	uint32_t step = stream->options.window_bytes / GRANT_SHARE;
+	uint32_t bytes;
 
-	if (limit <
-	    stream->granted + stream->options.window_bytes / GRANT_SHARE)
+	if (limit < stream->granted + step)
 		return 0;
+	bytes = (uint32_t)(limit - stream->granted);
 	stream->granted = limit;
-	return open;
+	return bytes;
 }
 
-uint32_t stream_grant_again(struct stream *stream, size_t queued)
+uint32_t stream_resume(struct stream *stream, size_t queued)
 {
 	uint32_t open = open_bytes(stream, queued);
 
-	if (stream->given + open > stream->granted)
-		stream->granted = stream->given + open;
-	return (uint32_t)(stream->granted - stream->given);
+	stream->granted = stream->given + open;
+	return open;
 }
--- a/include/core/stream.h
+++ b/include/core/stream.h
@@ -52,13 +52,15 @@
 uint64_t stream_resume_from(const struct stream *stream);
 
 /**
- * Returns the bytes to grant now, counted from stream_resume_from(), or 0
- * while the sender has enough. queued are the bytes given out that the caller
- * has not taken.
+ * Returns the bytes to grant in addition, or 0 while the sender has enough.
+ * queued are the bytes given out that the caller has not taken.
  */
 uint32_t stream_grant(struct stream *stream, size_t queued);
 
-/** Grants again whatever is open: the last grant may be lost. */
-uint32_t stream_grant_again(struct stream *stream, size_t queued);
+/**
+ * Returns the bytes that the sender may send from stream_resume_from() on,
+ * whatever it was granted before: grants may be lost with a link.
+ */
+uint32_t stream_resume(struct stream *stream, size_t queued);
 
 #endif
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -70,9 +70,9 @@
 	else if (!strcmp(argv[0], "grant"))
 		g_string_append_printf(out, "%u\n",
 				       stream_grant(state, queued));
-	else if (!strcmp(argv[0], "grant_again"))
+	else if (!strcmp(argv[0], "resume"))
 		g_string_append_printf(out, "%u\n",
-				       stream_grant_again(state, queued));
+				       stream_resume(state, queued));
 }
 
 static const struct script_driver driver = {
