--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -5,6 +5,7 @@
 static const task_create_fn entry_tasks[] = {
 	members_task_create,
 	config_task_create,
+	online_task_create,
 	NULL,
 };
 
