--- a/wire/online.pb-c.c
+++ b/wire/online.pb-c.c
@@ -1300,7 +1300,7 @@
   (ProtobufCMessageInit) briarplank__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__resume__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__resume__field_descriptors[4] =
 {
   {
     "request_id",
@@ -1338,16 +1338,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "credit_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Resume, credit_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__resume__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
+  3,   /* field[3] = credit_bytes */
   2,   /* field[2] = from_sequence */
   0,   /* field[0] = request_id */
 };
 static const ProtobufCIntRange briarplank__resume__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor briarplank__resume__descriptor =
 {
@@ -1357,7 +1370,7 @@
   "Briarplank__Resume",
   "briarplank",
   sizeof(Briarplank__Resume),
-  3,
+  4,
   briarplank__resume__field_descriptors,
   briarplank__resume__field_indices_by_name,
   1,  briarplank__resume__number_ranges,
