--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -486,14 +486,6 @@
 	return -1;
 }
 
-static void note_entry(struct gate *gate, const char *entry)
-{
-	uint64_t *at = g_new(uint64_t, 1);
-
-	*at = node_now_ms(gate->task.node);
-	g_hash_table_replace(gate->entries, g_strdup(entry), at);
-}
-
 /* A second copy of a dispatch starts nothing. */
 static bool is_duplicate(struct gate *gate,
 			 const Briarplank__Dispatch *dispatch,
@@ -553,7 +545,7 @@
 	int reason;
 
 	gate_wake(gate);
-	note_entry(gate, env->sender);
+	gate_note_entry(gate, env->sender);
 	kind = tombstones_find(gate->tombstones, key,
 			       node_now_ms(gate->task.node));
 	g_free(key);
@@ -690,7 +682,8 @@
 		send_gone(gate, env->sender, resume);
 		return;
 	}
-	if (!answer_buffer_rewind(attempt->buffer, resume->from_sequence)) {
+	if (!answer_buffer_rewind(attempt->buffer, resume->from_sequence,
+				  resume->credit_bytes)) {
 		send_gone(gate, env->sender, resume);
 		attempt_remove(attempt, TOMBSTONE_ENDED);
 		return;
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -20,6 +20,8 @@
 /* Period of load reports, and how long an entry that dispatched gets them. */
 #define REPORT_INTERVAL_MS 500
 #define REPORT_KEEP_MS 10000
+/* Entries up to which all get the reports. */
+#define REPORT_ENTRIES 25
 /* Ids remembered so that they never start, and for how long. */
 #define TOMBSTONES_MAX 65536
 #define TOMBSTONE_KEEP_MS 120000
@@ -66,6 +68,14 @@
 		gate->on_thaw(gate->thaw_ctx);
 }
 
+void gate_note_entry(struct gate *gate, const char *entry)
+{
+	uint64_t *at = g_new(uint64_t, 1);
+
+	*at = node_now_ms(gate->task.node);
+	g_hash_table_replace(gate->entries, g_strdup(entry), at);
+}
+
 void gate_count_refusal(struct gate *gate, const char *reason)
 {
 	char *labels = g_strdup_printf("reason=\"%s\"", reason);
@@ -180,6 +190,23 @@
 	report->sequence = ++gate->report_sequence;
 }
 
+/* While the fleet is small, every entry gets the reports. */
+static void add_all_entries(struct gate *gate)
+{
+	struct members *members = node_members(gate->task.node);
+	struct list *pos;
+
+	if (members_up_nr(members, MEMBER_ENTRY) > REPORT_ENTRIES)
+		return;
+	list_for_each (pos, members_all(members)) {
+		const struct member *member =
+			list_entry(pos, struct member, link);
+
+		if (member->role == MEMBER_ENTRY && member->state == MEMBER_UP)
+			gate_note_entry(gate, member->name);
+	}
+}
+
 static bool entry_is_recent(gpointer name, gpointer value, gpointer ctx)
 {
 	const struct gate *gate = ctx;
@@ -205,6 +232,7 @@
 	fill_report(gate, &body);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_LOAD_REPORT;
 	env.load_report = &body;
+	add_all_entries(gate);
 	g_hash_table_foreach_remove(gate->entries, entry_is_old, gate);
 	g_hash_table_iter_init(&iter, gate->entries);
 	while (g_hash_table_iter_next(&iter, &name, NULL))
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -100,6 +100,9 @@
 /** Number of tokens, one an event, that begin in a part of a stream. */
 unsigned gate_count_tokens(const char *data, size_t len);
 
+/** Notes that an entry uses this server, so that it gets load reports. */
+void gate_note_entry(struct gate *gate, const char *entry);
+
 /** Counts a refusal by its reason. */
 void gate_count_refusal(struct gate *gate, const char *reason);
 
--- a/core/answer_buffer.c
+++ b/core/answer_buffer.c
@@ -139,19 +139,18 @@
 	}
 }
 
-/* Pieces that go out again need no new credit. */
 static void step_back(struct answer_buffer *buffer)
 {
 	struct piece *piece;
 
 	buffer->cursor = buffer->cursor->prev;
 	piece = list_entry(buffer->cursor, struct piece, link);
-	buffer->credit += (int64_t)piece->len;
 	buffer->unsent_bytes += piece->len;
 	buffer->sent_bytes -= piece->len;
 }
 
-bool answer_buffer_rewind(struct answer_buffer *buffer, uint64_t from_sequence)
+bool answer_buffer_rewind(struct answer_buffer *buffer, uint64_t from_sequence,
+			  uint32_t credit_bytes)
 {
 	uint64_t first = buffer->next_sequence;
 
@@ -164,6 +163,7 @@
 	       list_entry(buffer->cursor->prev, struct piece, link)->sequence >=
 		       from_sequence)
 		step_back(buffer);
+	buffer->credit = credit_bytes;
 	return true;
 }
 
--- a/include/core/answer_buffer.h
+++ b/include/core/answer_buffer.h
@@ -57,10 +57,11 @@
 			  uint32_t bytes);
 
 /**
- * Sends again from a piece on. False when that piece is kept no more, or was
- * never made.
+ * Sends again from a piece on, with this credit in place of what was left.
+ * False when that piece is kept no more, or was never made.
  */
-bool answer_buffer_rewind(struct answer_buffer *buffer, uint64_t from_sequence);
+bool answer_buffer_rewind(struct answer_buffer *buffer, uint64_t from_sequence,
+			  uint32_t credit_bytes);
 
 /** Tells whether the producer should pause. */
 bool answer_buffer_full(const struct answer_buffer *buffer);
--- a/tests/test_answer_buffer.c
+++ b/tests/test_answer_buffer.c
@@ -45,7 +45,7 @@
 	print_state(buffer, out);
 }
 
-/* "push TEXT", "finish", "send", "credit NEXT BYTES" and "rewind FROM". */
+/* "push TEXT", "finish", "send", "credit NEXT BYTES" and "rewind FROM CREDIT". */
 static void command(void *state, int argc, char **argv, GString *out)
 {
 	struct answer_buffer *buffer = state;
@@ -62,9 +62,12 @@
 			buffer, number,
 			(uint32_t)g_ascii_strtoull(argv[2], NULL, 10));
 	else if (!strcmp(argv[0], "rewind"))
-		g_string_append(out, answer_buffer_rewind(buffer, number) ?
-					     "again\n" :
-					     "gone\n");
+		g_string_append(
+			out, answer_buffer_rewind(buffer, number,
+						  (uint32_t)g_ascii_strtoull(
+							  argv[2], NULL, 10)) ?
+				     "again\n" :
+				     "gone\n");
 }
 
 static const struct script_driver driver = {
