--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -108,11 +108,14 @@
 {
 	uint64_t now = node_now_us();
 
-	/* A gap in which streams came or went tells of no one number. */
-	if (last_us >= gate->changed_us && !gate->starting)
-		concurrency_gap(gate->concurrency,
-				gate->running_online + gate->running_batch,
-				now - last_us, tokens, now);
+	struct concurrency_sample sample = {
+		.streams = gate->running_online + gate->running_batch,
+		.gap_us = now - last_us,
+		.tokens = tokens,
+		.steady = last_us >= gate->changed_us && !gate->starting,
+	};
+
+	concurrency_gap(gate->concurrency, &sample, now);
 	return now - last_us;
 }
 
--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -5,11 +5,8 @@
 
 #include "core/concurrency.h"
 
-/*
- * The quantile of gaps that is followed. Below the median, as steps that also
- * compute a prompt are longer and must not hide the effect of the streams.
- */
-#define GAP_QUANTILE 0.4
+/* The quantile of gaps that is followed. */
+#define GAP_QUANTILE 0.5
 /* Relative step of the quantile's estimate, at first and later. */
 #define STEP_FIRST 0.25
 #define STEP_LAST 0.03
@@ -32,9 +29,12 @@
 
 /* What was seen at one number of streams. */
 struct point {
+	/* Of steady samples, and of all. */
 	double gap_us;
+	double seen_gap_us;
 	double first_token_us;
 	uint32_t gaps;
+	uint32_t seen_gaps;
 	uint32_t first_tokens;
 	uint64_t seen_us;
 };
@@ -106,16 +106,21 @@
 	return estimate;
 }
 
-void concurrency_gap(struct concurrency *concurrency, unsigned streams,
-		     uint64_t gap_us, unsigned tokens, uint64_t now_us)
+void concurrency_gap(struct concurrency *concurrency,
+		     const struct concurrency_sample *sample, uint64_t now_us)
 {
 	struct point *point;
+	double gap;
 
-	if (!tokens || !gap_us)
+	if (!sample->tokens || !sample->gap_us)
 		return;
-	point = point_at(concurrency, streams, now_us);
-	point->gap_us =
-		follow(point->gap_us, (double)gap_us / tokens, point->gaps);
+	gap = (double)sample->gap_us / sample->tokens;
+	point = point_at(concurrency, sample->streams, now_us);
+	point->seen_gap_us = follow(point->seen_gap_us, gap, point->seen_gaps);
+	point->seen_gaps++;
+	if (!sample->steady)
+		return;
+	point->gap_us = follow(point->gap_us, gap, point->gaps);
 	point->gaps++;
 }
 
@@ -275,6 +280,16 @@
 		   GAP_SLACK * concurrency->fit[1]);
 }
 
+static bool gaps_are_long(const struct concurrency *concurrency,
+			  unsigned streams, double limit)
+{
+	const struct point *point = &concurrency->points[streams];
+
+	return point->seen_gaps >= KNOWN_SAMPLES &&
+	       concurrency->now_us < point->seen_us + FRESH_US &&
+	       point->seen_gap_us > limit;
+}
+
 unsigned concurrency_online_limit(const struct concurrency *concurrency)
 {
 	double limit;
@@ -283,10 +298,8 @@
 	refresh(concurrency);
 	limit = gap_limit(concurrency);
 	for (n = ONLINE_LIMIT_MIN + 1; n <= concurrency->highest; n++) {
-		if (starts_late(concurrency, n))
-			return n - 1;
-		if (n <= concurrency->fit_highest &&
-		    concurrency->fit[n] > limit)
+		if (starts_late(concurrency, n) ||
+		    gaps_are_long(concurrency, n, limit))
 			return n - 1;
 	}
 	return CONCURRENCY_MAX;
--- a/include/core/concurrency.h
+++ b/include/core/concurrency.h
@@ -33,12 +33,22 @@
 void concurrency_set(struct concurrency *concurrency,
 		     const struct concurrency_options *options);
 
+/** Tokens of a stream that came gap_us after the ones before. */
+struct concurrency_sample {
+	/** Number of streams that were running. */
+	unsigned streams;
+	uint64_t gap_us;
+	unsigned tokens;
+	/** Neither was a prompt computed nor did a stream come or go. */
+	bool steady;
+};
+
 /**
- * Notes that a stream's last tokens came gap_us after the ones before, while
- * this many streams were running.
+ * Notes a gap. The curve comes from steady samples alone; the online limit
+ * from all, as callers see all of them.
  */
-void concurrency_gap(struct concurrency *concurrency, unsigned streams,
-		     uint64_t gap_us, unsigned tokens, uint64_t now_us);
+void concurrency_gap(struct concurrency *concurrency,
+		     const struct concurrency_sample *sample, uint64_t now_us);
 
 /** Notes the time from a call's start to its first token. */
 void concurrency_first_token(struct concurrency *concurrency, unsigned streams,
