Weigh the gap against its target and use idle seconds at any weight

Cause: harm counted relative to a lone stream's gap, not to the target, and as much when no caller was there.

--- a/core/batch_share.c
+++ b/core/batch_share.c
@@ -5,8 +5,14 @@
 #define WEIGHT_FULL 100
 /* Growth of the gap, as a share, that counts as no harm. */
 #define HARM_FREE 0.05
-/* Part of the harm that counts while no online stream runs. */
-#define IDLE_HARM 0.25
+/*
+ * While no online stream runs, harm comes only from the step that an arrival
+ * finds under way; so it counts less, and tokens count at any weight.
+ */
+#define IDLE_HARM 0.1
+#define IDLE_RATE 0.3
+/* Least room between the gap of a lone stream and the target, as a share. */
+#define ROOM_MIN 0.25
 /* Time without online requests after which the engine counts as idle, in us. */
 #define QUIET_US 200000
 /* Gaps, and least time in us, between two steps up. */
@@ -20,7 +26,8 @@
 #define MISS_SHARE_MIN 0.03
 /* Weight from which on a batch prompt may delay an online one. */
 #define KEEP_STARTING_WEIGHT 75
-/* Batch streams that compute their prompt at once, at full weight. */
+/* Batch streams that compute their prompt at once, by weight. */
+#define STARTING_MIN 2
 #define STARTING_MAX 4
 
 struct batch_share {
@@ -58,13 +65,20 @@
 	return (double)MIN(share->options.weight, WEIGHT_FULL) / WEIGHT_FULL;
 }
 
-/* How much longer an online stream waits for its tokens, as a share. */
-static double harm_at(const struct concurrency *concurrency, unsigned n)
+/*
+ * How far the gap of an online stream has moved from that of a lone one to
+ * the target, squared: the last part of the way hurts most.
+ */
+static double harm_at(const struct batch_share *share,
+		      const struct concurrency *concurrency, unsigned n)
 {
 	double alone = (double)concurrency_gap_at(concurrency, 1);
 	double gap = (double)concurrency_gap_at(concurrency, n);
+	double room = MAX((double)share->options.gap_target_us - alone,
+			  ROOM_MIN * alone);
+	double moved = MAX(0, gap - (1 + HARM_FREE) * alone) / room;
 
-	return MAX(0, gap / alone - 1 - HARM_FREE);
+	return moved * moved;
 }
 
 static bool allowed_at(const struct batch_share *share,
@@ -94,8 +108,8 @@
 	unsigned max =
 		MIN(concurrency_explored(concurrency) + 1, CONCURRENCY_MAX);
 	double rate_max = best_rate(concurrency, max);
-	double throughput = weight(share);
-	double tail = (1 - throughput) * (busy ? 1 : IDLE_HARM);
+	double throughput = weight(share) + (busy ? RATE_TIE : IDLE_RATE);
+	double tail = (1 - weight(share)) * (busy ? 1 : IDLE_HARM);
 	double best = 0;
 	unsigned level = 1, n;
 
@@ -103,8 +117,8 @@
 		return 1;
 	for (n = 1; n <= max; n++) {
 		double rate = concurrency_rate_at(concurrency, n) / rate_max;
-		double worth = (throughput + RATE_TIE) * rate -
-			       tail * harm_at(concurrency, n);
+		double worth = throughput * rate -
+			       tail * harm_at(share, concurrency, n);
 
 		if (!allowed_at(share, concurrency, n, busy))
 			break;
@@ -167,7 +181,8 @@
 {
 	if (busy)
 		return 1;
-	return 1 + (unsigned)(weight(share) * (STARTING_MAX - 1));
+	return STARTING_MIN +
+	       (unsigned)(weight(share) * (STARTING_MAX - STARTING_MIN));
 }
 
 /* Starting batch streams lengthen steps; online callers see some of it. */
--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -29,7 +29,7 @@
 
 /* What was seen at one number of streams. */
 struct point {
-	/* Of steady samples, and of all. */
+	/* Of steady samples, and of those without a batch prompt. */
 	double gap_us;
 	double seen_gap_us;
 	double first_token_us;
@@ -116,8 +116,11 @@
 		return;
 	gap = (double)sample->gap_us / sample->tokens;
 	point = point_at(concurrency, sample->streams, now_us);
-	point->seen_gap_us = follow(point->seen_gap_us, gap, point->seen_gaps);
-	point->seen_gaps++;
+	if (!sample->batch_starting) {
+		point->seen_gap_us =
+			follow(point->seen_gap_us, gap, point->seen_gaps);
+		point->seen_gaps++;
+	}
 	if (!sample->steady)
 		return;
 	point->gap_us = follow(point->gap_us, gap, point->gaps);
--- a/include/core/concurrency.h
+++ b/include/core/concurrency.h
@@ -41,11 +41,13 @@
 	unsigned tokens;
 	/** Neither was a prompt computed nor did a stream come or go. */
 	bool steady;
+	/** A prompt of batch work was computed. */
+	bool batch_starting;
 };
 
 /**
  * Notes a gap. The curve comes from steady samples alone; the online limit
- * from all, as callers see all of them.
+ * also from those with online prompts, as these belong to the online load.
  */
 void concurrency_gap(struct concurrency *concurrency,
 		     const struct concurrency_sample *sample, uint64_t now_us);
