Limit online streams by the curve alone, and fit it at most every 50 ms

Cause: the limit came from gaps that held the prompts of a burst, so it was set by chance; on the slow engine first-token p99 was 1.5 times that of no batch. Now more streams are let in while they give more tokens a second or keep the gap.

--- a/bench/share/sim.c
+++ b/bench/share/sim.c
@@ -290,7 +290,6 @@
 		return;
 	}
 	sample.steady = stream->token_us >= sim->changed_us && !sim->starting;
-	sample.batch_starting = sim->batch_starting > 0;
 	concurrency_gap(sim->concurrency, &sample, seen_us);
 	if (stream->online)
 		batch_share_online_gap(sim->share, seen_us - stream->token_us,
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -113,7 +113,6 @@
 		.gap_us = now - last_us,
 		.tokens = tokens,
 		.steady = last_us >= gate->changed_us && !gate->starting,
-		.batch_starting = gate->batch_starting > 0,
 	};
 
 	concurrency_gap(gate->concurrency, &sample, now);
--- a/core/batch_share.c
+++ b/core/batch_share.c
@@ -24,16 +24,19 @@
 #define MISS_WEIGHT 0.005
 /* Misses that starting batch streams may cause, as a share of online gaps. */
 #define MISS_SHARE_MIN 0.03
-/* Weight from which on a batch prompt may delay an online one. */
-#define KEEP_STARTING_WEIGHT 75
-/* Batch streams that compute their prompt at once, by weight. */
-#define STARTING_MIN 2
-#define STARTING_MAX 4
+/* Batch streams that compute their prompt at once. */
+#define STARTING_BUSY 1
+#define STARTING_IDLE 2
+/* Time for which a further stream is tried, and between two tries, in us. */
+#define PROBE_US 1000000
+#define PROBE_PAUSE_US 30000000
 
 struct batch_share {
 	struct batch_share_options options;
 	unsigned level;
 	uint64_t raised_us;
+	/* When the last try of a further stream began. */
+	uint64_t probe_us;
 	uint64_t busy_until_us;
 	/* Share of online gaps that missed while a batch prompt was computed. */
 	double miss_share;
@@ -137,13 +140,16 @@
 }
 
 /* Measures the next number of streams again when that was long ago. */
-static unsigned with_probe(const struct concurrency *concurrency, unsigned goal,
+static unsigned with_probe(struct batch_share *share,
+			   const struct concurrency *concurrency, unsigned goal,
 			   bool busy, uint64_t now_us)
 {
 	if (busy || goal >= CONCURRENCY_MAX ||
 	    concurrency_known(concurrency, goal + 1, now_us))
 		return goal;
-	return goal + 1;
+	if (now_us >= share->probe_us + PROBE_PAUSE_US)
+		share->probe_us = now_us;
+	return now_us < share->probe_us + PROBE_US ? goal + 1 : goal;
 }
 
 static void move_level(struct batch_share *share,
@@ -155,7 +161,7 @@
 	unsigned explored = concurrency_explored(concurrency);
 	bool full;
 
-	goal = with_probe(concurrency, goal, busy, now_us);
+	goal = with_probe(share, concurrency, goal, busy, now_us);
 	if (goal <= share->level) {
 		share->level = goal;
 		return;
@@ -179,10 +185,9 @@
 
 static unsigned starting_limit(const struct batch_share *share, bool busy)
 {
-	if (busy)
-		return 1;
-	return STARTING_MIN +
-	       (unsigned)(weight(share) * (STARTING_MAX - STARTING_MIN));
+	bool guard = busy && share->options.weight < WEIGHT_FULL;
+
+	return guard ? STARTING_BUSY : STARTING_IDLE;
 }
 
 /* Starting batch streams lengthen steps; online callers see some of it. */
@@ -213,8 +218,7 @@
 	busy = online || now_us < share->busy_until_us;
 	move_level(share, concurrency, load, busy, now_us);
 	plan.keep = share->level > online ? share->level - online : 0;
-	if (load->online_starting &&
-	    share->options.weight < KEEP_STARTING_WEIGHT)
+	if (load->online_starting && share->options.weight < WEIGHT_FULL)
 		plan.keep = MIN(plan.keep,
 				load->batch_running - load->batch_starting);
 	limit = starting_limit(share, busy);
--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -24,17 +24,16 @@
 #define FIRST_TOKEN_SHARE 0.5
 /* A slow engine may widen the gap of a lone stream by this factor. */
 #define GAP_SLACK 1.5
+/* Least time between two fits once the curve is known, in us. */
+#define FIT_INTERVAL_US 50000
 /* Least limit of online streams. */
 #define ONLINE_LIMIT_MIN 4
 
 /* What was seen at one number of streams. */
 struct point {
-	/* Of steady samples, and of those without a batch prompt. */
 	double gap_us;
-	double seen_gap_us;
 	double first_token_us;
 	uint32_t gaps;
-	uint32_t seen_gaps;
 	uint32_t first_tokens;
 	uint64_t seen_us;
 };
@@ -55,7 +54,10 @@
 	/* The fit, made when it is asked for after a change. */
 	double fit[CONCURRENCY_MAX + 1];
 	unsigned fit_highest;
+	unsigned online_limit;
 	bool stale;
+	/* Time of the last fit. */
+	uint64_t fitted_us;
 };
 
 struct concurrency *concurrency_create(
@@ -64,6 +66,7 @@
 	struct concurrency *concurrency = g_new0(struct concurrency, 1);
 
 	concurrency->options = *options;
+	concurrency->online_limit = CONCURRENCY_MAX;
 	return concurrency;
 }
 
@@ -76,6 +79,8 @@
 		     const struct concurrency_options *options)
 {
 	concurrency->options = *options;
+	concurrency->stale = true;
+	concurrency->fitted_us = 0;
 }
 
 static struct point *point_at(struct concurrency *concurrency, unsigned streams,
@@ -106,37 +111,6 @@
 	return estimate;
 }
 
-void concurrency_gap(struct concurrency *concurrency,
-		     const struct concurrency_sample *sample, uint64_t now_us)
-{
-	struct point *point;
-	double gap;
-
-	if (!sample->tokens || !sample->gap_us)
-		return;
-	gap = (double)sample->gap_us / sample->tokens;
-	point = point_at(concurrency, sample->streams, now_us);
-	if (!sample->batch_starting) {
-		point->seen_gap_us =
-			follow(point->seen_gap_us, gap, point->seen_gaps);
-		point->seen_gaps++;
-	}
-	if (!sample->steady)
-		return;
-	point->gap_us = follow(point->gap_us, gap, point->gaps);
-	point->gaps++;
-}
-
-void concurrency_first_token(struct concurrency *concurrency, unsigned streams,
-			     uint64_t us, uint64_t now_us)
-{
-	struct point *point = point_at(concurrency, streams, now_us);
-
-	point->first_token_us =
-		follow(point->first_token_us, (double)us, point->first_tokens);
-	point->first_tokens++;
-}
-
 static double point_weight(const struct concurrency *concurrency,
 			   const struct point *point)
 {
@@ -182,36 +156,6 @@
 		fit[n] = blocks[0].gap_us;
 }
 
-/* Fits a curve that never falls: pool adjacent violators. */
-static void make_fit(struct concurrency *concurrency)
-{
-	struct block blocks[CONCURRENCY_MAX + 1];
-	unsigned nr = 0, n;
-
-	for (n = 1; n <= concurrency->highest; n++) {
-		const struct point *point = &concurrency->points[n];
-		double weight = point_weight(concurrency, point);
-
-		if (weight < WEIGHT_MIN)
-			continue;
-		blocks[nr].gap_us = point->gap_us;
-		blocks[nr].weight = weight;
-		blocks[nr].first = n;
-		blocks[nr].last = n;
-		nr = pool(blocks, nr + 1);
-	}
-	memset(concurrency->fit, 0, sizeof(concurrency->fit));
-	fill(concurrency->fit, blocks, nr);
-	concurrency->fit_highest = nr ? blocks[nr - 1].last : 0;
-	concurrency->stale = false;
-}
-
-static void refresh(const struct concurrency *concurrency)
-{
-	if (concurrency->stale)
-		make_fit((struct concurrency *)concurrency);
-}
-
 /* Slope of the fit's last part, in us for each stream. */
 static double end_slope(const struct concurrency *concurrency)
 {
@@ -229,7 +173,6 @@
 {
 	unsigned last;
 
-	refresh(concurrency);
 	last = concurrency->fit_highest;
 	streams = MIN(streams, CONCURRENCY_MAX);
 	if (!last)
@@ -248,22 +191,6 @@
 	return gap ? streams * 1e6 / (double)gap : 0;
 }
 
-unsigned concurrency_explored(const struct concurrency *concurrency)
-{
-	refresh(concurrency);
-	return concurrency->fit_highest;
-}
-
-bool concurrency_known(const struct concurrency *concurrency, unsigned streams,
-		       uint64_t now_us)
-{
-	const struct point *point =
-		&concurrency->points[MIN(streams, CONCURRENCY_MAX)];
-
-	return point->gaps >= KNOWN_SAMPLES &&
-	       now_us < point->seen_us + FRESH_US;
-}
-
 /* First tokens at this number of streams come too late. */
 static bool starts_late(const struct concurrency *concurrency, unsigned streams)
 {
@@ -283,27 +210,113 @@
 		   GAP_SLACK * concurrency->fit[1]);
 }
 
-static bool gaps_are_long(const struct concurrency *concurrency,
-			  unsigned streams, double limit)
+/* More streams give more tokens a second up to this number. */
+static unsigned best_rate_at(const struct concurrency *concurrency)
 {
-	const struct point *point = &concurrency->points[streams];
+	unsigned best = 1, n;
 
-	return point->seen_gaps >= KNOWN_SAMPLES &&
-	       concurrency->now_us < point->seen_us + FRESH_US &&
-	       point->seen_gap_us > limit;
+	for (n = 2; n <= CONCURRENCY_MAX; n++) {
+		if (concurrency_rate_at(concurrency, n) >
+		    concurrency_rate_at(concurrency, best))
+			best = n;
+	}
+	return best;
 }
 
-unsigned concurrency_online_limit(const struct concurrency *concurrency)
+static unsigned find_online_limit(const struct concurrency *concurrency)
 {
+	unsigned fastest, n;
 	double limit;
-	unsigned n;
 
-	refresh(concurrency);
 	limit = gap_limit(concurrency);
-	for (n = ONLINE_LIMIT_MIN + 1; n <= concurrency->highest; n++) {
-		if (starts_late(concurrency, n) ||
-		    gaps_are_long(concurrency, n, limit))
+	fastest = best_rate_at(concurrency);
+	for (n = ONLINE_LIMIT_MIN + 1; n <= CONCURRENCY_MAX; n++) {
+		if (starts_late(concurrency, n))
+			return n - 1;
+		if (n > fastest &&
+		    (double)concurrency_gap_at(concurrency, n) > limit)
 			return n - 1;
 	}
 	return CONCURRENCY_MAX;
 }
+/* Fits a curve that never falls: pool adjacent violators. */
+static void make_fit(struct concurrency *concurrency)
+{
+	struct block blocks[CONCURRENCY_MAX + 1];
+	unsigned nr = 0, n;
+
+	for (n = 1; n <= concurrency->highest; n++) {
+		const struct point *point = &concurrency->points[n];
+		double weight = point_weight(concurrency, point);
+
+		if (weight < WEIGHT_MIN)
+			continue;
+		blocks[nr].gap_us = point->gap_us;
+		blocks[nr].weight = weight;
+		blocks[nr].first = n;
+		blocks[nr].last = n;
+		nr = pool(blocks, nr + 1);
+	}
+	memset(concurrency->fit, 0, sizeof(concurrency->fit));
+	fill(concurrency->fit, blocks, nr);
+	concurrency->fit_highest = nr ? blocks[nr - 1].last : 0;
+	concurrency->stale = false;
+	concurrency->fitted_us = concurrency->now_us;
+	concurrency->online_limit = find_online_limit(concurrency);
+}
+
+static void refresh(struct concurrency *concurrency)
+{
+	if (!concurrency->stale)
+		return;
+	if (concurrency->fit_highest &&
+	    concurrency->now_us < concurrency->fitted_us + FIT_INTERVAL_US)
+		return;
+	make_fit(concurrency);
+}
+
+void concurrency_gap(struct concurrency *concurrency,
+		     const struct concurrency_sample *sample, uint64_t now_us)
+{
+	struct point *point;
+	double gap;
+
+	if (!sample->steady || !sample->tokens || !sample->gap_us)
+		return;
+	gap = (double)sample->gap_us / sample->tokens;
+	point = point_at(concurrency, sample->streams, now_us);
+	point->gap_us = follow(point->gap_us, gap, point->gaps);
+	point->gaps++;
+	refresh(concurrency);
+}
+
+void concurrency_first_token(struct concurrency *concurrency, unsigned streams,
+			     uint64_t us, uint64_t now_us)
+{
+	struct point *point = point_at(concurrency, streams, now_us);
+
+	point->first_token_us =
+		follow(point->first_token_us, (double)us, point->first_tokens);
+	point->first_tokens++;
+	refresh(concurrency);
+}
+
+unsigned concurrency_explored(const struct concurrency *concurrency)
+{
+	return concurrency->fit_highest;
+}
+
+bool concurrency_known(const struct concurrency *concurrency, unsigned streams,
+		       uint64_t now_us)
+{
+	const struct point *point =
+		&concurrency->points[MIN(streams, CONCURRENCY_MAX)];
+
+	return point->gaps >= KNOWN_SAMPLES &&
+	       now_us < point->seen_us + FRESH_US;
+}
+
+unsigned concurrency_online_limit(const struct concurrency *concurrency)
+{
+	return concurrency->online_limit;
+}
--- a/include/core/concurrency.h
+++ b/include/core/concurrency.h
@@ -41,13 +41,11 @@
 	unsigned tokens;
 	/** Neither was a prompt computed nor did a stream come or go. */
 	bool steady;
-	/** A prompt of batch work was computed. */
-	bool batch_starting;
 };
 
 /**
- * Notes a gap. The curve comes from steady samples alone; the online limit
- * also from those with online prompts, as these belong to the online load.
+ * Notes a gap. Only steady samples are used: others tell of no one number of
+ * streams.
  */
 void concurrency_gap(struct concurrency *concurrency,
 		     const struct concurrency_sample *sample, uint64_t now_us);
@@ -71,7 +69,10 @@
 bool concurrency_known(const struct concurrency *concurrency, unsigned streams,
 		       uint64_t now_us);
 
-/** Number of online streams beyond which the targets would be missed. */
+/**
+ * Number of online streams beyond which the gap would miss its target while
+ * more streams give no more tokens a second.
+ */
 unsigned concurrency_online_limit(const struct concurrency *concurrency);
 
 #endif
