--- a/briarplankd/config_task.c
+++ b/briarplankd/config_task.c
@@ -167,7 +167,7 @@
 static void read_log(struct config_task *task)
 {
 	struct log_service *log = task->super.node->log;
-	bool waits = task->relay && !task->read_wanted;
+	bool waits = task->relay && task->synced && !task->read_wanted;
 
 	task->reading = true;
 	task->read_wanted = false;
--- /dev/null
+++ b/briarplankd/members_messages.c
@@ -0,0 +1,195 @@
+/*
+ * The messages by which nodes know each other: pings and load reports.
+ */
+#include <string.h>
+
+#include "briarplankd/config_task.h"
+#include "members_private.h"
+
+/* Round trips above this come from a broken nonce, in us. */
+#define ROUND_TRIP_MAX_US 60000000
+
+void members_send_ping(struct members_task *task, const struct member *member)
+{
+	struct node *node = task->super.node;
+	const struct daemon_settings *settings = node->settings;
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Ping ping = BRIARPLANK__PING__INIT;
+	Briarplank__NodeFacts facts = BRIARPLANK__NODE_FACTS__INIT;
+
+	facts.role = settings->role;
+	facts.address = (char *)bus_address(node->bus);
+	facts.data_centre = settings->data_centre;
+	facts.region = settings->region;
+	facts.service = settings->service ? settings->service : "";
+	ping.nonce = node_now_us();
+	ping.shard_digest = shard_map_digest(task->shard_map);
+	if (member->state != MEMBER_UP)
+		ping.facts = &facts;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_PING;
+	env.ping = &ping;
+	bus_send(node->bus, member->name, &env);
+}
+
+/* Fills in the owners that are known; the caller frees both arrays. */
+static void fill_shard_map(const struct members_task *task,
+			   Briarplank__Pong *pong)
+{
+	uint32_t i, nr = shard_map_size(task->shard_map);
+	Briarplank__ShardOwner *rows = g_new0(Briarplank__ShardOwner, nr);
+
+	pong->shard_map = g_new0(Briarplank__ShardOwner *, nr + 1);
+	pong->shard_map[0] = rows;
+	for (i = 0; i < nr; i++) {
+		Briarplank__ShardOwner *row = &rows[pong->n_shard_map];
+		struct shard_owner owner;
+
+		shard_map_find(task->shard_map, i, &owner);
+		if (!owner.owner)
+			continue;
+		briarplank__shard_owner__init(row);
+		row->shard = i;
+		row->epoch = owner.epoch;
+		row->owner = (char *)owner.owner;
+		pong->shard_map[pong->n_shard_map++] = row;
+	}
+}
+
+void members_send_pong(struct members_task *task, const char *peer,
+		       const Briarplank__Ping *ping)
+{
+	struct node *node = task->super.node;
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Pong pong = BRIARPLANK__PONG__INIT;
+
+	pong.nonce = ping ? ping->nonce : 0;
+	pong.leaving = node->stopping;
+	pong.n_owned_shards = task->shards_nr;
+	pong.owned_shards = task->shards;
+	pong.n_owned_epochs = task->shards_nr;
+	pong.owned_epochs = task->epochs;
+	if (ping && ping->shard_digest != shard_map_digest(task->shard_map))
+		fill_shard_map(task, &pong);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_PONG;
+	env.pong = &pong;
+	bus_send(node->bus, peer, &env);
+	if (pong.shard_map)
+		g_free(pong.shard_map[0]);
+	g_free(pong.shard_map);
+}
+
+static void on_ping(void *ctx, const Briarplank__Envelope *env)
+{
+	struct members_task *task = ctx;
+	const Briarplank__NodeFacts *facts = env->ping->facts;
+
+	if (facts) {
+		struct member_facts known = {
+			.name = env->sender,
+			.role = facts->role ? MEMBER_AGENT : MEMBER_ENTRY,
+			.address = facts->address,
+			.data_centre = facts->data_centre,
+			.region = facts->region,
+			.service = facts->service,
+		};
+
+		members_connect(task, members_introduced(task->members, &known,
+							 env->incarnation));
+		members_heard(task->members, env->sender, env->incarnation,
+			      node_now_ms(task->super.node));
+		members_publish_changes(task);
+	}
+	members_send_pong(task, env->sender, env->ping);
+}
+
+static void note_shards(struct members_task *task,
+			const Briarplank__Envelope *env)
+{
+	const Briarplank__Pong *pong = env->pong;
+	struct shard_owner owner;
+	size_t i;
+
+	for (i = 0; i < MIN(pong->n_owned_shards, pong->n_owned_epochs); i++) {
+		owner.shard = pong->owned_shards[i];
+		owner.epoch = pong->owned_epochs[i];
+		owner.owner = env->sender;
+		shard_map_note(task->shard_map, &owner);
+	}
+	for (i = 0; i < pong->n_shard_map; i++) {
+		owner.shard = pong->shard_map[i]->shard;
+		owner.epoch = pong->shard_map[i]->epoch;
+		owner.owner = pong->shard_map[i]->owner;
+		shard_map_note(task->shard_map, &owner);
+	}
+}
+
+static uint32_t round_trip_us(const Briarplank__Pong *pong)
+{
+	uint64_t now_us = node_now_us();
+
+	if (!pong->nonce || pong->nonce > now_us ||
+	    now_us - pong->nonce > ROUND_TRIP_MAX_US)
+		return 0;
+	return (uint32_t)(now_us - pong->nonce);
+}
+
+static void on_pong(void *ctx, const Briarplank__Envelope *env)
+{
+	struct members_task *task = ctx;
+	const Briarplank__Pong *pong = env->pong;
+	struct members_pong known = {
+		.incarnation = env->incarnation,
+		.round_trip_us = round_trip_us(pong),
+		.leaving = pong->leaving,
+		.shards = pong->owned_shards,
+		.epochs = pong->owned_epochs,
+		.shards_nr = MIN(pong->n_owned_shards, pong->n_owned_epochs),
+	};
+
+	note_shards(task, env);
+	members_ponged(task->members, env->sender, &known,
+		       node_now_ms(task->super.node));
+	members_publish_changes(task);
+}
+
+static void on_load_report(void *ctx, const Briarplank__Envelope *env)
+{
+	struct members_task *task = ctx;
+	const Briarplank__LoadReport *report = env->load_report;
+	struct member_load load = {
+		.running_online = report->running_online,
+		.running_batch = report->running_batch,
+		.queued_online = report->queued_online,
+		.concurrency_limit = report->concurrency_limit,
+		.expected_wait_us = report->expected_wait_us,
+		.sequence = report->sequence,
+		.received_ms = node_now_ms(task->super.node),
+		.ready = report->ready,
+	};
+
+	members_loaded(task->members, env->sender, &load);
+	if (report->leaving)
+		members_set_leaving(task->members, env->sender);
+	members_publish_changes(task);
+}
+
+static void on_message(void *ctx, const Briarplank__Envelope *env)
+{
+	struct members_task *task = ctx;
+
+	members_heard(task->members, env->sender, env->incarnation,
+		      node_now_ms(task->super.node));
+	config_heard(task->super.node, env->sender, env->config_revision);
+	members_publish_changes(task);
+}
+
+void members_messages_start(struct members_task *task)
+{
+	struct bus *bus = task->super.node->bus;
+
+	bus_observe(bus, on_message, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_PING, on_ping, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_PONG, on_pong, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_LOAD_REPORT, on_load_report,
+		   task);
+}
--- /dev/null
+++ b/briarplankd/members_private.h
@@ -0,0 +1,50 @@
+/**
+ * What the files of the members task share.
+ */
+#ifndef BRIARPLANKD_MEMBERS_PRIVATE_H
+#define BRIARPLANKD_MEMBERS_PRIVATE_H
+
+#include "briarplankd/members_task.h"
+#include "core/shard_map.h"
+#include "platform/vm_list.h"
+
+#define MEMBERS_PART "members"
+
+struct members_task {
+	struct task super;
+	struct members *members;
+	uv_timer_t timer;
+	struct vm_list *vm_list;
+	bool fetching;
+	/** The list could be had last time. */
+	bool list_seen;
+	uint64_t fetch_at_ms;
+	/** Shards that this entry owns, with their epochs. */
+	uint32_t *shards;
+	uint64_t *epochs;
+	uint32_t shards_nr;
+	struct shard_map *shard_map;
+	struct counter *up_entries;
+	struct counter *up_agents;
+};
+
+/** The members task of a node. */
+struct members_task *members_task_of(struct node *node);
+
+/** Tells the other tasks what changed. */
+void members_publish_changes(struct members_task *task);
+
+/** Connects the bus to a member that was learnt; NULL is let pass. */
+void members_connect(struct members_task *task, const struct member *member);
+
+/** Registers the handlers for messages between nodes. */
+void members_messages_start(struct members_task *task);
+
+/** Sends a ping. */
+void members_send_ping(struct members_task *task, const struct member *member);
+
+/** Sends a pong, unasked or with the nonce of a ping. */
+void members_send_pong(struct members_task *task, const char *peer,
+		       const Briarplank__Ping *ping);
+
+#endif
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -1,17 +1,18 @@
 /*
- * Keeps track of the other nodes: pings them, hears their answers and reports,
+ * Keeps track of the other nodes: reads the list of VMs, pings, judges silence
  * and tells the other tasks of changes.
  */
 #include <string.h>
 
-#include "briarplankd/config_task.h"
-#include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/log.h"
+#include "members_private.h"
 
-#define PART "members"
+#define PART MEMBERS_PART
 
-/* Time between two pings of a member, in ms. */
+/* Period of the task's timer, in ms. */
+#define TICK_INTERVAL_MS 500
+/* Time between two pings of a watched member, in ms. */
 #define PING_INTERVAL_MS 500
 /* Silence after which a member gets no new work, in ms. */
 #define SUSPECT_AFTER_MS 1500
@@ -19,178 +20,135 @@
 #define DOWN_AFTER_MS 3000
 /* Share of silent members above which this node is the one cut off. */
 #define PANIC_PERCENT 50
-
-struct members_task {
-	struct task super;
-	struct members *members;
-	uv_timer_t timer;
-	uint64_t next_nonce;
-	uint32_t *shards;
-	uint64_t *epochs;
-	uint32_t shards_nr;
-};
-
-static struct members_task *task_of(struct node *node)
+#define PANIC_LIMIT_MS 15000
+#define FORGET_AFTER_MS 120000
+#define WATCH_ALL_MAX 48
+#define WATCH_NEAR 16
+#define WATCH_FAR 8
+#define SAMPLE 4
+/* Bounds of the time between two reads of the list of VMs, in ms. */
+#define LIST_RETRY_MS 500
+#define LIST_INTERVAL_MIN_MS 2000
+#define LIST_INTERVAL_MAX_MS 10000
+/* Added to that interval for each member, in ms. */
+#define LIST_INTERVAL_STEP_MS 10
+
+struct members_task *members_task_of(struct node *node)
 {
 	return (struct members_task *)node->members;
 }
 
+struct members *node_members(struct node *node)
+{
+	return members_task_of(node)->members;
+}
+
 static const enum node_event_kind event_kinds[] = {
 	[MEMBERS_CAME_UP] = NODE_PEER_UP,
 	[MEMBERS_WENT_DOWN] = NODE_PEER_DOWN,
 	[MEMBERS_LEAVES] = NODE_PEER_LEAVING,
+	[MEMBERS_REMOVED] = NODE_PEER_DOWN,
 };
 
 static const char *const change_texts[] = {
 	[MEMBERS_CAME_UP] = "is up",
 	[MEMBERS_WENT_DOWN] = "is down",
 	[MEMBERS_LEAVES] = "is leaving",
+	[MEMBERS_REMOVED] = "is forgotten",
 };
 
-static void publish_changes(struct members_task *task)
-{
-	struct members_change change;
-
-	while (members_next_change(task->members, &change)) {
-		char *name = g_strdup(change.name);
-		struct node_event event = {
-			.kind = event_kinds[change.kind],
-			.peer = name,
-		};
-
-		log_info(PART, "%s %s", name, change_texts[change.kind]);
-		node_publish(task->super.node, &event);
-		g_free(name);
-	}
-}
-
-static void send_ping(struct members_task *task, const struct member *member)
+static void publish_change(struct members_task *task,
+			   const struct members_change *change)
 {
 	struct node *node = task->super.node;
-	const struct daemon_settings *settings = node->settings;
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Ping ping = BRIARPLANK__PING__INIT;
-	Briarplank__NodeFacts facts = BRIARPLANK__NODE_FACTS__INIT;
-
-	facts.role = settings->role;
-	facts.address = (char *)bus_address(node->bus);
-	facts.data_centre = settings->data_centre;
-	facts.region = settings->region;
-	facts.service = settings->service ? settings->service : "";
-	ping.nonce = ++task->next_nonce;
-	if (member->state != MEMBER_UP)
-		ping.facts = &facts;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_PING;
-	env.ping = &ping;
-	bus_send(node->bus, member->name, &env);
+	char *name = g_strdup(change->name);
+	struct node_event event = {
+		.kind = event_kinds[change->kind],
+		.peer = name,
+	};
+
+	log_info(PART, "%s %s", name, change_texts[change->kind]);
+	if (change->kind == MEMBERS_REMOVED)
+		bus_peer_remove(node->bus, name);
+	else
+		node_publish(node, &event);
+	g_free(name);
 }
 
-static void on_timer(uv_timer_t *timer)
+void members_publish_changes(struct members_task *task)
 {
-	struct members_task *task = timer->data;
-	GPtrArray *pings = g_ptr_array_new();
-	guint i;
+	struct members_change change;
 
-	members_tick(task->members, node_now_ms(task->super.node), pings);
-	for (i = 0; i < pings->len; i++)
-		send_ping(task, pings->pdata[i]);
-	g_ptr_array_free(pings, TRUE);
-	publish_changes(task);
+	while (members_next_change(task->members, &change)) {
+		publish_change(task, &change);
+		counter_set(task->up_entries,
+			    members_up_nr(task->members, MEMBER_ENTRY));
+		counter_set(task->up_agents,
+			    members_up_nr(task->members, MEMBER_AGENT));
+	}
 }
 
-static void learn(struct members_task *task, const struct member_facts *facts)
+void members_connect(struct members_task *task, const struct member *member)
 {
-	struct member *member = members_learn(task->members, facts);
-
 	if (member && *member->address)
 		bus_peer_set(task->super.node->bus, member->name,
 			     member->address);
 }
 
-static void send_pong(struct members_task *task, const char *peer,
-		      uint64_t nonce)
-{
-	struct node *node = task->super.node;
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Pong pong = BRIARPLANK__PONG__INIT;
-
-	pong.nonce = nonce;
-	pong.leaving = node->stopping;
-	pong.n_owned_shards = task->shards_nr;
-	pong.owned_shards = task->shards;
-	pong.n_owned_epochs = task->shards_nr;
-	pong.owned_epochs = task->epochs;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_PONG;
-	env.pong = &pong;
-	bus_send(node->bus, peer, &env);
-}
-
-static void on_ping(void *ctx, const Briarplank__Envelope *env)
+static void on_vm_list(void *ctx, bool ok, const struct vm_entry *vms,
+		       size_t nr)
 {
 	struct members_task *task = ctx;
-	const Briarplank__NodeFacts *facts = env->ping->facts;
-
-	if (facts && !members_find(task->members, env->sender)) {
-		struct member_facts known = {
-			.name = env->sender,
-			.role = facts->role ? MEMBER_AGENT : MEMBER_ENTRY,
-			.address = facts->address,
-			.data_centre = facts->data_centre,
-			.region = facts->region,
-			.service = facts->service,
+	uint64_t now_ms = node_now_ms(task->super.node);
+	uint64_t wait_ms = LIST_INTERVAL_MIN_MS + nr * LIST_INTERVAL_STEP_MS;
+	size_t i;
+
+	task->fetching = false;
+	if (task->list_seen && !ok)
+		log_warn(PART, "the list of VMs can't be read");
+	task->list_seen = ok;
+	if (!ok || nr <= 1)
+		wait_ms = LIST_RETRY_MS;
+	task->fetch_at_ms = now_ms + MIN(wait_ms, LIST_INTERVAL_MAX_MS);
+	for (i = 0; ok && i < nr; i++) {
+		struct member_facts facts = {
+			.name = vms[i].name,
+			.role = vms[i].role == VM_AGENT ? MEMBER_AGENT :
+							  MEMBER_ENTRY,
+			.address = vms[i].address,
+			.data_centre = vms[i].data_centre,
+			.region = vms[i].region,
+			.service = vms[i].service,
+			.leaving = vms[i].state == VM_LEAVING,
 		};
 
-		learn(task, &known);
+		members_connect(task,
+				members_listed(task->members, &facts, now_ms));
 	}
-	send_pong(task, env->sender, env->ping->nonce);
-}
-
-static void on_pong(void *ctx, const Briarplank__Envelope *env)
-{
-	struct members_task *task = ctx;
-	const Briarplank__Pong *pong = env->pong;
-	struct members_pong known = {
-		.incarnation = env->incarnation,
-		.leaving = pong->leaving,
-		.shards = pong->owned_shards,
-		.epochs = pong->owned_epochs,
-		.shards_nr = MIN(pong->n_owned_shards, pong->n_owned_epochs),
-	};
-
-	members_ponged(task->members, env->sender, &known,
-		       node_now_ms(task->super.node));
-	publish_changes(task);
+	members_publish_changes(task);
 }
 
-static void on_load_report(void *ctx, const Briarplank__Envelope *env)
+static void fetch_list(struct members_task *task, uint64_t now_ms)
 {
-	struct members_task *task = ctx;
-	const Briarplank__LoadReport *report = env->load_report;
-	struct member_load load = {
-		.running_online = report->running_online,
-		.running_batch = report->running_batch,
-		.queued_online = report->queued_online,
-		.concurrency_limit = report->concurrency_limit,
-		.expected_wait_us = report->expected_wait_us,
-		.sequence = report->sequence,
-		.received_ms = node_now_ms(task->super.node),
-		.ready = report->ready,
-	};
-
-	members_loaded(task->members, env->sender, &load);
-	if (report->leaving)
-		members_set_leaving(task->members, env->sender);
-	publish_changes(task);
+	if (!task->vm_list || task->fetching || now_ms < task->fetch_at_ms)
+		return;
+	task->fetching = true;
+	task->vm_list->ops->fetch(task->vm_list, on_vm_list, task);
 }
 
-static void on_message(void *ctx, const Briarplank__Envelope *env)
+static void on_timer(uv_timer_t *timer)
 {
-	struct members_task *task = ctx;
+	struct members_task *task = timer->data;
+	uint64_t now_ms = node_now_ms(task->super.node);
+	GPtrArray *pings = g_ptr_array_new();
+	guint i;
 
-	members_heard(task->members, env->sender, env->incarnation,
-		      node_now_ms(task->super.node));
-	config_heard(task->super.node, env->sender, env->config_revision);
-	publish_changes(task);
+	fetch_list(task, now_ms);
+	members_tick(task->members, now_ms, pings);
+	for (i = 0; i < pings->len; i++)
+		members_send_ping(task, pings->pdata[i]);
+	g_ptr_array_free(pings, TRUE);
+	members_publish_changes(task);
 }
 
 static void learn_settings(struct members_task *task)
@@ -211,38 +169,54 @@
 			.fixed = true,
 		};
 
-		learn(task, &facts);
+		members_connect(task, members_learn(task->members, &facts));
 	}
 }
 
-static bool members_start(struct task *base)
+static void make_members(struct members_task *task)
 {
-	struct members_task *task = (struct members_task *)base;
-	struct node *node = base->node;
+	const struct daemon_settings *settings = task->super.node->settings;
 	struct members_options options = {
-		.self = node->settings->name,
-		.self_role = node->settings->role == ROLE_AGENT ? MEMBER_AGENT :
-								  MEMBER_ENTRY,
-		.data_centre = node->settings->data_centre,
-		.region = node->settings->region,
+		.self = settings->name,
+		.self_role = settings->role == ROLE_AGENT ? MEMBER_AGENT :
+							    MEMBER_ENTRY,
+		.data_centre = settings->data_centre,
+		.region = settings->region,
 		.ping_interval_ms = PING_INTERVAL_MS,
 		.suspect_after_ms = SUSPECT_AFTER_MS,
 		.down_after_ms = DOWN_AFTER_MS,
 		.panic_percent = PANIC_PERCENT,
-		.seed = node->incarnation,
+		.panic_limit_ms = PANIC_LIMIT_MS,
+		.forget_after_ms = FORGET_AFTER_MS,
+		.watch_all_max = WATCH_ALL_MAX,
+		.watch_near = WATCH_NEAR,
+		.watch_far = WATCH_FAR,
+		.sample = SAMPLE,
 	};
 
-	node->members = base;
 	task->members = members_create(&options);
+	task->shard_map = shard_map_create((uint32_t)settings->ledger_shards);
+}
+
+static bool members_start(struct task *base)
+{
+	struct members_task *task = (struct members_task *)base;
+	struct node *node = base->node;
+
+	node->members = base;
+	make_members(task);
+	task->up_entries = metrics_gauge(node->metrics, "briarplank_members_up",
+					 "role=\"entry\"");
+	task->up_agents = metrics_gauge(node->metrics, "briarplank_members_up",
+					"role=\"agent\"");
+	if (node->settings->vm_list)
+		task->vm_list = vm_list_http_create(node->http,
+						    node->settings->vm_list);
 	learn_settings(task);
-	bus_observe(node->bus, on_message, task);
-	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_PING, on_ping, task);
-	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_PONG, on_pong, task);
-	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_LOAD_REPORT,
-		   on_load_report, task);
+	members_messages_start(task);
 	uv_timer_init(&node->loop, &task->timer);
 	task->timer.data = task;
-	uv_timer_start(&task->timer, on_timer, 0, PING_INTERVAL_MS);
+	uv_timer_start(&task->timer, on_timer, 0, TICK_INTERVAL_MS);
 	return true;
 }
 
@@ -256,7 +230,7 @@
 		struct member *member = list_entry(pos, struct member, link);
 
 		if (member->state == MEMBER_UP)
-			send_pong(task, member->name, 0);
+			members_send_pong(task, member->name, NULL);
 	}
 }
 
@@ -264,6 +238,10 @@
 {
 	if (task->members)
 		members_destroy(task->members);
+	if (task->shard_map)
+		shard_map_destroy(task->shard_map);
+	if (task->vm_list)
+		task->vm_list->ops->destroy(task->vm_list);
 	g_free(task->shards);
 	g_free(task->epochs);
 	g_free(task);
@@ -299,54 +277,44 @@
 	return &task->super;
 }
 
-struct members *node_members(struct node *node)
-{
-	return task_of(node)->members;
-}
-
-/* Looks for a shard among one owner's; keeps the highest epoch. */
-static bool owns_newer(const uint32_t *shards, const uint64_t *epochs,
-		       uint32_t nr, uint32_t shard, uint64_t *best)
+static bool owns(const struct members_task *task, uint32_t shard)
 {
 	uint32_t i;
 
-	for (i = 0; i < nr; i++) {
-		if (shards[i] != shard || epochs[i] <= *best)
-			continue;
-		*best = epochs[i];
-		return true;
+	for (i = 0; i < task->shards_nr; i++) {
+		if (task->shards[i] == shard)
+			return true;
 	}
 	return false;
 }
 
 const char *node_shard_owner(struct node *node, uint32_t shard)
 {
-	struct members_task *task = task_of(node);
-	const char *owner = NULL;
-	uint64_t best = 0;
-	struct list *pos;
-
-	if (owns_newer(task->shards, task->epochs, task->shards_nr, shard,
-		       &best))
-		owner = node->settings->name;
-	list_for_each (pos, members_all(task->members)) {
-		struct member *member = list_entry(pos, struct member, link);
-
-		if (owns_newer(member->owned_shards, member->owned_epochs,
-			       member->owned_nr, shard, &best))
-			owner = member->name;
-	}
-	return owner;
+	struct members_task *task = members_task_of(node);
+	struct shard_owner owner;
+
+	if (!shard_map_find(task->shard_map, shard, &owner) || !owner.owner)
+		return NULL;
+	if (!strcmp(owner.owner, node->settings->name) && !owns(task, shard))
+		return NULL;
+	return owner.owner;
 }
 
 void node_set_owned_shards(struct node *node, const uint32_t *shards,
 			   const uint64_t *epochs, uint32_t nr)
 {
-	struct members_task *task = task_of(node);
+	struct members_task *task = members_task_of(node);
+	uint32_t i;
 
 	g_free(task->shards);
 	g_free(task->epochs);
 	task->shards = g_memdup2(shards, nr * sizeof(*shards));
 	task->epochs = g_memdup2(epochs, nr * sizeof(*epochs));
 	task->shards_nr = nr;
+	for (i = 0; i < nr; i++) {
+		struct shard_owner owner = { shards[i], epochs[i],
+					     node->settings->name };
+
+		shard_map_note(task->shard_map, &owner);
+	}
 }
--- a/core/members.c
+++ b/core/members.c
@@ -1,17 +1,6 @@
 #include <string.h>
 
-#include "core/members.h"
-
-struct members {
-	struct members_options options;
-	char *self;
-	GHashTable *by_name;
-	struct list all;
-	unsigned nr;
-	GQueue changes;
-	char *last_name;
-	bool isolated;
-};
+#include "members_private.h"
 
 struct queued_change {
 	enum members_change_kind kind;
@@ -22,6 +11,7 @@
 {
 	g_free(member->name);
 	g_free(member->address);
+	g_free(member->listed_address);
 	g_free(member->data_centre);
 	g_free(member->region);
 	g_free(member->service);
@@ -36,8 +26,10 @@
 
 	members->options = *options;
 	members->self = g_strdup(options->self);
+	members->options.self = members->self;
 	members->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	list_init(&members->all);
+	members->cursor = &members->all;
 	g_queue_init(&members->changes);
 	return members;
 }
@@ -63,8 +55,8 @@
 	g_free(members);
 }
 
-static void push_change(struct members *members, enum members_change_kind kind,
-			const struct member *member)
+void members_push_change(struct members *members, enum members_change_kind kind,
+			 const struct member *member)
 {
 	struct queued_change *change = g_new0(struct queued_change, 1);
 
@@ -100,26 +92,42 @@
 	struct member *member = g_new0(struct member, 1);
 
 	member->name = g_strdup(name);
+	member->learnt_ms = members->ticked_ms;
 	member->address = g_strdup("");
+	member->listed_address = g_strdup("");
 	member->data_centre = g_strdup("");
 	member->region = g_strdup("");
 	member->service = g_strdup("");
 	list_append(&members->all, &member->link);
 	g_hash_table_insert(members->by_name, member->name, member);
 	members->nr++;
+	members->watch_stale = true;
 	return member;
 }
 
+static void member_remove(struct members *members, struct member *member)
+{
+	if (members->cursor == &member->link)
+		members->cursor = member->link.next;
+	members_push_change(members, MEMBERS_REMOVED, member);
+	g_hash_table_remove(members->by_name, member->name);
+	list_remove(&member->link);
+	member_free(member);
+	members->nr--;
+	members->watch_stale = true;
+}
+
 static void set_leaving(struct members *members, struct member *member)
 {
 	if (member->leaving)
 		return;
 	member->leaving = true;
-	push_change(members, MEMBERS_LEAVES, member);
+	members_push_change(members, MEMBERS_LEAVES, member);
 }
 
-struct member *members_learn(struct members *members,
-			     const struct member_facts *facts)
+/* Finds or adds a node and notes where it is; not its address. */
+static struct member *note_facts(struct members *members,
+				 const struct member_facts *facts)
 {
 	struct member *member;
 
@@ -129,24 +137,76 @@
 	if (!member)
 		member = member_add(members, facts->name);
 	member->role = facts->role;
-	member->fixed |= facts->fixed;
-	replace(&member->address, facts->address);
 	replace(&member->data_centre, facts->data_centre);
 	replace(&member->region, facts->region);
 	replace(&member->service, facts->service);
+	return member;
+}
+
+struct member *members_learn(struct members *members,
+			     const struct member_facts *facts)
+{
+	struct member *member = note_facts(members, facts);
+
+	if (!member)
+		return NULL;
+	member->fixed |= facts->fixed;
+	replace(&member->address, facts->address);
 	if (facts->leaving)
 		set_leaving(members, member);
 	return member;
 }
 
+struct member *members_listed(struct members *members,
+			      const struct member_facts *facts, uint64_t now_ms)
+{
+	struct member *member = note_facts(members, facts);
+
+	if (!member)
+		return NULL;
+	if (facts->address && strcmp(member->listed_address, facts->address))
+		replace(&member->address, facts->address);
+	replace(&member->listed_address, facts->address);
+	if (facts->leaving && !member->listed_leaving)
+		set_leaving(members, member);
+	member->listed_leaving = facts->leaving;
+	member->listed_ms = now_ms;
+	return member;
+}
+
+struct member *members_introduced(struct members *members,
+				  const struct member_facts *facts,
+				  uint64_t incarnation)
+{
+	struct member *member = members_find(members, facts->name);
+
+	if (member && incarnation < member->incarnation)
+		return NULL;
+	member = note_facts(members, facts);
+	if (member)
+		replace(&member->address, facts->address);
+	return member;
+}
+
+void members_watch(struct members *members, const char *name, bool wanted)
+{
+	struct member *member = members_find(members, name);
+
+	if (!member || member->wanted == wanted)
+		return;
+	member->wanted = wanted;
+	members->watch_stale = true;
+}
+
 /* The process of the last incarnation is gone, with all that it held. */
 static void forget_incarnation(struct members *members, struct member *member)
 {
 	if (member->state == MEMBER_UP || member->state == MEMBER_SUSPECT)
-		push_change(members, MEMBERS_WENT_DOWN, member);
+		members_push_change(members, MEMBERS_WENT_DOWN, member);
 	member->state = MEMBER_DOWN;
 	member->leaving = false;
 	member->owned_nr = 0;
+	member->config_revision = 0;
 	memset(&member->load, 0, sizeof(member->load));
 }
 
@@ -165,7 +225,7 @@
 	if (member->state == MEMBER_UP)
 		return member;
 	if (member->state != MEMBER_SUSPECT)
-		push_change(members, MEMBERS_CAME_UP, member);
+		members_push_change(members, MEMBERS_CAME_UP, member);
 	member->state = MEMBER_UP;
 	return member;
 }
@@ -196,9 +256,8 @@
 
 	if (!member)
 		return;
-	if (member->pinged_ms)
-		member->round_trip_us =
-			(uint32_t)(now_ms - member->pinged_ms) * 1000;
+	if (pong->round_trip_us)
+		member->round_trip_us = pong->round_trip_us;
 	store_shards(member, pong);
 	if (pong->leaving)
 		set_leaving(members, member);
@@ -228,8 +287,8 @@
 	       now_ms - member->unanswered_ms >= limit_ms;
 }
 
-/* Silence of most members at once is more likely this node's own fault. */
-static bool judge_isolation(const struct members *members, uint64_t now_ms)
+/* Silence of most watched members is more likely this node's own fault. */
+static bool most_are_silent(const struct members *members, uint64_t now_ms)
 {
 	unsigned known = 0, silent = 0;
 	struct list *pos;
@@ -237,7 +296,7 @@
 	list_for_each (pos, &members->all) {
 		struct member *member = list_entry(pos, struct member, link);
 
-		if (member->state == MEMBER_UNKNOWN ||
+		if (!member->watched || member->state == MEMBER_UNKNOWN ||
 		    member->state == MEMBER_DOWN)
 			continue;
 		known++;
@@ -248,41 +307,83 @@
 	       silent * 100 > known * members->options.panic_percent;
 }
 
+static void judge_isolation(struct members *members, uint64_t now_ms)
+{
+	if (!most_are_silent(members, now_ms))
+		members->isolated_ms = 0;
+	else if (!members->isolated_ms)
+		members->isolated_ms = now_ms;
+}
+
+/* Whether the verdict on silent members still waits for the others. */
+static bool panics(const struct members *members, uint64_t now_ms)
+{
+	return members->isolated_ms &&
+	       now_ms - members->isolated_ms < members->options.panic_limit_ms;
+}
+
 static void judge(struct members *members, struct member *member,
 		  uint64_t now_ms)
 {
 	if (member->state == MEMBER_UP &&
 	    silent_for(member, now_ms, members->options.suspect_after_ms))
 		member->state = MEMBER_SUSPECT;
-	if (member->state != MEMBER_SUSPECT || members->isolated)
+	if (member->state != MEMBER_SUSPECT || panics(members, now_ms))
 		return;
 	if (!silent_for(member, now_ms, members->options.down_after_ms))
 		return;
 	member->state = MEMBER_DOWN;
-	push_change(members, MEMBERS_WENT_DOWN, member);
+	members_push_change(members, MEMBERS_WENT_DOWN, member);
 }
 
-void members_tick(struct members *members, uint64_t now_ms, GPtrArray *pings)
+static bool is_forgotten(const struct members *members,
+			 const struct member *member, uint64_t now_ms)
+{
+	uint64_t seen_ms = MAX(MAX(member->heard_ms, member->listed_ms),
+			       member->learnt_ms);
+
+	return !member->fixed &&
+	       (member->state == MEMBER_DOWN ||
+		member->state == MEMBER_UNKNOWN) &&
+	       now_ms - seen_ms >= members->options.forget_after_ms;
+}
+
+/* Time in which this process did not run isn't the others' silence. */
+static void forgive_own_pause(struct members *members, uint64_t now_ms)
 {
+	uint64_t limit_ms = members->options.suspect_after_ms / 2;
 	struct list *pos;
 
-	members->isolated = judge_isolation(members, now_ms);
+	if (!members->ticked_ms || now_ms - members->ticked_ms < limit_ms)
+		return;
 	list_for_each (pos, &members->all) {
 		struct member *member = list_entry(pos, struct member, link);
 
-		judge(members, member, now_ms);
-		if (!*member->address)
-			continue;
-		member->pinged_ms = now_ms;
-		if (!member->unanswered_ms)
+		if (member->unanswered_ms)
 			member->unanswered_ms = now_ms;
-		g_ptr_array_add(pings, member);
 	}
 }
 
+void members_tick(struct members *members, uint64_t now_ms, GPtrArray *pings)
+{
+	struct list *pos, *tmp;
+
+	forgive_own_pause(members, now_ms);
+	members->ticked_ms = now_ms;
+	judge_isolation(members, now_ms);
+	list_for_each_safe (pos, tmp, &members->all) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		judge(members, member, now_ms);
+		if (is_forgotten(members, member, now_ms))
+			member_remove(members, member);
+	}
+	members_choose_pings(members, now_ms, pings);
+}
+
 bool members_isolated(const struct members *members)
 {
-	return members->isolated;
+	return members->isolated_ms != 0;
 }
 
 struct member *members_find(const struct members *members, const char *name)
--- /dev/null
+++ b/core/members_ping.c
@@ -0,0 +1,132 @@
+/*
+ * Whom to ping: a bounded set of watched members at each interval, and the
+ * others in turn, so that a node's cost doesn't grow with the fleet.
+ */
+#include <string.h>
+
+#include "common/hash.h"
+#include "members_private.h"
+
+struct ranked {
+	struct member *member;
+	uint64_t weight;
+};
+
+static int compare_weights(const void *a, const void *b)
+{
+	const struct ranked *ra = a;
+	const struct ranked *rb = b;
+
+	if (ra->weight != rb->weight)
+		return ra->weight > rb->weight ? -1 : 1;
+	return strcmp(ra->member->name, rb->member->name);
+}
+
+static bool is_near(const struct members *members, const struct member *member)
+{
+	return !strcmp(member->data_centre, members->options.data_centre);
+}
+
+/* Takes the members of highest weight among the near or the far ones. */
+static void watch_highest(struct members *members, bool near, unsigned limit)
+{
+	struct ranked *ranked = g_new(struct ranked, members->nr);
+	uint64_t self = hash_string(members->self, 0);
+	struct list *pos;
+	unsigned i, nr = 0;
+
+	list_for_each (pos, &members->all) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (is_near(members, member) != near)
+			continue;
+		ranked[nr].member = member;
+		ranked[nr++].weight =
+			hash_mix(self, hash_string(member->name, 0));
+	}
+	qsort(ranked, nr, sizeof(*ranked), compare_weights);
+	for (i = 0; i < nr && i < limit; i++)
+		ranked[i].member->watched = true;
+	g_free(ranked);
+}
+
+static void choose_watched(struct members *members)
+{
+	bool all = members->nr <= members->options.watch_all_max;
+	struct list *pos;
+
+	members->watch_stale = false;
+	list_for_each (pos, &members->all) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		member->watched = all || member->wanted;
+	}
+	if (all)
+		return;
+	watch_highest(members, true, members->options.watch_near);
+	watch_highest(members, false, members->options.watch_far);
+}
+
+static void ping(struct member *member, uint64_t now_ms, GPtrArray *pings)
+{
+	member->pinged_ms = now_ms;
+	if (!member->unanswered_ms)
+		member->unanswered_ms = now_ms;
+	g_ptr_array_add(pings, member);
+}
+
+static bool is_due(const struct members *members, const struct member *member,
+		   uint64_t now_ms)
+{
+	if (!*member->address)
+		return false;
+	if (member->state == MEMBER_SUSPECT)
+		return true;
+	return member->watched &&
+	       now_ms - member->pinged_ms >= members->options.ping_interval_ms;
+}
+
+static struct member *next_in_turn(struct members *members)
+{
+	if (members->cursor == &members->all)
+		members->cursor = members->all.next;
+	if (members->cursor == &members->all)
+		return NULL;
+	members->cursor = members->cursor->next;
+	return list_entry(members->cursor->prev, struct member, link);
+}
+
+static void ping_sample(struct members *members, uint64_t now_ms,
+			GPtrArray *pings)
+{
+	unsigned tried, taken = 0;
+
+	for (tried = 0; tried < members->nr; tried++) {
+		struct member *member;
+
+		if (taken == members->options.sample)
+			return;
+		member = next_in_turn(members);
+		if (!member || !*member->address || member->watched ||
+		    member->pinged_ms == now_ms)
+			continue;
+		ping(member, now_ms, pings);
+		taken++;
+	}
+}
+
+void members_choose_pings(struct members *members, uint64_t now_ms,
+			  GPtrArray *pings)
+{
+	struct list *pos;
+
+	if (members->watch_stale)
+		choose_watched(members);
+	list_for_each (pos, &members->all) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (is_due(members, member, now_ms))
+			ping(member, now_ms, pings);
+	}
+	ping_sample(members, now_ms, pings);
+}
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -56,12 +56,21 @@
 	uint64_t pinged_ms;
 	/** Time of the first ping without an answer; 0 when none is open. */
 	uint64_t unanswered_ms;
+	/** Time at which it became known. */
+	uint64_t learnt_ms;
+	/** Last time at which the list of VMs named it; 0 for never. */
+	uint64_t listed_ms;
+	/** Address and leaving as the list had them last: only news counts. */
+	char *listed_address;
+	bool listed_leaving;
 	/** Configuration revision on the last message heard. */
 	uint64_t config_revision;
 	/** Named in this node's settings, so never forgotten. */
 	bool fixed;
 	/** Pinged at each interval; the others in turn. */
 	bool watched;
+	/** A task of this node asked for it to be watched. */
+	bool wanted;
 	uint32_t round_trip_us;
 	struct member_load load;
 	/** Ledger shards that an entry says it owns, with their epochs. */
@@ -86,6 +95,8 @@
 	MEMBERS_CAME_UP,
 	MEMBERS_WENT_DOWN,
 	MEMBERS_LEAVES,
+	/** Down and no longer listed for long: it is freed next. */
+	MEMBERS_REMOVED,
 };
 
 /** A change of what may be expected of a member. */
@@ -98,6 +109,7 @@
 /** What an entry says of itself in answer to a ping. */
 struct members_pong {
 	uint64_t incarnation;
+	uint32_t round_trip_us;
 	bool leaving;
 	const uint32_t *shards;
 	const uint64_t *epochs;
@@ -115,18 +127,48 @@
 	uint32_t ping_interval_ms;
 	uint32_t suspect_after_ms;
 	uint32_t down_after_ms;
-	/** Share of members, in percent, above which silence is taken for this node's own isolation. */
+	/**
+	 * Share of silent members, in percent, above which silence is taken for
+	 * this node's own isolation, and the time for which that holds.
+	 */
 	uint32_t panic_percent;
+	uint32_t panic_limit_ms;
+	/** Time after which a lost member that isn't listed is forgotten. */
+	uint32_t forget_after_ms;
+	/** Up to this size of the fleet every member is watched. */
+	uint32_t watch_all_max;
+	/** Members watched in the own data centre and elsewhere. */
+	uint32_t watch_near;
+	uint32_t watch_far;
+	/** Members pinged in turn at each tick besides the watched ones. */
+	uint32_t sample;
 	uint64_t seed;
 };
 
 struct members *members_create(const struct members_options *options);
 void members_destroy(struct members *members);
 
-/** Adds or updates a node from settings or the VM list. */
+/** Adds or updates a node from settings; NULL for this node itself. */
 struct member *members_learn(struct members *members,
 			     const struct member_facts *facts);
 
+/**
+ * Takes over a row of the VM list. The list lags, so that only what it did not
+ * say before counts: an address that a node gave itself stays in force until
+ * the list has a new one.
+ */
+struct member *members_listed(struct members *members,
+			      const struct member_facts *facts,
+			      uint64_t now_ms);
+
+/** Takes over what a node says of itself; stronger than the VM list. */
+struct member *members_introduced(struct members *members,
+				  const struct member_facts *facts,
+				  uint64_t incarnation);
+
+/** Asks for a member to be watched, or no longer. */
+void members_watch(struct members *members, const char *name, bool wanted);
+
 /** Notes that any message of this incarnation came from a member. */
 void members_heard(struct members *members, const char *name,
 		   uint64_t incarnation, uint64_t now_ms);
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -160,7 +160,7 @@
 
 # Gives the list of VMs the rows of all nodes.
 fleet_publish () {
-	paste -s -d, "$FLEET_DIR"/*.row | sed 's/^/[/; s/$/]/' \
+	cat "$FLEET_DIR"/*.row | paste -s -d, - | sed 's/^/[/; s/$/]/' \
 		>"$FLEET_DIR/vms.json"
 	curl -sf -X POST --data-binary "@$FLEET_DIR/vms.json" \
 		"http://$FLEET_VMS/v1/vms" >/dev/null ||
--- /dev/null
+++ b/tests/test_members.c
@@ -0,0 +1,357 @@
+/*
+ * What a node knows of the others, told by virtual time: who answers, who is
+ * silent, whom to ping, and who owns which shard.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "core/members.h"
+#include "core/relays.h"
+#include "core/shard_map.h"
+#include "script.h"
+
+struct state {
+	struct members *members;
+	struct shard_map *map;
+	uint64_t now_ms;
+	/* Members that don't answer pings. */
+	GHashTable *mute;
+};
+
+static void make_members(struct state *state, int argc, char **argv)
+{
+	struct members_options options = {
+		.self = script_arg(argc, argv, "self", "me"),
+		.data_centre = "a",
+		.region = "r",
+		.ping_interval_ms = 500,
+		.suspect_after_ms = 1500,
+		.down_after_ms = 3000,
+		.panic_percent = 50,
+		.panic_limit_ms = 15000,
+		.forget_after_ms = 60000,
+		.watch_all_max =
+			(uint32_t)script_arg_int(argc, argv, "all", 48),
+		.watch_near = (uint32_t)script_arg_int(argc, argv, "near", 16),
+		.watch_far = (uint32_t)script_arg_int(argc, argv, "far", 8),
+		.sample = (uint32_t)script_arg_int(argc, argv, "sample", 4),
+	};
+
+	if (state->members)
+		members_destroy(state->members);
+	state->members = members_create(&options);
+}
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	state->mute =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	state->map = shard_map_create(4);
+	make_members(state, 0, NULL);
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	members_destroy(state->members);
+	shard_map_destroy(state->map);
+	g_hash_table_destroy(state->mute);
+	g_free(state);
+}
+
+static void print_changes(struct state *state, GString *out)
+{
+	static const char *const texts[] = { "up", "down", "leaving",
+					     "removed" };
+	struct members_change change;
+
+	while (members_next_change(state->members, &change))
+		g_string_append_printf(out, "%s %s\n", change.name,
+				       texts[change.kind]);
+}
+
+static struct member_facts facts_from(int argc, char **argv, const char *name)
+{
+	struct member_facts facts = {
+		.name = name,
+		.role = script_arg_int(argc, argv, "agent", 0) ? MEMBER_AGENT :
+								 MEMBER_ENTRY,
+		.address = script_arg(argc, argv, "at", "1"),
+		.data_centre = script_arg(argc, argv, "dc", "a"),
+		.region = "r",
+		.service = "",
+		.leaving = script_arg_int(argc, argv, "leaving", 0),
+		.fixed = script_arg_int(argc, argv, "fixed", 0),
+	};
+
+	return facts;
+}
+
+/* "list NAME..." takes over rows of the VM list; "NAME*5" stands for five. */
+static void cmd_list(struct state *state, int argc, char **argv, GString *out)
+{
+	int i, j;
+
+	for (i = 1; i < argc; i++) {
+		char **parts;
+		int nr;
+
+		if (strchr(argv[i], '='))
+			continue;
+		parts = g_strsplit(argv[i], "*", 2);
+		nr = parts[1] ? atoi(parts[1]) : 0;
+		for (j = 0; j < MAX(nr, 1); j++) {
+			char *name = nr ? g_strdup_printf("%s%d", parts[0], j) :
+					  g_strdup(parts[0]);
+			struct member_facts facts =
+				facts_from(argc, argv, name);
+
+			members_listed(state->members, &facts, state->now_ms);
+			g_free(name);
+		}
+		g_strfreev(parts);
+	}
+	print_changes(state, out);
+}
+
+static void cmd_introduce(struct state *state, int argc, char **argv,
+			  GString *out)
+{
+	struct member_facts facts = facts_from(argc, argv, argv[1]);
+	uint64_t incarnation = script_arg_int(argc, argv, "inc", 1);
+
+	members_introduced(state->members, &facts, incarnation);
+	if (script_arg_int(argc, argv, "heard", 1))
+		members_heard(state->members, argv[1], incarnation,
+			      state->now_ms);
+	print_changes(state, out);
+}
+
+static void cmd_pong(struct state *state, int argc, char **argv, GString *out)
+{
+	struct members_pong pong = {
+		.incarnation = script_arg_int(argc, argv, "inc", 1),
+		.leaving = script_arg_int(argc, argv, "leaving", 0),
+	};
+
+	members_ponged(state->members, argv[1], &pong, state->now_ms);
+	print_changes(state, out);
+}
+
+static void cmd_load(struct state *state, int argc, char **argv, GString *out)
+{
+	struct member *member = members_find(state->members, argv[1]);
+	struct member_load load = {
+		.sequence = script_arg_int(argc, argv, "seq", 1),
+		.running_online = script_arg_int(argc, argv, "running", 0),
+	};
+
+	members_loaded(state->members, argv[1], &load);
+	g_string_append_printf(out, "running %u\n",
+			       member->load.running_online);
+}
+
+static void cmd_mute(struct state *state, int argc, char **argv, GString *out)
+{
+	int i;
+
+	for (i = 1; i < argc; i++)
+		g_hash_table_add(state->mute, g_strdup(argv[i]));
+}
+
+static void cmd_unmute(struct state *state, int argc, char **argv, GString *out)
+{
+	g_hash_table_remove_all(state->mute);
+}
+
+static bool is_mute(struct state *state, const struct member *member)
+{
+	return g_hash_table_contains(state->mute, member->name) ||
+	       g_hash_table_contains(state->mute, member->data_centre) ||
+	       g_hash_table_contains(state->mute, "all");
+}
+
+/* One tick; members that aren't mute answer their pings at once. */
+static unsigned tick(struct state *state, GString *out)
+{
+	GPtrArray *pings = g_ptr_array_new();
+	unsigned nr;
+	guint i;
+
+	members_tick(state->members, state->now_ms, pings);
+	for (i = 0; i < pings->len; i++) {
+		const struct member *member = pings->pdata[i];
+		struct members_pong pong = {
+			.incarnation = MAX(member->incarnation, 1),
+		};
+
+		if (!is_mute(state, member))
+			members_ponged(state->members, member->name, &pong,
+				       state->now_ms);
+	}
+	nr = pings->len;
+	g_ptr_array_free(pings, TRUE);
+	print_changes(state, out);
+	return nr;
+}
+
+/* "run MS [quiet=1]": ticks each 500 ms and prints the pings of the last. */
+static void cmd_run(struct state *state, int argc, char **argv, GString *out)
+{
+	uint64_t end_ms = state->now_ms + strtoull(argv[1], NULL, 10);
+	GString *changes = g_string_new(NULL);
+	unsigned pings = 0;
+
+	while (state->now_ms < end_ms) {
+		state->now_ms += 500;
+		pings = tick(state, changes);
+	}
+	if (!script_arg_int(argc, argv, "quiet", 0))
+		g_string_append(out, changes->str);
+	g_string_append_printf(out, "%u pings%s\n", pings,
+			       members_isolated(state->members) ? ", isolated" :
+								  "");
+	g_string_free(changes, TRUE);
+}
+
+/* Time passes while this process doesn't run. */
+static void cmd_sleep(struct state *state, int argc, char **argv, GString *out)
+{
+	state->now_ms += strtoull(argv[1], NULL, 10);
+}
+
+static void cmd_show(struct state *state, int argc, char **argv, GString *out)
+{
+	static const char *const texts[] = { "unknown", "up", "suspect",
+					     "down" };
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		struct member *member = members_find(state->members, argv[i]);
+
+		if (!member) {
+			g_string_append_printf(out, "%s is not known\n",
+					       argv[i]);
+			continue;
+		}
+		g_string_append_printf(out, "%s %s at %s%s%s\n", member->name,
+				       texts[member->state], member->address,
+				       member->leaving ? " leaving" : "",
+				       member_usable(member) ? " usable" : "");
+	}
+}
+
+static void cmd_count(struct state *state, int argc, char **argv, GString *out)
+{
+	unsigned up = 0, suspect = 0, down = 0, watched = 0;
+	struct list *pos;
+
+	list_for_each (pos, members_all(state->members)) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		up += member->state == MEMBER_UP;
+		suspect += member->state == MEMBER_SUSPECT;
+		down += member->state == MEMBER_DOWN;
+		watched += member->watched;
+	}
+	g_string_append_printf(out, "%u up, %u suspect, %u down, %u watched\n",
+			       up, suspect, down, watched);
+}
+
+static void cmd_watch(struct state *state, int argc, char **argv, GString *out)
+{
+	members_watch(state->members, argv[1], true);
+}
+
+static void cmd_new(struct state *state, int argc, char **argv, GString *out)
+{
+	make_members(state, argc, argv);
+}
+
+static void cmd_relays(struct state *state, int argc, char **argv, GString *out)
+{
+	struct relay_self self = {
+		.name = "me",
+		.role = script_arg_int(argc, argv, "agent", 0) ? MEMBER_AGENT :
+								 MEMBER_ENTRY,
+		.data_centre = "a",
+		.leaving = script_arg_int(argc, argv, "leaving", 0),
+	};
+	struct list *pos;
+
+	if (relays_self_chosen(state->members, &self))
+		g_string_append(out, "me\n");
+	list_for_each (pos, members_all(state->members)) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (relays_chosen(state->members, &self, member))
+			g_string_append_printf(out, "%s\n", member->name);
+	}
+}
+
+/* "owner SHARD EPOCH NAME" and "owners". */
+static void cmd_owner(struct state *state, int argc, char **argv, GString *out)
+{
+	struct shard_owner owner = { (uint32_t)atoi(argv[1]),
+				     strtoull(argv[2], NULL, 10), argv[3] };
+	uint64_t digest = shard_map_digest(state->map);
+	bool taken = shard_map_note(state->map, &owner);
+
+	g_string_append(out, taken ? "taken\n" : "not taken\n");
+	if (taken == (digest == shard_map_digest(state->map)))
+		g_string_append(out, "digest is wrong\n");
+}
+
+static void cmd_owners(struct state *state, int argc, char **argv, GString *out)
+{
+	struct shard_owner owner;
+	uint32_t i;
+
+	for (i = 0; shard_map_find(state->map, i, &owner); i++)
+		g_string_append_printf(out, "%u %s %" PRIu64 "\n", i,
+				       owner.owner ? owner.owner : "none",
+				       owner.epoch);
+}
+
+static const struct {
+	const char *name;
+	void (*fn)(struct state *state, int argc, char **argv, GString *out);
+} commands[] = {
+	{ "count", cmd_count }, { "introduce", cmd_introduce },
+	{ "list", cmd_list },	{ "load", cmd_load },
+	{ "mute", cmd_mute },	{ "new", cmd_new },
+	{ "owner", cmd_owner }, { "owners", cmd_owners },
+	{ "pong", cmd_pong },	{ "relays", cmd_relays },
+	{ "run", cmd_run },	{ "show", cmd_show },
+	{ "sleep", cmd_sleep }, { "unmute", cmd_unmute },
+	{ "watch", cmd_watch },
+};
+
+static void command(void *state, int argc, char **argv, GString *out)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, argv[0]))
+			continue;
+		commands[i].fn(state, argc, argv, out);
+		return;
+	}
+	g_string_append_printf(out, "no command %s\n", argv[0]);
+}
+
+static const struct script_driver driver = {
+	.name = "members",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
--- a/wire/member.pb-c.c
+++ b/wire/member.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &briarplank__node_facts__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__shard_owner__init
+                     (Briarplank__ShardOwner         *message)
+{
+  static const Briarplank__ShardOwner init_value = BRIARPLANK__SHARD_OWNER__INIT;
+  *message = init_value;
+}
+size_t briarplank__shard_owner__get_packed_size
+                     (const Briarplank__ShardOwner *message)
+{
+  assert(message->base.descriptor == &briarplank__shard_owner__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__shard_owner__pack
+                     (const Briarplank__ShardOwner *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__shard_owner__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__shard_owner__pack_to_buffer
+                     (const Briarplank__ShardOwner *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__shard_owner__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__ShardOwner *
+       briarplank__shard_owner__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__ShardOwner *)
+     protobuf_c_message_unpack (&briarplank__shard_owner__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__shard_owner__free_unpacked
+                     (Briarplank__ShardOwner *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__shard_owner__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__ping__init
                      (Briarplank__Ping         *message)
 {
@@ -277,7 +322,71 @@
   (ProtobufCMessageInit) briarplank__node_facts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[2] =
+static const ProtobufCFieldDescriptor briarplank__shard_owner__field_descriptors[3] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__shard_owner__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = owner */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange briarplank__shard_owner__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor briarplank__shard_owner__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.ShardOwner",
+  "ShardOwner",
+  "Briarplank__ShardOwner",
+  "briarplank",
+  sizeof(Briarplank__ShardOwner),
+  3,
+  briarplank__shard_owner__field_descriptors,
+  briarplank__shard_owner__field_indices_by_name,
+  1,  briarplank__shard_owner__number_ranges,
+  (ProtobufCMessageInit) briarplank__shard_owner__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[3] =
 {
   {
     "nonce",
@@ -303,15 +412,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard_digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Ping, shard_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__ping__field_indices_by_name[] = {
   1,   /* field[1] = facts */
   0,   /* field[0] = nonce */
+  2,   /* field[2] = shard_digest */
 };
 static const ProtobufCIntRange briarplank__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor briarplank__ping__descriptor =
 {
@@ -321,14 +443,14 @@
   "Briarplank__Ping",
   "briarplank",
   sizeof(Briarplank__Ping),
-  2,
+  3,
   briarplank__ping__field_descriptors,
   briarplank__ping__field_indices_by_name,
   1,  briarplank__ping__number_ranges,
   (ProtobufCMessageInit) briarplank__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__pong__field_descriptors[4] =
+static const ProtobufCFieldDescriptor briarplank__pong__field_descriptors[5] =
 {
   {
     "nonce",
@@ -378,17 +500,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard_map",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__Pong, n_shard_map),
+    offsetof(Briarplank__Pong, shard_map),
+    &briarplank__shard_owner__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__pong__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
   0,   /* field[0] = nonce */
   3,   /* field[3] = owned_epochs */
   2,   /* field[2] = owned_shards */
+  4,   /* field[4] = shard_map */
 };
 static const ProtobufCIntRange briarplank__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor briarplank__pong__descriptor =
 {
@@ -398,7 +533,7 @@
   "Briarplank__Pong",
   "briarplank",
   sizeof(Briarplank__Pong),
-  4,
+  5,
   briarplank__pong__field_descriptors,
   briarplank__pong__field_indices_by_name,
   1,  briarplank__pong__number_ranges,
--- a/wire/member.pb-c.h
+++ b/wire/member.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Briarplank__NodeFacts Briarplank__NodeFacts;
+typedef struct Briarplank__ShardOwner Briarplank__ShardOwner;
 typedef struct Briarplank__Ping Briarplank__Ping;
 typedef struct Briarplank__Pong Briarplank__Pong;
 typedef struct Briarplank__LoadReport Briarplank__LoadReport;
@@ -46,6 +47,18 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+struct  Briarplank__ShardOwner
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  uint64_t epoch;
+  char *owner;
+};
+#define BRIARPLANK__SHARD_OWNER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__shard_owner__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * A direct ping. Answered with Pong carrying the same nonce.
  */
@@ -57,10 +70,14 @@
    * Set until the peer has answered once.
    */
   Briarplank__NodeFacts *facts;
+  /*
+   * Digest of the sender's map of shard owners.
+   */
+  uint64_t shard_digest;
 };
 #define BRIARPLANK__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__ping__descriptor) \
-    , 0, NULL }
+    , 0, NULL, 0 }
 
 
 struct  Briarplank__Pong
@@ -75,10 +92,15 @@
   uint32_t *owned_shards;
   size_t n_owned_epochs;
   uint64_t *owned_epochs;
+  /*
+   * All owners known to the answering node, when its digest differs.
+   */
+  size_t n_shard_map;
+  Briarplank__ShardOwner **shard_map;
 };
 #define BRIARPLANK__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__pong__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -125,6 +147,25 @@
 void   briarplank__node_facts__free_unpacked
                      (Briarplank__NodeFacts *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__ShardOwner methods */
+void   briarplank__shard_owner__init
+                     (Briarplank__ShardOwner         *message);
+size_t briarplank__shard_owner__get_packed_size
+                     (const Briarplank__ShardOwner   *message);
+size_t briarplank__shard_owner__pack
+                     (const Briarplank__ShardOwner   *message,
+                      uint8_t             *out);
+size_t briarplank__shard_owner__pack_to_buffer
+                     (const Briarplank__ShardOwner   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__ShardOwner *
+       briarplank__shard_owner__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__shard_owner__free_unpacked
+                     (Briarplank__ShardOwner *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__Ping methods */
 void   briarplank__ping__init
                      (Briarplank__Ping         *message);
@@ -187,6 +228,9 @@
 typedef void (*Briarplank__NodeFacts_Closure)
                  (const Briarplank__NodeFacts *message,
                   void *closure_data);
+typedef void (*Briarplank__ShardOwner_Closure)
+                 (const Briarplank__ShardOwner *message,
+                  void *closure_data);
 typedef void (*Briarplank__Ping_Closure)
                  (const Briarplank__Ping *message,
                   void *closure_data);
@@ -203,6 +247,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor briarplank__node_facts__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__shard_owner__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__ping__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__pong__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__load_report__descriptor;
