Choose agents by subset, wait and prefix; budget retries and callers

Core modules subset, router, link_budget, retry, circuit and limiter, each with a suite. At 370 entries, 600 agents and 8 data centres all subsets hold 40 agents and each agent is in 20 to 29 of them (mean 24.7); a lost agent moves at most 2 places of an entry's subset, a lost entry at most 8 (tests/subset).

--- /dev/null
+++ b/core/retry.c
@@ -0,0 +1,68 @@
+#include "core/retry.h"
+
+#define MILLI 1000
+
+const struct retry_options retry_defaults = {
+	.per_success_milli = 100,
+	.max_retries = 100,
+	.start_retries = 10,
+	.max_attempts = 4,
+	.backoff_min_ms = 10,
+	.backoff_max_ms = 500,
+};
+
+void retry_init(struct retry *retry, const struct retry_options *options)
+{
+	retry->options = *options;
+	retry->budget_milli = (uint64_t)options->start_retries * MILLI;
+}
+
+void retry_succeeded(struct retry *retry)
+{
+	uint64_t max = (uint64_t)retry->options.max_retries * MILLI;
+
+	retry->budget_milli = MIN(
+		retry->budget_milli + retry->options.per_success_milli, max);
+}
+
+/* No wait before the second attempt, which goes to another agent; then a
+ * random part of a wait that doubles. */
+static uint32_t backoff_ms(const struct retry_options *options,
+			   uint32_t attempts, GRand *random)
+{
+	uint64_t most;
+
+	if (attempts < 2)
+		return 0;
+	most = (uint64_t)options->backoff_min_ms << (attempts - 1);
+	most = MIN(most, options->backoff_max_ms);
+	return g_rand_int_range(random, 1, (gint32)most + 1);
+}
+
+enum retry_verdict retry_ask(struct retry *retry, uint32_t attempts,
+			     uint64_t now_ms, uint64_t deadline_ms,
+			     GRand *random, uint64_t *at_ms)
+{
+	if (attempts >= retry->options.max_attempts)
+		return RETRY_TOO_MANY;
+	*at_ms = now_ms + backoff_ms(&retry->options, attempts, random);
+	if (*at_ms >= deadline_ms)
+		return RETRY_TOO_LATE;
+	if (retry->budget_milli < MILLI)
+		return RETRY_NO_BUDGET;
+	retry->budget_milli -= MILLI;
+	return *at_ms > now_ms ? RETRY_LATER : RETRY_NOW;
+}
+
+const char *retry_verdict_text(enum retry_verdict verdict)
+{
+	static const char *const texts[] = {
+		[RETRY_NOW] = "now",
+		[RETRY_LATER] = "later",
+		[RETRY_NO_BUDGET] = "the retry budget is spent",
+		[RETRY_TOO_MANY] = "too many attempts",
+		[RETRY_TOO_LATE] = "no time is left",
+	};
+
+	return texts[verdict];
+}
--- /dev/null
+++ b/core/subset.c
@@ -0,0 +1,215 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/hash.h"
+#include "core/subset.h"
+
+#define RING_SEED 0x5b5e7
+
+/* Shares of the subset, in percent; the rest is for other regions. */
+#define SAME_DATA_CENTRE_PERCENT 50
+#define SAME_REGION_PERCENT 25
+
+enum tier { TIER_DATA_CENTRE, TIER_REGION, TIER_OTHER, TIERS };
+
+struct place {
+	uint64_t hash;
+	const char *name;
+	size_t index;
+};
+
+/* The agents of one data centre, in ring order. */
+struct ring {
+	const char *data_centre;
+	enum tier tier;
+	struct place *places;
+	size_t nr;
+	size_t quota;
+};
+
+static int compare_places(const void *a, const void *b)
+{
+	const struct place *left = a;
+	const struct place *right = b;
+
+	if (left->hash != right->hash)
+		return left->hash < right->hash ? -1 : 1;
+	return strcmp(left->name, right->name);
+}
+
+/* Puts the nodes of a data centre in ring order; free the result. */
+static struct place *sort_places(const struct subset_node *nodes, size_t nr,
+				 const char *data_centre, size_t *found)
+{
+	struct place *places = g_new(struct place, nr);
+	size_t i;
+
+	*found = 0;
+	for (i = 0; i < nr; i++) {
+		struct place *place = &places[*found];
+
+		if (strcmp(nodes[i].data_centre, data_centre) != 0)
+			continue;
+		place->hash = hash_string(nodes[i].name, RING_SEED);
+		place->name = nodes[i].name;
+		place->index = i;
+		(*found)++;
+	}
+	qsort(places, *found, sizeof(*places), compare_places);
+	return places;
+}
+
+static enum tier tier_of(const struct subset_node *self,
+			 const struct subset_node *agent)
+{
+	if (!strcmp(self->data_centre, agent->data_centre))
+		return TIER_DATA_CENTRE;
+	if (!strcmp(self->region, agent->region))
+		return TIER_REGION;
+	return TIER_OTHER;
+}
+
+static struct ring *find_ring(GArray *rings, const char *data_centre)
+{
+	guint i;
+
+	for (i = 0; i < rings->len; i++) {
+		struct ring *ring = &g_array_index(rings, struct ring, i);
+
+		if (!strcmp(ring->data_centre, data_centre))
+			return ring;
+	}
+	return NULL;
+}
+
+static GArray *make_rings(const struct subset_node *self,
+			  const struct subset_node *agents, size_t nr)
+{
+	GArray *rings = g_array_new(FALSE, TRUE, sizeof(struct ring));
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		struct ring ring = { .data_centre = agents[i].data_centre };
+
+		if (find_ring(rings, ring.data_centre))
+			continue;
+		ring.tier = tier_of(self, &agents[i]);
+		ring.places =
+			sort_places(agents, nr, ring.data_centre, &ring.nr);
+		g_array_append_val(rings, ring);
+	}
+	return rings;
+}
+
+/*
+ * Spreads a share evenly over the rings of a tier; returns what is left. Odd
+ * places go to other rings for each entry.
+ */
+static size_t spread(GArray *rings, enum tier tier, size_t share, size_t first)
+{
+	bool given = true;
+	guint i;
+
+	while (share && given) {
+		given = false;
+		for (i = 0; i < rings->len && share; i++) {
+			struct ring *ring = &g_array_index(
+				rings, struct ring, (first + i) % rings->len);
+
+			if (ring->tier != tier || ring->quota == ring->nr)
+				continue;
+			ring->quota++;
+			share--;
+			given = true;
+		}
+	}
+	return share;
+}
+
+static void set_quotas(GArray *rings, unsigned size, size_t first)
+{
+	size_t shares[TIERS];
+	size_t left = 0;
+	int tier;
+
+	shares[TIER_DATA_CENTRE] = size * SAME_DATA_CENTRE_PERCENT / 100;
+	shares[TIER_REGION] = size * SAME_REGION_PERCENT / 100;
+	shares[TIER_OTHER] =
+		size - shares[TIER_DATA_CENTRE] - shares[TIER_REGION];
+	for (tier = 0; tier < TIERS; tier++)
+		left = spread(rings, tier, shares[tier] + left, first);
+	for (tier = 0; tier < TIERS; tier++)
+		left = spread(rings, tier, left, first);
+}
+
+/*
+ * Marks the arc of a ring that starts at the entry's place on its own. The
+ * rings of each pair of data centres are turned against each other, so that
+ * rounding doesn't meet the same agents each time.
+ */
+static unsigned mark_arc(const struct ring *ring, const char *data_centre,
+			 size_t place, size_t places,
+			 struct subset_node *agents)
+{
+	uint64_t turn = hash_string(data_centre, RING_SEED) >> 32;
+	/* A part of the ring, so that it moves little when the ring grows. */
+	size_t offset = (turn * ring->nr) >> 32;
+	size_t start = place * ring->nr / places + offset;
+	size_t i;
+
+	for (i = 0; i < ring->quota; i++)
+		agents[ring->places[(start + i) % ring->nr].index].picked =
+			true;
+	return ring->quota;
+}
+
+static const struct subset_node *find_node(const struct subset_node *nodes,
+					   size_t nr, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		if (!strcmp(nodes[i].name, name))
+			return &nodes[i];
+	}
+	return NULL;
+}
+
+static unsigned pick_all(struct subset_node *agents, size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		agents[i].picked = true;
+	return nr;
+}
+
+unsigned subset_pick(const struct subset_node *entries, size_t entries_nr,
+		     const char *self, struct subset_node *agents,
+		     size_t agents_nr, unsigned size)
+{
+	const struct subset_node *own = find_node(entries, entries_nr, self);
+	struct place *places;
+	unsigned picked = 0;
+	GArray *rings;
+	size_t nr, at;
+	guint i;
+
+	if (!own || agents_nr <= size)
+		return pick_all(agents, agents_nr);
+	places = sort_places(entries, entries_nr, own->data_centre, &nr);
+	for (at = 0; strcmp(places[at].name, self) != 0; at++)
+		;
+	rings = make_rings(own, agents, agents_nr);
+	set_quotas(rings, size, at);
+	for (i = 0; i < rings->len; i++) {
+		struct ring *ring = &g_array_index(rings, struct ring, i);
+
+		picked += mark_arc(ring, own->data_centre, at, nr, agents);
+		g_free(ring->places);
+	}
+	g_array_free(rings, TRUE);
+	g_free(places);
+	return picked;
+}
--- /dev/null
+++ b/include/core/subset.h
@@ -0,0 +1,34 @@
+/**
+ * The agents that an entry works with.
+ *
+ * A full mesh of entries and agents costs too many reports, so each entry has
+ * a subset. Agents and entries of each pair of data centres stand on two
+ * rings in the order of their hashed names; an entry takes an arc of agents
+ * that starts at its own place. So each agent is in the subsets of equally
+ * many entries, give or take one for each pair, and a node that comes or goes
+ * moves each arc by few places.
+ */
+#ifndef BRIARPLANK_CORE_SUBSET_H
+#define BRIARPLANK_CORE_SUBSET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** An entry, or an agent of the service. */
+struct subset_node {
+	const char *name;
+	const char *data_centre;
+	const char *region;
+	/** Set by subset_pick() for agents in the subset. */
+	bool picked;
+};
+
+/**
+ * Marks the agents of an entry's subset and returns their number. All are
+ * taken when there are no more than size. self must be among the entries.
+ */
+unsigned subset_pick(const struct subset_node *entries, size_t entries_nr,
+		     const char *self, struct subset_node *agents,
+		     size_t agents_nr, unsigned size);
+
+#endif
--- /dev/null
+++ b/tests/test_link_budget.c
@@ -0,0 +1,48 @@
+/*
+ * Bytes on the link between regions.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "core/link_budget.h"
+#include "script.h"
+
+#define US_PER_MS 1000
+
+static void *state_create(void)
+{
+	struct link_budget *budget = g_new0(struct link_budget, 1);
+
+	link_budget_init(budget, 1000, 500, 0);
+	return budget;
+}
+
+static void command(void *state, int argc, char **argv, GString *out)
+{
+	struct link_budget *budget = state;
+	uint64_t now_us = script_arg_int(argc, argv, "at", 0) * US_PER_MS;
+	uint64_t bytes = script_arg_int(argc, argv, "bytes", 0);
+
+	if (!strcmp(argv[0], "take"))
+		link_budget_take(budget, bytes, now_us);
+	else if (!strcmp(argv[0], "set"))
+		link_budget_set(budget, script_arg_int(argc, argv, "rate", 0),
+				script_arg_int(argc, argv, "burst", 0), now_us);
+	else
+		g_string_append(out, link_budget_open(budget, bytes, now_us) ?
+					     "open " :
+					     "shut ");
+	g_string_append_printf(out, "%" PRId64 "\n", budget->bytes);
+}
+
+static const struct script_driver driver = {
+	.name = "link_budget",
+	.create = state_create,
+	.destroy = g_free,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
