--- /dev/null
+++ b/core/ledger_grants.c
@@ -0,0 +1,507 @@
+/*
+ * Grants as leases, and the outcomes that agents report.
+ */
+#include <string.h>
+
+#include "core/ledger_state.h"
+
+/* Parts of a grant id: job number, item, number of the grant on the item. */
+#define GRANT_JOB_SHIFT 32
+#define GRANT_ITEM_SHIFT 12
+#define GRANT_ITEM_MASK 0xfffffu
+#define GRANT_NONCE_MASK 0xfffu
+/* Items past the last ended one that an earlier owner may have granted. */
+#define FRONTIER_ITEMS 256u
+/* Leases after its own in which a non-idempotent item's outcome may come. */
+#define GRACE_LEASES 1
+
+uint64_t ledger_grant_id(const struct ledger_job *job, uint32_t item)
+{
+	return (uint64_t)job->number << GRANT_JOB_SHIFT |
+	       (uint64_t)item << GRANT_ITEM_SHIFT |
+	       (job->items[item].nonce & GRANT_NONCE_MASK);
+}
+
+/* Finds the job and item that a grant id names. */
+static struct ledger_job *grant_target(const struct ledger *ledger, uint64_t id,
+				       uint32_t *item)
+{
+	struct ledger_job *job = g_hash_table_lookup(
+		ledger->jobs_by_number,
+		GUINT_TO_POINTER((guint)(id >> GRANT_JOB_SHIFT)));
+
+	*item = (uint32_t)(id >> GRANT_ITEM_SHIFT) & GRANT_ITEM_MASK;
+	return job && job->items && *item < job->items_nr ? job : NULL;
+}
+
+static struct ledger_grant *grant_find(const struct ledger *ledger, uint64_t id)
+{
+	return g_hash_table_lookup(ledger->grants_by_id, &id);
+}
+
+struct ledger_grant *ledger_grant_of(struct ledger *ledger,
+				     const struct ledger_job *job,
+				     uint32_t item)
+{
+	if (!(job->items[item].flags & ITEM_GRANTED))
+		return NULL;
+	return grant_find(ledger, ledger_grant_id(job, item));
+}
+
+static struct ledger_grant *grant_add(struct ledger_job *job, uint32_t item,
+				      const char *agent, uint64_t now_ms)
+{
+	struct ledger *ledger = job->ledger;
+	size_t len = strlen(agent) + 1;
+	struct ledger_grant *grant = g_malloc0(sizeof(*grant) + len);
+
+	memcpy(grant->agent, agent, len);
+	grant->id = ledger_grant_id(job, item);
+	grant->job = job;
+	grant->item = item;
+	grant->expires_ms = now_ms + ledger->options.lease_ms;
+	list_append(&ledger->grants, &grant->link);
+	g_hash_table_insert(ledger->grants_by_id, &grant->id, grant);
+	job->items[item].flags |= ITEM_GRANTED;
+	job->granted++;
+	return grant;
+}
+
+void ledger_grant_remove(struct ledger *ledger, struct ledger_grant *grant)
+{
+	grant->job->items[grant->item].flags &= ~ITEM_GRANTED;
+	grant->job->granted--;
+	g_hash_table_remove(ledger->grants_by_id, &grant->id);
+	list_remove(&grant->link);
+	g_free(grant);
+}
+
+void ledger_grant_revoke(struct ledger *ledger, struct ledger_grant *grant)
+{
+	struct ledger_revoked *revoked = g_new(struct ledger_revoked, 1);
+
+	revoked->grant_id = grant->id;
+	revoked->agent = g_strdup(grant->agent);
+	g_ptr_array_add(ledger->revoked, revoked);
+	ledger_grant_remove(ledger, grant);
+}
+
+void ledger_item_requeue(struct ledger_job *job, uint32_t item)
+{
+	if (job->items[item].flags & ITEM_QUEUED)
+		return;
+	job->items[item].flags |= ITEM_QUEUED;
+	g_queue_push_tail(&job->retry, GUINT_TO_POINTER(item));
+}
+
+static bool item_free(const struct ledger_item *item)
+{
+	return item->state == ITEM_WAITING &&
+	       !(item->flags & (ITEM_GRANTED | ITEM_ENDING));
+}
+
+/* Items that an earlier owner may have granted wait for its leases to lapse. */
+static void release_held(struct ledger_job *job, uint64_t now_ms)
+{
+	uint32_t i;
+
+	if (!job->held_until_ms || now_ms < job->held_until_ms)
+		return;
+	for (i = 0; i < job->frontier; i++) {
+		if (item_free(&job->items[i]))
+			ledger_item_requeue(job, i);
+	}
+	job->held_until_ms = 0;
+}
+
+static void drop_retry_head(struct ledger_job *job)
+{
+	uint32_t item = GPOINTER_TO_UINT(g_queue_pop_head(&job->retry));
+
+	job->items[item].flags &= ~ITEM_QUEUED;
+}
+
+/* Finds a free item; a suspect one only when it would run alone. */
+static bool next_item(struct ledger_job *job, bool alone, uint64_t now_ms,
+		      uint32_t *item)
+{
+	guint tries = g_queue_get_length(&job->retry);
+
+	release_held(job, now_ms);
+	while (job->cursor < job->items_nr &&
+	       (!item_free(&job->items[job->cursor]) ||
+		job->items[job->cursor].flags & (ITEM_QUEUED | ITEM_SUSPECT))) {
+		if (item_free(&job->items[job->cursor]))
+			ledger_item_requeue(job, job->cursor);
+		job->cursor++;
+	}
+	if (!alone && job->cursor < job->items_nr) {
+		*item = job->cursor;
+		return true;
+	}
+	tries = g_queue_get_length(&job->retry);
+	while (tries--) {
+		struct ledger_item *it;
+
+		*item = GPOINTER_TO_UINT(g_queue_peek_head(&job->retry));
+		it = &job->items[*item];
+		if (!item_free(it)) {
+			drop_retry_head(job);
+			continue;
+		}
+		if (!(it->flags & ITEM_SUSPECT) == !alone)
+			return true;
+		g_queue_push_tail(&job->retry, g_queue_pop_head(&job->retry));
+	}
+	return false;
+}
+
+bool ledger_grantable(struct ledger_job *job, bool alone, uint64_t now_ms)
+{
+	uint32_t item;
+
+	if (!job->items || job->cancelled_ms || job->cancel_queued ||
+	    !job->counts[ITEM_WAITING])
+		return false;
+	if (job->ledger->outbox_bytes > job->ledger->options.outbox_max_bytes)
+		return false;
+	return next_item(job, alone, now_ms, &item);
+}
+
+static uint64_t queue_intent(struct ledger_job *job, uint32_t item)
+{
+	Briarplank__LedgerRecord *record =
+		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_INTENT);
+	Briarplank__ItemIntent *intent = g_new(Briarplank__ItemIntent, 1);
+
+	briarplank__item_intent__init(intent);
+	intent->job_id = ledger_bytes(job->id, HASH128_BYTES);
+	intent->item = item;
+	intent->grant_id = ledger_grant_id(job, item);
+	record->intent = intent;
+	ledger_queue(job->ledger, record);
+	return job->ledger->queued;
+}
+
+bool ledger_grant(struct ledger_job *job, const char *agent, bool want_alone,
+		  uint64_t now_ms, struct ledger_grant_out *out)
+{
+	struct ledger_grant *grant;
+	struct ledger_item *it;
+	uint32_t item;
+
+	if (!ledger_grantable(job, want_alone, now_ms) ||
+	    !next_item(job, want_alone, now_ms, &item))
+		return false;
+	it = &job->items[item];
+	if (it->flags & ITEM_QUEUED)
+		drop_retry_head(job);
+	else
+		job->cursor++;
+	it->nonce++;
+	grant = grant_add(job, item, agent, now_ms);
+	grant->alone = want_alone;
+	memset(out, 0, sizeof(*out));
+	out->grant_id = grant->id;
+	out->job_id = job->id;
+	out->item = item;
+	out->attempt = it->attempts + 1u;
+	out->body_offset = job->chunks[it->chunk].offset;
+	out->body_index = item - job->chunks[it->chunk].first_item;
+	out->path = job->path;
+	out->idempotent = it->flags & ITEM_IDEMPOTENT;
+	out->alone = want_alone;
+	if (!out->idempotent)
+		out->mark = queue_intent(job, item);
+	return true;
+}
+
+static void queue_attempt(struct ledger_job *job, uint32_t item,
+			  uint32_t attempts, bool killed)
+{
+	Briarplank__LedgerRecord *record =
+		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_ATTEMPT);
+	Briarplank__ItemAttempt *attempt = g_new(Briarplank__ItemAttempt, 1);
+
+	briarplank__item_attempt__init(attempt);
+	attempt->job_id = ledger_bytes(job->id, HASH128_BYTES);
+	attempt->item = item;
+	attempt->attempts = attempts;
+	attempt->killed_server = killed;
+	record->attempt = attempt;
+	job->items[item].flags |= ITEM_ENDING;
+	ledger_queue(job->ledger, record);
+}
+
+/* An item proven not run needs a record only to close its intent. */
+static void give_back(struct ledger_job *job, uint32_t item)
+{
+	if (job->items[item].flags & ITEM_IDEMPOTENT)
+		ledger_item_requeue(job, item);
+	else
+		queue_attempt(job, item, job->items[item].attempts, false);
+}
+
+void ledger_ungrant(struct ledger *ledger, uint64_t grant_id)
+{
+	struct ledger_grant *grant = grant_find(ledger, grant_id);
+	struct ledger_job *job;
+	uint32_t item;
+
+	if (!grant)
+		return;
+	job = grant->job;
+	item = grant->item;
+	ledger_grant_remove(ledger, grant);
+	if (!ledger_item_ended(&job->items[item]))
+		give_back(job, item);
+}
+
+static void fail_item(struct ledger_job *job, uint32_t item, uint64_t wall_ms,
+		      const char *message)
+{
+	ProtobufCBinaryData none = { 0 };
+
+	ledger_queue_end(job, item, BRIARPLANK__ITEM_ENDED__STATE__FAILED,
+			 wall_ms, none, message);
+}
+
+/* Counts an attempt, and ends the item once they are used up. */
+static void count_attempt(struct ledger_job *job, uint32_t item, bool killed,
+			  uint32_t attempts_max, uint64_t wall_ms,
+			  const char *message)
+{
+	uint32_t attempts = job->items[item].attempts + 1u;
+
+	if (attempts >= attempts_max)
+		fail_item(job, item, wall_ms, message);
+	else
+		queue_attempt(job, item, attempts, killed);
+}
+
+static void lose_outcome(struct ledger_job *job, uint32_t item,
+			 uint64_t wall_ms)
+{
+	ProtobufCBinaryData none = { 0 };
+
+	ledger_queue_end(job, item,
+			 BRIARPLANK__ITEM_ENDED__STATE__OUTCOME_UNKNOWN,
+			 wall_ms, none,
+			 "the server was lost while it may have run the item");
+}
+
+/* The server or its agent was lost with the item in flight. */
+static void lose_item(struct ledger_job *job, uint32_t item,
+		      uint32_t attempts_max, uint64_t wall_ms)
+{
+	if (job->items[item].flags & ITEM_IDEMPOTENT)
+		count_attempt(job, item, true, attempts_max, wall_ms,
+			      "servers were lost while they ran the item");
+	else
+		lose_outcome(job, item, wall_ms);
+}
+
+static void take_outcome(struct ledger_job *job, uint32_t item,
+			 const Briarplank__ItemOutcome *outcome,
+			 uint32_t attempts_max, uint64_t wall_ms)
+{
+	switch (outcome->result) {
+	case BRIARPLANK__ITEM_OUTCOME__RESULT__DONE:
+		ledger_queue_end(job, item, BRIARPLANK__ITEM_ENDED__STATE__DONE,
+				 wall_ms, outcome->body, "");
+		break;
+	case BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN:
+		give_back(job, item);
+		break;
+	case BRIARPLANK__ITEM_OUTCOME__RESULT__LOST:
+		lose_item(job, item, attempts_max, wall_ms);
+		break;
+	default:
+		if (job->items[item].flags & ITEM_IDEMPOTENT)
+			count_attempt(job, item, false, attempts_max, wall_ms,
+				      outcome->message);
+		else
+			fail_item(job, item, wall_ms, outcome->message);
+		break;
+	}
+}
+
+/*
+ * An outcome counts under the grant in force. A result of an idempotent item
+ * counts whatever its grant: it is what the item yields. For another item the
+ * intent must name the grant.
+ */
+static bool outcome_counts(const struct ledger_job *job, uint32_t item,
+			   const Briarplank__ItemOutcome *outcome, bool current)
+{
+	const struct ledger_item *it = &job->items[item];
+	const uint64_t *intent;
+
+	if (it->flags & ITEM_IDEMPOTENT)
+		return current ||
+		       outcome->result ==
+			       BRIARPLANK__ITEM_OUTCOME__RESULT__DONE;
+	intent = g_hash_table_lookup(job->intents, GUINT_TO_POINTER(item));
+	return intent && *intent == outcome->grant->grant_id;
+}
+
+enum ledger_status ledger_complete(struct ledger *ledger,
+				   const Briarplank__ItemOutcome *outcome,
+				   uint32_t attempts_max, uint64_t wall_ms)
+{
+	uint64_t id = outcome->grant->grant_id;
+	struct ledger_grant *grant, *other;
+	struct ledger_job *job;
+	uint32_t item;
+
+	if (!ledger_owned(ledger))
+		return LEDGER_NOT_OWNER;
+	job = grant_target(ledger, id, &item);
+	if (!job || ledger_item_ended(&job->items[item]))
+		return LEDGER_OK;
+	if (job->items[item].flags & ITEM_ENDING)
+		return LEDGER_QUEUED;
+	grant = grant_find(ledger, id);
+	if (!outcome_counts(job, item, outcome, grant != NULL))
+		return LEDGER_VOID_GRANT;
+	other = ledger_grant_of(ledger, job, item);
+	if (grant)
+		ledger_grant_remove(ledger, grant);
+	else if (other)
+		ledger_grant_revoke(ledger, other);
+	take_outcome(job, item, outcome, attempts_max, wall_ms);
+	return job->items[item].flags & ITEM_ENDING ? LEDGER_QUEUED : LEDGER_OK;
+}
+
+/* A grant of an earlier owner goes on when its item is still free. */
+static bool adopt(struct ledger *ledger, const Briarplank__GrantRef *ref,
+		  const char *agent, uint64_t now_ms)
+{
+	struct ledger_job *job;
+	const uint64_t *intent;
+	uint32_t item;
+
+	job = grant_target(ledger, ref->grant_id, &item);
+	if (!job || job->cancelled_ms || job->items[item].flags & ITEM_GRANTED)
+		return false;
+	if (job->items[item].state == ITEM_INTENT) {
+		intent = g_hash_table_lookup(job->intents,
+					     GUINT_TO_POINTER(item));
+		if (!intent || *intent != ref->grant_id)
+			return false;
+	} else if (!item_free(&job->items[item]) ||
+		   !(job->items[item].flags & ITEM_IDEMPOTENT) ||
+		   ref->epoch >= ledger->epoch) {
+		return false;
+	}
+	job->items[item].nonce = ref->grant_id & GRANT_NONCE_MASK;
+	grant_add(job, item, agent, now_ms);
+	return true;
+}
+
+bool ledger_renew(struct ledger *ledger, const Briarplank__GrantRef *ref,
+		  const char *agent, uint64_t now_ms)
+{
+	struct ledger_grant *grant = grant_find(ledger, ref->grant_id);
+
+	if (!ledger_owned(ledger))
+		return false;
+	if (grant && !*grant->agent) {
+		ledger_grant_remove(ledger, grant);
+		grant = NULL;
+	}
+	if (!grant)
+		return adopt(ledger, ref, agent, now_ms);
+	if (strcmp(grant->agent, agent))
+		return false;
+	grant->grace = false;
+	grant->expires_ms = now_ms + ledger->options.lease_ms;
+	list_remove(&grant->link);
+	list_append(&ledger->grants, &grant->link);
+	return true;
+}
+
+/*
+ * The outcome of a non-idempotent item may still be on its way when the lease
+ * lapses: its agent gets time to report before the item ends without one.
+ */
+static bool give_grace(struct ledger_grant *grant)
+{
+	const struct ledger_item *item = &grant->job->items[grant->item];
+
+	if (item->flags & ITEM_IDEMPOTENT || grant->grace)
+		return false;
+	grant->grace = true;
+	grant->expires_ms +=
+		GRACE_LEASES * grant->job->ledger->options.lease_ms;
+	return true;
+}
+
+void ledger_expire(struct ledger *ledger, uint32_t attempts_max,
+		   uint64_t now_ms, uint64_t wall_ms)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &ledger->grants) {
+		struct ledger_grant *grant =
+			list_entry(pos, struct ledger_grant, link);
+		struct ledger_job *job = grant->job;
+		uint32_t item = grant->item;
+
+		if (grant->expires_ms > now_ms || give_grace(grant))
+			continue;
+		ledger_grant_revoke(ledger, grant);
+		if (!(job->items[item].flags & ITEM_ENDING))
+			lose_item(job, item, attempts_max, wall_ms);
+	}
+}
+
+const char *ledger_grant_service(const struct ledger *ledger, uint64_t grant_id)
+{
+	struct ledger_job *job;
+	uint32_t item;
+
+	job = grant_target(ledger, grant_id, &item);
+	return job ? job->service : NULL;
+}
+
+/* Gives an orphaned intent a stand-in grant, so that its lease can lapse. */
+static void watch_intents(struct ledger_job *job, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, job->intents);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint32_t item = GPOINTER_TO_UINT(key);
+		const uint64_t *id = value;
+
+		job->items[item].nonce = *id & GRANT_NONCE_MASK;
+		grant_add(job, item, "", now_ms);
+	}
+}
+
+static uint32_t job_frontier(const struct ledger_job *job)
+{
+	uint32_t last = job->items_nr;
+
+	while (last > 0 && job->items[last - 1].state == ITEM_WAITING)
+		last--;
+	return MIN(last + FRONTIER_ITEMS, job->items_nr);
+}
+
+void ledger_take_over(struct ledger *ledger, uint64_t now_ms)
+{
+	struct list *pos;
+
+	list_for_each (pos, &ledger->open_jobs) {
+		struct ledger_job *job =
+			list_entry(pos, struct ledger_job, open_link);
+
+		job->frontier = job_frontier(job);
+		job->cursor = job->frontier;
+		job->held_until_ms = now_ms + ledger->options.lease_ms;
+		g_queue_clear(&job->retry);
+		watch_intents(job, now_ms);
+	}
+}
--- a/wire/batch.pb-c.c
+++ b/wire/batch.pb-c.c
@@ -939,7 +939,7 @@
   (ProtobufCMessageInit) briarplank__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor briarplank__grant__field_descriptors[12] =
 {
   {
     "shard",
@@ -1073,8 +1073,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Grant, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__grant__field_indices_by_name[] = {
+  11,   /* field[11] = alone */
   5,   /* field[5] = attempt */
   8,   /* field[8] = body */
   1,   /* field[1] = epoch */
@@ -1090,7 +1103,7 @@
 static const ProtobufCIntRange briarplank__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor briarplank__grant__descriptor =
 {
@@ -1100,7 +1113,7 @@
   "Briarplank__Grant",
   "briarplank",
   sizeof(Briarplank__Grant),
-  11,
+  12,
   briarplank__grant__field_descriptors,
   briarplank__grant__field_indices_by_name,
   1,  briarplank__grant__number_ranges,
--- a/wire/batch.pb-c.h
+++ b/wire/batch.pb-c.h
@@ -111,10 +111,14 @@
   ProtobufCBinaryData body;
   protobuf_c_boolean idempotent;
   uint32_t lease_ms;
+  /*
+   * The item may have killed a server: run nothing else of batch beside it.
+   */
+  protobuf_c_boolean alone;
 };
 #define BRIARPLANK__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__grant__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
 
 
 struct  Briarplank__Grants
--- a/wire/ledger.pb-c.c
+++ b/wire/ledger.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &briarplank__shard_append__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__checkpoint_hint__init
+                     (Briarplank__CheckpointHint         *message)
+{
+  static const Briarplank__CheckpointHint init_value = BRIARPLANK__CHECKPOINT_HINT__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_hint__get_packed_size
+                     (const Briarplank__CheckpointHint *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_hint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_hint__pack
+                     (const Briarplank__CheckpointHint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_hint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_hint__pack_to_buffer
+                     (const Briarplank__CheckpointHint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_hint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointHint *
+       briarplank__checkpoint_hint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointHint *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_hint__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_hint__free_unpacked
+                     (Briarplank__CheckpointHint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_hint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__checkpoint__init
                      (Briarplank__Checkpoint         *message)
 {
@@ -547,6 +592,231 @@
   assert(message->base.descriptor == &briarplank__checkpoint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__checkpoint_chunk__init
+                     (Briarplank__CheckpointChunk         *message)
+{
+  static const Briarplank__CheckpointChunk init_value = BRIARPLANK__CHECKPOINT_CHUNK__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_chunk__get_packed_size
+                     (const Briarplank__CheckpointChunk *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_chunk__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_chunk__pack
+                     (const Briarplank__CheckpointChunk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_chunk__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_chunk__pack_to_buffer
+                     (const Briarplank__CheckpointChunk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_chunk__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointChunk *
+       briarplank__checkpoint_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointChunk *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_chunk__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_chunk__free_unpacked
+                     (Briarplank__CheckpointChunk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_chunk__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   briarplank__checkpoint_intent__init
+                     (Briarplank__CheckpointIntent         *message)
+{
+  static const Briarplank__CheckpointIntent init_value = BRIARPLANK__CHECKPOINT_INTENT__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_intent__get_packed_size
+                     (const Briarplank__CheckpointIntent *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_intent__pack
+                     (const Briarplank__CheckpointIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_intent__pack_to_buffer
+                     (const Briarplank__CheckpointIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointIntent *
+       briarplank__checkpoint_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointIntent *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_intent__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_intent__free_unpacked
+                     (Briarplank__CheckpointIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   briarplank__checkpoint_job__init
+                     (Briarplank__CheckpointJob         *message)
+{
+  static const Briarplank__CheckpointJob init_value = BRIARPLANK__CHECKPOINT_JOB__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_job__get_packed_size
+                     (const Briarplank__CheckpointJob *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_job__pack
+                     (const Briarplank__CheckpointJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_job__pack_to_buffer
+                     (const Briarplank__CheckpointJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointJob *
+       briarplank__checkpoint_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointJob *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_job__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_job__free_unpacked
+                     (Briarplank__CheckpointJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   briarplank__checkpoint_submission__init
+                     (Briarplank__CheckpointSubmission         *message)
+{
+  static const Briarplank__CheckpointSubmission init_value = BRIARPLANK__CHECKPOINT_SUBMISSION__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_submission__get_packed_size
+                     (const Briarplank__CheckpointSubmission *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_submission__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_submission__pack
+                     (const Briarplank__CheckpointSubmission *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_submission__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_submission__pack_to_buffer
+                     (const Briarplank__CheckpointSubmission *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_submission__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointSubmission *
+       briarplank__checkpoint_submission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointSubmission *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_submission__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_submission__free_unpacked
+                     (Briarplank__CheckpointSubmission *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_submission__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   briarplank__checkpoint_state__init
+                     (Briarplank__CheckpointState         *message)
+{
+  static const Briarplank__CheckpointState init_value = BRIARPLANK__CHECKPOINT_STATE__INIT;
+  *message = init_value;
+}
+size_t briarplank__checkpoint_state__get_packed_size
+                     (const Briarplank__CheckpointState *message)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__checkpoint_state__pack
+                     (const Briarplank__CheckpointState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__checkpoint_state__pack_to_buffer
+                     (const Briarplank__CheckpointState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__checkpoint_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__CheckpointState *
+       briarplank__checkpoint_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__CheckpointState *)
+     protobuf_c_message_unpack (&briarplank__checkpoint_state__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__checkpoint_state__free_unpacked
+                     (Briarplank__CheckpointState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__checkpoint_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor briarplank__shard_claim__field_descriptors[5] =
 {
   {
@@ -1119,7 +1389,7 @@
   briarplank__item_ended__state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor briarplank__item_ended__field_descriptors[7] =
+static const ProtobufCFieldDescriptor briarplank__item_ended__field_descriptors[8] =
 {
   {
     "job_id",
@@ -1205,6 +1475,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reappended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ItemEnded, reappended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__item_ended__field_indices_by_name[] = {
   3,   /* field[3] = attempts */
@@ -1213,12 +1495,13 @@
   5,   /* field[5] = error */
   1,   /* field[1] = item */
   0,   /* field[0] = job_id */
+  7,   /* field[7] = reappended */
   2,   /* field[2] = state */
 };
 static const ProtobufCIntRange briarplank__item_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor briarplank__item_ended__descriptor =
 {
@@ -1228,7 +1511,7 @@
   "Briarplank__ItemEnded",
   "briarplank",
   sizeof(Briarplank__ItemEnded),
-  7,
+  8,
   briarplank__item_ended__field_descriptors,
   briarplank__item_ended__field_indices_by_name,
   1,  briarplank__item_ended__number_ranges,
@@ -1492,7 +1775,7 @@
   (ProtobufCMessageInit) briarplank__ledger_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__shard_append__field_descriptors[8] =
+static const ProtobufCFieldDescriptor briarplank__shard_append__field_descriptors[9] =
 {
   {
     "writer",
@@ -1590,12 +1873,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardAppend, hint),
+    &briarplank__checkpoint_hint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__shard_append__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
   5,   /* field[5] = chunk */
   4,   /* field[4] = claim */
   3,   /* field[3] = epoch */
+  8,   /* field[8] = hint */
   6,   /* field[6] = records */
   2,   /* field[2] = sequence */
   0,   /* field[0] = writer */
@@ -1604,7 +1900,7 @@
 static const ProtobufCIntRange briarplank__shard_append__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor briarplank__shard_append__descriptor =
 {
@@ -1614,13 +1910,64 @@
   "Briarplank__ShardAppend",
   "briarplank",
   sizeof(Briarplank__ShardAppend),
-  8,
+  9,
   briarplank__shard_append__field_descriptors,
   briarplank__shard_append__field_indices_by_name,
   1,  briarplank__shard_append__number_ranges,
   (ProtobufCMessageInit) briarplank__shard_append__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor briarplank__checkpoint_hint__field_descriptors[2] =
+{
+  {
+    "as_of_offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointHint, as_of_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_offsets",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Briarplank__CheckpointHint, n_part_offsets),
+    offsetof(Briarplank__CheckpointHint, part_offsets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_hint__field_indices_by_name[] = {
+  0,   /* field[0] = as_of_offset */
+  1,   /* field[1] = part_offsets */
+};
+static const ProtobufCIntRange briarplank__checkpoint_hint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_hint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointHint",
+  "CheckpointHint",
+  "Briarplank__CheckpointHint",
+  "briarplank",
+  sizeof(Briarplank__CheckpointHint),
+  2,
+  briarplank__checkpoint_hint__field_descriptors,
+  briarplank__checkpoint_hint__field_indices_by_name,
+  1,  briarplank__checkpoint_hint__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_hint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor briarplank__checkpoint__field_descriptors[4] =
 {
   {
@@ -1698,3 +2045,505 @@
   (ProtobufCMessageInit) briarplank__checkpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor briarplank__checkpoint_chunk__field_descriptors[5] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_item",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, first_item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_chunk__field_indices_by_name[] = {
+  1,   /* field[1] = first_item */
+  3,   /* field[3] = idempotent */
+  4,   /* field[4] = index */
+  2,   /* field[2] = items */
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange briarplank__checkpoint_chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointChunk",
+  "CheckpointChunk",
+  "Briarplank__CheckpointChunk",
+  "briarplank",
+  sizeof(Briarplank__CheckpointChunk),
+  5,
+  briarplank__checkpoint_chunk__field_descriptors,
+  briarplank__checkpoint_chunk__field_indices_by_name,
+  1,  briarplank__checkpoint_chunk__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__checkpoint_intent__field_descriptors[2] =
+{
+  {
+    "item",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointIntent, item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointIntent, grant_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_intent__field_indices_by_name[] = {
+  1,   /* field[1] = grant_id */
+  0,   /* field[0] = item */
+};
+static const ProtobufCIntRange briarplank__checkpoint_intent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_intent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointIntent",
+  "CheckpointIntent",
+  "Briarplank__CheckpointIntent",
+  "briarplank",
+  sizeof(Briarplank__CheckpointIntent),
+  2,
+  briarplank__checkpoint_intent__field_descriptors,
+  briarplank__checkpoint_intent__field_indices_by_name,
+  1,  briarplank__checkpoint_intent__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_intent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__checkpoint_job__field_descriptors[9] =
+{
+  {
+    "sealed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, sealed),
+    &briarplank__job_sealed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancelled_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, cancelled_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expired",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, expired),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointJob, items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunks",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointJob, n_chunks),
+    offsetof(Briarplank__CheckpointJob, chunks),
+    &briarplank__checkpoint_chunk__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intents",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointJob, n_intents),
+    offsetof(Briarplank__CheckpointJob, intents),
+    &briarplank__checkpoint_intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Briarplank__CheckpointJob, n_counts),
+    offsetof(Briarplank__CheckpointJob, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_job__field_indices_by_name[] = {
+  2,   /* field[2] = cancelled_ms */
+  6,   /* field[6] = chunks */
+  8,   /* field[8] = counts */
+  3,   /* field[3] = ended_ms */
+  4,   /* field[4] = expired */
+  7,   /* field[7] = intents */
+  5,   /* field[5] = items */
+  1,   /* field[1] = number */
+  0,   /* field[0] = sealed */
+};
+static const ProtobufCIntRange briarplank__checkpoint_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointJob",
+  "CheckpointJob",
+  "Briarplank__CheckpointJob",
+  "briarplank",
+  sizeof(Briarplank__CheckpointJob),
+  9,
+  briarplank__checkpoint_job__field_descriptors,
+  briarplank__checkpoint_job__field_indices_by_name,
+  1,  briarplank__checkpoint_job__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__checkpoint_submission__field_descriptors[4] =
+{
+  {
+    "submission_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, submission_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, first_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointSubmission, n_chunks),
+    offsetof(Briarplank__CheckpointSubmission, chunks),
+    &briarplank__checkpoint_chunk__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_submission__field_indices_by_name[] = {
+  3,   /* field[3] = chunks */
+  2,   /* field[2] = first_ms */
+  1,   /* field[1] = job_id */
+  0,   /* field[0] = submission_id */
+};
+static const ProtobufCIntRange briarplank__checkpoint_submission__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_submission__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointSubmission",
+  "CheckpointSubmission",
+  "Briarplank__CheckpointSubmission",
+  "briarplank",
+  sizeof(Briarplank__CheckpointSubmission),
+  4,
+  briarplank__checkpoint_submission__field_descriptors,
+  briarplank__checkpoint_submission__field_indices_by_name,
+  1,  briarplank__checkpoint_submission__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_submission__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__checkpoint_state__field_descriptors[9] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, owner_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_job_number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, next_job_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "time_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointState, n_jobs),
+    offsetof(Briarplank__CheckpointState, jobs),
+    &briarplank__checkpoint_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submissions",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointState, n_submissions),
+    offsetof(Briarplank__CheckpointState, submissions),
+    &briarplank__checkpoint_submission__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__CheckpointState, n_keys),
+    offsetof(Briarplank__CheckpointState, keys),
+    &briarplank__key_claimed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_sequence",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointState, last_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__checkpoint_state__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  5,   /* field[5] = jobs */
+  7,   /* field[7] = keys */
+  8,   /* field[8] = last_sequence */
+  3,   /* field[3] = next_job_number */
+  1,   /* field[1] = owner */
+  2,   /* field[2] = owner_incarnation */
+  6,   /* field[6] = submissions */
+  4,   /* field[4] = time_ms */
+};
+static const ProtobufCIntRange briarplank__checkpoint_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor briarplank__checkpoint_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.CheckpointState",
+  "CheckpointState",
+  "Briarplank__CheckpointState",
+  "briarplank",
+  sizeof(Briarplank__CheckpointState),
+  9,
+  briarplank__checkpoint_state__field_descriptors,
+  briarplank__checkpoint_state__field_indices_by_name,
+  1,  briarplank__checkpoint_state__number_ranges,
+  (ProtobufCMessageInit) briarplank__checkpoint_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire/ledger.pb-c.h
+++ b/wire/ledger.pb-c.h
@@ -26,7 +26,13 @@
 typedef struct Briarplank__KeyClaimed Briarplank__KeyClaimed;
 typedef struct Briarplank__LedgerRecord Briarplank__LedgerRecord;
 typedef struct Briarplank__ShardAppend Briarplank__ShardAppend;
+typedef struct Briarplank__CheckpointHint Briarplank__CheckpointHint;
 typedef struct Briarplank__Checkpoint Briarplank__Checkpoint;
+typedef struct Briarplank__CheckpointChunk Briarplank__CheckpointChunk;
+typedef struct Briarplank__CheckpointIntent Briarplank__CheckpointIntent;
+typedef struct Briarplank__CheckpointJob Briarplank__CheckpointJob;
+typedef struct Briarplank__CheckpointSubmission Briarplank__CheckpointSubmission;
+typedef struct Briarplank__CheckpointState Briarplank__CheckpointState;
 
 
 /* --- enums --- */
@@ -152,10 +158,14 @@
   ProtobufCBinaryData body;
   char *error;
   uint64_t ended_ms;
+  /*
+   * Moves the result of an ended item to a later offset.
+   */
+  protobuf_c_boolean reappended;
 };
 #define BRIARPLANK__ITEM_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__item_ended__descriptor) \
-    , {0,NULL}, 0, BRIARPLANK__ITEM_ENDED__STATE__DONE, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
+    , {0,NULL}, 0, BRIARPLANK__ITEM_ENDED__STATE__DONE, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -240,10 +250,29 @@
    * Marks a checkpoint append, see the design note of the job ledger.
    */
   Briarplank__Checkpoint *checkpoint;
+  /*
+   * Newest checkpoint that its writer has read back as valid.
+   */
+  Briarplank__CheckpointHint *hint;
 };
 #define BRIARPLANK__SHARD_APPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__shard_append__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL, NULL, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL, NULL, 0,NULL, NULL, NULL }
+
+
+struct  Briarplank__CheckpointHint
+{
+  ProtobufCMessage base;
+  uint64_t as_of_offset;
+  /*
+   * Offsets of all parts, in order.
+   */
+  size_t n_part_offsets;
+  uint64_t *part_offsets;
+};
+#define BRIARPLANK__CHECKPOINT_HINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_hint__descriptor) \
+    , 0, 0,NULL }
 
 
 /*
@@ -262,6 +291,96 @@
     , 0, 0, 0, {0,NULL} }
 
 
+struct  Briarplank__CheckpointChunk
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t first_item;
+  uint32_t items;
+  /*
+   * One bit an item, for chunks of submissions that are not sealed.
+   */
+  ProtobufCBinaryData idempotent;
+  uint32_t index;
+};
+#define BRIARPLANK__CHECKPOINT_CHUNK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_chunk__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0 }
+
+
+struct  Briarplank__CheckpointIntent
+{
+  ProtobufCMessage base;
+  uint32_t item;
+  uint64_t grant_id;
+};
+#define BRIARPLANK__CHECKPOINT_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_intent__descriptor) \
+    , 0, 0 }
+
+
+struct  Briarplank__CheckpointJob
+{
+  ProtobufCMessage base;
+  Briarplank__JobSealed *sealed;
+  uint32_t number;
+  uint64_t cancelled_ms;
+  uint64_t ended_ms;
+  protobuf_c_boolean expired;
+  /*
+   * Each item: state and flags, attempts, kills, result offset (varint).
+   */
+  ProtobufCBinaryData items;
+  size_t n_chunks;
+  Briarplank__CheckpointChunk **chunks;
+  size_t n_intents;
+  Briarplank__CheckpointIntent **intents;
+  size_t n_counts;
+  uint32_t *counts;
+};
+#define BRIARPLANK__CHECKPOINT_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_job__descriptor) \
+    , NULL, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Briarplank__CheckpointSubmission
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData submission_id;
+  ProtobufCBinaryData job_id;
+  uint64_t first_ms;
+  size_t n_chunks;
+  Briarplank__CheckpointChunk **chunks;
+};
+#define BRIARPLANK__CHECKPOINT_SUBMISSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_submission__descriptor) \
+    , {0,NULL}, {0,NULL}, 0, 0,NULL }
+
+
+/*
+ * The content of Checkpoint.state; each part stands for itself.
+ */
+struct  Briarplank__CheckpointState
+{
+  ProtobufCMessage base;
+  uint64_t epoch;
+  char *owner;
+  uint64_t owner_incarnation;
+  uint32_t next_job_number;
+  uint64_t time_ms;
+  uint64_t last_sequence;
+  size_t n_jobs;
+  Briarplank__CheckpointJob **jobs;
+  size_t n_submissions;
+  Briarplank__CheckpointSubmission **submissions;
+  size_t n_keys;
+  Briarplank__KeyClaimed **keys;
+};
+#define BRIARPLANK__CHECKPOINT_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_state__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Briarplank__ShardClaim methods */
 void   briarplank__shard_claim__init
                      (Briarplank__ShardClaim         *message);
@@ -471,6 +590,25 @@
 void   briarplank__shard_append__free_unpacked
                      (Briarplank__ShardAppend *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointHint methods */
+void   briarplank__checkpoint_hint__init
+                     (Briarplank__CheckpointHint         *message);
+size_t briarplank__checkpoint_hint__get_packed_size
+                     (const Briarplank__CheckpointHint   *message);
+size_t briarplank__checkpoint_hint__pack
+                     (const Briarplank__CheckpointHint   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_hint__pack_to_buffer
+                     (const Briarplank__CheckpointHint   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointHint *
+       briarplank__checkpoint_hint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_hint__free_unpacked
+                     (Briarplank__CheckpointHint *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__Checkpoint methods */
 void   briarplank__checkpoint__init
                      (Briarplank__Checkpoint         *message);
@@ -490,6 +628,101 @@
 void   briarplank__checkpoint__free_unpacked
                      (Briarplank__Checkpoint *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointChunk methods */
+void   briarplank__checkpoint_chunk__init
+                     (Briarplank__CheckpointChunk         *message);
+size_t briarplank__checkpoint_chunk__get_packed_size
+                     (const Briarplank__CheckpointChunk   *message);
+size_t briarplank__checkpoint_chunk__pack
+                     (const Briarplank__CheckpointChunk   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_chunk__pack_to_buffer
+                     (const Briarplank__CheckpointChunk   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointChunk *
+       briarplank__checkpoint_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_chunk__free_unpacked
+                     (Briarplank__CheckpointChunk *message,
+                      ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointIntent methods */
+void   briarplank__checkpoint_intent__init
+                     (Briarplank__CheckpointIntent         *message);
+size_t briarplank__checkpoint_intent__get_packed_size
+                     (const Briarplank__CheckpointIntent   *message);
+size_t briarplank__checkpoint_intent__pack
+                     (const Briarplank__CheckpointIntent   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_intent__pack_to_buffer
+                     (const Briarplank__CheckpointIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointIntent *
+       briarplank__checkpoint_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_intent__free_unpacked
+                     (Briarplank__CheckpointIntent *message,
+                      ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointJob methods */
+void   briarplank__checkpoint_job__init
+                     (Briarplank__CheckpointJob         *message);
+size_t briarplank__checkpoint_job__get_packed_size
+                     (const Briarplank__CheckpointJob   *message);
+size_t briarplank__checkpoint_job__pack
+                     (const Briarplank__CheckpointJob   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_job__pack_to_buffer
+                     (const Briarplank__CheckpointJob   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointJob *
+       briarplank__checkpoint_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_job__free_unpacked
+                     (Briarplank__CheckpointJob *message,
+                      ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointSubmission methods */
+void   briarplank__checkpoint_submission__init
+                     (Briarplank__CheckpointSubmission         *message);
+size_t briarplank__checkpoint_submission__get_packed_size
+                     (const Briarplank__CheckpointSubmission   *message);
+size_t briarplank__checkpoint_submission__pack
+                     (const Briarplank__CheckpointSubmission   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_submission__pack_to_buffer
+                     (const Briarplank__CheckpointSubmission   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointSubmission *
+       briarplank__checkpoint_submission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_submission__free_unpacked
+                     (Briarplank__CheckpointSubmission *message,
+                      ProtobufCAllocator *allocator);
+/* Briarplank__CheckpointState methods */
+void   briarplank__checkpoint_state__init
+                     (Briarplank__CheckpointState         *message);
+size_t briarplank__checkpoint_state__get_packed_size
+                     (const Briarplank__CheckpointState   *message);
+size_t briarplank__checkpoint_state__pack
+                     (const Briarplank__CheckpointState   *message,
+                      uint8_t             *out);
+size_t briarplank__checkpoint_state__pack_to_buffer
+                     (const Briarplank__CheckpointState   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__CheckpointState *
+       briarplank__checkpoint_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__checkpoint_state__free_unpacked
+                     (Briarplank__CheckpointState *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Briarplank__ShardClaim_Closure)
@@ -525,9 +758,27 @@
 typedef void (*Briarplank__ShardAppend_Closure)
                  (const Briarplank__ShardAppend *message,
                   void *closure_data);
+typedef void (*Briarplank__CheckpointHint_Closure)
+                 (const Briarplank__CheckpointHint *message,
+                  void *closure_data);
 typedef void (*Briarplank__Checkpoint_Closure)
                  (const Briarplank__Checkpoint *message,
                   void *closure_data);
+typedef void (*Briarplank__CheckpointChunk_Closure)
+                 (const Briarplank__CheckpointChunk *message,
+                  void *closure_data);
+typedef void (*Briarplank__CheckpointIntent_Closure)
+                 (const Briarplank__CheckpointIntent *message,
+                  void *closure_data);
+typedef void (*Briarplank__CheckpointJob_Closure)
+                 (const Briarplank__CheckpointJob *message,
+                  void *closure_data);
+typedef void (*Briarplank__CheckpointSubmission_Closure)
+                 (const Briarplank__CheckpointSubmission *message,
+                  void *closure_data);
+typedef void (*Briarplank__CheckpointState_Closure)
+                 (const Briarplank__CheckpointState *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -546,7 +797,13 @@
 extern const ProtobufCMessageDescriptor briarplank__key_claimed__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__ledger_record__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__shard_append__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_hint__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__checkpoint__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_chunk__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_intent__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_job__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_submission__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__checkpoint_state__descriptor;
 
 PROTOBUF_C__END_DECLS
 
