--- /dev/null
+++ b/briarplankd/entry/shard.c
@@ -0,0 +1,405 @@
+/*
+ * Claims a shard, appends its records and lets it go.
+ */
+#include <string.h>
+
+#include "briarplankd/entry/record_cache.h"
+#include "briarplankd/entry/shard_state.h"
+#include "common/log.h"
+
+#define PART "ledger"
+
+/* Size at which an append is closed, in bytes. */
+#define APPEND_BYTES (1 << 20)
+/* Queued records above which nothing more is granted, in bytes. */
+#define OUTBOX_MAX_BYTES (32 << 20)
+/* Wait for more records before an append after a rest, in ms. */
+#define GATHER_MS 5
+/* Wait before a call that failed is made again, in ms. */
+#define RETRY_MS 250
+/* Time between two looks whether the claim still holds, in ms. */
+#define CHECK_INTERVAL_MS 2000
+/* Time without a tick after which the process was paused, in ms. */
+#define PAUSE_MS 1500
+/* Time without an answer after which the log counts as silent, in ms. */
+#define LOG_SILENT_MS 3000
+/* Time in which a release must succeed before it is given up, in ms. */
+#define RELEASE_GIVE_UP_MS 3000
+
+static void on_timer(uv_timer_t *timer)
+{
+	shard_pump(timer->data);
+}
+
+struct shard *shard_create(const struct shard_options *options)
+{
+	struct shard *shard = g_new0(struct shard, 1);
+	struct metrics *metrics = options->node->metrics;
+
+	shard->options = *options;
+	shard_stream_name(options->index, shard->stream, sizeof(shard->stream));
+	uv_timer_init(&options->node->loop, &shard->timer);
+	shard->timer.data = shard;
+	shard->appends = metrics_counter(
+		metrics, "briarplank_ledger_appends_total", "");
+	shard->append_bytes = metrics_counter(
+		metrics, "briarplank_ledger_append_bytes_total", "");
+	return shard;
+}
+
+static void drop_in_flight(struct shard *shard)
+{
+	if (shard->in_flight)
+		g_byte_array_unref(shard->in_flight);
+	shard->in_flight = NULL;
+	shard->kind = SHARD_APPEND_NONE;
+	shard->in_doubt = false;
+}
+
+static void drop_parts(struct shard *shard)
+{
+	if (shard->parts)
+		g_ptr_array_free(shard->parts, TRUE);
+	shard->parts = NULL;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void shard_destroy(struct shard *shard)
+{
+	drop_in_flight(shard);
+	drop_parts(shard);
+	if (shard->ledger)
+		ledger_destroy(shard->ledger);
+	shard->ledger = NULL;
+	shard->state = SHARD_CLOSED;
+	uv_timer_stop(&shard->timer);
+	uv_close((uv_handle_t *)&shard->timer, on_closed);
+}
+
+enum shard_state shard_state(const struct shard *shard)
+{
+	return shard->state;
+}
+
+uint32_t shard_index(const struct shard *shard)
+{
+	return shard->options.index;
+}
+
+struct ledger *shard_ledger(const struct shard *shard)
+{
+	return shard->ledger;
+}
+
+static void set_state(struct shard *shard, enum shard_state state)
+{
+	bool owned = shard->state == SHARD_OWNED;
+
+	shard->state = state;
+	if (state == SHARD_CLOSED) {
+		drop_in_flight(shard);
+		drop_parts(shard);
+		uv_timer_stop(&shard->timer);
+	}
+	if (owned != (state == SHARD_OWNED))
+		shard->options.changed(shard->options.ctx, shard);
+}
+
+void shard_open(struct shard *shard)
+{
+	const struct daemon_settings *settings = shard->options.node->settings;
+	struct ledger_options options = {
+		.shard = shard->options.index,
+		.self = settings->name,
+		.incarnation = shard->options.node->incarnation,
+		.lease_ms = shard->options.lease_ms,
+		.outbox_max_bytes = OUTBOX_MAX_BYTES,
+	};
+
+	if (shard->state != SHARD_CLOSED || shard->reading || shard->appending)
+		return;
+	if (shard->ledger)
+		ledger_destroy(shard->ledger);
+	shard->ledger = ledger_create(&options);
+	shard->step = SHARD_READ_BOUNDS;
+	shard->state = SHARD_OPENING;
+	shard_read(shard);
+}
+
+/* The stream was read to its end: claims unless another node has it. */
+static void opened(struct shard *shard)
+{
+	struct ledger *ledger = shard->ledger;
+	const char *owner = ledger_owner(ledger);
+
+	if (*owner && !ledger_owned(ledger) &&
+	    shard->options.owner_up(shard->options.ctx, owner,
+				    ledger_owner_incarnation(ledger))) {
+		set_state(shard, SHARD_CLOSED);
+		return;
+	}
+	drop_in_flight(shard);
+	shard->kind = SHARD_APPEND_CLAIM;
+	shard->in_flight = ledger_pack_claim(ledger, false);
+	shard->state = SHARD_CLAIMING;
+	shard_pump(shard);
+}
+
+static void become_owner(struct shard *shard)
+{
+	uint64_t now = node_now_ms(shard->options.node);
+
+	drop_in_flight(shard);
+	ledger_take_over(shard->ledger, now);
+	shard->checked_ms = now;
+	shard->ticked_ms = now;
+	shard->unverified = false;
+	log_info(PART, "shard %u: owned from epoch %" G_GUINT64_FORMAT,
+		 shard->options.index, ledger_epoch(shard->ledger));
+	set_state(shard, SHARD_OWNED);
+}
+
+static void lose(struct shard *shard)
+{
+	log_info(PART, "shard %u: %s has it from epoch %" G_GUINT64_FORMAT,
+		 shard->options.index,
+		 *ledger_owner(shard->ledger) ? ledger_owner(shard->ledger) :
+						"nobody",
+		 ledger_epoch(shard->ledger));
+	set_state(shard, SHARD_CLOSED);
+}
+
+static void settle_records(struct shard *shard)
+{
+	if (shard->kind != SHARD_APPEND_RECORDS ||
+	    !ledger_append_folded(shard->ledger))
+		return;
+	drop_in_flight(shard);
+}
+
+void shard_settle(struct shard *shard)
+{
+	bool owned = ledger_owned(shard->ledger);
+
+	switch (shard->state) {
+	case SHARD_CLAIMING:
+		if (owned)
+			become_owner(shard);
+		break;
+	case SHARD_OWNED:
+	case SHARD_RELEASING:
+		if (!owned) {
+			lose(shard);
+			break;
+		}
+		settle_records(shard);
+		shard->options.advanced(shard->options.ctx, shard);
+		break;
+	default:
+		break;
+	}
+}
+
+/* A claim that another node's claim beat is dropped; the reader decides. */
+static void claim_read(struct shard *shard)
+{
+	if (shard->state != SHARD_CLAIMING || shard->appending)
+		return;
+	opened(shard);
+}
+
+void shard_read_done(struct shard *shard, bool ok)
+{
+	if (!ok) {
+		shard->failed_ms = node_now_ms(shard->options.node);
+		if (shard->state == SHARD_OPENING)
+			set_state(shard, SHARD_CLOSED);
+		else
+			shard->unverified = false;
+		uv_timer_start(&shard->timer, on_timer, RETRY_MS, 0);
+		return;
+	}
+	shard->unverified = false;
+	if (shard->state == SHARD_OPENING) {
+		opened(shard);
+		return;
+	}
+	shard_settle(shard);
+	claim_read(shard);
+	/* What is still in flight did not arrive: it goes out again. */
+	if (!shard->appending)
+		shard->in_doubt = false;
+	if (shard->state != SHARD_CLOSED)
+		shard_pump(shard);
+}
+
+static void fold_own(struct shard *shard, uint64_t offset)
+{
+	ledger_fold_bytes(shard->ledger, offset, 0, shard->in_flight->data,
+			  shard->in_flight->len);
+	shard_settle(shard);
+}
+
+static void append_done(struct shard *shard, uint64_t offset)
+{
+	shard->heard_ms = node_now_ms(shard->options.node);
+	if (offset == ledger_position(shard->ledger) + 1) {
+		fold_own(shard, offset);
+		if (shard->state != SHARD_CLOSED)
+			shard_pump(shard);
+		return;
+	}
+	shard->in_doubt = true;
+	shard_read(shard);
+}
+
+static void on_appended(void *ctx, enum log_service_status status,
+			uint64_t offset)
+{
+	struct shard *shard = ctx;
+
+	shard->appending = false;
+	if (shard->state == SHARD_CLOSED || !shard->in_flight)
+		return;
+	if (status == LOG_SERVICE_OK) {
+		append_done(shard, offset);
+		return;
+	}
+	shard->failed_ms = node_now_ms(shard->options.node);
+	if (status == LOG_SERVICE_UNKNOWN) {
+		log_info(PART, "shard %u: the answer to an append was lost",
+			 shard->options.index);
+		shard->in_doubt = true;
+		shard_read(shard);
+		return;
+	}
+	uv_timer_start(&shard->timer, on_timer, RETRY_MS, 0);
+}
+
+static void send_in_flight(struct shard *shard)
+{
+	struct log_service *log = shard->options.node->log;
+	uint64_t now = node_now_ms(shard->options.node);
+
+	shard->appending = true;
+	shard->next_append_ms = now + shard->options.append_interval_ms;
+	counter_add(shard->appends, 1);
+	counter_add(shard->append_bytes, shard->in_flight->len);
+	log->ops->append(log, shard->stream, shard->in_flight->data,
+			 shard->in_flight->len, on_appended, shard);
+}
+
+/* Picks what goes out next; false when there is nothing. */
+static bool fill_in_flight(struct shard *shard, uint64_t now)
+{
+	if (shard->state != SHARD_OWNED && shard->state != SHARD_RELEASING)
+		return false;
+	shard->in_flight = ledger_next_append(shard->ledger, APPEND_BYTES);
+	if (!shard->in_flight && shard->state == SHARD_OWNED)
+		shard->in_flight = shard_next_part(shard, now);
+	shard->kind = SHARD_APPEND_RECORDS;
+	if (!shard->in_flight && shard->state == SHARD_RELEASING) {
+		shard->in_flight = ledger_pack_claim(shard->ledger, true);
+		shard->kind = SHARD_APPEND_RELEASE;
+	}
+	return shard->in_flight != NULL;
+}
+
+void shard_pump(struct shard *shard)
+{
+	uint64_t now = node_now_ms(shard->options.node);
+
+	if (shard->state == SHARD_CLOSED || shard->appending)
+		return;
+	if (shard->in_doubt || shard->state == SHARD_OPENING) {
+		shard_read(shard);
+		return;
+	}
+	if (shard->in_flight) {
+		send_in_flight(shard);
+		return;
+	}
+	if (now >= shard->next_append_ms) {
+		if (fill_in_flight(shard, now))
+			send_in_flight(shard);
+		return;
+	}
+	uv_timer_start(&shard->timer, on_timer, shard->next_append_ms - now, 0);
+}
+
+void shard_kick(struct shard *shard)
+{
+	uint64_t now = node_now_ms(shard->options.node);
+	uint64_t wait = GATHER_MS;
+
+	if (shard->state != SHARD_OWNED || shard->appending || shard->in_flight)
+		return;
+	if (uv_is_active((uv_handle_t *)&shard->timer))
+		return;
+	if (shard->next_append_ms > now + GATHER_MS)
+		wait = shard->next_append_ms - now;
+	uv_timer_start(&shard->timer, on_timer, wait, 0);
+}
+
+void shard_catch_up(struct shard *shard)
+{
+	if (shard->state != SHARD_CLOSED)
+		shard_read(shard);
+}
+
+void shard_release(struct shard *shard)
+{
+	if (shard->state == SHARD_CLOSED || shard->state == SHARD_RELEASING)
+		return;
+	if (shard->state != SHARD_OWNED) {
+		set_state(shard, SHARD_CLOSED);
+		return;
+	}
+	shard->checked_ms = node_now_ms(shard->options.node);
+	set_state(shard, SHARD_RELEASING);
+	shard_pump(shard);
+}
+
+void shard_tick(struct shard *shard, uint64_t now_ms)
+{
+	if (shard->state == SHARD_RELEASING &&
+	    now_ms > shard->checked_ms + RELEASE_GIVE_UP_MS) {
+		log_warn(PART, "shard %u: could not be released in time",
+			 shard->options.index);
+		set_state(shard, SHARD_CLOSED);
+	}
+	if (shard->state != SHARD_OWNED)
+		return;
+	if (now_ms > shard->ticked_ms + PAUSE_MS)
+		shard->unverified = true;
+	shard->ticked_ms = now_ms;
+	if (shard->unverified ||
+	    now_ms > shard->checked_ms + CHECK_INTERVAL_MS) {
+		shard->checked_ms = now_ms;
+		shard_read(shard);
+	}
+	shard_kick(shard);
+}
+
+bool shard_log_silent(const struct shard *shard)
+{
+	return shard->failed_ms > shard->heard_ms + LOG_SILENT_MS ||
+	       (shard->failed_ms > shard->heard_ms &&
+		node_now_ms(shard->options.node) >
+			shard->heard_ms + LOG_SILENT_MS);
+}
+
+bool shard_unverified(const struct shard *shard)
+{
+	return shard->unverified;
+}
+
+bool shard_quiet(const struct shard *shard)
+{
+	return shard->state == SHARD_CLOSED && !shard->reading &&
+	       !shard->appending;
+}
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -93,10 +93,8 @@
 	ledger->revoked = revoked_new();
 }
 
-struct ledger *ledger_create(const struct ledger_options *options)
+static void set_up(struct ledger *ledger, const struct ledger_options *options)
 {
-	struct ledger *ledger = g_new0(struct ledger, 1);
-
 	ledger->options = *options;
 	ledger->shard = options->shard;
 	ledger->owner = g_strdup("");
@@ -106,10 +104,17 @@
 	list_init(&ledger->grants);
 	g_queue_init(&ledger->outbox);
 	make_tables(ledger);
+}
+
+struct ledger *ledger_create(const struct ledger_options *options)
+{
+	struct ledger *ledger = g_new0(struct ledger, 1);
+
+	set_up(ledger, options);
 	return ledger;
 }
 
-void ledger_destroy(struct ledger *ledger)
+static void clear(struct ledger *ledger)
 {
 	struct list *pos, *tmp;
 
@@ -125,9 +130,23 @@
 	g_hash_table_destroy(ledger->claiming);
 	g_ptr_array_free(ledger->revoked, TRUE);
 	g_free(ledger->owner);
+}
+
+void ledger_destroy(struct ledger *ledger)
+{
+	clear(ledger);
 	g_free(ledger);
 }
 
+void ledger_reset(struct ledger *ledger)
+{
+	struct ledger_options options = ledger->options;
+
+	clear(ledger);
+	memset(ledger, 0, sizeof(*ledger));
+	set_up(ledger, &options);
+}
+
 static void copy_id(uint8_t out[HASH128_BYTES], ProtobufCBinaryData id)
 {
 	if (id.len == HASH128_BYTES)
@@ -222,6 +241,11 @@
 	return job->items_nr;
 }
 
+uint32_t ledger_job_shard(const struct ledger_job *job)
+{
+	return job->ledger->shard;
+}
+
 bool ledger_item_ended(const struct ledger_item *item)
 {
 	return item->state >= ITEM_DONE;
--- a/core/ledger_checkpoint.c
+++ b/core/ledger_checkpoint.c
@@ -445,3 +445,9 @@
 {
 	return &ledger->checkpoint;
 }
+
+void ledger_set_checkpoint(struct ledger *ledger,
+			   const struct ledger_checkpoint_place *place)
+{
+	ledger->checkpoint = *place;
+}
--- a/core/ledger_fold.c
+++ b/core/ledger_fold.c
@@ -10,12 +10,23 @@
 	return id.len == HASH128_BYTES;
 }
 
+/*
+ * The stream's time comes from what all readers see alike: the service's time
+ * of chunks, and the times within an owner's records, which the owner folds
+ * without reading them back.
+ */
+static void advance(struct ledger *ledger, uint64_t time_ms)
+{
+	ledger->time_ms = MAX(ledger->time_ms, time_ms);
+}
+
 static enum ledger_fold_result fold_claim(struct ledger *ledger,
 					  uint64_t offset,
 					  const Briarplank__ShardClaim *claim)
 {
-	if (claim->previous_claim != ledger->epoch)
+	if (claim->previous_claim != ledger->epoch && !ledger->headless)
 		return LEDGER_CLAIM_LOST;
+	ledger->headless = false;
 	ledger_drop_volatile(ledger);
 	ledger->epoch = offset;
 	g_free(ledger->owner);
@@ -179,6 +190,7 @@
 					sealed->items))
 		return;
 	job = ledger_job_create(ledger, sealed);
+	advance(ledger, sealed->sealed_ms);
 	job->number = ledger->next_job_number++;
 	make_items(job, submission);
 	ledger_job_add(ledger, job);
@@ -205,6 +217,7 @@
 
 	if (!job || job->cancelled_ms || !job->items)
 		return;
+	advance(ledger, cancelled->cancelled_ms);
 	job->cancelled_ms = cancelled->cancelled_ms;
 	for (i = 0; i < job->items_nr; i++) {
 		if (job->items[i].state == ITEM_WAITING)
@@ -270,6 +283,7 @@
 		return;
 	item->attempts = MIN(ended->attempts, UINT8_MAX);
 	item->result_offset = offset;
+	advance(ledger, ended->ended_ms);
 	end_item(job, ended->item, end_state(ended->state));
 	job->rate_ended++;
 }
@@ -306,6 +320,7 @@
 	if (ledger_key_find(ledger, claimed->key_hash))
 		return;
 	g_hash_table_remove(ledger->keys, claimed->key_hash.data);
+	advance(ledger, claimed->claimed_ms);
 	key = g_new0(struct ledger_key, 1);
 	memcpy(key->hash, claimed->key_hash.data, HASH128_BYTES);
 	if (id_valid(claimed->content_hash))
@@ -399,14 +414,14 @@
 	if (offset <= ledger->position)
 		return LEDGER_OLD;
 	ledger->position = offset;
-	ledger->time_ms = MAX(ledger->time_ms, stored_ms);
 	if (append->claim)
 		return fold_claim(ledger, offset, append->claim);
 	if (append->epoch)
 		return fold_owned(ledger, offset, append);
-	if (append->chunk)
-		return fold_chunk(ledger, offset, append->chunk, false);
-	return LEDGER_GARBAGE;
+	if (!append->chunk)
+		return LEDGER_GARBAGE;
+	advance(ledger, stored_ms);
+	return fold_chunk(ledger, offset, append->chunk, false);
 }
 
 enum ledger_fold_result ledger_fold_bytes(struct ledger *ledger,
@@ -426,3 +441,29 @@
 	briarplank__shard_append__free_unpacked(append, NULL);
 	return result;
 }
+
+static const char *const fold_texts[] = {
+	[LEDGER_FOLDED] = "is folded",
+	[LEDGER_OLD] = "was folded before",
+	[LEDGER_VOID] = "is void: its epoch is not in force",
+	[LEDGER_REPEATED] = "is a second copy",
+	[LEDGER_CLAIM_LOST] = "is a claim that came too late",
+	[LEDGER_GARBAGE] = "can't be read",
+};
+
+const char *ledger_fold_text(enum ledger_fold_result result)
+{
+	return fold_texts[result];
+}
+
+void ledger_start_headless(struct ledger *ledger, uint64_t first_offset)
+{
+	ledger->position = first_offset - 1;
+	ledger->headless = true;
+}
+
+bool ledger_append_folded(const struct ledger *ledger)
+{
+	return ledger_owned(ledger) &&
+	       ledger->last_sequence >= ledger->sequence;
+}
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -456,6 +456,24 @@
 	}
 }
 
+uint32_t ledger_agent_grants(const struct ledger *ledger, const char *agent,
+			     bool *alone)
+{
+	uint32_t nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &ledger->grants) {
+		const struct ledger_grant *grant =
+			list_entry(pos, struct ledger_grant, link);
+
+		if (strcmp(grant->agent, agent))
+			continue;
+		*alone = *alone || grant->alone;
+		nr++;
+	}
+	return nr;
+}
+
 const char *ledger_grant_service(const struct ledger *ledger, uint64_t grant_id)
 {
 	struct ledger_job *job;
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -134,6 +134,18 @@
 					  uint64_t offset, uint64_t stored_ms,
 					  const uint8_t *bytes, size_t len);
 
+/** Says what became of an append, for logs. */
+const char *ledger_fold_text(enum ledger_fold_result result);
+
+/** Forgets everything, as after ledger_create. */
+void ledger_reset(struct ledger *ledger);
+
+/**
+ * Begins at a first record that is not the stream's first, without a
+ * checkpoint: the first claim then counts whatever claim it names.
+ */
+void ledger_start_headless(struct ledger *ledger, uint64_t first_offset);
+
 uint64_t ledger_position(const struct ledger *ledger);
 /** Offset of the claim in force; 0 before any. */
 uint64_t ledger_epoch(const struct ledger *ledger);
@@ -154,6 +166,8 @@
 /** Packs a chunk that its owner appends anew. */
 GByteArray *ledger_pack_chunk(struct ledger *ledger,
 			      Briarplank__JobChunk *chunk);
+/** Tells whether the append packed last was folded. */
+bool ledger_append_folded(const struct ledger *ledger);
 size_t ledger_outbox_bytes(const struct ledger *ledger);
 /** Number of records ever queued, and of those known to be durable. */
 uint64_t ledger_queued(const struct ledger *ledger);
@@ -190,6 +204,7 @@
 uint32_t ledger_results(const struct ledger_job *job, uint32_t from_item,
 			GArray *places, uint32_t max_nr, bool *more);
 uint32_t ledger_job_items(const struct ledger_job *job);
+uint32_t ledger_job_shard(const struct ledger_job *job);
 
 /** Grants one item of a job to an agent; false when none may be granted. */
 bool ledger_grant(struct ledger_job *job, const char *agent, bool want_alone,
@@ -208,6 +223,9 @@
 /** Lapses leases. */
 void ledger_expire(struct ledger *ledger, uint32_t attempts_max,
 		   uint64_t now_ms, uint64_t wall_ms);
+/** Counts an agent's grants; alone tells whether one must run alone. */
+uint32_t ledger_agent_grants(const struct ledger *ledger, const char *agent,
+			     bool *alone);
 /** Service of the job that a grant belongs to, or NULL. */
 const char *ledger_grant_service(const struct ledger *ledger,
 				 uint64_t grant_id);
@@ -223,6 +241,9 @@
 /** Loads one part into an empty ledger. */
 bool ledger_load_part(struct ledger *ledger,
 		      const Briarplank__Checkpoint *part);
+/** Notes where the checkpoint stands that was loaded. */
+void ledger_set_checkpoint(struct ledger *ledger,
+			   const struct ledger_checkpoint_place *place);
 /** The newest checkpoint that was folded whole; parts is 0 without one. */
 const struct ledger_checkpoint_place *ledger_checkpoint(
 	const struct ledger *ledger);
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -136,6 +136,8 @@
 	/** Offset of the last record folded. */
 	uint64_t position;
 	uint64_t time_ms;
+	/** Older records are lost: the first claim counts. */
+	bool headless;
 	uint64_t epoch;
 	char *owner;
 	uint64_t owner_incarnation;
