--- a/wire/online.pb-c.h
+++ b/wire/online.pb-c.h
@@ -214,10 +214,14 @@
   char *request_id;
   uint32_t attempt;
   uint64_t from_sequence;
+  /*
+   * Bytes that may be sent from that piece on, in place of earlier credit.
+   */
+  uint32_t credit_bytes;
 };
 #define BRIARPLANK__RESUME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__resume__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Briarplank__Cancel
