--- /dev/null
+++ b/briarplankd/entry/ledger.c
@@ -0,0 +1,359 @@
+/*
+ * The ledger task: owns shards of the job ledger while nobody else does.
+ */
+#include <string.h>
+
+#include "briarplankd/config_task.h"
+#include "briarplankd/entry/ledger_task.h"
+#include "briarplankd/members_task.h"
+#include "briarplankd/tasks.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "core/shard_claims.h"
+
+#define PART "ledger"
+
+#define TICK_MS 100
+/* Appends that all owners together may make in a second. */
+#define FLEET_APPENDS_PER_S 240
+#define APPEND_INTERVAL_MIN_MS 100
+/* Appends read back that are kept, in bytes. */
+#define CACHE_BYTES (32 << 20)
+/* Weight of a caller with a late job, in percent of the usual. */
+#define LATE_WEIGHT_PERCENT 300
+/* Slack below which a job counts as about to be late, in ms. */
+#define LATE_SLACK_MS (30 * 60 * 1000)
+
+struct waiter {
+	struct list link;
+	uint64_t mark;
+	void (*fn)(void *ctx, bool durable);
+	void *ctx;
+};
+
+void ledger_wait(struct ledger_task *task, uint32_t shard, uint64_t mark,
+		 void (*fn)(void *ctx, bool durable), void *ctx)
+{
+	struct waiter *waiter = g_new0(struct waiter, 1);
+
+	waiter->mark = mark;
+	waiter->fn = fn;
+	waiter->ctx = ctx;
+	list_append(&task->waiters[shard], &waiter->link);
+}
+
+/* Answers those whose records are durable; all of them when it is lost. */
+static void wake(struct ledger_task *task, uint32_t shard, bool lost)
+{
+	struct ledger *ledger = shard_ledger(task->shards[shard]);
+	uint64_t durable = ledger ? ledger_durable(ledger) : 0;
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &task->waiters[shard]) {
+		struct waiter *waiter = list_entry(pos, struct waiter, link);
+
+		if (!lost && waiter->mark > durable)
+			continue;
+		list_remove(pos);
+		waiter->fn(waiter->ctx, !lost);
+		g_free(waiter);
+	}
+}
+
+struct ledger *ledger_task_owned(struct ledger_task *task, uint32_t shard)
+{
+	if (shard >= task->shards_nr ||
+	    shard_state(task->shards[shard]) != SHARD_OWNED)
+		return NULL;
+	return shard_ledger(task->shards[shard]);
+}
+
+static void tell_owned(struct ledger_task *task)
+{
+	uint32_t *shards = g_new(uint32_t, task->shards_nr);
+	uint64_t *epochs = g_new(uint64_t, task->shards_nr);
+	uint32_t nr = 0;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		struct ledger *ledger = ledger_task_owned(task, i);
+
+		if (!ledger)
+			continue;
+		shards[nr] = i;
+		epochs[nr++] = ledger_epoch(ledger);
+	}
+	node_set_owned_shards(task->super.node, shards, epochs, nr);
+	counter_set(task->shards_owned, nr);
+	g_free(shards);
+	g_free(epochs);
+}
+
+static void on_changed(void *ctx, struct shard *shard)
+{
+	struct ledger_task *task = ctx;
+	uint32_t index = shard_index(shard);
+
+	if (shard_state(shard) != SHARD_OWNED &&
+	    shard_state(shard) != SHARD_RELEASING)
+		wake(task, index, true);
+	tell_owned(task);
+}
+
+static void on_advanced(void *ctx, struct shard *shard)
+{
+	struct ledger_task *task = ctx;
+
+	wake(task, shard_index(shard), false);
+	ledger_agents_revoke(task, shard_index(shard));
+	ledger_calls_retry(task);
+}
+
+static const struct member *find_member(struct ledger_task *task,
+					const char *name)
+{
+	return members_find(node_members(task->super.node), name);
+}
+
+/* The stream names an owner: it counts while that very process answers. */
+static bool owner_up(void *ctx, const char *owner, uint64_t incarnation)
+{
+	struct ledger_task *task = ctx;
+	const struct member *member = find_member(task, owner);
+
+	return member && member->state == MEMBER_UP &&
+	       member->incarnation == incarnation && !member->leaving;
+}
+
+static enum shard_owner_state owner_state(struct ledger_task *task,
+					  uint32_t shard)
+{
+	const char *owner = node_shard_owner(task->super.node, shard);
+	const struct member *member;
+
+	if (!owner)
+		return SHARD_OWNER_NONE;
+	if (!strcmp(owner, task->super.node->settings->name))
+		return SHARD_OWNER_UP;
+	member = find_member(task, owner);
+	if (!member || member->state == MEMBER_DOWN)
+		return SHARD_OWNER_DOWN;
+	return SHARD_OWNER_UP;
+}
+
+static GPtrArray *candidates(struct ledger_task *task)
+{
+	GPtrArray *names = g_ptr_array_new();
+	struct list *pos;
+
+	list_for_each (pos, members_all(node_members(task->super.node))) {
+		const struct member *member =
+			list_entry(pos, struct member, link);
+
+		if (member->role == MEMBER_ENTRY &&
+		    member->state == MEMBER_UP && !member->leaving)
+			g_ptr_array_add(names, member->name);
+	}
+	return names;
+}
+
+static void look_for_claim(struct ledger_task *task, uint32_t shard,
+			   const GPtrArray *others, uint64_t now)
+{
+	enum shard_owner_state state = owner_state(task, shard);
+	uint32_t rank;
+
+	if (state == SHARD_OWNER_UP) {
+		task->orphaned_ms[shard] = 0;
+		return;
+	}
+	if (!task->orphaned_ms[shard])
+		task->orphaned_ms[shard] = now;
+	rank = shard_claim_rank(task->super.node->settings->name,
+				(const char *const *)others->pdata, others->len,
+				shard);
+	if (shard_claim_due(state, rank, now - task->orphaned_ms[shard],
+			    now - task->started_ms))
+		shard_open(task->shards[shard]);
+}
+
+static void look_for_claims(struct ledger_task *task, uint64_t now)
+{
+	GPtrArray *others;
+	uint32_t i;
+
+	if (task->super.node->stopping ||
+	    members_isolated(node_members(task->super.node)))
+		return;
+	others = candidates(task);
+	for (i = 0; i < task->shards_nr; i++) {
+		if (shard_state(task->shards[i]) == SHARD_CLOSED)
+			look_for_claim(task, i, others, now);
+	}
+	g_ptr_array_free(others, TRUE);
+}
+
+static void tend_owned(struct ledger_task *task, uint32_t shard, uint64_t now)
+{
+	struct ledger *ledger = ledger_task_owned(task, shard);
+	uint64_t wall = node_wall_ms();
+
+	if (!ledger)
+		return;
+	/* After a pause the leases are judged once the claim is known to hold. */
+	if (!shard_unverified(task->shards[shard]))
+		ledger_expire(ledger, ledger_attempts_max(task, NULL), now,
+			      wall);
+	ledger_measure(ledger, wall);
+	ledger_sweep(ledger, wall);
+	ledger_agents_revoke(task, shard);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct ledger_task *task = timer->data;
+	uint64_t now = node_now_ms(task->super.node);
+	uint32_t i;
+
+	look_for_claims(task, now);
+	for (i = 0; i < task->shards_nr; i++) {
+		shard_tick(task->shards[i], now);
+		tend_owned(task, i, now);
+	}
+	ledger_calls_retry(task);
+}
+
+static void make_shards(struct ledger_task *task)
+{
+	struct node *node = task->super.node;
+	uint32_t nr = node->settings->ledger_shards;
+	uint32_t i;
+
+	task->shards_nr = nr;
+	task->shards = g_new0(struct shard *, nr);
+	task->orphaned_ms = g_new0(uint64_t, nr);
+	task->waiters = g_new0(struct list, nr);
+	for (i = 0; i < nr; i++) {
+		struct shard_options options = {
+			.node = node,
+			.index = i,
+			.lease_ms = LEDGER_LEASE_MS,
+			.append_interval_ms =
+				MAX(APPEND_INTERVAL_MIN_MS,
+				    1000 * nr / FLEET_APPENDS_PER_S),
+			.changed = on_changed,
+			.advanced = on_advanced,
+			.owner_up = owner_up,
+			.ctx = task,
+		};
+
+		list_init(&task->waiters[i]);
+		task->shards[i] = shard_create(&options);
+	}
+}
+
+static void make_metrics(struct ledger_task *task)
+{
+	struct metrics *metrics = task->super.node->metrics;
+
+	task->granted =
+		metrics_counter(metrics, "briarplank_items_granted_total", "");
+	task->ended =
+		metrics_counter(metrics, "briarplank_items_outcomes_total", "");
+	task->void_outcomes = metrics_counter(
+		metrics, "briarplank_items_void_outcomes_total", "");
+	task->shards_owned =
+		metrics_gauge(metrics, "briarplank_ledger_shards_owned", "");
+}
+
+static bool ledger_start(struct task *base)
+{
+	struct ledger_task *task = (struct ledger_task *)base;
+	struct ledger_schedule_options options = {
+		.late_weight_percent = LATE_WEIGHT_PERCENT,
+		.late_slack_ms = LATE_SLACK_MS,
+	};
+
+	if (!base->node->log) {
+		error_set("an entry needs platform.log");
+		return false;
+	}
+	list_init(&task->seals);
+	make_metrics(task);
+	task->started_ms = node_now_ms(base->node);
+	task->schedule = ledger_schedule_create(&options);
+	task->cache = record_cache_create(base->node->log, CACHE_BYTES);
+	make_shards(task);
+	ledger_agents_start(task);
+	ledger_calls_start(task);
+	uv_timer_init(&base->node->loop, &task->timer);
+	task->timer.data = task;
+	uv_timer_start(&task->timer, on_tick, TICK_MS, TICK_MS);
+	return true;
+}
+
+static void ledger_stop(struct task *base)
+{
+	struct ledger_task *task = (struct ledger_task *)base;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++)
+		shard_release(task->shards[i]);
+}
+
+static bool ledger_stopped(struct task *base)
+{
+	struct ledger_task *task = (struct ledger_task *)base;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		if (!shard_quiet(task->shards[i]))
+			return false;
+	}
+	return task->running == 0;
+}
+
+static void free_shards(struct ledger_task *task)
+{
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		wake(task, i, true);
+		shard_destroy(task->shards[i]);
+	}
+	g_free(task->shards);
+	g_free(task->orphaned_ms);
+	g_free(task->waiters);
+}
+
+static void ledger_task_destroy(struct task *base)
+{
+	struct ledger_task *task = (struct ledger_task *)base;
+
+	if (task->schedule) {
+		uv_close((uv_handle_t *)&task->timer, NULL);
+		ledger_calls_stop(task);
+		free_shards(task);
+		uv_run(&base->node->loop, UV_RUN_NOWAIT);
+		record_cache_destroy(task->cache);
+		ledger_schedule_destroy(task->schedule);
+	}
+	g_free(task->reserved_agent);
+	g_free(task);
+}
+
+static const struct task_ops ledger_ops = {
+	.name = "ledger",
+	.start = ledger_start,
+	.stop = ledger_stop,
+	.stopped = ledger_stopped,
+	.destroy = ledger_task_destroy,
+};
+
+struct task *ledger_task_create(void)
+{
+	struct ledger_task *task = g_new0(struct ledger_task, 1);
+
+	task->super.ops = &ledger_ops;
+	return &task->super;
+}
--- /dev/null
+++ b/briarplankd/entry/ledger_agents.c
@@ -0,0 +1,535 @@
+/*
+ * What agents say to a shard owner: pulls, renewals and outcomes.
+ */
+#include <string.h>
+
+#include "briarplankd/config_task.h"
+#include "briarplankd/entry/ledger_task.h"
+#include "common/log.h"
+
+#define PART "ledger"
+
+/* Most items of one answer to a pull. */
+#define PULL_ITEMS_MAX 64
+/* Most bytes of bodies in one answer to a pull. */
+#define PULL_BYTES_MAX (4 << 20)
+/* Wait before an agent that got nothing asks again, in ms. */
+#define PULL_AGAIN_MS 500
+/* Time in which an agent is emptied for an item that runs alone, in ms. */
+#define RESERVE_MS 30000
+#define ATTEMPTS_DEFAULT 3
+
+/* A pull, until its bodies are read and its intents are durable. */
+struct pull {
+	struct ledger_task *task;
+	char *agent;
+	char *service;
+	uint64_t id;
+	size_t max_bytes;
+	size_t bytes;
+	GArray *grants;
+	/* Reads and intents that are still missing. */
+	unsigned missing;
+};
+
+struct pull_grant {
+	struct pull *pull;
+	uint32_t shard;
+	uint64_t epoch;
+	struct ledger_grant_out out;
+	uint8_t job_id[HASH128_BYTES];
+	char *path;
+	uint8_t *body;
+	size_t body_len;
+	bool ready;
+};
+
+uint32_t ledger_attempts_max(struct ledger_task *task, const char *service)
+{
+	struct service_policy policy = { 0 };
+
+	if (service)
+		config_service(task->super.node, service, &policy);
+	return policy.item_attempts ? policy.item_attempts : ATTEMPTS_DEFAULT;
+}
+
+static void send(struct ledger_task *task, const char *peer,
+		 Briarplank__Envelope *env)
+{
+	bus_send(task->super.node->bus, peer, env);
+}
+
+static void fill_grant(const struct pull_grant *grant, Briarplank__Grant *out)
+{
+	briarplank__grant__init(out);
+	out->shard = grant->shard;
+	out->epoch = grant->epoch;
+	out->grant_id = grant->out.grant_id;
+	out->job_id.data = (uint8_t *)grant->job_id;
+	out->job_id.len = HASH128_BYTES;
+	out->item = grant->out.item;
+	out->attempt = grant->out.attempt;
+	out->method = "POST";
+	out->path = grant->path;
+	out->body.data = grant->body;
+	out->body.len = grant->body_len;
+	out->idempotent = grant->out.idempotent;
+	out->lease_ms = LEDGER_LEASE_MS;
+	out->alone = grant->out.alone;
+}
+
+static void send_grants(struct pull *pull)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Grants message = BRIARPLANK__GRANTS__INIT;
+	Briarplank__Grant *bodies = g_new0(Briarplank__Grant, pull->grants->len);
+	Briarplank__Grant **grants =
+		g_new0(Briarplank__Grant *, pull->grants->len);
+	guint i;
+
+	for (i = 0; i < pull->grants->len; i++) {
+		const struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		if (!grant->ready)
+			continue;
+		fill_grant(grant, &bodies[i]);
+		grants[message.n_grants++] = &bodies[i];
+	}
+	message.pull_id = pull->id;
+	message.service = pull->service;
+	message.grants = grants;
+	message.retry_after_ms = message.n_grants ? 0 : PULL_AGAIN_MS;
+	counter_add(pull->task->granted, message.n_grants);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
+	env.grants = &message;
+	send(pull->task, pull->agent, &env);
+	g_free(bodies);
+	g_free(grants);
+}
+
+/* Takes back what can't be sent, if the shard is still ours. */
+static void take_back(struct pull_grant *grant)
+{
+	struct ledger_task *task = grant->pull->task;
+	struct ledger *ledger = ledger_task_owned(task, grant->shard);
+
+	if (!ledger || ledger_epoch(ledger) != grant->epoch)
+		return;
+	ledger_ungrant(ledger, grant->out.grant_id);
+	shard_kick(task->shards[grant->shard]);
+}
+
+static void pull_free(struct pull *pull)
+{
+	guint i;
+
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		g_free(grant->path);
+		g_free(grant->body);
+	}
+	g_array_free(pull->grants, TRUE);
+	pull->task->running--;
+	g_free(pull->agent);
+	g_free(pull->service);
+	g_free(pull);
+}
+
+static void pull_finish(struct pull *pull)
+{
+	guint i;
+
+	if (--pull->missing)
+		return;
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		if (!grant->ready)
+			take_back(grant);
+	}
+	send_grants(pull);
+	pull_free(pull);
+}
+
+static const Briarplank__JobItem *
+chunk_item(const Briarplank__ShardAppend *append, uint32_t index)
+{
+	if (!append || !append->chunk || index >= append->chunk->n_items)
+		return NULL;
+	return append->chunk->items[index];
+}
+
+static void on_chunk(void *ctx, enum record_cache_status status,
+		     const Briarplank__ShardAppend *append)
+{
+	struct pull_grant *grant = ctx;
+	struct pull *pull = grant->pull;
+	const Briarplank__JobItem *item;
+
+	item = chunk_item(append, grant->out.body_index);
+	if (status == RECORD_CACHE_GONE)
+		log_error(PART, "shard %u: the body of item %u is gone",
+			  grant->shard, grant->out.item);
+	if (item && (!pull->bytes ||
+		     pull->bytes + item->body.len <= pull->max_bytes)) {
+		grant->body = g_memdup2(item->body.data, item->body.len);
+		grant->body_len = item->body.len;
+		grant->ready = true;
+		pull->bytes += item->body.len;
+	}
+	pull_finish(pull);
+}
+
+static void on_intent(void *ctx, bool durable)
+{
+	struct pull_grant *grant = ctx;
+
+	if (!durable)
+		grant->ready = false;
+	pull_finish(grant->pull);
+}
+
+/* Grants one item, if there is one. */
+static bool pull_one(struct pull *pull, struct ledger **ledgers, uint32_t nr,
+		     bool alone)
+{
+	struct ledger_task *task = pull->task;
+	uint64_t now = node_now_ms(task->super.node);
+	uint64_t wall = node_wall_ms();
+	struct pull_grant grant = { .pull = pull };
+	struct ledger_job *job;
+
+	job = ledger_schedule_choose(task->schedule, ledgers, nr, pull->service,
+				     alone, now, wall);
+	if (!job || !ledger_grant(job, pull->agent, alone, now, &grant.out))
+		return false;
+	ledger_schedule_charge(task->schedule, job, wall);
+	grant.shard = ledger_job_shard(job);
+	grant.epoch = ledger_epoch(shard_ledger(task->shards[grant.shard]));
+	grant.path = g_strdup(grant.out.path);
+	memcpy(grant.job_id, grant.out.job_id, HASH128_BYTES);
+	g_array_append_val(pull->grants, grant);
+	return true;
+}
+
+/* Reads bodies and waits for intents; the array stays put from here on. */
+static void pull_fetch(struct pull *pull)
+{
+	struct ledger_task *task = pull->task;
+	guint i;
+
+	pull->missing = 1;
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		pull->missing++;
+		if (grant->out.mark) {
+			pull->missing++;
+			ledger_wait(task, grant->shard, grant->out.mark,
+				    on_intent, grant);
+			shard_kick(task->shards[grant->shard]);
+		}
+		record_cache_get(task->cache, grant->shard,
+				 grant->out.body_offset, on_chunk, grant);
+	}
+	pull_finish(pull);
+}
+
+/* Ledgers from which grants may be made now. */
+static uint32_t granting_ledgers(struct ledger_task *task,
+				 struct ledger **ledgers)
+{
+	uint32_t nr = 0;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		struct ledger *ledger = ledger_task_owned(task, i);
+
+		if (ledger && !shard_unverified(task->shards[i]))
+			ledgers[nr++] = ledger;
+	}
+	return nr;
+}
+
+static uint32_t agent_grants(struct ledger **ledgers, uint32_t nr,
+			     const char *agent, bool *alone)
+{
+	uint32_t held = 0;
+	uint32_t i;
+
+	*alone = false;
+	for (i = 0; i < nr; i++)
+		held += ledger_agent_grants(ledgers[i], agent, alone);
+	return held;
+}
+
+/*
+ * An item that may kill servers runs on an agent that holds nothing else of
+ * batch. An agent is emptied for it if none comes empty. Returns false when
+ * the agent gets nothing more now.
+ */
+static bool pull_alone(struct pull *pull, struct ledger **ledgers, uint32_t nr)
+{
+	struct ledger_task *task = pull->task;
+	uint64_t now = node_now_ms(task->super.node);
+	bool alone;
+	uint32_t held = agent_grants(ledgers, nr, pull->agent, &alone);
+
+	if (alone)
+		return false;
+	if (!ledger_schedule_choose(task->schedule, ledgers, nr, pull->service,
+				    true, now, node_wall_ms()))
+		return true;
+	if (!held) {
+		g_clear_pointer(&task->reserved_agent, g_free);
+		return !pull_one(pull, ledgers, nr, true);
+	}
+	if (!task->reserved_agent || now > task->reserved_until_ms) {
+		g_free(task->reserved_agent);
+		task->reserved_agent = g_strdup(pull->agent);
+		task->reserved_until_ms = now + RESERVE_MS;
+	}
+	return strcmp(task->reserved_agent, pull->agent) != 0;
+}
+
+static void on_pull(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__Pull *message = env->pull;
+	struct ledger **ledgers = g_new(struct ledger *, task->shards_nr);
+	uint32_t nr = granting_ledgers(task, ledgers);
+	uint32_t max = MIN(message->max_items, PULL_ITEMS_MAX);
+	struct pull *pull = g_new0(struct pull, 1);
+
+	pull->task = task;
+	pull->agent = g_strdup(env->sender);
+	pull->service = g_strdup(message->service);
+	pull->id = message->pull_id;
+	pull->max_bytes = message->max_bytes ?
+				  MIN(message->max_bytes, PULL_BYTES_MAX) :
+				  PULL_BYTES_MAX;
+	pull->grants = g_array_new(FALSE, FALSE, sizeof(struct pull_grant));
+	task->running++;
+	if (!task->super.node->stopping && pull_alone(pull, ledgers, nr)) {
+		while (pull->grants->len < max &&
+		       pull_one(pull, ledgers, nr, false))
+			;
+	}
+	g_free(ledgers);
+	pull_fetch(pull);
+}
+
+static void on_renew(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__Renew *renew = env->renew;
+	Briarplank__Envelope reply = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__RenewResult result = BRIARPLANK__RENEW_RESULT__INIT;
+	uint64_t now = node_now_ms(task->super.node);
+	size_t i;
+
+	result.revoked = g_new(Briarplank__GrantRef *, renew->n_grants + 1);
+	result.lease_ms = LEDGER_LEASE_MS;
+	for (i = 0; i < renew->n_grants; i++) {
+		Briarplank__GrantRef *ref = renew->grants[i];
+		struct ledger *ledger = ledger_task_owned(task, ref->shard);
+
+		/* The grants of other owners are theirs to judge. */
+		if (ledger && !shard_unverified(task->shards[ref->shard]) &&
+		    !ledger_renew(ledger, ref, env->sender, now))
+			result.revoked[result.n_revoked++] = ref;
+	}
+	reply.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
+	reply.renew_result = &result;
+	send(task, env->sender, &reply);
+	g_free(result.revoked);
+}
+
+/* Outcomes of one message and shard that wait to be durable. */
+struct ack {
+	struct ledger_task *task;
+	char *agent;
+	GArray *refs;
+};
+
+static void send_ack(struct ledger_task *task, const char *agent,
+		     GArray *durable, GArray *voided)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__CompletionsAck ack = BRIARPLANK__COMPLETIONS_ACK__INIT;
+	guint i;
+
+	if (!durable->len && !voided->len)
+		return;
+	ack.durable = g_new(Briarplank__GrantRef *, durable->len + 1);
+	ack.void_grants = g_new(Briarplank__GrantRef *, voided->len + 1);
+	for (i = 0; i < durable->len; i++)
+		ack.durable[ack.n_durable++] =
+			&g_array_index(durable, Briarplank__GrantRef, i);
+	for (i = 0; i < voided->len; i++)
+		ack.void_grants[ack.n_void_grants++] =
+			&g_array_index(voided, Briarplank__GrantRef, i);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS_ACK;
+	env.completions_ack = &ack;
+	send(task, agent, &env);
+	g_free(ack.durable);
+	g_free(ack.void_grants);
+}
+
+static void on_outcomes_durable(void *ctx, bool durable)
+{
+	struct ack *ack = ctx;
+	GArray *none = g_array_new(FALSE, FALSE, sizeof(Briarplank__GrantRef));
+
+	/* Not durable: the agent sends them again, to the next owner. */
+	if (durable)
+		send_ack(ack->task, ack->agent, ack->refs, none);
+	g_array_free(none, TRUE);
+	g_array_free(ack->refs, TRUE);
+	g_free(ack->agent);
+	g_free(ack);
+}
+
+static GArray *refs_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(Briarplank__GrantRef));
+}
+
+/* Waits for the outcomes of one shard. */
+static void wait_for_shard(struct ledger_task *task, const char *agent,
+			   uint32_t shard, const GArray *queued)
+{
+	struct ack *ack = g_new0(struct ack, 1);
+	guint i;
+
+	ack->task = task;
+	ack->agent = g_strdup(agent);
+	ack->refs = refs_new();
+	for (i = 0; i < queued->len; i++) {
+		Briarplank__GrantRef ref =
+			g_array_index(queued, Briarplank__GrantRef, i);
+
+		if (ref.shard == shard)
+			g_array_append_val(ack->refs, ref);
+	}
+	ledger_wait(task, shard,
+		    ledger_queued(shard_ledger(task->shards[shard])),
+		    on_outcomes_durable, ack);
+	shard_kick(task->shards[shard]);
+}
+
+static void wait_for_queued(struct ledger_task *task, const char *agent,
+			    const GArray *queued)
+{
+	guint i, j;
+
+	for (i = 0; i < queued->len; i++) {
+		uint32_t shard =
+			g_array_index(queued, Briarplank__GrantRef, i).shard;
+
+		for (j = 0; j < i; j++) {
+			if (g_array_index(queued, Briarplank__GrantRef, j)
+				    .shard == shard)
+				break;
+		}
+		if (j == i)
+			wait_for_shard(task, agent, shard, queued);
+	}
+}
+
+static enum ledger_status take_outcome(struct ledger_task *task,
+				       const Briarplank__ItemOutcome *outcome)
+{
+	struct ledger *ledger;
+	const char *service;
+
+	ledger = ledger_task_owned(task, outcome->grant->shard);
+	if (!ledger)
+		return LEDGER_NOT_OWNER;
+	service = ledger_grant_service(ledger, outcome->grant->grant_id);
+	return ledger_complete(ledger, outcome,
+			       ledger_attempts_max(task, service),
+			       node_wall_ms());
+}
+
+static void on_completions(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__Completions *completions = env->completions;
+	GArray *durable = refs_new();
+	GArray *queued = refs_new();
+	GArray *voided = refs_new();
+	size_t i;
+
+	for (i = 0; i < completions->n_outcomes; i++) {
+		const Briarplank__ItemOutcome *outcome =
+			completions->outcomes[i];
+		enum ledger_status status;
+
+		if (!outcome->grant)
+			continue;
+		status = take_outcome(task, outcome);
+		if (status == LEDGER_OK)
+			g_array_append_val(durable, *outcome->grant);
+		else if (status == LEDGER_QUEUED)
+			g_array_append_val(queued, *outcome->grant);
+		else if (status == LEDGER_VOID_GRANT)
+			g_array_append_val(voided, *outcome->grant);
+	}
+	counter_add(task->ended, durable->len + queued->len);
+	counter_add(task->void_outcomes, voided->len);
+	send_ack(task, env->sender, durable, voided);
+	wait_for_queued(task, env->sender, queued);
+	g_array_free(durable, TRUE);
+	g_array_free(queued, TRUE);
+	g_array_free(voided, TRUE);
+}
+
+static void send_revoked(struct ledger_task *task, uint32_t shard,
+			 const struct ledger_revoked *revoked)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__RenewResult result = BRIARPLANK__RENEW_RESULT__INIT;
+	Briarplank__GrantRef ref = BRIARPLANK__GRANT_REF__INIT;
+	Briarplank__GrantRef *refs[] = { &ref };
+
+	ref.shard = shard;
+	ref.epoch = ledger_epoch(shard_ledger(task->shards[shard]));
+	ref.grant_id = revoked->grant_id;
+	result.revoked = refs;
+	result.n_revoked = 1;
+	result.lease_ms = LEDGER_LEASE_MS;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
+	env.renew_result = &result;
+	if (*revoked->agent)
+		send(task, revoked->agent, &env);
+}
+
+void ledger_agents_revoke(struct ledger_task *task, uint32_t shard)
+{
+	struct ledger *ledger = ledger_task_owned(task, shard);
+	GPtrArray *revoked;
+	guint i;
+
+	if (!ledger)
+		return;
+	revoked = ledger_take_revoked(ledger);
+	for (i = 0; i < revoked->len; i++)
+		send_revoked(task, shard, revoked->pdata[i]);
+	g_ptr_array_free(revoked, TRUE);
+}
+
+void ledger_agents_start(struct ledger_task *task)
+{
+	struct bus *bus = task->super.node->bus;
+
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_PULL, on_pull, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_RENEW, on_renew, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_COMPLETIONS, on_completions,
+		   task);
+}
--- /dev/null
+++ b/briarplankd/entry/shard_checkpoint.c
@@ -0,0 +1,52 @@
+/*
+ * Appends checkpoints of an owned shard, one part at a time.
+ */
+#include "briarplankd/entry/shard_state.h"
+#include "common/log.h"
+
+#define PART "ledger"
+
+/* Records after which a new checkpoint is due. */
+#define CHECKPOINT_RECORDS 1000
+
+static bool due(const struct shard *shard)
+{
+	uint64_t position = ledger_position(shard->ledger);
+	uint64_t as_of = ledger_checkpoint(shard->ledger)->as_of_offset;
+
+	return position - as_of >= CHECKPOINT_RECORDS;
+}
+
+static void begin(struct shard *shard)
+{
+	shard->parts = ledger_checkpoint_parts(shard->ledger);
+	shard->parts_as_of = ledger_position(shard->ledger);
+	shard->parts_sent = 0;
+	if (shard->parts->len <= LEDGER_CHECKPOINT_PARTS_MAX)
+		return;
+	log_error(PART, "shard %u: the checkpoint has too many parts",
+		  shard->options.index);
+	g_ptr_array_set_size(shard->parts, 0);
+}
+
+GByteArray *shard_next_part(struct shard *shard, uint64_t now_ms)
+{
+	GByteArray *bytes;
+
+	(void)now_ms;
+	if (!shard->parts && due(shard))
+		begin(shard);
+	if (!shard->parts)
+		return NULL;
+	if (shard->parts_sent == shard->parts->len) {
+		g_ptr_array_free(shard->parts, TRUE);
+		shard->parts = NULL;
+		return NULL;
+	}
+	bytes = ledger_pack_part(shard->ledger,
+				 shard->parts->pdata[shard->parts_sent],
+				 shard->parts_as_of, shard->parts_sent,
+				 shard->parts->len);
+	shard->parts_sent++;
+	return bytes;
+}
