Test the platform's adapters against faults and mend what they show

Transcripts drive each adapter against its stand-in, or a raw TCP peer, within one loop: lost answers, outages by status and by closed connection, slowness, half and garbage answers, retention, cancel, resume, stall, kill.

--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -257,6 +257,10 @@
 {
 	struct list *pos, *tmp;
 
+	/* First, as requests tell their tasks that they end. */
+	if (node->web)
+		web_destroy(node->web);
+	node->web = NULL;
 	list_for_each_safe (pos, tmp, &node->tasks) {
 		struct task *task = list_entry(pos, struct task, link);
 
@@ -267,8 +271,6 @@
 		node->log->ops->destroy(node->log);
 	if (node->http)
 		http_client_destroy(node->http);
-	if (node->web)
-		web_destroy(node->web);
 	if (node->bus)
 		bus_destroy(node->bus);
 	metrics_destroy(node->metrics);
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -422,9 +422,12 @@
 static void cut_connections(struct web *web)
 {
 	unsigned turns;
-	struct list *pos;
+	struct list *pos, *tmp;
 	uv_os_fd_t fd;
 
+	/* h2o doesn't read, and so doesn't notice, while it owes an answer. */
+	list_for_each_safe (pos, tmp, &web->requests)
+		web_cut(list_entry(pos, struct web_request, link));
 	list_for_each (pos, &web->connections) {
 		struct connection *conn =
 			list_entry(pos, struct connection, link);
@@ -602,7 +605,8 @@
 	json_object_object_add(root, "title", json_object_new_string(title));
 	json_object_object_add(root, "status", json_object_new_int(status));
 	json_object_object_add(root, "detail", json_object_new_string(detail));
-	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
+	text = json_object_to_json_string_ext(
+		root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
 	web_answer(request, status, "application/problem+json", text,
 		   strlen(text));
 	json_object_put(root);
@@ -615,6 +619,9 @@
 		return;
 	begin(request, status, type);
 	h2o_start_response(request->req, &request->generator);
+	/* An empty piece makes the head leave before the body's first. */
+	request->sending = true;
+	h2o_send(request->req, NULL, 0, H2O_SEND_STATE_IN_PROGRESS);
 }
 
 void web_stream_write(struct web_request *request, const void *data, size_t len)
--- /dev/null
+++ b/tests/raw_peer.c
@@ -0,0 +1,265 @@
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "common/list.h"
+#include "raw_peer.h"
+
+#define READ_BYTES 65536
+
+/* Closes the connection after its bytes; it frees itself. */
+struct raw_conn {
+	struct list link;
+	struct raw_server *server;
+	uv_tcp_t tcp;
+	bool answered;
+};
+
+struct raw_server {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	char *address;
+	char *bytes;
+	enum raw_then then;
+	GString *received;
+	struct list conns;
+};
+
+struct raw_client {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	bool connected;
+	bool ended;
+	bool half_close;
+	/* Bytes to send once connected. */
+	GString *waiting;
+	GString *received;
+};
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(g_malloc(READ_BYTES), READ_BYTES);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	(void)status;
+	g_free(write->data);
+	g_free(write);
+}
+
+static void write_copy(uv_tcp_t *tcp, const char *bytes, size_t len)
+{
+	uv_write_t *write = g_new0(uv_write_t, 1);
+	uv_buf_t buf;
+
+	write->data = g_memdup2(bytes, len);
+	buf = uv_buf_init(write->data, (unsigned)len);
+	uv_write(write, (uv_stream_t *)tcp, &buf, 1, on_written);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void conn_close(struct raw_conn *conn, bool reset)
+{
+	list_remove(&conn->link);
+	if (reset)
+		uv_tcp_close_reset(&conn->tcp, on_conn_closed);
+	else
+		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void on_conn_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
+{
+	struct raw_conn *conn = stream->data;
+	struct raw_server *server = conn->server;
+
+	if (nr > 0)
+		g_string_append_len(server->received, buf->base, nr);
+	g_free(buf->base);
+	if (nr < 0) {
+		conn_close(conn, false);
+		return;
+	}
+	if (conn->answered || nr == 0)
+		return;
+	conn->answered = true;
+	if (*server->bytes)
+		write_copy(&conn->tcp, server->bytes, strlen(server->bytes));
+	if (server->then != RAW_HOLD)
+		conn_close(conn, server->then == RAW_RESET);
+}
+
+static void on_conn(uv_stream_t *listener, int status)
+{
+	struct raw_server *server = listener->data;
+	struct raw_conn *conn;
+
+	if (status != 0)
+		return;
+	conn = g_new0(struct raw_conn, 1);
+	conn->server = server;
+	list_append(&server->conns, &conn->link);
+	uv_tcp_init(server->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	uv_accept(listener, (uv_stream_t *)&conn->tcp);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_conn_read);
+}
+
+struct raw_server *raw_server_create(uv_loop_t *loop, const char *bytes,
+				     enum raw_then then)
+{
+	struct raw_server *server = g_new0(struct raw_server, 1);
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	server->loop = loop;
+	server->bytes = g_strdup(bytes);
+	server->then = then;
+	server->received = g_string_new(NULL);
+	list_init(&server->conns);
+	uv_tcp_init(loop, &server->listener);
+	server->listener.data = server;
+	uv_ip4_addr("127.0.0.1", 0, &addr);
+	uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0);
+	uv_listen((uv_stream_t *)&server->listener, 16, on_conn);
+	uv_tcp_getsockname(&server->listener, (struct sockaddr *)&addr, &len);
+	server->address = g_strdup_printf("127.0.0.1:%d", ntohs(addr.sin_port));
+	return server;
+}
+
+const char *raw_server_address(const struct raw_server *server)
+{
+	return server->address;
+}
+
+const GString *raw_server_received(const struct raw_server *server)
+{
+	return server->received;
+}
+
+void raw_server_destroy(struct raw_server *server)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &server->conns)
+		conn_close(list_entry(pos, struct raw_conn, link), false);
+	uv_close((uv_handle_t *)&server->listener, NULL);
+	uv_run(server->loop, UV_RUN_NOWAIT);
+	g_string_free(server->received, TRUE);
+	g_free(server->address);
+	g_free(server->bytes);
+	g_free(server);
+}
+
+static void on_shutdown(uv_shutdown_t *shutdown, int status)
+{
+	(void)shutdown;
+	(void)status;
+}
+
+static void on_client_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
+{
+	struct raw_client *client = stream->data;
+
+	if (nr > 0)
+		g_string_append_len(client->received, buf->base, nr);
+	g_free(buf->base);
+	if (nr < 0) {
+		client->ended = true;
+		uv_read_stop(stream);
+	}
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	struct raw_client *client = connect->data;
+
+	if (status != 0) {
+		client->ended = true;
+		return;
+	}
+	client->connected = true;
+	uv_read_start((uv_stream_t *)&client->tcp, on_alloc, on_client_read);
+	if (client->waiting->len)
+		write_copy(&client->tcp, client->waiting->str,
+			   client->waiting->len);
+	if (client->half_close)
+		raw_client_half_close(client);
+}
+
+struct raw_client *raw_client_create(uv_loop_t *loop, const char *address)
+{
+	struct raw_client *client = g_new0(struct raw_client, 1);
+	const char *colon = strrchr(address, ':');
+	char *host = g_strndup(address, colon - address);
+	struct sockaddr_in addr;
+
+	client->waiting = g_string_new(NULL);
+	client->received = g_string_new(NULL);
+	uv_ip4_addr(host, (int)g_ascii_strtoll(colon + 1, NULL, 10), &addr);
+	g_free(host);
+	uv_tcp_init(loop, &client->tcp);
+	client->tcp.data = client;
+	client->connect.data = client;
+	uv_tcp_connect(&client->connect, &client->tcp, (struct sockaddr *)&addr,
+		       on_connected);
+	return client;
+}
+
+void raw_client_send(struct raw_client *client, const char *bytes, size_t len)
+{
+	if (client->connected)
+		write_copy(&client->tcp, bytes, len);
+	else
+		g_string_append_len(client->waiting, bytes, (gssize)len);
+}
+
+void raw_client_half_close(struct raw_client *client)
+{
+	client->half_close = true;
+	if (client->connected)
+		uv_shutdown(&client->shutdown, (uv_stream_t *)&client->tcp,
+			    on_shutdown);
+}
+
+void raw_client_read(struct raw_client *client, bool read)
+{
+	if (read)
+		uv_read_start((uv_stream_t *)&client->tcp, on_alloc,
+			      on_client_read);
+	else
+		uv_read_stop((uv_stream_t *)&client->tcp);
+}
+
+GString *raw_client_received(struct raw_client *client)
+{
+	return client->received;
+}
+
+bool raw_client_ended(const struct raw_client *client)
+{
+	return client->ended;
+}
+
+static void on_client_closed(uv_handle_t *handle)
+{
+	struct raw_client *client = handle->data;
+
+	g_string_free(client->received, TRUE);
+	g_string_free(client->waiting, TRUE);
+	g_free(client);
+}
+
+void raw_client_destroy(struct raw_client *client, bool reset)
+{
+	if (reset && client->connected)
+		uv_tcp_close_reset(&client->tcp, on_client_closed);
+	else
+		uv_close((uv_handle_t *)&client->tcp, on_client_closed);
+}
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -32,6 +32,8 @@
 	enum call_phase phase;
 	bool stream;
 	bool resumed;
+	/** The answer's head was sent. */
+	bool begun;
 	uint32_t next;
 	uint32_t max_tokens;
 	/** Prompt tokens still to be computed. */
--- a/tests/standin/engine_batch.c
+++ b/tests/standin/engine_batch.c
@@ -97,8 +97,6 @@
 	call->prefill_left = engine_cache_miss(batch->cache, call->prompt);
 	if (!call->resumed)
 		count_run(batch, call->id);
-	if (call->stream)
-		web_stream_begin(call->request, 200, "text/event-stream");
 	sample_load(batch);
 }
 
@@ -161,12 +159,22 @@
 	standin_answer_json(standin, call_release(call), 200, root);
 }
 
+/* The head goes out with the first token. */
+static void write_event(struct engine_call *call, const char *event)
+{
+	if (!call->begun)
+		web_stream_begin(call->request, 200, "text/event-stream");
+	call->begun = true;
+	web_stream_write(call->request, event, strlen(event));
+}
+
 static void answer_done(struct engine_call *call)
 {
 	static const char done[] = "data: [DONE]\n\n";
-	struct web_request *request = call_release(call);
+	struct web_request *request;
 
-	web_stream_write(request, done, strlen(done));
+	write_event(call, done);
+	request = call_release(call);
 	web_stream_end(request, true);
 }
 
@@ -182,7 +190,7 @@
 			"data: {\"token\":\"%s\",\"index\":%u}\n\n", token,
 			call->next++);
 		if (call->stream)
-			web_stream_write(call->request, event, strlen(event));
+			write_event(call, event);
 		g_free(event);
 	}
 	if (call->next < call->max_tokens)
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,647 @@
+/*
+ * Contracts of the platform's adapters: each fault of the stand-ins, or of a
+ * raw peer, leads to the stated status.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/hash.h"
+#include "engine.h"
+#include "loop_wait.h"
+#include "platform/backend.h"
+#include "platform/http_fetch.h"
+#include "platform/log_service.h"
+#include "platform/vm_list.h"
+#include "platform/weight_store.h"
+#include "raw_peer.h"
+#include "script.h"
+#include "standin.h"
+
+#define LOG_TIMEOUT_MS 400
+#define DEFAULT_PROMPT "p"
+
+struct state {
+	uv_loop_t loop;
+	struct http_client *http;
+	struct standin *standin;
+	struct raw_server *raw;
+	char *address;
+	struct log_service *log;
+	struct backend *backend;
+	struct vm_list *vms;
+	struct weight_store *weights;
+	GString *out;
+	bool done;
+	bool ended;
+	/* Of the call that runs. */
+	struct backend_call *call;
+	bool stream;
+	bool quiet;
+	GString *body;
+	const char *prompt;
+	size_t cancel_after;
+	uint32_t pause_ms;
+	size_t body_at_pause;
+};
+
+static const char *const end_names[] = { "whole", "not sent", "no answer",
+					 "broken", "timeout" };
+static const char *const log_names[] = { "ok", "refused", "unknown",
+					 "unavailable" };
+static const char *const order_names[] = { "done", "fenced", "refused",
+					   "unknown" };
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	uv_loop_init(&state->loop);
+	state->http = http_client_create(&state->loop);
+	state->body = g_string_new(NULL);
+	return state;
+}
+
+static void adapters_destroy(struct state *state)
+{
+	if (state->log)
+		state->log->ops->destroy(state->log);
+	if (state->backend)
+		state->backend->ops->destroy(state->backend);
+	if (state->vms)
+		state->vms->ops->destroy(state->vms);
+	if (state->weights)
+		state->weights->ops->destroy(state->weights);
+	state->log = NULL;
+	state->backend = NULL;
+	state->vms = NULL;
+	state->weights = NULL;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	adapters_destroy(state);
+	http_client_destroy(state->http);
+	if (state->standin)
+		standin_stop(state->standin);
+	if (state->raw)
+		raw_server_destroy(state->raw);
+	loop_close(&state->loop);
+	g_string_free(state->body, TRUE);
+	g_free(state->address);
+	g_free(state);
+}
+
+static void make_adapters(struct state *state, const char *address, bool plain)
+{
+	adapters_destroy(state);
+	g_free(state->address);
+	state->address = g_strdup(address);
+	state->log = log_http_create(state->http, address, LOG_TIMEOUT_MS);
+	state->backend = plain ? plain_http_create(state->http, address) :
+				 engine_http_create(state->http, address);
+	state->vms = vm_list_http_create(state->http, address);
+	state->weights = weight_store_http_create(state->http, address);
+}
+
+static bool is_done(void *ctx)
+{
+	return ((struct state *)ctx)->done;
+}
+
+static void wait_done(struct state *state)
+{
+	if (!loop_wait(&state->loop, is_done, state, LOOP_WAIT_MS))
+		g_string_append(state->out, "nothing came\n");
+}
+
+/* start COMMAND [option...] */
+static void cmd_start(struct state *state, int argc, char **argv)
+{
+	state->standin = standin_start(&state->loop, argc - 1, argv + 1);
+	if (!state->standin) {
+		g_string_append(state->out, "bad\n");
+		return;
+	}
+	make_adapters(state, standin_address(state->standin),
+		      !strcmp(argv[1], "plain"));
+}
+
+/* raw BYTES [then=hold|close|reset]: a peer that answers with the bytes */
+static void cmd_raw(struct state *state, int argc, char **argv)
+{
+	const char *then = script_arg(argc, argv, "then", "hold");
+	char *bytes = g_strcompress(argv[1]);
+
+	state->raw = raw_server_create(&state->loop, bytes,
+				       !strcmp(then, "hold")  ? RAW_HOLD :
+				       !strcmp(then, "close") ? RAW_CLOSE :
+								RAW_RESET);
+	g_free(bytes);
+	make_adapters(state, raw_server_address(state->raw), false);
+}
+
+/* nobody: the port of a server that is gone */
+static void cmd_nobody(struct state *state, int argc, char **argv)
+{
+	struct raw_server *gone =
+		raw_server_create(&state->loop, "", RAW_CLOSE);
+
+	(void)argc;
+	(void)argv;
+	make_adapters(state, raw_server_address(gone), false);
+	raw_server_destroy(gone);
+}
+
+static void cmd_received(struct state *state, int argc, char **argv)
+{
+	const GString *received = raw_server_received(state->raw);
+	char **lines = g_strsplit(received->str, "\r\n", -1);
+	char **line;
+
+	(void)argc;
+	(void)argv;
+	for (line = lines; *line; line++) {
+		if (**line && !g_str_has_prefix(*line, "host:"))
+			g_string_append_printf(state->out, "%s\n", *line);
+	}
+	g_strfreev(lines);
+}
+
+static void on_answer(void *ctx, const struct http_answer *answer)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->out, "%s %d %.*s\n",
+			       end_names[answer->end], answer->status,
+			       (int)answer->len, answer->body);
+	state->done = true;
+}
+
+static void on_fault_set(void *ctx, const struct http_answer *answer)
+{
+	struct state *state = ctx;
+
+	if (answer->status != 200)
+		g_string_append(state->out, "fault not set\n");
+	state->done = true;
+}
+
+static void fetch(struct state *state, const char *method, const char *path,
+		  const char *body, http_fetch_fn on_done)
+{
+	struct http_call_options options = {
+		.address = state->address,
+		.method = method,
+		.path = path,
+		.body = body,
+		.body_len = strlen(body),
+	};
+
+	http_fetch(state->http, &options, on_done, state);
+	wait_done(state);
+}
+
+static bool is_ended(void *ctx)
+{
+	return ((struct state *)ctx)->ended;
+}
+
+/* fault QUERY [end=1]: with end, waits for the end of a call that runs */
+static void cmd_fault(struct state *state, int argc, char **argv)
+{
+	char *path = g_strdup_printf("/fault?%s", argv[1]);
+
+	fetch(state, "POST", path, "", on_fault_set);
+	g_free(path);
+	if (script_arg_int(argc, argv, "end", 0) &&
+	    !loop_wait(&state->loop, is_ended, state, LOOP_WAIT_MS))
+		g_string_append(state->out, "no end\n");
+}
+
+/* fetch METHOD PATH [BODY] */
+static void cmd_fetch(struct state *state, int argc, char **argv)
+{
+	fetch(state, argv[1], argv[2], argc > 3 ? argv[3] : "", on_answer);
+}
+
+static void cmd_sleep(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	loop_sleep(&state->loop, g_ascii_strtoull(argv[1], NULL, 10));
+}
+
+static void on_appended(void *ctx, enum log_service_status status,
+			uint64_t offset)
+{
+	struct state *state = ctx;
+
+	g_string_append(state->out, log_names[status]);
+	if (status == LOG_SERVICE_OK)
+		g_string_append_printf(state->out, " %" PRIu64, offset);
+	g_string_append_c(state->out, '\n');
+	state->done = true;
+}
+
+/* append STREAM PAYLOAD */
+static void cmd_append(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	state->log->ops->append(state->log, argv[1], argv[2], strlen(argv[2]),
+				on_appended, state);
+	wait_done(state);
+}
+
+static void on_read(void *ctx, enum log_service_status status,
+		    const struct log_service_page *page)
+{
+	struct state *state = ctx;
+	size_t i;
+
+	g_string_append(state->out, log_names[status]);
+	if (page)
+		g_string_append_printf(state->out,
+				       " first=%" PRIu64 " end=%" PRIu64,
+				       page->first_offset, page->end_offset);
+	for (i = 0; page && i < page->nr; i++)
+		g_string_append_printf(state->out, " %" PRIu64 ":%.*s",
+				       page->entries[i].offset,
+				       (int)page->entries[i].len,
+				       (const char *)page->entries[i].payload);
+	g_string_append_c(state->out, '\n');
+	state->done = true;
+}
+
+/* read STREAM [from=N] [max=BYTES] [wait=MS] [append=PAYLOAD] */
+static void cmd_read(struct state *state, int argc, char **argv)
+{
+	const char *append = script_arg(argc, argv, "append", NULL);
+
+	state->log->ops->read(
+		state->log, argv[1], script_arg_int(argc, argv, "from", 1),
+		script_arg_int(argc, argv, "max", 1000),
+		script_arg_int(argc, argv, "wait", 0), on_read, state);
+	if (append) {
+		loop_sleep(&state->loop, 30);
+		state->log->ops->append(state->log, argv[1], append,
+					strlen(append), on_appended, state);
+	}
+	wait_done(state);
+	/* Lets the append's answer arrive after the read's. */
+	if (append)
+		loop_sleep(&state->loop, 30);
+}
+
+static void on_load(void *ctx, bool ok, const struct backend_load *load)
+{
+	struct state *state = ctx;
+
+	if (ok)
+		g_string_append_printf(state->out, "running=%u waiting=%u\n",
+				       load->running, load->waiting);
+	else
+		g_string_append(state->out, "no load\n");
+	state->done = true;
+}
+
+static void cmd_load(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	(void)argv;
+	state->backend->ops->load(state->backend, on_load, state);
+	wait_done(state);
+}
+
+static void on_ordered(void *ctx, enum backend_order_status status,
+		       const char *message)
+{
+	struct state *state = ctx;
+
+	(void)message;
+	g_string_append_printf(state->out, "%s\n", order_names[status]);
+	state->done = true;
+}
+
+/* order action=A [model=M] [version=V] [adapter=A] [role=R] [number=N] */
+static void cmd_order(struct state *state, int argc, char **argv)
+{
+	struct backend_order order = {
+		.action = script_arg(argc, argv, "action", ""),
+		.model = script_arg(argc, argv, "model", NULL),
+		.version = script_arg(argc, argv, "version", NULL),
+		.adapter = script_arg(argc, argv, "adapter", NULL),
+		.role = script_arg(argc, argv, "role", NULL),
+		.fencing_number = script_arg_int(argc, argv, "number", 0),
+	};
+
+	state->backend->ops->order(state->backend, &order, on_ordered, state);
+	wait_done(state);
+}
+
+static void on_held(void *ctx, bool ok, const struct backend_held *held)
+{
+	struct state *state = ctx;
+
+	if (ok)
+		g_string_append_printf(state->out,
+				       "model=%s version=%s adapter=%s role=%s "
+				       "number=%" PRIu64 " busy=%d\n",
+				       held->model, held->version,
+				       held->adapter, held->role,
+				       held->fencing_number, held->busy);
+	else
+		g_string_append(state->out, "not known\n");
+	state->done = true;
+}
+
+static void cmd_held(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	(void)argv;
+	state->backend->ops->held(state->backend, on_held, state);
+	wait_done(state);
+}
+
+static void on_vms(void *ctx, bool ok, const struct vm_entry *vms, size_t nr)
+{
+	struct state *state = ctx;
+	size_t i;
+
+	g_string_append(state->out, ok ? "ok\n" : "unavailable\n");
+	for (i = 0; i < nr; i++)
+		g_string_append_printf(
+			state->out, "%s %s %s %s %s/%s %s\n", vms[i].name,
+			vms[i].role == VM_ENTRY ? "entry" : "agent",
+			vms[i].state == VM_LIVE ? "live" : "leaving",
+			vms[i].address, vms[i].region, vms[i].data_centre,
+			*vms[i].service ? vms[i].service : "-");
+	state->done = true;
+}
+
+static void cmd_vms(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	(void)argv;
+	state->vms->ops->fetch(state->vms, on_vms, state);
+	wait_done(state);
+}
+
+static void on_described(void *ctx, bool ok, uint64_t bytes, uint64_t rate)
+{
+	struct state *state = ctx;
+
+	if (ok)
+		g_string_append_printf(state->out,
+				       "%" PRIu64 " bytes at %" PRIu64 "/s\n",
+				       bytes, rate);
+	else
+		g_string_append(state->out, "not described\n");
+	state->done = true;
+}
+
+/* describe MODEL VERSION */
+static void cmd_describe(struct state *state, int argc, char **argv)
+{
+	(void)argc;
+	state->weights->ops->describe(state->weights, argv[1], argv[2],
+				      on_described, state);
+	wait_done(state);
+}
+
+/*
+ * Counts the tokens of a stream, from index 0, and checks them against the
+ * prompt's answer. Drops a last event that is not whole.
+ */
+static unsigned check_tokens(struct state *state, bool *right, bool *done)
+{
+	const char *last = g_strrstr(state->body->str, "\n\n");
+	uint64_t hash = hash_string(state->prompt, 0);
+	unsigned nr = 0;
+	char **lines, **line;
+
+	g_string_truncate(state->body, last ? last + 2 - state->body->str : 0);
+	lines = g_strsplit(state->body->str, "\n\n", -1);
+	*right = true;
+	*done = false;
+	for (line = lines; *line; line++) {
+		char text[32], expected[32];
+		unsigned index;
+
+		*done |= !strcmp(*line, "data: [DONE]");
+		if (sscanf(*line, "data: {\"token\":\"%31[^\"]\",\"index\":%u}",
+			   text, &index) != 2)
+			continue;
+		engine_token(hash, index, expected);
+		*right &= index == nr++ && !strcmp(text, expected);
+	}
+	g_strfreev(lines);
+	return nr;
+}
+
+/* How many tokens came before the end is only told of whole streams. */
+static void print_tokens(struct state *state)
+{
+	bool right, done;
+	unsigned nr = check_tokens(state, &right, &done);
+
+	if (!nr)
+		return;
+	g_string_append(state->out, right ? "right tokens" : "wrong tokens");
+	if (done)
+		g_string_append_printf(state->out, " 0 to %u, done", nr - 1);
+	g_string_append_c(state->out, '\n');
+}
+
+static void on_sent(void *ctx)
+{
+	struct state *state = ctx;
+
+	g_string_append(state->out, state->call ? "sent\n" : "sent early\n");
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	struct state *state = ctx;
+
+	(void)fields;
+	(void)nr;
+	g_string_append_printf(state->out, "head %d\n", status);
+}
+
+static void finish_call(struct state *state)
+{
+	if (state->stream)
+		print_tokens(state);
+	else if (state->body->len && !state->quiet)
+		g_string_append_printf(state->out, "body %s\n",
+				       state->body->str);
+	state->done = true;
+}
+
+static void on_pause_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void on_pause_over(uv_timer_t *timer)
+{
+	struct state *state = timer->data;
+
+	if (state->body->len > state->body_at_pause)
+		g_string_append(state->out, "came while paused\n");
+	state->backend->ops->pause(state->call, false);
+	uv_close((uv_handle_t *)timer, on_pause_closed);
+}
+
+static void pause_call(struct state *state)
+{
+	uv_timer_t *timer = g_new0(uv_timer_t, 1);
+
+	uv_timer_init(&state->loop, timer);
+	timer->data = state;
+	uv_timer_start(timer, on_pause_over, state->pause_ms, 0);
+	state->pause_ms = 0;
+	state->body_at_pause = state->body->len;
+	state->backend->ops->pause(state->call, true);
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct state *state = ctx;
+
+	g_string_append_len(state->body, data, (gssize)len);
+	if (state->pause_ms)
+		pause_call(state);
+	if (!state->cancel_after || state->body->len < state->cancel_after)
+		return;
+	state->backend->ops->cancel(state->call);
+	g_string_append(state->out, "cancelled\n");
+	finish_call(state);
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct state *state = ctx;
+
+	finish_call(state);
+	g_string_append_printf(state->out, "%s\n", end_names[end]);
+	state->ended = true;
+}
+
+static char *completion_body(int argc, char **argv, const char *prompt)
+{
+	return g_strdup_printf(
+		"{\"prompt\":\"%s\",\"max_tokens\":%d,\"stream\":%s}", prompt,
+		(int)script_arg_int(argc, argv, "tokens", 4),
+		script_arg_int(argc, argv, "stream", 1) ? "true" : "false");
+}
+
+static uint32_t resume_from(struct state *state, int argc, char **argv)
+{
+	const char *text = script_arg(argc, argv, "resume", "0");
+	bool right, done;
+
+	if (!strcmp(text, "next"))
+		return check_tokens(state, &right, &done);
+	g_string_truncate(state->body, 0);
+	return (uint32_t)g_ascii_strtoull(text, NULL, 10);
+}
+
+/*
+ * call METHOD PATH [id=ID] [body=B | tokens=N [prompt=P] [stream=0]] [fresh=1]
+ * [resume=N|next] [first=MS] [idle=MS] [cancel=BYTES] [pause=MS]
+ * [field=NAME:VALUE] [quiet=1]; resume=next goes on with the call before.
+ */
+static void cmd_call(struct state *state, int argc, char **argv)
+{
+	const char *field = script_arg(argc, argv, "field", NULL);
+	char **pair = g_strsplit(field ? field : "x:y", ":", 2);
+	struct http_field fields[] = { { pair[0], g_strcompress(pair[1]) } };
+	char *path = g_strcompress(argv[2]);
+	struct backend_call_options options = {
+		.method = argv[1],
+		.path = path,
+		.call_id = script_arg(argc, argv, "id", NULL),
+		.fields = fields,
+		.fields_nr = field ? 1 : 0,
+		.idempotent = !script_arg_int(argc, argv, "fresh", 0),
+		.resume_from = resume_from(state, argc, argv),
+		.first_byte_timeout_ms =
+			script_arg_int(argc, argv, "first", LOOP_WAIT_MS),
+		.idle_timeout_ms =
+			script_arg_int(argc, argv, "idle", LOOP_WAIT_MS),
+		.on_sent = on_sent,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = state,
+	};
+	const char *given = script_arg(argc, argv, "body", NULL);
+	char *body;
+
+	state->prompt = script_arg(argc, argv, "prompt", DEFAULT_PROMPT);
+	state->stream = !given && script_arg_int(argc, argv, "stream", 1);
+	body = given ? g_strdup(given) :
+		       completion_body(argc, argv, state->prompt);
+	options.body = body;
+	options.body_len = strlen(body);
+	state->cancel_after = script_arg_int(argc, argv, "cancel", 0);
+	state->pause_ms = script_arg_int(argc, argv, "pause", 0);
+	state->call = NULL;
+	state->ended = false;
+	state->quiet = script_arg_int(argc, argv, "quiet", 0);
+	state->call = state->backend->ops->call(state->backend, &options);
+	g_free(body);
+	if (script_arg_int(argc, argv, "wait", 1))
+		wait_done(state);
+	g_free((char *)fields[0].value);
+	g_strfreev(pair);
+	g_free(path);
+}
+
+struct command {
+	const char *name;
+	void (*run)(struct state *state, int argc, char **argv);
+};
+
+static const struct command commands[] = {
+	{ "append", cmd_append },     { "call", cmd_call },
+	{ "describe", cmd_describe }, { "fault", cmd_fault },
+	{ "fetch", cmd_fetch },	      { "held", cmd_held },
+	{ "load", cmd_load },	      { "nobody", cmd_nobody },
+	{ "order", cmd_order },	      { "raw", cmd_raw },
+	{ "read", cmd_read },	      { "received", cmd_received },
+	{ "sleep", cmd_sleep },	      { "start", cmd_start },
+	{ "vms", cmd_vms },
+};
+
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+	size_t i;
+
+	state->out = out;
+	state->done = false;
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, argv[0]))
+			continue;
+		commands[i].run(state, argc, argv);
+		return;
+	}
+	g_string_append(out, "no such command\n");
+}
+
+static const struct script_driver driver = {
+	.name = "platform",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
