Test the web server byte by byte and answer its errors as problems

A raw client sends bodies above the limit, malformed heads and chunks, half requests and two at once, leaves early, half closes, or doesn't read.

Changed: a caller that left is found by POLLRDHUP, which also sees a FIN behind further bytes (a pipelined request, the end of a TLS session), where the look at the next byte did not. Errors that h2o answers itself (413, 400) were text/plain; they are now application/problem+json like the others.

--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -1,5 +1,5 @@
 #include <arpa/inet.h>
-#include <errno.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
@@ -9,12 +9,12 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
-#include <json-c/json.h>
 
 #include "briarplankd/web.h"
 #include "common/error.h"
 #include "common/list.h"
 #include "common/log.h"
+#include "web_problem.h"
 
 #define PART "web"
 
@@ -221,17 +221,19 @@
 	return 0;
 }
 
-/* A caller that has sent a FIN or a reset before its answer has left. */
+/*
+ * A caller that has sent a FIN or a reset before its answer has left. Bytes
+ * may lie before the FIN: a further request, or the end of a TLS session.
+ */
 static bool caller_left(h2o_req_t *req)
 {
 	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
-	char byte;
-	ssize_t nr;
+	struct pollfd fd = { .events = POLLRDHUP };
 
 	if (!sock || req->version >= 0x200)
 		return false;
-	nr = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return nr == 0 || (nr < 0 && errno != EAGAIN && errno != EINTR);
+	fd.fd = h2o_socket_get_fd(sock);
+	return poll(&fd, 1, 0) > 0;
 }
 
 static void on_caller_timer(uv_timer_t *timer)
@@ -357,6 +359,8 @@
 	host = h2o_config_register_host(
 		&web->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	path = h2o_config_register_path(host, "/", 0);
+	web_problem_install(path);
+	web_problem_install(&host->fallback_path);
 	handler = (struct route_handler *)h2o_create_handler(path,
 							     sizeof(*handler));
 	handler->super.on_req = on_request;
@@ -592,24 +596,15 @@
 void web_problem(struct web_request *request, int status, const char *title,
 		 const char *fmt, ...)
 {
-	struct json_object *root = json_object_new_object();
-	const char *text;
-	char *detail;
+	char *detail, *text;
 	va_list args;
 
 	va_start(args, fmt);
 	detail = g_strdup_vprintf(fmt, args);
 	va_end(args);
-	json_object_object_add(root, "type",
-			       json_object_new_string("about:blank"));
-	json_object_object_add(root, "title", json_object_new_string(title));
-	json_object_object_add(root, "status", json_object_new_int(status));
-	json_object_object_add(root, "detail", json_object_new_string(detail));
-	text = json_object_to_json_string_ext(
-		root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
-	web_answer(request, status, "application/problem+json", text,
-		   strlen(text));
-	json_object_put(root);
+	text = web_problem_json(status, title, detail);
+	web_answer(request, status, WEB_PROBLEM_TYPE, text, strlen(text));
+	g_free(text);
 	g_free(detail);
 }
 
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -31,6 +31,7 @@
 	bool connected;
 	bool ended;
 	bool half_close;
+	bool paused;
 	/* Bytes to send once connected. */
 	GString *waiting;
 	GString *received;
@@ -185,7 +186,7 @@
 		return;
 	}
 	client->connected = true;
-	uv_read_start((uv_stream_t *)&client->tcp, on_alloc, on_client_read);
+	raw_client_read(client, !client->paused);
 	if (client->waiting->len)
 		write_copy(&client->tcp, client->waiting->str,
 			   client->waiting->len);
@@ -230,6 +231,9 @@
 
 void raw_client_read(struct raw_client *client, bool read)
 {
+	client->paused = !read;
+	if (!client->connected)
+		return;
 	if (read)
 		uv_read_start((uv_stream_t *)&client->tcp, on_alloc,
 			      on_client_read);
