Test the bus against misbehaving peers and refuse foreign CURVE keys

Several nodes in one loop: local delivery, unknown peers, restarts at the same address, late messages of an earlier incarnation, garbage as bytes and as frames, a full queue, and keys.

Found and mended: - CURVE let in any client that knew the public key, as nothing answered libzmq's question about clients; bus_auth.c now does, and closes the door to all but holders of the fleet's pair. All nodes share one pair, so keys.fleet and fleet_public_key are gone; a pair that doesn't fit is a fault of the settings - a late message of an earlier incarnation brought its dead route back - a route only had to begin with its sender's name; it must now be exactly the name and incarnation - a handler that removed a peer could leave on_prepare in an endless loop

--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -5,6 +5,7 @@
 #include <zmq.h>
 
 #include "briarplankd/bus.h"
+#include "bus_auth.h"
 #include "common/error.h"
 #include "common/list.h"
 #include "common/log.h"
@@ -39,9 +40,10 @@
 	char *name;
 	char *address;
 	struct socket *socket;
-	/* Identity of the peer's own connection to us. */
+	/* Identity of the peer's own connection to us, and its incarnation. */
 	uint8_t route[256];
 	size_t route_len;
+	uint64_t route_incarnation;
 };
 
 /* A message to this node itself. */
@@ -63,6 +65,7 @@
 	char *address;
 	uint64_t incarnation;
 	struct bus_keys keys;
+	struct bus_auth *auth;
 	struct socket *bound;
 	struct list sockets;
 	GHashTable *peers;
@@ -114,7 +117,7 @@
 	set_int(zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 	set_int(zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(zmq, ZMQ_MAXMSGSIZE, &max, sizeof(max));
-	if (!bus->keys.secret_key)
+	if (!bus->auth)
 		return;
 	zmq_setsockopt(zmq, ZMQ_CURVE_PUBLICKEY, bus->keys.public_key,
 		       strlen(bus->keys.public_key) + 1);
@@ -252,17 +255,31 @@
 	}
 }
 
-static void on_prepare(uv_prepare_t *prepare)
+/* A handler may close any socket, so each is visited off a list of its own. */
+static void drain_dirty(struct bus *bus)
 {
-	struct bus *bus = prepare->data;
-	struct list *pos, *tmp;
+	struct list batch, *pos;
 
-	list_for_each_safe (pos, tmp, &bus->sockets) {
+	list_init(&batch);
+	while ((pos = list_first(&bus->sockets)) != NULL) {
+		list_remove(pos);
+		list_append(&batch, pos);
+	}
+	while ((pos = list_first(&batch)) != NULL) {
 		struct socket *socket = list_entry(pos, struct socket, link);
 
+		list_remove(pos);
+		list_append(&bus->sockets, pos);
 		if (socket->dirty)
 			drain(socket);
 	}
+}
+
+static void on_prepare(uv_prepare_t *prepare)
+{
+	struct bus *bus = prepare->data;
+
+	drain_dirty(bus);
 	deliver_local(bus);
 }
 
@@ -293,8 +310,11 @@
 	bus->bound = socket_create(bus, ZMQ_ROUTER);
 	set_int(bus->bound->zmq, ZMQ_ROUTER_MANDATORY, 1);
 	set_int(bus->bound->zmq, ZMQ_ROUTER_HANDOVER, 1);
-	if (bus->keys.secret_key)
+	if (bus->auth) {
 		set_int(bus->bound->zmq, ZMQ_CURVE_SERVER, 1);
+		zmq_setsockopt(bus->bound->zmq, ZMQ_ZAP_DOMAIN, BUS_AUTH_DOMAIN,
+			       strlen(BUS_AUTH_DOMAIN));
+	}
 	rc = zmq_bind(bus->bound->zmq, endpoint);
 	g_free(endpoint);
 	if (rc != 0) {
@@ -329,6 +349,21 @@
 		metrics_counter(metrics, "briarplank_bus_received_total", "");
 }
 
+static bool start_auth(struct bus *bus, const struct bus_options *options)
+{
+	if (!bus->keys.public_key && !bus->keys.secret_key)
+		return true;
+	if (!bus->keys.public_key || !bus->keys.secret_key) {
+		error_set("the bus needs both keys, or none");
+		return false;
+	}
+	if (!bus_auth_check_keys(bus->keys.public_key, bus->keys.secret_key))
+		return false;
+	bus->auth = bus_auth_create(bus->zmq, bus->loop, bus->keys.public_key,
+				    options->metrics);
+	return true;
+}
+
 struct bus *bus_create(const struct bus_options *options)
 {
 	struct bus *bus = g_new0(struct bus, 1);
@@ -346,7 +381,7 @@
 	list_init(&bus->local);
 	make_metrics(bus, options->metrics);
 	start_handles(bus);
-	if (bind_socket(bus, options->address))
+	if (start_auth(bus, options) && bind_socket(bus, options->address))
 		return bus;
 	bus_destroy(bus);
 	return NULL;
@@ -364,6 +399,8 @@
 
 	list_for_each_safe (pos, tmp, &bus->sockets)
 		socket_destroy(list_entry(pos, struct socket, link));
+	if (bus->auth)
+		bus_auth_destroy(bus->auth);
 	close_handles(bus);
 	uv_run(bus->loop, UV_RUN_NOWAIT);
 	list_for_each_safe (pos, tmp, &bus->local)
@@ -431,21 +468,25 @@
 	g_hash_table_remove(bus->peers, name);
 }
 
+static char *make_identity(const char *name, uint64_t incarnation)
+{
+	return g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", name, incarnation);
+}
+
 /* Connects to the peer; the identity names this incarnation. */
 static bool peer_connect(struct bus *bus, struct peer *peer)
 {
 	char *endpoint = g_strdup_printf("tcp://%s", peer->address);
-	char *identity = g_strdup_printf("%s#%" G_GINT64_MODIFIER "x",
-					 bus->name, bus->incarnation);
+	char *identity = make_identity(bus->name, bus->incarnation);
 	struct socket *socket = socket_create(bus, ZMQ_DEALER);
 	int rc;
 
 	zmq_setsockopt(socket->zmq, ZMQ_ROUTING_ID, identity, strlen(identity));
 	set_int(socket->zmq, ZMQ_IMMEDIATE, 1);
-	if (bus->keys.secret_key)
+	if (bus->auth)
 		zmq_setsockopt(socket->zmq, ZMQ_CURVE_SERVERKEY,
-			       bus->keys.fleet_public_key,
-			       strlen(bus->keys.fleet_public_key) + 1);
+			       bus->keys.public_key,
+			       strlen(bus->keys.public_key) + 1);
 	rc = zmq_connect(socket->zmq, endpoint);
 	g_free(endpoint);
 	g_free(identity);
@@ -502,8 +543,12 @@
 		return BUS_BAD_ADDRESS;
 	if (peer->socket)
 		sent = send_frames(peer->socket, peer, env, len);
-	if (!sent && peer->route_len)
+	if (!sent && peer->route_len) {
 		sent = send_frames(bus->bound, peer, env, len);
+		/* A route that is gone may be replaced by any other. */
+		if (!sent && errno == EHOSTUNREACH)
+			peer->route_len = 0;
+	}
 	if (!sent) {
 		counter_add(bus->refused, 1);
 		error_set("no connection to %s", peer->name);
@@ -533,25 +578,30 @@
 	return send_remote(bus, peer, env);
 }
 
+/* A late message of an earlier incarnation must not bring its route back. */
 static void remember_route(struct bus *bus, const Briarplank__Envelope *env,
 			   const uint8_t *route, size_t route_len)
 {
 	struct peer *peer = peer_find(bus, env->sender, true);
 
-	if (route_len > sizeof(peer->route))
+	if (route_len > sizeof(peer->route) ||
+	    (peer->route_len && env->incarnation < peer->route_incarnation))
 		return;
 	memcpy(peer->route, route, route_len);
 	peer->route_len = route_len;
+	peer->route_incarnation = env->incarnation;
 }
 
-/* A route must carry the sender's name, so that no peer speaks for another. */
+/* A route must name its sender, so that no peer speaks for another. */
 static bool route_matches(const Briarplank__Envelope *env, const uint8_t *route,
 			  size_t route_len)
 {
-	size_t len = strlen(env->sender);
+	char *identity = make_identity(env->sender, env->incarnation);
+	bool same = route_len == strlen(identity) &&
+		    !memcmp(route, identity, route_len);
 
-	return route_len > len && !memcmp(route, env->sender, len) &&
-	       route[len] == '#';
+	g_free(identity);
+	return same;
 }
 
 static void dispatch(struct bus *bus, const Briarplank__Envelope *env)
--- a/briarplankd/daemon_settings.c
+++ b/briarplankd/daemon_settings.c
@@ -1,6 +1,8 @@
 #include <stdio.h>
 
 #include "briarplankd/daemon_settings.h"
+#include "bus_auth.h"
+#include "common/error.h"
 
 #define FIELD(type, member) offsetof(struct type, member)
 #define DAEMON(member) FIELD(daemon_settings, member)
@@ -96,11 +98,9 @@
 	  .help = "the server refuses orders with an old fencing number" },
 
 	{ "keys.public", SETTING_STRING, DAEMON(bus_public_key),
-	  .help = "CURVE public key of this node, Z85" },
+	  .help = "CURVE public key that all nodes share, Z85" },
 	{ "keys.secret", SETTING_STRING, DAEMON(bus_secret_key),
-	  .help = "CURVE secret key of this node, Z85" },
-	{ "keys.fleet", SETTING_STRING, DAEMON(bus_fleet_key),
-	  .help = "CURVE public key that the nodes' buses answer with, Z85" },
+	  .help = "CURVE secret key that all nodes share, Z85" },
 
 	{ "ledger.shards", SETTING_INT, DAEMON(ledger_shards), .min = 1,
 	  .max = 1024, .unit = "shards", .fallback = "8",
@@ -125,11 +125,13 @@
 		settings_fault_add(
 			faults, 1,
 			"an agent needs server.service and server.address");
-	if (!settings->bus_secret_key != !settings->bus_public_key ||
-	    !settings->bus_secret_key != !settings->bus_fleet_key)
+	if (!settings->bus_secret_key != !settings->bus_public_key)
 		settings_fault_add(faults, 1,
-				   "keys.public, keys.secret and keys.fleet "
-				   "go together");
+				   "keys.public and keys.secret go together");
+	else if (settings->bus_secret_key &&
+		 !bus_auth_check_keys(settings->bus_public_key,
+				      settings->bus_secret_key))
+		settings_fault_add(faults, 1, "keys: %s", error_last());
 	if (!settings->web_tls_key != !settings->web_tls_certificate)
 		settings_fault_add(
 			faults, 1,
--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -27,12 +27,13 @@
 	BUS_BAD_ADDRESS,
 };
 
-/** CURVE keys in Z85 text; all NULL for plain connections. */
+/**
+ * The CURVE key pair that all nodes of a fleet share, in Z85 text; both NULL
+ * for plain connections. Who lacks it is refused.
+ */
 struct bus_keys {
 	const char *public_key;
 	const char *secret_key;
-	/** Public key that every node of the fleet shares. */
-	const char *fleet_public_key;
 };
 
 struct bus_options {
--- a/include/briarplankd/daemon_settings.h
+++ b/include/briarplankd/daemon_settings.h
@@ -57,7 +57,6 @@
 
 	char *bus_public_key;
 	char *bus_secret_key;
-	char *bus_fleet_key;
 
 	int64_t ledger_shards;
 	int64_t stop_limit_ms;
--- a/tests/loop_wait.c
+++ b/tests/loop_wait.c
@@ -15,17 +15,18 @@
 	       uint64_t limit_ms)
 {
 	bool late = false;
+	bool held;
 	uv_timer_t timer;
 
 	uv_update_time(loop);
 	uv_timer_init(loop, &timer);
 	timer.data = &late;
 	uv_timer_start(&timer, on_timer, limit_ms, 0);
-	while (!done(ctx) && !late)
+	while (!(held = done(ctx)) && !late)
 		uv_run(loop, UV_RUN_ONCE);
 	uv_close((uv_handle_t *)&timer, NULL);
 	uv_run(loop, UV_RUN_NOWAIT);
-	return done(ctx);
+	return held;
 }
 
 void loop_sleep(uv_loop_t *loop, uint64_t ms)
