--- a/briarplankd/main.c
+++ b/briarplankd/main.c
@@ -11,18 +11,22 @@
 #include "briarplankd/tasks.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "make_keys.h"
 
 #define EXIT_USAGE 2
 
 static char *config_file;
 static char *role_text;
 static gboolean check_only;
+static gboolean make_keys;
 
 static const GOptionEntry options[] = {
 	{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &config_file,
 	  "Settings file", "FILE" },
 	{ "check", 0, 0, G_OPTION_ARG_NONE, &check_only,
 	  "Print each fault in the settings and exit", NULL },
+	{ "make-keys", 0, 0, G_OPTION_ARG_NONE, &make_keys,
+	  "Print a new key pair for the fleet's bus and exit", NULL },
 	{ "role", 0, 0, G_OPTION_ARG_STRING, &role_text,
 	  "Role instead of the one in the settings", "entry|agent" },
 	{ 0 },
@@ -42,7 +46,7 @@
 		g_error_free(error);
 		return false;
 	}
-	if (!config_file) {
+	if (!config_file && !make_keys) {
 		fprintf(stderr, "briarplankd: --config FILE is missing\n");
 		return false;
 	}
@@ -88,6 +92,8 @@
 
 	if (!parse_options(&argc, &argv))
 		return EXIT_USAGE;
+	if (make_keys)
+		return make_keys_print();
 	if (!daemon_settings_load(config_file, &settings))
 		status = EXIT_USAGE;
 	else if (!apply_role(&settings))
--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -8,6 +8,7 @@
 #include "briarplankd/node.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "web_tls.h"
 
 #define PART "node"
 
@@ -117,6 +118,12 @@
 
 	if (!settings->web_address)
 		return true;
+	if (settings->web_tls_certificate) {
+		options.tls = web_tls_create(settings->web_tls_certificate,
+					     settings->web_tls_key);
+		if (!options.tls)
+			return false;
+	}
 	node->web = web_create(&options);
 	if (!node->web)
 		return false;
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -111,14 +111,18 @@
 	done | sed 's/,$//'
 }
 
+# FLEET_SETTINGS and FLEET_WEB are further members of the settings, and of
+# "web" in them, for the nodes that are started next.
+
 # fleet_entry NAME DATA_CENTRE REGION: starts an entry.
 fleet_entry () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "entry", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
 	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
 	"access": [ ${FLEET_ACCESS:-} ]
@@ -132,10 +136,11 @@
 fleet_agent () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "agent", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
 	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
 	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
