--- a/bench/bus_rate.c
+++ b/bench/bus_rate.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include <glib.h>
+#include <zmq.h>
 
 #include "briarplankd/bus.h"
 
@@ -14,12 +15,17 @@
 
 static int messages = 200000;
 static int bytes = 60;
+static gboolean with_keys;
+static char public_key[41];
+static char secret_key[41];
 
 static const GOptionEntry options[] = {
 	{ "messages", 'n', 0, G_OPTION_ARG_INT, &messages, "Messages to send",
 	  "N" },
 	{ "bytes", 'b', 0, G_OPTION_ARG_INT, &bytes, "Bytes of each piece",
 	  "N" },
+	{ "keys", 'k', 0, G_OPTION_ARG_NONE, &with_keys, "Encrypt with CURVE",
+	  NULL },
 	{ 0 },
 };
 
@@ -114,6 +120,8 @@
 		.metrics = metrics,
 	};
 
+	if (with_keys)
+		bus_options.keys = (struct bus_keys){ public_key, secret_key };
 	uv_loop_init(loop);
 	return bus_create(&bus_options);
 }
@@ -138,6 +146,7 @@
 	if (!g_option_context_parse(context, &argc, &argv, NULL))
 		return 2;
 	g_option_context_free(context);
+	zmq_curve_keypair(public_key, secret_key);
 	receiver.metrics = metrics_create();
 	sender.metrics = metrics_create();
 	receiver.bus = open_bus(&receiver.loop, "receiver", receiver.metrics);
@@ -155,9 +164,9 @@
 	g_thread_join(thread);
 	took_s = (double)(g_get_monotonic_time() - start) / 1e6;
 	cpu_s = process_cpu_s();
-	printf("bytes_%d messages=%d rate_per_s=%.0f "
+	printf("bytes_%d%s messages=%d rate_per_s=%.0f "
 	       "receiver_us=%.2f sender_us=%.2f all_us=%.2f\n",
-	       bytes, messages, messages / took_s,
+	       bytes, with_keys ? "_keys" : "", messages, messages / took_s,
 	       receiver.cpu_s * 1e6 / messages, thread_cpu_s() * 1e6 / messages,
 	       cpu_s * 1e6 / messages);
 	g_free(sender.piece);
