Order the engines to hold what the configuration says

The gate refuses new work as not ready while it is closed. The configuration key orders.max_changes is new.

--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -481,6 +481,8 @@
 		return BRIARPLANK__REFUSED__REASON__CANCELLED;
 	if (gate->leaving)
 		return BRIARPLANK__REFUSED__REASON__LEAVING;
+	if (gate->closed)
+		return BRIARPLANK__REFUSED__REASON__NOT_READY;
 	if (!remaining_ms(gate, dispatch))
 		return BRIARPLANK__REFUSED__REASON__DEADLINE;
 	return -1;
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -148,7 +148,7 @@
 	unsigned wanted =
 		gate->plan.keep + MAX(PREFETCH_MIN, gate->plan.keep / 2);
 
-	if (gate->leaving || held >= wanted)
+	if (gate->leaving || gate->closed || held >= wanted)
 		return 0;
 	return wanted - held;
 }
@@ -186,7 +186,7 @@
 	report->expected_wait_us =
 		admission_wait_us(gate->admission, gate->running_online, limit);
 	report->leaving = gate->leaving;
-	report->ready = !gate->leaving;
+	report->ready = !gate->leaving && !gate->closed;
 	report->sequence = ++gate->report_sequence;
 }
 
@@ -293,6 +293,21 @@
 	return true;
 }
 
+void gate_set_closed(struct gate *gate, bool closed)
+{
+	if (gate->closed == closed)
+		return;
+	gate->closed = closed;
+	report(gate);
+	gate_schedule(gate);
+}
+
+bool gate_is_idle(const struct gate *gate)
+{
+	return !gate->running_online && !gate->running_batch &&
+	       !admission_waiting(gate->admission) && list_empty(&gate->works);
+}
+
 static void gate_stop(struct task *task)
 {
 	struct gate *gate = list_entry(task, struct gate, task);
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -58,6 +58,8 @@
 	void (*on_thaw)(void *ctx);
 	void *thaw_ctx;
 	bool leaving;
+	/* The server is about to change what it holds: no new work. */
+	bool closed;
 	uint64_t report_sequence;
 	uint64_t reported_ms;
 	/* Entries that dispatched lately: name to the time of it. */
@@ -76,6 +78,12 @@
 /** Returns the node's gate, or NULL. */
 struct gate *gate_of(struct node *node);
 
+/** Stops taking new work, or takes it again; what is here goes on. */
+void gate_set_closed(struct gate *gate, bool closed);
+
+/** Tells whether nothing runs or waits at the gate. */
+bool gate_is_idle(const struct gate *gate);
+
 /** Looks at the clock; called first by each handler of an event. */
 void gate_wake(struct gate *gate);
 
--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -10,11 +10,8 @@
 };
 
 static const task_create_fn agent_tasks[] = {
-	members_task_create,
-	config_task_create,
-	batch_task_create,
-	gate_task_create,
-	NULL,
+	members_task_create, config_task_create, batch_task_create,
+	gate_task_create,    orders_task_create, NULL,
 };
 
 void tasks_add(struct node *node)
--- a/core/config_keys.c
+++ b/core/config_keys.c
@@ -22,6 +22,9 @@
 	  .help = "least severe level that every node writes" },
 	{ "node.*.log_level", CONFIG_KEY_CHOICE, .choices = levels,
 	  .help = "least severe level that one node writes" },
+	{ "orders.max_changes", CONFIG_KEY_INT, 1, 64, "servers", "2",
+	  .help = "servers of the fleet that may change what they hold at a "
+		  "time" },
 	{ "server.*.adapter", CONFIG_KEY_TEXT,
 	  .help = "adapter that the server must hold" },
 	{ "server.*.drained", CONFIG_KEY_BOOL, .fallback = "false",
--- a/include/briarplankd/tasks.h
+++ b/include/briarplankd/tasks.h
@@ -18,5 +18,6 @@
 struct task *operator_task_create(void);
 struct task *gate_task_create(void);
 struct task *batch_task_create(void);
+struct task *orders_task_create(void);
 
 #endif
