--- a/core/config_store.c
+++ b/core/config_store.c
@@ -371,30 +371,25 @@
 	g_free(keys);
 }
 
-static char *wire_text(const char *text)
-{
-	return strdup(text);
-}
-
 static Briarplank__ConfigValue *value_to_wire(const struct value *value)
 {
-	Briarplank__ConfigValue *wire = calloc(1, sizeof(*wire));
+	Briarplank__ConfigValue *wire = g_new0(Briarplank__ConfigValue, 1);
 
 	briarplank__config_value__init(wire);
-	wire->key = wire_text(value->key);
-	wire->value = wire_text(value->text);
+	wire->key = g_strdup(value->key);
+	wire->value = g_strdup(value->text);
 	wire->revision = value->revision;
-	wire->command_id = wire_text(value->command_id);
+	wire->command_id = g_strdup(value->command_id);
 	return wire;
 }
 
 static Briarplank__ConfigCommand *command_to_wire(const struct command *command)
 {
-	Briarplank__ConfigCommand *wire = calloc(1, sizeof(*wire));
+	Briarplank__ConfigCommand *wire = g_new0(Briarplank__ConfigCommand, 1);
 
 	briarplank__config_command__init(wire);
-	wire->operator_name = wire_text(command->operator_name);
-	wire->command_id = wire_text(command->id);
+	wire->operator_name = g_strdup(command->operator_name);
+	wire->command_id = g_strdup(command->id);
 	wire->offset = command->result.offset;
 	wire->outcome = command->result.outcome;
 	wire->revision = command->result.revision;
@@ -402,11 +397,12 @@
 	return wire;
 }
 
-/* Messages use the C library's allocator, as free_unpacked frees with it. */
+/* GLib's allocator is the C library's, with which free_unpacked frees. */
 Briarplank__ConfigSnapshot *config_store_snapshot(
 	const struct config_store *store)
 {
-	Briarplank__ConfigSnapshot *wire = calloc(1, sizeof(*wire));
+	Briarplank__ConfigSnapshot *wire =
+		g_new0(Briarplank__ConfigSnapshot, 1);
 	guint i, nr;
 	const char **keys = sorted_keys(store, &nr);
 	GList *pos;
@@ -415,12 +411,12 @@
 	wire->revision = store->revision;
 	wire->next_offset = store->next_offset;
 	wire->forgotten_revision = store->forgotten_revision;
-	wire->values = calloc(nr + 1, sizeof(*wire->values));
+	wire->values = g_new0(Briarplank__ConfigValue *, nr + 1);
 	for (i = 0; i < nr; i++)
 		wire->values[wire->n_values++] =
 			value_to_wire(find_value(store, keys[i]));
 	wire->commands =
-		calloc(store->commands.length + 1, sizeof(*wire->commands));
+		g_new0(Briarplank__ConfigCommand *, store->commands.length + 1);
 	for (pos = store->commands.head; pos; pos = pos->next)
 		wire->commands[wire->n_commands++] = command_to_wire(pos->data);
 	g_free(keys);
@@ -473,8 +469,8 @@
 	size_t max = store->history.length + 1;
 	GList *pos;
 
-	update->records = calloc(max, sizeof(*update->records));
-	update->offsets = calloc(max, sizeof(*update->offsets));
+	update->records = g_new0(Briarplank__ConfigRecord *, max);
+	update->offsets = g_new0(uint64_t, max);
 	for (pos = store->history.head; pos; pos = pos->next) {
 		const struct past_record *past = pos->data;
 
@@ -493,7 +489,7 @@
 
 	if (from_offset >= store->next_offset)
 		return NULL;
-	update = calloc(1, sizeof(*update));
+	update = g_new0(Briarplank__ConfigUpdate, 1);
 	briarplank__config_update__init(update);
 	update->from_offset = from_offset;
 	update->next_offset = store->next_offset;
--- /dev/null
+++ b/include/core/command.h
@@ -0,0 +1,74 @@
+/**
+ * The operators' language: text to typed commands.
+ *
+ *     show KIND [where FIELD = VALUE [and FIELD = VALUE ...]]
+ *     submit job NAME service S path P [due TIME] [keep TIME]   and items below
+ *     cancel job ID
+ *     drain server ID
+ *     undrain server ID
+ *     set KEY VALUE [if revision N]
+ *     unset KEY [if revision N]
+ *     create service NAME [KEY VALUE ...]
+ *
+ * A value is a word, a number or a text in double quotes.
+ */
+#ifndef BRIARPLANK_CORE_COMMAND_H
+#define BRIARPLANK_CORE_COMMAND_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum command_kind {
+	COMMAND_CANCEL,
+	COMMAND_CREATE,
+	COMMAND_DRAIN,
+	COMMAND_SET,
+	COMMAND_SHOW,
+	COMMAND_SUBMIT,
+	COMMAND_UNDRAIN,
+	COMMAND_UNSET,
+};
+
+/** A field or key with its value. */
+struct command_pair {
+	char *name;
+	/** The value as written, without quotes. */
+	char *value;
+	/** The value in JSON text: a number, true, false or a string. */
+	char *json;
+	/** Place of the name, from 1 on. */
+	unsigned column;
+};
+
+/** A parsed command. */
+struct command {
+	enum command_kind kind;
+	/** What is shown, or the job, server, service or key that is meant. */
+	char *subject;
+	unsigned subject_column;
+	/** JSON text of what a set sets; empty for an unset. */
+	char *value;
+	/** Revision that a set or unset is based on; 0 when none was given. */
+	uint64_t revision;
+	/** Conditions of a show, settings of a create or submit. */
+	struct command_pair *pairs;
+	size_t pairs_nr;
+	/** Text below the first line, the items of a submit; may be empty. */
+	char *body;
+};
+
+/** What show shows, sorted; the table ends with NULL. */
+extern const char *const command_show_kinds[];
+
+/**
+ * Parses a command. NULL for a fault, whose message names the column; the
+ * column is stored as well.
+ */
+struct command *command_parse(const char *text, unsigned *column);
+void command_free(struct command *command);
+
+/** Returns the value of a pair by its name, or NULL. */
+const char *command_pair_value(const struct command *command, const char *name);
+
+#endif
