Run operators' commands at the entries

One file a command behind a sorted table; each has an id under which it can be sent again. Shows of jobs, requests, refusals and servers ask the nodes that know and name those that did not answer.

tests/fleet: the last caller given to fleet_access was dropped, as its line had no end.

--- a/briarplankd/config_publish.c
+++ b/briarplankd/config_publish.c
@@ -88,6 +88,22 @@
 	       config_store_key_revision(store, publish->key));
 }
 
+static void decide_applied(struct publish *publish, uint64_t offset)
+{
+	uint64_t current =
+		config_store_key_revision(publish->task->store, publish->key);
+
+	if (current > offset)
+		decide(publish, CONFIG_PUBLISH_DONE, offset,
+		       "%s took effect at revision %" G_GUINT64_FORMAT
+		       " and was changed again at revision %" G_GUINT64_FORMAT,
+		       publish->key, offset, current);
+	else
+		decide(publish, CONFIG_PUBLISH_DONE, offset,
+		       "%s is in force at revision %" G_GUINT64_FORMAT,
+		       publish->key, offset);
+}
+
 /* Takes the result from the fold once the command is in it. */
 static bool decide_from_fold(struct publish *publish)
 {
@@ -102,9 +118,7 @@
 		       "the id %s was used for another command",
 		       publish->command_id);
 	else if (command.outcome == CONFIG_APPLIED)
-		decide(publish, CONFIG_PUBLISH_DONE, command.offset,
-		       "%s is in force at revision %" G_GUINT64_FORMAT,
-		       publish->key, command.offset);
+		decide_applied(publish, command.offset);
 	else if (command.outcome == CONFIG_CONFLICT)
 		decide_conflict(publish, command.revision);
 	else
--- a/briarplankd/config_task.c
+++ b/briarplankd/config_task.c
@@ -52,6 +52,23 @@
 	g_free(key);
 }
 
+static void note_spread(struct config_task *task, uint64_t revision)
+{
+	uint64_t published_ms = config_store_published_ms(task->store);
+	uint64_t now_ms = node_wall_ms();
+
+	if (!published_ms || published_ms > now_ms) {
+		log_info(PART, "revision %" G_GUINT64_FORMAT " is in force",
+			 revision);
+		return;
+	}
+	histogram_record(task->spread, (now_ms - published_ms) * 1000);
+	log_info(PART,
+		 "revision %" G_GUINT64_FORMAT
+		 " is in force, %" G_GUINT64_FORMAT " ms after its publication",
+		 revision, now_ms - published_ms);
+}
+
 void config_advanced(struct config_task *task, uint64_t old_revision)
 {
 	uint64_t revision = config_store_revision(task->store);
@@ -64,7 +81,7 @@
 	if (revision == old_revision)
 		return;
 	counter_set(task->revision_gauge, revision);
-	log_info(PART, "revision %" G_GUINT64_FORMAT " is in force", revision);
+	note_spread(task, revision);
 	apply_log_level(task);
 	config_spread_push(task);
 	node_publish(task->super.node, &event);
@@ -299,6 +316,8 @@
 		metrics_gauge(metrics, "briarplank_config_relay", "");
 	task->fetches_total =
 		metrics_counter(metrics, "briarplank_config_fetches_total", "");
+	task->spread = metrics_histogram(
+		metrics, "briarplank_config_spread_seconds", "");
 	task->reads_total =
 		metrics_counter(metrics, "briarplank_config_reads_total", "");
 }
--- /dev/null
+++ b/briarplankd/entry/commands/create.c
@@ -0,0 +1,141 @@
+#include <string.h>
+
+#include "../operator.h"
+#include "common/error.h"
+#include "core/config_keys.h"
+
+/* Settings of a service that are still to be published, one by one. */
+struct creation {
+	size_t next;
+	/* Messages of those that were refused. */
+	unsigned refused;
+};
+
+static char *service_key(const struct operator_call *call, const char *field)
+{
+	return g_strdup_printf("service.%s.%s", call->command->subject, field);
+}
+
+static bool check_pair(struct operator_call *call,
+		       const struct command_pair *pair)
+{
+	char *key = service_key(call, pair->name);
+	bool good = config_key_check(key, pair->json) == CONFIG_CHECK_GOOD;
+
+	if (!good)
+		operator_result(call, COMMAND_REFUSED, "column %u: %s",
+				pair->column, error_last());
+	g_free(key);
+	return good;
+}
+
+/* Nothing is published unless all of it is good. */
+static bool check_all(struct operator_call *call)
+{
+	const struct command *command = call->command;
+	size_t i;
+
+	if (!config_name_valid(command->subject, strlen(command->subject))) {
+		operator_result(call, COMMAND_REFUSED,
+				"column %u: a service's name has 1 to 64 "
+				"letters, digits, dashes or underscores",
+				command->subject_column);
+		return false;
+	}
+	for (i = 0; i < command->pairs_nr; i++) {
+		if (!check_pair(call, &command->pairs[i]))
+			return false;
+	}
+	return true;
+}
+
+static void publish_next(struct operator_call *call);
+
+static void on_pair_published(void *ctx,
+			      const struct config_published *published)
+{
+	struct operator_call *call = ctx;
+	struct creation *creation = call->state;
+
+	if (published->status == CONFIG_PUBLISH_DONE) {
+		publish_next(call);
+		return;
+	}
+	operator_published(call, published);
+	operator_result(call, call->result.status,
+			"service %s exists, but %zu of its settings are not in "
+			"force: %s",
+			call->command->subject,
+			call->command->pairs_nr - creation->next + 1,
+			published->message);
+	operator_finish(call);
+}
+
+static void publish_next(struct operator_call *call)
+{
+	struct creation *creation = call->state;
+	const struct command_pair *pair;
+	char *key, *suffix;
+
+	if (creation->next == call->command->pairs_nr) {
+		operator_result(
+			call, COMMAND_DONE,
+			"service %s is created at revision %" G_GUINT64_FORMAT,
+			call->command->subject,
+			config_revision(call->task->super.node));
+		operator_finish(call);
+		return;
+	}
+	pair = &call->command->pairs[creation->next++];
+	key = service_key(call, pair->name);
+	suffix = g_strdup_printf("/%zu", creation->next);
+	operator_publish(call, suffix, key, pair->json, 0, on_pair_published);
+	g_free(suffix);
+	g_free(key);
+}
+
+static void on_created(void *ctx, const struct config_published *published)
+{
+	struct operator_call *call = ctx;
+
+	if (published->status == CONFIG_PUBLISH_DONE) {
+		publish_next(call);
+		return;
+	}
+	operator_published(call, published);
+	operator_finish(call);
+}
+
+/* Whether another command created the service before. */
+static bool exists_already(struct operator_call *call, const char *key)
+{
+	const struct config_store *store =
+		node_config_store(call->task->super.node);
+	const char *value = config_store_value(store, key);
+	struct config_command own;
+
+	if (!value || strcmp(value, "true") != 0)
+		return false;
+	return !config_store_command(store, call->operator_name,
+				     call->command_id, &own);
+}
+
+static void run(struct operator_call *call)
+{
+	char *key = service_key(call, "created");
+
+	call->state = g_new0(struct creation, 1);
+	if (!check_all(call)) {
+		operator_finish(call);
+	} else if (exists_already(call, key)) {
+		operator_result(call, COMMAND_REFUSED,
+				"service %s exists already",
+				call->command->subject);
+		operator_finish(call);
+	} else {
+		operator_publish(call, "", key, "true", 0, on_created);
+	}
+	g_free(key);
+}
+
+const struct command_handler create_command = { "create", COMMAND_CREATE, run };
--- /dev/null
+++ b/briarplankd/entry/commands/show.c
@@ -0,0 +1,320 @@
+#include <string.h>
+
+#include "../gather.h"
+#include "../operator.h"
+#include "briarplankd/members_task.h"
+#include "briarplankd/rows.h"
+
+/* A kind of rows: made here, or asked for from the nodes of a role. */
+struct show_kind {
+	const char *name;
+	void (*local)(struct operator_call *call, struct json_object *rows);
+	enum member_role role;
+	/* Completes what was gathered. */
+	void (*after)(struct operator_call *call);
+};
+
+static void add_text(struct json_object *row, const char *name,
+		     const char *value)
+{
+	json_object_object_add(row, name, json_object_new_string(value));
+}
+
+static void add_number(struct json_object *row, const char *name,
+		       uint64_t value)
+{
+	json_object_object_add(row, name,
+			       json_object_new_int64((int64_t)value));
+}
+
+static void add_bool(struct json_object *row, const char *name, bool value)
+{
+	json_object_object_add(row, name, json_object_new_boolean(value));
+}
+
+static void add_config_row(void *ctx, const struct config_entry *entry)
+{
+	struct json_object *row = json_object_new_object();
+
+	add_text(row, "key", entry->key);
+	json_object_object_add(row, "value", json_tokener_parse(entry->value));
+	add_number(row, "revision", entry->revision);
+	add_text(row, "command_id", entry->command_id);
+	json_object_array_add(ctx, row);
+}
+
+static void config_rows(struct operator_call *call, struct json_object *rows)
+{
+	config_store_each(node_config_store(call->task->super.node),
+			  add_config_row, rows);
+}
+
+static const char *state_text(const struct member *member)
+{
+	static const char *const texts[] = { "unknown", "up", "suspect",
+					     "down" };
+
+	if (member->state == MEMBER_UP && member->leaving)
+		return "leaving";
+	return texts[member->state];
+}
+
+static void add_self(struct operator_call *call, struct json_object *rows)
+{
+	struct node *node = call->task->super.node;
+	struct json_object *row = json_object_new_object();
+
+	add_text(row, "node", node->settings->name);
+	add_text(row, "role", "entry");
+	add_text(row, "state", node->stopping ? "leaving" : "up");
+	add_text(row, "data_centre", node->settings->data_centre);
+	add_text(row, "region", node->settings->region);
+	add_text(row, "address", bus_address(node->bus));
+	add_number(row, "config_revision", config_revision(node));
+	add_number(row, "round_trip_us", 0);
+	json_object_array_add(rows, row);
+}
+
+static void node_rows(struct operator_call *call, struct json_object *rows)
+{
+	struct members *members = node_members(call->task->super.node);
+	struct list *pos;
+
+	add_self(call, rows);
+	list_for_each (pos, members_all(members)) {
+		struct member *member = list_entry(pos, struct member, link);
+		struct json_object *row = json_object_new_object();
+
+		add_text(row, "node", member->name);
+		add_text(row, "role",
+			 member->role == MEMBER_AGENT ? "agent" : "entry");
+		add_text(row, "state", state_text(member));
+		add_text(row, "data_centre", member->data_centre);
+		add_text(row, "region", member->region);
+		add_text(row, "address", member->address);
+		add_number(row, "config_revision", member->config_revision);
+		add_number(row, "round_trip_us", member->round_trip_us);
+		json_object_array_add(rows, row);
+	}
+}
+
+/* Name of the service of a key "service.NAME.FIELD", or NULL. */
+static char *service_of_key(const char *key)
+{
+	const char *name = key + strlen("service.");
+
+	if (!g_str_has_prefix(key, "service."))
+		return NULL;
+	return g_strndup(name, strcspn(name, "."));
+}
+
+static void note_config_service(void *ctx, const struct config_entry *entry)
+{
+	char *name = service_of_key(entry->key);
+
+	if (name && g_str_has_suffix(entry->key, ".created"))
+		g_hash_table_add(ctx, name);
+	else
+		g_free(name);
+}
+
+static GList *service_names(struct node *node)
+{
+	GHashTable *names =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct list *pos;
+	GList *sorted;
+
+	config_store_each(node_config_store(node), note_config_service, names);
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (member->role == MEMBER_AGENT && *member->service)
+			g_hash_table_add(names, g_strdup(member->service));
+	}
+	sorted =
+		g_list_sort(g_hash_table_get_keys(names), (GCompareFunc)strcmp);
+	g_hash_table_steal_all(names);
+	g_hash_table_destroy(names);
+	return sorted;
+}
+
+static void count_agents(struct node *node, const char *service,
+			 unsigned *known, unsigned *usable)
+{
+	struct list *pos;
+
+	*known = *usable = 0;
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (member->role != MEMBER_AGENT ||
+		    strcmp(member->service, service) != 0)
+			continue;
+		*known += 1;
+		*usable += member_usable(member) &&
+			   !config_server_drained(node, member->name);
+	}
+}
+
+static void add_service(struct node *node, const char *service,
+			struct json_object *rows)
+{
+	struct json_object *row = json_object_new_object();
+	struct service_policy policy;
+	unsigned known, usable;
+
+	config_service(node, service, &policy);
+	count_agents(node, service, &known, &usable);
+	add_text(row, "service", service);
+	add_number(row, "servers", known);
+	add_number(row, "servers_usable", usable);
+	add_bool(row, "idempotent", policy.idempotent);
+	add_number(row, "timeout_ms", policy.timeout_ms);
+	add_number(row, "batch_weight", policy.batch_weight);
+	add_number(row, "first_byte_target_ms", policy.first_byte_target_ms);
+	add_number(row, "token_gap_target_ms", policy.token_gap_target_ms);
+	add_number(row, "item_attempts", policy.item_attempts);
+	json_object_array_add(rows, row);
+}
+
+static void service_rows(struct operator_call *call, struct json_object *rows)
+{
+	struct node *node = call->task->super.node;
+	GList *names = service_names(node);
+	GList *pos;
+
+	for (pos = names; pos; pos = pos->next)
+		add_service(node, pos->data, rows);
+	g_list_free_full(names, g_free);
+}
+
+/* Adds what the entry was told of the load of a server that answered. */
+static void add_loads(struct operator_call *call)
+{
+	struct members *members = node_members(call->task->super.node);
+	size_t i, nr = json_object_array_length(call->result.rows);
+
+	for (i = 0; i < nr; i++) {
+		struct json_object *row =
+			json_object_array_get_idx(call->result.rows, i);
+		struct json_object *name =
+			json_object_object_get(row, "server");
+		struct member *member;
+
+		member = name ? members_find(members,
+					     json_object_get_string(name)) :
+				NULL;
+		if (!member || !member->load.sequence)
+			continue;
+		add_number(row, "running_online", member->load.running_online);
+		add_number(row, "running_batch", member->load.running_batch);
+		add_number(row, "queued_online", member->load.queued_online);
+		add_bool(row, "ready", member->load.ready);
+	}
+}
+
+static void add_silent_servers(struct operator_call *call)
+{
+	struct node *node = call->task->super.node;
+	size_t i, nr = json_object_array_length(call->result.nodes_silent);
+
+	for (i = 0; i < nr; i++) {
+		const char *name =
+			json_object_get_string(json_object_array_get_idx(
+				call->result.nodes_silent, i));
+		struct member *member = members_find(node_members(node), name);
+		struct json_object *row = json_object_new_object();
+
+		add_text(row, "server", name);
+		add_text(row, "service", member ? member->service : "");
+		add_text(row, "data_centre", member ? member->data_centre : "");
+		add_text(row, "state", "silent");
+		add_bool(row, "drained", config_server_drained(node, name));
+		if (rows_match(call->command, row))
+			json_object_array_add(call->result.rows, row);
+		else
+			json_object_put(row);
+	}
+}
+
+static void complete_servers(struct operator_call *call)
+{
+	add_loads(call);
+	add_silent_servers(call);
+}
+
+static const struct show_kind kinds[] = {
+	{ "config", .local = config_rows },
+	{ "jobs", .role = MEMBER_ENTRY },
+	{ "nodes", .local = node_rows },
+	{ "refusals", .role = MEMBER_ENTRY },
+	{ "requests", .role = MEMBER_ENTRY },
+	{ "servers", .role = MEMBER_AGENT, .after = complete_servers },
+	{ "services", .local = service_rows },
+};
+
+static const struct show_kind *find_kind(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (!strcmp(kinds[i].name, name))
+			return &kinds[i];
+	}
+	return NULL;
+}
+
+static void finish(struct operator_call *call)
+{
+	size_t rows = json_object_array_length(call->result.rows);
+	size_t silent = json_object_array_length(call->result.nodes_silent);
+
+	if (silent)
+		operator_result(call, COMMAND_PARTIAL,
+				"%zu rows; partial, as %zu of %u nodes did not "
+				"answer in full",
+				rows, silent, call->result.nodes_asked);
+	else
+		operator_result(call, COMMAND_DONE, "%zu rows", rows);
+	operator_finish(call);
+}
+
+static void on_gathered(struct operator_call *call)
+{
+	const struct show_kind *kind = find_kind(call->command->subject);
+
+	if (kind->after)
+		kind->after(call);
+	finish(call);
+}
+
+static void show_local(struct operator_call *call, const struct show_kind *kind)
+{
+	struct json_object *all = json_object_new_array();
+	size_t i;
+
+	call->result.nodes_asked = 1;
+	kind->local(call, all);
+	for (i = 0; i < json_object_array_length(all); i++) {
+		struct json_object *row = json_object_array_get_idx(all, i);
+
+		if (rows_match(call->command, row))
+			json_object_array_add(call->result.rows,
+					      json_object_get(row));
+	}
+	json_object_put(all);
+	finish(call);
+}
+
+static void run(struct operator_call *call)
+{
+	const struct show_kind *kind = find_kind(call->command->subject);
+
+	if (kind->local)
+		show_local(call, kind);
+	else
+		gather_start(call, kind->role, on_gathered);
+}
+
+const struct command_handler show_command = { "show", COMMAND_SHOW, run };
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -82,7 +82,8 @@
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__Grants message = BRIARPLANK__GRANTS__INIT;
-	Briarplank__Grant *bodies = g_new0(Briarplank__Grant, pull->grants->len);
+	Briarplank__Grant *bodies =
+		g_new0(Briarplank__Grant, pull->grants->len);
 	Briarplank__Grant **grants =
 		g_new0(Briarplank__Grant *, pull->grants->len);
 	guint i;
@@ -155,8 +156,8 @@
 	pull_free(pull);
 }
 
-static const Briarplank__JobItem *
-chunk_item(const Briarplank__ShardAppend *append, uint32_t index)
+static const Briarplank__JobItem *chunk_item(
+	const Briarplank__ShardAppend *append, uint32_t index)
 {
 	if (!append || !append->chunk || index >= append->chunk->n_items)
 		return NULL;
@@ -174,8 +175,8 @@
 	if (status == RECORD_CACHE_GONE)
 		log_error(PART, "shard %u: the body of item %u is gone",
 			  grant->shard, grant->out.item);
-	if (item && (!pull->bytes ||
-		     pull->bytes + item->body.len <= pull->max_bytes)) {
+	if (item &&
+	    (!pull->bytes || pull->bytes + item->body.len <= pull->max_bytes)) {
 		grant->body = g_memdup2(item->body.data, item->body.len);
 		grant->body_len = item->body.len;
 		grant->ready = true;
--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -140,6 +140,7 @@
 	node->settings = settings;
 	node->incarnation = make_incarnation();
 	list_init(&node->tasks);
+	list_init(&node->row_sources);
 	uv_loop_init(&node->loop);
 	node->metrics = metrics_create();
 	uv_timer_init(&node->loop, &node->stop_timer);
--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -1,20 +1,16 @@
+#include "briarplankd/rows.h"
 #include "briarplankd/tasks.h"
 
 typedef struct task *(*task_create_fn)(void);
 
 static const task_create_fn entry_tasks[] = {
-	members_task_create,
-	config_task_create,
-	online_task_create,
-	NULL,
+	members_task_create, config_task_create,   rows_task_create,
+	online_task_create,  operator_task_create, NULL,
 };
 
 static const task_create_fn agent_tasks[] = {
-	members_task_create,
-	config_task_create,
-	batch_task_create,
-	gate_task_create,
-	NULL,
+	members_task_create, config_task_create, rows_task_create,
+	batch_task_create,   gate_task_create,	 NULL,
 };
 
 void tasks_add(struct node *node)
--- a/core/config_store.c
+++ b/core/config_store.c
@@ -36,6 +36,7 @@
 
 struct config_store {
 	uint64_t revision;
+	uint64_t published_ms;
 	uint64_t next_offset;
 	uint64_t forgotten_revision;
 	/* Of struct value, removed ones too, by key. */
@@ -106,6 +107,11 @@
 	return store->revision;
 }
 
+uint64_t config_store_published_ms(const struct config_store *store)
+{
+	return store->published_ms;
+}
+
 uint64_t config_store_next_offset(const struct config_store *store)
 {
 	return store->next_offset;
@@ -320,6 +326,7 @@
 			  record->command_id);
 		forget_removed(store);
 		store->revision = offset;
+		store->published_ms = record->published_ms;
 	}
 	return folds[result.outcome];
 }
@@ -449,6 +456,7 @@
 	g_queue_clear_full(&store->history, past_record_free);
 	store->removed_nr = 0;
 	store->revision = snapshot->revision;
+	store->published_ms = 0;
 	store->next_offset = snapshot->next_offset;
 	store->history_from = snapshot->next_offset;
 	store->forgotten_revision = snapshot->forgotten_revision;
--- a/include/briarplankd/node.h
+++ b/include/briarplankd/node.h
@@ -71,6 +71,8 @@
 	struct http_client *http;
 	struct log_service *log;
 	struct list tasks;
+	/** What the tasks can show to operators. */
+	struct list row_sources;
 	bool stopping;
 	uv_signal_t on_term;
 	uv_signal_t on_int;
--- a/include/core/config_store.h
+++ b/include/core/config_store.h
@@ -72,6 +72,9 @@
 /** First offset that is not folded yet; 0 while nothing is known. */
 uint64_t config_store_next_offset(const struct config_store *store);
 
+/** Time at which the change in force last was published; 0 if not known. */
+uint64_t config_store_published_ms(const struct config_store *store);
+
 /** Folds the record at an offset; offsets must not skip records. */
 enum config_fold config_store_fold(struct config_store *store, uint64_t offset,
 				   const Briarplank__ConfigAppend *append);
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -102,7 +102,7 @@
 
 # Access rules of all entries; the key of each is its name.
 fleet_access () {
-	printf '%s' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
+	printf '%s\n' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
 	do
 		sum=$(printf '%s' "$caller" | sha256sum | cut -d' ' -f1)
 		test "$flag" = operator && op=true || op=false
--- a/wire/config.pb-c.c
+++ b/wire/config.pb-c.c
@@ -1054,7 +1054,7 @@
   (ProtobufCMessageInit) briarplank__operator_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__operator_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__operator_reply__field_descriptors[4] =
 {
   {
     "call_id",
@@ -1092,16 +1092,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "truncated",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__OperatorReply, truncated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__operator_reply__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
   2,   /* field[2] = error */
   1,   /* field[1] = json */
+  3,   /* field[3] = truncated */
 };
 static const ProtobufCIntRange briarplank__operator_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor briarplank__operator_reply__descriptor =
 {
@@ -1111,7 +1124,7 @@
   "Briarplank__OperatorReply",
   "briarplank",
   sizeof(Briarplank__OperatorReply),
-  3,
+  4,
   briarplank__operator_reply__field_descriptors,
   briarplank__operator_reply__field_indices_by_name,
   1,  briarplank__operator_reply__number_ranges,
--- a/wire/config.pb-c.h
+++ b/wire/config.pb-c.h
@@ -192,10 +192,14 @@
    */
   char *json;
   char *error;
+  /*
+   * Rows were left out.
+   */
+  protobuf_c_boolean truncated;
 };
 #define BRIARPLANK__OPERATOR_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__operator_reply__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Briarplank__ConfigRecord methods */
