--- /dev/null
+++ b/briarplankctl/client.c
@@ -0,0 +1,255 @@
+#include <stdbool.h>
+#include <string.h>
+
+#include <glib.h>
+#include <uv.h>
+
+#include "client.h"
+#include "common/error.h"
+#include "common/settings.h"
+#include "platform/http_client.h"
+
+#define SCHEME "http://"
+#define CONNECT_TIMEOUT_MS 2000
+#define ANSWER_TIMEOUT_MS 20000
+#define ANSWER_MAX_BYTES (64 << 20)
+/* Times a command is sent before its fate counts as unknown. */
+#define SEND_LIMIT 4
+#define RETRY_WAIT_MS 500
+
+struct client {
+	uv_loop_t loop;
+	struct http_client *http;
+	/* IP:PORT of each entry. */
+	char **addresses;
+	unsigned next;
+	char *authorization;
+};
+
+/* One sending of a command. */
+struct exchange {
+	bool ended;
+	enum http_end end;
+	int status;
+	GString *body;
+};
+
+static char *address_of_url(const char *url)
+{
+	const char *start = url + strlen(SCHEME);
+	char *address;
+
+	if (!g_str_has_prefix(url, SCHEME)) {
+		error_set("%s does not start with " SCHEME, url);
+		return NULL;
+	}
+	address = g_strndup(start, strcspn(start, "/"));
+	if (settings_address_valid(address))
+		return address;
+	error_set("%s names no IP address with a port", url);
+	g_free(address);
+	return NULL;
+}
+
+static bool parse_urls(struct client *client, const char *urls)
+{
+	char **parts = g_strsplit(urls, ",", -1);
+	guint i, nr = g_strv_length(parts);
+	bool good = nr > 0;
+
+	client->addresses = g_new0(char *, nr + 1);
+	for (i = 0; good && i < nr; i++) {
+		client->addresses[i] = address_of_url(parts[i]);
+		good = client->addresses[i] != NULL;
+	}
+	g_strfreev(parts);
+	return good;
+}
+
+struct client *client_create(const struct client_options *options)
+{
+	struct client *client = g_new0(struct client, 1);
+
+	uv_loop_init(&client->loop);
+	client->http = http_client_create(&client->loop);
+	client->authorization = g_strdup_printf("Bearer %s", options->key);
+	if (parse_urls(client, options->urls))
+		return client;
+	client_destroy(client);
+	return NULL;
+}
+
+void client_destroy(struct client *client)
+{
+	http_client_destroy(client->http);
+	uv_run(&client->loop, UV_RUN_NOWAIT);
+	uv_loop_close(&client->loop);
+	g_strfreev(client->addresses);
+	g_free(client->authorization);
+	g_free(client);
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	((struct exchange *)ctx)->status = status;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct exchange *exchange = ctx;
+
+	if (exchange->body->len + len <= ANSWER_MAX_BYTES)
+		g_string_append_len(exchange->body, data, (gssize)len);
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct exchange *exchange = ctx;
+
+	exchange->ended = true;
+	exchange->end = end;
+}
+
+static void exchange_run(struct client *client, const char *text,
+			 const char *id, struct exchange *exchange)
+{
+	struct http_field fields[] = {
+		{ "Authorization", client->authorization },
+		{ "Content-Type", "text/plain" },
+		{ "Idempotency-Key", id },
+	};
+	struct http_call_options options = {
+		.address = client->addresses[client->next],
+		.method = "POST",
+		.path = "/v1/operator",
+		.fields = fields,
+		.fields_nr = G_N_ELEMENTS(fields),
+		.body = text,
+		.body_len = strlen(text),
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.first_byte_timeout_ms = ANSWER_TIMEOUT_MS,
+		.idle_timeout_ms = ANSWER_TIMEOUT_MS,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = exchange,
+	};
+
+	exchange->ended = false;
+	exchange->status = 0;
+	g_string_truncate(exchange->body, 0);
+	http_call_start(client->http, &options);
+	while (!exchange->ended)
+		uv_run(&client->loop, UV_RUN_ONCE);
+}
+
+/* Whether the fate of the command is open, so that it must be sent again. */
+static bool in_doubt(const struct exchange *exchange)
+{
+	return exchange->end != HTTP_WHOLE || exchange->status == 504;
+}
+
+static void next_entry(struct client *client)
+{
+	client->next++;
+	if (!client->addresses[client->next])
+		client->next = 0;
+}
+
+static enum client_status status_of(const struct exchange *exchange,
+				    struct json_object *root)
+{
+	struct json_object *status;
+
+	switch (exchange->status) {
+	case 200:
+		status = json_object_object_get(root, "status");
+		return status && !strcmp(json_object_get_string(status),
+					 "partial") ?
+			       CLIENT_PARTIAL :
+			       CLIENT_DONE;
+	case 400:
+		return CLIENT_USAGE;
+	case 401:
+	case 403:
+	case 409:
+	case 429:
+	case 503:
+		return CLIENT_REFUSED;
+	default:
+		return CLIENT_NOT_REACHED;
+	}
+}
+
+static void take_answer(const struct exchange *exchange,
+			struct client_answer *answer)
+{
+	const char *field = exchange->status == 200 ? "message" : "detail";
+	struct json_object *text = NULL;
+
+	answer->body = g_strdup(exchange->body->str);
+	answer->root = json_tokener_parse(exchange->body->str);
+	if (!json_object_is_type(answer->root, json_type_object)) {
+		answer->status = CLIENT_NOT_REACHED;
+		answer->message = g_strdup("this is no entry of briarplank");
+		return;
+	}
+	answer->status = status_of(exchange, answer->root);
+	json_object_object_get_ex(answer->root, field, &text);
+	json_object_object_get_ex(answer->root, "rows", &answer->rows);
+	answer->message = g_strdup(text ? json_object_get_string(text) : "");
+}
+
+static void give_up(const struct client *client,
+		    const struct exchange *exchange, bool sent, const char *id,
+		    struct client_answer *answer)
+{
+	answer->status = CLIENT_NOT_REACHED;
+	if (sent)
+		answer->message = g_strdup_printf(
+			"no answer came, the command may have taken effect; "
+			"send it again with --id %s",
+			id);
+	else
+		answer->message =
+			g_strdup_printf("%s can't be reached, nothing was sent",
+					client->addresses[client->next]);
+}
+
+void client_run(struct client *client, const char *command, const char *items,
+		const char *id, struct client_answer *answer)
+{
+	char *text = items ? g_strconcat(command, "\n", items, NULL) :
+			     g_strdup(command);
+	char *own_id = id ? g_strdup(id) : g_uuid_string_random();
+	struct exchange exchange = { .body = g_string_new(NULL) };
+	bool sent = false;
+	unsigned i;
+
+	memset(answer, 0, sizeof(*answer));
+	for (i = 0; i < SEND_LIMIT; i++) {
+		if (i)
+			g_usleep(RETRY_WAIT_MS * 1000);
+		exchange_run(client, text, own_id, &exchange);
+		if (!in_doubt(&exchange))
+			break;
+		sent |= exchange.end != HTTP_NOT_SENT;
+		next_entry(client);
+	}
+	if (in_doubt(&exchange))
+		give_up(client, &exchange, sent, own_id, answer);
+	else
+		take_answer(&exchange, answer);
+	g_string_free(exchange.body, TRUE);
+	g_free(own_id);
+	g_free(text);
+}
+
+void client_answer_clear(struct client_answer *answer)
+{
+	json_object_put(answer->root);
+	g_free(answer->message);
+	g_free(answer->body);
+	memset(answer, 0, sizeof(*answer));
+}
--- /dev/null
+++ b/briarplankctl/commands/refusals.c
@@ -0,0 +1,7 @@
+#include "../table.h"
+
+static const char *const columns[] = {
+	"time", "id", "caller", "service", "reason", "node", NULL,
+};
+
+const struct table_format refusals_table = { "refusals", columns };
--- a/briarplankctl/main.c
+++ b/briarplankctl/main.c
@@ -2,11 +2,234 @@
  * briarplankctl: the operators' client.
  */
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
+#include <glib.h>
+
+#include "client.h"
+#include "common/error.h"
+#include "core/command.h"
 #include "core/version.h"
+#include "prompt.h"
+#include "table.h"
+
+#define DEFAULT_URL "http://127.0.0.1:8080"
+
+static char *urls;
+static char *key_file;
+static char *output;
+static char *items_file;
+static char *command_id;
+static gboolean show_version;
+static char **words;
+
+static const GOptionEntry options[] = {
+	{ "entry", 'e', 0, G_OPTION_ARG_STRING, &urls,
+	  "Entries to ask, parted by commas", "URL" },
+	{ "key", 'k', 0, G_OPTION_ARG_FILENAME, &key_file,
+	  "File that holds the operator's key", "FILE" },
+	{ "output", 'o', 0, G_OPTION_ARG_STRING, &output, "Form of the answer",
+	  "table|json" },
+	{ "items", 'i', 0, G_OPTION_ARG_FILENAME, &items_file,
+	  "Items of a submitted job, JSON lines; - for standard input",
+	  "FILE" },
+	{ "id", 0, 0, G_OPTION_ARG_STRING, &command_id,
+	  "Id of a command that is sent again", "ID" },
+	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	  "Print the version and exit", NULL },
+	{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &words, NULL,
+	  "COMMAND" },
+	{ 0 },
+};
+
+struct session {
+	struct client *client;
+	bool json;
+	char *items;
+};
+
+static const char help_text[] =
+	"show config|jobs|nodes|refusals|requests|servers|services\n"
+	"     [where FIELD = VALUE [and ...]]\n"
+	"set KEY VALUE [if revision N]      unset KEY [if revision N]\n"
+	"create service NAME [KEY VALUE ...]\n"
+	"drain server ID                    undrain server ID\n"
+	"submit job NAME service S path P [due TIME] [keep TIME]\n"
+	"cancel job ID\n"
+	"exit\n";
+
+static bool parse_options(int *argc, char ***argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	ok = g_option_context_parse(context, argc, argv, &error);
+	g_option_context_free(context);
+	if (!ok) {
+		fprintf(stderr, "briarplankctl: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (output && strcmp(output, "table") && strcmp(output, "json")) {
+		fprintf(stderr, "briarplankctl: -o takes table or json\n");
+		return false;
+	}
+	return true;
+}
+
+/* Reads a whole file, "-" being standard input. */
+static char *read_text(const char *file)
+{
+	char *text = NULL;
+	GError *error = NULL;
+
+	if (!strcmp(file, "-"))
+		file = "/dev/stdin";
+	if (!g_file_get_contents(file, &text, NULL, &error)) {
+		fprintf(stderr, "briarplankctl: %s\n", error->message);
+		g_error_free(error);
+	}
+	return text;
+}
+
+static char *read_key(void)
+{
+	const char *file = key_file ? key_file : getenv("BRIARPLANK_KEYFILE");
+	char *key;
+
+	if (!file) {
+		fprintf(stderr, "briarplankctl: -k FILE is missing\n");
+		return NULL;
+	}
+	key = read_text(file);
+	return key ? g_strstrip(key) : NULL;
+}
+
+/* Kind of rows that a command shows, or NULL; to be freed. */
+static char *shown_kind(const char *line)
+{
+	unsigned column;
+	struct command *command = command_parse(line, &column);
+	char *kind = NULL;
+
+	if (!command)
+		return NULL;
+	if (command->kind == COMMAND_SHOW)
+		kind = g_strdup(command->subject);
+	command_free(command);
+	return kind;
+}
 
-int main(void)
+/* Marks the place of a fault below the command. */
+static void print_column(const char *line, const char *message)
 {
-	printf("briarplankctl %s\n", briarplank_version());
-	return 0;
+	int column;
+
+	if (sscanf(message, "column %d:", &column) == 1 && column > 0)
+		fprintf(stderr, "  %s\n  %*s\n", line, column, "^");
+}
+
+static void print_answer(const struct session *session, const char *line,
+			 const struct client_answer *answer)
+{
+	bool good = answer->status == CLIENT_DONE ||
+		    answer->status == CLIENT_PARTIAL;
+	char *kind;
+
+	if (session->json && answer->body) {
+		printf("%s\n", answer->body);
+		return;
+	}
+	if (good && json_object_is_type(answer->rows, json_type_array)) {
+		kind = shown_kind(line);
+		table_print(stdout, kind, answer->rows);
+		g_free(kind);
+	}
+	if (answer->status == CLIENT_USAGE)
+		print_column(line, answer->message);
+	fprintf(good ? stdout : stderr, "%s\n", answer->message);
+}
+
+static int run_line(void *ctx, const char *line)
+{
+	struct session *session = ctx;
+	struct client_answer answer;
+	int status;
+
+	if (!strcmp(line, "help")) {
+		fputs(help_text, stdout);
+		return CLIENT_DONE;
+	}
+	client_run(session->client, line, session->items, command_id, &answer);
+	print_answer(session, line, &answer);
+	fflush(stdout);
+	status = answer.status;
+	client_answer_clear(&answer);
+	return status;
+}
+
+static int run_commands(struct session *session)
+{
+	char *line;
+	int status;
+
+	if (!words)
+		return isatty(STDIN_FILENO) ?
+			       prompt_run(run_line, session) :
+			       prompt_run_script(run_line, session);
+	line = g_strjoinv(" ", words);
+	status = run_line(session, line);
+	g_free(line);
+	return status;
+}
+
+static int run_session(char *key)
+{
+	const char *from_environment = getenv("BRIARPLANK_URL");
+	struct client_options client_options = {
+		.urls = urls		 ? urls :
+			from_environment ? from_environment :
+					   DEFAULT_URL,
+		.key = key,
+	};
+	struct session session = {
+		.json = output && !strcmp(output, "json"),
+	};
+	int status = CLIENT_USAGE;
+
+	if (items_file) {
+		session.items = read_text(items_file);
+		if (!session.items)
+			return CLIENT_USAGE;
+	}
+	session.client = client_create(&client_options);
+	if (session.client) {
+		status = run_commands(&session);
+		client_destroy(session.client);
+	} else {
+		fprintf(stderr, "briarplankctl: %s\n", error_last());
+	}
+	g_free(session.items);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	int status = CLIENT_USAGE;
+	char *key;
+
+	if (!parse_options(&argc, &argv))
+		return CLIENT_USAGE;
+	if (show_version) {
+		printf("briarplankctl %s\n", briarplank_version());
+		return 0;
+	}
+	key = read_key();
+	if (key)
+		status = run_session(key);
+	g_free(key);
+	return status;
 }
