--- a/briarplankd/config_spread.c
+++ b/briarplankd/config_spread.c
@@ -85,12 +85,14 @@
 static void fetch_fresh(struct config_task *task, uint64_t now_ms)
 {
 	struct members *members = node_members(task->super.node);
-	unsigned up = 0, asked = 0, at = 0, first;
+	unsigned up = 0, at = 0, first;
 	struct list *pos;
 
 	list_for_each (pos, members_all(members))
 		up += list_entry(pos, struct member, link)->state == MEMBER_UP;
-	first = up ? g_random_int_range(0, (int)up) : 0;
+	if (!up)
+		return;
+	first = g_random_int_range(0, (int)up);
 	list_for_each (pos, members_all(members)) {
 		struct member *member = list_entry(pos, struct member, link);
 
@@ -99,10 +101,8 @@
 		if ((at++ + up - first) % up >= FRESH_FETCHES)
 			continue;
 		send_fetch(task, member->name);
-		asked++;
 	}
-	if (asked)
-		task->fetch_at_ms = now_ms + FETCH_RETRY_MS;
+	task->fetch_at_ms = now_ms + FETCH_RETRY_MS;
 }
 
 void config_spread_tick(struct config_task *task, uint64_t now_ms)
--- a/core/config_keys.c
+++ b/core/config_keys.c
@@ -186,8 +186,10 @@
 	json_tokener_set_flags(tok, JSON_TOKENER_STRICT);
 	root = json_tokener_parse_ex(tok, value, (int)len + 1);
 	if (json_tokener_get_error(tok) != json_tokener_success ||
-	    json_tokener_get_parse_end(tok) < len)
-		g_clear_pointer(&root, json_object_put);
+	    json_tokener_get_parse_end(tok) < len) {
+		json_object_put(root);
+		root = NULL;
+	}
 	json_tokener_free(tok);
 	return root;
 }
--- a/core/config_store.c
+++ b/core/config_store.c
@@ -223,6 +223,8 @@
 		if (!oldest || value->revision < oldest->revision)
 			oldest = value;
 	}
+	if (!oldest)
+		return;
 	store->forgotten_revision =
 		MAX(store->forgotten_revision, oldest->revision);
 	store->removed_nr--;
--- /dev/null
+++ b/tests/process/operators.sh
@@ -0,0 +1,115 @@
+# Operators' commands through briarplankctl: exit statuses, conflicts, resends,
+# partial views, and servers that obey a drain within seconds.
+. tests/fleet/fleet.sh
+fleet_begin
+
+FLEET_ACCESS=$(fleet_access "ann:ops:operator bob:ops:operator depot:online")
+fleet_platform
+fleet_standin engine-1 engine
+engine=$(fleet_address engine-1)
+fleet_entry entry-1 akl-a akl
+fleet_entry entry-2 chc-a chc
+fleet_agent agent-1 akl-a akl claim-desk "$engine"
+fleet_agent agent-2 chc-a chc claim-desk "$engine"
+fleet_publish
+for node in entry-1 entry-2 agent-1 agent-2
+do
+	wait_until fleet_ready "$node"
+done
+for name in ann bob depot nobody
+do
+	echo "$name" >"$FLEET_DIR/$name.key"
+done
+
+# ctl STATUS ENTRY OPERATOR ARGS...: the command must end with the status.
+ctl () {
+	wanted=$1
+	entry=$2
+	key=$FLEET_DIR/$3.key
+	shift 3
+	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url "$entry")" \
+		-k "$key" "$@" >"$FLEET_DIR/out" 2>&1 </dev/null
+	got=$?
+	test "$got" -eq "$wanted" ||
+		fleet_fail "$* ended with $got: $(cat "$FLEET_DIR/out")"
+}
+
+said () {
+	grep -q -e "$1" "$FLEET_DIR/out" ||
+		fleet_fail "no \"$1\" in: $(cat "$FLEET_DIR/out")"
+}
+
+# Prints an answer whatever its status.
+ask () {
+	entry=$1
+	shift
+	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url "$entry")" \
+		-k "$FLEET_DIR/ann.key" "$@" </dev/null
+}
+
+all_up () {
+	test "$(ask entry-1 show servers | grep -c ' up ')" -eq 2
+}
+
+drained () {
+	ask entry-2 show servers where server = agent-1 and drained = "$1" |
+		grep -q '^agent-1'
+}
+
+wait_until all_up
+
+# Access.
+ctl 1 entry-1 nobody show nodes
+said 'no operator'
+ctl 1 entry-1 depot show nodes
+said 'depot is no operator'
+
+# Faults name the column, bad values the bound.
+ctl 2 entry-1 ann show servant
+said 'column 6'
+ctl 1 entry-1 ann set service.chat.timeout_ms 0
+said 'between 1 and 86400000 ms'
+ctl 1 entry-1 ann create service chat colour 1
+said 'column 21: there is no key service.chat.colour'
+ctl 1 entry-1 ann drain server agent-9
+said 'no server agent-9'
+
+# A service is created once; a resend has the first result.
+ctl 0 entry-1 ann --id c-1 create service chat timeout_ms 1000
+ctl 0 entry-2 ann --id c-1 create service chat timeout_ms 1000
+ctl 1 entry-2 bob create service chat timeout_ms 1000
+said 'exists already'
+ctl 1 entry-2 ann --id c-1/1 set service.chat.timeout_ms 2000
+said 'was used for another command'
+
+# Drain against undrain on one revision: one of them wins.
+ctl 0 entry-1 ann drain server agent-1
+FLEET_WAIT_MS=3000
+wait_until drained true
+FLEET_WAIT_MS=20000
+base=$(ask entry-1 -o json show config |
+	sed 's/.*"config_revision":\([0-9]*\).*/\1/')
+ctl 0 entry-1 ann set server.agent-1.drained false if revision "$base"
+ctl 1 entry-2 bob set server.agent-1.drained true if revision "$base"
+said "was changed at revision"
+wait_until drained false
+
+# A frozen server makes the view partial, and it is named.
+fleet_signal agent-2 STOP
+ctl 4 entry-1 ann show servers
+said 'partial, as 1 of 2 nodes'
+ctl 4 entry-1 ann -o json show servers
+said '"nodes_silent":\["agent-2"\]'
+fleet_signal agent-2 CONT
+wait_until all_up
+
+# Standard input, one command a line; and no entry at all.
+printf '# a comment\nshow config\nshow nothing\n' |
+	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url entry-1)" \
+		-k "$FLEET_DIR/ann.key" >"$FLEET_DIR/out" 2>&1
+test $? -eq 2 || fleet_fail "a script's status was lost"
+said 'service.chat.created'
+fleet_signal entry-2 KILL
+ctl 3 entry-2 ann show nodes
+said 'nothing was sent'
+echo "commands, conflicts, resends and partial views end as they should"
