--- a/include/platform/http_fetch.h
+++ b/include/platform/http_fetch.h
@@ -23,7 +23,8 @@
 /**
  * Starts a call. The callbacks and ctx of the options are ignored. A longer
  * answer than HTTP_FETCH_MAX_BYTES ends as HTTP_BROKEN. done is not called
- * when the client is destroyed first.
+ * when the client is destroyed first. Either way ctx, which may be NULL, is
+ * freed with g_free() afterwards.
  */
 void http_fetch(struct http_client *client,
 		const struct http_call_options *options, http_fetch_fn done,
