--- a/include/platform/http_fetch.h
+++ b/include/platform/http_fetch.h
@@ -21,10 +21,9 @@
 typedef void (*http_fetch_fn)(void *ctx, const struct http_answer *answer);
 
 /**
- * Starts a call. The callbacks and ctx of the options are ignored. A longer
- * answer than HTTP_FETCH_MAX_BYTES ends as HTTP_BROKEN. done is not called
- * when the client is destroyed first. Either way ctx, which may be NULL, is
- * freed with g_free() afterwards.
+ * Starts a call. Of the options' callbacks only on_free counts: it is given ctx
+ * after all else. A longer answer than HTTP_FETCH_MAX_BYTES ends as
+ * HTTP_BROKEN. done is not called when the client is destroyed first.
  */
 void http_fetch(struct http_client *client,
 		const struct http_call_options *options, http_fetch_fn done,
