Run orders end to end and give slots back at a graceful stop

A run of whole processes changes two engines one after the other while callers are answered, kills an agent with an order out, keeps the last ready server, and stops the log. It showed that an agent that stopped kept its slot until it lapsed, a minute later; the stop now releases it and waits for an order that is out. After an answered order a server that ignores fencing numbers is no longer watched for two seconds; at the start and after a lost answer it is.

--- a/briarplankd/agent/order_claims.c
+++ b/briarplankd/agent/order_claims.c
@@ -181,6 +181,16 @@
 	append(claims, true);
 }
 
+bool order_claims_leave(struct order_claims *claims, bool ready)
+{
+	if (claims->appending)
+		return false;
+	if (!claims->claimed || now_ms(claims) < claims->retry_at_ms)
+		return true;
+	order_claims_release(claims, ready);
+	return false;
+}
+
 static uint64_t left_ms(const struct order_claims *claims)
 {
 	uint64_t now = now_ms(claims);
--- a/briarplankd/agent/order_claims.h
+++ b/briarplankd/agent/order_claims.h
@@ -24,6 +24,12 @@
 /** Gives the claim back. */
 void order_claims_release(struct order_claims *claims, bool ready);
 
+/**
+ * Gives the claim back at the end of the node; true when it is gone, or the
+ * log did not take the release, in which case it lapses.
+ */
+bool order_claims_leave(struct order_claims *claims, bool ready);
+
 /**
  * State of the claim. It is NONE once this node's own clock says that it may
  * have lapsed, and WAITING when too little of it is left for an order.
--- a/briarplankd/agent/orders.c
+++ b/briarplankd/agent/orders.c
@@ -303,7 +303,12 @@
 /* An order that is out is waited for, so that the next start reads its end. */
 static bool orders_task_stopped(struct task *base)
 {
-	return !list_entry(base, struct orders_task, task)->sending;
+	struct orders_task *task = list_entry(base, struct orders_task, task);
+
+	if (!task->claims)
+		return true;
+	return !task->sending &&
+	       order_claims_leave(task->claims, !gate_of(base->node)->closed);
 }
 
 static void orders_task_event(struct task *base, const struct node_event *event)
--- a/core/orders.c
+++ b/core/orders.c
@@ -30,7 +30,10 @@
 	struct texts held;
 	uint64_t held_number;
 	bool known;
+	bool unreachable;
 	bool busy;
+	/* No order of an earlier incarnation, or in doubt, can still come. */
+	bool settled;
 	/* A query or an order is out. */
 	bool reading;
 	bool sending;
@@ -47,6 +50,7 @@
 	struct orders *orders = g_new0(struct orders, 1);
 
 	orders->checks_fencing = checks_fencing;
+	orders->settled = checks_fencing;
 	orders->trouble = "the server was not read back yet";
 	return orders;
 }
@@ -85,6 +89,7 @@
 {
 	orders->reading = false;
 	orders->read_at_ms = now_ms;
+	orders->unreachable = !held;
 	if (!held) {
 		orders->known = false;
 		orders->idle_since_ms = 0;
@@ -102,6 +107,8 @@
 		orders->idle_since_ms = 0;
 	else if (!orders->idle_since_ms)
 		orders->idle_since_ms = now_ms;
+	if (!held->busy && now_ms - orders->idle_since_ms >= SETTLE_MS)
+		orders->settled = true;
 }
 
 static void retry_later(struct orders *orders, uint64_t now_ms)
@@ -120,6 +127,8 @@
 	orders->known = false;
 	orders->read_at_ms = 0;
 	orders->idle_since_ms = 0;
+	if (result == ORDERS_UNKNOWN)
+		orders->settled = orders->checks_fencing;
 	if (result != ORDERS_DONE)
 		retry_later(orders, now_ms);
 }
@@ -170,17 +179,16 @@
 /* Tells whether the server's state must be read before all else. */
 static bool must_read(const struct orders *orders)
 {
-	if (!orders->known || orders->busy)
-		return true;
-	return !orders->checks_fencing &&
-	       orders->read_at_ms - orders->idle_since_ms < SETTLE_MS;
+	return !orders->known || orders->busy || !orders->settled;
 }
 
 static void plan_read(struct orders *orders, uint64_t now_ms,
 		      struct orders_action *action)
 {
-	if (!orders->known)
+	if (orders->unreachable)
 		orders->trouble = "the server can't be read back";
+	else if (!orders->known)
+		orders->trouble = "the server is read back";
 	else if (orders->busy)
 		orders->trouble = "the server carries out an earlier order";
 	else
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -111,8 +111,9 @@
 	done | sed 's/,$//'
 }
 
-# FLEET_SETTINGS and FLEET_WEB are further members of the settings, and of
-# "web" in them, for the nodes that are started next.
+# FLEET_SETTINGS, FLEET_WEB, FLEET_SERVER and FLEET_PLATFORM_SETTINGS are
+# further members of the settings, and of "web", "server" and "platform" in
+# them, for the nodes that are started next.
 
 # fleet_entry NAME DATA_CENTRE REGION: starts an entry.
 fleet_entry () {
@@ -123,7 +124,7 @@
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
 	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
 	"access": [ ${FLEET_ACCESS:-} ]
 }
@@ -141,8 +142,8 @@
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
 	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
-	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
+	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}"${FLEET_SERVER:+, $FLEET_SERVER} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
 }
 EOF
