--- a/core/orders.c
+++ b/core/orders.c
@@ -230,23 +230,32 @@
 	action->adapter = orders->wanted.adapter;
 }
 
-static void plan_order(struct orders *orders, const struct orders_view *view,
-		       struct orders_action *action)
+/* Without a granted slot the server goes on to serve, if it can. */
+static bool plan_slot(struct orders *orders, const struct orders_view *view,
+		      struct orders_action *action)
 {
 	bool serves = can_serve(orders);
 
-	if (view->open && !serves) {
-		action->kind = ORDERS_CLOSE;
-	} else if (!view->open && serves && view->slot != ORDERS_SLOT_GRANTED) {
-		/* The slot lapsed while work went on. */
-		action->kind = ORDERS_OPEN;
+	if (view->slot == ORDERS_SLOT_GRANTED)
+		return true;
+	if (view->open != serves) {
+		action->kind = serves ? ORDERS_OPEN : ORDERS_CLOSE;
 	} else if (view->slot == ORDERS_SLOT_NONE) {
 		orders->trouble = "a slot of the fleet is being claimed";
 		fill_order(orders, action);
 		action->kind = ORDERS_CLAIM;
-	} else if (view->slot == ORDERS_SLOT_WAITING) {
+	} else {
 		orders->trouble = "other servers are changed first";
-	} else if (view->open && !view->others_ready) {
+	}
+	return false;
+}
+
+static void plan_order(struct orders *orders, const struct orders_view *view,
+		       struct orders_action *action)
+{
+	if (!plan_slot(orders, view, action))
+		return;
+	if (view->open && can_serve(orders) && !view->others_ready) {
 		orders->trouble = "no other server of the service is ready";
 	} else if (view->open) {
 		action->kind = ORDERS_CLOSE;
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -41,7 +41,8 @@
 {
 	(void)handle;
 	(void)size;
-	*buf = uv_buf_init(g_malloc(READ_BYTES), READ_BYTES);
+	buf->base = g_malloc(READ_BYTES);
+	buf->len = READ_BYTES;
 }
 
 static void on_written(uv_write_t *write, int status)
