--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -6,40 +6,17 @@
 
 #include "briarplankd/bus.h"
 #include "bus_auth.h"
+#include "bus_private.h"
 #include "common/error.h"
 #include "common/list.h"
 #include "common/log.h"
 
 #define PART "bus"
 
-/* Messages queued to a peer before sends are refused. */
-#define PEER_QUEUE_MESSAGES 20000
-/* Largest message, in bytes; a peer that sends more is cut off. */
-#define MESSAGE_MAX_BYTES (8 << 20)
-/* Idle time after which ZeroMQ probes a connection, and waits, in ms. */
-#define HEARTBEAT_INTERVAL_MS 1000
-#define HEARTBEAT_TIMEOUT_MS 3000
-/* Bounds of the wait before a lost connection is made again, in ms. */
-#define RECONNECT_MIN_MS 50
-#define RECONNECT_MAX_MS 1000
-/* Messages taken from one socket before the loop goes on. */
-#define DRAIN_MESSAGES 256
-#define BODY_KINDS 80
-
-struct socket {
-	struct list link;
-	struct bus *bus;
-	void *zmq;
-	uv_poll_t poll;
-	bool router;
-	/* Must be looked at again: its edge may have been taken. */
-	bool dirty;
-};
-
 struct peer {
 	char *name;
 	char *address;
-	struct socket *socket;
+	struct bus_socket *socket;
 	/* Identity of the peer's own connection to us, and its incarnation. */
 	uint8_t route[256];
 	size_t route_len;
@@ -53,39 +30,6 @@
 	uint8_t bytes[];
 };
 
-struct handler {
-	bus_handler_fn fn;
-	void *ctx;
-};
-
-struct bus {
-	uv_loop_t *loop;
-	void *zmq;
-	char *name;
-	char *address;
-	uint64_t incarnation;
-	struct bus_keys keys;
-	struct bus_auth *auth;
-	struct socket *bound;
-	struct list sockets;
-	GHashTable *peers;
-	struct handler handlers[BODY_KINDS];
-	struct handler observer;
-	uint64_t (*revision)(void *ctx);
-	void *revision_ctx;
-	struct list local;
-	uv_prepare_t prepare;
-	uv_idle_t idle;
-	bool idling;
-	uint64_t bytes_sent;
-	uint64_t bytes_received;
-	struct counter *garbage;
-	struct counter *unhandled;
-	struct counter *refused;
-	struct counter *sent;
-	struct counter *received;
-};
-
 static void peer_free(void *data)
 {
 	struct peer *peer = data;
@@ -95,147 +39,6 @@
 	g_free(peer);
 }
 
-static void stay_awake(struct bus *bus);
-
-static void deliver(struct bus *bus, const uint8_t *bytes, size_t len,
-		    const uint8_t *route, size_t route_len);
-
-static void set_int(void *zmq, int option, int value)
-{
-	zmq_setsockopt(zmq, option, &value, sizeof(value));
-}
-
-static void set_common_options(struct bus *bus, void *zmq)
-{
-	int64_t max = MESSAGE_MAX_BYTES;
-
-	set_int(zmq, ZMQ_LINGER, 0);
-	set_int(zmq, ZMQ_SNDHWM, PEER_QUEUE_MESSAGES);
-	set_int(zmq, ZMQ_RCVHWM, PEER_QUEUE_MESSAGES);
-	set_int(zmq, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
-	set_int(zmq, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
-	set_int(zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
-	set_int(zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-	zmq_setsockopt(zmq, ZMQ_MAXMSGSIZE, &max, sizeof(max));
-	if (!bus->auth)
-		return;
-	zmq_setsockopt(zmq, ZMQ_CURVE_PUBLICKEY, bus->keys.public_key,
-		       strlen(bus->keys.public_key) + 1);
-	zmq_setsockopt(zmq, ZMQ_CURVE_SECRETKEY, bus->keys.secret_key,
-		       strlen(bus->keys.secret_key) + 1);
-}
-
-/* Takes one frame; false when there is none. */
-static bool take_frame(void *zmq, zmq_msg_t *frame)
-{
-	int rc;
-
-	zmq_msg_init(frame);
-	do {
-		rc = zmq_msg_recv(frame, zmq, ZMQ_DONTWAIT);
-	} while (rc < 0 && errno == EINTR);
-	if (rc >= 0)
-		return true;
-	zmq_msg_close(frame);
-	return false;
-}
-
-static void drop_rest(void *zmq, zmq_msg_t *frame)
-{
-	while (zmq_msg_more(frame)) {
-		zmq_msg_close(frame);
-		if (!take_frame(zmq, frame)) {
-			zmq_msg_init(frame);
-			return;
-		}
-	}
-}
-
-/* Takes one message from a socket; false when there is none. */
-static bool take_message(struct socket *socket)
-{
-	zmq_msg_t route, body;
-	bool has_route = socket->router;
-
-	if (!take_frame(socket->zmq, &route))
-		return false;
-	if (!has_route) {
-		body = route;
-		zmq_msg_init(&route);
-	} else if (!zmq_msg_more(&route) || !take_frame(socket->zmq, &body)) {
-		zmq_msg_close(&route);
-		counter_add(socket->bus->garbage, 1);
-		return true;
-	}
-	if (zmq_msg_more(&body)) {
-		drop_rest(socket->zmq, &body);
-		counter_add(socket->bus->garbage, 1);
-	} else {
-		socket->bus->bytes_received += zmq_msg_size(&body);
-		deliver(socket->bus, zmq_msg_data(&body), zmq_msg_size(&body),
-			zmq_msg_data(&route),
-			has_route ? zmq_msg_size(&route) : 0);
-	}
-	zmq_msg_close(&body);
-	zmq_msg_close(&route);
-	return true;
-}
-
-static void drain(struct socket *socket)
-{
-	unsigned taken;
-
-	socket->dirty = false;
-	for (taken = 0; taken < DRAIN_MESSAGES; taken++) {
-		if (!socket->zmq || !take_message(socket))
-			return;
-	}
-	socket->dirty = true;
-	stay_awake(socket->bus);
-}
-
-static void on_readable(uv_poll_t *poll, int status, int events)
-{
-	struct socket *socket = poll->data;
-
-	(void)status;
-	(void)events;
-	drain(socket);
-}
-
-static struct socket *socket_create(struct bus *bus, int type)
-{
-	struct socket *socket = g_new0(struct socket, 1);
-	size_t len = sizeof(int);
-	int fd;
-
-	socket->bus = bus;
-	socket->zmq = zmq_socket(bus->zmq, type);
-	socket->router = type == ZMQ_ROUTER;
-	set_common_options(bus, socket->zmq);
-	zmq_getsockopt(socket->zmq, ZMQ_FD, &fd, &len);
-	uv_poll_init(bus->loop, &socket->poll, fd);
-	socket->poll.data = socket;
-	uv_poll_start(&socket->poll, UV_READABLE, on_readable);
-	list_append(&bus->sockets, &socket->link);
-	return socket;
-}
-
-static void on_poll_closed(uv_handle_t *handle)
-{
-	struct socket *socket = handle->data;
-
-	zmq_close(socket->zmq);
-	g_free(socket);
-}
-
-static void socket_destroy(struct socket *socket)
-{
-	list_remove(&socket->link);
-	uv_poll_stop(&socket->poll);
-	uv_close((uv_handle_t *)&socket->poll, on_poll_closed);
-}
-
 static void deliver_local(struct bus *bus)
 {
 	struct list batch, *pos, *tmp;
@@ -250,36 +53,16 @@
 			list_entry(pos, struct local_message, link);
 
 		list_remove(pos);
-		deliver(bus, message->bytes, message->len, NULL, 0);
+		bus_deliver(bus, message->bytes, message->len, NULL, 0);
 		g_free(message);
 	}
 }
 
-/* A handler may close any socket, so each is visited off a list of its own. */
-static void drain_dirty(struct bus *bus)
-{
-	struct list batch, *pos;
-
-	list_init(&batch);
-	while ((pos = list_first(&bus->sockets)) != NULL) {
-		list_remove(pos);
-		list_append(&batch, pos);
-	}
-	while ((pos = list_first(&batch)) != NULL) {
-		struct socket *socket = list_entry(pos, struct socket, link);
-
-		list_remove(pos);
-		list_append(&bus->sockets, pos);
-		if (socket->dirty)
-			drain(socket);
-	}
-}
-
 static void on_prepare(uv_prepare_t *prepare)
 {
 	struct bus *bus = prepare->data;
 
-	drain_dirty(bus);
+	bus_sockets_drain(bus);
 	deliver_local(bus);
 }
 
@@ -292,7 +75,7 @@
 }
 
 /* Keeps the loop from sleeping once, so that on_prepare runs again. */
-static void stay_awake(struct bus *bus)
+void bus_stay_awake(struct bus *bus)
 {
 	if (bus->idling)
 		return;
@@ -307,11 +90,11 @@
 	size_t len = sizeof(bound);
 	int rc;
 
-	bus->bound = socket_create(bus, ZMQ_ROUTER);
-	set_int(bus->bound->zmq, ZMQ_ROUTER_MANDATORY, 1);
-	set_int(bus->bound->zmq, ZMQ_ROUTER_HANDOVER, 1);
+	bus->bound = bus_socket_create(bus, ZMQ_ROUTER);
+	bus_socket_set_int(bus->bound->zmq, ZMQ_ROUTER_MANDATORY, 1);
+	bus_socket_set_int(bus->bound->zmq, ZMQ_ROUTER_HANDOVER, 1);
 	if (bus->auth) {
-		set_int(bus->bound->zmq, ZMQ_CURVE_SERVER, 1);
+		bus_socket_set_int(bus->bound->zmq, ZMQ_CURVE_SERVER, 1);
 		zmq_setsockopt(bus->bound->zmq, ZMQ_ZAP_DOMAIN, BUS_AUTH_DOMAIN,
 			       strlen(BUS_AUTH_DOMAIN));
 	}
@@ -398,7 +181,7 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &bus->sockets)
-		socket_destroy(list_entry(pos, struct socket, link));
+		bus_socket_destroy(list_entry(pos, struct bus_socket, link));
 	if (bus->auth)
 		bus_auth_destroy(bus->auth);
 	close_handles(bus);
@@ -450,7 +233,7 @@
 	if (peer->address && !strcmp(peer->address, address))
 		return BUS_OK;
 	if (peer->socket)
-		socket_destroy(peer->socket);
+		bus_socket_destroy(peer->socket);
 	peer->socket = NULL;
 	g_free(peer->address);
 	peer->address = g_strdup(address);
@@ -464,7 +247,7 @@
 	if (!peer)
 		return;
 	if (peer->socket)
-		socket_destroy(peer->socket);
+		bus_socket_destroy(peer->socket);
 	g_hash_table_remove(bus->peers, name);
 }
 
@@ -478,11 +261,11 @@
 {
 	char *endpoint = g_strdup_printf("tcp://%s", peer->address);
 	char *identity = make_identity(bus->name, bus->incarnation);
-	struct socket *socket = socket_create(bus, ZMQ_DEALER);
+	struct bus_socket *socket = bus_socket_create(bus, ZMQ_DEALER);
 	int rc;
 
 	zmq_setsockopt(socket->zmq, ZMQ_ROUTING_ID, identity, strlen(identity));
-	set_int(socket->zmq, ZMQ_IMMEDIATE, 1);
+	bus_socket_set_int(socket->zmq, ZMQ_IMMEDIATE, 1);
 	if (bus->auth)
 		zmq_setsockopt(socket->zmq, ZMQ_CURVE_SERVERKEY,
 			       bus->keys.public_key,
@@ -496,7 +279,7 @@
 	}
 	error_set("can't connect to %s: %s", peer->address,
 		  zmq_strerror(errno));
-	socket_destroy(socket);
+	bus_socket_destroy(socket);
 	return false;
 }
 
@@ -509,18 +292,18 @@
 	message->len = len;
 	briarplank__envelope__pack(env, message->bytes);
 	list_append(&bus->local, &message->link);
-	stay_awake(bus);
+	bus_stay_awake(bus);
 	return BUS_OK;
 }
 
 /* Sends over a socket; a ROUTER gets the route first. */
-static bool send_frames(struct socket *socket, const struct peer *peer,
+static bool send_frames(struct bus_socket *socket, const struct peer *peer,
 			const Briarplank__Envelope *env, size_t len)
 {
 	zmq_msg_t body;
 
 	socket->dirty = true;
-	stay_awake(socket->bus);
+	bus_stay_awake(socket->bus);
 	if (socket->router &&
 	    zmq_send(socket->zmq, peer->route, peer->route_len,
 		     ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
@@ -616,8 +399,8 @@
 		counter_add(bus->unhandled, 1);
 }
 
-static void deliver(struct bus *bus, const uint8_t *bytes, size_t len,
-		    const uint8_t *route, size_t route_len)
+void bus_deliver(struct bus *bus, const uint8_t *bytes, size_t len,
+		 const uint8_t *route, size_t route_len)
 {
 	Briarplank__Envelope *env =
 		briarplank__envelope__unpack(NULL, len, bytes);
