Escape the key that a test puts into settings

process_keys_and_tls failed in 2 of 5 runs with "no word of the keys": its sed took an & in the random key for the text that it replaced, so that the settings were no JSON. The check itself is unchanged.

--- a/tests/process/keys_and_tls.sh
+++ b/tests/process/keys_and_tls.sh
@@ -85,7 +85,8 @@
 done
 
 # Settings with a pair that doesn't fit are a fault.
-public=$(printf '%s\n' "$keys" | sed -n 's/.*"public": "\(.*\)",/\1/p')
+public=$(printf '%s\n' "$keys" |
+	sed -n 's/.*"public": "\(.*\)",/\1/p' | sed 's/&/\\&/g')
 sed "s|\"secret\": \".*\"|\"secret\": \"$public\"|" \
 	"$FLEET_DIR/agent-1.json" >"$FLEET_DIR/bad.json"
 "$daemon" --config "$FLEET_DIR/bad.json" --check 2>"$FLEET_DIR/bad.out"
