Route, retry, limit and claim online requests by the core's decisions

The task now uses the router, subsets, circuits, the retry budget, the limiter, the link budget and key claims, and keeps metrics, the running requests and the last refusals for operators. fleet_access lost the last of its callers, as read fails on a line without an end; with one caller the entry ran without an access list. Found by a request with a wrong key that went through; now 401.

--- a/briarplankd/entry/answer.c
+++ b/briarplankd/entry/answer.c
@@ -7,6 +7,9 @@
 
 #define PART "online"
 
+/* Time between two questions for a missing piece, in ms. */
+#define ASK_MISSING_INTERVAL_MS 100
+
 static void field_free(void *data)
 {
 	struct http_field *field = data;
@@ -81,8 +84,12 @@
 
 	if (request->outcome.state != OUTCOME_FIRST_BYTE) {
 		outcome_first_byte(&request->outcome);
+		online_routing_succeeded(request);
+		online_view_first_byte(request);
 		online_http_begin(request);
 		web_on_taken(request->web, on_taken, request);
+	} else {
+		online_view_piece(request);
 	}
 	if (len)
 		web_stream_write(request->web, data, len);
@@ -95,22 +102,37 @@
 	outcome_ended(&request->outcome, true);
 	/* Confirms the last piece, so that the agent keeps it no longer. */
 	send_credit(request, 0);
+	retry_succeeded(&request->online->retry);
 	log_debug(PART, "%s: completed by %s", request->id, request->agent);
 	online_request_destroy(request);
 	web_stream_end(web, true);
 }
 
+/* Something was lost on the way, but later pieces still come. */
+static void ask_for_missing(struct online_request *request)
+{
+	uint64_t now_ms = node_now_ms(request->online->super.node);
+
+	if (now_ms < request->missing_asked_ms + ASK_MISSING_INTERVAL_MS)
+		return;
+	request->missing_asked_ms = now_ms;
+	online_answer_resume(request);
+}
+
 void online_answer_chunk(struct online_request *request,
 			 const Briarplank__AnswerChunk *chunk)
 {
+	enum stream_status status;
 	GBytes *piece;
 
-	if (!request->fields && chunk->sequence > 0)
-		log_debug(PART, "%s: piece before the head", request->id);
-	stream_insert(request->stream, chunk->sequence, chunk->data.data,
-		      chunk->data.len, chunk->last);
+	online_routing_bytes(request, chunk->data.len);
+	status = stream_insert(request->stream, chunk->sequence,
+			       chunk->data.data, chunk->data.len, chunk->last);
+	if (status != STREAM_OK)
+		log_debug(PART, "%s: piece %" G_GUINT64_FORMAT " is not taken",
+			  request->id, chunk->sequence);
 	if (!request->fields) {
-		online_answer_resume(request);
+		ask_for_missing(request);
 		return;
 	}
 	while ((piece = stream_next(request->stream)) != NULL) {
@@ -119,6 +141,8 @@
 	}
 	if (stream_ended(request->stream))
 		end_whole(request);
+	else if (stream_has_gap(request->stream))
+		ask_for_missing(request);
 	else
 		grant(request);
 }
@@ -151,3 +175,14 @@
 		g_ptr_array_free(request->fields, TRUE);
 	request->fields = NULL;
 }
+
+void online_answer_break(struct online_request *request, const char *reason)
+{
+	struct web_request *web = request->web;
+
+	outcome_ended(&request->outcome, false);
+	online_view_refused(request, request->status, reason);
+	log_info(PART, "%s: the answer is broken off: %s", request->id, reason);
+	online_request_destroy(request);
+	web_stream_end(web, false);
+}
--- /dev/null
+++ b/briarplankd/entry/claim.c
@@ -0,0 +1,149 @@
+/*
+ * Claims idempotency keys: a request that must run at most once across all
+ * entries goes on only after its claim is the first in the log.
+ */
+#include <string.h>
+
+#include "briarplankd/members_task.h"
+#include "briarplankd/online.h"
+#include "common/log.h"
+
+#define PART "online"
+
+/* Time between two questions to the owner of the key's shard, in ms. */
+#define ASK_AGAIN_MS 500
+/* Time after which the request is refused for want of a claim, in ms. */
+#define CLAIM_LIMIT_MS 3000
+
+static uint64_t now_ms(const struct online_request *request)
+{
+	return node_now_ms(request->online->super.node);
+}
+
+static uint32_t shard_of(const struct online_request *request,
+			 const uint8_t *hash)
+{
+	const struct daemon_settings *settings =
+		request->online->super.node->settings;
+	uint32_t number = (uint32_t)hash[0] << 24 | (uint32_t)hash[1] << 16 |
+			  (uint32_t)hash[2] << 8 | hash[3];
+
+	return number % (uint32_t)settings->ledger_shards;
+}
+
+/* What must be the same in a resent call. */
+static void hash_content(struct online_request *request, uint8_t *hash)
+{
+	GString *text = g_string_new(web_method(request->web));
+	size_t len;
+	const char *body = web_body(request->web, &len);
+
+	g_string_append_printf(text, " %s %s\n", request->service,
+			       request->path);
+	g_string_append_len(text, body, (gssize)len);
+	hash128_bytes(text->str, text->len, hash);
+	g_string_free(text, TRUE);
+}
+
+static void ask(struct online_request *request)
+{
+	struct online_claim *claim = request->claim;
+	struct node *node = request->online->super.node;
+	const char *owner = node_shard_owner(node, claim->shard);
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__ClaimKey body = BRIARPLANK__CLAIM_KEY__INIT;
+
+	claim->ask_again_ms = now_ms(request) + ASK_AGAIN_MS;
+	if (!owner)
+		return;
+	body.call_id = claim->call_id;
+	body.shard = claim->shard;
+	body.key_hash.data = claim->key_hash;
+	body.key_hash.len = sizeof(claim->key_hash);
+	body.content_hash.data = claim->content_hash;
+	body.content_hash.len = sizeof(claim->content_hash);
+	body.request_id = request->id;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY;
+	env.claim_key = &body;
+	bus_send(node->bus, owner, &env);
+}
+
+void online_claim_begin(struct online_request *request, const char *key)
+{
+	struct online *online = request->online;
+	struct online_claim *claim = g_new0(struct online_claim, 1);
+
+	request->claim = claim;
+	claim->call_id = ++online->next_claim;
+	hash128_pair(request->caller, key, claim->key_hash);
+	hash_content(request, claim->content_hash);
+	claim->shard = shard_of(request, claim->key_hash);
+	claim->give_up_ms = now_ms(request) + CLAIM_LIMIT_MS;
+	g_hash_table_insert(online->claims, &claim->call_id, request);
+	ask(request);
+	online_request_arm(request);
+}
+
+void online_claim_forget(struct online_request *request)
+{
+	if (!request->claim)
+		return;
+	g_hash_table_remove(request->online->claims, &request->claim->call_id);
+	g_free(request->claim);
+	request->claim = NULL;
+}
+
+void online_claim_tick(struct online_request *request, uint64_t now)
+{
+	if (now >= request->claim->give_up_ms) {
+		online_request_give_up(request, "the key could not be claimed");
+		return;
+	}
+	ask(request);
+	online_request_arm(request);
+}
+
+static void answer_lost(struct online_request *request, const char *winner)
+{
+	/* The earlier call may have run: that is what the caller asks. */
+	request->outcome.may_have_run = true;
+	log_debug(PART, "%s: the key belongs to %s", request->id, winner);
+	online_request_finish(request, 409, "Key in use",
+			      "the idempotency key was claimed before");
+}
+
+static void on_reply(void *ctx, const Briarplank__Envelope *env)
+{
+	struct online *online = ctx;
+	const Briarplank__ClaimKeyReply *reply = env->claim_key_reply;
+	struct online_request *request =
+		g_hash_table_lookup(online->claims, &reply->call_id);
+
+	if (!request ||
+	    reply->code == BRIARPLANK__CLAIM_KEY_REPLY__CODE__NOT_OWNER)
+		return;
+	online_claim_forget(request);
+	switch (reply->code) {
+	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__WON:
+		online_dispatch(request);
+		break;
+	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOST:
+		answer_lost(request, reply->winner_request_id);
+		break;
+	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__CONFLICT:
+		online_request_finish(request, 422, "Key of another request",
+				      "the idempotency key came with other "
+				      "content before");
+		break;
+	default:
+		online_request_give_up(request, "the key could not be claimed");
+	}
+}
+
+void online_claim_register(struct online *online)
+{
+	online->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
+	bus_handle(online->super.node->bus,
+		   BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY_REPLY, on_reply,
+		   online);
+}
--- a/briarplankd/entry/online.c
+++ b/briarplankd/entry/online.c
@@ -11,6 +11,8 @@
 
 #define PART "online"
 #define PREFIX "/v1/services/"
+/* Period in which subsets are made anew and idle callers dropped, in ms. */
+#define SWEEP_INTERVAL_MS 1000
 
 static void on_caller_gone(void *ctx, bool sent)
 {
@@ -20,10 +22,21 @@
 	log_debug(PART, "%s: the caller left", request->id);
 	request->web = NULL;
 	if (request->outcome.state != OUTCOME_NOT_SENT)
-		online_request_send_cancel(request, false);
+		online_dispatch_cancel(request, false);
 	online_request_destroy(request);
 }
 
+/* At most once across entries: the key decides which call runs. */
+static void start(struct online_request *request)
+{
+	const char *key = web_field(request->web, "idempotency-key");
+
+	if (key && *key && !request->outcome.idempotent)
+		online_claim_begin(request, key);
+	else
+		online_dispatch(request);
+}
+
 static void on_call(void *ctx, struct web_request *web)
 {
 	struct online *online = ctx;
@@ -31,14 +44,14 @@
 
 	if (!request)
 		return;
-	if (online->super.node->stopping) {
-		online_http_problem(request, 503, 0, "Not run",
-				    "this entry is stopping");
-		online_request_destroy(request);
-		return;
-	}
+	limiter_started(online->limiter, request->service, request->caller);
+	request->counted = true;
 	web_on_close(web, on_caller_gone, request);
-	online_request_start(request);
+	if (online->super.node->stopping)
+		online_request_finish(request, 503, "Not run",
+				      "this entry is stopping");
+	else
+		start(request);
 }
 
 /* Finds the request whose present attempt a message belongs to. */
@@ -119,10 +132,17 @@
 		online_request_cancelled(request, env->cancel_result);
 }
 
-static bool online_start(struct task *task)
+static void on_sweep(uv_timer_t *timer)
 {
-	struct online *online = (struct online *)task;
-	struct bus *bus = task->node->bus;
+	struct online *online = timer->data;
+
+	limiter_sweep(online->limiter, node_now_us());
+	online_routing_changed(online);
+}
+
+static void register_handlers(struct online *online)
+{
+	struct bus *bus = online->super.node->bus;
 
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_REFUSED, on_refused, online);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_ADMITTED, on_admitted,
@@ -135,6 +155,23 @@
 		   online);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL_RESULT,
 		   on_cancel_result, online);
+	online_claim_register(online);
+}
+
+static bool online_start(struct task *task)
+{
+	struct online *online = (struct online *)task;
+
+	register_handlers(online);
+	online->random = g_rand_new_with_seed((guint32)task->node->incarnation);
+	online->limiter = limiter_create();
+	retry_init(&online->retry, &retry_defaults);
+	link_budget_init(&online->link, 0, 0, node_now_us());
+	online_routing_changed(online);
+	uv_timer_init(&task->node->loop, &online->sweep_timer);
+	online->sweep_timer.data = online;
+	uv_timer_start(&online->sweep_timer, on_sweep, SWEEP_INTERVAL_MS,
+		       SWEEP_INTERVAL_MS);
 	web_route(task->node->web, PREFIX, on_call, online);
 	return true;
 }
@@ -170,20 +207,35 @@
 {
 	struct online *online = (struct online *)task;
 
+	if (event->kind != NODE_CONFIG_CHANGED)
+		online_routing_changed(online);
 	if (event->kind == NODE_PEER_DOWN || event->kind == NODE_PEER_UP)
 		peer_changed(online, event->peer,
 			     event->kind == NODE_PEER_DOWN);
 }
 
-static void online_destroy(struct task *task)
+static void destroy_started(struct online *online)
 {
-	struct online *online = (struct online *)task;
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &online->requests)
 		online_request_destroy(
 			list_entry(pos, struct online_request, link));
-	uv_run(&task->node->loop, UV_RUN_NOWAIT);
+	uv_close((uv_handle_t *)&online->sweep_timer, NULL);
+	uv_run(&online->super.node->loop, UV_RUN_NOWAIT);
+	limiter_destroy(online->limiter);
+	g_rand_free(online->random);
+	g_hash_table_destroy(online->claims);
+}
+
+static void online_destroy(struct task *task)
+{
+	struct online *online = (struct online *)task;
+
+	if (online->limiter)
+		destroy_started(online);
+	online_view_clear(online);
+	online_routing_clear(online);
 	g_hash_table_destroy(online->by_id);
 	g_free(online);
 }
--- a/briarplankd/entry/online_http.c
+++ b/briarplankd/entry/online_http.c
@@ -14,6 +14,9 @@
 #define TIMEOUT_MIN_MS 1
 #define TIMEOUT_MAX_MS 3600000
 #define MS_PER_S 1000
+#define US_PER_MS 1000
+/* Bytes of a body that count as its prefix. */
+#define PREFIX_BYTES 256
 
 /* Fields that belong to one connection, or to this system. */
 static const char *const own_fields[] = {
@@ -66,6 +69,12 @@
 	return NULL;
 }
 
+/* Callers that no access list names share one rate. */
+static const struct limiter_rate anonymous_rate = {
+	.requests_per_s = 100000,
+	.burst = 10000,
+};
+
 static bool identify(struct online_request *request)
 {
 	const struct daemon_settings *settings =
@@ -76,6 +85,7 @@
 	if (!settings->access.nr) {
 		request->caller = g_strdup("anonymous");
 		request->class = g_strdup("default");
+		request->rate = anonymous_rate;
 		return true;
 	}
 	if (field && !g_ascii_strncasecmp(field, BEARER, strlen(BEARER)))
@@ -87,6 +97,8 @@
 	}
 	request->caller = g_strdup(access->name);
 	request->class = g_strdup(access->class);
+	request->rate.requests_per_s = access->requests_per_s;
+	request->rate.burst = access->burst;
 	return true;
 }
 
@@ -180,6 +192,40 @@
 	return true;
 }
 
+/* Requests with the same start go to the server that has it cached. */
+static void hash_prefix(struct online_request *request)
+{
+	size_t len;
+	const char *body = web_body(request->web, &len);
+
+	if (len >= PREFIX_BYTES)
+		request->prefix_hash = hash_bytes(body, PREFIX_BYTES, 0) | 1;
+}
+
+static bool within_limits(struct online_request *request)
+{
+	struct online *online = request->online;
+	uint64_t now_ms = node_now_ms(online->super.node);
+	uint64_t retry_after_us;
+
+	if (!limiter_admit(online->limiter, request->caller, &request->rate,
+			   node_now_us(), &retry_after_us)) {
+		online_view_refused(request, 429, "the caller's rate");
+		online_http_problem(
+			request, 429, retry_after_us / US_PER_MS + 1,
+			"Too many requests", "the caller has reached its rate");
+		return false;
+	}
+	if (limiter_fair(online->limiter, request->service, request->caller,
+			 now_ms))
+		return true;
+	online_view_refused(request, 503, "the caller's share");
+	online_http_problem(request, 503, 0, "Not run",
+			    "the service is full and the caller has its share "
+			    "of it");
+	return false;
+}
+
 struct online_request *online_http_accept(struct online *online,
 					  struct web_request *web)
 {
@@ -187,8 +233,10 @@
 
 	if (identify(request) && split_target(request) &&
 	    service_known(request) && read_idempotent(request) &&
-	    read_timeout(request))
+	    read_timeout(request) && within_limits(request)) {
+		hash_prefix(request);
 		return request;
+	}
 	online_request_destroy(request);
 	return NULL;
 }
@@ -221,8 +269,6 @@
 		web_add_field(request->web, "Retry-After", seconds);
 		g_free(seconds);
 	}
-	if (request->online->super.node->stopping)
-		web_add_field(request->web, "Connection", "close");
 	web_problem(request->web, status, title, "%s", detail);
 	g_free(detail);
 }
--- a/briarplankd/entry/request.c
+++ b/briarplankd/entry/request.c
@@ -1,19 +1,13 @@
 /*
- * Dispatches requests, and decides what follows a refusal, a lost agent or a
- * passed deadline.
+ * What follows a refusal, a failure, a silent agent or a passed deadline.
  */
-#include <string.h>
-
-#include "briarplankd/members_task.h"
 #include "briarplankd/online.h"
 #include "common/log.h"
 
 #define PART "online"
 
-/* Attempts of one request, the first included. */
-#define MAX_ATTEMPTS 4
-/* Time beyond the expected wait in which an agent must admit, in ms. */
-#define ADMIT_SLACK_MS 500
+/* Unanswered questions after which an idempotent request goes elsewhere. */
+#define MAX_PROBES 4
 /* Silence of a running attempt after which its agent is asked, in ms. */
 #define SILENCE_MS 1000
 /* Time between two questions to a silent agent, in ms. */
@@ -75,152 +69,69 @@
 		web_on_taken(request->web, NULL, NULL);
 	}
 	request->web = NULL;
+	online_claim_forget(request);
+	if (request->counted) {
+		limiter_ended(request->online->limiter, request->service,
+			      request->caller);
+		online_view_ended(request);
+	}
 	list_remove(&request->link);
 	g_hash_table_remove(request->online->by_id, request->id);
 	uv_timer_stop(&request->timer);
 	uv_close((uv_handle_t *)&request->timer, on_closed);
 }
 
-static bool has_refused(const struct online_request *request, const char *agent)
-{
-	return g_ptr_array_find_with_equal_func(request->refused_by, agent,
-						g_str_equal, NULL);
-}
-
-static struct member *choose(struct online_request *request)
-{
-	struct node *node = request->online->super.node;
-	struct member *best = NULL;
-	struct list *pos;
-
-	list_for_each (pos, members_all(node_members(node))) {
-		struct member *member = list_entry(pos, struct member, link);
-
-		if (member->role != MEMBER_AGENT || !member_usable(member) ||
-		    strcmp(member->service, request->service) != 0 ||
-		    has_refused(request, member->name))
-			continue;
-		if (!best ||
-		    member->load.expected_wait_us < best->load.expected_wait_us)
-			best = member;
-	}
-	return best;
-}
-
-/* Ends a request that no byte of an answer was passed on for. */
-static void finish(struct online_request *request, int status,
-		   const char *title, const char *detail)
+void online_request_finish(struct online_request *request, int status,
+			   const char *title, const char *reason)
 {
 	uint32_t retry_after_ms = request->retry_after_ms;
 
-	log_debug(PART, "%s: %s, %s (%s)", request->id,
-		  outcome_statement_text(outcome_statement(&request->outcome)),
-		  detail, title);
+	online_view_refused(request, status, reason);
 	online_http_problem(request, status,
 			    retry_after_ms ? retry_after_ms : RETRY_AFTER_MS,
-			    title, "%s", detail);
-	online_request_destroy(request);
-}
-
-static void break_stream(struct online_request *request, const char *detail)
-{
-	struct web_request *web = request->web;
-
-	outcome_ended(&request->outcome, false);
-	log_info(PART, "%s: the answer is broken off: %s", request->id, detail);
+			    title, "%s", reason);
 	online_request_destroy(request);
-	web_stream_end(web, false);
 }
 
-/* Ends a request after its last attempt, by what is known of it. */
-static void give_up(struct online_request *request, const char *detail)
+void online_request_give_up(struct online_request *request, const char *reason)
 {
-	switch (outcome_statement(&request->outcome)) {
-	case OUTCOME_NOT_RUN:
-		finish(request, 503, "Not run", detail);
-		break;
-	default:
-		finish(request, 504, "Outcome unknown", detail);
-	}
+	if (outcome_statement(&request->outcome) == OUTCOME_NOT_RUN)
+		online_request_finish(request, 503, "Not run", reason);
+	else
+		online_request_finish(request, 504, "Outcome unknown", reason);
 }
 
-static bool send_dispatch(struct online_request *request)
+/* Goes on after an attempt that failed without a byte passed on. */
+static void try_again(struct online_request *request, const char *reason)
 {
-	struct node *node = request->online->super.node;
-	GPtrArray *fields = online_http_fields(request);
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Dispatch dispatch = BRIARPLANK__DISPATCH__INIT;
-	enum bus_status status;
-	size_t len;
-
-	dispatch.request_id = request->id;
-	dispatch.attempt = request->outcome.attempt;
-	dispatch.agent_incarnation = request->outcome.incarnation;
-	dispatch.service = request->service;
-	dispatch.method = (char *)web_method(request->web);
-	dispatch.path = request->path;
-	dispatch.headers = (Briarplank__HeaderField **)fields->pdata;
-	dispatch.n_headers = fields->len;
-	dispatch.body.data = (uint8_t *)web_body(request->web, &len);
-	dispatch.body.len = len;
-	dispatch.idempotent = request->outcome.idempotent;
-	dispatch.remaining_ms = request->deadline_ms - now_ms(request);
-	dispatch.caller = request->caller;
-	dispatch.credit_bytes = ONLINE_WINDOW_BYTES;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_DISPATCH;
-	env.dispatch = &dispatch;
-	status = bus_send(node->bus, request->agent, &env);
-	g_ptr_array_free(fields, TRUE);
-	return status == BUS_OK;
-}
+	struct online *online = request->online;
+	enum retry_verdict verdict;
 
-static void dispatch_to(struct online_request *request,
-			const struct member *member)
-{
-	g_free(request->agent);
-	request->agent = g_strdup(member->name);
-	online_answer_reset(request);
-	outcome_dispatch(&request->outcome, member->incarnation);
-	request->probes = 0;
-	request->probe_at_ms = now_ms(request) +
-			       member->load.expected_wait_us / 1000 +
-			       ADMIT_SLACK_MS;
-	log_debug(PART, "%s: attempt %u goes to %s", request->id,
-		  request->outcome.attempt, request->agent);
-}
-
-static void dispatch(struct online_request *request)
-{
-	struct member *member;
-
-	request->dispatch_at_ms = 0;
-	while ((member = choose(request)) != NULL) {
-		dispatch_to(request, member);
-		if (send_dispatch(request)) {
-			online_request_arm(request);
-			return;
-		}
-		outcome_proven_not_run(&request->outcome);
-		g_ptr_array_add(request->refused_by, g_strdup(member->name));
+	request->probe_at_ms = 0;
+	if (request->give_up_at_ms ||
+	    !outcome_may_dispatch(&request->outcome)) {
+		online_request_give_up(request, reason);
+		return;
+	}
+	verdict = retry_ask(&online->retry, request->outcome.attempt,
+			    now_ms(request), request->deadline_ms,
+			    online->random, &request->dispatch_at_ms);
+	if (verdict == RETRY_NOW) {
+		online_dispatch(request);
+	} else if (verdict == RETRY_LATER) {
+		online_request_arm(request);
+	} else {
+		log_debug(PART, "%s: no retry: %s", request->id,
+			  retry_verdict_text(verdict));
+		online_request_give_up(request, reason);
 	}
-	give_up(request, "no backend server of the service takes it now");
-}
-
-void online_request_start(struct online_request *request)
-{
-	dispatch(request);
 }
 
-/* Goes on after an attempt that failed without a byte passed on. */
-static void try_again(struct online_request *request, const char *detail)
+/* The attempt is proven not to have run at the present agent. */
+static void not_run_here(struct online_request *request, const char *reason)
 {
-	if (request->give_up_at_ms ||
-	    !outcome_may_dispatch(&request->outcome) ||
-	    request->outcome.attempt >= MAX_ATTEMPTS ||
-	    now_ms(request) >= request->deadline_ms)
-		give_up(request, detail);
-	else
-		dispatch(request);
+	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
+	try_again(request, reason);
 }
 
 static const char *const refusal_texts[] = {
@@ -240,6 +151,20 @@
 		"the server has another service",
 };
 
+/* Refusals that speak against the agent rather than for its load. */
+static bool is_failure(Briarplank__Refused__Reason reason)
+{
+	return reason == BRIARPLANK__REFUSED__REASON__CONNECT_FAILED ||
+	       reason == BRIARPLANK__REFUSED__REASON__NOT_READY ||
+	       reason == BRIARPLANK__REFUSED__REASON__WRONG_SERVICE;
+}
+
+static bool is_full(Briarplank__Refused__Reason reason)
+{
+	return reason == BRIARPLANK__REFUSED__REASON__OVERLOADED ||
+	       reason == BRIARPLANK__REFUSED__REASON__DEADLINE;
+}
+
 void online_request_refused(struct online_request *request,
 			    const Briarplank__Refused *refused)
 {
@@ -253,11 +178,15 @@
 		  text);
 	request->retry_after_ms =
 		MAX(request->retry_after_ms, refused->retry_after_ms);
-	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
+	if (is_failure(refused->reason))
+		online_routing_failed(request);
+	if (is_full(refused->reason))
+		limiter_full(request->online->limiter, request->service,
+			     now_ms(request));
 	if (refused->reason == BRIARPLANK__REFUSED__REASON__CALLER_LIMIT)
-		finish(request, 429, "Too many requests", text);
+		online_request_finish(request, 429, "Too many requests", text);
 	else
-		try_again(request, text);
+		not_run_here(request, text);
 }
 
 static const char *const failure_texts[] = {
@@ -271,23 +200,40 @@
 	[BRIARPLANK__ANSWER_FAILED__CAUSE__AGENT_STOPPED] = "the agent stopped",
 };
 
-static void attempt_lost(struct online_request *request, const char *detail)
+static void attempt_lost(struct online_request *request, const char *reason)
 {
+	online_routing_failed(request);
 	if (request->outcome.state == OUTCOME_FIRST_BYTE) {
-		break_stream(request, detail);
+		online_answer_break(request, reason);
 		return;
 	}
 	outcome_lost(&request->outcome);
 	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
-	try_again(request, detail);
+	try_again(request, reason);
+}
+
+void online_request_failed(struct online_request *request,
+			   const Briarplank__AnswerFailed *failed)
+{
+	const char *text = "failed";
+
+	if (failed->cause < G_N_ELEMENTS(failure_texts))
+		text = failure_texts[failed->cause];
+	if (!failed->started && outcome_proven_not_run(&request->outcome))
+		not_run_here(request, text);
+	else
+		attempt_lost(request, text);
+}
+
+void online_request_agent_lost(struct online_request *request)
+{
+	attempt_lost(request, "the agent was lost");
 }
 
 static void never_started(struct online_request *request)
 {
-	if (!outcome_proven_not_run(&request->outcome))
-		return;
-	g_ptr_array_add(request->refused_by, g_strdup(request->agent));
-	try_again(request, "the server did not start it in time");
+	if (outcome_proven_not_run(&request->outcome))
+		not_run_here(request, "no server started it in time");
 }
 
 void online_request_cancelled(struct online_request *request,
@@ -307,66 +253,41 @@
 	}
 }
 
-void online_request_failed(struct online_request *request,
-			   const Briarplank__AnswerFailed *failed)
-{
-	const char *text = "failed";
-
-	if (failed->cause < G_N_ELEMENTS(failure_texts))
-		text = failure_texts[failed->cause];
-	if (!failed->started && outcome_proven_not_run(&request->outcome)) {
-		g_ptr_array_add(request->refused_by, g_strdup(request->agent));
-		try_again(request, text);
-		return;
-	}
-	attempt_lost(request, text);
-}
-
-void online_request_agent_lost(struct online_request *request)
-{
-	attempt_lost(request, "the agent was lost");
-}
-
-void online_request_send_cancel(struct online_request *request,
-				bool only_if_not_started)
-{
-	struct node *node = request->online->super.node;
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Cancel cancel = BRIARPLANK__CANCEL__INIT;
-
-	if (!request->outcome.attempt)
-		return;
-	cancel.request_id = request->id;
-	cancel.attempt = request->outcome.attempt;
-	cancel.only_if_not_started = only_if_not_started;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_CANCEL;
-	env.cancel = &cancel;
-	bus_send(node->bus, request->agent, &env);
-}
-
 /* Proof may still come for an attempt that is not known to be admitted. */
 static void deadline_passed(struct online_request *request)
 {
 	const char *text = "the deadline passed";
 
-	if (request->outcome.state != OUTCOME_NOT_SENT)
-		online_request_send_cancel(request, false);
-	if (request->outcome.state == OUTCOME_FIRST_BYTE) {
-		break_stream(request, text);
-	} else if (request->outcome.state == OUTCOME_SENT) {
-		request->give_up_at_ms = now_ms(request) + PROOF_WAIT_MS;
-		online_request_arm(request);
-	} else {
-		give_up(request, text);
+	request->give_up_at_ms = now_ms(request) + PROOF_WAIT_MS;
+	if (request->outcome.state == OUTCOME_NOT_SENT) {
+		online_request_give_up(request, text);
+		return;
 	}
+	online_dispatch_cancel(request, false);
+	if (request->outcome.state == OUTCOME_FIRST_BYTE)
+		online_answer_break(request, text);
+	else if (request->outcome.state == OUTCOME_ADMITTED)
+		online_request_give_up(request, text);
+	else
+		online_request_arm(request);
 }
 
+/* Asks a silent agent; an idempotent request goes elsewhere in the end. */
 static void probe(struct online_request *request)
 {
+	bool sent = request->outcome.state == OUTCOME_SENT;
+
+	if (sent && request->probes == MAX_PROBES &&
+	    request->outcome.idempotent) {
+		online_dispatch_cancel(request, false);
+		attempt_lost(request, "the agent is silent");
+		return;
+	}
 	request->probes++;
-	request->probe_at_ms = now_ms(request) + PROBE_INTERVAL_MS;
-	if (request->outcome.state == OUTCOME_SENT)
-		online_request_send_cancel(request, true);
+	request->probe_at_ms =
+		now_ms(request) + (sent ? PROBE_INTERVAL_MS : SILENCE_MS);
+	if (sent)
+		online_dispatch_cancel(request, true);
 	else
 		online_answer_resume(request);
 	online_request_arm(request);
@@ -378,11 +299,13 @@
 	uint64_t now = now_ms(request);
 
 	if (request->give_up_at_ms && now >= request->give_up_at_ms)
-		give_up(request, "the deadline passed");
+		online_request_give_up(request, "the deadline passed");
 	else if (!request->give_up_at_ms && now >= request->deadline_ms)
 		deadline_passed(request);
+	else if (request->claim && now >= request->claim->ask_again_ms)
+		online_claim_tick(request, now);
 	else if (request->dispatch_at_ms && now >= request->dispatch_at_ms)
-		dispatch(request);
+		online_dispatch(request);
 	else if (request->probe_at_ms && now >= request->probe_at_ms)
 		probe(request);
 	else
@@ -403,6 +326,8 @@
 		due = request->give_up_at_ms;
 	due = earlier(due, request->dispatch_at_ms);
 	due = earlier(due, request->probe_at_ms);
+	if (request->claim)
+		due = earlier(due, request->claim->ask_again_ms);
 	uv_update_time(request->timer.loop);
 	uv_timer_start(&request->timer, on_timer, due > now ? due - now : 0, 0);
 }
--- /dev/null
+++ b/briarplankd/entry/routing.c
@@ -0,0 +1,310 @@
+/*
+ * Chooses the agent of a request from what the members' list and this entry
+ * know, and says why.
+ */
+#include <string.h>
+
+#include "briarplankd/members_task.h"
+#include "briarplankd/online.h"
+#include "core/subset.h"
+
+/* Agents of a service that an entry works with. */
+#define SUBSET_SIZE 40
+/* Age up to which a load report counts, in ms. */
+#define REPORT_FRESH_MS 3000
+/* Limit taken for an agent that has not reported. */
+#define UNREPORTED_LIMIT 4
+/* Online's share of the link between regions, for all entries of a region. */
+#define LINK_BYTES_PER_S 1000000
+/* Time over which a node's share of the link may be saved up, in s. */
+#define LINK_BURST_S 2
+
+static void agent_free(void *data)
+{
+	struct online_agent *agent = data;
+
+	g_free(agent->name);
+	g_free(agent);
+}
+
+static struct online_agent *agent_of(struct online *online, const char *name)
+{
+	struct online_agent *agent;
+
+	if (!online->agents)
+		online->agents = g_hash_table_new_full(g_str_hash, g_str_equal,
+						       NULL, agent_free);
+	agent = g_hash_table_lookup(online->agents, name);
+	if (agent)
+		return agent;
+	agent = g_new0(struct online_agent, 1);
+	agent->name = g_strdup(name);
+	g_hash_table_insert(online->agents, agent->name, agent);
+	return agent;
+}
+
+/* The nodes of one kind that are not known to be gone. */
+static GArray *list_nodes(struct node *node, enum member_role role,
+			  const char *service)
+{
+	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct subset_node));
+	struct list *pos;
+
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+		struct subset_node item = {
+			.name = member->name,
+			.data_centre = member->data_centre,
+			.region = member->region,
+		};
+
+		if (member->role != role || member->leaving ||
+		    member->state == MEMBER_DOWN)
+			continue;
+		if (service && strcmp(member->service, service) != 0)
+			continue;
+		g_array_append_val(nodes, item);
+	}
+	return nodes;
+}
+
+static GHashTable *make_subset(struct node *node, const char *service)
+{
+	const struct daemon_settings *settings = node->settings;
+	GHashTable *names =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GArray *entries = list_nodes(node, MEMBER_ENTRY, NULL);
+	GArray *agents = list_nodes(node, MEMBER_AGENT, service);
+	struct subset_node self = {
+		.name = settings->name,
+		.data_centre = settings->data_centre,
+		.region = settings->region,
+	};
+	struct subset_node *nodes = (struct subset_node *)agents->data;
+	guint i;
+
+	g_array_append_val(entries, self);
+	subset_pick((struct subset_node *)entries->data, entries->len,
+		    self.name, nodes, agents->len, SUBSET_SIZE);
+	for (i = 0; i < agents->len; i++) {
+		if (nodes[i].picked)
+			g_hash_table_add(names, g_strdup(nodes[i].name));
+	}
+	g_array_free(entries, TRUE);
+	g_array_free(agents, TRUE);
+	return names;
+}
+
+static GHashTable *subset_of(struct online *online, const char *service)
+{
+	GHashTable *subset;
+
+	if (!online->subsets)
+		online->subsets = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free,
+			(GDestroyNotify)g_hash_table_destroy);
+	subset = g_hash_table_lookup(online->subsets, service);
+	if (subset)
+		return subset;
+	subset = make_subset(online->super.node, service);
+	g_hash_table_insert(online->subsets, g_strdup(service), subset);
+	return subset;
+}
+
+static unsigned count_entries(struct node *node)
+{
+	unsigned nr = 1;
+	struct list *pos;
+
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		nr += member->role == MEMBER_ENTRY &&
+		      member->state == MEMBER_UP &&
+		      !strcmp(member->region, node->settings->region);
+	}
+	return nr;
+}
+
+void online_routing_changed(struct online *online)
+{
+	uint64_t share = LINK_BYTES_PER_S / count_entries(online->super.node);
+
+	if (online->subsets)
+		g_hash_table_remove_all(online->subsets);
+	link_budget_set(&online->link, share, share * LINK_BURST_S,
+			node_now_us());
+}
+
+static enum router_distance distance_of(const struct node *node,
+					const struct member *member)
+{
+	if (!strcmp(member->data_centre, node->settings->data_centre))
+		return ROUTER_SAME_DATA_CENTRE;
+	if (!strcmp(member->region, node->settings->region))
+		return ROUTER_SAME_REGION;
+	return ROUTER_OTHER_REGION;
+}
+
+static bool report_is_fresh(const struct member *member, uint64_t now_ms)
+{
+	return member->load.received_ms &&
+	       now_ms < member->load.received_ms + REPORT_FRESH_MS;
+}
+
+static bool may_take(struct online_request *request,
+		     const struct member *member, uint64_t now_ms)
+{
+	struct online_agent *agent = agent_of(request->online, member->name);
+
+	if (member->role != MEMBER_AGENT || !member_usable(member) ||
+	    strcmp(member->service, request->service) != 0)
+		return false;
+	if (report_is_fresh(member, now_ms) && !member->load.ready)
+		return false;
+	if (!circuit_allows(&agent->circuit, now_ms))
+		return false;
+	return !g_ptr_array_find_with_equal_func(
+		request->refused_by, member->name, g_str_equal, NULL);
+}
+
+static void fill_candidate(struct online_request *request,
+			   struct member *member, uint64_t now_ms,
+			   struct router_candidate *candidate)
+{
+	struct online_agent *agent = agent_of(request->online, member->name);
+	const struct member_load *load = &member->load;
+
+	if (agent->report_sequence != load->sequence) {
+		agent->report_sequence = load->sequence;
+		agent->unreported = 0;
+	}
+	*candidate = (struct router_candidate){
+		.name = member->name,
+		.name_hash = hash_string(member->name, 0),
+		.distance = distance_of(request->online->super.node, member),
+		.unreported = agent->unreported,
+		.limit = UNREPORTED_LIMIT,
+	};
+	if (!report_is_fresh(member, now_ms))
+		return;
+	candidate->expected_wait_us = load->expected_wait_us;
+	candidate->reported = load->running_online + load->queued_online;
+	candidate->limit = MAX(load->concurrency_limit, 1);
+}
+
+/* Candidates of the subset, or of the whole fleet when that has none. */
+static GArray *list_candidates(struct online_request *request,
+			       GHashTable *subset, uint64_t now_ms)
+{
+	struct node *node = request->online->super.node;
+	GArray *candidates =
+		g_array_new(FALSE, TRUE, sizeof(struct router_candidate));
+	struct list *pos;
+
+	list_for_each (pos, members_all(node_members(node))) {
+		struct member *member = list_entry(pos, struct member, link);
+		struct router_candidate candidate;
+
+		if (subset && !g_hash_table_contains(subset, member->name))
+			continue;
+		if (!may_take(request, member, now_ms))
+			continue;
+		fill_candidate(request, member, now_ms, &candidate);
+		g_array_append_val(candidates, candidate);
+	}
+	return candidates;
+}
+
+static size_t body_len(const struct online_request *request)
+{
+	size_t len;
+
+	web_body(request->web, &len);
+	return len;
+}
+
+const struct member *online_routing_choose(struct online_request *request)
+{
+	struct online *online = request->online;
+	uint64_t now_ms = node_now_ms(online->super.node);
+	GHashTable *subset = subset_of(online, request->service);
+	GArray *candidates = list_candidates(request, subset, now_ms);
+	const struct router_candidate *items;
+	const struct member *chosen = NULL;
+	char text[ROUTER_TEXT_BYTES];
+	struct router_choice choice;
+	struct router_request wish = {
+		.prefix_hash = request->prefix_hash,
+		.link_open = link_budget_open(&online->link, body_len(request),
+					      node_now_us()),
+	};
+
+	if (!candidates->len) {
+		g_array_free(candidates, TRUE);
+		candidates = list_candidates(request, NULL, now_ms);
+	}
+	items = (const struct router_candidate *)candidates->data;
+	router_choose(&wish, items, candidates->len, online->random, &choice);
+	router_explain(&choice, items, text, sizeof(text));
+	g_free(request->reason);
+	request->reason = g_strdup(text);
+	if (choice.index >= 0) {
+		chosen = members_find(node_members(online->super.node),
+				      items[choice.index].name);
+		request->distance = items[choice.index].distance;
+	}
+	g_array_free(candidates, TRUE);
+	return chosen;
+}
+
+void online_routing_dispatched(struct online_request *request)
+{
+	struct online_agent *agent = agent_of(request->online, request->agent);
+	uint64_t now_ms = node_now_ms(request->online->super.node);
+
+	agent->unreported++;
+	request->report_sequence = agent->report_sequence;
+	circuit_dispatched(&agent->circuit, now_ms);
+	online_routing_bytes(request, body_len(request));
+}
+
+/* The request is no longer part of what the agent's next report will show. */
+static void forget_unreported(struct online_request *request,
+			      struct online_agent *agent)
+{
+	if (agent->report_sequence == request->report_sequence &&
+	    agent->unreported)
+		agent->unreported--;
+}
+
+void online_routing_succeeded(struct online_request *request)
+{
+	struct online_agent *agent = agent_of(request->online, request->agent);
+
+	circuit_succeeded(&agent->circuit);
+	forget_unreported(request, agent);
+}
+
+void online_routing_failed(struct online_request *request)
+{
+	struct online_agent *agent = agent_of(request->online, request->agent);
+
+	circuit_failed(&agent->circuit,
+		       node_now_ms(request->online->super.node));
+	forget_unreported(request, agent);
+}
+
+void online_routing_bytes(struct online_request *request, size_t bytes)
+{
+	if (request->distance == ROUTER_OTHER_REGION)
+		link_budget_take(&request->online->link, bytes, node_now_us());
+}
+
+void online_routing_clear(struct online *online)
+{
+	if (online->agents)
+		g_hash_table_destroy(online->agents);
+	if (online->subsets)
+		g_hash_table_destroy(online->subsets);
+}
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -102,7 +102,7 @@
 
 # Access rules of all entries; the key of each is its name.
 fleet_access () {
-	printf '%s' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
+	printf '%s\n' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
 	do
 		sum=$(printf '%s' "$caller" | sha256sum | cut -d' ' -f1)
 		test "$flag" = operator && op=true || op=false
@@ -111,7 +111,14 @@
 	done | sed 's/,$//'
 }
 
+# Prints a running node as a peer that others know without the list of VMs.
+fleet_peer () {
+	printf '{"name":"%s","role":"%s","data_centre":"%s","region":"%s","service":"%s","address":"%s"}' \
+		"$1" "$2" "$3" "$4" "$5" "$(fleet_word "$1" bus)"
+}
+
 # fleet_entry NAME DATA_CENTRE REGION: starts an entry.
+# FLEET_PEERS holds peers of the nodes that are started from then on.
 fleet_entry () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
@@ -121,6 +128,7 @@
 	"web": { "listen": "127.0.0.1:0" },
 	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
+	"peers": [ ${FLEET_PEERS:-} ],
 	"access": [ ${FLEET_ACCESS:-} ]
 }
 EOF
@@ -138,6 +146,7 @@
 	"web": { "listen": "127.0.0.1:0" },
 	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
 	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
+	"peers": [ ${FLEET_PEERS:-} ],
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
 }
 EOF
