--- a/briarplankd/entry/dispatch.c
+++ b/briarplankd/entry/dispatch.c
@@ -72,6 +72,7 @@
 			return;
 		}
 		outcome_proven_not_run(&request->outcome);
+		online_routing_left(request);
 		online_routing_failed(request);
 		g_ptr_array_add(request->refused_by, g_strdup(member->name));
 	}
--- a/briarplankd/entry/request.c
+++ b/briarplankd/entry/request.c
@@ -69,6 +69,7 @@
 		web_on_taken(request->web, NULL, NULL);
 	}
 	request->web = NULL;
+	online_routing_left(request);
 	online_claim_forget(request);
 	if (request->counted) {
 		limiter_ended(request->online->limiter, request->service,
@@ -108,6 +109,7 @@
 	enum retry_verdict verdict;
 
 	request->probe_at_ms = 0;
+	online_routing_left(request);
 	if (request->give_up_at_ms ||
 	    !outcome_may_dispatch(&request->outcome)) {
 		online_request_give_up(request, reason);
--- a/briarplankd/entry/routing.c
+++ b/briarplankd/entry/routing.c
@@ -264,15 +264,20 @@
 	uint64_t now_ms = node_now_ms(request->online->super.node);
 
 	agent->unreported++;
+	request->at_agent = true;
 	request->report_sequence = agent->report_sequence;
 	circuit_dispatched(&agent->circuit, now_ms);
 	online_routing_bytes(request, body_len(request));
 }
 
-/* The request is no longer part of what the agent's next report will show. */
-static void forget_unreported(struct online_request *request,
-			      struct online_agent *agent)
+void online_routing_left(struct online_request *request)
 {
+	struct online_agent *agent;
+
+	if (!request->at_agent)
+		return;
+	request->at_agent = false;
+	agent = agent_of(request->online, request->agent);
 	if (agent->report_sequence == request->report_sequence &&
 	    agent->unreported)
 		agent->unreported--;
@@ -280,19 +285,13 @@
 
 void online_routing_succeeded(struct online_request *request)
 {
-	struct online_agent *agent = agent_of(request->online, request->agent);
-
-	circuit_succeeded(&agent->circuit);
-	forget_unreported(request, agent);
+	circuit_succeeded(&agent_of(request->online, request->agent)->circuit);
 }
 
 void online_routing_failed(struct online_request *request)
 {
-	struct online_agent *agent = agent_of(request->online, request->agent);
-
-	circuit_failed(&agent->circuit,
+	circuit_failed(&agent_of(request->online, request->agent)->circuit,
 		       node_now_ms(request->online->super.node));
-	forget_unreported(request, agent);
 }
 
 void online_routing_bytes(struct online_request *request, size_t bytes)
--- a/core/circuit.c
+++ b/core/circuit.c
@@ -40,11 +40,11 @@
 
 void circuit_failed(struct circuit *circuit, uint64_t now_ms)
 {
+	bool probe = circuit->state == CIRCUIT_HALF_OPEN;
+	bool closed = circuit->state == CIRCUIT_CLOSED;
+
 	circuit->failures++;
-	if (circuit->state == CIRCUIT_HALF_OPEN)
-		open_circuit(circuit, now_ms);
-	else if (circuit->state == CIRCUIT_CLOSED &&
-		 circuit->failures >= FAILURES_TO_OPEN)
+	if (probe || (closed && circuit->failures >= FAILURES_TO_OPEN))
 		open_circuit(circuit, now_ms);
 }
 
--- a/core/retry.c
+++ b/core/retry.c
@@ -1,9 +1,11 @@
 #include "core/retry.h"
 
 #define MILLI 1000
+#define MS_PER_S 1000
 
 const struct retry_options retry_defaults = {
 	.per_success_milli = 100,
+	.per_second_milli = 1000,
 	.max_retries = 100,
 	.start_retries = 10,
 	.max_attempts = 4,
@@ -17,12 +19,26 @@
 	retry->budget_milli = (uint64_t)options->start_retries * MILLI;
 }
 
-void retry_succeeded(struct retry *retry)
+static void earn(struct retry *retry, uint64_t milli)
 {
 	uint64_t max = (uint64_t)retry->options.max_retries * MILLI;
 
-	retry->budget_milli = MIN(
-		retry->budget_milli + retry->options.per_success_milli, max);
+	retry->budget_milli = MIN(retry->budget_milli + milli, max);
+}
+
+void retry_succeeded(struct retry *retry)
+{
+	earn(retry, retry->options.per_success_milli);
+}
+
+static void refill(struct retry *retry, uint64_t now_ms)
+{
+	uint64_t elapsed_ms = now_ms - retry->refilled_ms;
+
+	if (retry->refilled_ms && now_ms > retry->refilled_ms)
+		earn(retry,
+		     elapsed_ms * retry->options.per_second_milli / MS_PER_S);
+	retry->refilled_ms = MAX(retry->refilled_ms, now_ms);
 }
 
 /* No wait before the second attempt, which goes to another agent; then a
@@ -48,6 +64,7 @@
 	*at_ms = now_ms + backoff_ms(&retry->options, attempts, random);
 	if (*at_ms >= deadline_ms)
 		return RETRY_TOO_LATE;
+	refill(retry, now_ms);
 	if (retry->budget_milli < MILLI)
 		return RETRY_NO_BUDGET;
 	retry->budget_milli -= MILLI;
--- a/include/briarplankd/online.h
+++ b/include/briarplankd/online.h
@@ -115,6 +115,7 @@
 	char *agent;
 	char *reason;
 	enum router_distance distance;
+	bool at_agent;
 	uint64_t report_sequence;
 	/** Names of agents that refused or were lost. */
 	GPtrArray *refused_by;
@@ -210,6 +211,9 @@
 /** Notes that an attempt goes to the chosen agent. */
 void online_routing_dispatched(struct online_request *request);
 
+/** Notes that the request is no longer at its agent. */
+void online_routing_left(struct online_request *request);
+
 /** Notes how the attempt at the request's agent went. */
 void online_routing_succeeded(struct online_request *request);
 void online_routing_failed(struct online_request *request);
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -2,7 +2,8 @@
  * When a request may be dispatched again.
  *
  * Retries are paid from a budget that recent successes fill, so that a sick
- * fleet gets hardly more dispatches than requests.
+ * fleet gets hardly more dispatches than requests. A trickle lets an entry
+ * retry that has few requests.
  */
 #ifndef BRIARPLANK_CORE_RETRY_H
 #define BRIARPLANK_CORE_RETRY_H
@@ -14,6 +15,8 @@
 struct retry_options {
 	/** Retries earned by a success, in thousandths. */
 	uint32_t per_success_milli;
+	/** Retries earned in a second, in thousandths, for quiet entries. */
+	uint32_t per_second_milli;
 	/** Most retries that are kept, and those at the start. */
 	uint32_t max_retries;
 	uint32_t start_retries;
@@ -27,6 +30,7 @@
 struct retry {
 	struct retry_options options;
 	uint64_t budget_milli;
+	uint64_t refilled_ms;
 };
 
 enum retry_verdict {
