--- a/briarplankd/entry/routing.c
+++ b/briarplankd/entry/routing.c
@@ -68,11 +68,11 @@
 	return nodes;
 }
 
-static GHashTable *make_subset(struct node *node, const char *service)
+/* Names of the agents of a subset. */
+static GPtrArray *make_subset(struct node *node, const char *service)
 {
 	const struct daemon_settings *settings = node->settings;
-	GHashTable *names =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	GArray *entries = list_nodes(node, MEMBER_ENTRY, NULL);
 	GArray *agents = list_nodes(node, MEMBER_AGENT, service);
 	struct subset_node self = {
@@ -88,21 +88,21 @@
 		    self.name, nodes, agents->len, SUBSET_SIZE);
 	for (i = 0; i < agents->len; i++) {
 		if (nodes[i].picked)
-			g_hash_table_add(names, g_strdup(nodes[i].name));
+			g_ptr_array_add(names, g_strdup(nodes[i].name));
 	}
 	g_array_free(entries, TRUE);
 	g_array_free(agents, TRUE);
 	return names;
 }
 
-static GHashTable *subset_of(struct online *online, const char *service)
+static GPtrArray *subset_of(struct online *online, const char *service)
 {
-	GHashTable *subset;
+	GPtrArray *subset;
 
 	if (!online->subsets)
 		online->subsets = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free,
-			(GDestroyNotify)g_hash_table_destroy);
+			(GDestroyNotify)g_ptr_array_unref);
 	subset = g_hash_table_lookup(online->subsets, service);
 	if (subset)
 		return subset;
@@ -193,26 +193,38 @@
 	candidate->limit = MAX(load->concurrency_limit, 1);
 }
 
+static void add_candidate(struct online_request *request, GArray *candidates,
+			  struct member *member, uint64_t now_ms)
+{
+	struct router_candidate candidate;
+
+	if (!may_take(request, member, now_ms))
+		return;
+	fill_candidate(request, member, now_ms, &candidate);
+	g_array_append_val(candidates, candidate);
+}
+
 /* Candidates of the subset, or of the whole fleet when that has none. */
-static GArray *list_candidates(struct online_request *request,
-			       GHashTable *subset, uint64_t now_ms)
+static GArray *list_candidates(struct online_request *request, uint64_t now_ms)
 {
-	struct node *node = request->online->super.node;
+	struct members *members = node_members(request->online->super.node);
+	GPtrArray *subset = subset_of(request->online, request->service);
 	GArray *candidates =
 		g_array_new(FALSE, TRUE, sizeof(struct router_candidate));
 	struct list *pos;
+	guint i;
 
-	list_for_each (pos, members_all(node_members(node))) {
-		struct member *member = list_entry(pos, struct member, link);
-		struct router_candidate candidate;
+	for (i = 0; i < subset->len; i++) {
+		struct member *member = members_find(members, subset->pdata[i]);
 
-		if (subset && !g_hash_table_contains(subset, member->name))
-			continue;
-		if (!may_take(request, member, now_ms))
-			continue;
-		fill_candidate(request, member, now_ms, &candidate);
-		g_array_append_val(candidates, candidate);
+		if (member)
+			add_candidate(request, candidates, member, now_ms);
 	}
+	if (candidates->len)
+		return candidates;
+	list_for_each (pos, members_all(members))
+		add_candidate(request, candidates,
+			      list_entry(pos, struct member, link), now_ms);
 	return candidates;
 }
 
@@ -228,8 +240,7 @@
 {
 	struct online *online = request->online;
 	uint64_t now_ms = node_now_ms(online->super.node);
-	GHashTable *subset = subset_of(online, request->service);
-	GArray *candidates = list_candidates(request, subset, now_ms);
+	GArray *candidates = list_candidates(request, now_ms);
 	const struct router_candidate *items;
 	const struct member *chosen = NULL;
 	char text[ROUTER_TEXT_BYTES];
@@ -240,10 +251,6 @@
 					      node_now_us()),
 	};
 
-	if (!candidates->len) {
-		g_array_free(candidates, TRUE);
-		candidates = list_candidates(request, NULL, now_ms);
-	}
 	items = (const struct router_candidate *)candidates->data;
 	router_choose(&wish, items, candidates->len, online->random, &choice);
 	router_explain(&choice, items, text, sizeof(text));
--- a/include/briarplankd/online.h
+++ b/include/briarplankd/online.h
@@ -61,7 +61,7 @@
 	uint64_t next_id;
 	/** struct online_agent by name. */
 	GHashTable *agents;
-	/** Names of the agents of each service's subset. */
+	/** Service to the names of its agents that this entry works with. */
 	GHashTable *subsets;
 	struct limiter *limiter;
 	struct retry retry;
