Limit bodies, and reset broken HTTP/1.0 answers

Two faults found while writing process_online_limits: a body between 8 MiB and web.max_body_bytes made a message that the agent's bus cuts the connection for, so the request and all others on that link were lost; it is now refused with 413. An HTTP/1.0 caller couldn't tell a broken answer from a whole one, as both end with the connection; a broken one is now reset (curl: 56).

--- a/briarplankd/entry/dispatch.c
+++ b/briarplankd/entry/dispatch.c
@@ -76,7 +76,10 @@
 		online_routing_failed(request);
 		g_ptr_array_add(request->refused_by, g_strdup(member->name));
 	}
-	online_request_give_up(request, "no server of the service can take it");
+	online_request_give_up(request, request->failure ?
+						request->failure :
+						"no server of the service "
+						"can take it");
 }
 
 void online_dispatch_cancel(struct online_request *request,
--- a/briarplankd/entry/online_http.c
+++ b/briarplankd/entry/online_http.c
@@ -15,6 +15,8 @@
 #define TIMEOUT_MAX_MS 3600000
 #define MS_PER_S 1000
 #define US_PER_MS 1000
+/* Largest body: a message between nodes has 8 MiB at most. */
+#define MAX_BODY_BYTES (7 << 20)
 /* Bytes of a body that count as its prefix. */
 #define PREFIX_BYTES 256
 
@@ -202,6 +204,19 @@
 		request->prefix_hash = hash_bytes(body, PREFIX_BYTES, 0) | 1;
 }
 
+/* A larger message would be cut off on its way to the agent. */
+static bool fits(struct online_request *request)
+{
+	size_t len;
+
+	web_body(request->web, &len);
+	if (len <= MAX_BODY_BYTES)
+		return true;
+	online_http_problem(request, 413, 0, "Body too large",
+			    "a request may have %d bytes", MAX_BODY_BYTES);
+	return false;
+}
+
 static bool within_limits(struct online_request *request)
 {
 	struct online *online = request->online;
@@ -233,7 +248,7 @@
 
 	if (identify(request) && split_target(request) &&
 	    service_known(request) && read_idempotent(request) &&
-	    read_timeout(request) && within_limits(request)) {
+	    read_timeout(request) && fits(request) && within_limits(request)) {
 		hash_prefix(request);
 		return request;
 	}
--- a/briarplankd/entry/request.c
+++ b/briarplankd/entry/request.c
@@ -108,6 +108,7 @@
 	struct online *online = request->online;
 	enum retry_verdict verdict;
 
+	request->failure = reason;
 	request->probe_at_ms = 0;
 	online_routing_left(request);
 	if (request->give_up_at_ms ||
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -21,6 +21,8 @@
 /* Period of the look for callers that left before their answer, in ms. */
 #define CALLER_CHECK_INTERVAL_MS 50
 #define LISTEN_BACKLOG 1024
+/* How h2o writes the version. */
+#define HTTP_1_1 0x101
 /* Turns of the loop in which cut connections must be gone. */
 #define CLOSE_TURNS 100
 
@@ -630,10 +632,29 @@
 	return request->queue->len + request->in_flight->len;
 }
 
+/*
+ * HTTP/1.0 marks the end of a body by closing the connection; only a reset
+ * tells a broken one from a whole one.
+ */
+static void break_visibly(struct web_request *request)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+	h2o_socket_t *sock;
+
+	if (request->req->version >= HTTP_1_1)
+		return;
+	sock = request->req->conn->callbacks->get_socket(request->req->conn);
+	if (sock)
+		setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_LINGER,
+			   &linger, sizeof(linger));
+}
+
 void web_stream_end(struct web_request *request, bool whole)
 {
 	if (!request->req || request->ended)
 		return;
+	if (!whole)
+		break_visibly(request);
 	if (!request->begun) {
 		/* Nothing was sent: a bare end would look like an answer. */
 		begin(request, 502, NULL);
--- a/include/briarplankd/online.h
+++ b/include/briarplankd/online.h
@@ -119,6 +119,8 @@
 	uint64_t report_sequence;
 	/** Names of agents that refused or were lost. */
 	GPtrArray *refused_by;
+	/** Why the last attempt failed; NULL before that. */
+	const char *failure;
 	uint32_t retry_after_ms;
 	/** Time of the next attempt, 0 when none is planned. */
 	uint64_t dispatch_at_ms;
--- a/tests/faults/fake_agent.c
+++ b/tests/faults/fake_agent.c
@@ -12,6 +12,8 @@
  *   piece:SEQ:TEXT   AnswerChunk; last:SEQ:TEXT is the final one
  *   keep:SEQ:TEXT    the same, but only sent when a Resume asks for it
  *   keeplast:SEQ:TEXT
+ *   flood:BYTES      pieces of that many bytes in all, as credit allows; what
+ *                    was sent is printed as "sent ID BYTES"
  *   refuse:NUMBER    Refused with this reason
  *   fail:CAUSE:BEGUN AnswerFailed
  *   older            the next steps carry the number of an older attempt
@@ -37,6 +39,7 @@
 
 #define PING_INTERVAL_MS 100
 #define INCARNATION 7000
+#define FLOOD_PIECE_BYTES 32768
 
 struct agent {
 	uv_loop_t loop;
@@ -70,6 +73,11 @@
 	bool stopped;
 	bool has_head;
 	GArray *pieces;
+	/* Bytes of a flood: to send, sent, and allowed by credit. */
+	uint64_t flood;
+	uint64_t sent;
+	uint64_t credit;
+	uint64_t next_sequence;
 	uv_timer_t timer;
 };
 
@@ -219,6 +227,31 @@
 	return true;
 }
 
+static void begin_flood(struct attempt *attempt, const char *bytes)
+{
+	attempt->flood = g_ascii_strtoull(bytes, NULL, 10);
+	attempt->next_sequence = attempt->pieces->len;
+}
+
+/* Sends what credit allows of a flood, and its end. */
+static void go_on_flooding(struct attempt *attempt)
+{
+	char *text = g_strnfill(FLOOD_PIECE_BYTES, 'x');
+	struct piece piece = { .text = text };
+
+	while (attempt->flood && attempt->sent < attempt->credit) {
+		piece.sequence = attempt->next_sequence++;
+		piece.last =
+			attempt->sent + FLOOD_PIECE_BYTES >= attempt->flood;
+		send_piece(attempt, &piece);
+		attempt->sent += FLOOD_PIECE_BYTES;
+		if (piece.last)
+			attempt->flood = 0;
+	}
+	printf("sent %s %" G_GUINT64_FORMAT "\n", attempt->id, attempt->sent);
+	g_free(text);
+}
+
 static void run_step(struct attempt *attempt, char **words)
 {
 	const char *word = words[0];
@@ -237,6 +270,8 @@
 		add_piece(attempt, words, false, false);
 	else if (!strcmp(word, "keeplast"))
 		add_piece(attempt, words, true, false);
+	else if (!strcmp(word, "flood"))
+		begin_flood(attempt, words[1]);
 	else if (!strcmp(word, "refuse"))
 		send_refused(attempt, atoi(words[1]));
 	else if (!strcmp(word, "fail"))
@@ -260,6 +295,8 @@
 		run_step(attempt, words);
 		g_strfreev(words);
 	}
+	if (attempt->flood)
+		go_on_flooding(attempt);
 }
 
 static char *make_key(const char *id, uint32_t number)
@@ -300,6 +337,7 @@
 	attempt->agent = agent;
 	attempt->id = g_strdup(dispatch->request_id);
 	attempt->number = dispatch->attempt;
+	attempt->credit = dispatch->credit_bytes;
 	attempt->key = make_key(attempt->id, attempt->number);
 	attempt->steps = steps_of(dispatch->path, dispatch->attempt);
 	attempt->pieces = g_array_new(FALSE, TRUE, sizeof(struct piece));
@@ -353,8 +391,16 @@
 
 static void on_credit(void *ctx, const Briarplank__Envelope *env)
 {
-	(void)ctx;
-	(void)env;
+	struct agent *agent = ctx;
+	const Briarplank__Credit *credit = env->credit;
+	struct attempt *attempt =
+		find(agent, credit->request_id, credit->attempt);
+
+	if (!attempt)
+		return;
+	attempt->credit += credit->bytes;
+	if (attempt->flood)
+		go_on_flooding(attempt);
 }
 
 static void on_ping(void *ctx, const Briarplank__Envelope *env)
