Own shards and take jobs over HTTP

The ledger task claims shards that nobody owns, commits in groups, grants items to agents and takes their outcomes; the jobs task takes callers' requests and has the owner carry them out.

--- /dev/null
+++ b/briarplankd/entry/jobs.c
@@ -0,0 +1,419 @@
+/*
+ * The jobs task: takes callers' requests on jobs and has the owner of the
+ * job's shard carry them out.
+ */
+#include <string.h>
+
+#include <openssl/sha.h>
+
+#include "briarplankd/entry/jobs.h"
+#include "briarplankd/members_task.h"
+#include "briarplankd/tasks.h"
+#include "common/log.h"
+
+#define PREFIX "/v1/jobs/"
+#define RESULTS "/results"
+#define BEARER "Bearer "
+#define NAME_MAX_BYTES 256
+
+#define TICK_MS 50
+/* Time in which a request on a job must be answered, in ms. */
+#define CALL_LIMIT_MS 15000
+/* Wait for an owner's answer before it is asked again, in ms. */
+#define ASK_AGAIN_MS 3000
+/* Wait while no owner is known, in ms. */
+#define NO_OWNER_WAIT_MS 200
+#define RETRY_AFTER_MS 2000
+#define MS_PER_S 1000
+/* Bytes of results asked for at a time. */
+#define RESULTS_PAGE_BYTES (512 << 10)
+
+static const struct access_settings *find_access(
+	const struct daemon_settings *settings, const char *key)
+{
+	const struct access_settings *access = settings->access.items;
+	uint8_t digest[SHA256_DIGEST_LENGTH];
+	char hex[2 * SHA256_DIGEST_LENGTH + 1];
+	size_t i;
+
+	SHA256((const uint8_t *)key, strlen(key), digest);
+	hash_to_hex(digest, sizeof(digest), hex);
+	for (i = 0; i < settings->access.nr; i++) {
+		if (!g_ascii_strcasecmp(access[i].key_sha256, hex))
+			return &access[i];
+	}
+	return NULL;
+}
+
+/* Returns the caller's name, or NULL for an unknown key. */
+static const char *identify(const struct daemon_settings *settings,
+			    struct web_request *web)
+{
+	const char *field = web_field(web, "authorization");
+	const struct access_settings *access;
+
+	if (!settings->access.nr)
+		return "anonymous";
+	if (!field || g_ascii_strncasecmp(field, BEARER, strlen(BEARER)))
+		return NULL;
+	access = find_access(settings, field + strlen(BEARER));
+	return access ? access->name : NULL;
+}
+
+static void call_free(struct job_call *call)
+{
+	if (call->query)
+		g_hash_table_destroy(call->query);
+	if (call->parser)
+		submission_parser_destroy(call->parser);
+	if (call->offsets)
+		g_array_free(call->offsets, TRUE);
+	g_free(call->caller);
+	g_free(call->name);
+	g_free(call);
+}
+
+void job_call_end(struct job_call *call)
+{
+	if (call->web)
+		web_on_close(call->web, NULL, NULL);
+	if (call->web)
+		web_on_taken(call->web, NULL, NULL);
+	call->web = NULL;
+	g_hash_table_remove(call->jobs->by_id, &call->id);
+	if (call->appending)
+		call->dead = true;
+	else
+		call_free(call);
+}
+
+void job_call_fail(struct job_call *call, int status, const char *title,
+		   const char *fmt, ...)
+{
+	char *detail;
+	va_list args;
+
+	va_start(args, fmt);
+	detail = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	if (call->web && call->streaming)
+		web_stream_end(call->web, false);
+	else if (call->web)
+		web_problem(call->web, status, title, "%s", detail);
+	g_free(detail);
+	job_call_end(call);
+}
+
+void job_call_unavailable(struct job_call *call, uint32_t retry_after_ms,
+			  const char *detail)
+{
+	char seconds[16];
+
+	g_snprintf(seconds, sizeof(seconds), "%u",
+		   (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+	if (call->web)
+		web_add_field(call->web, "Retry-After", seconds);
+	job_call_fail(call, 503, "Unavailable", "%s", detail);
+}
+
+static void on_close(void *ctx, bool sent)
+{
+	struct job_call *call = ctx;
+
+	(void)sent;
+	call->web = NULL;
+	job_call_end(call);
+}
+
+static ProtobufCBinaryData bytes_of(const void *data, size_t len)
+{
+	ProtobufCBinaryData bytes = { .len = len, .data = (uint8_t *)data };
+
+	return bytes;
+}
+
+static void fill_seal(const struct job_call *call, Briarplank__SealJob *seal)
+{
+	const struct submission *submission =
+		submission_parser_result(call->parser);
+	const char *path = g_hash_table_lookup(call->query, "path");
+
+	seal->call_id = call->id;
+	seal->shard = call->shard;
+	seal->job_id = bytes_of(call->job_id, HASH128_BYTES);
+	seal->caller = call->caller;
+	seal->name = call->name;
+	seal->service = g_hash_table_lookup(call->query, "service");
+	seal->path = (char *)(path ? path : "");
+	seal->due_ms = call->due_ms;
+	seal->keep_ms = call->keep_ms;
+	seal->content_hash = bytes_of(submission->content_hash, HASH128_BYTES);
+	seal->submission_id = seal->content_hash;
+	seal->items = submission->items;
+	seal->n_chunk_offsets = call->offsets->len;
+	seal->chunk_offsets = (uint64_t *)call->offsets->data;
+}
+
+static bool send_call(struct job_call *call, const char *owner)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__SealJob seal = BRIARPLANK__SEAL_JOB__INIT;
+	Briarplank__CancelJob cancel = BRIARPLANK__CANCEL_JOB__INIT;
+	Briarplank__QueryJob query = BRIARPLANK__QUERY_JOB__INIT;
+	Briarplank__QueryResults results = BRIARPLANK__QUERY_RESULTS__INIT;
+	ProtobufCBinaryData id = bytes_of(call->job_id, HASH128_BYTES);
+
+	switch (call->kind) {
+	case JOB_CALL_SUBMIT:
+		fill_seal(call, &seal);
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_SEAL_JOB;
+		env.seal_job = &seal;
+		break;
+	case JOB_CALL_CANCEL:
+		cancel.call_id = call->id;
+		cancel.shard = call->shard;
+		cancel.job_id = id;
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_CANCEL_JOB;
+		env.cancel_job = &cancel;
+		break;
+	case JOB_CALL_QUERY:
+		query.call_id = call->id;
+		query.shard = call->shard;
+		query.job_id = id;
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_QUERY_JOB;
+		env.query_job = &query;
+		break;
+	case JOB_CALL_RESULTS:
+		results.call_id = call->id;
+		results.shard = call->shard;
+		results.job_id = id;
+		results.from_item = call->from_item;
+		results.max_bytes = RESULTS_PAGE_BYTES;
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_QUERY_RESULTS;
+		env.query_results = &results;
+		break;
+	}
+	return bus_send(call->jobs->super.node->bus, owner, &env) == BUS_OK;
+}
+
+void job_call_ask(struct job_call *call)
+{
+	struct node *node = call->jobs->super.node;
+	const char *owner = node_shard_owner(node, call->shard);
+	uint64_t now = node_now_ms(node);
+
+	if (owner && send_call(call, owner)) {
+		call->asked = true;
+		call->ask_ms = now + ASK_AGAIN_MS;
+	} else {
+		call->ask_ms = now + NO_OWNER_WAIT_MS;
+	}
+}
+
+static void on_reply(void *ctx, const Briarplank__Envelope *env)
+{
+	struct jobs *jobs = ctx;
+	const Briarplank__JobReply *reply = env->job_reply;
+	struct job_call *call =
+		g_hash_table_lookup(jobs->by_id, &reply->call_id);
+
+	if (!call || !call->ask_ms)
+		return;
+	if (reply->code == BRIARPLANK__JOB_REPLY__CODE__NOT_OWNER) {
+		call->ask_ms = node_now_ms(jobs->super.node) + NO_OWNER_WAIT_MS;
+		return;
+	}
+	call->ask_ms = 0;
+	job_call_answer(call, reply);
+}
+
+/* Only a seal that was sent may have taken effect. */
+static void give_up(struct job_call *call)
+{
+	bool doubt = call->asked && (call->kind == JOB_CALL_SUBMIT ||
+				     call->kind == JOB_CALL_CANCEL);
+
+	job_call_unavailable(
+		call, RETRY_AFTER_MS,
+		doubt ? "not confirmed in time; it may have taken effect, "
+			"send the same request again" :
+		call->kind == JOB_CALL_SUBMIT ?
+			"not accepted: the job's shard has no owner now" :
+			"the job's shard has no owner that answers now");
+}
+
+static void tend(struct job_call *call, uint64_t now)
+{
+	if (now >= call->deadline_ms && !call->streaming)
+		give_up(call);
+	else if (call->ask_ms && now >= call->ask_ms)
+		job_call_ask(call);
+	else if (!call->ask_ms && call->kind == JOB_CALL_SUBMIT)
+		job_submit_step(call);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct jobs *jobs = timer->data;
+	uint64_t now = node_now_ms(jobs->super.node);
+	GList *calls = g_hash_table_get_values(jobs->by_id);
+	GList *pos;
+
+	for (pos = calls; pos; pos = pos->next)
+		tend(pos->data, now);
+	g_list_free(calls);
+}
+
+/* Splits "/v1/jobs/NAME[/results]"; NULL when it is neither. */
+static char *job_name(const char *path, bool *results)
+{
+	char *rest = g_strdup(path + strlen(PREFIX));
+	char *name;
+
+	*results = g_str_has_suffix(rest, RESULTS);
+	if (*results)
+		rest[strlen(rest) - strlen(RESULTS)] = '\0';
+	name = strchr(rest, '/') ? NULL : g_uri_unescape_string(rest, NULL);
+	g_free(rest);
+	if (name && *name && strlen(name) <= NAME_MAX_BYTES &&
+	    g_utf8_validate(name, -1, NULL))
+		return name;
+	g_free(name);
+	return NULL;
+}
+
+static uint32_t shard_of(const uint8_t *id, uint32_t shards)
+{
+	uint32_t head = (uint32_t)id[0] << 24 | (uint32_t)id[1] << 16 |
+			(uint32_t)id[2] << 8 | id[3];
+
+	return head % shards;
+}
+
+static struct job_call *call_create(struct jobs *jobs, struct web_request *web,
+				    const char *caller, char *name)
+{
+	struct node *node = jobs->super.node;
+	struct job_call *call = g_new0(struct job_call, 1);
+
+	call->id = ++jobs->next_id;
+	call->jobs = jobs;
+	call->web = web;
+	call->caller = g_strdup(caller);
+	call->name = name;
+	hash128_pair(caller, name, call->job_id);
+	call->shard = shard_of(call->job_id, node->settings->ledger_shards);
+	call->deadline_ms = node_now_ms(node) + CALL_LIMIT_MS;
+	g_hash_table_insert(jobs->by_id, &call->id, call);
+	web_on_close(web, on_close, call);
+	return call;
+}
+
+static bool kind_of(const char *method, bool results, enum job_call_kind *kind)
+{
+	if (results)
+		*kind = JOB_CALL_RESULTS;
+	else if (!strcmp(method, "GET"))
+		*kind = JOB_CALL_QUERY;
+	else if (!strcmp(method, "PUT"))
+		*kind = JOB_CALL_SUBMIT;
+	else if (!strcmp(method, "DELETE"))
+		*kind = JOB_CALL_CANCEL;
+	else
+		return false;
+	return !results || !strcmp(method, "GET");
+}
+
+static void on_request(void *ctx, struct web_request *web)
+{
+	struct jobs *jobs = ctx;
+	const char *caller = identify(jobs->super.node->settings, web);
+	enum job_call_kind kind;
+	struct job_call *call;
+	bool results;
+	char *name;
+
+	if (!caller) {
+		web_problem(web, 401, "Unknown key",
+			    "the bearer key names no caller");
+		return;
+	}
+	name = job_name(web_path(web), &results);
+	if (!name) {
+		web_problem(web, 404, "Not found",
+			    "a job's name of 1 to %d bytes must follow %s",
+			    NAME_MAX_BYTES, PREFIX);
+		return;
+	}
+	if (!kind_of(web_method(web), results, &kind)) {
+		g_free(name);
+		web_problem(web, 405, "Method not allowed",
+			    "%s is not possible here", web_method(web));
+		return;
+	}
+	call = call_create(jobs, web, caller, name);
+	call->kind = kind;
+	if (kind == JOB_CALL_SUBMIT)
+		job_submit_start(call);
+	else
+		job_call_ask(call);
+}
+
+static bool jobs_start(struct task *base)
+{
+	struct jobs *jobs = (struct jobs *)base;
+	struct node *node = base->node;
+
+	jobs->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	jobs->next_id = node->incarnation << 20;
+	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_JOB_REPLY, on_reply,
+		   jobs);
+	web_route(node->web, PREFIX, on_request, jobs);
+	uv_timer_init(&node->loop, &jobs->timer);
+	jobs->timer.data = jobs;
+	uv_timer_start(&jobs->timer, on_tick, TICK_MS, TICK_MS);
+	return true;
+}
+
+static bool jobs_stopped(struct task *base)
+{
+	struct jobs *jobs = (struct jobs *)base;
+
+	return !g_hash_table_size(jobs->by_id);
+}
+
+static void jobs_destroy(struct task *base)
+{
+	struct jobs *jobs = (struct jobs *)base;
+	GList *calls, *pos;
+
+	if (jobs->by_id) {
+		calls = g_hash_table_get_values(jobs->by_id);
+		for (pos = calls; pos; pos = pos->next) {
+			struct job_call *call = pos->data;
+
+			call->appending = false;
+			job_call_end(call);
+		}
+		g_list_free(calls);
+		g_hash_table_destroy(jobs->by_id);
+		uv_close((uv_handle_t *)&jobs->timer, NULL);
+		uv_run(&base->node->loop, UV_RUN_NOWAIT);
+	}
+	g_free(jobs);
+}
+
+static const struct task_ops jobs_ops = {
+	.name = "jobs",
+	.start = jobs_start,
+	.stopped = jobs_stopped,
+	.destroy = jobs_destroy,
+};
+
+struct task *jobs_task_create(void)
+{
+	struct jobs *jobs = g_new0(struct jobs, 1);
+
+	jobs->super.ops = &jobs_ops;
+	return &jobs->super;
+}
--- /dev/null
+++ b/briarplankd/entry/jobs_answer.c
@@ -0,0 +1,216 @@
+/*
+ * Turns what a shard's owner says into answers to callers.
+ */
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "briarplankd/entry/jobs.h"
+
+/* Bytes of results queued to a caller before the next page is asked for. */
+#define QUEUE_MAX_BYTES (1 << 20)
+#define RETRY_AFTER_MS 2000
+#define MS_PER_S 1000
+
+static void add_time(struct json_object *root, const char *name, uint64_t ms)
+{
+	GDateTime *time;
+	char *text;
+
+	if (!ms)
+		return;
+	time = g_date_time_new_from_unix_utc((gint64)(ms / MS_PER_S));
+	text = time ? g_date_time_format_iso8601(time) : g_strdup("");
+	json_object_object_add(root, name, json_object_new_string(text));
+	g_free(text);
+	if (time)
+		g_date_time_unref(time);
+}
+
+static void add_count(struct json_object *root, const char *name, uint64_t nr)
+{
+	json_object_object_add(root, name, json_object_new_uint64(nr));
+}
+
+static struct json_object *job_json(const Briarplank__JobState *state)
+{
+	struct json_object *root = json_object_new_object();
+
+	json_object_object_add(root, "job",
+			       json_object_new_string(state->name));
+	json_object_object_add(root, "caller",
+			       json_object_new_string(state->caller));
+	json_object_object_add(root, "service",
+			       json_object_new_string(state->service));
+	add_count(root, "items", state->items);
+	add_count(root, "waiting", state->waiting);
+	add_count(root, "running", state->running);
+	add_count(root, "done", state->done);
+	add_count(root, "failed", state->failed);
+	add_count(root, "cancelled", state->cancelled);
+	add_count(root, "outcome_unknown", state->outcome_unknown);
+	json_object_object_add(root, "cancel_accepted",
+			       json_object_new_boolean(state->cancel_accepted));
+	add_time(root, "due", state->due_ms);
+	add_time(root, "keep_until", state->keep_until_ms);
+	add_time(root, "expected_end", state->expected_end_ms);
+	add_count(root, "shard", state->shard);
+	add_count(root, "as_of_offset", state->as_of_offset);
+	return root;
+}
+
+static void answer_job(struct job_call *call, int status,
+		       const Briarplank__JobReply *reply)
+{
+	struct json_object *root;
+	const char *text;
+
+	if (!reply->n_jobs) {
+		job_call_fail(call, 502, "Bad answer",
+			      "the shard's owner named no job");
+		return;
+	}
+	root = job_json(reply->jobs[0]);
+	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
+	web_answer(call->web, status, "application/json", text, strlen(text));
+	json_object_put(root);
+	job_call_end(call);
+}
+
+static void append_string(GString *out, const char *text, size_t len)
+{
+	struct json_object *value = json_object_new_string_len(text, (int)len);
+
+	g_string_append(out,
+			json_object_to_json_string_ext(
+				value, JSON_C_TO_STRING_PLAIN |
+					       JSON_C_TO_STRING_NOSLASHESCAPE));
+	json_object_put(value);
+}
+
+/* A body that is no JSON, or spans lines, goes out as a string. */
+static void append_body(GString *out, const Briarplank__ResultLine *line)
+{
+	const char *text = (const char *)line->body.data;
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *value;
+	bool whole;
+
+	json_tokener_set_flags(tokener, JSON_TOKENER_STRICT);
+	value = json_tokener_parse_ex(tokener, text, (int)line->body.len);
+	whole = json_tokener_get_error(tokener) == json_tokener_success &&
+		json_tokener_get_parse_end(tokener) == line->body.len &&
+		!memchr(text, '\n', line->body.len);
+	if (whole)
+		g_string_append_len(out, text, (gssize)line->body.len);
+	else
+		append_string(out, text, line->body.len);
+	json_object_put(value);
+	json_tokener_free(tokener);
+}
+
+static void append_line(GString *out, const Briarplank__ResultLine *line)
+{
+	g_string_append(out, "{\"id\":");
+	append_string(out, line->id, strlen(line->id));
+	g_string_append_printf(out, ",\"status\":\"%s\"", line->status);
+	if (line->body.len) {
+		g_string_append(out, ",\"body\":");
+		append_body(out, line);
+	}
+	if (*line->error) {
+		g_string_append(out, ",\"error\":");
+		append_string(out, line->error, strlen(line->error));
+	}
+	g_string_append(out, "}\n");
+}
+
+static void on_taken(void *ctx)
+{
+	struct job_call *call = ctx;
+
+	if (!call->waiting_taken ||
+	    web_stream_queued(call->web) > QUEUE_MAX_BYTES)
+		return;
+	call->waiting_taken = false;
+	job_call_ask(call);
+}
+
+static void answer_results(struct job_call *call,
+			   const Briarplank__JobReply *reply)
+{
+	GString *out = g_string_new(NULL);
+	size_t i;
+
+	if (!call->streaming) {
+		web_stream_begin(call->web, 200, "application/x-ndjson");
+		web_on_taken(call->web, on_taken, call);
+		call->streaming = true;
+	}
+	for (i = 0; i < reply->n_results; i++)
+		append_line(out, reply->results[i]);
+	web_stream_write(call->web, out->str, out->len);
+	g_string_free(out, TRUE);
+	if (!reply->more) {
+		web_stream_end(call->web, true);
+		job_call_end(call);
+		return;
+	}
+	call->from_item = reply->next_item;
+	if (web_stream_queued(call->web) > QUEUE_MAX_BYTES)
+		call->waiting_taken = true;
+	else
+		job_call_ask(call);
+}
+
+static void answer_ok(struct job_call *call, const Briarplank__JobReply *reply)
+{
+	if (call->kind == JOB_CALL_RESULTS)
+		answer_results(call, reply);
+	else
+		answer_job(call, 200, reply);
+}
+
+void job_call_answer(struct job_call *call, const Briarplank__JobReply *reply)
+{
+	uint32_t retry =
+		reply->retry_after_ms ? reply->retry_after_ms : RETRY_AFTER_MS;
+
+	switch (reply->code) {
+	case BRIARPLANK__JOB_REPLY__CODE__OK:
+		answer_ok(call, reply);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__CREATED:
+		answer_job(call, 201, reply);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__CONFLICT:
+		job_call_fail(call, 409, "Conflict",
+			      "job %s exists with other content", call->name);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__UNKNOWN_JOB:
+		job_call_fail(call, 404, "Unknown job", "no job %s of yours",
+			      call->name);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__EXPIRED:
+		job_call_fail(call, 410, "Expired",
+			      "job %s ended and its keep time has passed",
+			      call->name);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION:
+		job_call_unavailable(call, retry,
+				     "not accepted: parts of the submission "
+				     "were lost, send it again");
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__OVERLOADED:
+		job_call_unavailable(
+			call, retry,
+			"not accepted: too much waits for the log");
+		break;
+	default:
+		job_call_unavailable(call, retry,
+				     *reply->message ?
+					     reply->message :
+					     "the log does not answer now");
+		break;
+	}
+}
--- /dev/null
+++ b/briarplankd/entry/jobs_submit.c
@@ -0,0 +1,195 @@
+/*
+ * Takes a submission in: its lines are parsed a few at a time, its chunks are
+ * appended one after the other, and then its seal goes to the shard's owner.
+ */
+#include <string.h>
+
+#include "briarplankd/entry/jobs.h"
+#include "briarplankd/entry/record_cache.h"
+#include "common/error.h"
+
+/* Bytes of items in one chunk. */
+#define CHUNK_BYTES (512 << 10)
+/* Lines parsed before the loop goes on. */
+#define STEP_LINES 500
+/* Tries to append one chunk, and the wait between them, in ms. */
+#define APPEND_TRIES 5
+#define APPEND_RETRY_MS 100
+#define RETRY_AFTER_MS 2000
+/* Time more for each chunk of a submission, in ms. */
+#define CHUNK_LIMIT_MS 1000
+#define KEEP_DEFAULT_MS (72 * 3600 * 1000ull)
+#define KEEP_MAX_MS (90 * 24 * 3600 * 1000ull)
+#define STREAM_BYTES 32
+#define MS_PER_S 1000
+
+static const struct {
+	char suffix;
+	uint64_t ms;
+} units[] = {
+	{ 's', 1000 },
+	{ 'm', 60 * 1000 },
+	{ 'h', 3600 * 1000 },
+	{ 'd', 24 * 3600 * 1000 },
+};
+
+bool jobs_parse_duration(const char *text, uint64_t *ms)
+{
+	char *end;
+	guint64 value = g_ascii_strtoull(text, &end, 10);
+	size_t i;
+
+	if (end == text || !*end || end[1] || value > UINT32_MAX)
+		return false;
+	for (i = 0; i < G_N_ELEMENTS(units); i++) {
+		if (units[i].suffix != *end)
+			continue;
+		*ms = value * units[i].ms;
+		return true;
+	}
+	return false;
+}
+
+static bool parse_due(const char *text, uint64_t *ms)
+{
+	GTimeZone *utc = g_time_zone_new_utc();
+	GDateTime *time = g_date_time_new_from_iso8601(text, utc);
+
+	g_time_zone_unref(utc);
+	if (!time)
+		return false;
+	*ms = (uint64_t)g_date_time_to_unix(time) * MS_PER_S;
+	g_date_time_unref(time);
+	return true;
+}
+
+/* Takes service, path, due and keep; NULL, or what is wrong. */
+static const char *parse_query(struct job_call *call)
+{
+	const char *service, *due, *keep;
+
+	call->query = g_uri_parse_params(web_query(call->web), -1, "&",
+					 G_URI_PARAMS_NONE, NULL);
+	if (!call->query)
+		return "the query can't be parsed";
+	service = g_hash_table_lookup(call->query, "service");
+	due = g_hash_table_lookup(call->query, "due");
+	keep = g_hash_table_lookup(call->query, "keep");
+	if (!service || !*service)
+		return "service is missing";
+	if (due && !parse_due(due, &call->due_ms))
+		return "due must be an RFC 3339 time";
+	call->keep_ms = KEEP_DEFAULT_MS;
+	if (keep && !jobs_parse_duration(keep, &call->keep_ms))
+		return "keep must be a duration such as 72h";
+	if (call->keep_ms > KEEP_MAX_MS)
+		return "keep must be at most 90d";
+	return NULL;
+}
+
+void job_submit_start(struct job_call *call)
+{
+	const struct node *node = call->jobs->super.node;
+	struct submission_options options = {
+		.writer = node->settings->name,
+		.writer_incarnation = node->incarnation,
+		.caller = call->caller,
+		.name = call->name,
+		.query = web_query(call->web),
+		.chunk_bytes = CHUNK_BYTES,
+	};
+	const char *fault = parse_query(call);
+
+	if (fault) {
+		job_call_fail(call, 400, "Bad submission", "%s", fault);
+		return;
+	}
+	options.body = web_body(call->web, &options.body_len);
+	call->parser = submission_parser_create(&options);
+	call->offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	job_submit_step(call);
+}
+
+static void refuse(struct job_call *call)
+{
+	job_call_unavailable(call, RETRY_AFTER_MS,
+			     "not accepted: the log can't be written now");
+}
+
+static void append_chunk(struct job_call *call);
+
+static void on_appended(void *ctx, enum log_service_status status,
+			uint64_t offset)
+{
+	struct job_call *call = ctx;
+
+	call->appending = false;
+	if (call->dead) {
+		call->dead = false;
+		call->web = NULL;
+		job_call_end(call);
+		return;
+	}
+	if (status == LOG_SERVICE_OK) {
+		call->tries = 0;
+		g_array_append_val(call->offsets, offset);
+		append_chunk(call);
+		return;
+	}
+	/* A chunk that arrived twice counts once; without a seal not at all. */
+	if (++call->tries == APPEND_TRIES || status == LOG_SERVICE_UNKNOWN)
+		refuse(call);
+	else
+		call->append_ms =
+			node_now_ms(call->jobs->super.node) + APPEND_RETRY_MS;
+}
+
+static void append_chunk(struct job_call *call)
+{
+	const struct submission *submission =
+		submission_parser_result(call->parser);
+	struct node *node = call->jobs->super.node;
+	char stream[STREAM_BYTES];
+	const GByteArray *chunk;
+
+	if (call->offsets->len == submission->chunks->len) {
+		job_call_ask(call);
+		return;
+	}
+	chunk = submission->chunks->pdata[call->offsets->len];
+	shard_stream_name(call->shard, stream, sizeof(stream));
+	call->appending = true;
+	call->append_ms = 0;
+	node->log->ops->append(node->log, stream, chunk->data, chunk->len,
+			       on_appended, call);
+}
+
+static void parsed(struct job_call *call, enum submission_status status)
+{
+	const struct submission *submission =
+		submission_parser_result(call->parser);
+
+	if (status != SUBMISSION_OK) {
+		job_call_fail(call, 400, "Bad submission", "%s", error_last());
+		return;
+	}
+	call->deadline_ms += (uint64_t)submission->chunks->len * CHUNK_LIMIT_MS;
+	call->append_ms = 1;
+	append_chunk(call);
+}
+
+void job_submit_step(struct job_call *call)
+{
+	enum submission_status status;
+
+	if (call->appending)
+		return;
+	if (call->append_ms) {
+		if (node_now_ms(call->jobs->super.node) >= call->append_ms)
+			append_chunk(call);
+		return;
+	}
+	status = submission_parser_step(call->parser, STEP_LINES);
+	if (status != SUBMISSION_MORE)
+		parsed(call, status);
+}
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -5,6 +5,7 @@
 
 #include "briarplankd/config_task.h"
 #include "briarplankd/entry/ledger_task.h"
+#include "common/hash.h"
 #include "common/log.h"
 
 #define PART "ledger"
@@ -53,8 +54,8 @@
 	return policy.item_attempts ? policy.item_attempts : ATTEMPTS_DEFAULT;
 }
 
-static void send(struct ledger_task *task, const char *peer,
-		 Briarplank__Envelope *env)
+static void send_to(struct ledger_task *task, const char *peer,
+		    Briarplank__Envelope *env)
 {
 	bus_send(task->super.node->bus, peer, env);
 }
@@ -82,7 +83,8 @@
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__Grants message = BRIARPLANK__GRANTS__INIT;
-	Briarplank__Grant *bodies = g_new0(Briarplank__Grant, pull->grants->len);
+	Briarplank__Grant *bodies =
+		g_new0(Briarplank__Grant, pull->grants->len);
 	Briarplank__Grant **grants =
 		g_new0(Briarplank__Grant *, pull->grants->len);
 	guint i;
@@ -103,7 +105,7 @@
 	counter_add(pull->task->granted, message.n_grants);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
 	env.grants = &message;
-	send(pull->task, pull->agent, &env);
+	send_to(pull->task, pull->agent, &env);
 	g_free(bodies);
 	g_free(grants);
 }
@@ -155,8 +157,8 @@
 	pull_free(pull);
 }
 
-static const Briarplank__JobItem *
-chunk_item(const Briarplank__ShardAppend *append, uint32_t index)
+static const Briarplank__JobItem *chunk_item(
+	const Briarplank__ShardAppend *append, uint32_t index)
 {
 	if (!append || !append->chunk || index >= append->chunk->n_items)
 		return NULL;
@@ -174,8 +176,8 @@
 	if (status == RECORD_CACHE_GONE)
 		log_error(PART, "shard %u: the body of item %u is gone",
 			  grant->shard, grant->out.item);
-	if (item && (!pull->bytes ||
-		     pull->bytes + item->body.len <= pull->max_bytes)) {
+	if (item &&
+	    (!pull->bytes || pull->bytes + item->body.len <= pull->max_bytes)) {
 		grant->body = g_memdup2(item->body.data, item->body.len);
 		grant->body_len = item->body.len;
 		grant->ready = true;
@@ -339,14 +341,12 @@
 		Briarplank__GrantRef *ref = renew->grants[i];
 		struct ledger *ledger = ledger_task_owned(task, ref->shard);
 
-		/* The grants of other owners are theirs to judge. */
-		if (ledger && !shard_unverified(task->shards[ref->shard]) &&
-		    !ledger_renew(ledger, ref, env->sender, now))
+		if (!ledger || !ledger_renew(ledger, ref, env->sender, now))
 			result.revoked[result.n_revoked++] = ref;
 	}
 	reply.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
 	reply.renew_result = &result;
-	send(task, env->sender, &reply);
+	send_to(task, env->sender, &reply);
 	g_free(result.revoked);
 }
 
@@ -376,7 +376,7 @@
 			&g_array_index(voided, Briarplank__GrantRef, i);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS_ACK;
 	env.completions_ack = &ack;
-	send(task, agent, &env);
+	send_to(task, agent, &env);
 	g_free(ack.durable);
 	g_free(ack.void_grants);
 }
@@ -499,7 +499,7 @@
 	Briarplank__GrantRef *refs[] = { &ref };
 
 	ref.shard = shard;
-	ref.epoch = ledger_epoch(shard_ledger(task->shards[shard]));
+	ref.epoch = revoked->epoch;
 	ref.grant_id = revoked->grant_id;
 	result.revoked = refs;
 	result.n_revoked = 1;
@@ -507,7 +507,7 @@
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
 	env.renew_result = &result;
 	if (*revoked->agent)
-		send(task, revoked->agent, &env);
+		send_to(task, revoked->agent, &env);
 }
 
 void ledger_agents_revoke(struct ledger_task *task, uint32_t shard)
--- a/briarplankd/entry/ledger_calls.c
+++ b/briarplankd/entry/ledger_calls.c
@@ -7,6 +7,7 @@
 #include "briarplankd/entry/ledger_results.h"
 #include "briarplankd/entry/ledger_task.h"
 #include "briarplankd/members_task.h"
+#include "common/hash.h"
 
 /* Time in which the chunks of a seal must be found in the stream, in ms. */
 #define SEAL_WAIT_MS 3000
--- a/briarplankd/entry/ledger_results.c
+++ b/briarplankd/entry/ledger_results.c
@@ -70,7 +70,8 @@
 	reply.more = page->more;
 	reply.next_item = page->next_item;
 	for (i = 0; i < page->lines->len; i++)
-		lines[i] = &g_array_index(page->lines, Briarplank__ResultLine, i);
+		lines[i] =
+			&g_array_index(page->lines, Briarplank__ResultLine, i);
 	if (page->status == RECORD_CACHE_OK) {
 		reply.results = lines;
 		reply.n_results = page->lines->len;
@@ -88,9 +89,9 @@
 			      page->at);
 }
 
-static const Briarplank__ItemEnded *
-find_ended(const Briarplank__ShardAppend *append, const uint8_t *job_id,
-	   uint32_t item)
+static const Briarplank__ItemEnded *find_ended(
+	const Briarplank__ShardAppend *append, const uint8_t *job_id,
+	uint32_t item)
 {
 	size_t i;
 
@@ -99,8 +100,7 @@
 
 		if (append->records[i]->body_case ==
 			    BRIARPLANK__LEDGER_RECORD__BODY_ENDED &&
-		    ended->item == item &&
-		    ended->job_id.len == HASH128_BYTES &&
+		    ended->item == item && ended->job_id.len == HASH128_BYTES &&
 		    !memcmp(ended->job_id.data, job_id, HASH128_BYTES))
 			return ended;
 	}
@@ -165,8 +165,8 @@
 
 	if (status != RECORD_CACHE_OK || !append->chunk ||
 	    place->body_index >= append->chunk->n_items) {
-		fail(page, status == RECORD_CACHE_OK ? RECORD_CACHE_GONE :
-						       status);
+		fail(page,
+		     status == RECORD_CACHE_OK ? RECORD_CACHE_GONE : status);
 		return;
 	}
 	line.item = place->item;
@@ -216,8 +216,8 @@
 	memcpy(page->job_id, query->job_id.data, HASH128_BYTES);
 	page->max_bytes = query->max_bytes ? MIN(query->max_bytes, PAGE_BYTES) :
 					     PAGE_BYTES;
-	page->places = g_array_new(FALSE, FALSE,
-				   sizeof(struct ledger_result_place));
+	page->places =
+		g_array_new(FALSE, FALSE, sizeof(struct ledger_result_place));
 	page->lines = g_array_new(FALSE, FALSE, sizeof(Briarplank__ResultLine));
 	g_array_set_clear_func(page->lines, line_clear);
 	page->next_item = ledger_results(job, query->from_item, page->places,
--- a/briarplankd/entry/record_cache.c
+++ b/briarplankd/entry/record_cache.c
@@ -149,9 +149,10 @@
 	return record;
 }
 
-static enum record_cache_status
-take_page(struct fetch *fetch, enum log_service_status status,
-	  const struct log_service_page *page, struct record **record)
+static enum record_cache_status take_page(struct fetch *fetch,
+					  enum log_service_status status,
+					  const struct log_service_page *page,
+					  struct record **record)
 {
 	if (status != LOG_SERVICE_OK)
 		return RECORD_CACHE_UNAVAILABLE;
@@ -179,8 +180,7 @@
 		record = record_find(fetch->cache, fetch->shard, fetch->offset);
 		if (result == RECORD_CACHE_OK && !record)
 			result = RECORD_CACHE_UNAVAILABLE;
-		waiter->fn(waiter->ctx, result,
-			   record ? record->append : NULL);
+		waiter->fn(waiter->ctx, result, record ? record->append : NULL);
 		g_free(waiter);
 	}
 	fetch_free(fetch);
--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -40,8 +40,8 @@
 	shard_stream_name(options->index, shard->stream, sizeof(shard->stream));
 	uv_timer_init(&options->node->loop, &shard->timer);
 	shard->timer.data = shard;
-	shard->appends = metrics_counter(
-		metrics, "briarplank_ledger_appends_total", "");
+	shard->appends =
+		metrics_counter(metrics, "briarplank_ledger_appends_total", "");
 	shard->append_bytes = metrics_counter(
 		metrics, "briarplank_ledger_append_bytes_total", "");
 	return shard;
--- a/briarplankd/entry/shard_checkpoint.c
+++ b/briarplankd/entry/shard_checkpoint.c
@@ -43,10 +43,9 @@
 		shard->parts = NULL;
 		return NULL;
 	}
-	bytes = ledger_pack_part(shard->ledger,
-				 shard->parts->pdata[shard->parts_sent],
-				 shard->parts_as_of, shard->parts_sent,
-				 shard->parts->len);
+	bytes = ledger_pack_part(
+		shard->ledger, shard->parts->pdata[shard->parts_sent],
+		shard->parts_as_of, shard->parts_sent, shard->parts->len);
 	shard->parts_sent++;
 	return bytes;
 }
--- a/briarplankd/entry/shard_read.c
+++ b/briarplankd/entry/shard_read.c
@@ -110,8 +110,8 @@
 		fold_from_first(shard);
 		return;
 	}
-	shard->back = MIN(shard->back * 2,
-			  shard->end_offset - shard->first_offset);
+	shard->back =
+		MIN(shard->back * 2, shard->end_offset - shard->first_offset);
 }
 
 static bool load_part(struct shard *shard, const struct log_service_page *page)
--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -3,10 +3,8 @@
 typedef struct task *(*task_create_fn)(void);
 
 static const task_create_fn entry_tasks[] = {
-	members_task_create,
-	config_task_create,
-	online_task_create,
-	NULL,
+	members_task_create, config_task_create, ledger_task_create,
+	jobs_task_create,    online_task_create, NULL,
 };
 
 static const task_create_fn agent_tasks[] = {
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -60,6 +60,7 @@
 	grant->job = job;
 	grant->item = item;
 	grant->expires_ms = now_ms + ledger->options.lease_ms;
+	grant->epoch = ledger->epoch;
 	list_append(&ledger->grants, &grant->link);
 	g_hash_table_insert(ledger->grants_by_id, &grant->id, grant);
 	job->items[item].flags |= ITEM_GRANTED;
@@ -81,6 +82,7 @@
 	struct ledger_revoked *revoked = g_new(struct ledger_revoked, 1);
 
 	revoked->grant_id = grant->id;
+	revoked->epoch = grant->epoch;
 	revoked->agent = g_strdup(grant->agent);
 	g_ptr_array_add(ledger->revoked, revoked);
 	ledger_grant_remove(ledger, grant);
@@ -395,7 +397,7 @@
 		return false;
 	}
 	job->items[item].nonce = ref->grant_id & GRANT_NONCE_MASK;
-	grant_add(job, item, agent, now_ms);
+	grant_add(job, item, agent, now_ms)->epoch = ref->epoch;
 	return true;
 }
 
--- a/core/submission.c
+++ b/core/submission.c
@@ -3,6 +3,7 @@
 #include <json-c/json.h>
 
 #include "common/error.h"
+#include "common/json_member.h"
 #include "core/ledger.h"
 #include "core/submission.h"
 #include "ledger.pb-c.h"
@@ -12,9 +13,10 @@
 /* Largest body of an item, in bytes: grants must fit a message. */
 #define ITEM_BODY_MAX_BYTES (1 << 20)
 
-struct parser {
-	const struct submission_options *options;
-	struct submission *submission;
+struct submission_parser {
+	struct submission_options options;
+	struct submission submission;
+	const char *at;
 	struct json_tokener *tokener;
 	/* Ids seen, for duplicates. */
 	GHashTable *ids;
@@ -29,9 +31,9 @@
 	briarplank__job_item__free_unpacked(data, NULL);
 }
 
-static void close_chunk(struct parser *parser)
+static void close_chunk(struct submission_parser *parser)
 {
-	const struct submission_options *options = parser->options;
+	const struct submission_options *options = &parser->options;
 	Briarplank__ShardAppend append = BRIARPLANK__SHARD_APPEND__INIT;
 	GByteArray *bytes;
 
@@ -46,7 +48,7 @@
 	g_byte_array_set_size(
 		bytes, briarplank__shard_append__get_packed_size(&append));
 	briarplank__shard_append__pack(&append, bytes->data);
-	g_ptr_array_add(parser->submission->chunks, bytes);
+	g_ptr_array_add(parser->submission.chunks, bytes);
 	parser->chunk.index++;
 	parser->chunk.first_item += parser->items->len;
 	g_ptr_array_set_size(parser->items, 0);
@@ -54,14 +56,14 @@
 }
 
 /* Sets a message about the line, which ends the parse. */
-static bool bad_line(const struct parser *parser, const char *what)
+static bool bad_line(const struct submission_parser *parser, const char *what)
 {
 	error_set("line %u: %s", parser->line, what);
 	return false;
 }
 
-static bool add_item(struct parser *parser, const char *id, const char *body,
-		     size_t body_len, bool idempotent)
+static bool add_item(struct submission_parser *parser, const char *id,
+		     const char *body, size_t body_len, bool idempotent)
 {
 	Briarplank__JobItem *item;
 
@@ -75,19 +77,22 @@
 	item->body.data = g_memdup2(body, body_len);
 	item->body.len = body_len;
 	item->idempotent = idempotent;
-	if (parser->bytes + body_len > parser->options->chunk_bytes)
+	if (parser->bytes + body_len > parser->options.chunk_bytes)
 		close_chunk(parser);
 	g_ptr_array_add(parser->items, item);
 	parser->bytes += body_len + strlen(id);
-	parser->submission->items++;
+	parser->submission.items++;
 	return true;
 }
 
-static bool parse_object(struct parser *parser, struct json_object *object)
+static bool parse_object(struct submission_parser *parser,
+			 struct json_object *object, const char *line,
+			 size_t len)
 {
 	struct json_object *id, *body, *idempotent;
 	bool may_repeat = true;
 	const char *text;
+	size_t body_len;
 
 	if (!json_object_is_type(object, json_type_object))
 		return bad_line(parser, "not a JSON object");
@@ -105,9 +110,10 @@
 					"idempotent must be true or false");
 		may_repeat = json_object_get_boolean(idempotent);
 	}
-	text = json_object_to_json_string_ext(
-		body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
-	return add_item(parser, json_object_get_string(id), text, strlen(text),
+	text = json_member_text(line, len, "body", &body_len);
+	if (!text)
+		return bad_line(parser, "the name of body must not be escaped");
+	return add_item(parser, json_object_get_string(id), text, body_len,
 			may_repeat);
 }
 
@@ -122,14 +128,15 @@
 	return true;
 }
 
-static bool parse_line(struct parser *parser, const char *line, size_t len)
+static bool parse_line(struct submission_parser *parser, const char *line,
+		       size_t len)
 {
 	struct json_object *object;
 	bool ok;
 
 	if (blank(line, len))
 		return true;
-	if (parser->submission->items == LEDGER_ITEMS_MAX)
+	if (parser->submission.items == LEDGER_ITEMS_MAX)
 		return bad_line(parser, "a job has at most 1048576 items");
 	json_tokener_reset(parser->tokener);
 	object = json_tokener_parse_ex(parser->tokener, line, (int)len);
@@ -139,29 +146,11 @@
 		json_object_put(object);
 		return bad_line(parser, "not valid JSON");
 	}
-	ok = parse_object(parser, object);
+	ok = parse_object(parser, object, line, len);
 	json_object_put(object);
 	return ok;
 }
 
-static bool parse_lines(struct parser *parser)
-{
-	const char *at = parser->options->body;
-	const char *end = at + parser->options->body_len;
-
-	while (at < end) {
-		const char *eol = memchr(at, '\n', end - at);
-		size_t len = (eol ? eol : end) - at;
-
-		parser->line++;
-		if (!parse_line(parser, at, len))
-			return false;
-		at += len + 1;
-	}
-	close_chunk(parser);
-	return true;
-}
-
 static void identify(const struct submission_options *options,
 		     struct submission *submission)
 {
@@ -183,15 +172,14 @@
 	return field;
 }
 
-static enum submission_status parse_status(struct parser *parser)
+static enum submission_status check_whole(struct submission_parser *parser)
 {
-	if (!parse_lines(parser))
-		return SUBMISSION_BAD_LINE;
-	if (!parser->submission->items) {
+	close_chunk(parser);
+	if (!parser->submission.items) {
 		error_set("the body holds no item");
 		return SUBMISSION_EMPTY;
 	}
-	if (parser->submission->chunks->len > LEDGER_CHUNKS_MAX) {
+	if (parser->submission.chunks->len > LEDGER_CHUNKS_MAX) {
 		error_set("the body makes more than %u chunks",
 			  LEDGER_CHUNKS_MAX);
 		return SUBMISSION_TOO_LARGE;
@@ -199,38 +187,57 @@
 	return SUBMISSION_OK;
 }
 
-enum submission_status submission_parse(
-	const struct submission_options *options, struct submission *submission)
+enum submission_status submission_parser_step(struct submission_parser *parser,
+					      unsigned max_lines)
 {
-	struct parser parser = { .options = options, .submission = submission };
-	enum submission_status status;
+	const char *end = parser->options.body + parser->options.body_len;
 
-	memset(submission, 0, sizeof(*submission));
-	submission->chunks = g_ptr_array_new_with_free_func(
+	while (parser->at < end && max_lines--) {
+		const char *eol = memchr(parser->at, '\n', end - parser->at);
+		size_t len = (eol ? eol : end) - parser->at;
+
+		parser->line++;
+		if (!parse_line(parser, parser->at, len))
+			return SUBMISSION_BAD_LINE;
+		parser->at += len + (eol ? 1 : 0);
+	}
+	return parser->at < end ? SUBMISSION_MORE : check_whole(parser);
+}
+
+struct submission_parser *submission_parser_create(
+	const struct submission_options *options)
+{
+	struct submission_parser *parser = g_new0(struct submission_parser, 1);
+
+	parser->options = *options;
+	parser->at = options->body;
+	parser->submission.chunks = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)g_byte_array_unref);
-	identify(options, submission);
-	parser.tokener = json_tokener_new();
-	json_tokener_set_flags(parser.tokener,
+	identify(options, &parser->submission);
+	parser->tokener = json_tokener_new();
+	json_tokener_set_flags(parser->tokener,
 			       JSON_TOKENER_STRICT |
 				       JSON_TOKENER_ALLOW_TRAILING_CHARS);
-	parser.ids =
+	parser->ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	parser.items = g_ptr_array_new_with_free_func(item_free);
-	briarplank__job_chunk__init(&parser.chunk);
-	parser.chunk.job_id = id_field(submission->job_id);
-	parser.chunk.submission_id = id_field(submission->content_hash);
-	status = parse_status(&parser);
-	g_ptr_array_free(parser.items, TRUE);
-	g_hash_table_destroy(parser.ids);
-	json_tokener_free(parser.tokener);
-	if (status != SUBMISSION_OK)
-		submission_clear(submission);
-	return status;
+	parser->items = g_ptr_array_new_with_free_func(item_free);
+	briarplank__job_chunk__init(&parser->chunk);
+	parser->chunk.job_id = id_field(parser->submission.job_id);
+	parser->chunk.submission_id = id_field(parser->submission.content_hash);
+	return parser;
+}
+
+const struct submission *submission_parser_result(
+	const struct submission_parser *parser)
+{
+	return &parser->submission;
 }
 
-void submission_clear(struct submission *submission)
+void submission_parser_destroy(struct submission_parser *parser)
 {
-	if (submission->chunks)
-		g_ptr_array_free(submission->chunks, TRUE);
-	memset(submission, 0, sizeof(*submission));
+	g_ptr_array_free(parser->submission.chunks, TRUE);
+	g_ptr_array_free(parser->items, TRUE);
+	g_hash_table_destroy(parser->ids);
+	json_tokener_free(parser->tokener);
+	g_free(parser);
 }
--- /dev/null
+++ b/include/briarplankd/entry/jobs.h
@@ -0,0 +1,94 @@
+/**
+ * The HTTP of jobs at an entry: the parts of the task, shared by its files.
+ *
+ * jobs.c owns the task, its table of calls and what goes to shard owners,
+ * jobs_submit.c takes submissions in, jobs_answer.c writes answers.
+ */
+#ifndef BRIARPLANKD_ENTRY_JOBS_H
+#define BRIARPLANKD_ENTRY_JOBS_H
+
+#include <glib.h>
+
+#include "briarplankd/node.h"
+#include "common/hash.h"
+#include "core/submission.h"
+
+struct jobs {
+	struct task super;
+	GHashTable *by_id;
+	uint64_t next_id;
+	uv_timer_t timer;
+};
+
+/** What a caller asked for. */
+enum job_call_kind {
+	JOB_CALL_SUBMIT,
+	JOB_CALL_QUERY,
+	JOB_CALL_RESULTS,
+	JOB_CALL_CANCEL,
+};
+
+/** One request of a caller. */
+struct job_call {
+	uint64_t id;
+	struct jobs *jobs;
+	/** NULL once the caller has left or was answered. */
+	struct web_request *web;
+	enum job_call_kind kind;
+	char *caller;
+	char *name;
+	uint8_t job_id[HASH128_BYTES];
+	uint32_t shard;
+	uint64_t deadline_ms;
+	/** When the owner is asked again; 0 while it is not asked. */
+	uint64_t ask_ms;
+	bool asked;
+
+	/** Of a submission. */
+	GHashTable *query;
+	uint64_t due_ms;
+	uint64_t keep_ms;
+	struct submission_parser *parser;
+	GArray *offsets;
+	unsigned tries;
+	uint64_t append_ms;
+	/** An append is under way: the call must outlive it. */
+	bool appending;
+	/** To be freed once the append has ended. */
+	bool dead;
+
+	/** Of results: where the next page begins. */
+	uint32_t from_item;
+	bool streaming;
+	bool waiting_taken;
+};
+
+/** Parses "90s", "15m", "72h" or "3d" to ms; false when it is none. */
+bool jobs_parse_duration(const char *text, uint64_t *ms);
+
+/** Ends a call; it must have been answered. */
+void job_call_end(struct job_call *call);
+
+/** Answers with a problem and ends the call. */
+__attribute__((format(printf, 4, 5))) void job_call_fail(struct job_call *call,
+							 int status,
+							 const char *title,
+							 const char *fmt, ...);
+
+/** Answers 503 with Retry-After and ends the call. */
+void job_call_unavailable(struct job_call *call, uint32_t retry_after_ms,
+			  const char *detail);
+
+/** Sends the call to the shard's owner, now and until it answers. */
+void job_call_ask(struct job_call *call);
+
+/** Takes a submission's query and body in; a fault is answered. */
+void job_submit_start(struct job_call *call);
+
+/** Goes on with a submission: parses lines or appends the next chunk. */
+void job_submit_step(struct job_call *call);
+
+/** Turns the owner's answer into the caller's. */
+void job_call_answer(struct job_call *call, const Briarplank__JobReply *reply);
+
+#endif
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -108,6 +108,8 @@
 /** A grant that became void while its agent holds it. */
 struct ledger_revoked {
 	uint64_t grant_id;
+	/** Epoch under which the agent holds it. */
+	uint64_t epoch;
 	char *agent;
 };
 
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -123,6 +123,8 @@
 	struct ledger_job *job;
 	uint32_t item;
 	uint64_t expires_ms;
+	/** Epoch under which the agent holds it. */
+	uint64_t epoch;
 	/** Its lease has lapsed, its outcome may still come. */
 	bool grace;
 	bool alone;
--- a/include/core/submission.h
+++ b/include/core/submission.h
@@ -37,17 +37,28 @@
 
 enum submission_status {
 	SUBMISSION_OK,
+	/** Lines are left. */
+	SUBMISSION_MORE,
 	/** The message names the line. */
 	SUBMISSION_BAD_LINE,
 	SUBMISSION_EMPTY,
 	SUBMISSION_TOO_LARGE,
 };
 
-/** Parses a body; on a fault nothing of it is kept and a message is set. */
-enum submission_status submission_parse(
-	const struct submission_options *options,
-	struct submission *submission);
+struct submission_parser;
 
-void submission_clear(struct submission *submission);
+/** Makes a parser; the options' strings must outlive it. */
+struct submission_parser *submission_parser_create(
+	const struct submission_options *options);
+
+/** Parses up to max_lines; a message is set on a fault. */
+enum submission_status submission_parser_step(struct submission_parser *parser,
+					      unsigned max_lines);
+
+/** The submission; whole once a step has returned SUBMISSION_OK. */
+const struct submission *submission_parser_result(
+	const struct submission_parser *parser);
+
+void submission_parser_destroy(struct submission_parser *parser);
 
 #endif
