Let renewals follow a shard to its next owner

Cause: an agent renewed with the entry that had granted, so that each hand-over of a shard voided what was in flight; and a renewal of a grant whose outcome was queued but not durable was answered as void, upon which the agent dropped the only copy of the outcome.

Renewals now go to the present owner, which adopts the grant; an entry that doesn't own the shard says so instead of voiding. Changes the agent's batch task for this.

--- a/briarplankd/agent/batch.c
+++ b/briarplankd/agent/batch.c
@@ -310,20 +310,56 @@
 	}
 }
 
+static bool is_listed(const struct item *item, Briarplank__GrantRef **refs,
+		      size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		if (refs[i]->grant_id == item->grant->grant_id &&
+		    refs[i]->shard == item->grant->shard)
+			return true;
+	}
+	return false;
+}
+
 static void extend_leases(struct batch *batch, const struct owner *owner,
-			  uint32_t lease_ms)
+			  const Briarplank__RenewResult *result)
 {
-	uint64_t until = owner->renew_sent_us + (uint64_t)lease_ms * 1000;
+	uint64_t until =
+		owner->renew_sent_us + (uint64_t)result->lease_ms * 1000;
 	struct list *pos;
 
 	list_for_each (pos, &batch->items) {
 		struct item *item = list_entry(pos, struct item, link);
 
-		if (!strcmp(item->owner, owner->name))
+		if (!strcmp(item->owner, owner->name) &&
+		    !is_listed(item, result->not_owned, result->n_not_owned))
 			item->lease_until_us = MAX(item->lease_until_us, until);
 	}
 }
 
+/* Renewals go to who owns the shard now, which may adopt the grant. */
+static void follow_owners(struct batch *batch)
+{
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+		const char *name =
+			node_shard_owner(batch->task.node, item->grant->shard);
+		struct owner *owner;
+
+		if (!name || !strcmp(name, item->owner))
+			continue;
+		g_free(item->owner);
+		item->owner = g_strdup(name);
+		owner = owner_find(batch, name);
+		owner->renew_sent_us = 0;
+		owner->renew_after_ms = 0;
+	}
+}
+
 static void on_renew_result(void *ctx, const Briarplank__Envelope *env)
 {
 	struct batch *batch = ctx;
@@ -334,7 +370,7 @@
 	counter_add(batch->voided, result->n_revoked);
 	drop_refs(batch, result->revoked, result->n_revoked);
 	if (owner->renew_sent_us && result->lease_ms)
-		extend_leases(batch, owner, result->lease_ms);
+		extend_leases(batch, owner, result);
 	owner->renew_sent_us = 0;
 	gate_schedule(batch->gate);
 }
@@ -543,6 +579,7 @@
 	gate_wake(batch->gate);
 	drop_lapsed(batch);
 	learn_owners(batch);
+	follow_owners(batch);
 	renew_all(batch);
 	complete(batch);
 	pull(batch);
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -336,18 +336,22 @@
 	size_t i;
 
 	result.revoked = g_new(Briarplank__GrantRef *, renew->n_grants + 1);
+	result.not_owned = g_new(Briarplank__GrantRef *, renew->n_grants + 1);
 	result.lease_ms = LEDGER_LEASE_MS;
 	for (i = 0; i < renew->n_grants; i++) {
 		Briarplank__GrantRef *ref = renew->grants[i];
 		struct ledger *ledger = ledger_task_owned(task, ref->shard);
 
-		if (!ledger || !ledger_renew(ledger, ref, env->sender, now))
+		if (!ledger)
+			result.not_owned[result.n_not_owned++] = ref;
+		else if (!ledger_renew(ledger, ref, env->sender, now))
 			result.revoked[result.n_revoked++] = ref;
 	}
 	reply.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
 	reply.renew_result = &result;
 	send_to(task, env->sender, &reply);
 	g_free(result.revoked);
+	g_free(result.not_owned);
 }
 
 /* Outcomes of one message and shard that wait to be durable. */
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -384,7 +384,12 @@
 	uint32_t item;
 
 	job = grant_target(ledger, ref->grant_id, &item);
-	if (!job || job->cancelled_ms || job->items[item].flags & ITEM_GRANTED)
+	if (!job || job->cancelled_ms)
+		return false;
+	/* The agent keeps its outcome until that is durable. */
+	if (job->items[item].flags & ITEM_ENDING)
+		return true;
+	if (job->items[item].flags & ITEM_GRANTED)
 		return false;
 	if (job->items[item].state == ITEM_INTENT) {
 		intent = g_hash_table_lookup(job->intents,
--- a/wire/batch.pb-c.c
+++ b/wire/batch.pb-c.c
@@ -1299,7 +1299,7 @@
   (ProtobufCMessageInit) briarplank__renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__renew_result__field_descriptors[2] =
+static const ProtobufCFieldDescriptor briarplank__renew_result__field_descriptors[3] =
 {
   {
     "revoked",
@@ -1325,15 +1325,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_owned",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__RenewResult, n_not_owned),
+    offsetof(Briarplank__RenewResult, not_owned),
+    &briarplank__grant_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__renew_result__field_indices_by_name[] = {
   1,   /* field[1] = lease_ms */
+  2,   /* field[2] = not_owned */
   0,   /* field[0] = revoked */
 };
 static const ProtobufCIntRange briarplank__renew_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor briarplank__renew_result__descriptor =
 {
@@ -1343,7 +1356,7 @@
   "Briarplank__RenewResult",
   "briarplank",
   sizeof(Briarplank__RenewResult),
-  2,
+  3,
   briarplank__renew_result__field_descriptors,
   briarplank__renew_result__field_indices_by_name,
   1,  briarplank__renew_result__number_ranges,
--- a/wire/batch.pb-c.h
+++ b/wire/batch.pb-c.h
@@ -173,10 +173,15 @@
   size_t n_revoked;
   Briarplank__GrantRef **revoked;
   uint32_t lease_ms;
+  /*
+   * Grants of shards that the sender does not own: neither renewed nor void.
+   */
+  size_t n_not_owned;
+  Briarplank__GrantRef **not_owned;
 };
 #define BRIARPLANK__RENEW_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__renew_result__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL }
 
 
 struct  Briarplank__ItemOutcome
