Prove the ledger's fold with scripted streams

Grants and intents now carry their epoch. - A grant that became void while its intent was written was still sent.

--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -110,14 +110,22 @@
 	g_free(grants);
 }
 
-/* Takes back what can't be sent, if the shard is still ours. */
+/* A grant may have become void before it could be sent. */
+static bool still_live(const struct pull_grant *grant)
+{
+	struct ledger *ledger =
+		ledger_task_owned(grant->pull->task, grant->shard);
+
+	return ledger &&
+	       ledger_grant_live(ledger, grant->out.grant_id, grant->epoch);
+}
+
+/* Takes back what can't be sent. */
 static void take_back(struct pull_grant *grant)
 {
 	struct ledger_task *task = grant->pull->task;
-	struct ledger *ledger = ledger_task_owned(task, grant->shard);
+	struct ledger *ledger = shard_ledger(task->shards[grant->shard]);
 
-	if (!ledger || ledger_epoch(ledger) != grant->epoch)
-		return;
 	ledger_ungrant(ledger, grant->out.grant_id);
 	shard_kick(task->shards[grant->shard]);
 }
@@ -150,7 +158,9 @@
 		struct pull_grant *grant =
 			&g_array_index(pull->grants, struct pull_grant, i);
 
-		if (!grant->ready)
+		if (!still_live(grant))
+			grant->ready = false;
+		else if (!grant->ready)
 			take_back(grant);
 	}
 	send_grants(pull);
--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -9,6 +9,8 @@
 
 #define PART "ledger"
 
+/* Time after a takeover in which agents renew what they hold, in ms. */
+#define ADOPT_MS 1500
 /* Size at which an append is closed, in bytes. */
 #define APPEND_BYTES (1 << 20)
 /* Queued records above which nothing more is granted, in bytes. */
@@ -117,6 +119,7 @@
 		.self = settings->name,
 		.incarnation = shard->options.node->incarnation,
 		.lease_ms = shard->options.lease_ms,
+		.adopt_ms = ADOPT_MS,
 		.outbox_max_bytes = OUTBOX_MAX_BYTES,
 	};
 
--- a/core/ledger_checkpoint.c
+++ b/core/ledger_checkpoint.c
@@ -124,12 +124,14 @@
 			     g_hash_table_size(job->intents) + 1);
 	g_hash_table_iter_init(&iter, job->intents);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct ledger_intent *open = value;
 		Briarplank__CheckpointIntent *intent =
 			g_new(Briarplank__CheckpointIntent, 1);
 
 		briarplank__checkpoint_intent__init(intent);
 		intent->item = GPOINTER_TO_UINT(key);
-		intent->grant_id = *(uint64_t *)value;
+		intent->grant_id = open->grant_id;
+		intent->epoch = open->epoch;
 		out->intents[out->n_intents++] = intent;
 	}
 }
@@ -333,10 +335,15 @@
 {
 	size_t i;
 
-	for (i = 0; i < in->n_intents; i++)
-		g_hash_table_insert(
-			job->intents, GUINT_TO_POINTER(in->intents[i]->item),
-			g_memdup2(&in->intents[i]->grant_id, sizeof(uint64_t)));
+	for (i = 0; i < in->n_intents; i++) {
+		struct ledger_intent *open = g_new(struct ledger_intent, 1);
+
+		open->grant_id = in->intents[i]->grant_id;
+		open->epoch = in->intents[i]->epoch;
+		g_hash_table_insert(job->intents,
+				    GUINT_TO_POINTER(in->intents[i]->item),
+				    open);
+	}
 }
 
 static bool load_job(struct ledger *ledger, const Briarplank__CheckpointJob *in)
--- a/core/ledger_fold.c
+++ b/core/ledger_fold.c
@@ -240,15 +240,15 @@
 {
 	struct ledger_job *job =
 		find_item(ledger, intent->job_id, intent->item);
-	uint64_t *grant_id;
+	struct ledger_intent *open;
 
 	if (!job || job->items[intent->item].state != ITEM_WAITING)
 		return;
 	ledger_item_set(job, intent->item, ITEM_INTENT);
-	grant_id = g_new(uint64_t, 1);
-	*grant_id = intent->grant_id;
-	g_hash_table_insert(job->intents, GUINT_TO_POINTER(intent->item),
-			    grant_id);
+	open = g_new(struct ledger_intent, 1);
+	open->grant_id = intent->grant_id;
+	open->epoch = ledger->epoch;
+	g_hash_table_insert(job->intents, GUINT_TO_POINTER(intent->item), open);
 }
 
 static enum ledger_item_state end_state(Briarplank__ItemEnded__State state)
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -39,6 +39,33 @@
 	return g_hash_table_lookup(ledger->grants_by_id, &id);
 }
 
+/* Finds the grant that an agent means: ids repeat in another epoch. */
+static struct ledger_grant *grant_of_ref(const struct ledger *ledger,
+					 const Briarplank__GrantRef *ref)
+{
+	struct ledger_grant *grant = grant_find(ledger, ref->grant_id);
+
+	return grant && grant->epoch == ref->epoch ? grant : NULL;
+}
+
+static bool intent_of_ref(const struct ledger_job *job, uint32_t item,
+			  const Briarplank__GrantRef *ref)
+{
+	const struct ledger_intent *intent =
+		g_hash_table_lookup(job->intents, GUINT_TO_POINTER(item));
+
+	return intent && intent->grant_id == ref->grant_id &&
+	       intent->epoch == ref->epoch;
+}
+
+bool ledger_grant_live(const struct ledger *ledger, uint64_t grant_id,
+		       uint64_t epoch)
+{
+	const struct ledger_grant *grant = grant_find(ledger, grant_id);
+
+	return grant && grant->epoch == epoch;
+}
+
 struct ledger_grant *ledger_grant_of(struct ledger *ledger,
 				     const struct ledger_job *job,
 				     uint32_t item)
@@ -102,7 +129,7 @@
 	       !(item->flags & (ITEM_GRANTED | ITEM_ENDING));
 }
 
-/* Items that an earlier owner may have granted wait for its leases to lapse. */
+/* Items that an earlier owner may have granted wait for agents to renew. */
 static void release_held(struct ledger_job *job, uint64_t now_ms)
 {
 	uint32_t i;
@@ -337,14 +364,12 @@
 			   const Briarplank__ItemOutcome *outcome, bool current)
 {
 	const struct ledger_item *it = &job->items[item];
-	const uint64_t *intent;
 
 	if (it->flags & ITEM_IDEMPOTENT)
 		return current ||
 		       outcome->result ==
 			       BRIARPLANK__ITEM_OUTCOME__RESULT__DONE;
-	intent = g_hash_table_lookup(job->intents, GUINT_TO_POINTER(item));
-	return intent && *intent == outcome->grant->grant_id;
+	return intent_of_ref(job, item, outcome->grant);
 }
 
 enum ledger_status ledger_complete(struct ledger *ledger,
@@ -363,7 +388,7 @@
 		return LEDGER_OK;
 	if (job->items[item].flags & ITEM_ENDING)
 		return LEDGER_QUEUED;
-	grant = grant_find(ledger, id);
+	grant = grant_of_ref(ledger, outcome->grant);
 	if (!outcome_counts(job, item, outcome, grant != NULL))
 		return LEDGER_VOID_GRANT;
 	other = ledger_grant_of(ledger, job, item);
@@ -380,7 +405,6 @@
 		  const char *agent, uint64_t now_ms)
 {
 	struct ledger_job *job;
-	const uint64_t *intent;
 	uint32_t item;
 
 	job = grant_target(ledger, ref->grant_id, &item);
@@ -392,9 +416,7 @@
 	if (job->items[item].flags & ITEM_GRANTED)
 		return false;
 	if (job->items[item].state == ITEM_INTENT) {
-		intent = g_hash_table_lookup(job->intents,
-					     GUINT_TO_POINTER(item));
-		if (!intent || *intent != ref->grant_id)
+		if (!intent_of_ref(job, item, ref))
 			return false;
 	} else if (!item_free(&job->items[item]) ||
 		   !(job->items[item].flags & ITEM_IDEMPOTENT) ||
@@ -409,7 +431,7 @@
 bool ledger_renew(struct ledger *ledger, const Briarplank__GrantRef *ref,
 		  const char *agent, uint64_t now_ms)
 {
-	struct ledger_grant *grant = grant_find(ledger, ref->grant_id);
+	struct ledger_grant *grant = grant_of_ref(ledger, ref);
 
 	if (!ledger_owned(ledger))
 		return false;
@@ -525,7 +547,7 @@
 
 		job->frontier = job_frontier(job);
 		job->cursor = job->frontier;
-		job->held_until_ms = now_ms + ledger->options.lease_ms;
+		job->held_until_ms = now_ms + ledger->options.adopt_ms;
 		g_queue_clear(&job->retry);
 		watch_intents(job, now_ms);
 	}
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -78,6 +78,11 @@
 	uint64_t incarnation;
 	/** Time for which a grant holds unless renewed. */
 	uint32_t lease_ms;
+	/**
+	 * Time after a takeover in which agents renew what they hold, before
+	 * items that may be in flight are granted again.
+	 */
+	uint32_t adopt_ms;
 	/** Bytes of queued records above which nothing more is granted. */
 	size_t outbox_max_bytes;
 };
@@ -160,7 +165,7 @@
 /** Packs a claim on the shard, or its release. */
 GByteArray *ledger_pack_claim(const struct ledger *ledger, bool release);
 
-/** Begins to grant after a takeover; what may be in flight waits a lease. */
+/** Begins to grant after a takeover; what may be in flight waits adopt_ms. */
 void ledger_take_over(struct ledger *ledger, uint64_t now_ms);
 
 /** Packs the next append of queued records; NULL when there is none. */
@@ -213,6 +218,9 @@
 		  uint64_t now_ms, struct ledger_grant_out *out);
 /** Tells whether a job has an item that may be granted now. */
 bool ledger_grantable(struct ledger_job *job, bool alone, uint64_t now_ms);
+/** Tells whether a grant is in force, such as before it is sent. */
+bool ledger_grant_live(const struct ledger *ledger, uint64_t grant_id,
+		       uint64_t epoch);
 /** Takes back a grant that was never sent. */
 void ledger_ungrant(struct ledger *ledger, uint64_t grant_id);
 /** Renews a lease, or adopts a grant of an earlier owner. */
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -81,7 +81,7 @@
 	uint32_t counts[LEDGER_ITEM_STATES];
 	/** Only the name is left. */
 	bool expired;
-	/** Grant ids of open intents, by item. */
+	/** Open intents (struct ledger_intent) by item. */
 	GHashTable *intents;
 
 	/** Volatile: first item that may never have been granted. */
@@ -117,6 +117,13 @@
 	uint64_t claimed_ms;
 };
 
+/** A grant of a non-idempotent item that may be running. */
+struct ledger_intent {
+	uint64_t grant_id;
+	/** Grant ids repeat in another epoch. */
+	uint64_t epoch;
+};
+
 struct ledger_grant {
 	struct list link;
 	uint64_t id;
--- /dev/null
+++ b/tests/test_ledger.c
@@ -0,0 +1,643 @@
+/*
+ * A ledger shard under faults: several nodes read and write one stream, and
+ * appends can be lost, late, repeated or trimmed.
+ *
+ *   node N [incarnation=I]        makes a node that knows nothing
+ *   claim|release N               packs and appends a claim
+ *   chunk JOB i=I first=F items=a,b [once] [sub=S]
+ *   seal N JOB items=K [sub=S] [caller=C] [service=S] [due=T] [keep=T]
+ *   cancel N JOB | key N KEY REQUEST [content]
+ *   flush N [hold]                appends queued records, or only packs them
+ *   late N [again]                appends what was held, and keeps it on again
+ *   read N                        folds what is new in the stream
+ *   takeover N | expire N | time MS
+ *   pull N AGENT [n=K] [alone] [service=S]
+ *   done|failed|lost|notrun|renew N AGENT GRANT
+ *   checkpoint N | restore N | trim OFFSET | sweep N
+ *   show N | compare N N | results N JOB
+ */
+#include <string.h>
+
+#include "core/ledger_schedule.h"
+#include "core/ledger_state.h"
+#include "script.h"
+
+#define LEASE_MS 1000
+#define ADOPT_MS 500
+#define ATTEMPTS_MAX 3
+#define NAMES_MAX 16
+
+struct node {
+	char *name;
+	uint64_t incarnation;
+	struct ledger *ledger;
+	GByteArray *held;
+};
+
+struct world {
+	/* Of GByteArray; the record at offset n stands at n - 1. */
+	GPtrArray *log;
+	uint64_t first_offset;
+	GHashTable *nodes;
+	struct ledger_schedule *schedule;
+	/* Grants by label g1, g2, ... */
+	GArray *grants;
+	uint64_t now_ms;
+};
+
+static void bytes_free(gpointer data)
+{
+	if (data)
+		g_byte_array_unref(data);
+}
+
+static void node_free(gpointer data)
+{
+	struct node *node = data;
+
+	ledger_destroy(node->ledger);
+	bytes_free(node->held);
+	g_free(node->name);
+	g_free(node);
+}
+
+static void *world_create(void)
+{
+	struct ledger_schedule_options options = { 300, 60000 };
+	struct world *world = g_new0(struct world, 1);
+
+	world->log = g_ptr_array_new_with_free_func(bytes_free);
+	world->first_offset = 1;
+	world->nodes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+	world->schedule = ledger_schedule_create(&options);
+	world->grants = g_array_new(FALSE, FALSE, sizeof(Briarplank__GrantRef));
+	world->now_ms = 1000;
+	return world;
+}
+
+static void world_destroy(void *state)
+{
+	struct world *world = state;
+
+	g_hash_table_destroy(world->nodes);
+	g_ptr_array_free(world->log, TRUE);
+	ledger_schedule_destroy(world->schedule);
+	g_array_free(world->grants, TRUE);
+	g_free(world);
+}
+
+static struct ledger *ledger_new(const struct node *node)
+{
+	struct ledger_options options = {
+		.self = node->name,
+		.incarnation = node->incarnation,
+		.lease_ms = LEASE_MS,
+		.adopt_ms = ADOPT_MS,
+		.outbox_max_bytes = 1 << 20,
+	};
+
+	return ledger_create(&options);
+}
+
+static void node_add(struct world *world, int argc, char **argv)
+{
+	struct node *node = g_new0(struct node, 1);
+
+	node->name = g_strdup(argv[1]);
+	node->incarnation = script_arg_int(argc, argv, "incarnation", 1);
+	node->ledger = ledger_new(node);
+	g_hash_table_replace(world->nodes, node->name, node);
+}
+
+static struct node *node_get(struct world *world, const char *name)
+{
+	struct node *node = g_hash_table_lookup(world->nodes, name);
+
+	g_assert(node);
+	return node;
+}
+
+static uint64_t append(struct world *world, GByteArray *bytes, GString *out)
+{
+	g_ptr_array_add(world->log, bytes);
+	if (out)
+		g_string_append_printf(out, "at %u\n", world->log->len);
+	return world->log->len;
+}
+
+static void make_id(const char *name, uint8_t out[HASH128_BYTES])
+{
+	hash128_pair("", name, out);
+}
+
+static ProtobufCBinaryData field(uint8_t *id)
+{
+	ProtobufCBinaryData data = { HASH128_BYTES, id };
+
+	return data;
+}
+
+static bool has(int argc, char **argv, const char *word)
+{
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		if (!strcmp(argv[i], word))
+			return true;
+	}
+	return false;
+}
+
+static void chunk_add(struct world *world, int argc, char **argv, GString *out)
+{
+	Briarplank__ShardAppend message = BRIARPLANK__SHARD_APPEND__INIT;
+	Briarplank__JobChunk chunk = BRIARPLANK__JOB_CHUNK__INIT;
+	Briarplank__JobItem items[NAMES_MAX];
+	Briarplank__JobItem *list[NAMES_MAX];
+	char **names = g_strsplit(script_arg(argc, argv, "items", ""), ",", 0);
+	uint8_t job[HASH128_BYTES], submission[HASH128_BYTES];
+	GByteArray *bytes = g_byte_array_new();
+
+	make_id(argv[1], job);
+	make_id(script_arg(argc, argv, "sub", "s"), submission);
+	chunk.job_id = field(job);
+	chunk.submission_id = field(submission);
+	chunk.index = script_arg_int(argc, argv, "i", 0);
+	chunk.first_item = script_arg_int(argc, argv, "first", 0);
+	for (; names[chunk.n_items]; chunk.n_items++) {
+		Briarplank__JobItem *item = &items[chunk.n_items];
+
+		briarplank__job_item__init(item);
+		item->id = names[chunk.n_items];
+		item->idempotent = !has(argc, argv, "once");
+		list[chunk.n_items] = item;
+	}
+	chunk.items = list;
+	message.chunk = &chunk;
+	g_byte_array_set_size(
+		bytes, briarplank__shard_append__get_packed_size(&message));
+	briarplank__shard_append__pack(&message, bytes->data);
+	append(world, bytes, out);
+	g_strfreev(names);
+}
+
+static const char *const statuses[] = {
+	[LEDGER_OK] = "ok",
+	[LEDGER_QUEUED] = "queued",
+	[LEDGER_CONFLICT] = "conflict",
+	[LEDGER_UNKNOWN_JOB] = "unknown job",
+	[LEDGER_EXPIRED] = "expired",
+	[LEDGER_NOT_OWNER] = "not owner",
+	[LEDGER_BAD_SUBMISSION] = "bad submission",
+	[LEDGER_OVERLOADED] = "overloaded",
+	[LEDGER_VOID_GRANT] = "void grant",
+};
+
+static void say(GString *out, enum ledger_status status)
+{
+	g_string_append_printf(out, "%s\n", statuses[status]);
+}
+
+static void seal(struct world *world, int argc, char **argv, GString *out)
+{
+	Briarplank__SealJob message = BRIARPLANK__SEAL_JOB__INIT;
+	uint8_t job[HASH128_BYTES], submission[HASH128_BYTES];
+
+	make_id(argv[2], job);
+	make_id(script_arg(argc, argv, "sub", "s"), submission);
+	message.job_id = field(job);
+	message.submission_id = field(submission);
+	message.content_hash = field(submission);
+	message.name = argv[2];
+	message.caller = (char *)script_arg(argc, argv, "caller", "desk");
+	message.service = (char *)script_arg(argc, argv, "service", "claims");
+	message.items = script_arg_int(argc, argv, "items", 0);
+	message.due_ms = script_arg_int(argc, argv, "due", 0);
+	message.keep_ms = script_arg_int(argc, argv, "keep", 100000);
+	say(out, ledger_seal(node_get(world, argv[1])->ledger, &message,
+			     world->now_ms));
+}
+
+static void cancel(struct world *world, char **argv, GString *out)
+{
+	uint8_t job[HASH128_BYTES];
+
+	make_id(argv[2], job);
+	say(out, ledger_cancel(node_get(world, argv[1])->ledger, field(job),
+			       world->now_ms));
+}
+
+static const char *const key_codes[] = { "won", "lost", "conflict", "not yet" };
+
+static void claim_key(struct world *world, int argc, char **argv, GString *out)
+{
+	Briarplank__ClaimKey message = BRIARPLANK__CLAIM_KEY__INIT;
+	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	uint8_t key[HASH128_BYTES], content[HASH128_BYTES];
+	enum ledger_status status;
+	const char *winner;
+
+	make_id(argv[2], key);
+	make_id(argc > 4 ? argv[4] : "content", content);
+	message.key_hash = field(key);
+	message.content_hash = field(content);
+	message.request_id = argv[3];
+	status = ledger_claim_key(ledger, &message, world->now_ms);
+	if (status == LEDGER_OK)
+		g_string_append_printf(out, "%s\n",
+				       key_codes[ledger_key_result(
+					       ledger, &message, &winner)]);
+	else
+		say(out, status);
+}
+
+static void flush(struct world *world, int argc, char **argv, GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	GByteArray *bytes = ledger_next_append(node->ledger, 1 << 20);
+
+	if (!bytes) {
+		g_string_append(out, "nothing\n");
+	} else if (has(argc, argv, "hold")) {
+		bytes_free(node->held);
+		node->held = bytes;
+	} else {
+		append(world, bytes, out);
+	}
+}
+
+static void deliver_late(struct world *world, int argc, char **argv,
+			 GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	GByteArray *copy;
+
+	copy = g_byte_array_new();
+	g_byte_array_append(copy, node->held->data, node->held->len);
+	append(world, copy, out);
+	if (has(argc, argv, "again"))
+		return;
+	bytes_free(node->held);
+	node->held = NULL;
+}
+
+static void read_stream(struct world *world, struct node *node, GString *out)
+{
+	uint64_t offset = ledger_position(node->ledger) + 1;
+
+	if (offset < world->first_offset) {
+		ledger_start_headless(node->ledger, world->first_offset);
+		offset = world->first_offset;
+	}
+	for (; offset <= world->log->len; offset++) {
+		const GByteArray *bytes = world->log->pdata[offset - 1];
+		enum ledger_fold_result result;
+
+		result = ledger_fold_bytes(node->ledger, offset, world->now_ms,
+					   bytes->data, bytes->len);
+		if (result != LEDGER_FOLDED && out)
+			g_string_append_printf(
+				out, "%" G_GUINT64_FORMAT " %s\n", offset,
+				ledger_fold_text(result));
+	}
+}
+
+static void print_grant(struct world *world, const struct ledger *ledger,
+			const struct ledger_grant_out *grant, GString *out)
+{
+	Briarplank__GrantRef ref = BRIARPLANK__GRANT_REF__INIT;
+	struct ledger_job *job =
+		ledger_find(ledger, field((uint8_t *)grant->job_id));
+
+	ref.epoch = ledger_epoch(ledger);
+	ref.grant_id = grant->grant_id;
+	g_array_append_val(world->grants, ref);
+	g_string_append_printf(out, "g%u %s/%u attempt %u%s%s\n",
+			       world->grants->len, job->name, grant->item,
+			       grant->attempt, grant->alone ? " alone" : "",
+			       grant->mark ? " after its intent" : "");
+}
+
+static void pull(struct world *world, int argc, char **argv, GString *out)
+{
+	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	const char *service = script_arg(argc, argv, "service", "claims");
+	int64_t nr = script_arg_int(argc, argv, "n", 1);
+	bool alone = has(argc, argv, "alone");
+
+	while (nr-- > 0) {
+		struct ledger_grant_out grant;
+		struct ledger_job *job = ledger_schedule_choose(
+			world->schedule, &ledger, 1, service, alone,
+			world->now_ms, world->now_ms);
+
+		if (!job ||
+		    !ledger_grant(job, argv[2], alone, world->now_ms, &grant)) {
+			g_string_append(out, "no item\n");
+			return;
+		}
+		ledger_schedule_charge(world->schedule, job, world->now_ms);
+		print_grant(world, ledger, &grant, out);
+	}
+}
+
+static Briarplank__GrantRef *grant_ref(struct world *world, const char *label)
+{
+	guint nr = (guint)g_ascii_strtoull(label + 1, NULL, 10);
+
+	g_assert(nr && nr <= world->grants->len);
+	return &g_array_index(world->grants, Briarplank__GrantRef, nr - 1);
+}
+
+static void complete(struct world *world, char **argv,
+		     Briarplank__ItemOutcome__Result result, GString *out)
+{
+	Briarplank__ItemOutcome outcome = BRIARPLANK__ITEM_OUTCOME__INIT;
+
+	outcome.grant = grant_ref(world, argv[3]);
+	outcome.result = result;
+	outcome.body.data = (uint8_t *)argv[3];
+	outcome.body.len = strlen(argv[3]);
+	outcome.message = "error";
+	say(out, ledger_complete(node_get(world, argv[1])->ledger, &outcome,
+				 ATTEMPTS_MAX, world->now_ms));
+}
+
+static void print_revoked(struct ledger *ledger, GString *out)
+{
+	GPtrArray *revoked = ledger_take_revoked(ledger);
+	guint i;
+
+	for (i = 0; i < revoked->len; i++) {
+		const struct ledger_revoked *entry = revoked->pdata[i];
+
+		if (*entry->agent)
+			g_string_append_printf(out, "revoked from %s\n",
+					       entry->agent);
+	}
+	g_ptr_array_free(revoked, TRUE);
+}
+
+static void show_job(void *ctx, struct ledger_job *job)
+{
+	static const char letters[] = "wiDFCU";
+	GString *out = ctx;
+	uint32_t i;
+
+	g_string_append_printf(out, "%s ", job->name);
+	for (i = 0; i < job->items_nr; i++) {
+		const struct ledger_item *item = &job->items[i];
+		char letter = letters[item->state];
+
+		if (item->flags & ITEM_GRANTED && letter == 'w')
+			letter = 'r';
+		g_string_append_c(out, letter);
+		if (item->attempts && !ledger_item_ended(item))
+			g_string_append_printf(out, "%u", item->attempts);
+		if (item->flags & ITEM_SUSPECT && !ledger_item_ended(item))
+			g_string_append_c(out, '!');
+	}
+	g_string_append(out, "\n");
+}
+
+static void show(struct world *world, char **argv, GString *out)
+{
+	struct ledger *ledger = node_get(world, argv[1])->ledger;
+
+	g_string_append_printf(out,
+			       "epoch %" G_GUINT64_FORMAT
+			       " %s, durable %" G_GUINT64_FORMAT
+			       " of %" G_GUINT64_FORMAT "\n",
+			       ledger_epoch(ledger),
+			       ledger_owned(ledger)  ? "own" :
+			       *ledger_owner(ledger) ? ledger_owner(ledger) :
+						       "free",
+			       ledger_durable(ledger), ledger_queued(ledger));
+	ledger_each_job(ledger, show_job, out);
+}
+
+static bool same_parts(const struct ledger *a, const struct ledger *b)
+{
+	GPtrArray *x = ledger_checkpoint_parts(a);
+	GPtrArray *y = ledger_checkpoint_parts(b);
+	bool same =
+		x->len == y->len && ledger_position(a) == ledger_position(b);
+	guint i;
+
+	for (i = 0; same && i < x->len; i++) {
+		const GByteArray *p = x->pdata[i];
+		const GByteArray *q = y->pdata[i];
+
+		same = p->len == q->len && !memcmp(p->data, q->data, p->len);
+	}
+	g_ptr_array_free(x, TRUE);
+	g_ptr_array_free(y, TRUE);
+	return same;
+}
+
+static void checkpoint(struct world *world, char **argv, GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	GPtrArray *parts = ledger_checkpoint_parts(node->ledger);
+	uint64_t as_of = ledger_position(node->ledger);
+	guint i;
+
+	for (i = 0; i < parts->len; i++) {
+		append(world,
+		       ledger_pack_part(node->ledger, parts->pdata[i], as_of, i,
+					parts->len),
+		       out);
+		read_stream(world, node, out);
+	}
+	g_ptr_array_free(parts, TRUE);
+}
+
+static const Briarplank__CheckpointHint *find_hint(
+	struct world *world, Briarplank__ShardAppend **holder)
+{
+	uint64_t offset;
+
+	for (offset = world->log->len; offset >= world->first_offset;
+	     offset--) {
+		const GByteArray *bytes = world->log->pdata[offset - 1];
+
+		*holder = briarplank__shard_append__unpack(NULL, bytes->len,
+							   bytes->data);
+		if ((*holder)->hint)
+			return (*holder)->hint;
+		briarplank__shard_append__free_unpacked(*holder, NULL);
+	}
+	return NULL;
+}
+
+/* Starts a node from the newest checkpoint that the stream points to. */
+static void restore(struct world *world, char **argv, GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	Briarplank__ShardAppend *holder;
+	const Briarplank__CheckpointHint *hint = find_hint(world, &holder);
+	size_t i;
+
+	if (!hint) {
+		g_string_append(out, "no checkpoint\n");
+		return;
+	}
+	for (i = 0; i < hint->n_part_offsets; i++) {
+		uint64_t offset = hint->part_offsets[i];
+		const GByteArray *bytes = world->log->pdata[offset - 1];
+		Briarplank__ShardAppend *part =
+			briarplank__shard_append__unpack(NULL, bytes->len,
+							 bytes->data);
+
+		g_assert(offset >= world->first_offset);
+		if (!ledger_load_part(node->ledger, part->checkpoint))
+			g_string_append(out, "bad part\n");
+		briarplank__shard_append__free_unpacked(part, NULL);
+	}
+	g_string_append_printf(out, "as of %" G_GUINT64_FORMAT "\n",
+			       hint->as_of_offset);
+	briarplank__shard_append__free_unpacked(holder, NULL);
+	read_stream(world, node, out);
+}
+
+static void results(struct world *world, char **argv, GString *out)
+{
+	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	GArray *places =
+		g_array_new(FALSE, FALSE, sizeof(struct ledger_result_place));
+	uint8_t id[HASH128_BYTES];
+	struct ledger_job *job;
+	bool more;
+	guint i;
+
+	make_id(argv[2], id);
+	job = ledger_find(ledger, field(id));
+	g_assert(job);
+	if (ledger_job_status(job, world->now_ms) == LEDGER_EXPIRED)
+		g_string_append(out, "expired\n");
+	ledger_results(job, 0, places, 100, &more);
+	for (i = 0; i < places->len; i++) {
+		const struct ledger_result_place *place =
+			&g_array_index(places, struct ledger_result_place, i);
+
+		g_string_append_printf(out,
+				       "%u %s id at %" G_GUINT64_FORMAT
+				       "/%u result at %" G_GUINT64_FORMAT "\n",
+				       place->item,
+				       ledger_item_status(place->state),
+				       place->body_offset, place->body_index,
+				       place->result_offset);
+	}
+	g_array_free(places, TRUE);
+}
+
+/* Commands that name a node first. */
+static void node_command(struct world *world, int argc, char **argv,
+			 GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	struct ledger *ledger = node->ledger;
+
+	if (!strcmp(*argv, "claim"))
+		append(world, ledger_pack_claim(ledger, false), out);
+	else if (!strcmp(*argv, "release"))
+		append(world, ledger_pack_claim(ledger, true), out);
+	else if (!strcmp(*argv, "seal"))
+		seal(world, argc, argv, out);
+	else if (!strcmp(*argv, "cancel"))
+		cancel(world, argv, out);
+	else if (!strcmp(*argv, "key"))
+		claim_key(world, argc, argv, out);
+	else if (!strcmp(*argv, "flush"))
+		flush(world, argc, argv, out);
+	else if (!strcmp(*argv, "late"))
+		deliver_late(world, argc, argv, out);
+	else if (!strcmp(*argv, "read"))
+		read_stream(world, node, out);
+	else if (!strcmp(*argv, "takeover"))
+		ledger_take_over(ledger, world->now_ms);
+	else if (!strcmp(*argv, "expire"))
+		ledger_expire(ledger, ATTEMPTS_MAX, world->now_ms,
+			      world->now_ms);
+	else if (!strcmp(*argv, "sweep"))
+		ledger_sweep(ledger, world->now_ms);
+	else if (!strcmp(*argv, "pull"))
+		pull(world, argc, argv, out);
+	else if (!strcmp(*argv, "renew"))
+		g_string_append_printf(out, "%s\n",
+				       ledger_renew(ledger,
+						    grant_ref(world, argv[3]),
+						    argv[2], world->now_ms) ?
+					       "renewed" :
+					       "void");
+	else if (!strcmp(*argv, "checkpoint"))
+		checkpoint(world, argv, out);
+	else if (!strcmp(*argv, "restore"))
+		restore(world, argv, out);
+	else if (!strcmp(*argv, "show"))
+		show(world, argv, out);
+	else if (!strcmp(*argv, "results"))
+		results(world, argv, out);
+	else
+		g_string_append_printf(out, "no command %s\n", *argv);
+	print_revoked(ledger, out);
+}
+
+static const struct {
+	const char *name;
+	Briarplank__ItemOutcome__Result result;
+} outcomes[] = {
+	{ "done", BRIARPLANK__ITEM_OUTCOME__RESULT__DONE },
+	{ "failed", BRIARPLANK__ITEM_OUTCOME__RESULT__FAILED },
+	{ "notrun", BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN },
+	{ "lost", BRIARPLANK__ITEM_OUTCOME__RESULT__LOST },
+};
+
+static bool outcome_command(struct world *world, char **argv, GString *out)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		if (strcmp(*argv, outcomes[i].name))
+			continue;
+		complete(world, argv, outcomes[i].result, out);
+		return true;
+	}
+	return false;
+}
+
+static void command(void *state, int argc, char **argv, GString *out)
+{
+	struct world *world = state;
+
+	if (!strcmp(*argv, "node"))
+		node_add(world, argc, argv);
+	else if (!strcmp(*argv, "chunk"))
+		chunk_add(world, argc, argv, out);
+	else if (!strcmp(*argv, "time"))
+		world->now_ms += g_ascii_strtoull(argv[1], NULL, 10);
+	else if (!strcmp(*argv, "trim"))
+		world->first_offset = g_ascii_strtoull(argv[1], NULL, 10);
+	else if (!strcmp(*argv, "compare"))
+		g_string_append_printf(
+			out, "%s\n",
+			same_parts(node_get(world, argv[1])->ledger,
+				   node_get(world, argv[2])->ledger) ?
+				"equal" :
+				"different");
+	else if (!outcome_command(world, argv, out))
+		node_command(world, argc, argv, out);
+}
+
+static const struct script_driver driver = {
+	.name = "ledger",
+	.create = world_create,
+	.destroy = world_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
--- a/wire/ledger.pb-c.c
+++ b/wire/ledger.pb-c.c
@@ -2135,7 +2135,7 @@
   (ProtobufCMessageInit) briarplank__checkpoint_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__checkpoint_intent__field_descriptors[2] =
+static const ProtobufCFieldDescriptor briarplank__checkpoint_intent__field_descriptors[3] =
 {
   {
     "item",
@@ -2161,15 +2161,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointIntent, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__checkpoint_intent__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
   1,   /* field[1] = grant_id */
   0,   /* field[0] = item */
 };
 static const ProtobufCIntRange briarplank__checkpoint_intent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor briarplank__checkpoint_intent__descriptor =
 {
@@ -2179,7 +2192,7 @@
   "Briarplank__CheckpointIntent",
   "briarplank",
   sizeof(Briarplank__CheckpointIntent),
-  2,
+  3,
   briarplank__checkpoint_intent__field_descriptors,
   briarplank__checkpoint_intent__field_indices_by_name,
   1,  briarplank__checkpoint_intent__number_ranges,
--- a/wire/ledger.pb-c.h
+++ b/wire/ledger.pb-c.h
@@ -313,10 +313,11 @@
   ProtobufCMessage base;
   uint32_t item;
   uint64_t grant_id;
+  uint64_t epoch;
 };
 #define BRIARPLANK__CHECKPOINT_INTENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_intent__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Briarplank__CheckpointJob
