Test jobs with whole processes

Items whose outcome is queued now count as running: they stood as waiting, so that a job of which all items had been granted seemed to have ungranted ones. The plain stand-in counts runs by body, to find what ran twice.

--- a/core/ledger.c
+++ b/core/ledger.c
@@ -267,6 +267,16 @@
 	list_remove(&job->open_link);
 }
 
+void ledger_item_set_ending(struct ledger_job *job, uint32_t item, bool ending)
+{
+	struct ledger_item *it = &job->items[item];
+
+	if (!(it->flags & ITEM_ENDING) == !ending)
+		return;
+	it->flags ^= ITEM_ENDING;
+	job->ending += ending ? 1 : -1;
+}
+
 /* A set of chunks lapses by the stream's own time, the same for all readers. */
 struct ledger_submission *ledger_submission_find(struct ledger *ledger,
 						 ProtobufCBinaryData id)
--- a/core/ledger_fold.c
+++ b/core/ledger_fold.c
@@ -204,6 +204,7 @@
 
 	if (grant)
 		ledger_grant_revoke(job->ledger, grant);
+	ledger_item_set_ending(job, item, false);
 	job->items[item].flags &= ITEM_DURABLE_FLAGS;
 	ledger_item_set(job, item, state);
 }
@@ -304,7 +305,7 @@
 	item->attempts = MIN(attempt->attempts, UINT8_MAX);
 	if (attempt->killed_server)
 		item->flags |= ITEM_SUSPECT;
-	item->flags &= ~ITEM_ENDING;
+	ledger_item_set_ending(job, attempt->item, false);
 	ledger_item_set(job, attempt->item, ITEM_WAITING);
 	ledger_item_requeue(job, attempt->item);
 }
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -258,7 +258,7 @@
 	attempt->attempts = attempts;
 	attempt->killed_server = killed;
 	record->attempt = attempt;
-	job->items[item].flags |= ITEM_ENDING;
+	ledger_item_set_ending(job, item, true);
 	ledger_queue(job->ledger, record);
 }
 
--- a/core/ledger_records.c
+++ b/core/ledger_records.c
@@ -73,7 +73,7 @@
 	ended->error = g_strdup(error);
 	ended->ended_ms = wall_ms;
 	record->ended = ended;
-	job->items[item].flags |= ITEM_ENDING;
+	ledger_item_set_ending(job, item, true);
 	ledger_queue(job->ledger, record);
 }
 
@@ -198,6 +198,7 @@
 	g_queue_clear(&job->retry);
 	job->cursor = 0;
 	job->granted = 0;
+	job->ending = 0;
 	job->held_until_ms = 0;
 	job->frontier = 0;
 	job->cancel_queued = false;
--- a/core/ledger_requests.c
+++ b/core/ledger_requests.c
@@ -225,8 +225,8 @@
 		      Briarplank__JobState *state)
 {
 	uint32_t waiting = job->counts[ITEM_WAITING];
-	uint32_t running =
-		MIN(job->granted, waiting + job->counts[ITEM_INTENT]);
+	uint32_t running = MIN(job->granted + job->ending,
+			       waiting + job->counts[ITEM_INTENT]);
 
 	briarplank__job_state__init(state);
 	state->job_id.data = (uint8_t *)job->id;
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -89,6 +89,8 @@
 	/** Volatile: items that wait for another attempt. */
 	GQueue retry;
 	uint32_t granted;
+	/** Volatile: items with a queued record that ends an attempt. */
+	uint32_t ending;
 	/** Volatile: items below the frontier wait until this time. */
 	uint64_t held_until_ms;
 	uint32_t frontier;
@@ -227,6 +229,8 @@
 				     const struct ledger_job *job,
 				     uint32_t item);
 uint64_t ledger_grant_id(const struct ledger_job *job, uint32_t item);
+/** Notes that a record on the item's end is queued, or no longer. */
+void ledger_item_set_ending(struct ledger_job *job, uint32_t item, bool ending);
 /** Puts an item back so that it is granted again. */
 void ledger_item_requeue(struct ledger_job *job, uint32_t item);
 
--- /dev/null
+++ b/tests/process/ledger.sh
@@ -0,0 +1,122 @@
+# What the tests of the job ledger share. Sourced after tests/fleet/fleet.sh.
+
+# ledger_fleet ENTRIES: starts a fleet with two engines and a plain service.
+ledger_fleet () {
+	FLEET_ACCESS=$(fleet_access "desk:batch depot:online")
+	fleet_platform
+	fleet_standin engine-1 engine --base-gap-us 2000
+	fleet_standin engine-2 engine --base-gap-us 2000
+	fleet_standin plain-1 plain
+	ENTRIES=
+	i=1
+	while test $i -le "$1"
+	do
+		fleet_entry "entry-$i" akl-a akl
+		ENTRIES="$ENTRIES entry-$i"
+		i=$((i + 1))
+	done
+	fleet_agent agent-1 akl-a akl claims "$(fleet_address engine-1)"
+	fleet_agent agent-2 akl-a akl claims "$(fleet_address engine-2)"
+	fleet_agent agent-3 akl-a akl letters "$(fleet_address plain-1)" plain
+	fleet_publish
+	for entry in $ENTRIES
+	do
+		wait_until fleet_ready "$entry"
+	done
+	wait_until all_owned
+}
+
+# Each shard has an owner among the entries.
+all_owned () {
+	owned=0
+	for entry in $ENTRIES
+	do
+		nr=$(curl -s -m 2 "$(fleet_url "$entry")/metrics" |
+			sed -n 's/^briarplank_ledger_shards_owned //p')
+		owned=$((owned + ${nr:-0}))
+	done
+	test "$owned" -ge "${FLEET_SHARDS:-4}"
+}
+
+# call ARGS: curl as the caller "desk".
+call () {
+	curl -s -m 30 -H "Authorization: Bearer desk" "$@"
+}
+
+# job_body NR IDEMPOTENT FILE: writes NR items with a prompt.
+job_body () {
+	awk -v nr="$1" -v idempotent="$2" 'BEGIN {
+		for (i = 1; i <= nr; i++)
+			printf "{\"id\":\"item-%d\",\"body\":{\"prompt\":\"claim %d\",\"max_tokens\":1},\"idempotent\":%s}\n", i, i, idempotent
+	}' >"$3"
+}
+
+# submit ENTRY JOB FILE QUERY: prints the status code.
+submit () {
+	call -o "$FLEET_DIR/answer" -w '%{http_code}' -X PUT \
+		--data-binary "@$3" "$(fleet_url "$1")/v1/jobs/$2?$4"
+}
+
+submitted () {
+	case "$(submit "$@")" in
+	200 | 201) true ;;
+	*) false ;;
+	esac
+}
+
+# job_field ENTRY JOB FIELD: prints a number of the job's state.
+job_field () {
+	call "$(fleet_url "$1")/v1/jobs/$2" |
+		sed -n "s/.*\"$3\":\\([0-9]*\\).*/\\1/p"
+}
+
+job_ended () {
+	call "$(fleet_url "$1")/v1/jobs/$2" |
+		grep -q '"waiting":0,"running":0,'
+}
+
+# Prints the entry that owns a shard by its own log, the last that said so.
+shard_owner () {
+	grep -H "shard $1: owned from" "$FLEET_DIR"/entry-*.log |
+		sed 's/.*\/\(entry-[0-9]*\)\.log:[^0-9]*\([^ ]*\) .*/\2 \1/' |
+		sort | tail -n 1 | cut -d' ' -f2
+}
+
+# results ENTRY JOB: writes the results and prints the file's name.
+results () {
+	call "$(fleet_url "$1")/v1/jobs/$2/results" >"$FLEET_DIR/$1-$2.results"
+	echo "$FLEET_DIR/$1-$2.results"
+}
+
+# check_accounts ENTRY OTHER JOB ITEMS: each item ended once, the results of
+# two entries are the same, and the counts agree with them.
+check_accounts () {
+	one=$(results "$1" "$3")
+	two=$(results "$2" "$3")
+	cmp "$one" "$two" || fleet_fail "$3: two entries differ"
+	test "$(wc -l <"$one")" -eq "$4" ||
+		fleet_fail "$3: $(wc -l <"$one") results, not $4"
+	test "$(cut -d'"' -f4 "$one" | sort -u | wc -l)" -eq "$4" ||
+		fleet_fail "$3: an id stands twice"
+	for state in done failed cancelled outcome_unknown
+	do
+		test "$(grep -c "\"status\":\"$state\"" "$one")" -eq \
+			"$(job_field "$1" "$3" $state)" ||
+			fleet_fail "$3: the count of $state is wrong"
+	done
+	echo "$3: $(job_field "$1" "$3" done) done, $(job_field "$1" "$3" failed) failed, $(job_field "$1" "$3" outcome_unknown) outcome_unknown of $4"
+}
+
+# Each body that the plain service counted ran once.
+check_once () {
+	curl -s "http://$(fleet_address plain-1)/runs" >"$FLEET_DIR/runs"
+	if grep -qE '"?: ?([2-9]|1[0-9])' "$FLEET_DIR/runs"
+	then
+		fleet_fail "an item ran twice"
+	fi
+}
+
+log_fault () {
+	curl -sf -X POST "http://$FLEET_LOG/fault?$1" >/dev/null ||
+		fleet_fail "the fault was not set"
+}
--- /dev/null
+++ b/tests/process/ledger_faults.sh
@@ -0,0 +1,80 @@
+# Faults during two jobs, one of them of items that may not run twice: each
+# item ends once, each result is readable from two entries, accounts agree.
+#
+# ledger_faults.sh SEED [ITEMS]
+. tests/fleet/fleet.sh
+. tests/process/ledger.sh
+seed=$1
+items=${2:-${LEDGER_ITEMS:-1500}}
+once=$((items / 10))
+FLEET_WAIT_MS=150000
+fleet_begin
+ledger_fleet 3
+
+job_body "$items" true "$FLEET_DIR/night"
+job_body "$once" false "$FLEET_DIR/once"
+wait_until submitted entry-1 night "$FLEET_DIR/night" \
+	"service=claims&path=v1/completions&due=2030-01-01T00:00:00Z&keep=1h"
+wait_until submitted entry-2 once "$FLEET_DIR/once" \
+	"service=letters&path=tally&keep=1h"
+night=$(shard_owner "$(job_field entry-1 night shard)")
+letters=$(shard_owner "$(job_field entry-1 once shard)")
+echo "seed $seed: $night owns night, $letters owns once"
+
+# Pauses a node for a number of seconds.
+pause () {
+	fleet_signal "$1" STOP
+	sleep "$2"
+	fleet_signal "$1" CONT
+}
+
+case "$seed" in
+1)	# Answers to appends are lost, then the owner dies.
+	log_fault "kind=lose_answer&count=5"
+	sleep 2
+	fleet_signal "$night" KILL
+	;;
+2)	# The owner is paused until another has its shards, and wakes.
+	sleep 1
+	pause "$night" 7
+	sleep 1
+	pause "$letters" 7
+	;;
+3)	# Agents are lost and paused; appends are stored twice.
+	log_fault "kind=duplicate&count=20"
+	sleep 1
+	fleet_signal agent-1 KILL
+	pause agent-2 8
+	pause agent-3 9
+	fleet_start_node agent-1
+	fleet_row agent-1 agent akl-a akl claims
+	fleet_publish
+	;;
+4)	# The log is out for a while; the owner dies when it is back.
+	sleep 1
+	log_fault "kind=outage"
+	sleep 6
+	log_fault "kind=none"
+	sleep 1
+	log_fault "kind=lose_answer&count=3"
+	fleet_signal "$letters" KILL
+	sleep 1
+	log_fault "kind=slow&ms=300"
+	sleep 4
+	log_fault "kind=none"
+	;;
+esac
+
+alive=
+for entry in $ENTRIES
+do
+	kill -0 "$(fleet_pid "$entry")" 2>/dev/null && alive="$alive $entry"
+done
+set -- $alive
+wait_until job_ended "$1" night
+wait_until job_ended "$2" once
+check_accounts "$1" "$2" night "$items"
+check_accounts "$2" "$1" once "$once"
+check_once
+test "$(job_field "$1" night done)" -ge $((items - items / 50)) ||
+	fleet_fail "too few items are done"
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -53,6 +53,19 @@
 	answer_body(state, request);
 }
 
+/* Counts runs by body, to find what ran twice. */
+static void on_tally(void *ctx, struct web_request *request)
+{
+	struct plain_state *state = ctx;
+	size_t len;
+	const char *body = web_body(request, &len);
+	char *key = g_strndup(body, len);
+
+	count_run(state, key);
+	g_free(key);
+	answer_body(state, request);
+}
+
 static void on_work_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -150,6 +163,7 @@
 	standin_route(standin, "/echo", on_echo, state);
 	standin_route(standin, "/work", on_work, state);
 	standin_route(standin, COUNT_PREFIX, on_count, state);
+	standin_route(standin, "/tally", on_tally, state);
 	standin_route(standin, "/runs", on_runs, state);
 	return state;
 }
