--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -5,6 +5,7 @@
 
 #include "briarplankd/config_task.h"
 #include "briarplankd/entry/ledger_task.h"
+#include "common/hash.h"
 #include "common/log.h"
 
 #define PART "ledger"
@@ -53,8 +54,8 @@
 	return policy.item_attempts ? policy.item_attempts : ATTEMPTS_DEFAULT;
 }
 
-static void send(struct ledger_task *task, const char *peer,
-		 Briarplank__Envelope *env)
+static void send_to(struct ledger_task *task, const char *peer,
+		    Briarplank__Envelope *env)
 {
 	bus_send(task->super.node->bus, peer, env);
 }
@@ -104,19 +105,27 @@
 	counter_add(pull->task->granted, message.n_grants);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
 	env.grants = &message;
-	send(pull->task, pull->agent, &env);
+	send_to(pull->task, pull->agent, &env);
 	g_free(bodies);
 	g_free(grants);
 }
 
-/* Takes back what can't be sent, if the shard is still ours. */
+/* A grant may have become void before it could be sent. */
+static bool still_live(const struct pull_grant *grant)
+{
+	struct ledger *ledger =
+		ledger_task_owned(grant->pull->task, grant->shard);
+
+	return ledger &&
+	       ledger_grant_live(ledger, grant->out.grant_id, grant->epoch);
+}
+
+/* Takes back what can't be sent. */
 static void take_back(struct pull_grant *grant)
 {
 	struct ledger_task *task = grant->pull->task;
-	struct ledger *ledger = ledger_task_owned(task, grant->shard);
+	struct ledger *ledger = shard_ledger(task->shards[grant->shard]);
 
-	if (!ledger || ledger_epoch(ledger) != grant->epoch)
-		return;
 	ledger_ungrant(ledger, grant->out.grant_id);
 	shard_kick(task->shards[grant->shard]);
 }
@@ -149,7 +158,9 @@
 		struct pull_grant *grant =
 			&g_array_index(pull->grants, struct pull_grant, i);
 
-		if (!grant->ready)
+		if (!still_live(grant))
+			grant->ready = false;
+		else if (!grant->ready)
 			take_back(grant);
 	}
 	send_grants(pull);
@@ -335,20 +346,22 @@
 	size_t i;
 
 	result.revoked = g_new(Briarplank__GrantRef *, renew->n_grants + 1);
+	result.not_owned = g_new(Briarplank__GrantRef *, renew->n_grants + 1);
 	result.lease_ms = LEDGER_LEASE_MS;
 	for (i = 0; i < renew->n_grants; i++) {
 		Briarplank__GrantRef *ref = renew->grants[i];
 		struct ledger *ledger = ledger_task_owned(task, ref->shard);
 
-		/* The grants of other owners are theirs to judge. */
-		if (ledger && !shard_unverified(task->shards[ref->shard]) &&
-		    !ledger_renew(ledger, ref, env->sender, now))
+		if (!ledger)
+			result.not_owned[result.n_not_owned++] = ref;
+		else if (!ledger_renew(ledger, ref, env->sender, now))
 			result.revoked[result.n_revoked++] = ref;
 	}
 	reply.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
 	reply.renew_result = &result;
-	send(task, env->sender, &reply);
+	send_to(task, env->sender, &reply);
 	g_free(result.revoked);
+	g_free(result.not_owned);
 }
 
 /* Outcomes of one message and shard that wait to be durable. */
@@ -377,7 +390,7 @@
 			&g_array_index(voided, Briarplank__GrantRef, i);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS_ACK;
 	env.completions_ack = &ack;
-	send(task, agent, &env);
+	send_to(task, agent, &env);
 	g_free(ack.durable);
 	g_free(ack.void_grants);
 }
@@ -500,7 +513,7 @@
 	Briarplank__GrantRef *refs[] = { &ref };
 
 	ref.shard = shard;
-	ref.epoch = ledger_epoch(shard_ledger(task->shards[shard]));
+	ref.epoch = revoked->epoch;
 	ref.grant_id = revoked->grant_id;
 	result.revoked = refs;
 	result.n_revoked = 1;
@@ -508,7 +521,7 @@
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW_RESULT;
 	env.renew_result = &result;
 	if (*revoked->agent)
-		send(task, revoked->agent, &env);
+		send_to(task, revoked->agent, &env);
 }
 
 void ledger_agents_revoke(struct ledger_task *task, uint32_t shard)
