--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -8,6 +8,7 @@
 #include "briarplankd/node.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "web_tls.h"
 
 #define PART "node"
 
@@ -94,8 +95,7 @@
 		.name = settings->name,
 		.incarnation = node->incarnation,
 		.address = settings->bus_address,
-		.keys = { settings->bus_public_key, settings->bus_secret_key,
-			  settings->bus_fleet_key },
+		.keys = { settings->bus_public_key, settings->bus_secret_key },
 		.metrics = node->metrics,
 		.revision = read_revision,
 		.revision_ctx = node,
@@ -118,6 +118,12 @@
 
 	if (!settings->web_address)
 		return true;
+	if (settings->web_tls_certificate) {
+		options.tls = web_tls_create(settings->web_tls_certificate,
+					     settings->web_tls_key);
+		if (!options.tls)
+			return false;
+	}
 	node->web = web_create(&options);
 	if (!node->web)
 		return false;
@@ -140,6 +146,7 @@
 	node->settings = settings;
 	node->incarnation = make_incarnation();
 	list_init(&node->tasks);
+	list_init(&node->row_sources);
 	uv_loop_init(&node->loop);
 	node->metrics = metrics_create();
 	uv_timer_init(&node->loop, &node->stop_timer);
@@ -265,6 +272,10 @@
 {
 	struct list *pos, *tmp;
 
+	/* First, as requests tell their tasks that they end. */
+	if (node->web)
+		web_destroy(node->web);
+	node->web = NULL;
 	list_for_each_safe (pos, tmp, &node->tasks) {
 		struct task *task = list_entry(pos, struct task, link);
 
@@ -275,8 +286,6 @@
 		node->log->ops->destroy(node->log);
 	if (node->http)
 		http_client_destroy(node->http);
-	if (node->web)
-		web_destroy(node->web);
 	if (node->bus)
 		bus_destroy(node->bus);
 	metrics_destroy(node->metrics);
--- a/core/config_keys.c
+++ b/core/config_keys.c
@@ -22,6 +22,9 @@
 	  .help = "least severe level that every node writes" },
 	{ "node.*.log_level", CONFIG_KEY_CHOICE, .choices = levels,
 	  .help = "least severe level that one node writes" },
+	{ "orders.max_changes", CONFIG_KEY_INT, 1, 64, "servers", "2",
+	  .help = "servers of the fleet that may change what they hold at a "
+		  "time" },
 	{ "server.*.adapter", CONFIG_KEY_TEXT,
 	  .help = "adapter that the server must hold" },
 	{ "server.*.drained", CONFIG_KEY_BOOL, .fallback = "false",
@@ -186,8 +189,10 @@
 	json_tokener_set_flags(tok, JSON_TOKENER_STRICT);
 	root = json_tokener_parse_ex(tok, value, (int)len + 1);
 	if (json_tokener_get_error(tok) != json_tokener_success ||
-	    json_tokener_get_parse_end(tok) < len)
-		g_clear_pointer(&root, json_object_put);
+	    json_tokener_get_parse_end(tok) < len) {
+		json_object_put(root);
+		root = NULL;
+	}
 	json_tokener_free(tok);
 	return root;
 }
--- a/wire/batch.pb-c.c
+++ b/wire/batch.pb-c.c
@@ -939,7 +939,7 @@
   (ProtobufCMessageInit) briarplank__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor briarplank__grant__field_descriptors[12] =
 {
   {
     "shard",
@@ -1073,8 +1073,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Grant, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__grant__field_indices_by_name[] = {
+  11,   /* field[11] = alone */
   5,   /* field[5] = attempt */
   8,   /* field[8] = body */
   1,   /* field[1] = epoch */
@@ -1090,7 +1103,7 @@
 static const ProtobufCIntRange briarplank__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor briarplank__grant__descriptor =
 {
@@ -1100,7 +1113,7 @@
   "Briarplank__Grant",
   "briarplank",
   sizeof(Briarplank__Grant),
-  11,
+  12,
   briarplank__grant__field_descriptors,
   briarplank__grant__field_indices_by_name,
   1,  briarplank__grant__number_ranges,
@@ -1286,7 +1299,7 @@
   (ProtobufCMessageInit) briarplank__renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__renew_result__field_descriptors[2] =
+static const ProtobufCFieldDescriptor briarplank__renew_result__field_descriptors[3] =
 {
   {
     "revoked",
@@ -1312,15 +1325,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_owned",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__RenewResult, n_not_owned),
+    offsetof(Briarplank__RenewResult, not_owned),
+    &briarplank__grant_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__renew_result__field_indices_by_name[] = {
   1,   /* field[1] = lease_ms */
+  2,   /* field[2] = not_owned */
   0,   /* field[0] = revoked */
 };
 static const ProtobufCIntRange briarplank__renew_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor briarplank__renew_result__descriptor =
 {
@@ -1330,7 +1356,7 @@
   "Briarplank__RenewResult",
   "briarplank",
   sizeof(Briarplank__RenewResult),
-  2,
+  3,
   briarplank__renew_result__field_descriptors,
   briarplank__renew_result__field_indices_by_name,
   1,  briarplank__renew_result__number_ranges,
