--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -199,7 +199,7 @@
 		       (double)concurrency->options.first_token_target_us;
 
 	return point->first_tokens >= KNOWN_SAMPLES &&
-	       point_weight(concurrency, point) >= WEIGHT_MIN &&
+	       concurrency->now_us < point->seen_us + FRESH_US &&
 	       point->first_token_us > limit;
 }
 
