Spread shards over entries that start later

Cause: the first entry to start claimed every shard and kept it. An owner now hands over one shard at a time to the entry that is first in rank. After a claim was lost the stream was read again at each tick: it waits now.

--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -14,6 +14,9 @@
 #define PART "ledger"
 
 #define TICK_MS 100
+/* Wait after entries came or went, and between hand-overs, in ms. */
+#define REBALANCE_WAIT_MS 10000
+#define REBALANCE_INTERVAL_MS 3000
 /* Appends that all owners together may make in a second. */
 #define FLEET_APPENDS_PER_S 240
 #define APPEND_INTERVAL_MIN_MS 100
@@ -172,9 +175,40 @@
 	rank = shard_claim_rank(task->super.node->settings->name,
 				(const char *const *)others->pdata, others->len,
 				shard);
-	if (shard_claim_due(state, rank, now - task->orphaned_ms[shard],
-			    now - task->started_ms))
-		shard_open(task->shards[shard]);
+	if (!shard_claim_due(state, rank, now - task->orphaned_ms[shard],
+			     now - task->started_ms))
+		return;
+	/* If the stream names an owner that is up, the wait begins anew. */
+	task->orphaned_ms[shard] = now;
+	shard_open(task->shards[shard]);
+}
+
+/*
+ * Gives up to one shard at a time to the entry that is first in rank for it,
+ * so that the shards spread over entries that started later.
+ */
+static void rebalance(struct ledger_task *task, const GPtrArray *others,
+		      uint64_t now)
+{
+	uint32_t i;
+
+	if (now < task->rebalance_ms)
+		return;
+	task->rebalance_ms = now + REBALANCE_INTERVAL_MS;
+	for (i = 0; i < task->shards_nr; i++) {
+		struct shard *shard = task->shards[i];
+
+		if (shard_state(shard) != SHARD_OWNED ||
+		    shard_log_silent(shard) || shard_unverified(shard))
+			continue;
+		if (!shard_claim_rank(task->super.node->settings->name,
+				      (const char *const *)others->pdata,
+				      others->len, i))
+			continue;
+		log_info(PART, "shard %u: handed over to the first in rank", i);
+		shard_release(shard);
+		return;
+	}
 }
 
 static void look_for_claims(struct ledger_task *task, uint64_t now)
@@ -186,6 +220,10 @@
 	    members_isolated(node_members(task->super.node)))
 		return;
 	others = candidates(task);
+	if (others->len != task->others_nr)
+		task->rebalance_ms = now + REBALANCE_WAIT_MS;
+	task->others_nr = others->len;
+	rebalance(task, others, now);
 	for (i = 0; i < task->shards_nr; i++) {
 		if (shard_state(task->shards[i]) == SHARD_CLOSED)
 			look_for_claim(task, i, others, now);
--- a/include/briarplankd/entry/ledger_task.h
+++ b/include/briarplankd/entry/ledger_task.h
@@ -31,6 +31,9 @@
 	unsigned running;
 	uv_timer_t timer;
 	uint64_t started_ms;
+	/** When a shard may next be handed over, and entries seen then. */
+	uint64_t rebalance_ms;
+	uint32_t others_nr;
 	/** Agent that is being emptied for an item that must run alone. */
 	char *reserved_agent;
 	uint64_t reserved_until_ms;
--- a/tests/process/ledger.sh
+++ b/tests/process/ledger.sh
@@ -109,10 +109,12 @@
 
 # Each body that the plain service counted ran once.
 check_once () {
-	curl -s "http://$(fleet_address plain-1)/runs" >"$FLEET_DIR/runs"
+	curl -s "http://$(fleet_address plain-1)/runs" |
+		sed 's/"work": *[0-9]*//' >"$FLEET_DIR/runs"
+	grep -q "claim 1" "$FLEET_DIR/runs" || fleet_fail "no run was counted"
 	if grep -qE '"?: ?([2-9]|1[0-9])' "$FLEET_DIR/runs"
 	then
-		fleet_fail "an item ran twice"
+		fleet_fail "an item ran twice: $(cut -c 1-400 "$FLEET_DIR/runs")"
 	fi
 }
 
--- a/tests/process/ledger_faults.sh
+++ b/tests/process/ledger_faults.sh
@@ -6,7 +6,7 @@
 . tests/process/ledger.sh
 seed=$1
 items=${2:-${LEDGER_ITEMS:-1500}}
-once=$((items / 10))
+once=$((items / 3))
 FLEET_WAIT_MS=150000
 fleet_begin
 ledger_fleet 3
@@ -16,7 +16,7 @@
 wait_until submitted entry-1 night "$FLEET_DIR/night" \
 	"service=claims&path=v1/completions&due=2030-01-01T00:00:00Z&keep=1h"
 wait_until submitted entry-2 once "$FLEET_DIR/once" \
-	"service=letters&path=tally&keep=1h"
+	"service=letters&path=tally%3Fms%3D40&keep=1h"
 night=$(shard_owner "$(job_field entry-1 night shard)")
 letters=$(shard_owner "$(job_field entry-1 once shard)")
 echo "seed $seed: $night owns night, $letters owns once"
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -53,19 +53,6 @@
 	answer_body(state, request);
 }
 
-/* Counts runs by body, to find what ran twice. */
-static void on_tally(void *ctx, struct web_request *request)
-{
-	struct plain_state *state = ctx;
-	size_t len;
-	const char *body = web_body(request, &len);
-	char *key = g_strndup(body, len);
-
-	count_run(state, key);
-	g_free(key);
-	answer_body(state, request);
-}
-
 static void on_work_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -117,6 +104,19 @@
 	web_on_close(request, on_work_left, work);
 }
 
+/* Work that is counted by body, to find what ran twice. */
+static void on_tally(void *ctx, struct web_request *request)
+{
+	struct plain_state *state = ctx;
+	size_t len;
+	const char *body = web_body(request, &len);
+	char *key = g_strndup(body, len);
+
+	count_run(state, key);
+	g_free(key);
+	on_work(state, request);
+}
+
 static void on_runs(void *ctx, struct web_request *request)
 {
 	struct plain_state *state = ctx;
