--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -97,6 +97,7 @@
 	struct ledger_task *task = ctx;
 	uint32_t index = shard_index(shard);
 
+	task->orphaned_ms[index] = 0;
 	if (shard_state(shard) != SHARD_OWNED &&
 	    shard_state(shard) != SHARD_RELEASING)
 		wake(task, index, true);
--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -99,7 +99,8 @@
 
 static void set_state(struct shard *shard, enum shard_state state)
 {
-	bool owned = shard->state == SHARD_OWNED;
+	bool owned =
+		shard->state == SHARD_OWNED || shard->state == SHARD_RELEASING;
 
 	shard->state = state;
 	if (state == SHARD_CLOSED) {
@@ -107,7 +108,7 @@
 		drop_parts(shard);
 		uv_timer_stop(&shard->timer);
 	}
-	if (owned != (state == SHARD_OWNED))
+	if (owned || state == SHARD_OWNED)
 		shard->options.changed(shard->options.ctx, shard);
 }
 
