Refuse messages that the peer would cut the connection for

A message above 8 MiB was accepted by bus_send, and the receiving ZeroMQ then closed the connection, losing what else was under way. It is BUS_NOT_SENT now; a test sends one above and one just below the bound.

--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -322,6 +322,11 @@
 	size_t len = briarplank__envelope__get_packed_size(env);
 	bool sent = false;
 
+	if (len > BUS_MESSAGE_MAX_BYTES) {
+		counter_add(bus->refused, 1);
+		error_set("a message of %zu bytes is too large", len);
+		return BUS_NOT_SENT;
+	}
 	if (!peer->socket && peer->address && !peer_connect(bus, peer))
 		return BUS_BAD_ADDRESS;
 	if (peer->socket)
--- a/briarplankd/bus_socket.c
+++ b/briarplankd/bus_socket.c
@@ -7,8 +7,6 @@
 
 /* Messages queued to a peer before sends are refused. */
 #define PEER_QUEUE_MESSAGES 20000
-/* Largest message, in bytes; a peer that sends more is cut off. */
-#define MESSAGE_MAX_BYTES (8 << 20)
 /* Idle time after which ZeroMQ probes a connection, and waits, in ms. */
 #define HEARTBEAT_INTERVAL_MS 1000
 #define HEARTBEAT_TIMEOUT_MS 3000
@@ -25,7 +23,7 @@
 
 static void set_common_options(struct bus *bus, void *zmq)
 {
-	int64_t max = MESSAGE_MAX_BYTES;
+	int64_t max = BUS_MESSAGE_MAX_BYTES;
 
 	bus_socket_set_int(zmq, ZMQ_LINGER, 0);
 	bus_socket_set_int(zmq, ZMQ_SNDHWM, PEER_QUEUE_MESSAGES);
--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -16,13 +16,16 @@
 #include "common/metrics.h"
 #include "envelope.pb-c.h"
 
+/** Largest message; a peer that sends more is cut off. */
+#define BUS_MESSAGE_MAX_BYTES (8 << 20)
+
 struct bus;
 
 enum bus_status {
 	BUS_OK,
 	/** The peer's address is not known. */
 	BUS_UNKNOWN_PEER,
-	/** No connection, or its queue is full: nothing was sent. */
+	/** No connection, its queue is full, or the message is too large. */
 	BUS_NOT_SENT,
 	BUS_BAD_ADDRESS,
 };
--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -267,6 +267,24 @@
 		g_string_append(state->out, "never\n");
 }
 
+/* big A NAME BYTES: sends a message with so many bytes in it */
+static void cmd_big(struct state *state, int argc, char **argv)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__AnswerChunk chunk = BRIARPLANK__ANSWER_CHUNK__INIT;
+
+	(void)argc;
+	chunk.data.len = strtoul(argv[3], NULL, 10);
+	chunk.data.data = g_malloc0(chunk.data.len);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_CHUNK;
+	env.answer_chunk = &chunk;
+	g_string_append_printf(
+		state->out, "%s\n",
+		status_names[bus_send(node_find(state, argv[1])->bus, argv[2],
+				      &env)]);
+	g_free(chunk.data.data);
+}
+
 static bool has_received(void *ctx)
 {
 	struct state *state = ctx;
@@ -462,13 +480,14 @@
 };
 
 static const struct command commands[] = {
-	{ "answers", cmd_answers }, { "bus", cmd_bus },
-	{ "bytes", cmd_bytes },	    { "count", cmd_count },
-	{ "curve", cmd_curve },	    { "flood", cmd_flood },
-	{ "forget", cmd_forget },   { "forgets", cmd_forgets },
-	{ "frames", cmd_frames },   { "peer", cmd_peer },
-	{ "quiet", cmd_quiet },	    { "receive", cmd_receive },
-	{ "send", cmd_send },	    { "stop", cmd_stop },
+	{ "answers", cmd_answers }, { "big", cmd_big },
+	{ "bus", cmd_bus },	    { "bytes", cmd_bytes },
+	{ "count", cmd_count },	    { "curve", cmd_curve },
+	{ "flood", cmd_flood },	    { "forget", cmd_forget },
+	{ "forgets", cmd_forgets }, { "frames", cmd_frames },
+	{ "peer", cmd_peer },	    { "quiet", cmd_quiet },
+	{ "receive", cmd_receive }, { "send", cmd_send },
+	{ "stop", cmd_stop },
 };
 
 static void command(void *data, int argc, char **argv, GString *out)
