End a graceful stop at its limit, visibly

node.stop_limit_ms had no effect on the node: a stream without end kept it from ever stopping. Past the limit the requests that are left are cut off, the log counts them, and the exit status is 1.

--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -198,8 +198,14 @@
 {
 	struct node *node = timer->data;
 
-	if (all_stopped(node))
+	if (all_stopped(node)) {
 		uv_stop(&node->loop);
+	} else if (node_now_ms(node) >= node->stop_at_ms) {
+		log_error(PART, "the stop took too long, %u requests are cut",
+			  node->web ? web_running(node->web) : 0);
+		node->stop_cut = true;
+		uv_stop(&node->loop);
+	}
 }
 
 static void begin_stop(struct node *node)
@@ -218,6 +224,7 @@
 	}
 	if (node->web)
 		web_stop_listening(node->web);
+	node->stop_at_ms = node_now_ms(node) + node->settings->stop_limit_ms;
 	node->stop_timer.data = node;
 	uv_timer_start(&node->stop_timer, on_stop_timer, STOP_CHECK_INTERVAL_MS,
 		       STOP_CHECK_INTERVAL_MS);
@@ -258,7 +265,7 @@
 		 node->web ? web_address(node->web) : "none");
 	uv_run(&node->loop, UV_RUN_DEFAULT);
 	log_info(PART, "stopped");
-	return 0;
+	return node->stop_cut ? 1 : 0;
 }
 
 static void close_walk(uv_handle_t *handle, void *ctx)
--- a/include/briarplankd/node.h
+++ b/include/briarplankd/node.h
@@ -77,6 +77,9 @@
 	uv_signal_t on_term;
 	uv_signal_t on_int;
 	uv_timer_t stop_timer;
+	/** End of the time for a graceful stop, and whether it passed. */
+	uint64_t stop_at_ms;
+	bool stop_cut;
 	/** The task that holds the configuration in force. */
 	struct task *config;
 	/** The task that knows the other nodes. */
@@ -89,7 +92,10 @@
 /** Adds a task, which the node starts, stops and frees. */
 void node_add(struct node *node, struct task *task);
 
-/** Runs until a graceful stop is complete; returns the exit status. */
+/**
+ * Runs until a graceful stop is complete, or its time is over; returns the
+ * exit status, which is 1 when work was cut off.
+ */
 int node_run(struct node *node);
 
 /** Tells every task of an event. */
