Let no task be called once it is freed

At the end of a node tasks run the loop to close their timers, and messages that came in meanwhile went to handlers of tasks that were already freed: ASan found a use after free in the members task in 1 of about 5 stops that cut a stream. The bus and the HTTP client now fall silent before the first task is freed, and the configuration and the members, which the others ask, go last.

--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -195,6 +195,11 @@
 	g_free(bus);
 }
 
+void bus_silence(struct bus *bus)
+{
+	bus->silent = true;
+}
+
 const char *bus_address(const struct bus *bus)
 {
 	return bus->address;
@@ -410,8 +415,10 @@
 	Briarplank__Envelope *env =
 		briarplank__envelope__unpack(NULL, len, bytes);
 
-	if (!env || !*env->sender || env->body_case >= BODY_KINDS ||
-	    (route_len && !route_matches(env, route, route_len))) {
+	if (bus->silent) {
+		log_debug(PART, "dropped %zu bytes at the end", len);
+	} else if (!env || !*env->sender || env->body_case >= BODY_KINDS ||
+		   (route_len && !route_matches(env, route, route_len))) {
 		counter_add(bus->garbage, 1);
 		log_debug(PART, "dropped %zu bytes that are no message", len);
 	} else {
--- a/briarplankd/bus_private.h
+++ b/briarplankd/bus_private.h
@@ -46,6 +46,7 @@
 	uv_prepare_t prepare;
 	uv_idle_t idle;
 	bool idling;
+	bool silent;
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
 	struct counter *garbage;
--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -275,20 +275,39 @@
 		uv_close(handle, NULL);
 }
 
-void node_destroy(struct node *node)
+static void destroy_task(struct task *task)
+{
+	list_remove(&task->link);
+	task->ops->destroy(task);
+}
+
+/* All others may ask the configuration and the members to their end. */
+static void destroy_tasks(struct node *node)
 {
 	struct list *pos, *tmp;
 
-	/* First, as requests tell their tasks that they end. */
-	if (node->web)
-		web_destroy(node->web);
-	node->web = NULL;
 	list_for_each_safe (pos, tmp, &node->tasks) {
 		struct task *task = list_entry(pos, struct task, link);
 
-		list_remove(pos);
-		task->ops->destroy(task);
+		if (task != node->config && task != node->members)
+			destroy_task(task);
 	}
+	list_for_each_safe (pos, tmp, &node->tasks)
+		destroy_task(list_entry(pos, struct task, link));
+}
+
+void node_destroy(struct node *node)
+{
+	/* First, as requests tell their tasks that they end. */
+	if (node->web)
+		web_destroy(node->web);
+	node->web = NULL;
+	/* Tasks run the loop as they end; the others must hear no more. */
+	if (node->bus)
+		bus_silence(node->bus);
+	if (node->http)
+		http_client_silence(node->http);
+	destroy_tasks(node);
 	if (node->log)
 		node->log->ops->destroy(node->log);
 	if (node->http)
--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -20,8 +20,8 @@
 	config_task_create,
 	rows_task_create,
 	batch_task_create,
-	gate_task_create,
 	orders_task_create,
+	gate_task_create,
 	NULL,
 };
 
--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -57,6 +57,9 @@
 /** Binds the bus; NULL with an error message when that fails. */
 struct bus *bus_create(const struct bus_options *options);
 
+/** Drops what comes in from now on; handlers may be freed. */
+void bus_silence(struct bus *bus);
+
 /** Closes all connections and frees the bus. */
 void bus_destroy(struct bus *bus);
 
--- a/include/platform/http_client.h
+++ b/include/platform/http_client.h
@@ -65,6 +65,12 @@
 /** Makes a client; pooled connections live until it is destroyed. */
 struct http_client *http_client_create(uv_loop_t *loop);
 
+/**
+ * No callback but on_free comes from now on, so that their owners may be freed.
+ * Calls may still be cancelled.
+ */
+void http_client_silence(struct http_client *client);
+
 /** Cancels what runs and frees the client. */
 void http_client_destroy(struct http_client *client);
 
