--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -111,24 +111,21 @@
 	done | sed 's/,$//'
 }
 
-# Prints a running node as a peer that others know without the list of VMs.
-fleet_peer () {
-	printf '{"name":"%s","role":"%s","data_centre":"%s","region":"%s","service":"%s","address":"%s"}' \
-		"$1" "$2" "$3" "$4" "$5" "$(fleet_word "$1" bus)"
-}
+# FLEET_SETTINGS, FLEET_WEB, FLEET_SERVER and FLEET_PLATFORM_SETTINGS are
+# further members of the settings, and of "web", "server" and "platform" in
+# them, for the nodes that are started next.
 
 # fleet_entry NAME DATA_CENTRE REGION: starts an entry.
-# FLEET_PEERS holds peers of the nodes that are started from then on.
 fleet_entry () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "entry", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
-	"peers": [ ${FLEET_PEERS:-} ],
 	"access": [ ${FLEET_ACCESS:-} ]
 }
 EOF
@@ -140,13 +137,13 @@
 fleet_agent () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "agent", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
-	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
-	"peers": [ ${FLEET_PEERS:-} ],
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
+	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}"${FLEET_SERVER:+, $FLEET_SERVER} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
 }
 EOF
