--- a/briarplankd/tasks.c
+++ b/briarplankd/tasks.c
@@ -4,8 +4,10 @@
 typedef struct task *(*task_create_fn)(void);
 
 static const task_create_fn entry_tasks[] = {
-	members_task_create, config_task_create,   rows_task_create,
-	online_task_create,  operator_task_create, NULL,
+	members_task_create,  config_task_create,
+	rows_task_create,     ledger_task_create,
+	jobs_task_create,     online_task_create,
+	operator_task_create, NULL,
 };
 
 static const task_create_fn agent_tasks[] = {
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -81,7 +81,7 @@
 	uint32_t counts[LEDGER_ITEM_STATES];
 	/** Only the name is left. */
 	bool expired;
-	/** Grant ids of open intents, by item. */
+	/** Open intents (struct ledger_intent) by item. */
 	GHashTable *intents;
 
 	/** Volatile: first item that may never have been granted. */
@@ -89,6 +89,8 @@
 	/** Volatile: items that wait for another attempt. */
 	GQueue retry;
 	uint32_t granted;
+	/** Volatile: items with a queued record that ends an attempt. */
+	uint32_t ending;
 	/** Volatile: items below the frontier wait until this time. */
 	uint64_t held_until_ms;
 	uint32_t frontier;
@@ -117,12 +119,21 @@
 	uint64_t claimed_ms;
 };
 
+/** A grant of a non-idempotent item that may be running. */
+struct ledger_intent {
+	uint64_t grant_id;
+	/** Grant ids repeat in another epoch. */
+	uint64_t epoch;
+};
+
 struct ledger_grant {
 	struct list link;
 	uint64_t id;
 	struct ledger_job *job;
 	uint32_t item;
 	uint64_t expires_ms;
+	/** Epoch under which the agent holds it. */
+	uint64_t epoch;
 	/** Its lease has lapsed, its outcome may still come. */
 	bool grace;
 	bool alone;
@@ -218,6 +229,8 @@
 				     const struct ledger_job *job,
 				     uint32_t item);
 uint64_t ledger_grant_id(const struct ledger_job *job, uint32_t item);
+/** Notes that a record on the item's end is queued, or no longer. */
+void ledger_item_set_ending(struct ledger_job *job, uint32_t item, bool ending);
 /** Puts an item back so that it is granted again. */
 void ledger_item_requeue(struct ledger_job *job, uint32_t item);
 
