Keep connections only to nodes that are watched or worked with

A node now answers over the connection that a peer made, and closes one that carried only pings in turn. A ping that found no connection yet isn't silence. In a large fleet watched members are pinged each second.

--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -22,6 +22,8 @@
 /* Bounds of the wait before a lost connection is made again, in ms. */
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
+/* Time for which a connection that carried work is kept, in ms. */
+#define PEER_KEEP_MS 60000
 /* Messages taken from one socket before the loop goes on. */
 #define DRAIN_MESSAGES 256
 #define BODY_KINDS 80
@@ -44,6 +46,8 @@
 	uint8_t route[256];
 	size_t route_len;
 	uint64_t route_incarnation;
+	/* When something else than a ping or its answer last went over it. */
+	uint64_t used_ms;
 };
 
 /* A message to this node itself. */
@@ -468,6 +472,23 @@
 	g_hash_table_remove(bus->peers, name);
 }
 
+static bool is_work(const Briarplank__Envelope *env)
+{
+	return env->body_case != BRIARPLANK__ENVELOPE__BODY_PING &&
+	       env->body_case != BRIARPLANK__ENVELOPE__BODY_PONG;
+}
+
+void bus_peer_rest(struct bus *bus, const char *name)
+{
+	struct peer *peer = peer_find(bus, name, false);
+
+	if (!peer || !peer->socket ||
+	    (peer->used_ms && uv_now(bus->loop) < peer->used_ms + PEER_KEEP_MS))
+		return;
+	socket_destroy(peer->socket);
+	peer->socket = NULL;
+}
+
 static char *make_identity(const char *name, uint64_t incarnation)
 {
 	return g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", name, incarnation);
@@ -533,22 +554,35 @@
 	return false;
 }
 
+/* Sends over the connection that the peer made; false when there is none. */
+static bool send_route(struct bus *bus, struct peer *peer,
+		       const Briarplank__Envelope *env, size_t len)
+{
+	if (!peer->route_len)
+		return false;
+	if (send_frames(bus->bound, peer, env, len))
+		return true;
+	/* A route that is gone may be replaced by any other. */
+	if (errno == EHOSTUNREACH)
+		peer->route_len = 0;
+	return false;
+}
+
+/* A connection made here comes into being only where the peer made none. */
 static enum bus_status send_remote(struct bus *bus, struct peer *peer,
 				   const Briarplank__Envelope *env)
 {
 	size_t len = briarplank__envelope__get_packed_size(env);
 	bool sent = false;
 
-	if (!peer->socket && peer->address && !peer_connect(bus, peer))
-		return BUS_BAD_ADDRESS;
+	if (is_work(env))
+		peer->used_ms = uv_now(bus->loop);
 	if (peer->socket)
 		sent = send_frames(peer->socket, peer, env, len);
-	if (!sent && peer->route_len) {
-		sent = send_frames(bus->bound, peer, env, len);
-		/* A route that is gone may be replaced by any other. */
-		if (!sent && errno == EHOSTUNREACH)
-			peer->route_len = 0;
-	}
+	if (!sent)
+		sent = send_route(bus, peer, env, len);
+	if (!sent && !peer->socket && peer->address && !peer_connect(bus, peer))
+		return BUS_BAD_ADDRESS;
 	if (!sent) {
 		counter_add(bus->refused, 1);
 		error_set("no connection to %s", peer->name);
@@ -607,7 +641,11 @@
 static void dispatch(struct bus *bus, const Briarplank__Envelope *env)
 {
 	struct handler *handler = &bus->handlers[env->body_case];
+	struct peer *peer =
+		is_work(env) ? peer_find(bus, env->sender, false) : NULL;
 
+	if (peer)
+		peer->used_ms = uv_now(bus->loop);
 	if (bus->observer.fn)
 		bus->observer.fn(bus->observer.ctx, env);
 	if (handler->fn)
--- a/briarplankd/config_private.h
+++ b/briarplankd/config_private.h
@@ -35,6 +35,8 @@
 	char *heard_peer;
 	uint64_t fetch_at_ms;
 	unsigned fetches;
+	/** Time until which a relay pushes the revision to who missed it. */
+	uint64_t push_until_ms;
 
 	/** Of struct publish. */
 	struct list publishes;
--- a/briarplankd/config_spread.c
+++ b/briarplankd/config_spread.c
@@ -107,6 +107,9 @@
 
 void config_spread_tick(struct config_task *task, uint64_t now_ms)
 {
+	/* Connections that a push found missing are there a little later. */
+	if (now_ms < task->push_until_ms)
+		config_spread_push(task);
 	if (now_ms < task->fetch_at_ms)
 		return;
 	if (!config_store_next_offset(task->store))
@@ -135,14 +138,14 @@
 	task->heard_peer = g_strdup(peer);
 }
 
-static void send_update(struct config_task *task, const char *peer,
+static bool send_update(struct config_task *task, const char *peer,
 			Briarplank__ConfigUpdate *update)
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_CONFIG_UPDATE;
 	env.config_update = update;
-	bus_send(task->super.node->bus, peer, &env);
+	return bus_send(task->super.node->bus, peer, &env) == BUS_OK;
 }
 
 static void on_fetch(void *ctx, const Briarplank__Envelope *env)
@@ -176,7 +179,8 @@
 
 	return member_usable(member) &&
 	       !strcmp(member->data_centre, settings->data_centre) &&
-	       member->config_revision < config_store_revision(task->store);
+	       MAX(member->config_revision, member->config_pushed) <
+		       config_store_revision(task->store);
 }
 
 void config_spread_push(struct config_task *task)
@@ -199,7 +203,9 @@
 		}
 		if (!update)
 			update = config_store_update(task->store, from);
-		send_update(task, member->name, update);
+		if (send_update(task, member->name, update))
+			member->config_pushed =
+				config_store_revision(task->store);
 	}
 	if (update)
 		briarplank__config_update__free_unpacked(update, NULL);
--- a/briarplankd/config_task.c
+++ b/briarplankd/config_task.c
@@ -19,6 +19,8 @@
 #define SETTLE_MS 300
 /* Time without a peer's answer after which a fresh node reads the log, in ms. */
 #define PEERS_FIRST_MS 1500
+/* Time for which a relay pushes a revision to who missed it, in ms. */
+#define PUSH_AGAIN_MS 2000
 /* Longest wait of a read for the next record, in ms. */
 #define READ_WAIT_MS 10000
 #define READ_MAX_BYTES (4 << 20)
@@ -83,6 +85,7 @@
 	counter_set(task->revision_gauge, revision);
 	note_spread(task, revision);
 	apply_log_level(task);
+	task->push_until_ms = node_now_ms(task->super.node) + PUSH_AGAIN_MS;
 	config_spread_push(task);
 	node_publish(task->super.node, &event);
 }
--- a/briarplankd/members_messages.c
+++ b/briarplankd/members_messages.c
@@ -9,7 +9,7 @@
 /* Round trips above this come from a broken nonce, in us. */
 #define ROUND_TRIP_MAX_US 60000000
 
-void members_send_ping(struct members_task *task, const struct member *member)
+void members_send_ping(struct members_task *task, struct member *member)
 {
 	struct node *node = task->super.node;
 	const struct daemon_settings *settings = node->settings;
@@ -28,7 +28,8 @@
 		ping.facts = &facts;
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_PING;
 	env.ping = &ping;
-	bus_send(node->bus, member->name, &env);
+	if (bus_send(node->bus, member->name, &env) != BUS_OK)
+		members_ping_unsent(task->members, member);
 }
 
 /* Fills in the owners that are known; the caller frees both arrays. */
--- a/briarplankd/members_private.h
+++ b/briarplankd/members_private.h
@@ -26,6 +26,8 @@
 	struct shard_map *shard_map;
 	struct counter *up_entries;
 	struct counter *up_agents;
+	struct counter *bytes_sent;
+	struct counter *bytes_received;
 };
 
 /** The members task of a node. */
@@ -41,7 +43,7 @@
 void members_messages_start(struct members_task *task);
 
 /** Sends a ping. */
-void members_send_ping(struct members_task *task, const struct member *member);
+void members_send_ping(struct members_task *task, struct member *member);
 
 /** Sends a pong, unasked or with the nonce of a ping. */
 void members_send_pong(struct members_task *task, const char *peer,
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -14,6 +14,7 @@
 #define TICK_INTERVAL_MS 500
 /* Time between two pings of a watched member, in ms. */
 #define PING_INTERVAL_MS 500
+#define PING_INTERVAL_LARGE_MS 1000
 /* Silence after which a member gets no new work, in ms. */
 #define SUSPECT_AFTER_MS 1500
 /* Silence after which a member counts as lost, in ms. */
@@ -25,7 +26,9 @@
 #define WATCH_ALL_MAX 48
 #define WATCH_NEAR 16
 #define WATCH_FAR 8
-#define SAMPLE 4
+#define SAMPLE 2
+/* Time after which the connection for a ping in turn is closed, in ms. */
+#define REST_AFTER_MS 3000
 /* Bounds of the time between two reads of the list of VMs, in ms. */
 #define LIST_RETRY_MS 500
 #define LIST_INTERVAL_MIN_MS 2000
@@ -136,6 +139,20 @@
 	task->vm_list->ops->fetch(task->vm_list, on_vm_list, task);
 }
 
+/* Closes the connections that were made for pings in turn. */
+static void rest_unwatched(struct members_task *task, uint64_t now_ms)
+{
+	struct list *pos;
+
+	list_for_each (pos, members_all(task->members)) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		if (!member->watched && member->state != MEMBER_SUSPECT &&
+		    now_ms - member->pinged_ms >= REST_AFTER_MS)
+			bus_peer_rest(task->super.node->bus, member->name);
+	}
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct members_task *task = timer->data;
@@ -148,7 +165,11 @@
 	for (i = 0; i < pings->len; i++)
 		members_send_ping(task, pings->pdata[i]);
 	g_ptr_array_free(pings, TRUE);
+	rest_unwatched(task, now_ms);
 	members_publish_changes(task);
+	counter_set(task->bytes_sent, bus_bytes_sent(task->super.node->bus));
+	counter_set(task->bytes_received,
+		    bus_bytes_received(task->super.node->bus));
 }
 
 static void learn_settings(struct members_task *task)
@@ -183,6 +204,7 @@
 		.data_centre = settings->data_centre,
 		.region = settings->region,
 		.ping_interval_ms = PING_INTERVAL_MS,
+		.ping_interval_large_ms = PING_INTERVAL_LARGE_MS,
 		.suspect_after_ms = SUSPECT_AFTER_MS,
 		.down_after_ms = DOWN_AFTER_MS,
 		.panic_percent = PANIC_PERCENT,
@@ -209,6 +231,10 @@
 					 "role=\"entry\"");
 	task->up_agents = metrics_gauge(node->metrics, "briarplank_members_up",
 					"role=\"agent\"");
+	task->bytes_sent =
+		metrics_gauge(node->metrics, "briarplank_bus_sent_bytes", "");
+	task->bytes_received = metrics_gauge(
+		node->metrics, "briarplank_bus_received_bytes", "");
 	if (node->settings->vm_list)
 		task->vm_list = vm_list_http_create(node->http,
 						    node->settings->vm_list);
--- a/core/members.c
+++ b/core/members.c
@@ -207,6 +207,7 @@
 	member->leaving = false;
 	member->owned_nr = 0;
 	member->config_revision = 0;
+	member->config_pushed = 0;
 	memset(&member->load, 0, sizeof(member->load));
 }
 
@@ -222,6 +223,7 @@
 	member->incarnation = incarnation;
 	member->heard_ms = now_ms;
 	member->unanswered_ms = 0;
+	member->unsent = 0;
 	if (member->state == MEMBER_UP)
 		return member;
 	if (member->state != MEMBER_SUSPECT)
--- a/core/members_ping.c
+++ b/core/members_ping.c
@@ -7,6 +7,9 @@
 #include "common/hash.h"
 #include "members_private.h"
 
+/* Pings in a row without a connection that are no sign of silence yet. */
+#define UNSENT_PINGS_MAX 2
+
 struct ranked {
 	struct member *member;
 	uint64_t weight;
@@ -75,15 +78,35 @@
 	g_ptr_array_add(pings, member);
 }
 
+void members_ping_unsent(struct members *members, struct member *member)
+{
+	(void)members;
+	member->unsent++;
+	/* Between pings in turn the connection to a member is closed. */
+	if (!member->watched && member->unsent <= UNSENT_PINGS_MAX &&
+	    member->unanswered_ms == member->pinged_ms)
+		member->unanswered_ms = 0;
+}
+
+static uint32_t ping_interval_ms(const struct members *members)
+{
+	return members->nr <= members->options.watch_all_max ?
+		       members->options.ping_interval_ms :
+		       members->options.ping_interval_large_ms;
+}
+
 static bool is_due(const struct members *members, const struct member *member,
 		   uint64_t now_ms)
 {
 	if (!*member->address)
 		return false;
-	if (member->state == MEMBER_SUSPECT)
+	if (member->state == MEMBER_SUSPECT ||
+	    (!member->watched && member->unsent &&
+	     member->unsent <= UNSENT_PINGS_MAX))
 		return true;
 	return member->watched &&
-	       now_ms - member->pinged_ms >= members->options.ping_interval_ms;
+	       (!member->pinged_ms ||
+		now_ms - member->pinged_ms >= ping_interval_ms(members));
 }
 
 static struct member *next_in_turn(struct members *members)
@@ -110,6 +133,7 @@
 		if (!member || !*member->address || member->watched ||
 		    member->pinged_ms == now_ms)
 			continue;
+		member->unsent = 0;
 		ping(member, now_ms, pings);
 		taken++;
 	}
--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -74,6 +74,12 @@
 /** Forgets a peer and closes the connection made to it. */
 void bus_peer_remove(struct bus *bus, const char *name);
 
+/**
+ * Closes the connection made to a peer if it carried only pings for a minute;
+ * the next message makes a new one.
+ */
+void bus_peer_rest(struct bus *bus, const char *name);
+
 /** Sends a message; sender, incarnation and revision are filled in. */
 enum bus_status bus_send(struct bus *bus, const char *peer,
 			 Briarplank__Envelope *env);
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -65,6 +65,10 @@
 	bool listed_leaving;
 	/** Configuration revision on the last message heard. */
 	uint64_t config_revision;
+	/** Revision last pushed to it by this node. */
+	uint64_t config_pushed;
+	/** Pings in a row that found no connection. */
+	unsigned unsent;
 	/** Named in this node's settings, so never forgotten. */
 	bool fixed;
 	/** Pinged at each interval; the others in turn. */
@@ -124,7 +128,9 @@
 	enum member_role self_role;
 	const char *data_centre;
 	const char *region;
+	/** Time between two pings of a watched member; in a large fleet longer. */
 	uint32_t ping_interval_ms;
+	uint32_t ping_interval_large_ms;
 	uint32_t suspect_after_ms;
 	uint32_t down_after_ms;
 	/**
@@ -190,6 +196,12 @@
  */
 void members_tick(struct members *members, uint64_t now_ms, GPtrArray *pings);
 
+/**
+ * Notes that a ping found no connection, which is made in the meantime: the
+ * ping is due again at the next tick, and counts as silence only after several.
+ */
+void members_ping_unsent(struct members *members, struct member *member);
+
 /** Takes the next change, in the order in which they came; false for none. */
 bool members_next_change(struct members *members,
 			 struct members_change *change);
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -14,7 +14,7 @@
 	struct members *members;
 	struct shard_map *map;
 	uint64_t now_ms;
-	/* Members that don't answer pings. */
+	/* Members that don't answer; "unsent" when no ping has a connection. */
 	GHashTable *mute;
 };
 
@@ -25,6 +25,7 @@
 		.data_centre = "a",
 		.region = "r",
 		.ping_interval_ms = 500,
+		.ping_interval_large_ms = 1000,
 		.suspect_after_ms = 1500,
 		.down_after_ms = 3000,
 		.panic_percent = 50,
@@ -189,7 +190,9 @@
 			.incarnation = MAX(member->incarnation, 1),
 		};
 
-		if (!is_mute(state, member))
+		if (g_hash_table_contains(state->mute, "unsent"))
+			members_ping_unsent(state->members, pings->pdata[i]);
+		else if (!is_mute(state, member))
 			members_ponged(state->members, member->name, &pong,
 				       state->now_ms);
 	}
