--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -274,7 +274,7 @@
 	if (!peer || !peer->socket ||
 	    (peer->used_ms && uv_now(bus->loop) < peer->used_ms + PEER_KEEP_MS))
 		return;
-	socket_destroy(peer->socket);
+	bus_socket_destroy(peer->socket);
 	peer->socket = NULL;
 }
 
