--- a/briarplankd/config_spread.c
+++ b/briarplankd/config_spread.c
@@ -85,12 +85,14 @@
 static void fetch_fresh(struct config_task *task, uint64_t now_ms)
 {
 	struct members *members = node_members(task->super.node);
-	unsigned up = 0, asked = 0, at = 0, first;
+	unsigned up = 0, at = 0, first;
 	struct list *pos;
 
 	list_for_each (pos, members_all(members))
 		up += list_entry(pos, struct member, link)->state == MEMBER_UP;
-	first = up ? g_random_int_range(0, (int)up) : 0;
+	if (!up)
+		return;
+	first = g_random_int_range(0, (int)up);
 	list_for_each (pos, members_all(members)) {
 		struct member *member = list_entry(pos, struct member, link);
 
@@ -99,14 +101,15 @@
 		if ((at++ + up - first) % up >= FRESH_FETCHES)
 			continue;
 		send_fetch(task, member->name);
-		asked++;
 	}
-	if (asked)
-		task->fetch_at_ms = now_ms + FETCH_RETRY_MS;
+	task->fetch_at_ms = now_ms + FETCH_RETRY_MS;
 }
 
 void config_spread_tick(struct config_task *task, uint64_t now_ms)
 {
+	/* Connections that a push found missing are there a little later. */
+	if (now_ms < task->push_until_ms)
+		config_spread_push(task);
 	if (now_ms < task->fetch_at_ms)
 		return;
 	if (!config_store_next_offset(task->store))
@@ -135,14 +138,14 @@
 	task->heard_peer = g_strdup(peer);
 }
 
-static void send_update(struct config_task *task, const char *peer,
+static bool send_update(struct config_task *task, const char *peer,
 			Briarplank__ConfigUpdate *update)
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_CONFIG_UPDATE;
 	env.config_update = update;
-	bus_send(task->super.node->bus, peer, &env);
+	return bus_send(task->super.node->bus, peer, &env) == BUS_OK;
 }
 
 static void on_fetch(void *ctx, const Briarplank__Envelope *env)
@@ -176,7 +179,8 @@
 
 	return member_usable(member) &&
 	       !strcmp(member->data_centre, settings->data_centre) &&
-	       member->config_revision < config_store_revision(task->store);
+	       MAX(member->config_revision, member->config_pushed) <
+		       config_store_revision(task->store);
 }
 
 void config_spread_push(struct config_task *task)
@@ -199,7 +203,9 @@
 		}
 		if (!update)
 			update = config_store_update(task->store, from);
-		send_update(task, member->name, update);
+		if (send_update(task, member->name, update))
+			member->config_pushed =
+				config_store_revision(task->store);
 	}
 	if (update)
 		briarplank__config_update__free_unpacked(update, NULL);
--- a/briarplankd/config_task.c
+++ b/briarplankd/config_task.c
@@ -19,6 +19,8 @@
 #define SETTLE_MS 300
 /* Time without a peer's answer after which a fresh node reads the log, in ms. */
 #define PEERS_FIRST_MS 1500
+/* Time for which a relay pushes a revision to who missed it, in ms. */
+#define PUSH_AGAIN_MS 2000
 /* Longest wait of a read for the next record, in ms. */
 #define READ_WAIT_MS 10000
 #define READ_MAX_BYTES (4 << 20)
@@ -52,6 +54,23 @@
 	g_free(key);
 }
 
+static void note_spread(struct config_task *task, uint64_t revision)
+{
+	uint64_t published_ms = config_store_published_ms(task->store);
+	uint64_t now_ms = node_wall_ms();
+
+	if (!published_ms || published_ms > now_ms) {
+		log_info(PART, "revision %" G_GUINT64_FORMAT " is in force",
+			 revision);
+		return;
+	}
+	histogram_record(task->spread, (now_ms - published_ms) * 1000);
+	log_info(PART,
+		 "revision %" G_GUINT64_FORMAT
+		 " is in force, %" G_GUINT64_FORMAT " ms after its publication",
+		 revision, now_ms - published_ms);
+}
+
 void config_advanced(struct config_task *task, uint64_t old_revision)
 {
 	uint64_t revision = config_store_revision(task->store);
@@ -64,8 +83,9 @@
 	if (revision == old_revision)
 		return;
 	counter_set(task->revision_gauge, revision);
-	log_info(PART, "revision %" G_GUINT64_FORMAT " is in force", revision);
+	note_spread(task, revision);
 	apply_log_level(task);
+	task->push_until_ms = node_now_ms(task->super.node) + PUSH_AGAIN_MS;
 	config_spread_push(task);
 	node_publish(task->super.node, &event);
 }
@@ -299,6 +319,8 @@
 		metrics_gauge(metrics, "briarplank_config_relay", "");
 	task->fetches_total =
 		metrics_counter(metrics, "briarplank_config_fetches_total", "");
+	task->spread = metrics_histogram(
+		metrics, "briarplank_config_spread_seconds", "");
 	task->reads_total =
 		metrics_counter(metrics, "briarplank_config_reads_total", "");
 }
--- a/core/batch_share.c
+++ b/core/batch_share.c
@@ -5,8 +5,14 @@
 #define WEIGHT_FULL 100
 /* Growth of the gap, as a share, that counts as no harm. */
 #define HARM_FREE 0.05
-/* Part of the harm that counts while no online stream runs. */
-#define IDLE_HARM 0.25
+/*
+ * While no online stream runs, harm comes only from the step that an arrival
+ * finds under way; so it counts less, and tokens count at any weight.
+ */
+#define IDLE_HARM 0.1
+#define IDLE_RATE 0.3
+/* Least room between the gap of a lone stream and the target, as a share. */
+#define ROOM_MIN 0.25
 /* Time without online requests after which the engine counts as idle, in us. */
 #define QUIET_US 200000
 /* Gaps, and least time in us, between two steps up. */
@@ -18,15 +24,19 @@
 #define MISS_WEIGHT 0.005
 /* Misses that starting batch streams may cause, as a share of online gaps. */
 #define MISS_SHARE_MIN 0.03
-/* Weight from which on a batch prompt may delay an online one. */
-#define KEEP_STARTING_WEIGHT 75
-/* Batch streams that compute their prompt at once, at full weight. */
-#define STARTING_MAX 4
+/* Batch streams that compute their prompt at once. */
+#define STARTING_BUSY 1
+#define STARTING_IDLE 2
+/* Time for which a further stream is tried, and between two tries, in us. */
+#define PROBE_US 1000000
+#define PROBE_PAUSE_US 30000000
 
 struct batch_share {
 	struct batch_share_options options;
 	unsigned level;
 	uint64_t raised_us;
+	/* When the last try of a further stream began. */
+	uint64_t probe_us;
 	uint64_t busy_until_us;
 	/* Share of online gaps that missed while a batch prompt was computed. */
 	double miss_share;
@@ -58,13 +68,20 @@
 	return (double)MIN(share->options.weight, WEIGHT_FULL) / WEIGHT_FULL;
 }
 
-/* How much longer an online stream waits for its tokens, as a share. */
-static double harm_at(const struct concurrency *concurrency, unsigned n)
+/*
+ * How far the gap of an online stream has moved from that of a lone one to
+ * the target, squared: the last part of the way hurts most.
+ */
+static double harm_at(const struct batch_share *share,
+		      const struct concurrency *concurrency, unsigned n)
 {
 	double alone = (double)concurrency_gap_at(concurrency, 1);
 	double gap = (double)concurrency_gap_at(concurrency, n);
+	double room = MAX((double)share->options.gap_target_us - alone,
+			  ROOM_MIN * alone);
+	double moved = MAX(0, gap - (1 + HARM_FREE) * alone) / room;
 
-	return MAX(0, gap / alone - 1 - HARM_FREE);
+	return moved * moved;
 }
 
 static bool allowed_at(const struct batch_share *share,
@@ -94,8 +111,8 @@
 	unsigned max =
 		MIN(concurrency_explored(concurrency) + 1, CONCURRENCY_MAX);
 	double rate_max = best_rate(concurrency, max);
-	double throughput = weight(share);
-	double tail = (1 - throughput) * (busy ? 1 : IDLE_HARM);
+	double throughput = weight(share) + (busy ? RATE_TIE : IDLE_RATE);
+	double tail = (1 - weight(share)) * (busy ? 1 : IDLE_HARM);
 	double best = 0;
 	unsigned level = 1, n;
 
@@ -103,8 +120,8 @@
 		return 1;
 	for (n = 1; n <= max; n++) {
 		double rate = concurrency_rate_at(concurrency, n) / rate_max;
-		double worth = (throughput + RATE_TIE) * rate -
-			       tail * harm_at(concurrency, n);
+		double worth = throughput * rate -
+			       tail * harm_at(share, concurrency, n);
 
 		if (!allowed_at(share, concurrency, n, busy))
 			break;
@@ -123,13 +140,16 @@
 }
 
 /* Measures the next number of streams again when that was long ago. */
-static unsigned with_probe(const struct concurrency *concurrency, unsigned goal,
+static unsigned with_probe(struct batch_share *share,
+			   const struct concurrency *concurrency, unsigned goal,
 			   bool busy, uint64_t now_us)
 {
 	if (busy || goal >= CONCURRENCY_MAX ||
 	    concurrency_known(concurrency, goal + 1, now_us))
 		return goal;
-	return goal + 1;
+	if (now_us >= share->probe_us + PROBE_PAUSE_US)
+		share->probe_us = now_us;
+	return now_us < share->probe_us + PROBE_US ? goal + 1 : goal;
 }
 
 static void move_level(struct batch_share *share,
@@ -141,7 +161,7 @@
 	unsigned explored = concurrency_explored(concurrency);
 	bool full;
 
-	goal = with_probe(concurrency, goal, busy, now_us);
+	goal = with_probe(share, concurrency, goal, busy, now_us);
 	if (goal <= share->level) {
 		share->level = goal;
 		return;
@@ -165,9 +185,9 @@
 
 static unsigned starting_limit(const struct batch_share *share, bool busy)
 {
-	if (busy)
-		return 1;
-	return 1 + (unsigned)(weight(share) * (STARTING_MAX - 1));
+	bool guard = busy && share->options.weight < WEIGHT_FULL;
+
+	return guard ? STARTING_BUSY : STARTING_IDLE;
 }
 
 /* Starting batch streams lengthen steps; online callers see some of it. */
@@ -198,8 +218,7 @@
 	busy = online || now_us < share->busy_until_us;
 	move_level(share, concurrency, load, busy, now_us);
 	plan.keep = share->level > online ? share->level - online : 0;
-	if (load->online_starting &&
-	    share->options.weight < KEEP_STARTING_WEIGHT)
+	if (load->online_starting && share->options.weight < WEIGHT_FULL)
 		plan.keep = MIN(plan.keep,
 				load->batch_running - load->batch_starting);
 	limit = starting_limit(share, busy);
--- a/include/core/concurrency.h
+++ b/include/core/concurrency.h
@@ -33,12 +33,22 @@
 void concurrency_set(struct concurrency *concurrency,
 		     const struct concurrency_options *options);
 
+/** Tokens of a stream that came gap_us after the ones before. */
+struct concurrency_sample {
+	/** Number of streams that were running. */
+	unsigned streams;
+	uint64_t gap_us;
+	unsigned tokens;
+	/** Neither was a prompt computed nor did a stream come or go. */
+	bool steady;
+};
+
 /**
- * Notes that a stream's last tokens came gap_us after the ones before, while
- * this many streams were running.
+ * Notes a gap. Only steady samples are used: others tell of no one number of
+ * streams.
  */
-void concurrency_gap(struct concurrency *concurrency, unsigned streams,
-		     uint64_t gap_us, unsigned tokens, uint64_t now_us);
+void concurrency_gap(struct concurrency *concurrency,
+		     const struct concurrency_sample *sample, uint64_t now_us);
 
 /** Notes the time from a call's start to its first token. */
 void concurrency_first_token(struct concurrency *concurrency, unsigned streams,
@@ -59,7 +69,10 @@
 bool concurrency_known(const struct concurrency *concurrency, unsigned streams,
 		       uint64_t now_us);
 
-/** Number of online streams beyond which the targets would be missed. */
+/**
+ * Number of online streams beyond which the gap would miss its target while
+ * more streams give no more tokens a second.
+ */
 unsigned concurrency_online_limit(const struct concurrency *concurrency);
 
 #endif
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -102,7 +102,7 @@
 
 # Access rules of all entries; the key of each is its name.
 fleet_access () {
-	printf '%s' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
+	printf '%s\n' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
 	do
 		sum=$(printf '%s' "$caller" | sha256sum | cut -d' ' -f1)
 		test "$flag" = operator && op=true || op=false
@@ -111,16 +111,28 @@
 	done | sed 's/,$//'
 }
 
+# FLEET_SETTINGS, FLEET_WEB, FLEET_SERVER and FLEET_PLATFORM_SETTINGS are
+# further members of the settings, and of "web", "server" and "platform" in
+# them, for the nodes that are started next. FLEET_PEERS holds their peers.
+
+# Prints a running node as a peer that others know without the list of VMs.
+fleet_peer () {
+	printf '{"name":"%s","role":"%s","data_centre":"%s","region":"%s","service":"%s","address":"%s"}' \
+		"$1" "$2" "$3" "$4" "$5" "$(fleet_word "$1" bus)"
+}
+
 # fleet_entry NAME DATA_CENTRE REGION: starts an entry.
 fleet_entry () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "entry", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
+	"peers": [ ${FLEET_PEERS:-} ],
 	"access": [ ${FLEET_ACCESS:-} ]
 }
 EOF
@@ -132,12 +144,14 @@
 fleet_agent () {
 	cat >"$FLEET_DIR/$1.json" <<EOF
 {
+	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "agent", "data_centre": "$2",
 		  "region": "$3", "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
-	"web": { "listen": "127.0.0.1:0" },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS" },
-	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}" },
+	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
+	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}"${FLEET_SERVER:+, $FLEET_SERVER} },
+	"peers": [ ${FLEET_PEERS:-} ],
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
 }
 EOF
