Tell all entries of a released shard

Cause: entries know owners by the highest epoch they heard of, which knew no release. The release is now noted like a claim, with an empty owner, and spreads with the pings. A release also wakes who waits on the shard, and grants under way during it are sent, not dropped.

--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -92,15 +92,28 @@
 	g_free(epochs);
 }
 
+/* Passes on what the stream says, also of another owner or a release. */
+static void note_owner(struct ledger_task *task, uint32_t shard)
+{
+	struct ledger *ledger = shard_ledger(task->shards[shard]);
+
+	if (ledger && ledger_epoch(ledger))
+		node_note_shard_owner(task->super.node, shard,
+				      ledger_epoch(ledger),
+				      ledger_owner(ledger));
+}
+
 static void on_changed(void *ctx, struct shard *shard)
 {
 	struct ledger_task *task = ctx;
 	uint32_t index = shard_index(shard);
 
-	task->orphaned_ms[index] = 0;
+	if (shard_state(shard) == SHARD_OWNED)
+		task->orphaned_ms[index] = 0;
 	if (shard_state(shard) != SHARD_OWNED &&
 	    shard_state(shard) != SHARD_RELEASING)
 		wake(task, index, true);
+	note_owner(task, index);
 	tell_owned(task);
 }
 
@@ -126,7 +139,7 @@
 	const struct member *member = find_member(task, owner);
 
 	return member && member->state == MEMBER_UP &&
-	       member->incarnation == incarnation && !member->leaving;
+	       member->incarnation == incarnation;
 }
 
 static enum shard_owner_state owner_state(struct ledger_task *task,
@@ -142,7 +155,7 @@
 	member = find_member(task, owner);
 	if (!member || member->state == MEMBER_DOWN)
 		return SHARD_OWNER_DOWN;
-	return SHARD_OWNER_UP;
+	return member->leaving ? SHARD_OWNER_RELEASED : SHARD_OWNER_UP;
 }
 
 static GPtrArray *candidates(struct ledger_task *task)
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -114,9 +114,10 @@
 static bool still_live(const struct pull_grant *grant)
 {
 	struct ledger *ledger =
-		ledger_task_owned(grant->pull->task, grant->shard);
+		shard_ledger(grant->pull->task->shards[grant->shard]);
 
-	return ledger &&
+	/* Also while the shard is handed over: the next owner adopts it. */
+	return ledger && ledger_owned(ledger) &&
 	       ledger_grant_live(ledger, grant->out.grant_id, grant->epoch);
 }
 
--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -108,7 +108,7 @@
 		drop_parts(shard);
 		uv_timer_stop(&shard->timer);
 	}
-	if (owned || state == SHARD_OWNED)
+	if (owned || state == SHARD_OWNED || state == SHARD_CLOSED)
 		shard->options.changed(shard->options.ctx, shard);
 }
 
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -319,13 +319,22 @@
 	struct members_task *task = members_task_of(node);
 	struct shard_owner owner;
 
-	if (!shard_map_find(task->shard_map, shard, &owner) || !owner.owner)
+	if (!shard_map_find(task->shard_map, shard, &owner) || !owner.owner ||
+	    !*owner.owner)
 		return NULL;
 	if (!strcmp(owner.owner, node->settings->name) && !owns(task, shard))
 		return NULL;
 	return owner.owner;
 }
 
+void node_note_shard_owner(struct node *node, uint32_t shard, uint64_t epoch,
+			   const char *name)
+{
+	struct shard_owner owner = { shard, epoch, name };
+
+	shard_map_note(members_task_of(node)->shard_map, &owner);
+}
+
 void node_set_owned_shards(struct node *node, const uint32_t *shards,
 			   const uint64_t *epochs, uint32_t nr)
 {
--- a/include/briarplankd/members_task.h
+++ b/include/briarplankd/members_task.h
@@ -16,6 +16,13 @@
  */
 const char *node_shard_owner(struct node *node, uint32_t shard);
 
+/**
+ * Notes what a shard's stream says of its owner, for this node and others. An
+ * empty owner means that the shard was released.
+ */
+void node_note_shard_owner(struct node *node, uint32_t shard, uint64_t epoch,
+			   const char *owner);
+
 /** Tells the others which shards this entry owns; sent with each Pong. */
 void node_set_owned_shards(struct node *node, const uint32_t *shards,
 			   const uint64_t *epochs, uint32_t nr);
