Append what is still needed anew before retention takes it

An owner finds by search which offsets are older than half the retention time (platform.log_retention_ms) and appends the chunks and unexpired results there anew, and a checkpoint when the newest grows old. A checkpoint is followed by an append that points to it, so that a shard that is then at rest can be recovered from it.

--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -293,6 +293,7 @@
 			.append_interval_ms =
 				MAX(APPEND_INTERVAL_MIN_MS,
 				    1000 * nr / FLEET_APPENDS_PER_S),
+			.retention_ms = node->settings->log_retention_ms,
 			.changed = on_changed,
 			.advanced = on_advanced,
 			.owner_up = owner_up,
--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -42,6 +42,8 @@
 	shard_stream_name(options->index, shard->stream, sizeof(shard->stream));
 	uv_timer_init(&options->node->loop, &shard->timer);
 	shard->timer.data = shard;
+	g_queue_init(&shard->chunks);
+	shard->refresh.offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	shard->appends =
 		metrics_counter(metrics, "briarplank_ledger_appends_total", "");
 	shard->append_bytes = metrics_counter(
@@ -74,6 +76,8 @@
 {
 	drop_in_flight(shard);
 	drop_parts(shard);
+	shard_refresh_drop(shard);
+	g_array_free(shard->refresh.offsets, TRUE);
 	if (shard->ledger)
 		ledger_destroy(shard->ledger);
 	shard->ledger = NULL;
@@ -106,6 +110,7 @@
 	if (state == SHARD_CLOSED) {
 		drop_in_flight(shard);
 		drop_parts(shard);
+		shard_refresh_drop(shard);
 		uv_timer_stop(&shard->timer);
 	}
 	if (owned || state == SHARD_OWNED || state == SHARD_CLOSED)
@@ -303,6 +308,8 @@
 	if (shard->state != SHARD_OWNED && shard->state != SHARD_RELEASING)
 		return false;
 	shard->in_flight = ledger_next_append(shard->ledger, APPEND_BYTES);
+	if (!shard->in_flight && shard->state == SHARD_OWNED)
+		shard->in_flight = shard_next_chunk(shard);
 	if (!shard->in_flight && shard->state == SHARD_OWNED)
 		shard->in_flight = shard_next_part(shard, now);
 	shard->kind = SHARD_APPEND_RECORDS;
@@ -386,6 +393,7 @@
 		shard->checked_ms = now_ms;
 		shard_read(shard);
 	}
+	shard_refresh_tick(shard, now_ms);
 	shard_kick(shard);
 }
 
@@ -405,5 +413,5 @@
 bool shard_quiet(const struct shard *shard)
 {
 	return shard->state == SHARD_CLOSED && !shard->reading &&
-	       !shard->appending;
+	       !shard->appending && !shard->refresh.reading;
 }
--- a/briarplankd/entry/shard_checkpoint.c
+++ b/briarplankd/entry/shard_checkpoint.c
@@ -14,7 +14,7 @@
 	uint64_t position = ledger_position(shard->ledger);
 	uint64_t as_of = ledger_checkpoint(shard->ledger)->as_of_offset;
 
-	return position - as_of >= CHECKPOINT_RECORDS;
+	return shard->checkpoint_due || position - as_of >= CHECKPOINT_RECORDS;
 }
 
 static void begin(struct shard *shard)
@@ -22,6 +22,7 @@
 	shard->parts = ledger_checkpoint_parts(shard->ledger);
 	shard->parts_as_of = ledger_position(shard->ledger);
 	shard->parts_sent = 0;
+	shard->checkpoint_due = false;
 	if (shard->parts->len <= LEDGER_CHECKPOINT_PARTS_MAX)
 		return;
 	log_error(PART, "shard %u: the checkpoint has too many parts",
@@ -41,7 +42,8 @@
 	if (shard->parts_sent == shard->parts->len) {
 		g_ptr_array_free(shard->parts, TRUE);
 		shard->parts = NULL;
-		return NULL;
+		/* Who recovers finds the checkpoint by a later append. */
+		return ledger_pack_hint(shard->ledger);
 	}
 	bytes = ledger_pack_part(
 		shard->ledger, shard->parts->pdata[shard->parts_sent],
--- /dev/null
+++ b/briarplankd/entry/shard_refresh.c
@@ -0,0 +1,199 @@
+/*
+ * Appends anew what a shard still needs well before retention takes it. The
+ * age of offsets is found by search in the stream itself, so that it is known
+ * to every owner.
+ */
+#include "briarplankd/entry/shard_state.h"
+#include "common/log.h"
+
+#define PART "ledger"
+
+/* Part of the retention time after which records are appended anew. */
+#define STALE_DIVISOR 2
+/* Part of the retention time between two looks. */
+#define LOOK_DIVISOR 16
+/* Queued bytes above which nothing is read for a while. */
+#define QUEUE_MAX_BYTES (1 << 20)
+
+static void read_at(struct shard *shard, uint64_t offset, log_read_fn fn)
+{
+	struct log_service *log = shard->options.node->log;
+
+	shard->refresh.reading = true;
+	log->ops->read(log, shard->stream, offset, 1, 0, fn, shard);
+}
+
+static void finish(struct shard *shard)
+{
+	shard->refresh.busy = false;
+}
+
+static void take_horizon(struct shard *shard)
+{
+	struct shard_refresh *refresh = &shard->refresh;
+	const struct ledger_checkpoint_place *place =
+		ledger_checkpoint(shard->ledger);
+
+	if (!place->parts || place->part_offsets[0] <= refresh->low)
+		shard->checkpoint_due = true;
+	g_array_set_size(refresh->offsets, 0);
+	refresh->at = 0;
+	ledger_stale(shard->ledger, refresh->low, refresh->offsets);
+	if (refresh->offsets->len)
+		log_info(PART, "shard %u: %u appends are written anew",
+			 shard->options.index, refresh->offsets->len);
+	shard_kick(shard);
+}
+
+static void search(struct shard *shard);
+
+static bool usable(const struct shard *shard)
+{
+	return shard->state == SHARD_OWNED;
+}
+
+static void on_middle(void *ctx, enum log_service_status status,
+		      const struct log_service_page *page)
+{
+	struct shard *shard = ctx;
+	struct shard_refresh *refresh = &shard->refresh;
+
+	refresh->reading = false;
+	if (!usable(shard) || status != LOG_SERVICE_OK) {
+		finish(shard);
+		return;
+	}
+	if (!page->nr || page->entries[0].stored_ms >= refresh->cutoff_ms)
+		refresh->high = refresh->middle;
+	else
+		refresh->low = MAX(refresh->middle, page->entries[0].offset);
+	search(shard);
+}
+
+/* Records up to low are stale, those from high on are not. */
+static void search(struct shard *shard)
+{
+	struct shard_refresh *refresh = &shard->refresh;
+
+	if (refresh->high - refresh->low <= 1) {
+		take_horizon(shard);
+		return;
+	}
+	refresh->middle = refresh->low + (refresh->high - refresh->low) / 2;
+	read_at(shard, refresh->middle, on_middle);
+}
+
+static void on_oldest(void *ctx, enum log_service_status status,
+		      const struct log_service_page *page)
+{
+	struct shard *shard = ctx;
+	struct shard_refresh *refresh = &shard->refresh;
+
+	refresh->reading = false;
+	if (!usable(shard) || status != LOG_SERVICE_OK || !page->nr ||
+	    page->entries[0].stored_ms >= refresh->cutoff_ms) {
+		finish(shard);
+		return;
+	}
+	refresh->low = page->entries[0].offset;
+	refresh->high = MAX(ledger_position(shard->ledger), refresh->low) + 1;
+	search(shard);
+}
+
+static void on_record(void *ctx, enum log_service_status status,
+		      const struct log_service_page *page)
+{
+	struct shard *shard = ctx;
+	struct shard_refresh *refresh = &shard->refresh;
+	uint64_t offset;
+	Briarplank__ShardAppend *append;
+
+	refresh->reading = false;
+	if (!usable(shard) || refresh->at >= refresh->offsets->len) {
+		finish(shard);
+		return;
+	}
+	if (status != LOG_SERVICE_OK)
+		return;
+	offset = g_array_index(refresh->offsets, uint64_t, refresh->at);
+	refresh->at++;
+	if (!page->nr || page->entries[0].offset != offset) {
+		log_error(PART,
+			  "shard %u: record %" G_GUINT64_FORMAT
+			  " went before it was written anew",
+			  shard->options.index, offset);
+		return;
+	}
+	append = briarplank__shard_append__unpack(NULL, page->entries[0].len,
+						  page->entries[0].payload);
+	if (!append)
+		return;
+	if (ledger_refresh(shard->ledger, offset, append)) {
+		g_queue_push_tail(&shard->chunks, append->chunk);
+		append->chunk = NULL;
+	}
+	briarplank__shard_append__free_unpacked(append, NULL);
+	shard_kick(shard);
+}
+
+static void go_on(struct shard *shard)
+{
+	struct shard_refresh *refresh = &shard->refresh;
+
+	if (refresh->high - refresh->low > 1)
+		return;
+	if (refresh->at == refresh->offsets->len) {
+		finish(shard);
+		return;
+	}
+	if (ledger_outbox_bytes(shard->ledger) > QUEUE_MAX_BYTES ||
+	    !g_queue_is_empty(&shard->chunks))
+		return;
+	read_at(shard, g_array_index(refresh->offsets, uint64_t, refresh->at),
+		on_record);
+}
+
+void shard_refresh_tick(struct shard *shard, uint64_t now_ms)
+{
+	struct shard_refresh *refresh = &shard->refresh;
+	uint64_t retention = shard->options.retention_ms;
+
+	if (!retention || refresh->reading)
+		return;
+	if (refresh->busy) {
+		go_on(shard);
+		return;
+	}
+	if (now_ms < refresh->look_ms)
+		return;
+	refresh->look_ms = now_ms + retention / LOOK_DIVISOR;
+	refresh->cutoff_ms = node_wall_ms() - retention / STALE_DIVISOR;
+	refresh->busy = true;
+	refresh->low = 0;
+	refresh->high = UINT64_MAX;
+	read_at(shard, 1, on_oldest);
+}
+
+GByteArray *shard_next_chunk(struct shard *shard)
+{
+	Briarplank__JobChunk *chunk = g_queue_pop_head(&shard->chunks);
+	GByteArray *bytes;
+
+	if (!chunk)
+		return NULL;
+	bytes = ledger_pack_chunk(shard->ledger, chunk);
+	briarplank__job_chunk__free_unpacked(chunk, NULL);
+	return bytes;
+}
+
+void shard_refresh_drop(struct shard *shard)
+{
+	Briarplank__JobChunk *chunk;
+
+	while ((chunk = g_queue_pop_head(&shard->chunks)) != NULL)
+		briarplank__job_chunk__free_unpacked(chunk, NULL);
+	g_array_set_size(shard->refresh.offsets, 0);
+	shard->refresh.busy = false;
+	shard->refresh.look_ms = 0;
+	shard->checkpoint_due = false;
+}
--- a/core/ledger_records.c
+++ b/core/ledger_records.c
@@ -169,6 +169,15 @@
 	return pack(&append);
 }
 
+GByteArray *ledger_pack_hint(struct ledger *ledger)
+{
+	Briarplank__ShardAppend append = BRIARPLANK__SHARD_APPEND__INIT;
+	Briarplank__CheckpointHint hint = BRIARPLANK__CHECKPOINT_HINT__INIT;
+
+	begin_append(ledger, &append, &hint);
+	return pack(&append);
+}
+
 size_t ledger_outbox_bytes(const struct ledger *ledger)
 {
 	return ledger->outbox_bytes;
--- a/include/briarplankd/daemon_settings.h
+++ b/include/briarplankd/daemon_settings.h
@@ -47,6 +47,7 @@
 
 	char *log_service;
 	int64_t log_timeout_ms;
+	int64_t log_retention_ms;
 	char *vm_list;
 	char *weight_store;
 
--- a/include/briarplankd/entry/shard.h
+++ b/include/briarplankd/entry/shard.h
@@ -35,6 +35,8 @@
 	uint32_t lease_ms;
 	/** Shortest time between two appends, in ms. */
 	uint32_t append_interval_ms;
+	/** Time for which the log keeps records, in ms; 0 for ever. */
+	uint64_t retention_ms;
 	/** The shard became owned or stopped being so. */
 	void (*changed)(void *ctx, struct shard *shard);
 	/** More records are durable, or the stream was read further. */
--- a/include/briarplankd/entry/shard_state.h
+++ b/include/briarplankd/entry/shard_state.h
@@ -31,6 +31,20 @@
 	SHARD_READ_FOLD,
 };
 
+/** The search for old records, and their way into new appends. */
+struct shard_refresh {
+	bool busy;
+	bool reading;
+	uint64_t look_ms;
+	uint64_t cutoff_ms;
+	uint64_t low;
+	uint64_t middle;
+	uint64_t high;
+	/** Offsets of appends that are still needed and old. */
+	GArray *offsets;
+	guint at;
+};
+
 struct shard {
 	struct shard_options options;
 	enum shard_state state;
@@ -63,6 +77,10 @@
 	GPtrArray *parts;
 	uint64_t parts_as_of;
 	uint32_t parts_sent;
+	bool checkpoint_due;
+	struct shard_refresh refresh;
+	/** Chunks (Briarplank__JobChunk) that are appended anew. */
+	GQueue chunks;
 	struct counter *appends;
 	struct counter *append_bytes;
 };
@@ -78,4 +96,11 @@
 /** Packs the next part of a checkpoint; NULL when none is due. */
 GByteArray *shard_next_part(struct shard *shard, uint64_t now_ms);
 
+/** Packs a chunk that is appended anew; NULL when there is none. */
+GByteArray *shard_next_chunk(struct shard *shard);
+/** Looks for old records and reads the next of them. */
+void shard_refresh_tick(struct shard *shard, uint64_t now_ms);
+/** Forgets the search. */
+void shard_refresh_drop(struct shard *shard);
+
 #endif
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -248,6 +248,8 @@
 /** Packs the append of one part. */
 GByteArray *ledger_pack_part(struct ledger *ledger, const GByteArray *state,
 			     uint64_t as_of, uint32_t part, uint32_t parts);
+/** Packs an append that only points to the newest checkpoint. */
+GByteArray *ledger_pack_hint(struct ledger *ledger);
 /** Loads one part into an empty ledger. */
 bool ledger_load_part(struct ledger *ledger,
 		      const Briarplank__Checkpoint *part);
@@ -258,6 +260,16 @@
 const struct ledger_checkpoint_place *ledger_checkpoint(
 	const struct ledger *ledger);
 
+/** Lists the offsets up to the horizon that are still needed, in order. */
+void ledger_stale(const struct ledger *ledger, uint64_t horizon,
+		  GArray *offsets);
+/**
+ * Queues the still needed results of an old append anew. True when it is a
+ * chunk that is needed, which the caller appends.
+ */
+bool ledger_refresh(struct ledger *ledger, uint64_t offset,
+		    const Briarplank__ShardAppend *append);
+
 /** Smoothes the rate at which the items of each open job end. */
 void ledger_measure(struct ledger *ledger, uint64_t wall_ms);
 
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -13,6 +13,7 @@
  *   takeover N | expire N | time MS
  *   pull N AGENT [n=K] [alone] [service=S]
  *   done|failed|lost|notrun|renew N AGENT GRANT
+ *   refresh N HORIZON             appends anew what is needed up to there
  *   checkpoint N | restore N | trim OFFSET | sweep N
  *   show N | compare N N | results N JOB
  */
@@ -118,7 +119,8 @@
 	return node;
 }
 
-static uint64_t append(struct world *world, GByteArray *bytes, GString *out)
+static uint64_t append_bytes(struct world *world, GByteArray *bytes,
+			     GString *out)
 {
 	g_ptr_array_add(world->log, bytes);
 	if (out)
@@ -178,7 +180,7 @@
 	g_byte_array_set_size(
 		bytes, briarplank__shard_append__get_packed_size(&message));
 	briarplank__shard_append__pack(&message, bytes->data);
-	append(world, bytes, out);
+	append_bytes(world, bytes, out);
 	g_strfreev(names);
 }
 
@@ -263,7 +265,7 @@
 		bytes_free(node->held);
 		node->held = bytes;
 	} else {
-		append(world, bytes, out);
+		append_bytes(world, bytes, out);
 	}
 }
 
@@ -275,7 +277,7 @@
 
 	copy = g_byte_array_new();
 	g_byte_array_append(copy, node->held->data, node->held->len);
-	append(world, copy, out);
+	append_bytes(world, copy, out);
 	if (has(argc, argv, "again"))
 		return;
 	bytes_free(node->held);
@@ -444,10 +446,10 @@
 	guint i;
 
 	for (i = 0; i < parts->len; i++) {
-		append(world,
-		       ledger_pack_part(node->ledger, parts->pdata[i], as_of, i,
-					parts->len),
-		       out);
+		append_bytes(world,
+			     ledger_pack_part(node->ledger, parts->pdata[i],
+					      as_of, i, parts->len),
+			     out);
 		read_stream(world, node, out);
 	}
 	g_ptr_array_free(parts, TRUE);
@@ -532,6 +534,40 @@
 	g_array_free(places, TRUE);
 }
 
+/* Appends anew what stands at an old offset and is still needed. */
+static void refresh_one(struct world *world, struct node *node, uint64_t offset,
+			GString *out)
+{
+	const GByteArray *bytes = world->log->pdata[offset - 1];
+	Briarplank__ShardAppend *append =
+		briarplank__shard_append__unpack(NULL, bytes->len, bytes->data);
+	GByteArray *next;
+
+	if (ledger_refresh(node->ledger, offset, append))
+		next = ledger_pack_chunk(node->ledger, append->chunk);
+	else
+		next = ledger_next_append(node->ledger, 1 << 20);
+	if (next) {
+		append_bytes(world, next, out);
+		read_stream(world, node, out);
+	}
+	briarplank__shard_append__free_unpacked(append, NULL);
+}
+
+static void refresh(struct world *world, char **argv, GString *out)
+{
+	struct node *node = node_get(world, argv[1]);
+	GArray *offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	guint i;
+
+	ledger_stale(node->ledger, g_ascii_strtoull(argv[2], NULL, 10),
+		     offsets);
+	for (i = 0; i < offsets->len; i++)
+		refresh_one(world, node, g_array_index(offsets, uint64_t, i),
+			    out);
+	g_array_free(offsets, TRUE);
+}
+
 /* Commands that name a node first. */
 static void node_command(struct world *world, int argc, char **argv,
 			 GString *out)
@@ -540,9 +576,9 @@
 	struct ledger *ledger = node->ledger;
 
 	if (!strcmp(*argv, "claim"))
-		append(world, ledger_pack_claim(ledger, false), out);
+		append_bytes(world, ledger_pack_claim(ledger, false), out);
 	else if (!strcmp(*argv, "release"))
-		append(world, ledger_pack_claim(ledger, true), out);
+		append_bytes(world, ledger_pack_claim(ledger, true), out);
 	else if (!strcmp(*argv, "seal"))
 		seal(world, argc, argv, out);
 	else if (!strcmp(*argv, "cancel"))
@@ -571,6 +607,8 @@
 						    argv[2], world->now_ms) ?
 					       "renewed" :
 					       "void");
+	else if (!strcmp(*argv, "refresh"))
+		refresh(world, argv, out);
 	else if (!strcmp(*argv, "checkpoint"))
 		checkpoint(world, argv, out);
 	else if (!strcmp(*argv, "restore"))
