--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -4,8 +4,7 @@
  */
 #include <string.h>
 
-#include <openssl/sha.h>
-
+#include "briarplankd/access.h"
 #include "briarplankd/entry/jobs.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
@@ -13,7 +12,6 @@
 
 #define PREFIX "/v1/jobs/"
 #define RESULTS "/results"
-#define BEARER "Bearer "
 #define NAME_MAX_BYTES 256
 
 #define TICK_MS 50
@@ -28,23 +26,6 @@
 /* Bytes of results asked for at a time. */
 #define RESULTS_PAGE_BYTES (512 << 10)
 
-static const struct access_settings *find_access(
-	const struct daemon_settings *settings, const char *key)
-{
-	const struct access_settings *access = settings->access.items;
-	uint8_t digest[SHA256_DIGEST_LENGTH];
-	char hex[2 * SHA256_DIGEST_LENGTH + 1];
-	size_t i;
-
-	SHA256((const uint8_t *)key, strlen(key), digest);
-	hash_to_hex(digest, sizeof(digest), hex);
-	for (i = 0; i < settings->access.nr; i++) {
-		if (!g_ascii_strcasecmp(access[i].key_sha256, hex))
-			return &access[i];
-	}
-	return NULL;
-}
-
 /* Returns the caller's name, or NULL for an unknown key. */
 static const char *identify(const struct daemon_settings *settings,
 			    struct web_request *web)
@@ -54,9 +35,7 @@
 
 	if (!settings->access.nr)
 		return "anonymous";
-	if (!field || g_ascii_strncasecmp(field, BEARER, strlen(BEARER)))
-		return NULL;
-	access = find_access(settings, field + strlen(BEARER));
+	access = field ? access_find(settings, field) : NULL;
 	return access ? access->name : NULL;
 }
 
@@ -210,6 +189,17 @@
 	}
 }
 
+/* Tells the operator's command, which has no web request here. */
+static void finish(struct job_call *call, const Briarplank__JobReply *reply)
+{
+	job_call_done_fn done = call->done;
+	void *ctx = call->done_ctx;
+
+	call->done = NULL;
+	job_call_end(call);
+	done(ctx, reply);
+}
+
 static void on_reply(void *ctx, const Briarplank__Envelope *env)
 {
 	struct jobs *jobs = ctx;
@@ -224,7 +214,10 @@
 		return;
 	}
 	call->ask_ms = 0;
-	job_call_answer(call, reply);
+	if (call->done)
+		finish(call, reply);
+	else
+		job_call_answer(call, reply);
 }
 
 /* Only a seal that was sent may have taken effect. */
@@ -233,6 +226,10 @@
 	bool doubt = call->asked && (call->kind == JOB_CALL_SUBMIT ||
 				     call->kind == JOB_CALL_CANCEL);
 
+	if (call->done) {
+		finish(call, NULL);
+		return;
+	}
 	job_call_unavailable(
 		call, RETRY_AFTER_MS,
 		doubt ? "not confirmed in time; it may have taken effect, "
@@ -290,21 +287,31 @@
 	return head % shards;
 }
 
-static struct job_call *call_create(struct jobs *jobs, struct web_request *web,
-				    const char *caller, char *name)
+static struct job_call *call_add(struct jobs *jobs, const uint8_t *job_id)
 {
 	struct node *node = jobs->super.node;
 	struct job_call *call = g_new0(struct job_call, 1);
 
 	call->id = ++jobs->next_id;
 	call->jobs = jobs;
+	memcpy(call->job_id, job_id, HASH128_BYTES);
+	call->shard = shard_of(job_id, node->settings->ledger_shards);
+	call->deadline_ms = node_now_ms(node) + CALL_LIMIT_MS;
+	g_hash_table_insert(jobs->by_id, &call->id, call);
+	return call;
+}
+
+static struct job_call *call_create(struct jobs *jobs, struct web_request *web,
+				    const char *caller, char *name)
+{
+	uint8_t job_id[HASH128_BYTES];
+	struct job_call *call;
+
+	hash128_pair(caller, name, job_id);
+	call = call_add(jobs, job_id);
 	call->web = web;
 	call->caller = g_strdup(caller);
 	call->name = name;
-	hash128_pair(caller, name, call->job_id);
-	call->shard = shard_of(call->job_id, node->settings->ledger_shards);
-	call->deadline_ms = node_now_ms(node) + CALL_LIMIT_MS;
-	g_hash_table_insert(jobs->by_id, &call->id, call);
 	web_on_close(web, on_close, call);
 	return call;
 }
@@ -393,7 +400,10 @@
 			struct job_call *call = pos->data;
 
 			call->appending = false;
-			job_call_end(call);
+			if (call->done)
+				finish(call, NULL);
+			else
+				job_call_end(call);
 		}
 		g_list_free(calls);
 		g_hash_table_destroy(jobs->by_id);
@@ -417,3 +427,48 @@
 	jobs->super.ops = &jobs_ops;
 	return &jobs->super;
 }
+
+static struct jobs *jobs_of(struct node *node)
+{
+	struct list *pos;
+
+	list_for_each (pos, &node->tasks) {
+		struct task *task = list_entry(pos, struct task, link);
+
+		if (task->ops == &jobs_ops)
+			return (struct jobs *)task;
+	}
+	return NULL;
+}
+
+static bool parse_id(const char *text, uint8_t id[HASH128_BYTES])
+{
+	size_t i;
+
+	for (i = 0; i < HASH128_BYTES; i++) {
+		int high = g_ascii_xdigit_value(text[2 * i]);
+		int low = high < 0 ? -1 : g_ascii_xdigit_value(text[2 * i + 1]);
+
+		if (low < 0)
+			return false;
+		id[i] = high << 4 | low;
+	}
+	return !text[2 * HASH128_BYTES];
+}
+
+bool jobs_cancel(struct node *node, const char *job_id, job_call_done_fn done,
+		 void *ctx)
+{
+	struct jobs *jobs = jobs_of(node);
+	uint8_t id[HASH128_BYTES];
+	struct job_call *call;
+
+	if (!jobs || !parse_id(job_id, id))
+		return false;
+	call = call_add(jobs, id);
+	call->kind = JOB_CALL_CANCEL;
+	call->done = done;
+	call->done_ctx = ctx;
+	job_call_ask(call);
+	return true;
+}
--- a/briarplankd/entry/jobs_answer.c
+++ b/briarplankd/entry/jobs_answer.c
@@ -10,54 +10,6 @@
 /* Bytes of results queued to a caller before the next page is asked for. */
 #define QUEUE_MAX_BYTES (1 << 20)
 #define RETRY_AFTER_MS 2000
-#define MS_PER_S 1000
-
-static void add_time(struct json_object *root, const char *name, uint64_t ms)
-{
-	GDateTime *time;
-	char *text;
-
-	if (!ms)
-		return;
-	time = g_date_time_new_from_unix_utc((gint64)(ms / MS_PER_S));
-	text = time ? g_date_time_format_iso8601(time) : g_strdup("");
-	json_object_object_add(root, name, json_object_new_string(text));
-	g_free(text);
-	if (time)
-		g_date_time_unref(time);
-}
-
-static void add_count(struct json_object *root, const char *name, uint64_t nr)
-{
-	json_object_object_add(root, name, json_object_new_uint64(nr));
-}
-
-static struct json_object *job_json(const Briarplank__JobState *state)
-{
-	struct json_object *root = json_object_new_object();
-
-	json_object_object_add(root, "job",
-			       json_object_new_string(state->name));
-	json_object_object_add(root, "caller",
-			       json_object_new_string(state->caller));
-	json_object_object_add(root, "service",
-			       json_object_new_string(state->service));
-	add_count(root, "items", state->items);
-	add_count(root, "waiting", state->waiting);
-	add_count(root, "running", state->running);
-	add_count(root, "done", state->done);
-	add_count(root, "failed", state->failed);
-	add_count(root, "cancelled", state->cancelled);
-	add_count(root, "outcome_unknown", state->outcome_unknown);
-	json_object_object_add(root, "cancel_accepted",
-			       json_object_new_boolean(state->cancel_accepted));
-	add_time(root, "due", state->due_ms);
-	add_time(root, "keep_until", state->keep_until_ms);
-	add_time(root, "expected_end", state->expected_end_ms);
-	add_count(root, "shard", state->shard);
-	add_count(root, "as_of_offset", state->as_of_offset);
-	return root;
-}
 
 static void answer_job(struct job_call *call, int status,
 		       const Briarplank__JobReply *reply)
@@ -70,7 +22,7 @@
 			      "the shard's owner named no job");
 		return;
 	}
-	root = job_json(reply->jobs[0]);
+	root = job_state_json(reply->jobs[0]);
 	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
 	web_answer(call->web, status, "application/json", text, strlen(text));
 	json_object_put(root);
--- a/briarplankd/entry/ledger_calls.c
+++ b/briarplankd/entry/ledger_calls.c
@@ -4,9 +4,11 @@
  */
 #include <string.h>
 
+#include "briarplankd/entry/jobs.h"
 #include "briarplankd/entry/ledger_results.h"
 #include "briarplankd/entry/ledger_task.h"
 #include "briarplankd/members_task.h"
+#include "briarplankd/rows.h"
 #include "common/hash.h"
 
 /* Time in which the chunks of a seal must be found in the stream, in ms. */
@@ -370,6 +372,28 @@
 	g_ptr_array_free(listing.states, TRUE);
 }
 
+static void add_row(void *ctx, struct ledger_job *job)
+{
+	Briarplank__JobState state;
+
+	ledger_job_state(job, node_wall_ms(), &state);
+	json_object_array_add(ctx, job_state_json(&state));
+}
+
+/* The jobs of the shards that this entry owns, for operators. */
+static void add_rows(void *ctx, struct json_object *rows)
+{
+	struct ledger_task *task = ctx;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		struct ledger *ledger = ledger_task_owned(task, i);
+
+		if (ledger)
+			ledger_each_job(ledger, add_row, rows);
+	}
+}
+
 static void reply_key(struct ledger_task *task, const char *peer,
 		      const Briarplank__ClaimKey *claim,
 		      Briarplank__ClaimKeyReply__Code code, const char *winner)
@@ -459,6 +483,7 @@
 {
 	struct bus *bus = task->super.node->bus;
 
+	rows_register(task->super.node, "jobs", add_rows, task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_SEAL_JOB, on_seal, task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL_JOB, on_cancel, task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_QUERY_JOB, on_query, task);
--- a/include/briarplankd/entry/jobs.h
+++ b/include/briarplankd/entry/jobs.h
@@ -8,6 +8,7 @@
 #define BRIARPLANKD_ENTRY_JOBS_H
 
 #include <glib.h>
+#include <json-c/json.h>
 
 #include "briarplankd/node.h"
 #include "common/hash.h"
@@ -28,7 +29,10 @@
 	JOB_CALL_CANCEL,
 };
 
-/** One request of a caller. */
+/** Gets the owner's answer, or NULL when none came in time. */
+typedef void (*job_call_done_fn)(void *ctx, const Briarplank__JobReply *reply);
+
+/** One request of a caller, or of an operator's command. */
 struct job_call {
 	uint64_t id;
 	struct jobs *jobs;
@@ -56,6 +60,9 @@
 	bool appending;
 	/** To be freed once the append has ended. */
 	bool dead;
+	/** Of an operator's command, which has no web request. */
+	job_call_done_fn done;
+	void *done_ctx;
 
 	/** Of results: where the next page begins. */
 	uint32_t from_item;
@@ -63,6 +70,16 @@
 	bool waiting_taken;
 };
 
+/**
+ * Cancels a job by its id in hexadecimal, for operators. False when the id is
+ * none; else done is called once.
+ */
+bool jobs_cancel(struct node *node, const char *job_id, job_call_done_fn done,
+		 void *ctx);
+
+/** Makes the JSON of a job's state; free with json_object_put. */
+struct json_object *job_state_json(const Briarplank__JobState *state);
+
 /** Parses "90s", "15m", "72h" or "3d" to ms; false when it is none. */
 bool jobs_parse_duration(const char *text, uint64_t *ms);
 
--- a/tests/process/ledger.sh
+++ b/tests/process/ledger.sh
@@ -2,7 +2,7 @@
 
 # ledger_fleet ENTRIES: starts a fleet with two engines and a plain service.
 ledger_fleet () {
-	FLEET_ACCESS=$(fleet_access "desk:batch depot:online")
+	FLEET_ACCESS=$(fleet_access "desk:batch depot:online admin:ops:operator")
 	# shellcheck disable=SC2086
 	fleet_platform $LEDGER_LOG_OPTIONS
 	fleet_standin engine-1 engine --base-gap-us 2000
--- a/tests/process/ledger_basics.sh
+++ b/tests/process/ledger_basics.sh
@@ -71,6 +71,15 @@
 wait_until submitted entry-1 late "$body.raw" "service=letters&path=echo"
 wait_until job_ended entry-1 late
 
+# Operators see the jobs of all entries.
+curl -s -m 10 -H "Authorization: Bearer admin" -d 'show jobs' \
+	"$(fleet_url entry-2)/v1/operator" >"$FLEET_DIR/answer"
+for job in night long late
+do
+	grep -q "\"job\": *\"$job\"" "$FLEET_DIR/answer" ||
+		fleet_fail "$job is not shown: $(cat "$FLEET_DIR/answer")"
+done
+
 for node in entry-1 entry-2 agent-1 agent-2 agent-3
 do
 	fleet_signal "$node" TERM
