--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -332,6 +332,7 @@
 		return false;
 	}
 	list_init(&task->seals);
+	list_init(&task->pulls);
 	make_metrics(task);
 	task->started_ms = node_now_ms(base->node);
 	task->schedule = ledger_schedule_create(&options);
@@ -363,7 +364,7 @@
 		if (!shard_quiet(task->shards[i]))
 			return false;
 	}
-	return task->running == 0;
+	return task->running == 0 && list_empty(&task->pulls);
 }
 
 static void free_shards(struct ledger_task *task)
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -22,6 +22,7 @@
 
 /* A pull, until its bodies are read and its intents are durable. */
 struct pull {
+	struct list link;
 	struct ledger_task *task;
 	char *agent;
 	char *service;
@@ -143,7 +144,7 @@
 		g_free(grant->body);
 	}
 	g_array_free(pull->grants, TRUE);
-	pull->task->running--;
+	list_remove(&pull->link);
 	g_free(pull->agent);
 	g_free(pull->service);
 	g_free(pull);
@@ -206,6 +207,18 @@
 	pull_finish(grant->pull);
 }
 
+/* Adds room for a grant; the array moves until pull_fetch begins. */
+static struct pull_grant *grant_new(struct pull *pull)
+{
+	struct pull_grant *grant;
+
+	g_array_set_size(pull->grants, pull->grants->len + 1);
+	grant = &g_array_index(pull->grants, struct pull_grant,
+			       pull->grants->len - 1);
+	grant->pull = pull;
+	return grant;
+}
+
 /* Grants one item, if there is one. */
 static bool pull_one(struct pull *pull, struct ledger **ledgers, uint32_t nr,
 		     bool alone)
@@ -213,19 +226,21 @@
 	struct ledger_task *task = pull->task;
 	uint64_t now = node_now_ms(task->super.node);
 	uint64_t wall = node_wall_ms();
-	struct pull_grant grant = { .pull = pull };
+	struct ledger_grant_out out;
+	struct pull_grant *grant;
 	struct ledger_job *job;
 
 	job = ledger_schedule_choose(task->schedule, ledgers, nr, pull->service,
 				     alone, now, wall);
-	if (!job || !ledger_grant(job, pull->agent, alone, now, &grant.out))
+	if (!job || !ledger_grant(job, pull->agent, alone, now, &out))
 		return false;
 	ledger_schedule_charge(task->schedule, job, wall);
-	grant.shard = ledger_job_shard(job);
-	grant.epoch = ledger_epoch(shard_ledger(task->shards[grant.shard]));
-	grant.path = g_strdup(grant.out.path);
-	memcpy(grant.job_id, grant.out.job_id, HASH128_BYTES);
-	g_array_append_val(pull->grants, grant);
+	grant = grant_new(pull);
+	grant->out = out;
+	grant->shard = ledger_job_shard(job);
+	grant->epoch = ledger_epoch(shard_ledger(task->shards[grant->shard]));
+	grant->path = g_strdup(out.path);
+	memcpy(grant->job_id, out.job_id, HASH128_BYTES);
 	return true;
 }
 
@@ -326,8 +341,8 @@
 	pull->max_bytes = message->max_bytes ?
 				  MIN(message->max_bytes, PULL_BYTES_MAX) :
 				  PULL_BYTES_MAX;
-	pull->grants = g_array_new(FALSE, FALSE, sizeof(struct pull_grant));
-	task->running++;
+	pull->grants = g_array_new(FALSE, TRUE, sizeof(struct pull_grant));
+	list_append(&task->pulls, &pull->link);
 	if (!task->super.node->stopping && pull_alone(pull, ledgers, nr)) {
 		while (pull->grants->len < max &&
 		       pull_one(pull, ledgers, nr, false))
--- a/briarplankd/entry/ledger_results.c
+++ b/briarplankd/entry/ledger_results.c
@@ -156,12 +156,26 @@
 	line_done(page);
 }
 
+static void add_line(struct page *page, const struct ledger_result_place *place,
+		     const char *id)
+{
+	Briarplank__ResultLine *line;
+
+	g_array_set_size(page->lines, page->lines->len + 1);
+	line = last_line(page);
+	briarplank__result_line__init(line);
+	line->item = place->item;
+	line->id = g_strdup(id);
+	line->status = (char *)ledger_item_status(place->state);
+	line->error = g_strdup("");
+	page->bytes += strlen(id);
+}
+
 static void on_item(void *ctx, enum record_cache_status status,
 		    const Briarplank__ShardAppend *append)
 {
 	struct page *page = ctx;
 	const struct ledger_result_place *place = place_at(page);
-	Briarplank__ResultLine line = BRIARPLANK__RESULT_LINE__INIT;
 
 	if (status != RECORD_CACHE_OK || !append->chunk ||
 	    place->body_index >= append->chunk->n_items) {
@@ -169,12 +183,7 @@
 		     status == RECORD_CACHE_OK ? RECORD_CACHE_GONE : status);
 		return;
 	}
-	line.item = place->item;
-	line.id = g_strdup(append->chunk->items[place->body_index]->id);
-	line.status = (char *)ledger_item_status(place->state);
-	line.error = g_strdup("");
-	g_array_append_val(page->lines, line);
-	page->bytes += strlen(line.id);
+	add_line(page, place, append->chunk->items[place->body_index]->id);
 	if (place->result_offset)
 		record_cache_get(page->task->cache, page->shard,
 				 place->result_offset, on_result, page);
--- a/briarplankd/entry/record_cache.c
+++ b/briarplankd/entry/record_cache.c
@@ -21,11 +21,11 @@
 	struct record_cache *cache;
 	uint32_t shard;
 	uint64_t offset;
-	struct list waiters;
+	/* Of struct waiter, in order of arrival. */
+	GArray *waiters;
 };
 
 struct waiter {
-	struct list link;
 	record_cache_fn fn;
 	void *ctx;
 };
@@ -84,21 +84,18 @@
 
 static void fetch_free(struct fetch *fetch)
 {
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &fetch->waiters)
-		g_free(list_entry(pos, struct waiter, link));
+	g_array_free(fetch->waiters, TRUE);
 	list_remove(&fetch->link);
 	g_free(fetch);
 }
 
 void record_cache_destroy(struct record_cache *cache)
 {
-	struct list *pos, *tmp;
+	struct list *pos;
 
-	list_for_each_safe (pos, tmp, &cache->order)
+	while ((pos = list_first(&cache->order)) != NULL)
 		record_free(cache, list_entry(pos, struct record, link));
-	list_for_each_safe (pos, tmp, &cache->fetches)
+	while ((pos = list_first(&cache->fetches)) != NULL)
 		fetch_free(list_entry(pos, struct fetch, link));
 	g_hash_table_destroy(cache->records);
 	g_free(cache);
@@ -169,19 +166,18 @@
 	struct record *record = NULL;
 	enum record_cache_status result =
 		take_page(fetch, status, page, &record);
-	struct list *pos;
+	guint i;
 
 	list_remove(&fetch->link);
-	while ((pos = list_first(&fetch->waiters)) != NULL) {
-		struct waiter *waiter = list_entry(pos, struct waiter, link);
+	for (i = 0; i < fetch->waiters->len; i++) {
+		const struct waiter *waiter =
+			&g_array_index(fetch->waiters, struct waiter, i);
 
-		list_remove(pos);
 		/* A callback may fetch more, which may drop this record. */
 		record = record_find(fetch->cache, fetch->shard, fetch->offset);
 		if (result == RECORD_CACHE_OK && !record)
 			result = RECORD_CACHE_UNAVAILABLE;
 		waiter->fn(waiter->ctx, result, record ? record->append : NULL);
-		g_free(waiter);
 	}
 	fetch_free(fetch);
 }
@@ -202,7 +198,7 @@
 	fetch->cache = cache;
 	fetch->shard = shard;
 	fetch->offset = offset;
-	list_init(&fetch->waiters);
+	fetch->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	list_append(&cache->fetches, &fetch->link);
 	shard_stream_name(shard, stream, sizeof(stream));
 	cache->log->ops->read(cache->log, stream, offset, 1, 0, on_read, fetch);
@@ -213,7 +209,7 @@
 		      uint64_t offset, record_cache_fn fn, void *ctx)
 {
 	struct record *record = record_find(cache, shard, offset);
-	struct waiter *waiter;
+	struct waiter waiter = { fn, ctx };
 
 	if (record) {
 		list_remove(&record->link);
@@ -221,8 +217,5 @@
 		fn(ctx, RECORD_CACHE_OK, record->append);
 		return;
 	}
-	waiter = g_new0(struct waiter, 1);
-	waiter->fn = fn;
-	waiter->ctx = ctx;
-	list_append(&fetch_get(cache, shard, offset)->waiters, &waiter->link);
+	g_array_append_val(fetch_get(cache, shard, offset)->waiters, waiter);
 }
--- a/core/ledger_checkpoint.c
+++ b/core/ledger_checkpoint.c
@@ -201,39 +201,43 @@
 	size_t bytes;
 };
 
+static void message_free(gpointer message)
+{
+	protobuf_c_message_free_unpacked(message, NULL);
+}
+
 static void packer_open(struct packer *packer)
 {
-	packer->jobs = g_ptr_array_new();
-	packer->submissions = g_ptr_array_new();
-	packer->keys = g_ptr_array_new();
+	packer->jobs = g_ptr_array_new_with_free_func(message_free);
+	packer->submissions = g_ptr_array_new_with_free_func(message_free);
+	packer->keys = g_ptr_array_new_with_free_func(message_free);
 	packer->bytes = 0;
 }
 
 static void packer_close(struct packer *packer)
 {
 	const struct ledger *ledger = packer->ledger;
-	Briarplank__CheckpointState *state =
-		g_new(Briarplank__CheckpointState, 1);
+	Briarplank__CheckpointState state = BRIARPLANK__CHECKPOINT_STATE__INIT;
 	GByteArray *bytes = g_byte_array_new();
 
-	briarplank__checkpoint_state__init(state);
-	state->epoch = ledger->epoch;
-	state->owner = g_strdup(ledger->owner);
-	state->owner_incarnation = ledger->owner_incarnation;
-	state->next_job_number = ledger->next_job_number;
-	state->time_ms = ledger->time_ms;
-	state->last_sequence = ledger->last_sequence;
-	state->n_jobs = packer->jobs->len;
-	state->n_submissions = packer->submissions->len;
-	state->n_keys = packer->keys->len;
-	state->jobs = (void *)g_ptr_array_free(packer->jobs, FALSE);
-	state->submissions =
-		(void *)g_ptr_array_free(packer->submissions, FALSE);
-	state->keys = (void *)g_ptr_array_free(packer->keys, FALSE);
+	state.epoch = ledger->epoch;
+	state.owner = ledger->owner;
+	state.owner_incarnation = ledger->owner_incarnation;
+	state.next_job_number = ledger->next_job_number;
+	state.time_ms = ledger->time_ms;
+	state.last_sequence = ledger->last_sequence;
+	state.n_jobs = packer->jobs->len;
+	state.jobs = (void *)packer->jobs->pdata;
+	state.n_submissions = packer->submissions->len;
+	state.submissions = (void *)packer->submissions->pdata;
+	state.n_keys = packer->keys->len;
+	state.keys = (void *)packer->keys->pdata;
 	g_byte_array_set_size(
-		bytes, briarplank__checkpoint_state__get_packed_size(state));
-	briarplank__checkpoint_state__pack(state, bytes->data);
-	briarplank__checkpoint_state__free_unpacked(state, NULL);
+		bytes, briarplank__checkpoint_state__get_packed_size(&state));
+	briarplank__checkpoint_state__pack(&state, bytes->data);
+	g_ptr_array_free(packer->jobs, TRUE);
+	g_ptr_array_free(packer->submissions, TRUE);
+	g_ptr_array_free(packer->keys, TRUE);
 	g_ptr_array_add(packer->parts, bytes);
 }
 
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -154,7 +154,7 @@
 static bool next_item(struct ledger_job *job, bool alone, uint64_t now_ms,
 		      uint32_t *item)
 {
-	guint tries = g_queue_get_length(&job->retry);
+	guint tries;
 
 	release_held(job, now_ms);
 	while (job->cursor < job->items_nr &&
--- a/include/briarplankd/entry/ledger_task.h
+++ b/include/briarplankd/entry/ledger_task.h
@@ -27,7 +27,9 @@
 	struct list *waiters;
 	/** Seals that wait for their chunks to be read, of all shards. */
 	struct list seals;
-	/** Pulls and queries that wait for the log. */
+	/** Pulls that wait for the log. */
+	struct list pulls;
+	/** Calls and queries that wait for the log. */
 	unsigned running;
 	uv_timer_t timer;
 	uint64_t started_ms;
