--- a/briarplankd/entry/record_cache.c
+++ b/briarplankd/entry/record_cache.c
@@ -60,15 +60,21 @@
 	return x->offset == y->offset && x->shard == y->shard;
 }
 
-static void record_free(struct record_cache *cache, struct record *record)
+static void record_free(gpointer data)
 {
-	g_hash_table_remove(cache->records, record);
-	list_remove(&record->link);
-	cache->bytes -= record->bytes;
+	struct record *record = data;
+
 	briarplank__shard_append__free_unpacked(record->append, NULL);
 	g_free(record);
 }
 
+static void record_drop(struct record_cache *cache, struct record *record)
+{
+	list_remove(&record->link);
+	cache->bytes -= record->bytes;
+	g_hash_table_remove(cache->records, record);
+}
+
 struct record_cache *record_cache_create(struct log_service *log,
 					 size_t max_bytes)
 {
@@ -76,7 +82,8 @@
 
 	cache->log = log;
 	cache->max_bytes = max_bytes;
-	cache->records = g_hash_table_new(record_hash, record_equal);
+	cache->records = g_hash_table_new_full(record_hash, record_equal,
+					       record_free, NULL);
 	list_init(&cache->order);
 	list_init(&cache->fetches);
 	return cache;
@@ -91,11 +98,9 @@
 
 void record_cache_destroy(struct record_cache *cache)
 {
-	struct list *pos;
+	struct list *pos, *tmp;
 
-	while ((pos = list_first(&cache->order)) != NULL)
-		record_free(cache, list_entry(pos, struct record, link));
-	while ((pos = list_first(&cache->fetches)) != NULL)
+	list_for_each_safe (pos, tmp, &cache->fetches)
 		fetch_free(list_entry(pos, struct fetch, link));
 	g_hash_table_destroy(cache->records);
 	g_free(cache);
@@ -120,7 +125,7 @@
 
 		if (record == keep)
 			return;
-		record_free(cache, record);
+		record_drop(cache, record);
 	}
 }
 
