--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -108,11 +108,15 @@
 {
 	uint64_t now = node_now_us();
 
-	/* A gap in which streams came or went tells of no one number. */
-	if (last_us >= gate->changed_us && !gate->starting)
-		concurrency_gap(gate->concurrency,
-				gate->running_online + gate->running_batch,
-				now - last_us, tokens, now);
+	struct concurrency_sample sample = {
+		.streams = gate->running_online + gate->running_batch,
+		.gap_us = now - last_us,
+		.tokens = tokens,
+		.steady = last_us >= gate->changed_us && !gate->starting,
+		.batch_starting = gate->batch_starting > 0,
+	};
+
+	concurrency_gap(gate->concurrency, &sample, now);
 	return now - last_us;
 }
 
@@ -148,7 +152,7 @@
 	unsigned wanted =
 		gate->plan.keep + MAX(PREFETCH_MIN, gate->plan.keep / 2);
 
-	if (gate->leaving || held >= wanted)
+	if (gate->leaving || gate->closed || held >= wanted)
 		return 0;
 	return wanted - held;
 }
@@ -186,7 +190,7 @@
 	report->expected_wait_us =
 		admission_wait_us(gate->admission, gate->running_online, limit);
 	report->leaving = gate->leaving;
-	report->ready = !gate->leaving;
+	report->ready = !gate->leaving && !gate->closed;
 	report->sequence = ++gate->report_sequence;
 }
 
@@ -293,6 +297,21 @@
 	return true;
 }
 
+void gate_set_closed(struct gate *gate, bool closed)
+{
+	if (gate->closed == closed)
+		return;
+	gate->closed = closed;
+	report(gate);
+	gate_schedule(gate);
+}
+
+bool gate_is_idle(const struct gate *gate)
+{
+	return !gate->running_online && !gate->running_batch &&
+	       !admission_waiting(gate->admission) && list_empty(&gate->works);
+}
+
 static void gate_stop(struct task *task)
 {
 	struct gate *gate = list_entry(task, struct gate, task);
