--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -16,13 +16,16 @@
 #include "common/metrics.h"
 #include "envelope.pb-c.h"
 
+/** Largest message; a peer that sends more is cut off. */
+#define BUS_MESSAGE_MAX_BYTES (8 << 20)
+
 struct bus;
 
 enum bus_status {
 	BUS_OK,
 	/** The peer's address is not known. */
 	BUS_UNKNOWN_PEER,
-	/** No connection, or its queue is full: nothing was sent. */
+	/** No connection, its queue is full, or the message is too large. */
 	BUS_NOT_SENT,
 	BUS_BAD_ADDRESS,
 };
@@ -54,6 +57,9 @@
 /** Binds the bus; NULL with an error message when that fails. */
 struct bus *bus_create(const struct bus_options *options);
 
+/** Drops what comes in from now on; handlers may be freed. */
+void bus_silence(struct bus *bus);
+
 /** Closes all connections and frees the bus. */
 void bus_destroy(struct bus *bus);
 
