Let operators submit, show and cancel jobs

The commands go through the jobs task within the process, so that they work with TLS and for jobs of any caller. A view of jobs is whole when the answers cover all shards of the ledger, and names the missing ones otherwise.

--- a/briarplankd/entry/commands/jobs.h
+++ b/briarplankd/entry/commands/jobs.h
@@ -1,17 +1,13 @@
 /**
- * Calls of the jobs interface for an operator's command.
+ * Operators' commands on jobs, carried out by the jobs task.
  */
 #ifndef BRIARPLANKD_ENTRY_COMMANDS_JOBS_H
 #define BRIARPLANKD_ENTRY_COMMANDS_JOBS_H
 
 #include "../operator.h"
+#include "briarplankd/entry/jobs.h"
 
-/**
- * Calls this entry's own jobs interface with the operator's key, so that a
- * command and a request have the same effect, and finishes the call with the
- * answer.
- */
-void jobs_call(struct operator_call *call, const char *method, const char *path,
-	       const char *body);
+/** Has a request carried out and finishes the call with its answer. */
+void jobs_command(struct operator_call *call, struct job_request *request);
 
 #endif
--- a/briarplankd/entry/commands/show.c
+++ b/briarplankd/entry/commands/show.c
@@ -244,9 +244,65 @@
 	add_silent_servers(call);
 }
 
+static int64_t as_of(struct json_object *row)
+{
+	return json_object_get_int64(
+		json_object_object_get(row, "as_of_offset"));
+}
+
+/* A shard that changed hands meanwhile was answered for twice. */
+static void drop_older_rows(struct command_result *result)
+{
+	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i, nr = json_object_array_length(result->rows);
+	struct json_object *kept = json_object_new_array();
+
+	for (i = 0; i < nr; i++) {
+		struct json_object *row =
+			json_object_array_get_idx(result->rows, i);
+		const char *id = json_object_get_string(
+			json_object_object_get(row, "id"));
+		struct json_object *other = g_hash_table_lookup(newest, id);
+
+		if (!other || as_of(other) < as_of(row))
+			g_hash_table_insert(newest, (char *)id, row);
+	}
+	for (i = 0; i < nr; i++) {
+		struct json_object *row =
+			json_object_array_get_idx(result->rows, i);
+		const char *id = json_object_get_string(
+			json_object_object_get(row, "id"));
+
+		if (g_hash_table_lookup(newest, id) == row)
+			json_object_array_add(kept, json_object_get(row));
+	}
+	g_hash_table_destroy(newest);
+	json_object_put(result->rows);
+	result->rows = kept;
+}
+
+/*
+ * Jobs of a shard that no answer covers aren't in the rows; where all shards
+ * are covered, silent entries own none.
+ */
+static void complete_jobs(struct operator_call *call)
+{
+	struct command_result *result = &call->result;
+	int64_t i, nr = call->task->super.node->settings->ledger_shards;
+
+	drop_older_rows(result);
+	result->shards_missing = json_object_new_array();
+	for (i = 0; i < nr; i++) {
+		if (!g_hash_table_contains(result->shards, GUINT_TO_POINTER(i)))
+			json_object_array_add(result->shards_missing,
+					      json_object_new_int64(i));
+	}
+	result->complete = !json_object_array_length(result->shards_missing);
+}
+
 static const struct show_kind kinds[] = {
 	{ "config", .local = config_rows },
-	{ "jobs", .role = MEMBER_ENTRY },
+	{ "jobs", .role = MEMBER_ENTRY, .after = complete_jobs },
 	{ "nodes", .local = node_rows },
 	{ "refusals", .role = MEMBER_ENTRY },
 	{ "requests", .role = MEMBER_ENTRY },
@@ -269,8 +325,14 @@
 {
 	size_t rows = json_object_array_length(call->result.rows);
 	size_t silent = json_object_array_length(call->result.nodes_silent);
+	struct json_object *missing = call->result.shards_missing;
 
-	if (silent)
+	if (missing && json_object_array_length(missing))
+		operator_result(call, COMMAND_PARTIAL,
+				"%zu rows; partial, as the jobs of %zu shards "
+				"are not covered",
+				rows, json_object_array_length(missing));
+	else if (silent && !call->result.complete)
 		operator_result(call, COMMAND_PARTIAL,
 				"%zu rows; partial, as %zu of %u nodes did not "
 				"answer in full",
--- a/briarplankd/entry/commands/submit.c
+++ b/briarplankd/entry/commands/submit.c
@@ -5,13 +5,12 @@
 static const char *const needed[] = { "service", "path", NULL };
 
 /* Appends "&NAME=VALUE" with the value escaped. */
-static void add_parameter(GString *path, const struct command_pair *pair)
+static void add_parameter(GString *query, const struct command_pair *pair)
 {
 	char *escaped = g_uri_escape_string(pair->value, NULL, FALSE);
 
-	g_string_append_printf(path, "%c%s=%s",
-			       strchr(path->str, '?') ? '&' : '?', pair->name,
-			       escaped);
+	g_string_append_printf(query, "%s%s=%s", query->len ? "&" : "",
+			       pair->name, escaped);
 	g_free(escaped);
 }
 
@@ -37,19 +36,21 @@
 static void run(struct operator_call *call)
 {
 	const struct command *command = call->command;
-	char *name = g_uri_escape_string(command->subject, NULL, FALSE);
-	GString *path = g_string_new("/v1/jobs/");
+	GString *query = g_string_new(NULL);
+	struct job_request request = { .kind = JOB_CALL_SUBMIT };
 	size_t i;
 
-	g_string_append(path, name);
 	for (i = 0; i < command->pairs_nr; i++)
-		add_parameter(path, &command->pairs[i]);
+		add_parameter(query, &command->pairs[i]);
+	request.name = command->subject;
+	request.query = query->str;
+	request.body = command->body;
+	request.body_len = strlen(command->body);
 	if (check(call))
-		jobs_call(call, "PUT", path->str, command->body);
+		jobs_command(call, &request);
 	else
 		operator_finish(call);
-	g_string_free(path, TRUE);
-	g_free(name);
+	g_string_free(query, TRUE);
 }
 
 const struct command_handler submit_command = { "submit", COMMAND_SUBMIT, run };
--- a/briarplankd/entry/gather.c
+++ b/briarplankd/entry/gather.c
@@ -99,13 +99,26 @@
 	}
 }
 
+static void cover_shards(struct operator_call *call, const uint32_t *shards,
+			 size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		g_hash_table_add(call->result.shards,
+				 GUINT_TO_POINTER(shards[i]));
+}
+
 static void ask_self(struct operator_call *call)
 {
 	struct node *node = call->task->super.node;
 	struct json_object *rows = json_object_new_array();
 	bool truncated = false;
+	uint32_t nr;
+	const uint32_t *shards = node_owned_shards(node, &nr);
 
 	call->result.nodes_asked++;
+	cover_shards(call, shards, nr);
 	if (!rows_collect(node, call->command, rows, &truncated) || truncated)
 		add_silent(call, node->settings->name);
 	add_rows(call, node->settings->name, rows);
@@ -125,6 +138,7 @@
 		if (gather->id != reply->call_id ||
 		    !g_hash_table_remove(gather->awaited, env->sender))
 			continue;
+		cover_shards(gather->call, reply->shards, reply->n_shards);
 		rows = json_tokener_parse(reply->json);
 		if (json_object_is_type(rows, json_type_array))
 			add_rows(gather->call, env->sender, rows);
--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -68,11 +68,22 @@
 		submission_parser_destroy(call->parser);
 	if (call->offsets)
 		g_array_free(call->offsets, TRUE);
+	g_free(call->query_text);
+	g_free(call->body);
 	g_free(call->caller);
 	g_free(call->name);
 	g_free(call);
 }
 
+void job_call_done(struct job_call *call, const struct job_outcome *outcome)
+{
+	job_done_fn done = call->done;
+
+	call->done = NULL;
+	if (done)
+		done(call->done_ctx, outcome);
+}
+
 void job_call_end(struct job_call *call)
 {
 	if (call->web)
@@ -87,6 +98,18 @@
 		call_free(call);
 }
 
+/* A submission counts from its seal on; a cancel once it was sent. */
+static void tell_failure(struct job_call *call, int status, const char *detail)
+{
+	struct job_outcome outcome = {
+		.status = status,
+		.detail = detail,
+		.in_doubt = status >= 500 && call->asked,
+	};
+
+	job_call_done(call, &outcome);
+}
+
 void job_call_fail(struct job_call *call, int status, const char *title,
 		   const char *fmt, ...)
 {
@@ -96,6 +119,7 @@
 	va_start(args, fmt);
 	detail = g_strdup_vprintf(fmt, args);
 	va_end(args);
+	tell_failure(call, status, detail);
 	if (call->web && call->streaming)
 		web_stream_end(call->web, false);
 	else if (call->web)
@@ -290,25 +314,31 @@
 	return head % shards;
 }
 
-static struct job_call *call_create(struct jobs *jobs, struct web_request *web,
-				    const char *caller, char *name)
+static struct job_call *call_create(struct jobs *jobs, const char *caller,
+				    char *name)
 {
 	struct node *node = jobs->super.node;
 	struct job_call *call = g_new0(struct job_call, 1);
 
 	call->id = ++jobs->next_id;
 	call->jobs = jobs;
-	call->web = web;
 	call->caller = g_strdup(caller);
 	call->name = name;
 	hash128_pair(caller, name, call->job_id);
 	call->shard = shard_of(call->job_id, node->settings->ledger_shards);
 	call->deadline_ms = node_now_ms(node) + CALL_LIMIT_MS;
 	g_hash_table_insert(jobs->by_id, &call->id, call);
-	web_on_close(web, on_close, call);
 	return call;
 }
 
+static void call_run(struct job_call *call)
+{
+	if (call->kind == JOB_CALL_SUBMIT)
+		job_submit_start(call);
+	else
+		job_call_ask(call);
+}
+
 static bool kind_of(const char *method, bool results, enum job_call_kind *kind)
 {
 	if (results)
@@ -351,12 +381,11 @@
 			    "%s is not possible here", web_method(web));
 		return;
 	}
-	call = call_create(jobs, web, caller, name);
+	call = call_create(jobs, caller, name);
 	call->kind = kind;
-	if (kind == JOB_CALL_SUBMIT)
-		job_submit_start(call);
-	else
-		job_call_ask(call);
+	call->web = web;
+	web_on_close(web, on_close, call);
+	call_run(call);
 }
 
 static bool jobs_start(struct task *base)
@@ -410,6 +439,39 @@
 	.destroy = jobs_destroy,
 };
 
+static struct jobs *find_jobs(struct node *node)
+{
+	struct list *pos;
+
+	list_for_each (pos, &node->tasks) {
+		struct task *task = list_entry(pos, struct task, link);
+
+		if (task->ops == &jobs_ops)
+			return (struct jobs *)task;
+	}
+	return NULL;
+}
+
+void jobs_request(struct node *node, const struct job_request *request)
+{
+	struct jobs *jobs = find_jobs(node);
+	struct job_call *call =
+		call_create(jobs, request->caller, g_strdup(request->name));
+
+	call->kind = request->kind;
+	call->done = request->done;
+	call->done_ctx = request->ctx;
+	call->query_text = g_strdup(request->query);
+	call->body = g_memdup2(request->body, request->body_len);
+	call->body_len = request->body_len;
+	if (request->job_id) {
+		memcpy(call->job_id, request->job_id, HASH128_BYTES);
+		call->shard = shard_of(call->job_id,
+				       (uint32_t)node->settings->ledger_shards);
+	}
+	call_run(call);
+}
+
 struct task *jobs_task_create(void)
 {
 	struct jobs *jobs = g_new0(struct jobs, 1);
--- a/briarplankd/entry/jobs_answer.c
+++ b/briarplankd/entry/jobs_answer.c
@@ -70,6 +70,12 @@
 			      "the shard's owner named no job");
 		return;
 	}
+	job_call_done(call, &(struct job_outcome){ .status = status,
+						   .job = reply->jobs[0] });
+	if (!call->web) {
+		job_call_end(call);
+		return;
+	}
 	root = job_json(reply->jobs[0]);
 	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
 	web_answer(call->web, status, "application/json", text, strlen(text));
--- a/briarplankd/entry/jobs_submit.c
+++ b/briarplankd/entry/jobs_submit.c
@@ -63,12 +63,17 @@
 	return true;
 }
 
+static const char *query_text(const struct job_call *call)
+{
+	return call->web ? web_query(call->web) : call->query_text;
+}
+
 /* Takes service, path, due and keep; NULL, or what is wrong. */
 static const char *parse_query(struct job_call *call)
 {
 	const char *service, *due, *keep;
 
-	call->query = g_uri_parse_params(web_query(call->web), -1, "&",
+	call->query = g_uri_parse_params(query_text(call), -1, "&",
 					 G_URI_PARAMS_NONE, NULL);
 	if (!call->query)
 		return "the query can't be parsed";
@@ -95,7 +100,7 @@
 		.writer_incarnation = node->incarnation,
 		.caller = call->caller,
 		.name = call->name,
-		.query = web_query(call->web),
+		.query = query_text(call),
 		.chunk_bytes = CHUNK_BYTES,
 	};
 	const char *fault = parse_query(call);
@@ -104,7 +109,10 @@
 		job_call_fail(call, 400, "Bad submission", "%s", fault);
 		return;
 	}
-	options.body = web_body(call->web, &options.body_len);
+	options.body = call->body;
+	options.body_len = call->body_len;
+	if (call->web)
+		options.body = web_body(call->web, &options.body_len);
 	call->parser = submission_parser_create(&options);
 	call->offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	job_submit_step(call);
--- a/briarplankd/entry/operator.c
+++ b/briarplankd/entry/operator.c
@@ -59,6 +59,10 @@
 			       json_object_new_int64(call->result.nodes_asked));
 	json_object_object_add(covers, "nodes_silent",
 			       json_object_get(call->result.nodes_silent));
+	if (call->result.shards_missing)
+		json_object_object_add(
+			covers, "shards_missing",
+			json_object_get(call->result.shards_missing));
 	return covers;
 }
 
@@ -96,6 +100,8 @@
 	g_free(call->result.message);
 	json_object_put(call->result.rows);
 	json_object_put(call->result.nodes_silent);
+	json_object_put(call->result.shards_missing);
+	g_hash_table_destroy(call->result.shards);
 	g_free(call->state);
 	g_free(call);
 }
@@ -106,7 +112,7 @@
 	int http_status = statuses[status].http_status;
 
 	if (json_object_array_length(call->result.nodes_silent) &&
-	    status == COMMAND_DONE)
+	    !call->result.complete && status == COMMAND_DONE)
 		call->result.status = status = COMMAND_PARTIAL;
 	log_info(PART, "%s: %s: %s (%s)", call->command_id, call->operator_name,
 		 call->line, statuses[status].text);
@@ -188,6 +194,7 @@
 	call->line = g_strndup(text, strcspn(text, "\r\n"));
 	call->result.nodes_silent = json_object_new_array();
 	call->result.rows = json_object_new_array();
+	call->result.shards = g_hash_table_new(NULL, NULL);
 	list_append(&task->calls, &call->link);
 	web_on_close(web, on_left, call);
 	return call;
@@ -270,6 +277,7 @@
 	struct operator_task *task = (struct operator_task *)base;
 
 	gather_register(task);
+	operator_rows_start(base->node);
 	web_route(base->node->web, "/v1/operator", on_request, task);
 	return true;
 }
--- a/briarplankd/entry/operator.h
+++ b/briarplankd/entry/operator.h
@@ -36,6 +36,12 @@
 	/** Nodes that were asked, and those that did not answer. */
 	unsigned nodes_asked;
 	struct json_object *nodes_silent;
+	/** What was not answered is covered by what was. */
+	bool complete;
+	/** Shards of the ledger that no answer covers; NULL but for jobs. */
+	struct json_object *shards_missing;
+	/** Shards that answers cover, by number. */
+	GHashTable *shards;
 };
 
 struct operator_task {
@@ -84,6 +90,12 @@
 /** Sends the result and frees the call. */
 void operator_finish(struct operator_call *call);
 
+/** Registers the rows that an entry knows itself. */
+void operator_rows_start(struct node *node);
+
+/** Makes the row of a job. */
+struct json_object *operator_job_row(const Briarplank__JobState *state);
+
 /** Sets the result's status and message. */
 __attribute__((format(printf, 3, 4))) void operator_result(
 	struct operator_call *call, enum command_status status, const char *fmt,
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -344,3 +344,11 @@
 		shard_map_note(task->shard_map, &owner);
 	}
 }
+
+const uint32_t *node_owned_shards(struct node *node, uint32_t *nr)
+{
+	struct members_task *task = members_task_of(node);
+
+	*nr = task->shards_nr;
+	return task->shards;
+}
--- a/briarplankd/rows_task.c
+++ b/briarplankd/rows_task.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "briarplankd/config_task.h"
+#include "briarplankd/members_task.h"
 #include "briarplankd/rows.h"
 #include "common/error.h"
 
@@ -103,6 +104,7 @@
 	struct json_object *rows = json_object_new_array();
 	struct command *command;
 	bool truncated = false;
+	uint32_t shards_nr;
 	unsigned column;
 
 	message.call_id = env->operator_query->call_id;
@@ -112,6 +114,8 @@
 	else if (!rows_collect(node, command, rows, &truncated))
 		message.error = "this node keeps no such rows";
 	message.truncated = truncated;
+	message.shards = (uint32_t *)node_owned_shards(node, &shards_nr);
+	message.n_shards = shards_nr;
 	message.json = (char *)json_object_to_json_string_ext(
 		rows, JSON_C_TO_STRING_PLAIN);
 	reply(node, env->sender, &message);
--- a/include/briarplankd/entry/jobs.h
+++ b/include/briarplankd/entry/jobs.h
@@ -28,12 +28,47 @@
 	JOB_CALL_CANCEL,
 };
 
+/** What a request came to, for those within the process. */
+struct job_outcome {
+	/** As over HTTP. */
+	int status;
+	/** NULL when all is well. */
+	const char *detail;
+	/** It may have taken effect; sending it again is safe. */
+	bool in_doubt;
+	/** State of the job, or NULL. */
+	const Briarplank__JobState *job;
+};
+
+typedef void (*job_done_fn)(void *ctx, const struct job_outcome *outcome);
+
+/** A submission or cancel from within the process. All is copied. */
+struct job_request {
+	enum job_call_kind kind;
+	const char *caller;
+	const char *name;
+	/** Id of the job to cancel. */
+	const uint8_t *job_id;
+	/** Query and items of a submission. */
+	const char *query;
+	const char *body;
+	size_t body_len;
+	job_done_fn done;
+	void *ctx;
+};
+
 /** One request of a caller. */
 struct job_call {
 	uint64_t id;
 	struct jobs *jobs;
 	/** NULL once the caller has left or was answered. */
 	struct web_request *web;
+	/** In place of web, for a request from within the process. */
+	job_done_fn done;
+	void *done_ctx;
+	char *query_text;
+	char *body;
+	size_t body_len;
 	enum job_call_kind kind;
 	char *caller;
 	char *name;
@@ -66,6 +101,12 @@
 /** Parses "90s", "15m", "72h" or "3d" to ms; false when it is none. */
 bool jobs_parse_duration(const char *text, uint64_t *ms);
 
+/** Carries out a request of this process; done may come before it returns. */
+void jobs_request(struct node *node, const struct job_request *request);
+
+/** Gives the outcome of a call from within the process, once. */
+void job_call_done(struct job_call *call, const struct job_outcome *outcome);
+
 /** Ends a call; it must have been answered. */
 void job_call_end(struct job_call *call);
 
--- a/include/briarplankd/members_task.h
+++ b/include/briarplankd/members_task.h
@@ -20,4 +20,7 @@
 void node_set_owned_shards(struct node *node, const uint32_t *shards,
 			   const uint64_t *epochs, uint32_t nr);
 
+/** Returns the shards that this entry owns, and their number. */
+const uint32_t *node_owned_shards(struct node *node, uint32_t *nr);
+
 #endif
--- a/wire/config.pb-c.c
+++ b/wire/config.pb-c.c
@@ -1054,7 +1054,7 @@
   (ProtobufCMessageInit) briarplank__operator_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__operator_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor briarplank__operator_reply__field_descriptors[5] =
 {
   {
     "call_id",
@@ -1104,17 +1104,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shards",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Briarplank__OperatorReply, n_shards),
+    offsetof(Briarplank__OperatorReply, shards),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__operator_reply__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
   2,   /* field[2] = error */
   1,   /* field[1] = json */
+  4,   /* field[4] = shards */
   3,   /* field[3] = truncated */
 };
 static const ProtobufCIntRange briarplank__operator_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor briarplank__operator_reply__descriptor =
 {
@@ -1124,7 +1137,7 @@
   "Briarplank__OperatorReply",
   "briarplank",
   sizeof(Briarplank__OperatorReply),
-  4,
+  5,
   briarplank__operator_reply__field_descriptors,
   briarplank__operator_reply__field_indices_by_name,
   1,  briarplank__operator_reply__number_ranges,
--- a/wire/config.pb-c.h
+++ b/wire/config.pb-c.h
@@ -196,10 +196,15 @@
    * Rows were left out.
    */
   protobuf_c_boolean truncated;
+  /*
+   * Shards of the ledger that the answering entry owned meanwhile.
+   */
+  size_t n_shards;
+  uint32_t *shards;
 };
 #define BRIARPLANK__OPERATOR_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__operator_reply__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /* Briarplank__ConfigRecord methods */
