--- /dev/null
+++ b/briarplankd/members_owners.c
@@ -0,0 +1,68 @@
+/*
+ * In a large fleet an entry watches the owners of the shards that it would
+ * claim first if they were lost.
+ */
+#include <string.h>
+
+#include "core/shard_claims.h"
+#include "members_private.h"
+
+/* Ranks that watch a shard's owner. */
+#define OWNER_WATCHERS 3
+/* Time between two looks at the owners, in ms. */
+#define OWNERS_INTERVAL_MS 2000
+
+static GPtrArray *other_entries(struct members_task *task)
+{
+	GPtrArray *names = g_ptr_array_new();
+	struct list *pos;
+
+	list_for_each (pos, members_all(task->members)) {
+		const struct member *member =
+			list_entry(pos, struct member, link);
+
+		if (member->role == MEMBER_ENTRY && member_usable(member))
+			g_ptr_array_add(names, member->name);
+	}
+	return names;
+}
+
+/* Owners whose shards this entry would claim among the first. */
+static GHashTable *owners_to_watch(struct members_task *task)
+{
+	GHashTable *owners = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *others = other_entries(task);
+	uint32_t i, nr = shard_map_size(task->shard_map);
+
+	for (i = 0; i < nr; i++) {
+		struct shard_owner owner;
+
+		shard_map_find(task->shard_map, i, &owner);
+		if (owner.owner &&
+		    shard_claim_rank(task->super.node->settings->name,
+				     (const char *const *)others->pdata,
+				     others->len, i) < OWNER_WATCHERS)
+			g_hash_table_add(owners, (char *)owner.owner);
+	}
+	g_ptr_array_free(others, TRUE);
+	return owners;
+}
+
+void members_watch_owners(struct members_task *task, uint64_t now_ms)
+{
+	GHashTable *owners;
+	struct list *pos;
+
+	if (task->super.node->settings->role != ROLE_ENTRY ||
+	    now_ms < task->owners_at_ms || members_watch_all(task->members))
+		return;
+	task->owners_at_ms = now_ms + OWNERS_INTERVAL_MS;
+	owners = owners_to_watch(task);
+	list_for_each (pos, members_all(task->members)) {
+		struct member *member = list_entry(pos, struct member, link);
+
+		members_watch(task->members, member->name,
+			      g_hash_table_contains(owners, member->name));
+	}
+	g_hash_table_destroy(owners);
+}
--- a/briarplankd/members_private.h
+++ b/briarplankd/members_private.h
@@ -24,6 +24,7 @@
 	uint64_t *epochs;
 	uint32_t shards_nr;
 	struct shard_map *shard_map;
+	uint64_t owners_at_ms;
 	struct counter *up_entries;
 	struct counter *up_agents;
 	struct counter *bytes_sent;
@@ -42,6 +43,9 @@
 /** Registers the handlers for messages between nodes. */
 void members_messages_start(struct members_task *task);
 
+/** Has the owners watched whose shards this entry would claim. */
+void members_watch_owners(struct members_task *task, uint64_t now_ms);
+
 /** Sends a ping. */
 void members_send_ping(struct members_task *task, struct member *member);
 
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -161,6 +161,7 @@
 	guint i;
 
 	fetch_list(task, now_ms);
+	members_watch_owners(task, now_ms);
 	members_tick(task->members, now_ms, pings);
 	for (i = 0; i < pings->len; i++)
 		members_send_ping(task, pings->pdata[i]);
--- a/core/members_ping.c
+++ b/core/members_ping.c
@@ -55,7 +55,7 @@
 
 static void choose_watched(struct members *members)
 {
-	bool all = members->nr <= members->options.watch_all_max;
+	bool all = members_watch_all(members);
 	struct list *pos;
 
 	members->watch_stale = false;
@@ -88,9 +88,14 @@
 		member->unanswered_ms = 0;
 }
 
+bool members_watch_all(const struct members *members)
+{
+	return members->nr <= members->options.watch_all_max;
+}
+
 static uint32_t ping_interval_ms(const struct members *members)
 {
-	return members->nr <= members->options.watch_all_max ?
+	return members_watch_all(members) ?
 		       members->options.ping_interval_ms :
 		       members->options.ping_interval_large_ms;
 }
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -175,6 +175,9 @@
 /** Asks for a member to be watched, or no longer. */
 void members_watch(struct members *members, const char *name, bool wanted);
 
+/** Tells whether all members are watched, as the fleet is small. */
+bool members_watch_all(const struct members *members);
+
 /** Notes that any message of this incarnation came from a member. */
 void members_heard(struct members *members, const char *name,
 		   uint64_t incarnation, uint64_t now_ms);
