--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -32,9 +32,9 @@
 /* Bounds of the time between two reads of the list of VMs, in ms. */
 #define LIST_RETRY_MS 500
 #define LIST_INTERVAL_MIN_MS 2000
-#define LIST_INTERVAL_MAX_MS 10000
+#define LIST_INTERVAL_MAX_MS 60000
 /* Added to that interval for each member, in ms. */
-#define LIST_INTERVAL_STEP_MS 10
+#define LIST_INTERVAL_STEP_MS 60
 
 struct members_task *members_task_of(struct node *node)
 {
