--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -481,7 +481,7 @@
 		return BRIARPLANK__REFUSED__REASON__CANCELLED;
 	if (gate->leaving)
 		return BRIARPLANK__REFUSED__REASON__LEAVING;
-	if (gate->closed)
+	if (!gate_takes_work(gate))
 		return BRIARPLANK__REFUSED__REASON__NOT_READY;
 	if (!remaining_ms(gate, dispatch))
 		return BRIARPLANK__REFUSED__REASON__DEADLINE;
--- a/briarplankd/agent/batch.c
+++ b/briarplankd/agent/batch.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "gate.h"
+#include "briarplankd/config_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/hash.h"
@@ -226,6 +227,13 @@
 	g_free(id);
 }
 
+static bool is_drained(const struct batch *batch)
+{
+	struct node *node = batch->task.node;
+
+	return config_server_drained(node, node->settings->name);
+}
+
 static void item_create(struct batch *batch, const char *owner,
 			const Briarplank__Grant *grant, uint64_t granted_us)
 {
@@ -237,7 +245,7 @@
 	item->lease_until_us = granted_us + (uint64_t)grant->lease_ms * 1000;
 	list_append(&batch->items, &item->link);
 	counter_add(batch->granted, 1);
-	if (batch->leaving)
+	if (batch->leaving || is_drained(batch))
 		item_end(item, BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN, 0,
 			 NULL);
 	else
@@ -616,13 +624,10 @@
 }
 
 /* Hands back what the server has not seen. */
-static void batch_stop(struct task *task)
+static void hand_back(struct batch *batch)
 {
-	struct batch *batch = list_entry(task, struct batch, task);
 	struct list *pos;
 
-	batch->leaving = true;
-	batch->stop_at_ms = now_ms(batch) + task->node->settings->stop_limit_ms;
 	list_for_each (pos, &batch->items) {
 		struct item *item = list_entry(pos, struct item, link);
 
@@ -634,6 +639,23 @@
 	complete(batch);
 }
 
+static void batch_event(struct task *task, const struct node_event *event)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+
+	if (event->kind == NODE_CONFIG_CHANGED && is_drained(batch))
+		hand_back(batch);
+}
+
+static void batch_stop(struct task *task)
+{
+	struct batch *batch = list_entry(task, struct batch, task);
+
+	batch->leaving = true;
+	batch->stop_at_ms = now_ms(batch) + task->node->settings->stop_limit_ms;
+	hand_back(batch);
+}
+
 static bool batch_stopped(struct task *task)
 {
 	struct batch *batch = list_entry(task, struct batch, task);
@@ -663,6 +685,7 @@
 static const struct task_ops batch_ops = {
 	.name = "batch",
 	.start = batch_start,
+	.event = batch_event,
 	.stop = batch_stop,
 	.stopped = batch_stopped,
 	.destroy = batch_destroy,
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -145,13 +145,18 @@
 	works_schedule(gate, &gate->plan);
 }
 
+bool gate_takes_work(const struct gate *gate)
+{
+	return !gate->leaving && !gate->closed && !gate->drained;
+}
+
 unsigned gate_batch_room(const struct gate *gate)
 {
 	unsigned held = gate->running_batch + works_waiting(gate);
 	unsigned wanted =
 		gate->plan.keep + MAX(PREFETCH_MIN, gate->plan.keep / 2);
 
-	if (gate->leaving || gate->closed || held >= wanted)
+	if (!gate_takes_work(gate) || held >= wanted)
 		return 0;
 	return wanted - held;
 }
@@ -189,7 +194,7 @@
 	report->expected_wait_us =
 		admission_wait_us(gate->admission, gate->running_online, limit);
 	report->leaving = gate->leaving;
-	report->ready = !gate->leaving && !gate->closed;
+	report->ready = gate_takes_work(gate);
 	report->sequence = ++gate->report_sequence;
 }
 
@@ -326,12 +331,27 @@
 	return !g_hash_table_size(gate->attempts) && list_empty(&gate->works);
 }
 
+static void apply_config(struct gate *gate)
+{
+	struct node *node = gate->task.node;
+	bool drained = config_server_drained(node, node->settings->name);
+
+	apply_policy(gate);
+	if (drained == gate->drained)
+		return;
+	gate->drained = drained;
+	log_info(PART, "the server is %s",
+		 drained ? "drained" : "no longer drained");
+	report(gate);
+	gate_schedule(gate);
+}
+
 static void gate_event(struct task *task, const struct node_event *event)
 {
 	struct gate *gate = list_entry(task, struct gate, task);
 
 	if (event->kind == NODE_CONFIG_CHANGED)
-		apply_policy(gate);
+		apply_config(gate);
 	if (event->kind == NODE_PEER_DOWN)
 		attempts_entry_down(gate, event->peer, true);
 	if (event->kind == NODE_PEER_UP)
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -60,6 +60,8 @@
 	bool leaving;
 	/* The server is about to change what it holds: no new work. */
 	bool closed;
+	/** An operator drains the server. */
+	bool drained;
 	uint64_t report_sequence;
 	uint64_t reported_ms;
 	/* Entries that dispatched lately: name to the time of it. */
@@ -75,6 +77,9 @@
 	} metrics;
 };
 
+/** Tells whether the server may get new work. */
+bool gate_takes_work(const struct gate *gate);
+
 /** Returns the node's gate, or NULL. */
 struct gate *gate_of(struct node *node);
 
--- a/briarplankd/entry/routing.c
+++ b/briarplankd/entry/routing.c
@@ -160,6 +160,8 @@
 	if (member->role != MEMBER_AGENT || !member_usable(member) ||
 	    strcmp(member->service, request->service) != 0)
 		return false;
+	if (config_server_drained(request->online->super.node, member->name))
+		return false;
 	if (report_is_fresh(member, now_ms) && !member->load.ready)
 		return false;
 	if (!circuit_allows(&agent->circuit, now_ms))
