--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -47,11 +47,22 @@
 		submission_parser_destroy(call->parser);
 	if (call->offsets)
 		g_array_free(call->offsets, TRUE);
+	g_free(call->query_text);
+	g_free(call->body);
 	g_free(call->caller);
 	g_free(call->name);
 	g_free(call);
 }
 
+void job_call_done(struct job_call *call, const struct job_outcome *outcome)
+{
+	job_done_fn done = call->done;
+
+	call->done = NULL;
+	if (done)
+		done(call->done_ctx, outcome);
+}
+
 void job_call_end(struct job_call *call)
 {
 	if (call->web)
@@ -66,6 +77,18 @@
 		call_free(call);
 }
 
+/* A submission counts from its seal on; a cancel once it was sent. */
+static void tell_failure(struct job_call *call, int status, const char *detail)
+{
+	struct job_outcome outcome = {
+		.status = status,
+		.detail = detail,
+		.in_doubt = status >= 500 && call->asked,
+	};
+
+	job_call_done(call, &outcome);
+}
+
 void job_call_fail(struct job_call *call, int status, const char *title,
 		   const char *fmt, ...)
 {
@@ -75,6 +98,7 @@
 	va_start(args, fmt);
 	detail = g_strdup_vprintf(fmt, args);
 	va_end(args);
+	tell_failure(call, status, detail);
 	if (call->web && call->streaming)
 		web_stream_end(call->web, false);
 	else if (call->web)
@@ -189,17 +213,6 @@
 	}
 }
 
-/* Tells the operator's command, which has no web request here. */
-static void finish(struct job_call *call, const Briarplank__JobReply *reply)
-{
-	job_call_done_fn done = call->done;
-	void *ctx = call->done_ctx;
-
-	call->done = NULL;
-	job_call_end(call);
-	done(ctx, reply);
-}
-
 static void on_reply(void *ctx, const Briarplank__Envelope *env)
 {
 	struct jobs *jobs = ctx;
@@ -214,10 +227,7 @@
 		return;
 	}
 	call->ask_ms = 0;
-	if (call->done)
-		finish(call, reply);
-	else
-		job_call_answer(call, reply);
+	job_call_answer(call, reply);
 }
 
 /* Only a seal that was sent may have taken effect. */
@@ -226,10 +236,6 @@
 	bool doubt = call->asked && (call->kind == JOB_CALL_SUBMIT ||
 				     call->kind == JOB_CALL_CANCEL);
 
-	if (call->done) {
-		finish(call, NULL);
-		return;
-	}
 	job_call_unavailable(
 		call, RETRY_AFTER_MS,
 		doubt ? "not confirmed in time; it may have taken effect, "
@@ -287,33 +293,29 @@
 	return head % shards;
 }
 
-static struct job_call *call_add(struct jobs *jobs, const uint8_t *job_id)
+static struct job_call *call_create(struct jobs *jobs, const char *caller,
+				    char *name)
 {
 	struct node *node = jobs->super.node;
 	struct job_call *call = g_new0(struct job_call, 1);
 
 	call->id = ++jobs->next_id;
 	call->jobs = jobs;
-	memcpy(call->job_id, job_id, HASH128_BYTES);
-	call->shard = shard_of(job_id, node->settings->ledger_shards);
+	call->caller = g_strdup(caller);
+	call->name = name;
+	hash128_pair(caller, name, call->job_id);
+	call->shard = shard_of(call->job_id, node->settings->ledger_shards);
 	call->deadline_ms = node_now_ms(node) + CALL_LIMIT_MS;
 	g_hash_table_insert(jobs->by_id, &call->id, call);
 	return call;
 }
 
-static struct job_call *call_create(struct jobs *jobs, struct web_request *web,
-				    const char *caller, char *name)
+static void call_run(struct job_call *call)
 {
-	uint8_t job_id[HASH128_BYTES];
-	struct job_call *call;
-
-	hash128_pair(caller, name, job_id);
-	call = call_add(jobs, job_id);
-	call->web = web;
-	call->caller = g_strdup(caller);
-	call->name = name;
-	web_on_close(web, on_close, call);
-	return call;
+	if (call->kind == JOB_CALL_SUBMIT)
+		job_submit_start(call);
+	else
+		job_call_ask(call);
 }
 
 static bool kind_of(const char *method, bool results, enum job_call_kind *kind)
@@ -358,12 +360,11 @@
 			    "%s is not possible here", web_method(web));
 		return;
 	}
-	call = call_create(jobs, web, caller, name);
+	call = call_create(jobs, caller, name);
 	call->kind = kind;
-	if (kind == JOB_CALL_SUBMIT)
-		job_submit_start(call);
-	else
-		job_call_ask(call);
+	call->web = web;
+	web_on_close(web, on_close, call);
+	call_run(call);
 }
 
 static bool jobs_start(struct task *base)
@@ -400,10 +401,7 @@
 			struct job_call *call = pos->data;
 
 			call->appending = false;
-			if (call->done)
-				finish(call, NULL);
-			else
-				job_call_end(call);
+			job_call_end(call);
 		}
 		g_list_free(calls);
 		g_hash_table_destroy(jobs->by_id);
@@ -420,15 +418,7 @@
 	.destroy = jobs_destroy,
 };
 
-struct task *jobs_task_create(void)
-{
-	struct jobs *jobs = g_new0(struct jobs, 1);
-
-	jobs->super.ops = &jobs_ops;
-	return &jobs->super;
-}
-
-static struct jobs *jobs_of(struct node *node)
+static struct jobs *find_jobs(struct node *node)
 {
 	struct list *pos;
 
@@ -441,34 +431,30 @@
 	return NULL;
 }
 
-static bool parse_id(const char *text, uint8_t id[HASH128_BYTES])
+void jobs_request(struct node *node, const struct job_request *request)
 {
-	size_t i;
-
-	for (i = 0; i < HASH128_BYTES; i++) {
-		int high = g_ascii_xdigit_value(text[2 * i]);
-		int low = high < 0 ? -1 : g_ascii_xdigit_value(text[2 * i + 1]);
-
-		if (low < 0)
-			return false;
-		id[i] = high << 4 | low;
+	struct jobs *jobs = find_jobs(node);
+	struct job_call *call =
+		call_create(jobs, request->caller, g_strdup(request->name));
+
+	call->kind = request->kind;
+	call->done = request->done;
+	call->done_ctx = request->ctx;
+	call->query_text = g_strdup(request->query);
+	call->body = g_memdup2(request->body, request->body_len);
+	call->body_len = request->body_len;
+	if (request->job_id) {
+		memcpy(call->job_id, request->job_id, HASH128_BYTES);
+		call->shard = shard_of(call->job_id,
+				       (uint32_t)node->settings->ledger_shards);
 	}
-	return !text[2 * HASH128_BYTES];
+	call_run(call);
 }
 
-bool jobs_cancel(struct node *node, const char *job_id, job_call_done_fn done,
-		 void *ctx)
+struct task *jobs_task_create(void)
 {
-	struct jobs *jobs = jobs_of(node);
-	uint8_t id[HASH128_BYTES];
-	struct job_call *call;
+	struct jobs *jobs = g_new0(struct jobs, 1);
 
-	if (!jobs || !parse_id(job_id, id))
-		return false;
-	call = call_add(jobs, id);
-	call->kind = JOB_CALL_CANCEL;
-	call->done = done;
-	call->done_ctx = ctx;
-	job_call_ask(call);
-	return true;
+	jobs->super.ops = &jobs_ops;
+	return &jobs->super;
 }
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -32,9 +32,9 @@
 /* Bounds of the time between two reads of the list of VMs, in ms. */
 #define LIST_RETRY_MS 500
 #define LIST_INTERVAL_MIN_MS 2000
-#define LIST_INTERVAL_MAX_MS 10000
+#define LIST_INTERVAL_MAX_MS 60000
 /* Added to that interval for each member, in ms. */
-#define LIST_INTERVAL_STEP_MS 10
+#define LIST_INTERVAL_STEP_MS 60
 
 struct members_task *members_task_of(struct node *node)
 {
@@ -161,6 +161,7 @@
 	guint i;
 
 	fetch_list(task, now_ms);
+	members_watch_owners(task, now_ms);
 	members_tick(task->members, now_ms, pings);
 	for (i = 0; i < pings->len; i++)
 		members_send_ping(task, pings->pdata[i]);
@@ -353,3 +354,11 @@
 		shard_map_note(task->shard_map, &owner);
 	}
 }
+
+const uint32_t *node_owned_shards(struct node *node, uint32_t *nr)
+{
+	struct members_task *task = members_task_of(node);
+
+	*nr = task->shards_nr;
+	return task->shards;
+}
--- a/include/briarplankd/entry/jobs.h
+++ b/include/briarplankd/entry/jobs.h
@@ -29,15 +29,47 @@
 	JOB_CALL_CANCEL,
 };
 
-/** Gets the owner's answer, or NULL when none came in time. */
-typedef void (*job_call_done_fn)(void *ctx, const Briarplank__JobReply *reply);
+/** What a request came to, for those within the process. */
+struct job_outcome {
+	/** As over HTTP. */
+	int status;
+	/** NULL when all is well. */
+	const char *detail;
+	/** It may have taken effect; sending it again is safe. */
+	bool in_doubt;
+	/** State of the job, or NULL. */
+	const Briarplank__JobState *job;
+};
+
+typedef void (*job_done_fn)(void *ctx, const struct job_outcome *outcome);
+
+/** A submission or cancel from within the process. All is copied. */
+struct job_request {
+	enum job_call_kind kind;
+	const char *caller;
+	const char *name;
+	/** Id of the job to cancel. */
+	const uint8_t *job_id;
+	/** Query and items of a submission. */
+	const char *query;
+	const char *body;
+	size_t body_len;
+	job_done_fn done;
+	void *ctx;
+};
 
-/** One request of a caller, or of an operator's command. */
+/** One request of a caller. */
 struct job_call {
 	uint64_t id;
 	struct jobs *jobs;
 	/** NULL once the caller has left or was answered. */
 	struct web_request *web;
+	/** In place of web, for a request from within the process. */
+	job_done_fn done;
+	void *done_ctx;
+	char *query_text;
+	char *body;
+	size_t body_len;
 	enum job_call_kind kind;
 	char *caller;
 	char *name;
@@ -60,9 +92,6 @@
 	bool appending;
 	/** To be freed once the append has ended. */
 	bool dead;
-	/** Of an operator's command, which has no web request. */
-	job_call_done_fn done;
-	void *done_ctx;
 
 	/** Of results: where the next page begins. */
 	uint32_t from_item;
@@ -70,19 +99,18 @@
 	bool waiting_taken;
 };
 
-/**
- * Cancels a job by its id in hexadecimal, for operators. False when the id is
- * none; else done is called once.
- */
-bool jobs_cancel(struct node *node, const char *job_id, job_call_done_fn done,
-		 void *ctx);
-
 /** Makes the JSON of a job's state; free with json_object_put. */
 struct json_object *job_state_json(const Briarplank__JobState *state);
 
 /** Parses "90s", "15m", "72h" or "3d" to ms; false when it is none. */
 bool jobs_parse_duration(const char *text, uint64_t *ms);
 
+/** Carries out a request of this process; done may come before it returns. */
+void jobs_request(struct node *node, const struct job_request *request);
+
+/** Gives the outcome of a call from within the process, once. */
+void job_call_done(struct job_call *call, const struct job_outcome *outcome);
+
 /** Ends a call; it must have been answered. */
 void job_call_end(struct job_call *call);
 
--- a/tests/process/ledger_basics.sh
+++ b/tests/process/ledger_basics.sh
@@ -76,7 +76,7 @@
 	"$(fleet_url entry-2)/v1/operator" >"$FLEET_DIR/answer"
 for job in night long late
 do
-	grep -q "\"job\": *\"$job\"" "$FLEET_DIR/answer" ||
+	grep -q "\"name\": *\"$job\"" "$FLEET_DIR/answer" ||
 		fleet_fail "$job is not shown: $(cat "$FLEET_DIR/answer")"
 done
 
