--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -256,6 +256,7 @@
 	if (!shard_unverified(task->shards[shard]))
 		ledger_expire(ledger, ledger_attempts_max(task, NULL), now,
 			      wall);
+	ledger_pause_intents(ledger, shard_log_silent(task->shards[shard]));
 	ledger_measure(ledger, wall);
 	ledger_sweep(ledger, wall);
 	ledger_agents_revoke(task, shard);
--- a/briarplankd/entry/ledger_agents.c
+++ b/briarplankd/entry/ledger_agents.c
@@ -18,6 +18,8 @@
 #define PULL_AGAIN_MS 500
 /* Time in which an agent is emptied for an item that runs alone, in ms. */
 #define RESERVE_MS 30000
+/* Time after which a pull is no longer answered with grants, in ms. */
+#define PULL_SEND_MS 1500
 #define ATTEMPTS_DEFAULT 3
 
 /* A pull, until its bodies are read and its intents are durable. */
@@ -27,6 +29,7 @@
 	char *agent;
 	char *service;
 	uint64_t id;
+	uint64_t received_ms;
 	size_t max_bytes;
 	size_t bytes;
 	GArray *grants;
@@ -150,8 +153,17 @@
 	g_free(pull);
 }
 
+/* An agent that was kept waiting has given its pull up: nothing is sent. */
+static bool pull_late(const struct pull *pull)
+{
+	uint64_t now = node_now_ms(pull->task->super.node);
+
+	return now > pull->received_ms + PULL_SEND_MS;
+}
+
 static void pull_finish(struct pull *pull)
 {
+	bool late = pull_late(pull);
 	guint i;
 
 	if (--pull->missing)
@@ -160,9 +172,9 @@
 		struct pull_grant *grant =
 			&g_array_index(pull->grants, struct pull_grant, i);
 
-		if (!still_live(grant))
+		if (late || !still_live(grant))
 			grant->ready = false;
-		else if (!grant->ready)
+		if (!grant->ready && still_live(grant))
 			take_back(grant);
 	}
 	send_grants(pull);
@@ -338,6 +350,7 @@
 	pull->agent = g_strdup(env->sender);
 	pull->service = g_strdup(message->service);
 	pull->id = message->pull_id;
+	pull->received_ms = node_now_ms(task->super.node);
 	pull->max_bytes = message->max_bytes ?
 				  MIN(message->max_bytes, PULL_BYTES_MAX) :
 				  PULL_BYTES_MAX;
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -194,7 +194,15 @@
 		return false;
 	if (job->ledger->outbox_bytes > job->ledger->options.outbox_max_bytes)
 		return false;
-	return next_item(job, alone, now_ms, &item);
+	if (!next_item(job, alone, now_ms, &item))
+		return false;
+	return job->items[item].flags & ITEM_IDEMPOTENT ||
+	       !job->ledger->intents_paused;
+}
+
+void ledger_pause_intents(struct ledger *ledger, bool pause)
+{
+	ledger->intents_paused = pause;
 }
 
 static uint64_t queue_intent(struct ledger_job *job, uint32_t item)
@@ -460,7 +468,8 @@
 
 	if (item->flags & ITEM_IDEMPOTENT || grant->grace)
 		return false;
-	grant->grace = true;
+	/* Until its intent is durable the grant has not been sent. */
+	grant->grace = item->state == ITEM_INTENT;
 	grant->expires_ms +=
 		GRACE_LEASES * grant->job->ledger->options.lease_ms;
 	return true;
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -218,6 +218,8 @@
 		  uint64_t now_ms, struct ledger_grant_out *out);
 /** Tells whether a job has an item that may be granted now. */
 bool ledger_grantable(struct ledger_job *job, bool alone, uint64_t now_ms);
+/** Grants no item that needs an intent, such as while the log is out. */
+void ledger_pause_intents(struct ledger *ledger, bool pause);
 /** Tells whether a grant is in force, such as before it is sent. */
 bool ledger_grant_live(const struct ledger *ledger, uint64_t grant_id,
 		       uint64_t epoch);
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -163,6 +163,8 @@
 	/** Parts of a checkpoint of the epoch in force seen so far. */
 	struct ledger_checkpoint_place partial;
 
+	/** No item that needs an intent is granted. */
+	bool intents_paused;
 	struct list open_jobs;
 	struct list grants;
 	GHashTable *grants_by_id;
