--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -13,6 +13,9 @@
 
 #define PART "bus"
 
+/* Time for which a connection that carried work is kept, in ms. */
+#define PEER_KEEP_MS 60000
+
 struct peer {
 	char *name;
 	char *address;
@@ -21,6 +24,8 @@
 	uint8_t route[256];
 	size_t route_len;
 	uint64_t route_incarnation;
+	/* When something else than a ping or its answer last went over it. */
+	uint64_t used_ms;
 };
 
 /* A message to this node itself. */
@@ -195,6 +200,11 @@
 	g_free(bus);
 }
 
+void bus_silence(struct bus *bus)
+{
+	bus->silent = true;
+}
+
 const char *bus_address(const struct bus *bus)
 {
 	return bus->address;
@@ -251,6 +261,23 @@
 	g_hash_table_remove(bus->peers, name);
 }
 
+static bool is_work(const Briarplank__Envelope *env)
+{
+	return env->body_case != BRIARPLANK__ENVELOPE__BODY_PING &&
+	       env->body_case != BRIARPLANK__ENVELOPE__BODY_PONG;
+}
+
+void bus_peer_rest(struct bus *bus, const char *name)
+{
+	struct peer *peer = peer_find(bus, name, false);
+
+	if (!peer || !peer->socket ||
+	    (peer->used_ms && uv_now(bus->loop) < peer->used_ms + PEER_KEEP_MS))
+		return;
+	bus_socket_destroy(peer->socket);
+	peer->socket = NULL;
+}
+
 static char *make_identity(const char *name, uint64_t incarnation)
 {
 	return g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", name, incarnation);
@@ -316,22 +343,40 @@
 	return false;
 }
 
+/* Sends over the connection that the peer made; false when there is none. */
+static bool send_route(struct bus *bus, struct peer *peer,
+		       const Briarplank__Envelope *env, size_t len)
+{
+	if (!peer->route_len)
+		return false;
+	if (send_frames(bus->bound, peer, env, len))
+		return true;
+	/* A route that is gone may be replaced by any other. */
+	if (errno == EHOSTUNREACH)
+		peer->route_len = 0;
+	return false;
+}
+
+/* A connection made here comes into being only where the peer made none. */
 static enum bus_status send_remote(struct bus *bus, struct peer *peer,
 				   const Briarplank__Envelope *env)
 {
 	size_t len = briarplank__envelope__get_packed_size(env);
 	bool sent = false;
 
-	if (!peer->socket && peer->address && !peer_connect(bus, peer))
-		return BUS_BAD_ADDRESS;
+	if (len > BUS_MESSAGE_MAX_BYTES) {
+		counter_add(bus->refused, 1);
+		error_set("a message of %zu bytes is too large", len);
+		return BUS_NOT_SENT;
+	}
+	if (is_work(env))
+		peer->used_ms = uv_now(bus->loop);
 	if (peer->socket)
 		sent = send_frames(peer->socket, peer, env, len);
-	if (!sent && peer->route_len) {
-		sent = send_frames(bus->bound, peer, env, len);
-		/* A route that is gone may be replaced by any other. */
-		if (!sent && errno == EHOSTUNREACH)
-			peer->route_len = 0;
-	}
+	if (!sent)
+		sent = send_route(bus, peer, env, len);
+	if (!sent && !peer->socket && peer->address && !peer_connect(bus, peer))
+		return BUS_BAD_ADDRESS;
 	if (!sent) {
 		counter_add(bus->refused, 1);
 		error_set("no connection to %s", peer->name);
@@ -390,7 +435,11 @@
 static void dispatch(struct bus *bus, const Briarplank__Envelope *env)
 {
 	struct handler *handler = &bus->handlers[env->body_case];
+	struct peer *peer =
+		is_work(env) ? peer_find(bus, env->sender, false) : NULL;
 
+	if (peer)
+		peer->used_ms = uv_now(bus->loop);
 	if (bus->observer.fn)
 		bus->observer.fn(bus->observer.ctx, env);
 	if (handler->fn)
@@ -405,8 +454,10 @@
 	Briarplank__Envelope *env =
 		briarplank__envelope__unpack(NULL, len, bytes);
 
-	if (!env || !*env->sender || env->body_case >= BODY_KINDS ||
-	    (route_len && !route_matches(env, route, route_len))) {
+	if (bus->silent) {
+		log_debug(PART, "dropped %zu bytes at the end", len);
+	} else if (!env || !*env->sender || env->body_case >= BODY_KINDS ||
+		   (route_len && !route_matches(env, route, route_len))) {
 		counter_add(bus->garbage, 1);
 		log_debug(PART, "dropped %zu bytes that are no message", len);
 	} else {
--- a/include/briarplankd/entry/ledger_task.h
+++ b/include/briarplankd/entry/ledger_task.h
@@ -27,10 +27,15 @@
 	struct list *waiters;
 	/** Seals that wait for their chunks to be read, of all shards. */
 	struct list seals;
-	/** Pulls and queries that wait for the log. */
+	/** Pulls that wait for the log. */
+	struct list pulls;
+	/** Calls and queries that wait for the log. */
 	unsigned running;
 	uv_timer_t timer;
 	uint64_t started_ms;
+	/** When a shard may next be handed over, and entries seen then. */
+	uint64_t rebalance_ms;
+	uint32_t others_nr;
 	/** Agent that is being emptied for an item that must run alone. */
 	char *reserved_agent;
 	uint64_t reserved_until_ms;
