Stream batch items from engines, so that preempted ones keep their tokens

A batch item that asks for a whole answer showed the gate no tokens: its engine's pace could not be learned, and a preemption threw its work away. The engine's adapter now asks for a stream and makes the whole answer of it. Plain services are learned from whole answers. Shared header: backend_ops has two optional functions more.

--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -377,6 +377,8 @@
 	} else if (end == HTTP_WHOLE) {
 		admission_served(gate->admission,
 				 node_now_us() - attempt->started_us);
+		gate_whole_answer(gate, attempt->started_us,
+				  gate->running_online + gate->running_batch);
 		answer_buffer_finish(attempt->buffer);
 		attempt_end(attempt);
 		attempt_pump(attempt);
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -119,6 +119,25 @@
 	return now - last_us;
 }
 
+static bool is_plain(const struct gate *gate)
+{
+	return gate->task.node->settings->server_kind == SERVER_PLAIN;
+}
+
+void gate_whole_answer(struct gate *gate, uint64_t started_us, unsigned streams)
+{
+	uint64_t now = node_now_us();
+	struct concurrency_sample sample = {
+		.streams = streams,
+		.gap_us = now - started_us,
+		.tokens = 1,
+		.steady = true,
+	};
+
+	if (is_plain(gate))
+		concurrency_gap(gate->concurrency, &sample, now);
+}
+
 static void plan_batch(struct gate *gate, uint64_t now)
 {
 	uint64_t since =
@@ -132,6 +151,9 @@
 		.batch_waiting = works_waiting(gate),
 	};
 
+	/* A plain service computes no prompts that others wait for. */
+	if (is_plain(gate))
+		load.online_starting = load.batch_starting = 0;
 	gate->starting = load.online_starting + load.batch_starting;
 	gate->batch_starting = load.batch_starting;
 	gate->plan =
@@ -173,6 +195,8 @@
 	targets.gap_target_us = (uint64_t)policy.token_gap_target_ms * 1000;
 	targets.first_token_target_us =
 		(uint64_t)policy.first_byte_target_ms * 1000;
+	if (is_plain(gate))
+		targets.gap_target_us = targets.first_token_target_us;
 	concurrency_set(gate->concurrency, &targets);
 	share.weight = policy.batch_weight;
 	share.gap_target_us = targets.gap_target_us;
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -110,6 +110,13 @@
 /** Tells from an answer's fields whether its body is a stream of events. */
 bool gate_is_stream(const struct http_field *fields, size_t nr);
 
+/**
+ * Notes a whole answer of a call that started then, beside so many others in
+ * all. A plain service is learned from these, as it has no tokens.
+ */
+void gate_whole_answer(struct gate *gate, uint64_t started_us,
+		       unsigned streams);
+
 /** Number of tokens, one an event, that begin in a part of a stream. */
 unsigned gate_count_tokens(const char *data, size_t len);
 
--- a/briarplankd/agent/work.c
+++ b/briarplankd/agent/work.c
@@ -32,6 +32,8 @@
 	bool sent;
 	bool resumed;
 	bool streams;
+	/* The gate asked for a stream that the caller did not ask for. */
+	bool converted;
 	int status;
 	GString *body;
 	uint64_t arrived_us;
@@ -136,10 +138,31 @@
 		gate_schedule(gate);
 }
 
+/* Makes the answer that the caller asked for; false when that fails. */
+static bool convert_answer(struct gate_work *work)
+{
+	char *whole;
+
+	if (!work->converted || !work->streams || work->status != 200)
+		return true;
+	whole = work->gate->backend->ops->as_whole(work->id, work->body->str);
+	if (!whole)
+		return false;
+	g_string_assign(work->body, whole);
+	g_free(whole);
+	return true;
+}
+
 static void work_end(struct gate_work *work, enum gate_result result)
 {
 	struct gate *gate = work->gate;
 
+	if (result == GATE_DONE && !convert_answer(work))
+		result = GATE_LOST;
+	if (result == GATE_DONE)
+		gate_whole_answer(gate, work->started_us,
+				  gate->running_online + gate->running_batch +
+					  1);
 	histogram_record(gate->metrics.item_time,
 			 node_now_us() - work->arrived_us);
 	work->on_end(work->ctx, result, work->status, work->body);
@@ -302,6 +325,21 @@
 	return nr;
 }
 
+/* A stream shows the engine's pace, and its tokens outlast a preemption. */
+static void ask_for_stream(struct gate_work *work)
+{
+	const struct backend_ops *ops = work->gate->backend->ops;
+	char *body = ops->as_stream ? ops->as_stream(work->request->str,
+						     work->request->len) :
+				      NULL;
+
+	if (!body)
+		return;
+	g_string_assign(work->request, body);
+	work->converted = true;
+	g_free(body);
+}
+
 struct gate_work *gate_work_submit(struct gate *gate,
 				   const struct gate_work_options *options)
 {
@@ -314,6 +352,7 @@
 	work->request =
 		g_string_new_len(options->body, (gssize)options->body_len);
 	work->idempotent = options->idempotent;
+	ask_for_stream(work);
 	work->on_end = options->on_end;
 	work->ctx = options->ctx;
 	work->body = g_string_new(NULL);
--- a/include/platform/backend.h
+++ b/include/platform/backend.h
@@ -101,6 +101,16 @@
 		      void *ctx);
 	void (*held)(struct backend *backend, backend_held_fn done, void *ctx);
 	void (*destroy)(struct backend *backend);
+	/**
+	 * Turns a request's body into one that asks for a stream; NULL when it
+	 * asks for one already or can't. May be absent.
+	 */
+	char *(*as_stream)(const char *body, size_t len);
+	/**
+	 * Makes the whole answer of the stream of a call; NULL when the stream
+	 * isn't whole. Present with as_stream.
+	 */
+	char *(*as_whole)(const char *call_id, const char *events);
 };
 
 /** Base of each adapter. */
