--- a/bench/share/batch_share.c
+++ b/bench/share/batch_share.c
@@ -4,11 +4,12 @@
  * the whole range of the weight, and an oracle that knows the engine's curve
  * and the arrivals.
  *
- * usage: batch_share [SEED] [SECONDS]
+ * usage: batch_share [SEED] [SECONDS] [CURVE]
  */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "sim.h"
 
@@ -180,6 +181,8 @@
 		options.duration_us = strtoull(argv[2], NULL, 10) * 1000000;
 	printf("# times of online callers in ms, %u us of jitter\n", JITTER_US);
 	for (i = 0; i < G_N_ELEMENTS(curves); i++) {
+		if (argc > 3 && strcmp(argv[3], curves[i].name) != 0)
+			continue;
 		for (j = 0; j < G_N_ELEMENTS(loads); j++) {
 			options.curve = &curves[i];
 			options.load = &loads[j];
--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -5,7 +5,7 @@
 
 #include <glib.h>
 
-#include "gate.h"
+#include "attempt.h"
 #include "common/log.h"
 
 #define PART "gate"
@@ -19,8 +19,6 @@
 #define LINGER_LEAVING_MS 500
 /* Time after which the attempts of a lost entry are cancelled. */
 #define ORPHAN_MS 5000
-/* Time after a thaw in which messages may be as old as the freeze. */
-#define THAW_US 300000
 /* Cost of a request without a body, in units of its body's bytes. */
 #define COST_BASE 512
 
@@ -30,52 +28,15 @@
 	[ADMISSION_DEADLINE] = BRIARPLANK__REFUSED__REASON__DEADLINE,
 };
 
-enum attempt_state {
-	/** Waits in the queue of online requests. */
-	ATTEMPT_QUEUED,
-	/** Handed to the adapter; no byte has left yet. */
-	ATTEMPT_STARTED,
-	/** The server may have seen the request. */
-	ATTEMPT_SENT,
-	/** The outcome is known; the answer may still be on its way. */
-	ATTEMPT_ENDED,
-};
-
-struct attempt {
-	struct gate *gate;
-	/* Request id and attempt number; names the call to the server too. */
-	char *key;
-	char *entry;
-	Briarplank__Dispatch *dispatch;
-	enum attempt_state state;
-	uint64_t received_us;
-	uint64_t started_us;
-	uint64_t deadline_us;
-	uint64_t last_token_us;
-	/* When the last of the outcome went out; 0 before. */
-	uint64_t told_us;
-	uint64_t entry_down_us;
-	struct backend_call *call;
-	struct answer_buffer *buffer;
-	Briarplank__AnswerHead *head;
-	bool head_sent;
-	bool streams;
-	bool paused;
-	bool confirmed;
-	bool failed;
-	bool failure_sent;
-	Briarplank__AnswerFailed__Cause cause;
-};
-
-static char *make_key(const char *request_id, uint32_t number)
+char *attempt_key(const char *request_id, uint32_t number)
 {
 	return g_strdup_printf("%s-%u", request_id, number);
 }
 
-static struct attempt *attempt_find(struct gate *gate, const char *request_id,
-				    uint32_t number)
+struct attempt *attempt_find(struct gate *gate, const char *request_id,
+			     uint32_t number)
 {
-	char *key = make_key(request_id, number);
+	char *key = attempt_key(request_id, number);
 	struct attempt *attempt = g_hash_table_lookup(gate->attempts, key);
 
 	g_free(key);
@@ -120,7 +81,7 @@
 }
 
 /* Removes an attempt; its id is remembered. */
-static void attempt_remove(struct attempt *attempt, enum tombstone_kind kind)
+void attempt_remove(struct attempt *attempt, enum tombstone_kind kind)
 {
 	struct gate *gate = attempt->gate;
 
@@ -135,10 +96,10 @@
 	attempt_free(attempt);
 }
 
-static void send_refused(struct gate *gate, const char *entry,
-			 const char *request_id, uint32_t number,
-			 Briarplank__Refused__Reason reason,
-			 uint32_t retry_after_ms)
+void attempt_send_refused(struct gate *gate, const char *entry,
+			  const char *request_id, uint32_t number,
+			  Briarplank__Refused__Reason reason,
+			  uint32_t retry_after_ms)
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__Refused body = BRIARPLANK__REFUSED__INIT;
@@ -161,13 +122,13 @@
 			   Briarplank__Refused__Reason reason,
 			   uint32_t retry_after_ms)
 {
-	send_refused(attempt->gate, attempt->entry,
-		     attempt->dispatch->request_id, attempt->dispatch->attempt,
-		     reason, retry_after_ms);
+	attempt_send_refused(
+		attempt->gate, attempt->entry, attempt->dispatch->request_id,
+		attempt->dispatch->attempt, reason, retry_after_ms);
 	attempt_remove(attempt, TOMBSTONE_NEVER_STARTED);
 }
 
-static void send_admitted(struct attempt *attempt)
+void attempt_send_admitted(struct attempt *attempt)
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__Admitted body = BRIARPLANK__ADMITTED__INIT;
@@ -243,7 +204,7 @@
 }
 
 /* Sends what may go out now, in order; the rest waits for credit or a tick. */
-static void attempt_pump(struct attempt *attempt)
+void attempt_pump(struct attempt *attempt)
 {
 	struct answer_piece piece;
 
@@ -289,7 +250,7 @@
 
 	attempt->state = ATTEMPT_SENT;
 	counter_add(attempt->gate->metrics.admitted, 1);
-	send_admitted(attempt);
+	attempt_send_admitted(attempt);
 }
 
 static void on_head(void *ctx, int status, const struct http_field *fields,
@@ -435,19 +396,8 @@
 	g_free(fields);
 }
 
-/* Time left; a message read after a thaw may be as old as the freeze. */
-static uint64_t remaining_ms(const struct gate *gate,
-			     const Briarplank__Dispatch *dispatch)
-{
-	uint64_t left = dispatch->remaining_ms;
-
-	if (gate->thawed_us && node_now_us() < gate->thawed_us + THAW_US)
-		return left > gate->frozen_ms ? left - gate->frozen_ms : 0;
-	return left;
-}
-
-static struct attempt *attempt_create(struct gate *gate, const char *entry,
-				      const Briarplank__Dispatch *dispatch)
+struct attempt *attempt_create(struct gate *gate, const char *entry,
+			       const Briarplank__Dispatch *dispatch)
 {
 	struct attempt *attempt = g_new0(struct attempt, 1);
 	struct answer_buffer_options options = {
@@ -458,56 +408,19 @@
 	};
 
 	attempt->gate = gate;
-	attempt->key = make_key(dispatch->request_id, dispatch->attempt);
+	attempt->key = attempt_key(dispatch->request_id, dispatch->attempt);
 	attempt->entry = g_strdup(entry);
 	attempt->dispatch = copy_dispatch(dispatch);
 	attempt->received_us = node_now_us();
-	attempt->deadline_us =
-		attempt->received_us + remaining_ms(gate, dispatch) * 1000;
+	attempt->deadline_us = attempt->received_us +
+			       attempt_remaining_ms(gate, dispatch) * 1000;
 	attempt->buffer = answer_buffer_create(&options);
 	g_hash_table_insert(gate->attempts, attempt->key, attempt);
 	return attempt;
 }
 
-/* Tells why a dispatch can't be taken, or -1. */
-static int refusal_of(struct gate *gate, const Briarplank__Dispatch *dispatch,
-		      enum tombstone_kind kind)
-{
-	const struct node *node = gate->task.node;
-
-	if (dispatch->agent_incarnation != node->incarnation)
-		return BRIARPLANK__REFUSED__REASON__WRONG_INCARNATION;
-	if (strcmp(dispatch->service, node->settings->service) != 0)
-		return BRIARPLANK__REFUSED__REASON__WRONG_SERVICE;
-	if (kind == TOMBSTONE_NEVER_STARTED)
-		return BRIARPLANK__REFUSED__REASON__CANCELLED;
-	if (gate->leaving)
-		return BRIARPLANK__REFUSED__REASON__LEAVING;
-	if (!gate_takes_work(gate))
-		return BRIARPLANK__REFUSED__REASON__NOT_READY;
-	if (!remaining_ms(gate, dispatch))
-		return BRIARPLANK__REFUSED__REASON__DEADLINE;
-	return -1;
-}
-
-/* A second copy of a dispatch starts nothing. */
-static bool is_duplicate(struct gate *gate,
-			 const Briarplank__Dispatch *dispatch,
-			 enum tombstone_kind kind)
-{
-	struct attempt *attempt =
-		attempt_find(gate, dispatch->request_id, dispatch->attempt);
-
-	if (!attempt && kind != TOMBSTONE_ENDED)
-		return false;
-	counter_add(gate->metrics.duplicates, 1);
-	if (attempt && attempt->state >= ATTEMPT_SENT)
-		send_admitted(attempt);
-	return true;
-}
-
 /* Queues a new attempt, or refuses it when it would wait too long. */
-static void attempt_offer(struct attempt *attempt)
+void attempt_offer(struct attempt *attempt)
 {
 	struct gate *gate = attempt->gate;
 	struct admission_request request = {
@@ -540,175 +453,6 @@
 		attempt_start(attempt);
 }
 
-static void on_dispatch(void *ctx, const Briarplank__Envelope *env)
-{
-	struct gate *gate = ctx;
-	const Briarplank__Dispatch *dispatch = env->dispatch;
-	char *key = make_key(dispatch->request_id, dispatch->attempt);
-	enum tombstone_kind kind;
-	int reason;
-
-	gate_wake(gate);
-	gate_note_entry(gate, env->sender);
-	kind = tombstones_find(gate->tombstones, key,
-			       node_now_ms(gate->task.node));
-	g_free(key);
-	if (is_duplicate(gate, dispatch, kind))
-		return;
-	reason = refusal_of(gate, dispatch, kind);
-	if (reason >= 0)
-		send_refused(gate, env->sender, dispatch->request_id,
-			     dispatch->attempt, reason, 0);
-	else
-		attempt_offer(attempt_create(gate, env->sender, dispatch));
-	gate_schedule(gate);
-}
-
-static void send_cancel_result(struct gate *gate, const char *entry,
-			       const Briarplank__Cancel *cancel,
-			       Briarplank__CancelResult__State state)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__CancelResult body = BRIARPLANK__CANCEL_RESULT__INIT;
-
-	body.request_id = cancel->request_id;
-	body.attempt = cancel->attempt;
-	body.state = state;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_CANCEL_RESULT;
-	env.cancel_result = &body;
-	bus_send(gate->task.node->bus, entry, &env);
-}
-
-/* An attempt that isn't here: from now on it will never start. */
-static void cancel_absent(struct gate *gate, const char *entry,
-			  const Briarplank__Cancel *cancel)
-{
-	char *key = make_key(cancel->request_id, cancel->attempt);
-	uint64_t now = node_now_ms(gate->task.node);
-	enum tombstone_kind kind = tombstones_find(gate->tombstones, key, now);
-
-	if (kind == TOMBSTONE_ENDED)
-		send_cancel_result(gate, entry, cancel,
-				   BRIARPLANK__CANCEL_RESULT__STATE__ENDED);
-	else if (tombstones_add(gate->tombstones, key, TOMBSTONE_NEVER_STARTED,
-				now))
-		send_cancel_result(
-			gate, entry, cancel,
-			BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED);
-	else
-		log_warn(PART, "no room to remember that %s must not start",
-			 key);
-	g_free(key);
-}
-
-static void cancel_running(struct attempt *attempt,
-			   const Briarplank__Cancel *cancel)
-{
-	struct gate *gate = attempt->gate;
-
-	if (cancel->only_if_not_started) {
-		send_cancel_result(gate, attempt->entry, cancel,
-				   BRIARPLANK__CANCEL_RESULT__STATE__RUNNING);
-		return;
-	}
-	send_cancel_result(gate, attempt->entry, cancel,
-			   BRIARPLANK__CANCEL_RESULT__STATE__STOPPED);
-	attempt_remove(attempt, TOMBSTONE_ENDED);
-	gate_schedule(gate);
-}
-
-static void on_cancel(void *ctx, const Briarplank__Envelope *env)
-{
-	struct gate *gate = ctx;
-	const Briarplank__Cancel *cancel = env->cancel;
-	struct attempt *attempt =
-		attempt_find(gate, cancel->request_id, cancel->attempt);
-
-	gate_wake(gate);
-	if (!attempt) {
-		cancel_absent(gate, env->sender, cancel);
-	} else if (attempt->state == ATTEMPT_SENT) {
-		cancel_running(attempt, cancel);
-	} else if (attempt->state == ATTEMPT_ENDED) {
-		send_cancel_result(gate, env->sender, cancel,
-				   BRIARPLANK__CANCEL_RESULT__STATE__ENDED);
-	} else {
-		send_cancel_result(
-			gate, env->sender, cancel,
-			BRIARPLANK__CANCEL_RESULT__STATE__NEVER_STARTED);
-		attempt_remove(attempt, TOMBSTONE_NEVER_STARTED);
-		gate_schedule(gate);
-	}
-}
-
-static void on_credit(void *ctx, const Briarplank__Envelope *env)
-{
-	struct gate *gate = ctx;
-	const Briarplank__Credit *credit = env->credit;
-	struct attempt *attempt =
-		attempt_find(gate, credit->request_id, credit->attempt);
-
-	gate_wake(gate);
-	if (!attempt)
-		return;
-	answer_buffer_credit(attempt->buffer, credit->next_sequence,
-			     credit->bytes);
-	attempt->confirmed = answer_buffer_drained(attempt->buffer) &&
-			     answer_buffer_empty(attempt->buffer);
-	attempt_pump(attempt);
-}
-
-static void send_gone(struct gate *gate, const char *entry,
-		      const Briarplank__Resume *resume)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__AnswerFailed body = BRIARPLANK__ANSWER_FAILED__INIT;
-
-	body.request_id = resume->request_id;
-	body.attempt = resume->attempt;
-	body.cause = BRIARPLANK__ANSWER_FAILED__CAUSE__BUFFER_OVERFLOW;
-	body.started = true;
-	body.message = "the answer is kept no more";
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_ANSWER_FAILED;
-	env.answer_failed = &body;
-	bus_send(gate->task.node->bus, entry, &env);
-}
-
-static void on_resume(void *ctx, const Briarplank__Envelope *env)
-{
-	struct gate *gate = ctx;
-	const Briarplank__Resume *resume = env->resume;
-	struct attempt *attempt =
-		attempt_find(gate, resume->request_id, resume->attempt);
-
-	gate_wake(gate);
-	if (!attempt) {
-		send_gone(gate, env->sender, resume);
-		return;
-	}
-	if (!answer_buffer_rewind(attempt->buffer, resume->from_sequence,
-				  resume->credit_bytes)) {
-		send_gone(gate, env->sender, resume);
-		attempt_remove(attempt, TOMBSTONE_ENDED);
-		return;
-	}
-	if (!resume->from_sequence)
-		attempt->head_sent = false;
-	attempt->failure_sent = false;
-	attempt->entry_down_us = 0;
-	attempt_pump(attempt);
-}
-
-void attempts_register(struct gate *gate)
-{
-	struct bus *bus = gate->task.node->bus;
-
-	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_DISPATCH, on_dispatch, gate);
-	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL, on_cancel, gate);
-	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CREDIT, on_credit, gate);
-	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_RESUME, on_resume, gate);
-}
-
 static void tick_running(struct attempt *attempt, uint64_t now)
 {
 	bool orphan = attempt->entry_down_us &&
--- a/core/batch_share.c
+++ b/core/batch_share.c
@@ -19,7 +19,7 @@
 #define SETTLE_GAPS 10
 #define SETTLE_MIN_US 50000
 /* Weight of the rate that settles between equally harmless numbers. */
-#define RATE_TIE 0.001
+#define RATE_TIE 0.05
 /* Weight of one gap in the mean share of gaps that miss the target. */
 #define MISS_WEIGHT 0.005
 /* Misses that starting batch streams may cause, as a share of online gaps. */
--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -26,6 +26,8 @@
 #define GAP_SLACK 1.5
 /* Least time between two fits once the curve is known, in us. */
 #define FIT_INTERVAL_US 50000
+/* Share of the best rate below which more streams are no use. */
+#define RATE_SHARE_MIN 0.9
 /* Least limit of online streams. */
 #define ONLINE_LIMIT_MIN 4
 
@@ -210,30 +212,28 @@
 		   GAP_SLACK * concurrency->fit[1]);
 }
 
-/* More streams give more tokens a second up to this number. */
-static unsigned best_rate_at(const struct concurrency *concurrency)
+/* Most tokens a second at any number of streams. */
+static double best_rate(const struct concurrency *concurrency)
 {
-	unsigned best = 1, n;
+	double best = 0;
+	unsigned n;
 
-	for (n = 2; n <= CONCURRENCY_MAX; n++) {
-		if (concurrency_rate_at(concurrency, n) >
-		    concurrency_rate_at(concurrency, best))
-			best = n;
-	}
+	for (n = 1; n <= CONCURRENCY_MAX; n++)
+		best = MAX(best, concurrency_rate_at(concurrency, n));
 	return best;
 }
 
 static unsigned find_online_limit(const struct concurrency *concurrency)
 {
-	unsigned fastest, n;
-	double limit;
+	double limit, least_rate;
+	unsigned n;
 
 	limit = gap_limit(concurrency);
-	fastest = best_rate_at(concurrency);
+	least_rate = RATE_SHARE_MIN * best_rate(concurrency);
 	for (n = ONLINE_LIMIT_MIN + 1; n <= CONCURRENCY_MAX; n++) {
 		if (starts_late(concurrency, n))
 			return n - 1;
-		if (n > fastest &&
+		if (concurrency_rate_at(concurrency, n) < least_rate &&
 		    (double)concurrency_gap_at(concurrency, n) > limit)
 			return n - 1;
 	}
