Watch the agents that have requests

Cause: in a fleet of more than 48 members only some are pinged all the time. An agent that died with an admitted request was noticed when its turn came, so an idempotent request ended as unknown at its deadline instead of running elsewhere, and the connection that its answers come back on could be closed as unused. Entries now watch an agent while it has requests and 5 s longer; the watch of shard owners leaves agents alone.

--- a/briarplankd/entry/online.c
+++ b/briarplankd/entry/online.c
@@ -137,6 +137,7 @@
 	struct online *online = timer->data;
 
 	limiter_sweep(online->limiter, node_now_us());
+	online_routing_sweep(online);
 	online_routing_changed(online);
 }
 
--- a/briarplankd/entry/routing.c
+++ b/briarplankd/entry/routing.c
@@ -12,6 +12,8 @@
 #define SUBSET_SIZE 40
 /* Age up to which a load report counts, in ms. */
 #define REPORT_FRESH_MS 3000
+/* Time for which an agent is watched after its last request, in ms. */
+#define WATCH_MS 5000
 /* Limit taken for an agent that has not reported. */
 #define UNREPORTED_LIMIT 4
 /* Online's share of the link between regions, for all entries of a region. */
@@ -267,12 +269,46 @@
 	return chosen;
 }
 
+/* In a large fleet only the watched members are pinged all the time. */
+static void watch(struct online *online, struct online_agent *agent,
+		  uint64_t now_ms)
+{
+	agent->used_ms = now_ms;
+	if (agent->watched)
+		return;
+	agent->watched = true;
+	members_watch(node_members(online->super.node), agent->name, true);
+}
+
+void online_routing_sweep(struct online *online)
+{
+	uint64_t now_ms = node_now_ms(online->super.node);
+	struct online_agent *agent;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!online->agents)
+		return;
+	g_hash_table_iter_init(&iter, online->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		agent = value;
+		if (!agent->watched || agent->running ||
+		    now_ms < agent->used_ms + WATCH_MS)
+			continue;
+		agent->watched = false;
+		members_watch(node_members(online->super.node), agent->name,
+			      false);
+	}
+}
+
 void online_routing_dispatched(struct online_request *request)
 {
 	struct online_agent *agent = agent_of(request->online, request->agent);
 	uint64_t now_ms = node_now_ms(request->online->super.node);
 
 	agent->unreported++;
+	agent->running++;
+	watch(request->online, agent, now_ms);
 	request->at_agent = true;
 	request->report_sequence = agent->report_sequence;
 	circuit_dispatched(&agent->circuit, now_ms);
@@ -287,6 +323,8 @@
 		return;
 	request->at_agent = false;
 	agent = agent_of(request->online, request->agent);
+	agent->running--;
+	agent->used_ms = node_now_ms(request->online->super.node);
 	if (agent->report_sequence == request->report_sequence &&
 	    agent->unreported)
 		agent->unreported--;
--- a/briarplankd/members_owners.c
+++ b/briarplankd/members_owners.c
@@ -61,6 +61,9 @@
 	list_for_each (pos, members_all(task->members)) {
 		struct member *member = list_entry(pos, struct member, link);
 
+		/* Agents are watched for the requests that run there. */
+		if (member->role != MEMBER_ENTRY)
+			continue;
 		members_watch(task->members, member->name,
 			      g_hash_table_contains(owners, member->name));
 	}
--- a/include/briarplankd/online.h
+++ b/include/briarplankd/online.h
@@ -39,6 +39,11 @@
 	/** Requests sent since the report with this sequence number. */
 	uint64_t report_sequence;
 	uint32_t unreported;
+	/** Requests that are there, and when one last came or went. */
+	uint32_t running;
+	uint64_t used_ms;
+	/** Its silence must be noticed soon, also in a large fleet. */
+	bool watched;
 };
 
 /** A request that was not completed. */
@@ -223,6 +228,9 @@
 /** Forgets the subsets: the members have changed. */
 void online_routing_changed(struct online *online);
 
+/** Stops watching the agents that were not used for a while. */
+void online_routing_sweep(struct online *online);
+
 /** Counts bytes of the request that cross the regions' link. */
 void online_routing_bytes(struct online_request *request, size_t bytes);
 
