--- a/bench/retry_storm.c
+++ b/bench/retry_storm.c
@@ -374,8 +374,8 @@
 
 static void run(enum sickness sickness, bool budgeted, int seed)
 {
-	double healthy = (double)(AGENTS - SICK) * SLOTS * US_PER_S /
-			 SERVICE_US * ((double)RUN_US / US_PER_S);
+	double per_agent = (double)SLOTS * RUN_US / SERVICE_US;
+	double healthy = (AGENTS - SICK) * per_agent;
 
 	sim.random = g_rand_new_with_seed(seed);
 	sim.events = g_sequence_new(g_free);
