--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -256,6 +256,7 @@
 	if (!shard_unverified(task->shards[shard]))
 		ledger_expire(ledger, ledger_attempts_max(task, NULL), now,
 			      wall);
+	ledger_pause_intents(ledger, shard_log_silent(task->shards[shard]));
 	ledger_measure(ledger, wall);
 	ledger_sweep(ledger, wall);
 	ledger_agents_revoke(task, shard);
@@ -332,6 +333,7 @@
 		return false;
 	}
 	list_init(&task->seals);
+	list_init(&task->pulls);
 	make_metrics(task);
 	task->started_ms = node_now_ms(base->node);
 	task->schedule = ledger_schedule_create(&options);
@@ -363,7 +365,7 @@
 		if (!shard_quiet(task->shards[i]))
 			return false;
 	}
-	return task->running == 0;
+	return task->running == 0 && list_empty(&task->pulls);
 }
 
 static void free_shards(struct ledger_task *task)
