--- a/briarplankd/members_messages.c
+++ b/briarplankd/members_messages.c
@@ -52,6 +52,9 @@
 		row->shard = i;
 		row->epoch = owner.epoch;
 		row->owner = (char *)owner.owner;
+		row->released = owner.released;
+		row->incarnation = owner.incarnation;
+		row->version = owner.version;
 		pong->shard_map[pong->n_shard_map++] = row;
 	}
 }
@@ -69,6 +72,7 @@
 	pong.owned_shards = task->shards;
 	pong.n_owned_epochs = task->shards_nr;
 	pong.owned_epochs = task->epochs;
+	pong.owned_version = task->shards_version;
 	if (ping && ping->shard_digest != shard_map_digest(task->shard_map))
 		fill_shard_map(task, &pong);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_PONG;
@@ -107,19 +111,28 @@
 			const Briarplank__Envelope *env)
 {
 	const Briarplank__Pong *pong = env->pong;
-	struct shard_owner owner;
+	struct shard_statement statement = {
+		.owner = env->sender,
+		.incarnation = env->incarnation,
+		.version = pong->owned_version,
+		.shards = pong->owned_shards,
+		.epochs = pong->owned_epochs,
+		.nr = MIN(pong->n_owned_shards, pong->n_owned_epochs),
+	};
 	size_t i;
 
-	for (i = 0; i < MIN(pong->n_owned_shards, pong->n_owned_epochs); i++) {
-		owner.shard = pong->owned_shards[i];
-		owner.epoch = pong->owned_epochs[i];
-		owner.owner = env->sender;
-		shard_map_note(task->shard_map, &owner);
-	}
+	shard_map_state(task->shard_map, &statement);
 	for (i = 0; i < pong->n_shard_map; i++) {
-		owner.shard = pong->shard_map[i]->shard;
-		owner.epoch = pong->shard_map[i]->epoch;
-		owner.owner = pong->shard_map[i]->owner;
+		const Briarplank__ShardOwner *row = pong->shard_map[i];
+		struct shard_owner owner = {
+			.shard = row->shard,
+			.epoch = row->epoch,
+			.owner = row->owner,
+			.released = row->released,
+			.incarnation = row->incarnation,
+			.version = row->version,
+		};
+
 		shard_map_note(task->shard_map, &owner);
 	}
 }
--- a/briarplankd/members_owners.c
+++ b/briarplankd/members_owners.c
@@ -38,7 +38,7 @@
 		struct shard_owner owner;
 
 		shard_map_find(task->shard_map, i, &owner);
-		if (owner.owner &&
+		if (owner.owner && !owner.released &&
 		    shard_claim_rank(task->super.node->settings->name,
 				     (const char *const *)others->pdata,
 				     others->len, i) < OWNER_WATCHERS)
--- a/briarplankd/members_private.h
+++ b/briarplankd/members_private.h
@@ -23,6 +23,8 @@
 	uint32_t *shards;
 	uint64_t *epochs;
 	uint32_t shards_nr;
+	/** Counts the changes of what is owned. */
+	uint64_t shards_version;
 	struct shard_map *shard_map;
 	uint64_t owners_at_ms;
 	struct counter *up_entries;
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -304,25 +304,12 @@
 	return &task->super;
 }
 
-static bool owns(const struct members_task *task, uint32_t shard)
-{
-	uint32_t i;
-
-	for (i = 0; i < task->shards_nr; i++) {
-		if (task->shards[i] == shard)
-			return true;
-	}
-	return false;
-}
-
 const char *node_shard_owner(struct node *node, uint32_t shard)
 {
 	struct members_task *task = members_task_of(node);
 	struct shard_owner owner;
 
-	if (!shard_map_find(task->shard_map, shard, &owner) || !owner.owner)
-		return NULL;
-	if (!strcmp(owner.owner, node->settings->name) && !owns(task, shard))
+	if (!shard_map_find(task->shard_map, shard, &owner) || owner.released)
 		return NULL;
 	return owner.owner;
 }
@@ -331,19 +318,21 @@
 			   const uint64_t *epochs, uint32_t nr)
 {
 	struct members_task *task = members_task_of(node);
-	uint32_t i;
+	struct shard_statement statement = {
+		.owner = node->settings->name,
+		.incarnation = node->incarnation,
+		.nr = nr,
+	};
 
 	g_free(task->shards);
 	g_free(task->epochs);
 	task->shards = g_memdup2(shards, nr * sizeof(*shards));
 	task->epochs = g_memdup2(epochs, nr * sizeof(*epochs));
 	task->shards_nr = nr;
-	for (i = 0; i < nr; i++) {
-		struct shard_owner owner = { shards[i], epochs[i],
-					     node->settings->name };
-
-		shard_map_note(task->shard_map, &owner);
-	}
+	statement.version = ++task->shards_version;
+	statement.shards = task->shards;
+	statement.epochs = task->epochs;
+	shard_map_state(task->shard_map, &statement);
 }
 
 const uint32_t *node_owned_shards(struct node *node, uint32_t *nr)
--- a/core/shard_map.c
+++ b/core/shard_map.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <glib.h>
 
 #include "common/hash.h"
@@ -35,26 +37,85 @@
 {
 	if (!owner->owner)
 		return 0;
-	return hash_mix(hash_string(owner->owner, owner->shard), owner->epoch);
+	return hash_mix(hash_string(owner->owner, owner->shard),
+			owner->epoch * 2 + owner->released);
+}
+
+static bool is_newer(const struct shard_owner *a, const struct shard_owner *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->version > b->version;
+}
+
+/* The epoch decides; within one, the owner's latest statement. */
+static bool is_news(const struct shard_owner *known,
+		    const struct shard_owner *owner)
+{
+	if (owner->epoch != known->epoch)
+		return owner->epoch > known->epoch;
+	return known->owner && !strcmp(known->owner, owner->owner) &&
+	       is_newer(owner, known);
 }
 
 bool shard_map_note(struct shard_map *map, const struct shard_owner *owner)
 {
 	struct shard_owner *known;
+	char *name;
 
 	if (owner->shard >= map->nr || !owner->owner)
 		return false;
 	known = &map->owners[owner->shard];
-	if (owner->epoch <= known->epoch)
+	if (!is_news(known, owner))
 		return false;
+	name = g_strdup(owner->owner);
 	map->digest ^= owner_hash(known);
 	g_free((char *)known->owner);
-	known->owner = g_strdup(owner->owner);
-	known->epoch = owner->epoch;
+	*known = *owner;
+	known->owner = name;
 	map->digest ^= owner_hash(known);
 	return true;
 }
 
+static bool states(const struct shard_statement *statement, uint32_t shard)
+{
+	uint32_t i;
+
+	for (i = 0; i < statement->nr; i++) {
+		if (statement->shards[i] == shard)
+			return true;
+	}
+	return false;
+}
+
+void shard_map_state(struct shard_map *map,
+		     const struct shard_statement *statement)
+{
+	struct shard_owner owner = {
+		.owner = statement->owner,
+		.incarnation = statement->incarnation,
+		.version = statement->version,
+	};
+	uint32_t i;
+
+	for (i = 0; i < statement->nr; i++) {
+		owner.shard = statement->shards[i];
+		owner.epoch = statement->epochs[i];
+		shard_map_note(map, &owner);
+	}
+	owner.released = true;
+	for (i = 0; i < map->nr; i++) {
+		const struct shard_owner *known = &map->owners[i];
+
+		if (!known->owner || strcmp(known->owner, owner.owner) != 0 ||
+		    states(statement, i))
+			continue;
+		owner.shard = i;
+		owner.epoch = known->epoch;
+		shard_map_note(map, &owner);
+	}
+}
+
 bool shard_map_find(const struct shard_map *map, uint32_t shard,
 		    struct shard_owner *owner)
 {
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -296,11 +296,17 @@
 	}
 }
 
-/* "owner SHARD EPOCH NAME" and "owners". */
+/* "owner SHARD EPOCH NAME": as another node knows it. */
 static void cmd_owner(struct state *state, int argc, char **argv, GString *out)
 {
-	struct shard_owner owner = { (uint32_t)atoi(argv[1]),
-				     strtoull(argv[2], NULL, 10), argv[3] };
+	struct shard_owner owner = {
+		.shard = (uint32_t)atoi(argv[1]),
+		.epoch = strtoull(argv[2], NULL, 10),
+		.owner = argv[3],
+		.released = script_arg_int(argc, argv, "released", 0),
+		.incarnation = script_arg_int(argc, argv, "inc", 1),
+		.version = script_arg_int(argc, argv, "version", 1),
+	};
 	uint64_t digest = shard_map_digest(state->map);
 	bool taken = shard_map_note(state->map, &owner);
 
@@ -309,15 +315,41 @@
 		g_string_append(out, "digest is wrong\n");
 }
 
+/* "states NAME [SHARD:EPOCH...]": what a node says that it owns. */
+static void cmd_states(struct state *state, int argc, char **argv, GString *out)
+{
+	uint32_t shards[8];
+	uint64_t epochs[8];
+	struct shard_statement statement = {
+		.owner = argv[1],
+		.incarnation = script_arg_int(argc, argv, "inc", 1),
+		.version = script_arg_int(argc, argv, "version", 1),
+		.shards = shards,
+		.epochs = epochs,
+	};
+	int i;
+
+	for (i = 2; i < argc && statement.nr < 8; i++) {
+		const char *colon = strchr(argv[i], ':');
+
+		if (!colon)
+			continue;
+		shards[statement.nr] = (uint32_t)atoi(argv[i]);
+		epochs[statement.nr++] = strtoull(colon + 1, NULL, 10);
+	}
+	shard_map_state(state->map, &statement);
+}
+
 static void cmd_owners(struct state *state, int argc, char **argv, GString *out)
 {
 	struct shard_owner owner;
 	uint32_t i;
 
 	for (i = 0; shard_map_find(state->map, i, &owner); i++)
-		g_string_append_printf(out, "%u %s %" PRIu64 "\n", i,
+		g_string_append_printf(out, "%u %s %" PRIu64 "%s\n", i,
 				       owner.owner ? owner.owner : "none",
-				       owner.epoch);
+				       owner.epoch,
+				       owner.released ? " released" : "");
 }
 
 static const struct {
@@ -331,7 +363,7 @@
 	{ "pong", cmd_pong },	{ "relays", cmd_relays },
 	{ "run", cmd_run },	{ "show", cmd_show },
 	{ "sleep", cmd_sleep }, { "unmute", cmd_unmute },
-	{ "watch", cmd_watch },
+	{ "watch", cmd_watch }, { "states", cmd_states },
 };
 
 static void command(void *state, int argc, char **argv, GString *out)
--- a/wire/member.pb-c.c
+++ b/wire/member.pb-c.c
@@ -322,7 +322,7 @@
   (ProtobufCMessageInit) briarplank__node_facts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__shard_owner__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__shard_owner__field_descriptors[6] =
 {
   {
     "shard",
@@ -360,16 +360,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ShardOwner, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__shard_owner__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
+  4,   /* field[4] = incarnation */
   2,   /* field[2] = owner */
+  3,   /* field[3] = released */
   0,   /* field[0] = shard */
+  5,   /* field[5] = version */
 };
 static const ProtobufCIntRange briarplank__shard_owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__shard_owner__descriptor =
 {
@@ -379,7 +418,7 @@
   "Briarplank__ShardOwner",
   "briarplank",
   sizeof(Briarplank__ShardOwner),
-  3,
+  6,
   briarplank__shard_owner__field_descriptors,
   briarplank__shard_owner__field_indices_by_name,
   1,  briarplank__shard_owner__number_ranges,
@@ -450,7 +489,7 @@
   (ProtobufCMessageInit) briarplank__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__pong__field_descriptors[5] =
+static const ProtobufCFieldDescriptor briarplank__pong__field_descriptors[6] =
 {
   {
     "nonce",
@@ -512,18 +551,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owned_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Pong, owned_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__pong__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
   0,   /* field[0] = nonce */
   3,   /* field[3] = owned_epochs */
   2,   /* field[2] = owned_shards */
+  5,   /* field[5] = owned_version */
   4,   /* field[4] = shard_map */
 };
 static const ProtobufCIntRange briarplank__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__pong__descriptor =
 {
@@ -533,7 +585,7 @@
   "Briarplank__Pong",
   "briarplank",
   sizeof(Briarplank__Pong),
-  5,
+  6,
   briarplank__pong__field_descriptors,
   briarplank__pong__field_indices_by_name,
   1,  briarplank__pong__number_ranges,
--- a/wire/member.pb-c.h
+++ b/wire/member.pb-c.h
@@ -53,10 +53,19 @@
   uint32_t shard;
   uint64_t epoch;
   char *owner;
+  /*
+   * The owner gave it up, or started anew without it.
+   */
+  protobuf_c_boolean released;
+  /*
+   * Of the owner's statement, so that an older one doesn't count.
+   */
+  uint64_t incarnation;
+  uint64_t version;
 };
 #define BRIARPLANK__SHARD_OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__shard_owner__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -97,10 +106,14 @@
    */
   size_t n_shard_map;
   Briarplank__ShardOwner **shard_map;
+  /*
+   * Counts the changes of what the answering entry owns.
+   */
+  uint64_t owned_version;
 };
 #define BRIARPLANK__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__pong__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
