--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -4,8 +4,7 @@
  */
 #include <string.h>
 
-#include <openssl/sha.h>
-
+#include "briarplankd/access.h"
 #include "briarplankd/entry/jobs.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
@@ -13,7 +12,6 @@
 
 #define PREFIX "/v1/jobs/"
 #define RESULTS "/results"
-#define BEARER "Bearer "
 #define NAME_MAX_BYTES 256
 
 #define TICK_MS 50
@@ -28,23 +26,6 @@
 /* Bytes of results asked for at a time. */
 #define RESULTS_PAGE_BYTES (512 << 10)
 
-static const struct access_settings *find_access(
-	const struct daemon_settings *settings, const char *key)
-{
-	const struct access_settings *access = settings->access.items;
-	uint8_t digest[SHA256_DIGEST_LENGTH];
-	char hex[2 * SHA256_DIGEST_LENGTH + 1];
-	size_t i;
-
-	SHA256((const uint8_t *)key, strlen(key), digest);
-	hash_to_hex(digest, sizeof(digest), hex);
-	for (i = 0; i < settings->access.nr; i++) {
-		if (!g_ascii_strcasecmp(access[i].key_sha256, hex))
-			return &access[i];
-	}
-	return NULL;
-}
-
 /* Returns the caller's name, or NULL for an unknown key. */
 static const char *identify(const struct daemon_settings *settings,
 			    struct web_request *web)
@@ -54,9 +35,7 @@
 
 	if (!settings->access.nr)
 		return "anonymous";
-	if (!field || g_ascii_strncasecmp(field, BEARER, strlen(BEARER)))
-		return NULL;
-	access = find_access(settings, field + strlen(BEARER));
+	access = field ? access_find(settings, field) : NULL;
 	return access ? access->name : NULL;
 }
 
--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -92,14 +92,28 @@
 	g_free(epochs);
 }
 
+/* Passes on what the stream says, also of another owner or a release. */
+static void note_owner(struct ledger_task *task, uint32_t shard)
+{
+	struct ledger *ledger = shard_ledger(task->shards[shard]);
+
+	if (ledger && ledger_epoch(ledger))
+		node_note_shard_owner(task->super.node, shard,
+				      ledger_epoch(ledger),
+				      ledger_owner(ledger));
+}
+
 static void on_changed(void *ctx, struct shard *shard)
 {
 	struct ledger_task *task = ctx;
 	uint32_t index = shard_index(shard);
 
+	if (shard_state(shard) == SHARD_OWNED)
+		task->orphaned_ms[index] = 0;
 	if (shard_state(shard) != SHARD_OWNED &&
 	    shard_state(shard) != SHARD_RELEASING)
 		wake(task, index, true);
+	note_owner(task, index);
 	tell_owned(task);
 }
 
@@ -125,7 +139,7 @@
 	const struct member *member = find_member(task, owner);
 
 	return member && member->state == MEMBER_UP &&
-	       member->incarnation == incarnation && !member->leaving;
+	       member->incarnation == incarnation;
 }
 
 static enum shard_owner_state owner_state(struct ledger_task *task,
@@ -141,7 +155,7 @@
 	member = find_member(task, owner);
 	if (!member || member->state == MEMBER_DOWN)
 		return SHARD_OWNER_DOWN;
-	return SHARD_OWNER_UP;
+	return member->leaving ? SHARD_OWNER_RELEASED : SHARD_OWNER_UP;
 }
 
 static GPtrArray *candidates(struct ledger_task *task)
@@ -242,6 +256,7 @@
 	if (!shard_unverified(task->shards[shard]))
 		ledger_expire(ledger, ledger_attempts_max(task, NULL), now,
 			      wall);
+	ledger_pause_intents(ledger, shard_log_silent(task->shards[shard]));
 	ledger_measure(ledger, wall);
 	ledger_sweep(ledger, wall);
 	ledger_agents_revoke(task, shard);
@@ -279,6 +294,7 @@
 			.append_interval_ms =
 				MAX(APPEND_INTERVAL_MIN_MS,
 				    1000 * nr / FLEET_APPENDS_PER_S),
+			.retention_ms = node->settings->log_retention_ms,
 			.changed = on_changed,
 			.advanced = on_advanced,
 			.owner_up = owner_up,
@@ -317,6 +333,7 @@
 		return false;
 	}
 	list_init(&task->seals);
+	list_init(&task->pulls);
 	make_metrics(task);
 	task->started_ms = node_now_ms(base->node);
 	task->schedule = ledger_schedule_create(&options);
@@ -348,7 +365,7 @@
 		if (!shard_quiet(task->shards[i]))
 			return false;
 	}
-	return task->running == 0;
+	return task->running == 0 && list_empty(&task->pulls);
 }
 
 static void free_shards(struct ledger_task *task)
--- a/include/briarplankd/entry/jobs.h
+++ b/include/briarplankd/entry/jobs.h
@@ -8,6 +8,7 @@
 #define BRIARPLANKD_ENTRY_JOBS_H
 
 #include <glib.h>
+#include <json-c/json.h>
 
 #include "briarplankd/node.h"
 #include "common/hash.h"
@@ -98,6 +99,9 @@
 	bool waiting_taken;
 };
 
+/** Makes the JSON of a job's state; free with json_object_put. */
+struct json_object *job_state_json(const Briarplank__JobState *state);
+
 /** Parses "90s", "15m", "72h" or "3d" to ms; false when it is none. */
 bool jobs_parse_duration(const char *text, uint64_t *ms);
 
