--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -19,7 +19,7 @@
 #define REBALANCE_INTERVAL_MS 3000
 /* Appends that all owners together may make in a second. */
 #define FLEET_APPENDS_PER_S 240
-#define APPEND_INTERVAL_MIN_MS 100
+#define APPEND_INTERVAL_MIN_MS 50
 /* Appends read back that are kept, in bytes. */
 #define CACHE_BYTES (32 << 20)
 /* Weight of a caller with a late job, in percent of the usual. */
@@ -339,6 +339,7 @@
 	task->schedule = ledger_schedule_create(&options);
 	task->cache = record_cache_create(base->node->log, CACHE_BYTES);
 	make_shards(task);
+	ledger_pulls_start(task);
 	ledger_agents_start(task);
 	ledger_calls_start(task);
 	uv_timer_init(&base->node->loop, &task->timer);
--- /dev/null
+++ b/briarplankd/entry/ledger_pulls.c
@@ -0,0 +1,355 @@
+/*
+ * Pulls: agents ask for items, the bodies of which are read from the log.
+ */
+#include <string.h>
+
+#include "briarplankd/entry/ledger_task.h"
+#include "common/hash.h"
+#include "common/log.h"
+
+#define PART "ledger"
+
+/* Most items of one answer to a pull. */
+#define PULL_ITEMS_MAX 64
+/* Most bytes of bodies in one answer to a pull. */
+#define PULL_BYTES_MAX (4 << 20)
+/* Wait before an agent that got nothing asks again, in ms. */
+#define PULL_AGAIN_MS 500
+/* Time in which an agent is emptied for an item that runs alone, in ms. */
+#define RESERVE_MS 30000
+/* Time after which a pull is no longer answered with grants, in ms. */
+#define PULL_SEND_MS 1500
+
+/* A pull, until its bodies are read and its intents are durable. */
+struct pull {
+	struct list link;
+	struct ledger_task *task;
+	char *agent;
+	char *service;
+	uint64_t id;
+	uint64_t received_ms;
+	size_t max_bytes;
+	size_t bytes;
+	GArray *grants;
+	/* Reads and intents that are still missing. */
+	unsigned missing;
+};
+
+struct pull_grant {
+	struct pull *pull;
+	uint32_t shard;
+	uint64_t epoch;
+	struct ledger_grant_out out;
+	uint8_t job_id[HASH128_BYTES];
+	char *path;
+	uint8_t *body;
+	size_t body_len;
+	bool ready;
+};
+
+static void fill_grant(const struct pull_grant *grant, Briarplank__Grant *out)
+{
+	briarplank__grant__init(out);
+	out->shard = grant->shard;
+	out->epoch = grant->epoch;
+	out->grant_id = grant->out.grant_id;
+	out->job_id.data = (uint8_t *)grant->job_id;
+	out->job_id.len = HASH128_BYTES;
+	out->item = grant->out.item;
+	out->attempt = grant->out.attempt;
+	out->method = "POST";
+	out->path = grant->path;
+	out->body.data = grant->body;
+	out->body.len = grant->body_len;
+	out->idempotent = grant->out.idempotent;
+	out->lease_ms = LEDGER_LEASE_MS;
+	out->alone = grant->out.alone;
+}
+
+static void send_grants(struct pull *pull)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Grants message = BRIARPLANK__GRANTS__INIT;
+	Briarplank__Grant *bodies =
+		g_new0(Briarplank__Grant, pull->grants->len);
+	Briarplank__Grant **grants =
+		g_new0(Briarplank__Grant *, pull->grants->len);
+	guint i;
+
+	for (i = 0; i < pull->grants->len; i++) {
+		const struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		if (!grant->ready)
+			continue;
+		fill_grant(grant, &bodies[i]);
+		grants[message.n_grants++] = &bodies[i];
+	}
+	message.pull_id = pull->id;
+	message.service = pull->service;
+	message.grants = grants;
+	message.retry_after_ms = message.n_grants ? 0 : PULL_AGAIN_MS;
+	counter_add(pull->task->granted, message.n_grants);
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
+	env.grants = &message;
+	bus_send(pull->task->super.node->bus, pull->agent, &env);
+	g_free(bodies);
+	g_free(grants);
+}
+
+/* A grant may have become void before it could be sent. */
+static bool still_live(const struct pull_grant *grant)
+{
+	struct ledger *ledger =
+		shard_ledger(grant->pull->task->shards[grant->shard]);
+
+	/* Also while the shard is handed over: the next owner adopts it. */
+	return ledger && ledger_owned(ledger) &&
+	       ledger_grant_live(ledger, grant->out.grant_id, grant->epoch);
+}
+
+/* Takes back what can't be sent. */
+static void take_back(struct pull_grant *grant)
+{
+	struct ledger_task *task = grant->pull->task;
+	struct ledger *ledger = shard_ledger(task->shards[grant->shard]);
+
+	ledger_ungrant(ledger, grant->out.grant_id);
+	shard_kick(task->shards[grant->shard]);
+}
+
+static void pull_free(struct pull *pull)
+{
+	guint i;
+
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		g_free(grant->path);
+		g_free(grant->body);
+	}
+	g_array_free(pull->grants, TRUE);
+	list_remove(&pull->link);
+	g_free(pull->agent);
+	g_free(pull->service);
+	g_free(pull);
+}
+
+/* An agent that was kept waiting has given its pull up: nothing is sent. */
+static bool pull_late(const struct pull *pull)
+{
+	uint64_t now = node_now_ms(pull->task->super.node);
+
+	return now > pull->received_ms + PULL_SEND_MS;
+}
+
+static void pull_finish(struct pull *pull)
+{
+	bool late = pull_late(pull);
+	guint i;
+
+	if (--pull->missing)
+		return;
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		if (late || !still_live(grant))
+			grant->ready = false;
+		if (!grant->ready && still_live(grant))
+			take_back(grant);
+	}
+	send_grants(pull);
+	pull_free(pull);
+}
+
+static const Briarplank__JobItem *chunk_item(
+	const Briarplank__ShardAppend *append, uint32_t index)
+{
+	if (!append || !append->chunk || index >= append->chunk->n_items)
+		return NULL;
+	return append->chunk->items[index];
+}
+
+static void on_chunk(void *ctx, enum record_cache_status status,
+		     const Briarplank__ShardAppend *append)
+{
+	struct pull_grant *grant = ctx;
+	struct pull *pull = grant->pull;
+	const Briarplank__JobItem *item;
+
+	item = chunk_item(append, grant->out.body_index);
+	if (status == RECORD_CACHE_GONE)
+		log_error(PART, "shard %u: the body of item %u is gone",
+			  grant->shard, grant->out.item);
+	if (item &&
+	    (!pull->bytes || pull->bytes + item->body.len <= pull->max_bytes)) {
+		grant->body = g_memdup2(item->body.data, item->body.len);
+		grant->body_len = item->body.len;
+		grant->ready = true;
+		pull->bytes += item->body.len;
+	}
+	pull_finish(pull);
+}
+
+static void on_intent(void *ctx, bool durable)
+{
+	struct pull_grant *grant = ctx;
+
+	if (!durable)
+		grant->ready = false;
+	pull_finish(grant->pull);
+}
+
+/* Adds room for a grant; the array moves until pull_fetch begins. */
+static struct pull_grant *grant_new(struct pull *pull)
+{
+	struct pull_grant *grant;
+
+	g_array_set_size(pull->grants, pull->grants->len + 1);
+	grant = &g_array_index(pull->grants, struct pull_grant,
+			       pull->grants->len - 1);
+	grant->pull = pull;
+	return grant;
+}
+
+/* Grants one item, if there is one. */
+static bool pull_one(struct pull *pull, struct ledger **ledgers, uint32_t nr,
+		     bool alone)
+{
+	struct ledger_task *task = pull->task;
+	uint64_t now = node_now_ms(task->super.node);
+	uint64_t wall = node_wall_ms();
+	struct ledger_grant_out out;
+	struct pull_grant *grant;
+	struct ledger_job *job;
+
+	job = ledger_schedule_choose(task->schedule, ledgers, nr, pull->service,
+				     alone, now, wall);
+	if (!job || !ledger_grant(job, pull->agent, alone, now, &out))
+		return false;
+	ledger_schedule_charge(task->schedule, job, wall);
+	grant = grant_new(pull);
+	grant->out = out;
+	grant->shard = ledger_job_shard(job);
+	grant->epoch = ledger_epoch(shard_ledger(task->shards[grant->shard]));
+	grant->path = g_strdup(out.path);
+	memcpy(grant->job_id, out.job_id, HASH128_BYTES);
+	return true;
+}
+
+/* Reads bodies and waits for intents; the array stays put from here on. */
+static void pull_fetch(struct pull *pull)
+{
+	struct ledger_task *task = pull->task;
+	guint i;
+
+	pull->missing = 1;
+	for (i = 0; i < pull->grants->len; i++) {
+		struct pull_grant *grant =
+			&g_array_index(pull->grants, struct pull_grant, i);
+
+		pull->missing++;
+		if (grant->out.mark) {
+			pull->missing++;
+			ledger_wait(task, grant->shard, grant->out.mark,
+				    on_intent, grant);
+			shard_kick(task->shards[grant->shard]);
+		}
+		record_cache_get(task->cache, grant->shard,
+				 grant->out.body_offset, on_chunk, grant);
+	}
+	pull_finish(pull);
+}
+
+/* Ledgers from which grants may be made now. */
+static uint32_t granting_ledgers(struct ledger_task *task,
+				 struct ledger **ledgers)
+{
+	uint32_t nr = 0;
+	uint32_t i;
+
+	for (i = 0; i < task->shards_nr; i++) {
+		struct ledger *ledger = ledger_task_owned(task, i);
+
+		if (ledger && !shard_unverified(task->shards[i]))
+			ledgers[nr++] = ledger;
+	}
+	return nr;
+}
+
+static uint32_t agent_grants(struct ledger **ledgers, uint32_t nr,
+			     const char *agent, bool *alone)
+{
+	uint32_t held = 0;
+	uint32_t i;
+
+	*alone = false;
+	for (i = 0; i < nr; i++)
+		held += ledger_agent_grants(ledgers[i], agent, alone);
+	return held;
+}
+
+/*
+ * An item that may kill servers runs on an agent that holds nothing else of
+ * batch. An agent is emptied for it if none comes empty. Returns false when
+ * the agent gets nothing more now.
+ */
+static bool pull_alone(struct pull *pull, struct ledger **ledgers, uint32_t nr)
+{
+	struct ledger_task *task = pull->task;
+	uint64_t now = node_now_ms(task->super.node);
+	bool alone;
+	uint32_t held = agent_grants(ledgers, nr, pull->agent, &alone);
+
+	if (alone)
+		return false;
+	if (!ledger_schedule_choose(task->schedule, ledgers, nr, pull->service,
+				    true, now, node_wall_ms()))
+		return true;
+	if (!held) {
+		g_clear_pointer(&task->reserved_agent, g_free);
+		return !pull_one(pull, ledgers, nr, true);
+	}
+	if (!task->reserved_agent || now > task->reserved_until_ms) {
+		g_free(task->reserved_agent);
+		task->reserved_agent = g_strdup(pull->agent);
+		task->reserved_until_ms = now + RESERVE_MS;
+	}
+	return strcmp(task->reserved_agent, pull->agent) != 0;
+}
+
+static void on_pull(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__Pull *message = env->pull;
+	struct ledger **ledgers = g_new(struct ledger *, task->shards_nr);
+	uint32_t nr = granting_ledgers(task, ledgers);
+	uint32_t max = MIN(message->max_items, PULL_ITEMS_MAX);
+	struct pull *pull = g_new0(struct pull, 1);
+
+	pull->task = task;
+	pull->agent = g_strdup(env->sender);
+	pull->service = g_strdup(message->service);
+	pull->id = message->pull_id;
+	pull->received_ms = node_now_ms(task->super.node);
+	pull->max_bytes = message->max_bytes ?
+				  MIN(message->max_bytes, PULL_BYTES_MAX) :
+				  PULL_BYTES_MAX;
+	pull->grants = g_array_new(FALSE, TRUE, sizeof(struct pull_grant));
+	list_append(&task->pulls, &pull->link);
+	if (!task->super.node->stopping && pull_alone(pull, ledgers, nr)) {
+		while (pull->grants->len < max &&
+		       pull_one(pull, ledgers, nr, false))
+			;
+	}
+	g_free(ledgers);
+	pull_fetch(pull);
+}
+
+void ledger_pulls_start(struct ledger_task *task)
+{
+	bus_handle(task->super.node->bus, BRIARPLANK__ENVELOPE__BODY_PULL,
+		   on_pull, task);
+}
--- a/core/ledger_grants.c
+++ b/core/ledger_grants.c
@@ -12,8 +12,6 @@
 #define GRANT_NONCE_MASK 0xfffu
 /* Items past the last ended one that an earlier owner may have granted. */
 #define FRONTIER_ITEMS 256u
-/* Leases after its own in which a non-idempotent item's outcome may come. */
-#define GRACE_LEASES 1
 
 uint64_t ledger_grant_id(const struct ledger_job *job, uint32_t item)
 {
@@ -23,7 +21,7 @@
 }
 
 /* Finds the job and item that a grant id names. */
-static struct ledger_job *grant_target(const struct ledger *ledger, uint64_t id,
+struct ledger_job *ledger_grant_target(const struct ledger *ledger, uint64_t id,
 				       uint32_t *item)
 {
 	struct ledger_job *job = g_hash_table_lookup(
@@ -34,21 +32,21 @@
 	return job && job->items && *item < job->items_nr ? job : NULL;
 }
 
-static struct ledger_grant *grant_find(const struct ledger *ledger, uint64_t id)
+struct ledger_grant *ledger_grant_find(const struct ledger *ledger, uint64_t id)
 {
 	return g_hash_table_lookup(ledger->grants_by_id, &id);
 }
 
 /* Finds the grant that an agent means: ids repeat in another epoch. */
-static struct ledger_grant *grant_of_ref(const struct ledger *ledger,
+struct ledger_grant *ledger_grant_of_ref(const struct ledger *ledger,
 					 const Briarplank__GrantRef *ref)
 {
-	struct ledger_grant *grant = grant_find(ledger, ref->grant_id);
+	struct ledger_grant *grant = ledger_grant_find(ledger, ref->grant_id);
 
 	return grant && grant->epoch == ref->epoch ? grant : NULL;
 }
 
-static bool intent_of_ref(const struct ledger_job *job, uint32_t item,
+bool ledger_intent_of_ref(const struct ledger_job *job, uint32_t item,
 			  const Briarplank__GrantRef *ref)
 {
 	const struct ledger_intent *intent =
@@ -61,7 +59,7 @@
 bool ledger_grant_live(const struct ledger *ledger, uint64_t grant_id,
 		       uint64_t epoch)
 {
-	const struct ledger_grant *grant = grant_find(ledger, grant_id);
+	const struct ledger_grant *grant = ledger_grant_find(ledger, grant_id);
 
 	return grant && grant->epoch == epoch;
 }
@@ -72,7 +70,7 @@
 {
 	if (!(job->items[item].flags & ITEM_GRANTED))
 		return NULL;
-	return grant_find(ledger, ledger_grant_id(job, item));
+	return ledger_grant_find(ledger, ledger_grant_id(job, item));
 }
 
 static struct ledger_grant *grant_add(struct ledger_job *job, uint32_t item,
@@ -253,161 +251,6 @@
 	return true;
 }
 
-static void queue_attempt(struct ledger_job *job, uint32_t item,
-			  uint32_t attempts, bool killed)
-{
-	Briarplank__LedgerRecord *record =
-		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_ATTEMPT);
-	Briarplank__ItemAttempt *attempt = g_new(Briarplank__ItemAttempt, 1);
-
-	briarplank__item_attempt__init(attempt);
-	attempt->job_id = ledger_bytes(job->id, HASH128_BYTES);
-	attempt->item = item;
-	attempt->attempts = attempts;
-	attempt->killed_server = killed;
-	record->attempt = attempt;
-	ledger_item_set_ending(job, item, true);
-	ledger_queue(job->ledger, record);
-}
-
-/* An item proven not run needs a record only to close its intent. */
-static void give_back(struct ledger_job *job, uint32_t item)
-{
-	if (job->items[item].flags & ITEM_IDEMPOTENT)
-		ledger_item_requeue(job, item);
-	else
-		queue_attempt(job, item, job->items[item].attempts, false);
-}
-
-void ledger_ungrant(struct ledger *ledger, uint64_t grant_id)
-{
-	struct ledger_grant *grant = grant_find(ledger, grant_id);
-	struct ledger_job *job;
-	uint32_t item;
-
-	if (!grant)
-		return;
-	job = grant->job;
-	item = grant->item;
-	ledger_grant_remove(ledger, grant);
-	if (!ledger_item_ended(&job->items[item]))
-		give_back(job, item);
-}
-
-static void fail_item(struct ledger_job *job, uint32_t item, uint64_t wall_ms,
-		      const char *message)
-{
-	ProtobufCBinaryData none = { 0 };
-
-	ledger_queue_end(job, item, BRIARPLANK__ITEM_ENDED__STATE__FAILED,
-			 wall_ms, none, message);
-}
-
-/* Counts an attempt, and ends the item once they are used up. */
-static void count_attempt(struct ledger_job *job, uint32_t item, bool killed,
-			  uint32_t attempts_max, uint64_t wall_ms,
-			  const char *message)
-{
-	uint32_t attempts = job->items[item].attempts + 1u;
-
-	if (attempts >= attempts_max)
-		fail_item(job, item, wall_ms, message);
-	else
-		queue_attempt(job, item, attempts, killed);
-}
-
-static void lose_outcome(struct ledger_job *job, uint32_t item,
-			 uint64_t wall_ms)
-{
-	ProtobufCBinaryData none = { 0 };
-
-	ledger_queue_end(job, item,
-			 BRIARPLANK__ITEM_ENDED__STATE__OUTCOME_UNKNOWN,
-			 wall_ms, none,
-			 "the server was lost while it may have run the item");
-}
-
-/* The server or its agent was lost with the item in flight. */
-static void lose_item(struct ledger_job *job, uint32_t item,
-		      uint32_t attempts_max, uint64_t wall_ms)
-{
-	if (job->items[item].flags & ITEM_IDEMPOTENT)
-		count_attempt(job, item, true, attempts_max, wall_ms,
-			      "servers were lost while they ran the item");
-	else
-		lose_outcome(job, item, wall_ms);
-}
-
-static void take_outcome(struct ledger_job *job, uint32_t item,
-			 const Briarplank__ItemOutcome *outcome,
-			 uint32_t attempts_max, uint64_t wall_ms)
-{
-	switch (outcome->result) {
-	case BRIARPLANK__ITEM_OUTCOME__RESULT__DONE:
-		ledger_queue_end(job, item, BRIARPLANK__ITEM_ENDED__STATE__DONE,
-				 wall_ms, outcome->body, "");
-		break;
-	case BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN:
-		give_back(job, item);
-		break;
-	case BRIARPLANK__ITEM_OUTCOME__RESULT__LOST:
-		lose_item(job, item, attempts_max, wall_ms);
-		break;
-	default:
-		if (job->items[item].flags & ITEM_IDEMPOTENT)
-			count_attempt(job, item, false, attempts_max, wall_ms,
-				      outcome->message);
-		else
-			fail_item(job, item, wall_ms, outcome->message);
-		break;
-	}
-}
-
-/*
- * An outcome counts under the grant in force. A result of an idempotent item
- * counts whatever its grant: it is what the item yields. For another item the
- * intent must name the grant.
- */
-static bool outcome_counts(const struct ledger_job *job, uint32_t item,
-			   const Briarplank__ItemOutcome *outcome, bool current)
-{
-	const struct ledger_item *it = &job->items[item];
-
-	if (it->flags & ITEM_IDEMPOTENT)
-		return current ||
-		       outcome->result ==
-			       BRIARPLANK__ITEM_OUTCOME__RESULT__DONE;
-	return intent_of_ref(job, item, outcome->grant);
-}
-
-enum ledger_status ledger_complete(struct ledger *ledger,
-				   const Briarplank__ItemOutcome *outcome,
-				   uint32_t attempts_max, uint64_t wall_ms)
-{
-	uint64_t id = outcome->grant->grant_id;
-	struct ledger_grant *grant, *other;
-	struct ledger_job *job;
-	uint32_t item;
-
-	if (!ledger_owned(ledger))
-		return LEDGER_NOT_OWNER;
-	job = grant_target(ledger, id, &item);
-	if (!job || ledger_item_ended(&job->items[item]))
-		return LEDGER_OK;
-	if (job->items[item].flags & ITEM_ENDING)
-		return LEDGER_QUEUED;
-	grant = grant_of_ref(ledger, outcome->grant);
-	if (!outcome_counts(job, item, outcome, grant != NULL))
-		return LEDGER_VOID_GRANT;
-	other = ledger_grant_of(ledger, job, item);
-	if (grant)
-		ledger_grant_remove(ledger, grant);
-	else if (other)
-		ledger_grant_revoke(ledger, other);
-	take_outcome(job, item, outcome, attempts_max, wall_ms);
-	return job->items[item].flags & ITEM_ENDING ? LEDGER_QUEUED : LEDGER_OK;
-}
-
 /* A grant of an earlier owner goes on when its item is still free. */
 static bool adopt(struct ledger *ledger, const Briarplank__GrantRef *ref,
 		  const char *agent, uint64_t now_ms)
@@ -415,7 +258,7 @@
 	struct ledger_job *job;
 	uint32_t item;
 
-	job = grant_target(ledger, ref->grant_id, &item);
+	job = ledger_grant_target(ledger, ref->grant_id, &item);
 	if (!job || job->cancelled_ms)
 		return false;
 	/* The agent keeps its outcome until that is durable. */
@@ -424,7 +267,7 @@
 	if (job->items[item].flags & ITEM_GRANTED)
 		return false;
 	if (job->items[item].state == ITEM_INTENT) {
-		if (!intent_of_ref(job, item, ref))
+		if (!ledger_intent_of_ref(job, item, ref))
 			return false;
 	} else if (!item_free(&job->items[item]) ||
 		   !(job->items[item].flags & ITEM_IDEMPOTENT) ||
@@ -439,7 +282,7 @@
 bool ledger_renew(struct ledger *ledger, const Briarplank__GrantRef *ref,
 		  const char *agent, uint64_t now_ms)
 {
-	struct ledger_grant *grant = grant_of_ref(ledger, ref);
+	struct ledger_grant *grant = ledger_grant_of_ref(ledger, ref);
 
 	if (!ledger_owned(ledger))
 		return false;
@@ -458,42 +301,6 @@
 	return true;
 }
 
-/*
- * The outcome of a non-idempotent item may still be on its way when the lease
- * lapses: its agent gets time to report before the item ends without one.
- */
-static bool give_grace(struct ledger_grant *grant)
-{
-	const struct ledger_item *item = &grant->job->items[grant->item];
-
-	if (item->flags & ITEM_IDEMPOTENT || grant->grace)
-		return false;
-	/* Until its intent is durable the grant has not been sent. */
-	grant->grace = item->state == ITEM_INTENT;
-	grant->expires_ms +=
-		GRACE_LEASES * grant->job->ledger->options.lease_ms;
-	return true;
-}
-
-void ledger_expire(struct ledger *ledger, uint32_t attempts_max,
-		   uint64_t now_ms, uint64_t wall_ms)
-{
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &ledger->grants) {
-		struct ledger_grant *grant =
-			list_entry(pos, struct ledger_grant, link);
-		struct ledger_job *job = grant->job;
-		uint32_t item = grant->item;
-
-		if (grant->expires_ms > now_ms || give_grace(grant))
-			continue;
-		ledger_grant_revoke(ledger, grant);
-		if (!(job->items[item].flags & ITEM_ENDING))
-			lose_item(job, item, attempts_max, wall_ms);
-	}
-}
-
 uint32_t ledger_agent_grants(const struct ledger *ledger, const char *agent,
 			     bool *alone)
 {
@@ -517,7 +324,7 @@
 	struct ledger_job *job;
 	uint32_t item;
 
-	job = grant_target(ledger, grant_id, &item);
+	job = ledger_grant_target(ledger, grant_id, &item);
 	return job ? job->service : NULL;
 }
 
--- a/include/briarplankd/entry/ledger_task.h
+++ b/include/briarplankd/entry/ledger_task.h
@@ -52,7 +52,9 @@
 /** Returns the shard's ledger if this node owns it, else NULL. */
 struct ledger *ledger_task_owned(struct ledger_task *task, uint32_t shard);
 
-/** Registers the handlers of pulls, renewals and outcomes. */
+/** Registers the handler of pulls. */
+void ledger_pulls_start(struct ledger_task *task);
+/** Registers the handlers of renewals and outcomes. */
 void ledger_agents_start(struct ledger_task *task);
 /** Tells agents of grants that became void. */
 void ledger_agents_revoke(struct ledger_task *task, uint32_t shard);
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -231,6 +231,18 @@
 				     const struct ledger_job *job,
 				     uint32_t item);
 uint64_t ledger_grant_id(const struct ledger_job *job, uint32_t item);
+/** Finds the job and item that a grant id names, or NULL. */
+struct ledger_job *ledger_grant_target(const struct ledger *ledger, uint64_t id,
+				       uint32_t *item);
+/** Finds a grant in force by its id, or NULL. */
+struct ledger_grant *ledger_grant_find(const struct ledger *ledger,
+				       uint64_t id);
+/** Finds the grant that an agent means: ids repeat in another epoch. */
+struct ledger_grant *ledger_grant_of_ref(const struct ledger *ledger,
+					 const Briarplank__GrantRef *ref);
+/** Tells whether the item's open intent names this grant. */
+bool ledger_intent_of_ref(const struct ledger_job *job, uint32_t item,
+			  const Briarplank__GrantRef *ref);
 /** Notes that a record on the item's end is queued, or no longer. */
 void ledger_item_set_ending(struct ledger_job *job, uint32_t item, bool ending);
 /** Puts an item back so that it is granted again. */
