Start an entry that has no log

Cause: the ledger's task refused to start without platform.log, and with it the entry; found by process_online_limits and faults_online. Such an entry now serves online requests and refuses submissions as not accepted.

--- a/briarplankd/entry/jobs_submit.c
+++ b/briarplankd/entry/jobs_submit.c
@@ -109,6 +109,11 @@
 		job_call_fail(call, 400, "Bad submission", "%s", fault);
 		return;
 	}
+	if (!node->log) {
+		job_call_unavailable(call, RETRY_AFTER_MS,
+				     "not accepted: this entry has no log");
+		return;
+	}
 	options.body = call->body;
 	options.body_len = call->body_len;
 	if (call->web)
--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -7,7 +7,6 @@
 #include "briarplankd/entry/ledger_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
-#include "common/error.h"
 #include "common/log.h"
 #include "core/shard_claims.h"
 
@@ -329,11 +328,9 @@
 	};
 
 	if (!base->node->log) {
-		error_set("an entry needs platform.log");
-		return false;
+		log_warn(PART, "without platform.log there are no jobs");
+		return true;
 	}
-	list_init(&task->seals);
-	list_init(&task->pulls);
 	make_metrics(task);
 	task->started_ms = node_now_ms(base->node);
 	task->schedule = ledger_schedule_create(&options);
@@ -411,5 +408,7 @@
 	struct ledger_task *task = g_new0(struct ledger_task, 1);
 
 	task->super.ops = &ledger_ops;
+	list_init(&task->seals);
+	list_init(&task->pulls);
 	return &task->super;
 }
