--- a/bench/path.sh
+++ b/bench/path.sh
@@ -1,6 +1,6 @@
 # Measures the path caller -> entry -> agent -> engine and back: added latency
-# of the first byte on an idle loopback, then token events a second through
-# one entry and one agent, processor time and resident memory.
+# of the first byte, processor time a request and a token event at one entry
+# and one agent at three rates each, and resident memory.
 . tests/fleet/fleet.sh
 fleet_begin
 
@@ -36,7 +36,6 @@
 wait_until echo_works
 "$load" -l direct --direct -a "$(fleet_address plain-1)" -p echo --mark "" -r 200 -d 8 -t 8 -w 4 --seed "$SEED" >"$FLEET_DIR/direct"
 "$load" -l through -a "$entry" -k bench -s echo-desk -p echo --mark "" -r 200 -d 8 -t 8 -w 4 --seed "$SEED" >"$FLEET_DIR/through"
-cat "$FLEET_DIR/direct" "$FLEET_DIR/through"
 cat "$FLEET_DIR/direct" "$FLEET_DIR/through" | tr ' ' '\n' | awk -F= '
 	$1 == "first_p50_ms" { p50[++n] = $2 }
 	$1 == "first_p99_ms" { p99[n] = $2 }
@@ -54,24 +53,55 @@
 	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(fleet_pid "$1")/status"
 }
 
-entry_before=$(($(ticks entry-1)))
-agent_before=$(($(ticks agent-2)))
-for part in 1 2 3
-do
-	"$load" -l stream$part -a "$entry" -k bench -s fast-desk \
-		-r "${STREAM_RATE:-12}" -d 6 -t 1000 -w 4 --seed "$SEED$part" \
-		>"$FLEET_DIR/stream$part" &
-	eval "load$part=$!"
-done
-wait "$load1" "$load2" "$load3"
-cat "$FLEET_DIR"/stream[123]
 hz=$(getconf CLK_TCK)
-cat "$FLEET_DIR"/stream[123] | tr ' ' '\n' |
-	awk -F= -v entry=$(($(ticks entry-1) - entry_before)) \
-		-v agent=$(($(ticks agent-2) - agent_before)) -v hz="$hz" \
-		-v entry_kb="$(rss_kb entry-1)" -v agent_kb="$(rss_kb agent-2)" '
-	$1 == "tokens_per_s" { tokens += $2 }
-	END {
-		printf "path token_events_per_s=%d entry_cpu_s=%.2f agent_cpu_s=%.2f entry_rss_kb=%d agent_rss_kb=%d\n", \
-			tokens, entry / hz, agent / hz, entry_kb, agent_kb
+
+# marks: notes the processor time of the entry and an agent.
+marks () {
+	entry_mark=$(($(ticks entry-1)))
+	agent_mark=$(($(ticks "$1")))
+}
+
+# costs AGENT LABEL UNIT EVENTS: prints what one event took since the marks.
+costs () {
+	awk -v entry=$(($(ticks entry-1) - entry_mark)) \
+		-v agent=$(($(ticks "$1") - agent_mark)) -v hz="$hz" \
+		-v label="$2" -v unit="$3" -v events="$4" -v s="$5" '
+	BEGIN {
+		printf "path %s %ss_per_s=%d entry_us_per_%s=%.2f agent_us_per_%s=%.2f entry_core_percent=%.1f agent_core_percent=%.1f\n", \
+			label, unit, events / s, unit, entry / hz * 1e6 / events, \
+			unit, agent / hz * 1e6 / events, entry / hz * 100 / s, \
+			agent / hz * 100 / s
 	}'
+}
+
+# Prints the sum of a key over result lines.
+total () {
+	tr ' ' '\n' | awk -F= -v key="$1" '$1 == key { n += $2 } END { print n + 0 }'
+}
+
+for requests in 100 300 900
+do
+	marks agent-3
+	"$load" -a "$entry" -k bench -s echo-desk -p echo --mark "" \
+		-r "$requests" -d 4 -w 4 --seed "$SEED" >"$FLEET_DIR/echo"
+	costs agent-3 "requests_$requests" request \
+		"$(total sent <"$FLEET_DIR/echo")" 4
+done
+
+# Three load tools, so that they are not the bound; answers of 1000 tokens.
+for streams in 3 9 18 36
+do
+	marks agent-2
+	for part in 1 2 3
+	do
+		"$load" -a "$entry" -k bench -s fast-desk -r "$streams" -d 4 \
+			-t 1000 -w 4 --seed "$SEED$part" \
+			>"$FLEET_DIR/stream$part" &
+		eval "load$part=$!"
+	done
+	wait "$load1" "$load2" "$load3"
+	# The last answers end after the load: 1000 tokens and an end mark each.
+	costs agent-2 "streams_$((streams * 3))" token \
+		"$(($(cat "$FLEET_DIR"/stream[123] | total whole) * 1001))" 4.5
+done
+echo "path entry_rss_kb=$(rss_kb entry-1) agent_rss_kb=$(rss_kb agent-2)"
