Split the batch task, and call gaps steady only without any open prompt

Ruled out: outliers among first samples (a fit point now needs 8 samples; that alone changed little).

--- a/bench/share/sim.c
+++ b/bench/share/sim.c
@@ -20,6 +20,7 @@
 #define FIRST_TOKEN_FIRST_US 100000.0
 #define FIRST_TOKEN_WEIGHT 0.1
 #define STARTING_FACTOR 3
+#define UNSTEADY_US 2000000
 #define ONLINE_PROMPT_MIN 50
 #define ONLINE_PROMPT_MAX 600
 #define ONLINE_TOKENS_MIN 20
@@ -250,7 +251,10 @@
 	start_online(sim);
 	sim->online_starting = count_starting(sim->online, since);
 	sim->batch_starting = count_starting(sim->batch, since);
-	sim->starting = sim->online_starting + sim->batch_starting;
+	window = MAX(window, UNSTEADY_US);
+	since = sim->now_us > window ? sim->now_us - window : 0;
+	sim->starting = count_starting(sim->online, since) +
+			count_starting(sim->batch, since);
 	switch (sim->options->policy) {
 	case SIM_NO_BATCH:
 		return;
--- a/briarplankd/agent/batch.c
+++ b/briarplankd/agent/batch.c
@@ -9,7 +9,7 @@
 
 #include <glib.h>
 
-#include "gate.h"
+#include "batch.h"
 #include "briarplankd/config_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
@@ -19,86 +19,8 @@
 #define PART "batch"
 
 #define TICK_MS 50
-/* Wait for the answer to a pull, in ms. */
-#define PULL_TIMEOUT_MS 2000
-/* Wait before an owner without items is asked again, if it names none. */
-#define PULL_PAUSE_MS 250
-/* Results held unconfirmed before pulling stops, in bytes. */
-#define RESULTS_MAX_BYTES (16 << 20)
-#define PULL_MAX_BYTES (1 << 20)
-/* First and longest wait before an outcome is sent again, in ms. */
+/* First wait before an outcome is sent again, in ms. */
 #define RESEND_MIN_MS 500
-#define RESEND_MAX_MS 15000
-/* Outcomes in one message. */
-#define COMPLETIONS_MAX 256
-#define COMPLETIONS_MAX_BYTES (2 << 20)
-/* Parts of a lease after which it is renewed. */
-#define RENEW_DIVISOR 3
-
-struct item {
-	struct list link;
-	struct batch *batch;
-	Briarplank__Grant *grant;
-	/* Entry that granted it. */
-	char *owner;
-	uint64_t lease_until_us;
-	struct gate_work *work;
-	/* NULL while the work goes on. */
-	Briarplank__ItemOutcome *outcome;
-	uint64_t send_after_ms;
-	uint32_t send_pause_ms;
-	/* Owner that the outcome was last sent to. */
-	char *told;
-};
-
-struct owner {
-	struct list link;
-	char *name;
-	uint64_t ask_after_ms;
-	/* Oldest renewal without an answer; 0 when there is none. */
-	uint64_t renew_sent_us;
-	uint64_t renew_after_ms;
-};
-
-struct batch {
-	struct task task;
-	struct gate *gate;
-	uv_timer_t timer;
-	bool timer_open;
-	struct list items;
-	struct list owners;
-	struct owner *next_owner;
-	uint64_t pull_id;
-	uint64_t pull_until_ms;
-	size_t result_bytes;
-	bool leaving;
-	uint64_t stop_at_ms;
-	struct counter *granted;
-	struct counter *ended;
-	struct counter *voided;
-	struct counter *lapsed;
-};
-
-static uint64_t now_ms(const struct batch *batch)
-{
-	return node_now_ms(batch->task.node);
-}
-
-static struct owner *owner_find(struct batch *batch, const char *name)
-{
-	struct owner *owner;
-	struct list *pos;
-
-	list_for_each (pos, &batch->owners) {
-		owner = list_entry(pos, struct owner, link);
-		if (!strcmp(owner->name, name))
-			return owner;
-	}
-	owner = g_new0(struct owner, 1);
-	owner->name = g_strdup(name);
-	list_append(&batch->owners, &owner->link);
-	return owner;
-}
 
 static void outcome_free(Briarplank__ItemOutcome *outcome)
 {
@@ -281,7 +203,7 @@
 {
 	struct batch *batch = ctx;
 	const Briarplank__Grants *grants = env->grants;
-	struct owner *owner = owner_find(batch, env->sender);
+	struct owner *owner = batch_owner(batch, env->sender);
 	uint64_t pause = grants->retry_after_ms;
 	size_t i;
 
@@ -290,7 +212,7 @@
 		batch->pull_until_ms = 0;
 	if (!pause && !grants->n_grants)
 		pause = PULL_PAUSE_MS;
-	owner->ask_after_ms = now_ms(batch) + pause;
+	owner->ask_after_ms = batch_now_ms(batch) + pause;
 	for (i = 0; i < grants->n_grants; i++) {
 		const Briarplank__Grant *grant = grants->grants[i];
 		Briarplank__GrantRef ref = BRIARPLANK__GRANT_REF__INIT;
@@ -362,7 +284,7 @@
 			continue;
 		g_free(item->owner);
 		item->owner = g_strdup(name);
-		owner = owner_find(batch, name);
+		owner = batch_owner(batch, name);
 		owner->renew_sent_us = 0;
 		owner->renew_after_ms = 0;
 	}
@@ -372,7 +294,7 @@
 {
 	struct batch *batch = ctx;
 	const Briarplank__RenewResult *result = env->renew_result;
-	struct owner *owner = owner_find(batch, env->sender);
+	struct owner *owner = batch_owner(batch, env->sender);
 
 	gate_wake(batch->gate);
 	counter_add(batch->voided, result->n_revoked);
@@ -394,203 +316,17 @@
 	drop_refs(batch, ack->void_grants, ack->n_void_grants);
 }
 
-/* Adds the present owners of all shards. */
-static void learn_owners(struct batch *batch)
-{
-	struct node *node = batch->task.node;
-	uint32_t shard;
-
-	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
-		const char *name = node_shard_owner(node, shard);
-
-		if (name)
-			owner_find(batch, name);
-	}
-}
-
-static bool owns_shards(struct batch *batch, const struct owner *owner)
-{
-	struct node *node = batch->task.node;
-	uint32_t shard;
-
-	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
-		const char *name = node_shard_owner(node, shard);
-
-		if (name && !strcmp(name, owner->name))
-			return true;
-	}
-	return false;
-}
-
-/* The next owner in turn that may be asked now. */
-static struct owner *choose_owner(struct batch *batch)
-{
-	uint64_t now = now_ms(batch);
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &batch->owners) {
-		struct owner *owner = list_entry(pos, struct owner, link);
-
-		if (now < owner->ask_after_ms || !owns_shards(batch, owner))
-			continue;
-		list_remove(pos);
-		list_append(&batch->owners, pos);
-		return owner;
-	}
-	return NULL;
-}
-
-static void pull(struct batch *batch)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Pull body = BRIARPLANK__PULL__INIT;
-	unsigned room = gate_batch_room(batch->gate);
-	struct owner *owner;
-
-	if (batch->leaving || !room || now_ms(batch) < batch->pull_until_ms ||
-	    batch->result_bytes >= RESULTS_MAX_BYTES)
-		return;
-	owner = choose_owner(batch);
-	if (!owner)
-		return;
-	body.service = batch->task.node->settings->service;
-	body.max_items = room;
-	body.max_bytes = PULL_MAX_BYTES;
-	body.pull_id = ++batch->pull_id;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_PULL;
-	env.pull = &body;
-	owner->ask_after_ms = now_ms(batch) + PULL_PAUSE_MS;
-	if (bus_send(batch->task.node->bus, owner->name, &env) == BUS_OK)
-		batch->pull_until_ms = now_ms(batch) + PULL_TIMEOUT_MS;
-}
-
-/* Sends one renewal for all grants of an owner. */
-static void renew(struct batch *batch, struct owner *owner)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Renew body = BRIARPLANK__RENEW__INIT;
-	GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
-	uint32_t lease_ms = UINT32_MAX;
-	struct list *pos;
-
-	list_for_each (pos, &batch->items) {
-		struct item *item = list_entry(pos, struct item, link);
-		Briarplank__GrantRef *ref;
-
-		if (strcmp(item->owner, owner->name) != 0)
-			continue;
-		ref = g_new(Briarplank__GrantRef, 1);
-		briarplank__grant_ref__init(ref);
-		ref->shard = item->grant->shard;
-		ref->epoch = item->grant->epoch;
-		ref->grant_id = item->grant->grant_id;
-		g_ptr_array_add(refs, ref);
-		lease_ms = MIN(lease_ms, item->grant->lease_ms);
-	}
-	if (refs->len) {
-		body.grants = (Briarplank__GrantRef **)refs->pdata;
-		body.n_grants = refs->len;
-		env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW;
-		env.renew = &body;
-		if (!owner->renew_sent_us)
-			owner->renew_sent_us = node_now_us();
-		bus_send(batch->task.node->bus, owner->name, &env);
-		owner->renew_after_ms =
-			now_ms(batch) + lease_ms / RENEW_DIVISOR;
-	}
-	g_ptr_array_free(refs, TRUE);
-}
-
-static void renew_all(struct batch *batch)
-{
-	uint64_t now = now_ms(batch);
-	struct list *pos;
-
-	list_for_each (pos, &batch->owners) {
-		struct owner *owner = list_entry(pos, struct owner, link);
-
-		if (now >= owner->renew_after_ms)
-			renew(batch, owner);
-	}
-}
-
-/* Outcomes go to who owns the shard now, else to who granted the item. */
-static const char *item_receiver(const struct item *item)
-{
-	const char *owner =
-		node_shard_owner(item->batch->task.node, item->grant->shard);
-
-	return owner ? owner : item->owner;
-}
-
-static bool item_due(const struct item *item, const char *receiver,
-		     uint64_t now)
-{
-	if (!item->outcome || strcmp(item_receiver(item), receiver) != 0)
-		return false;
-	return now >= item->send_after_ms || !item->told ||
-	       strcmp(item->told, receiver) != 0;
-}
-
-static void note_sent(struct item *item, const char *receiver, uint64_t now)
-{
-	item->send_after_ms = now + item->send_pause_ms;
-	item->send_pause_ms = MIN(2 * item->send_pause_ms, RESEND_MAX_MS);
-	g_free(item->told);
-	item->told = g_strdup(receiver);
-}
-
-static void send_completions(struct batch *batch, const char *receiver)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__Completions body = BRIARPLANK__COMPLETIONS__INIT;
-	Briarplank__ItemOutcome *outcomes[COMPLETIONS_MAX];
-	uint64_t now = now_ms(batch);
-	size_t bytes = 0;
-	struct list *pos;
-
-	list_for_each (pos, &batch->items) {
-		struct item *item = list_entry(pos, struct item, link);
-
-		if (body.n_outcomes == COMPLETIONS_MAX ||
-		    bytes >= COMPLETIONS_MAX_BYTES)
-			break;
-		if (!item_due(item, receiver, now))
-			continue;
-		outcomes[body.n_outcomes++] = item->outcome;
-		bytes += item->outcome->body.len;
-		note_sent(item, receiver, now);
-	}
-	if (!body.n_outcomes)
-		return;
-	body.outcomes = outcomes;
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS;
-	env.completions = &body;
-	bus_send(batch->task.node->bus, receiver, &env);
-}
-
-static void complete(struct batch *batch)
-{
-	struct list *pos;
-
-	list_for_each (pos, &batch->owners) {
-		struct owner *owner = list_entry(pos, struct owner, link);
-
-		send_completions(batch, owner->name);
-	}
-}
-
 static void on_timer(uv_timer_t *timer)
 {
 	struct batch *batch = timer->data;
 
 	gate_wake(batch->gate);
 	drop_lapsed(batch);
-	learn_owners(batch);
+	batch_learn_owners(batch);
 	follow_owners(batch);
-	renew_all(batch);
-	complete(batch);
-	pull(batch);
+	batch_renew(batch);
+	batch_complete(batch);
+	batch_pull(batch);
 }
 
 static bool batch_start(struct task *task)
@@ -636,7 +372,7 @@
 				 BRIARPLANK__ITEM_OUTCOME__RESULT__NOT_RUN, 0,
 				 NULL);
 	}
-	complete(batch);
+	batch_complete(batch);
 }
 
 static void batch_event(struct task *task, const struct node_event *event)
@@ -652,7 +388,8 @@
 	struct batch *batch = list_entry(task, struct batch, task);
 
 	batch->leaving = true;
-	batch->stop_at_ms = now_ms(batch) + task->node->settings->stop_limit_ms;
+	batch->stop_at_ms =
+		batch_now_ms(batch) + task->node->settings->stop_limit_ms;
 	hand_back(batch);
 }
 
@@ -660,7 +397,8 @@
 {
 	struct batch *batch = list_entry(task, struct batch, task);
 
-	return list_empty(&batch->items) || now_ms(batch) >= batch->stop_at_ms;
+	return list_empty(&batch->items) ||
+	       batch_now_ms(batch) >= batch->stop_at_ms;
 }
 
 static void batch_destroy(struct task *task)
--- /dev/null
+++ b/briarplankd/agent/batch_send.c
@@ -0,0 +1,226 @@
+/*
+ * What the batch task sends to the owners of shards: pulls, renewals and
+ * outcomes.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "batch.h"
+#include "briarplankd/members_task.h"
+
+/* Wait for the answer to a pull, in ms. */
+#define PULL_TIMEOUT_MS 2000
+/* Results held unconfirmed before pulling stops, in bytes. */
+#define RESULTS_MAX_BYTES (16 << 20)
+#define PULL_MAX_BYTES (1 << 20)
+/* Longest wait before an outcome is sent again, in ms. */
+#define RESEND_MAX_MS 15000
+/* Outcomes in one message. */
+#define COMPLETIONS_MAX 256
+#define COMPLETIONS_MAX_BYTES (2 << 20)
+/* Parts of a lease after which it is renewed. */
+#define RENEW_DIVISOR 3
+
+struct owner *batch_owner(struct batch *batch, const char *name)
+{
+	struct owner *owner;
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		owner = list_entry(pos, struct owner, link);
+		if (!strcmp(owner->name, name))
+			return owner;
+	}
+	owner = g_new0(struct owner, 1);
+	owner->name = g_strdup(name);
+	list_append(&batch->owners, &owner->link);
+	return owner;
+}
+
+/* Adds the present owners of all shards. */
+void batch_learn_owners(struct batch *batch)
+{
+	struct node *node = batch->task.node;
+	uint32_t shard;
+
+	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
+		const char *name = node_shard_owner(node, shard);
+
+		if (name)
+			batch_owner(batch, name);
+	}
+}
+
+static bool owns_shards(struct batch *batch, const struct owner *owner)
+{
+	struct node *node = batch->task.node;
+	uint32_t shard;
+
+	for (shard = 0; shard < node->settings->ledger_shards; shard++) {
+		const char *name = node_shard_owner(node, shard);
+
+		if (name && !strcmp(name, owner->name))
+			return true;
+	}
+	return false;
+}
+
+/* The next owner in turn that may be asked now. */
+static struct owner *choose_owner(struct batch *batch)
+{
+	uint64_t now = batch_now_ms(batch);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		if (now < owner->ask_after_ms || !owns_shards(batch, owner))
+			continue;
+		list_remove(pos);
+		list_append(&batch->owners, pos);
+		return owner;
+	}
+	return NULL;
+}
+
+void batch_pull(struct batch *batch)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Pull body = BRIARPLANK__PULL__INIT;
+	unsigned room = gate_batch_room(batch->gate);
+	struct owner *owner;
+
+	if (batch->leaving || !room ||
+	    batch_now_ms(batch) < batch->pull_until_ms ||
+	    batch->result_bytes >= RESULTS_MAX_BYTES)
+		return;
+	owner = choose_owner(batch);
+	if (!owner)
+		return;
+	body.service = batch->task.node->settings->service;
+	body.max_items = room;
+	body.max_bytes = PULL_MAX_BYTES;
+	body.pull_id = ++batch->pull_id;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_PULL;
+	env.pull = &body;
+	owner->ask_after_ms = batch_now_ms(batch) + PULL_PAUSE_MS;
+	if (bus_send(batch->task.node->bus, owner->name, &env) == BUS_OK)
+		batch->pull_until_ms = batch_now_ms(batch) + PULL_TIMEOUT_MS;
+}
+
+/* Sends one renewal for all grants of an owner. */
+static void renew(struct batch *batch, struct owner *owner)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Renew body = BRIARPLANK__RENEW__INIT;
+	GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
+	uint32_t lease_ms = UINT32_MAX;
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+		Briarplank__GrantRef *ref;
+
+		if (strcmp(item->owner, owner->name) != 0)
+			continue;
+		ref = g_new(Briarplank__GrantRef, 1);
+		briarplank__grant_ref__init(ref);
+		ref->shard = item->grant->shard;
+		ref->epoch = item->grant->epoch;
+		ref->grant_id = item->grant->grant_id;
+		g_ptr_array_add(refs, ref);
+		lease_ms = MIN(lease_ms, item->grant->lease_ms);
+	}
+	if (refs->len) {
+		body.grants = (Briarplank__GrantRef **)refs->pdata;
+		body.n_grants = refs->len;
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_RENEW;
+		env.renew = &body;
+		if (!owner->renew_sent_us)
+			owner->renew_sent_us = node_now_us();
+		bus_send(batch->task.node->bus, owner->name, &env);
+		owner->renew_after_ms =
+			batch_now_ms(batch) + lease_ms / RENEW_DIVISOR;
+	}
+	g_ptr_array_free(refs, TRUE);
+}
+
+void batch_renew(struct batch *batch)
+{
+	uint64_t now = batch_now_ms(batch);
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		if (now >= owner->renew_after_ms)
+			renew(batch, owner);
+	}
+}
+
+/* Outcomes go to who owns the shard now, else to who granted the item. */
+static const char *item_receiver(const struct item *item)
+{
+	const char *owner =
+		node_shard_owner(item->batch->task.node, item->grant->shard);
+
+	return owner ? owner : item->owner;
+}
+
+static bool item_due(const struct item *item, const char *receiver,
+		     uint64_t now)
+{
+	if (!item->outcome || strcmp(item_receiver(item), receiver) != 0)
+		return false;
+	return now >= item->send_after_ms || !item->told ||
+	       strcmp(item->told, receiver) != 0;
+}
+
+static void note_sent(struct item *item, const char *receiver, uint64_t now)
+{
+	item->send_after_ms = now + item->send_pause_ms;
+	item->send_pause_ms = MIN(2 * item->send_pause_ms, RESEND_MAX_MS);
+	g_free(item->told);
+	item->told = g_strdup(receiver);
+}
+
+static void send_completions(struct batch *batch, const char *receiver)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Completions body = BRIARPLANK__COMPLETIONS__INIT;
+	Briarplank__ItemOutcome *outcomes[COMPLETIONS_MAX];
+	uint64_t now = batch_now_ms(batch);
+	size_t bytes = 0;
+	struct list *pos;
+
+	list_for_each (pos, &batch->items) {
+		struct item *item = list_entry(pos, struct item, link);
+
+		if (body.n_outcomes == COMPLETIONS_MAX ||
+		    bytes >= COMPLETIONS_MAX_BYTES)
+			break;
+		if (!item_due(item, receiver, now))
+			continue;
+		outcomes[body.n_outcomes++] = item->outcome;
+		bytes += item->outcome->body.len;
+		note_sent(item, receiver, now);
+	}
+	if (!body.n_outcomes)
+		return;
+	body.outcomes = outcomes;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_COMPLETIONS;
+	env.completions = &body;
+	bus_send(batch->task.node->bus, receiver, &env);
+}
+
+void batch_complete(struct batch *batch)
+{
+	struct list *pos;
+
+	list_for_each (pos, &batch->owners) {
+		struct owner *owner = list_entry(pos, struct owner, link);
+
+		send_completions(batch, owner->name);
+	}
+}
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -36,6 +36,8 @@
 #define FIRST_TOKEN_FIRST_US 100000
 /* Mean first-token times after which a call counts as begun. */
 #define STARTING_FACTOR 3
+/* Least time for which a call without a token makes gaps unsteady, in us. */
+#define UNSTEADY_US 2000000
 
 static const struct task_ops gate_ops;
 
@@ -138,6 +140,20 @@
 		concurrency_gap(gate->concurrency, &sample, now);
 }
 
+/*
+ * Calls that may yet compute their prompt, also when the engine queues them.
+ * One that answers in whole shows no first token: it counts for a while.
+ */
+static unsigned gate_unsteady(const struct gate *gate, uint64_t now)
+{
+	uint64_t window = (uint64_t)(STARTING_FACTOR * gate->first_token_us);
+	uint64_t since = now - MAX(window, UNSTEADY_US);
+
+	if (is_plain(gate))
+		return 0;
+	return attempts_starting(gate, since) + works_starting(gate, since);
+}
+
 static void plan_batch(struct gate *gate, uint64_t now)
 {
 	uint64_t since =
@@ -154,7 +170,7 @@
 	/* A plain service computes no prompts that others wait for. */
 	if (is_plain(gate))
 		load.online_starting = load.batch_starting = 0;
-	gate->starting = load.online_starting + load.batch_starting;
+	gate->starting = gate_unsteady(gate, now);
 	gate->batch_starting = load.batch_starting;
 	gate->plan =
 		batch_share_plan(gate->share, gate->concurrency, &load, now);
--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -12,6 +12,8 @@
 #define STEP_LAST 0.03
 /* Observations after which a number of streams counts as known. */
 #define KNOWN_SAMPLES 24
+/* Observations that a point of the fit needs; the first may be outliers. */
+#define FIT_SAMPLES 8
 /* Most observations that weigh in the fit. */
 #define WEIGHT_MAX 200.0
 /* Time in which the weight of what was learned falls to 1/e, in us. */
@@ -249,7 +251,7 @@
 		const struct point *point = &concurrency->points[n];
 		double weight = point_weight(concurrency, point);
 
-		if (weight < WEIGHT_MIN)
+		if (weight < WEIGHT_MIN || point->gaps < FIT_SAMPLES)
 			continue;
 		blocks[nr].gap_us = point->gap_us;
 		blocks[nr].weight = weight;
