--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -28,7 +28,7 @@
 #define GAP_SLACK 1.5
 /* Least time between two fits once the curve is known, in us. */
 #define FIT_INTERVAL_US 50000
-/* Share of the best rate below which more streams are no use. */
+/* Share of the best rate below which a fall of the rate counts. */
 #define RATE_SHARE_MIN 0.9
 /* Least limit of online streams. */
 #define ONLINE_LIMIT_MIN 4
@@ -214,28 +214,18 @@
 		   GAP_SLACK * concurrency->fit[1]);
 }
 
-/* Most tokens a second at any number of streams. */
-static double best_rate(const struct concurrency *concurrency)
-{
-	double best = 0;
-	unsigned n;
-
-	for (n = 1; n <= CONCURRENCY_MAX; n++)
-		best = MAX(best, concurrency_rate_at(concurrency, n));
-	return best;
-}
-
 static unsigned find_online_limit(const struct concurrency *concurrency)
 {
-	double limit, least_rate;
+	double best = 0, limit, rate;
 	unsigned n;
 
 	limit = gap_limit(concurrency);
-	least_rate = RATE_SHARE_MIN * best_rate(concurrency);
 	for (n = ONLINE_LIMIT_MIN + 1; n <= CONCURRENCY_MAX; n++) {
 		if (starts_late(concurrency, n))
 			return n - 1;
-		if (concurrency_rate_at(concurrency, n) < least_rate &&
+		rate = concurrency_rate_at(concurrency, n);
+		best = MAX(best, rate);
+		if (rate < RATE_SHARE_MIN * best &&
 		    (double)concurrency_gap_at(concurrency, n) > limit)
 			return n - 1;
 	}
