--- a/tests/test_concurrency.c
+++ b/tests/test_concurrency.c
@@ -34,13 +34,13 @@
 	g_free(state);
 }
 
-/* Engine with a base gap of 10 ms, and 2 ms for each stream beyond the 8th. */
-static uint64_t curve(unsigned streams)
+/* Engine with a base gap of 10 ms, and a slope beyond the 8th stream. */
+static uint64_t curve(unsigned streams, uint64_t slope_us)
 {
-	return 10000 + 2000 * (streams > 8 ? streams - 8 : 0);
+	return 10000 + slope_us * (streams > 8 ? streams - 8 : 0);
 }
 
-/* "run N..M samples=S noise=US late=PERCENT factor=PERCENT unsteady=1" */
+/* "run N..M samples=S noise=US late=PERCENT factor=PERCENT slope=US unsteady=1" */
 static void run(struct state *state, int argc, char **argv)
 {
 	unsigned from = (unsigned)script_arg_int(argc, argv, "from", 1);
@@ -49,6 +49,7 @@
 	int64_t noise = script_arg_int(argc, argv, "noise", 0);
 	int64_t late = script_arg_int(argc, argv, "late", 0);
 	uint64_t factor = script_arg_int(argc, argv, "factor", 100);
+	uint64_t slope = script_arg_int(argc, argv, "slope", 2000);
 	unsigned n;
 	int64_t i;
 
@@ -56,7 +57,7 @@
 		for (i = 0; i < samples; i++) {
 			struct concurrency_sample sample = {
 				.streams = n,
-				.gap_us = curve(n) * factor / 100,
+				.gap_us = curve(n, slope) * factor / 100,
 				.tokens = 1,
 				.steady = !script_arg_int(argc, argv,
 							  "unsteady", 0),
