--- a/core/concurrency.c
+++ b/core/concurrency.c
@@ -12,6 +12,8 @@
 #define STEP_LAST 0.03
 /* Observations after which a number of streams counts as known. */
 #define KNOWN_SAMPLES 24
+/* Observations that a point of the fit needs; the first may be outliers. */
+#define FIT_SAMPLES 8
 /* Most observations that weigh in the fit. */
 #define WEIGHT_MAX 200.0
 /* Time in which the weight of what was learned falls to 1/e, in us. */
@@ -26,7 +28,7 @@
 #define GAP_SLACK 1.5
 /* Least time between two fits once the curve is known, in us. */
 #define FIT_INTERVAL_US 50000
-/* Share of the best rate below which more streams are no use. */
+/* Share of the best rate below which a fall of the rate counts. */
 #define RATE_SHARE_MIN 0.9
 /* Least limit of online streams. */
 #define ONLINE_LIMIT_MIN 4
@@ -212,28 +214,18 @@
 		   GAP_SLACK * concurrency->fit[1]);
 }
 
-/* Most tokens a second at any number of streams. */
-static double best_rate(const struct concurrency *concurrency)
-{
-	double best = 0;
-	unsigned n;
-
-	for (n = 1; n <= CONCURRENCY_MAX; n++)
-		best = MAX(best, concurrency_rate_at(concurrency, n));
-	return best;
-}
-
 static unsigned find_online_limit(const struct concurrency *concurrency)
 {
-	double limit, least_rate;
+	double best = 0, limit, rate;
 	unsigned n;
 
 	limit = gap_limit(concurrency);
-	least_rate = RATE_SHARE_MIN * best_rate(concurrency);
 	for (n = ONLINE_LIMIT_MIN + 1; n <= CONCURRENCY_MAX; n++) {
 		if (starts_late(concurrency, n))
 			return n - 1;
-		if (concurrency_rate_at(concurrency, n) < least_rate &&
+		rate = concurrency_rate_at(concurrency, n);
+		best = MAX(best, rate);
+		if (rate < RATE_SHARE_MIN * best &&
 		    (double)concurrency_gap_at(concurrency, n) > limit)
 			return n - 1;
 	}
@@ -249,7 +241,7 @@
 		const struct point *point = &concurrency->points[n];
 		double weight = point_weight(concurrency, point);
 
-		if (weight < WEIGHT_MIN)
+		if (weight < WEIGHT_MIN || point->gaps < FIT_SAMPLES)
 			continue;
 		blocks[nr].gap_us = point->gap_us;
 		blocks[nr].weight = weight;
