--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -247,7 +247,10 @@
 
 static void tend(struct job_call *call, uint64_t now)
 {
-	if (now >= call->deadline_ms && !call->streaming)
+	/* A slow reader has all the time it takes. */
+	if (call->waiting_taken)
+		call->deadline_ms = now + CALL_LIMIT_MS;
+	if (now >= call->deadline_ms)
 		give_up(call);
 	else if (call->ask_ms && now >= call->ask_ms)
 		job_call_ask(call);
--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -244,6 +244,11 @@
 	g_ptr_array_free(others, TRUE);
 }
 
+static uint32_t attempts_max(void *ctx, const char *service)
+{
+	return ledger_attempts_max(ctx, service);
+}
+
 static void tend_owned(struct ledger_task *task, uint32_t shard, uint64_t now)
 {
 	struct ledger *ledger = ledger_task_owned(task, shard);
@@ -253,8 +258,7 @@
 		return;
 	/* After a pause the leases are judged once the claim is known to hold. */
 	if (!shard_unverified(task->shards[shard]))
-		ledger_expire(ledger, ledger_attempts_max(task, NULL), now,
-			      wall);
+		ledger_expire(ledger, attempts_max, task, now, wall);
 	ledger_pause_intents(ledger, shard_log_silent(task->shards[shard]));
 	ledger_measure(ledger, wall);
 	ledger_sweep(ledger, wall);
--- a/core/ledger_outcomes.c
+++ b/core/ledger_outcomes.c
@@ -180,8 +180,8 @@
 	return true;
 }
 
-void ledger_expire(struct ledger *ledger, uint32_t attempts_max,
-		   uint64_t now_ms, uint64_t wall_ms)
+void ledger_expire(struct ledger *ledger, ledger_attempts_fn attempts_max,
+		   void *ctx, uint64_t now_ms, uint64_t wall_ms)
 {
 	struct list *pos, *tmp;
 
@@ -195,6 +195,7 @@
 			continue;
 		ledger_grant_revoke(ledger, grant);
 		if (!(job->items[item].flags & ITEM_ENDING))
-			lose_item(job, item, attempts_max, wall_ms);
+			lose_item(job, item, attempts_max(ctx, job->service),
+				  wall_ms);
 	}
 }
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -232,9 +232,11 @@
 enum ledger_status ledger_complete(struct ledger *ledger,
 				   const Briarplank__ItemOutcome *outcome,
 				   uint32_t attempts_max, uint64_t wall_ms);
+/** Bound of the attempts of a service's items. */
+typedef uint32_t (*ledger_attempts_fn)(void *ctx, const char *service);
 /** Lapses leases. */
-void ledger_expire(struct ledger *ledger, uint32_t attempts_max,
-		   uint64_t now_ms, uint64_t wall_ms);
+void ledger_expire(struct ledger *ledger, ledger_attempts_fn attempts_max,
+		   void *ctx, uint64_t now_ms, uint64_t wall_ms);
 /** Counts an agent's grants; alone tells whether one must run alone. */
 uint32_t ledger_agent_grants(const struct ledger *ledger, const char *agent,
 			     bool *alone);
