--- a/tests/process/operators.sh
+++ b/tests/process/operators.sh
@@ -64,6 +64,19 @@
 ctl 1 entry-1 depot show nodes
 said 'depot is no operator'
 
+# Many wrong keys at once are refused without more ado; right ones still count.
+i=0
+while test $i -lt 40
+do
+	i=$((i + 1))
+	curl -s -o /dev/null -w '%{http_code}\n' -d 'show nodes' \
+		-H "Authorization: Bearer wrong-$i" \
+		"$(fleet_url entry-1)/v1/operator"
+done >"$FLEET_DIR/out"
+said '^401$'
+said '^429$'
+ctl 0 entry-1 ann show nodes
+
 # Faults name the column, bad values the bound.
 ctl 2 entry-1 ann show servant
 said 'column 6'
