--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -7,7 +7,6 @@
 #include "briarplankd/entry/ledger_task.h"
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
-#include "common/error.h"
 #include "common/log.h"
 #include "core/shard_claims.h"
 
@@ -19,7 +18,7 @@
 #define REBALANCE_INTERVAL_MS 3000
 /* Appends that all owners together may make in a second. */
 #define FLEET_APPENDS_PER_S 240
-#define APPEND_INTERVAL_MIN_MS 100
+#define APPEND_INTERVAL_MIN_MS 50
 /* Appends read back that are kept, in bytes. */
 #define CACHE_BYTES (32 << 20)
 /* Weight of a caller with a late job, in percent of the usual. */
@@ -329,16 +328,15 @@
 	};
 
 	if (!base->node->log) {
-		error_set("an entry needs platform.log");
-		return false;
+		log_warn(PART, "without platform.log there are no jobs");
+		return true;
 	}
-	list_init(&task->seals);
-	list_init(&task->pulls);
 	make_metrics(task);
 	task->started_ms = node_now_ms(base->node);
 	task->schedule = ledger_schedule_create(&options);
 	task->cache = record_cache_create(base->node->log, CACHE_BYTES);
 	make_shards(task);
+	ledger_pulls_start(task);
 	ledger_agents_start(task);
 	ledger_calls_start(task);
 	uv_timer_init(&base->node->loop, &task->timer);
@@ -410,5 +408,7 @@
 	struct ledger_task *task = g_new0(struct ledger_task, 1);
 
 	task->super.ops = &ledger_ops;
+	list_init(&task->seals);
+	list_init(&task->pulls);
 	return &task->super;
 }
