--- a/bench/retry_storm.c
+++ b/bench/retry_storm.c
@@ -374,8 +374,9 @@
 
 static void run(enum sickness sickness, bool budgeted, int seed)
 {
-	double per_agent = (double)SLOTS * RUN_US / SERVICE_US;
-	double healthy = (AGENTS - SICK) * per_agent;
+	double services = (double)RUN_US / SERVICE_US;
+	int slots = SLOTS * (AGENTS - SICK);
+	double healthy = services * slots;
 
 	sim.random = g_rand_new_with_seed(seed);
 	sim.events = g_sequence_new(g_free);
--- a/tests/faults/fake_agent.c
+++ b/tests/faults/fake_agent.c
@@ -21,6 +21,8 @@
  *   deaf             cancels are not answered from now on
  *   drop             the dispatch was lost: nothing is known of it
  *   wait:MS          goes on later
+ *   cut:MS           closes all connections and the port for that long; only
+ *                    behind a wait
  *   die, freeze      ends or stops the process
  *
  * Runs and cancels are printed: "ran ID ATTEMPT", "cancel ID ATTEMPT".
@@ -40,6 +42,7 @@
 #define PING_INTERVAL_MS 100
 #define INCARNATION 7000
 #define FLOOD_PIECE_BYTES 32768
+#define CUT_RETRY_MS 50
 
 struct agent {
 	uv_loop_t loop;
@@ -48,7 +51,10 @@
 	const char *name;
 	const char *service;
 	const char *entry;
+	char *address;
+	const char *entry_address;
 	uv_timer_t ping_timer;
+	uv_timer_t cut_timer;
 	GHashTable *attempts;
 };
 
@@ -83,7 +89,8 @@
 
 static void send_env(struct attempt *attempt, Briarplank__Envelope *env)
 {
-	bus_send(attempt->agent->bus, attempt->agent->entry, env);
+	if (attempt->agent->bus)
+		bus_send(attempt->agent->bus, attempt->agent->entry, env);
 }
 
 static uint32_t number_of(const struct attempt *attempt)
@@ -202,6 +209,28 @@
 	printf("ran %s %u\n", attempt->id, attempt->number);
 }
 
+static bool open_bus(struct agent *agent, const char *address);
+
+/* The port may still be taken for a moment. */
+static void on_cut_over(uv_timer_t *timer)
+{
+	struct agent *agent = timer->data;
+
+	if (!open_bus(agent, agent->address))
+		return;
+	uv_timer_stop(timer);
+}
+
+static void cut(struct agent *agent, uint64_t ms)
+{
+	struct bus *bus = agent->bus;
+
+	agent->bus = NULL;
+	bus_destroy(bus);
+	agent->cut_timer.data = agent;
+	uv_timer_start(&agent->cut_timer, on_cut_over, ms, CUT_RETRY_MS);
+}
+
 static void end_process(int number)
 {
 	kill(getpid(), number);
@@ -272,6 +301,8 @@
 		add_piece(attempt, words, true, false);
 	else if (!strcmp(word, "flood"))
 		begin_flood(attempt, words[1]);
+	else if (!strcmp(word, "cut"))
+		cut(attempt->agent, g_ascii_strtoull(words[1], NULL, 10));
 	else if (!strcmp(word, "refuse"))
 		send_refused(attempt, atoi(words[1]));
 	else if (!strcmp(word, "fail"))
@@ -422,6 +453,8 @@
 	Briarplank__Ping ping = BRIARPLANK__PING__INIT;
 	Briarplank__NodeFacts facts = BRIARPLANK__NODE_FACTS__INIT;
 
+	if (!agent->bus)
+		return;
 	facts.role = 1;
 	facts.address = (char *)bus_address(agent->bus);
 	facts.data_centre = "d";
@@ -434,20 +467,20 @@
 	bus_send(agent->bus, agent->entry, &env);
 }
 
-static bool open_bus(struct agent *agent, const char *entry_address)
+static bool open_bus(struct agent *agent, const char *address)
 {
 	struct bus_options options = {
 		.loop = &agent->loop,
 		.name = agent->name,
 		.incarnation = INCARNATION,
-		.address = "127.0.0.1:0",
+		.address = address,
 		.metrics = agent->metrics,
 	};
 
 	agent->bus = bus_create(&options);
 	if (!agent->bus)
 		return false;
-	bus_peer_set(agent->bus, agent->entry, entry_address);
+	bus_peer_set(agent->bus, agent->entry, agent->entry_address);
 	bus_handle(agent->bus, BRIARPLANK__ENVELOPE__BODY_DISPATCH, on_dispatch,
 		   agent);
 	bus_handle(agent->bus, BRIARPLANK__ENVELOPE__BODY_CANCEL, on_cancel,
@@ -472,12 +505,15 @@
 	agent.name = argv[1];
 	agent.service = argv[2];
 	agent.entry = argv[3];
+	agent.entry_address = argv[4];
 	agent.metrics = metrics_create();
 	agent.attempts = g_hash_table_new(g_str_hash, g_str_equal);
-	if (!open_bus(&agent, argv[4])) {
+	if (!open_bus(&agent, "127.0.0.1:0")) {
 		fprintf(stderr, "%s\n", error_last());
 		return 1;
 	}
+	agent.address = g_strdup(bus_address(agent.bus));
+	uv_timer_init(&agent.loop, &agent.cut_timer);
 	uv_timer_init(&agent.loop, &agent.ping_timer);
 	agent.ping_timer.data = &agent;
 	uv_timer_start(&agent.ping_timer, on_ping_timer, 0, PING_INTERVAL_MS);
