--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -36,6 +36,8 @@
 #define FIRST_TOKEN_FIRST_US 100000
 /* Mean first-token times after which a call counts as begun. */
 #define STARTING_FACTOR 3
+/* Least time for which a call without a token makes gaps unsteady, in us. */
+#define UNSTEADY_US 2000000
 
 static const struct task_ops gate_ops;
 
@@ -119,6 +121,39 @@
 	return now - last_us;
 }
 
+static bool is_plain(const struct gate *gate)
+{
+	return gate->task.node->settings->server_kind == SERVER_PLAIN;
+}
+
+void gate_whole_answer(struct gate *gate, uint64_t started_us, unsigned streams)
+{
+	uint64_t now = node_now_us();
+	struct concurrency_sample sample = {
+		.streams = streams,
+		.gap_us = now - started_us,
+		.tokens = 1,
+		.steady = true,
+	};
+
+	if (is_plain(gate))
+		concurrency_gap(gate->concurrency, &sample, now);
+}
+
+/*
+ * Calls that may yet compute their prompt, also when the engine queues them.
+ * One that answers in whole shows no first token: it counts for a while.
+ */
+static unsigned gate_unsteady(const struct gate *gate, uint64_t now)
+{
+	uint64_t window = (uint64_t)(STARTING_FACTOR * gate->first_token_us);
+	uint64_t since = now - MAX(window, UNSTEADY_US);
+
+	if (is_plain(gate))
+		return 0;
+	return attempts_starting(gate, since) + works_starting(gate, since);
+}
+
 static void plan_batch(struct gate *gate, uint64_t now)
 {
 	uint64_t since =
@@ -132,7 +167,10 @@
 		.batch_waiting = works_waiting(gate),
 	};
 
-	gate->starting = load.online_starting + load.batch_starting;
+	/* A plain service computes no prompts that others wait for. */
+	if (is_plain(gate))
+		load.online_starting = load.batch_starting = 0;
+	gate->starting = gate_unsteady(gate, now);
 	gate->batch_starting = load.batch_starting;
 	gate->plan =
 		batch_share_plan(gate->share, gate->concurrency, &load, now);
@@ -173,6 +211,8 @@
 	targets.gap_target_us = (uint64_t)policy.token_gap_target_ms * 1000;
 	targets.first_token_target_us =
 		(uint64_t)policy.first_byte_target_ms * 1000;
+	if (is_plain(gate))
+		targets.gap_target_us = targets.first_token_target_us;
 	concurrency_set(gate->concurrency, &targets);
 	share.weight = policy.batch_weight;
 	share.gap_target_us = targets.gap_target_us;
