--- a/briarplankd/agent/batch.c
+++ b/briarplankd/agent/batch.c
@@ -42,6 +42,13 @@
 	g_free(item);
 }
 
+static bool item_is(const struct item *item, const Briarplank__GrantRef *ref)
+{
+	return item->grant->grant_id == ref->grant_id &&
+	       item->grant->shard == ref->shard &&
+	       item->grant->epoch == ref->epoch;
+}
+
 static struct item *item_find(struct batch *batch,
 			      const Briarplank__GrantRef *ref)
 {
@@ -50,9 +57,7 @@
 	list_for_each (pos, &batch->items) {
 		struct item *item = list_entry(pos, struct item, link);
 
-		if (item->grant->grant_id == ref->grant_id &&
-		    item->grant->shard == ref->shard &&
-		    item->grant->epoch == ref->epoch)
+		if (item_is(item, ref))
 			return item;
 	}
 	return NULL;
@@ -230,14 +235,18 @@
 static void drop_refs(struct batch *batch, Briarplank__GrantRef **refs,
 		      size_t nr)
 {
+	GPtrArray *found = g_ptr_array_new();
 	size_t i;
 
 	for (i = 0; i < nr; i++) {
 		struct item *item = item_find(batch, refs[i]);
 
-		if (item)
-			item_free(item);
+		if (item && !g_ptr_array_find(found, item, NULL))
+			g_ptr_array_add(found, item);
 	}
+	for (i = 0; i < found->len; i++)
+		item_free(found->pdata[i]);
+	g_ptr_array_free(found, TRUE);
 }
 
 static bool is_listed(const struct item *item, Briarplank__GrantRef **refs,
--- a/core/answer_buffer.c
+++ b/core/answer_buffer.c
@@ -102,11 +102,8 @@
 	return true;
 }
 
-static void drop_first(struct answer_buffer *buffer)
+static void drop(struct answer_buffer *buffer, struct piece *piece)
 {
-	struct piece *piece =
-		list_entry(buffer->pieces.next, struct piece, link);
-
 	buffer->sent_bytes -= piece->len;
 	list_remove(&piece->link);
 	g_free(piece);
@@ -115,27 +112,32 @@
 void answer_buffer_sent(struct answer_buffer *buffer)
 {
 	struct piece *piece = list_entry(buffer->cursor, struct piece, link);
+	struct list *pos, *tmp;
 
 	buffer->cursor = piece->link.next;
 	buffer->credit -= (int64_t)piece->len;
 	buffer->unsent_bytes -= piece->len;
 	buffer->sent_bytes += piece->len;
-	while (buffer->sent_bytes > buffer->options.keep_bytes &&
-	       buffer->pieces.next != buffer->cursor)
-		drop_first(buffer);
+	list_for_each_safe (pos, tmp, &buffer->pieces) {
+		if (pos == buffer->cursor ||
+		    buffer->sent_bytes <= buffer->options.keep_bytes)
+			return;
+		drop(buffer, list_entry(pos, struct piece, link));
+	}
 }
 
 void answer_buffer_credit(struct answer_buffer *buffer, uint64_t next_sequence,
 			  uint32_t bytes)
 {
+	struct list *pos, *tmp;
+
 	buffer->credit += bytes;
-	while (buffer->pieces.next != buffer->cursor) {
-		const struct piece *piece =
-			list_entry(buffer->pieces.next, struct piece, link);
+	list_for_each_safe (pos, tmp, &buffer->pieces) {
+		struct piece *piece = list_entry(pos, struct piece, link);
 
-		if (piece->sequence >= next_sequence)
+		if (pos == buffer->cursor || piece->sequence >= next_sequence)
 			return;
-		drop_first(buffer);
+		drop(buffer, piece);
 	}
 }
 
--- a/tests/test_concurrency.c
+++ b/tests/test_concurrency.c
@@ -85,7 +85,7 @@
 		uint64_t gap = concurrency_gap_at(state->concurrency, n);
 
 		g_string_append_printf(out, "%u: %.1f ms\n", n,
-				       (double)(gap / 100) / 10);
+				       (double)gap / 1000);
 	}
 }
 
