--- a/tests/faults/fake_entry.c
+++ b/tests/faults/fake_entry.c
@@ -372,6 +372,9 @@
 			ok = command(&entry, line);
 	}
 	bus_destroy(entry.bus);
+	uv_close((uv_handle_t *)&entry.timer, NULL);
+	uv_run(&entry.loop, UV_RUN_DEFAULT);
+	uv_loop_close(&entry.loop);
 	metrics_destroy(entry.metrics);
 	g_ptr_array_free(entry.said, TRUE);
 	g_hash_table_destroy(entry.answers);
