Accept connections for a while after a stop began

Cause: the listener closed at SIGTERM, so connections that the balancer still sent were reset: a caller could not tell whether its request ran.

--- a/briarplankd/node.c
+++ b/briarplankd/node.c
@@ -194,16 +194,27 @@
 	return !node->web || !web_running(node->web);
 }
 
+static void check_stop_limit(struct node *node)
+{
+	if (node_now_ms(node) < node->stop_at_ms)
+		return;
+	log_error(PART, "the stop took too long, %u requests are cut",
+		  node->web ? web_running(node->web) : 0);
+	node->stop_cut = true;
+	uv_stop(&node->loop);
+}
+
 static void on_stop_timer(uv_timer_t *timer)
 {
 	struct node *node = timer->data;
 
-	if (all_stopped(node)) {
-		uv_stop(&node->loop);
-	} else if (node_now_ms(node) >= node->stop_at_ms) {
-		log_error(PART, "the stop took too long, %u requests are cut",
-			  node->web ? web_running(node->web) : 0);
-		node->stop_cut = true;
+	if (!all_stopped(node)) {
+		check_stop_limit(node);
+	} else if (node->web && web_listening(node->web)) {
+		/* What was accepted meanwhile is still answered. */
+		if (node_now_ms(node) >= node->listen_until_ms)
+			web_stop_listening(node->web);
+	} else {
 		uv_stop(&node->loop);
 	}
 }
@@ -222,9 +233,9 @@
 		if (task->ops->stop)
 			task->ops->stop(task);
 	}
-	if (node->web)
-		web_stop_listening(node->web);
 	node->stop_at_ms = node_now_ms(node) + node->settings->stop_limit_ms;
+	node->listen_until_ms =
+		node_now_ms(node) + node->settings->stop_grace_ms;
 	node->stop_timer.data = node;
 	uv_timer_start(&node->stop_timer, on_stop_timer, STOP_CHECK_INTERVAL_MS,
 		       STOP_CHECK_INTERVAL_MS);
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -256,6 +256,11 @@
 	h2o_context_request_shutdown(&web->context);
 }
 
+bool web_listening(const struct web *web)
+{
+	return web->listening;
+}
+
 unsigned web_running(const struct web *web)
 {
 	return web->running;
--- a/include/briarplankd/daemon_settings.h
+++ b/include/briarplankd/daemon_settings.h
@@ -61,6 +61,7 @@
 
 	int64_t ledger_shards;
 	int64_t stop_limit_ms;
+	int64_t stop_grace_ms;
 
 	struct setting_array peers;
 	struct setting_array access;
--- a/include/briarplankd/node.h
+++ b/include/briarplankd/node.h
@@ -79,6 +79,8 @@
 	uv_timer_t stop_timer;
 	/** End of the time for a graceful stop, and whether it passed. */
 	uint64_t stop_at_ms;
+	/** Until then a stopping node accepts connections and refuses. */
+	uint64_t listen_until_ms;
 	bool stop_cut;
 	/** The task that holds the configuration in force. */
 	struct task *config;
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -38,6 +38,9 @@
 /** Stops listening; requests that run go on. */
 void web_stop_listening(struct web *web);
 
+/** Tells whether new connections are accepted. */
+bool web_listening(const struct web *web);
+
 /** Number of requests without a complete answer. */
 unsigned web_running(const struct web *web);
 
