Pace the pulls of idle agents and wake them when items come

Cause: an idle agent asked each shard owner every 500 ms. Ruled out: the members' pings, which stay at 28 a second.

--- a/briarplankd/agent/batch.c
+++ b/briarplankd/agent/batch.c
@@ -215,7 +215,8 @@
 	gate_wake(batch->gate);
 	if (grants->pull_id == batch->pull_id)
 		batch->pull_until_ms = 0;
-	if (!pause && !grants->n_grants)
+	/* Without a pull it is a wake: the owner has items now. */
+	if (grants->pull_id && !pause && !grants->n_grants)
 		pause = PULL_PAUSE_MS;
 	owner->ask_after_ms = batch_now_ms(batch) + pause;
 	for (i = 0; i < grants->n_grants; i++) {
--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -123,6 +123,7 @@
 	wake(task, shard_index(shard), false);
 	ledger_agents_revoke(task, shard_index(shard));
 	ledger_calls_retry(task);
+	ledger_pulls_tick(task);
 }
 
 static const struct member *find_member(struct ledger_task *task,
@@ -394,6 +395,7 @@
 		uv_run(&base->node->loop, UV_RUN_NOWAIT);
 		record_cache_destroy(task->cache);
 		ledger_schedule_destroy(task->schedule);
+		pull_pace_destroy(task->pace);
 	}
 	g_free(task->reserved_agent);
 	g_free(task);
--- a/briarplankd/entry/ledger_pulls.c
+++ b/briarplankd/entry/ledger_pulls.c
@@ -13,8 +13,13 @@
 #define PULL_ITEMS_MAX 64
 /* Most bytes of bodies in one answer to a pull. */
 #define PULL_BYTES_MAX (4 << 20)
-/* Wait before an agent that got nothing asks again, in ms. */
-#define PULL_AGAIN_MS 500
+/* Bounds of the wait before an agent that got nothing asks again, in ms. */
+#define PULL_AGAIN_MIN_MS 500
+#define PULL_AGAIN_MAX_MS 30000
+/* Pulls a second that all idle agents together may make. */
+#define IDLE_PULLS_PER_S 20
+/* Agents of a service that are woken at a time. */
+#define WAKES_PER_TICK 16
 /* Time in which an agent is emptied for an item that runs alone, in ms. */
 #define RESERVE_MS 30000
 /* Time after which a pull is no longer answered with grants, in ms. */
@@ -88,7 +93,12 @@
 	message.pull_id = pull->id;
 	message.service = pull->service;
 	message.grants = grants;
-	message.retry_after_ms = message.n_grants ? 0 : PULL_AGAIN_MS;
+	if (message.n_grants)
+		pull_pace_served(pull->task->pace, pull->agent);
+	else
+		message.retry_after_ms = pull_pace_empty(
+			pull->task->pace, pull->agent, pull->service,
+			node_now_ms(pull->task->super.node));
 	counter_add(pull->task->granted, message.n_grants);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
 	env.grants = &message;
@@ -348,8 +358,68 @@
 	pull_fetch(pull);
 }
 
+/* An answer to no pull, without grants, asks the agent to pull now. */
+static void wake_agent(struct ledger_task *task, const char *service,
+		       const char *agent)
+{
+	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
+	Briarplank__Grants message = BRIARPLANK__GRANTS__INIT;
+
+	message.service = (char *)service;
+	env.body_case = BRIARPLANK__ENVELOPE__BODY_GRANTS;
+	env.grants = &message;
+	bus_send(task->super.node->bus, agent, &env);
+}
+
+static bool has_items(struct ledger_task *task, const char *service)
+{
+	struct ledger **ledgers = g_new(struct ledger *, task->shards_nr);
+	uint32_t nr = granting_ledgers(task, ledgers);
+	uint64_t now = node_now_ms(task->super.node);
+	uint64_t wall = node_wall_ms();
+	bool found;
+
+	found = ledger_schedule_choose(task->schedule, ledgers, nr, service,
+				       false, now, wall) ||
+		ledger_schedule_choose(task->schedule, ledgers, nr, service,
+				       true, now, wall);
+	g_free(ledgers);
+	return found;
+}
+
+static void wake_service(void *ctx, const char *service)
+{
+	struct ledger_task *task = ctx;
+	unsigned woken;
+	char *agent;
+
+	if (!has_items(task, service))
+		return;
+	for (woken = 0; woken < WAKES_PER_TICK; woken++) {
+		agent = pull_pace_wake(task->pace, service);
+		if (!agent)
+			return;
+		wake_agent(task, service, agent);
+		g_free(agent);
+	}
+}
+
+void ledger_pulls_tick(struct ledger_task *task)
+{
+	pull_pace_expire(task->pace, node_now_ms(task->super.node));
+	if (!task->super.node->stopping)
+		pull_pace_each_service(task->pace, wake_service, task);
+}
+
 void ledger_pulls_start(struct ledger_task *task)
 {
+	struct pull_pace_options options = {
+		.min_wait_ms = PULL_AGAIN_MIN_MS,
+		.max_wait_ms = PULL_AGAIN_MAX_MS,
+		.pulls_per_s = IDLE_PULLS_PER_S,
+	};
+
+	task->pace = pull_pace_create(&options);
 	bus_handle(task->super.node->bus, BRIARPLANK__ENVELOPE__BODY_PULL,
 		   on_pull, task);
 }
--- a/include/briarplankd/entry/ledger_task.h
+++ b/include/briarplankd/entry/ledger_task.h
@@ -11,6 +11,7 @@
 #include "briarplankd/node.h"
 #include "core/ledger.h"
 #include "core/ledger_schedule.h"
+#include "core/pull_pace.h"
 
 /** Time for which a grant holds unless its agent renews it, in ms. */
 #define LEDGER_LEASE_MS 6000
@@ -29,6 +30,8 @@
 	struct list seals;
 	/** Pulls that wait for the log. */
 	struct list pulls;
+	/** Idle agents, and how often they may ask. */
+	struct pull_pace *pace;
 	/** Calls and queries that wait for the log. */
 	unsigned running;
 	uv_timer_t timer;
@@ -54,6 +57,8 @@
 
 /** Registers the handler of pulls. */
 void ledger_pulls_start(struct ledger_task *task);
+/** Wakes idle agents for whose service there are items. */
+void ledger_pulls_tick(struct ledger_task *task);
 /** Registers the handlers of renewals and outcomes. */
 void ledger_agents_start(struct ledger_task *task);
 /** Tells agents of grants that became void. */
