--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -123,7 +123,6 @@
 	wake(task, shard_index(shard), false);
 	ledger_agents_revoke(task, shard_index(shard));
 	ledger_calls_retry(task);
-	ledger_pulls_tick(task);
 }
 
 static const struct member *find_member(struct ledger_task *task,
@@ -278,6 +277,7 @@
 		tend_owned(task, i, now);
 	}
 	ledger_calls_retry(task);
+	ledger_pulls_tick(task);
 }
 
 static void make_shards(struct ledger_task *task)
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -5,7 +5,8 @@
 # file, calls fleet_begin and then what it needs. All processes end with the
 # test.
 #
-# BUILD names the build directory.
+# BUILD names the build directory. FLEET_TAIL is the number of lines of each log
+# that a failed test prints.
 
 FLEET_WAIT_MS=${FLEET_WAIT_MS:-20000}
 
@@ -31,7 +32,7 @@
 		for log in "$FLEET_DIR"/*.log
 		do
 			echo "--- $(basename "$log")" >&2
-			tail -n 25 "$log" >&2
+			tail -n "${FLEET_TAIL:-25}" "$log" >&2
 		done
 	fi
 	rm -rf "$FLEET_DIR"
