Own a shard only while its ledger says so

Cause: a page that ends in another node's claim is folded before the next page is read, and only then does the shard give up. In between, a woken owner that lost another shard told the others that it owned this one under the new owner's epoch; its own map kept that statement, so it never found the owner again and opened the shard every 1.3 s. Ruled out: the bus (members were up and answered), late pongs (their versions order them), the job itself (the other entries showed it done).

--- a/briarplankd/entry/ledger.c
+++ b/briarplankd/entry/ledger.c
@@ -64,10 +64,14 @@
 
 struct ledger *ledger_task_owned(struct ledger_task *task, uint32_t shard)
 {
+	struct ledger *ledger;
+
 	if (shard >= task->shards_nr ||
 	    shard_state(task->shards[shard]) != SHARD_OWNED)
 		return NULL;
-	return shard_ledger(task->shards[shard]);
+	/* Another claim may be folded while further pages are still read. */
+	ledger = shard_ledger(task->shards[shard]);
+	return ledger_owned(ledger) ? ledger : NULL;
 }
 
 static void tell_owned(struct ledger_task *task)
