--- a/common/json_lines.c
+++ b/common/json_lines.c
@@ -1,3 +1,4 @@
+#include <stdbool.h>
 #include <string.h>
 
 #include "common/json_lines.h"
@@ -18,6 +19,7 @@
 
 static void skip_block_comment(struct scanner *scan)
 {
+	scan->at += strlen("/*");
 	while (*scan->at && strncmp(scan->at, "*/", 2)) {
 		if (*scan->at == '\n')
 			scan->line++;
@@ -43,12 +45,19 @@
 	}
 }
 
+/* json-c takes single quotes as well. */
+static bool is_quote(char c)
+{
+	return c == '"' || c == '\'';
+}
+
 static char *scan_string(struct scanner *scan)
 {
+	char quote = *scan->at;
 	const char *start = ++scan->at;
 	char *text;
 
-	while (*scan->at && *scan->at != '"')
+	while (*scan->at && *scan->at != quote)
 		scan->at += *scan->at == '\\' && scan->at[1] ? 2 : 1;
 	text = g_strndup(start, scan->at - start);
 	if (*scan->at)
@@ -82,7 +91,7 @@
 	scan->at++;
 	for (skip_space(scan); *scan->at && *scan->at != '}';
 	     skip_space(scan)) {
-		if (*scan->at == '"')
+		if (is_quote(*scan->at))
 			scan_member(scan, path);
 		else
 			scan->at++;
@@ -120,11 +129,13 @@
 		scan_object(scan, path);
 	} else if (*scan->at == '[') {
 		scan_array(scan, path);
-	} else if (*scan->at == '"') {
+	} else if (is_quote(*scan->at)) {
 		g_free(scan_string(scan));
-	} else {
-		while (*scan->at && !strchr(",]} \t\r\n/", *scan->at))
+	} else if (*scan->at) {
+		/* At least one character, whatever it is, so that scans end. */
+		do {
 			scan->at++;
+		} while (*scan->at && !strchr(",]} \t\r\n/", *scan->at));
 	}
 }
 
