Close connections that stay behind at the end of TLS

One connection's handle was neither active, readable nor writable, with nothing to write, and h2o had not closed it. Ruled out: too few turns of the loop (1000 turns with a pause did not help), requests without an end (none ran), failed handshakes while the entry runs (100 plain requests to the TLS port left no file open). Why h2o leaves it is not known.

Such handles are now closed after a second, and at the end.

--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -12,14 +12,22 @@
 #include "briarplankd/web.h"
 #include "common/error.h"
 #include "common/list.h"
+#include "common/log.h"
 #include "web_private.h"
 #include "web_problem.h"
 
+#define PART "web"
+
 /* Period of the look for callers that left before their answer, in ms. */
 #define CALLER_CHECK_INTERVAL_MS 50
 #define LISTEN_BACKLOG 1024
 /* Turns of the loop in which cut connections must be gone. */
 #define CLOSE_TURNS 100
+/* Turns after which a dead one among them is closed. */
+#define CLOSE_DEAD_TURNS 10
+/* Period and number of looks before a dead connection is closed, in ms. */
+#define DEAD_LOOK_INTERVAL_MS 1000
+#define DEAD_LOOKS 1
 
 struct route {
 	struct list link;
@@ -32,6 +40,9 @@
 struct connection {
 	struct list link;
 	uv_tcp_t tcp;
+	h2o_socket_t *sock;
+	/* Looks at which the connection was found dead but not closed. */
+	unsigned dead_looks;
 };
 
 struct route_handler {
@@ -118,7 +129,6 @@
 {
 	struct web *web = listener->data;
 	struct connection *conn;
-	h2o_socket_t *sock;
 
 	if (status != 0)
 		return;
@@ -130,9 +140,9 @@
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
-	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
-				    on_connection_closed);
-	h2o_accept(&web->accept, sock);
+	conn->sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
+					  on_connection_closed);
+	h2o_accept(&web->accept, conn->sock);
 }
 
 static bool parse_address(const char *text, struct sockaddr_storage *addr)
@@ -222,6 +232,41 @@
 	web->accept.ssl_ctx = options->tls;
 }
 
+/*
+ * h2o closes a connection as soon as its peer is gone, but now and then one
+ * over TLS stays behind: its handle is neither readable nor writable and
+ * nobody will close it.
+ */
+static bool is_dead(const struct connection *conn)
+{
+	const uv_stream_t *stream = (const uv_stream_t *)&conn->tcp;
+
+	return !uv_is_closing((const uv_handle_t *)stream) &&
+	       !uv_is_active((const uv_handle_t *)stream) &&
+	       !uv_is_readable(stream) && !uv_is_writable(stream);
+}
+
+/* Closes what was found dead at this many looks before. */
+static void close_dead(struct web *web, unsigned looks)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &web->connections) {
+		struct connection *conn =
+			list_entry(pos, struct connection, link);
+
+		if (!is_dead(conn))
+			conn->dead_looks = 0;
+		else if (conn->dead_looks++ >= looks)
+			h2o_socket_close(conn->sock);
+	}
+}
+
+static void on_dead_timer(uv_timer_t *timer)
+{
+	close_dead(timer->data, DEAD_LOOKS);
+}
+
 struct web *web_create(const struct web_options *options)
 {
 	struct web *web = g_new0(struct web, 1);
@@ -241,6 +286,10 @@
 	web->caller_timer.data = web;
 	uv_timer_start(&web->caller_timer, on_caller_timer,
 		       CALLER_CHECK_INTERVAL_MS, CALLER_CHECK_INTERVAL_MS);
+	uv_timer_init(web->loop, &web->dead_timer);
+	web->dead_timer.data = web;
+	uv_timer_start(&web->dead_timer, on_dead_timer, DEAD_LOOK_INTERVAL_MS,
+		       DEAD_LOOK_INTERVAL_MS);
 	if (listen_on(web, options->address))
 		return web;
 	web_destroy(web);
@@ -299,7 +348,9 @@
 		if (list_empty(&web->connections))
 			return;
 		uv_run(web->loop, UV_RUN_NOWAIT);
+		close_dead(web, CLOSE_DEAD_TURNS);
 	}
+	log_warn(PART, "connections were still open at the end");
 }
 
 void web_destroy(struct web *web)
@@ -308,6 +359,8 @@
 	cut_connections(web);
 	uv_timer_stop(&web->caller_timer);
 	uv_close((uv_handle_t *)&web->caller_timer, NULL);
+	uv_timer_stop(&web->dead_timer);
+	uv_close((uv_handle_t *)&web->dead_timer, NULL);
 	uv_run(web->loop, UV_RUN_NOWAIT);
 	h2o_timeout_unlink(&web->context.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&web->context);
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -24,6 +24,8 @@
 	struct list connections;
 	unsigned running;
 	uv_timer_t caller_timer;
+	/* Looks for connections that h2o has forgotten. */
+	uv_timer_t dead_timer;
 	struct counter *requests_total;
 	struct counter *callers_left;
 };
