Parse hexadecimal and dispatch scripted commands in one place each

Read of the whole change: the digits of a key's digest (access.c) and of a job's id (commands/cancel.c) were parsed by two copies of one loop, now hash_from_hex(); the socket suites (bus, web, platform) each carried the same table search, now script_dispatch(). Behaviour, transcripts and the message for an unknown command are as before.

The whole of scripts/check was not run again.

--- a/briarplankd/access.c
+++ b/briarplankd/access.c
@@ -5,9 +5,9 @@
 #include <openssl/sha.h>
 
 #include "briarplankd/access.h"
+#include "common/hash.h"
 
 #define BEARER "Bearer "
-#define DIGEST_HEX_BYTES (2 * SHA256_DIGEST_LENGTH)
 /* Failures answered at once, and a second in the long run. */
 #define FAILURES_BURST 20
 #define FAILURES_PER_S 5
@@ -28,19 +28,7 @@
 
 bool access_parse_digest(const char *hex, uint8_t digest[ACCESS_DIGEST_BYTES])
 {
-	size_t i;
-
-	if (strlen(hex) != DIGEST_HEX_BYTES)
-		return false;
-	for (i = 0; i < SHA256_DIGEST_LENGTH; i++) {
-		int high = g_ascii_xdigit_value(hex[2 * i]);
-		int low = g_ascii_xdigit_value(hex[2 * i + 1]);
-
-		if (high < 0 || low < 0)
-			return false;
-		digest[i] = (uint8_t)(high << 4 | low);
-	}
-	return true;
+	return hash_from_hex(hex, digest, ACCESS_DIGEST_BYTES);
 }
 
 static void index_add(struct access_index *index,
--- a/briarplankd/entry/commands/cancel.c
+++ b/briarplankd/entry/commands/cancel.c
@@ -2,24 +2,6 @@
 
 #include "jobs.h"
 
-/* Parses 32 hexadecimal digits. */
-static bool parse_id(const char *text, uint8_t id[HASH128_BYTES])
-{
-	size_t i;
-
-	if (strlen(text) != 2 * HASH128_BYTES)
-		return false;
-	for (i = 0; i < HASH128_BYTES; i++) {
-		int high = g_ascii_xdigit_value(text[2 * i]);
-		int low = g_ascii_xdigit_value(text[2 * i + 1]);
-
-		if (high < 0 || low < 0)
-			return false;
-		id[i] = (uint8_t)(high << 4 | low);
-	}
-	return true;
-}
-
 /* An id as show jobs has it, or CALLER/NAME, or a name of the operator's own. */
 static void run(struct operator_call *call)
 {
@@ -34,7 +16,7 @@
 		.job_id = id,
 	};
 
-	if (!parse_id(subject, id))
+	if (!hash_from_hex(subject, id, HASH128_BYTES))
 		hash128_pair(caller, slash ? slash + 1 : subject, id);
 	jobs_command(call, &request);
 	g_free(caller);
--- a/common/hash.c
+++ b/common/hash.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <glib.h>
 #include <xxhash.h>
 
 #include "common/hash.h"
@@ -48,6 +49,23 @@
 	XXH3_freeState(state);
 }
 
+bool hash_from_hex(const char *text, uint8_t *bytes, size_t len)
+{
+	size_t i;
+
+	if (strlen(text) != 2 * len)
+		return false;
+	for (i = 0; i < len; i++) {
+		int high = g_ascii_xdigit_value(text[2 * i]);
+		int low = g_ascii_xdigit_value(text[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return false;
+		bytes[i] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
 void hash_to_hex(const uint8_t *bytes, size_t len, char *out)
 {
 	size_t i;
--- a/tests/script.c
+++ b/tests/script.c
@@ -124,6 +124,20 @@
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+void script_dispatch(const struct script_command *commands, size_t nr,
+		     void *state, int argc, char **argv, GString *out)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		if (strcmp(commands[i].name, argv[0]))
+			continue;
+		commands[i].run(state, argc, argv);
+		return;
+	}
+	g_string_append(out, "no such command\n");
+}
+
 const char *script_arg(int argc, char **argv, const char *key,
 		       const char *fallback)
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -22,6 +22,16 @@
 	void (*command)(void *state, int argc, char **argv, GString *out);
 };
 
+/** One command of a driver that has a table of them. */
+struct script_command {
+	const char *name;
+	void (*run)(void *state, int argc, char **argv);
+};
+
+/** Runs the command that argv names; says so when the table has none. */
+void script_dispatch(const struct script_command *commands, size_t nr,
+		     void *state, int argc, char **argv, GString *out);
+
 /** Runs each transcript (*.txt) of the driver's folder; the exit status. */
 int script_main(const struct script_driver *driver, int argc, char **argv);
 
--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -169,8 +169,9 @@
  * bus LABEL [as=NAME] [incarnation=N] [at=LABEL] [public=KEYS] [secret=KEYS]
  * starts a node, on the address of another that was stopped if so asked.
  */
-static void cmd_bus(struct state *state, int argc, char **argv)
+static void cmd_bus(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	struct node *node = node_make(state, argv[1]);
 	const char *at = script_arg(argc, argv, "at", NULL);
 	const char *public_keys = script_arg(argc, argv, "public", NULL);
@@ -203,15 +204,17 @@
 	bus_handle(node->bus, BRIARPLANK__ENVELOPE__BODY_PING, on_ping, node);
 }
 
-static void cmd_stop(struct state *state, int argc, char **argv)
+static void cmd_stop(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	node_stop(node_find(state, argv[1]));
 }
 
 /* peer A B: tells A where B is */
-static void cmd_peer(struct state *state, int argc, char **argv)
+static void cmd_peer(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	struct node *peer = node_find(state, argv[2]);
 
 	(void)argc;
@@ -219,22 +222,25 @@
 }
 
 /* forget A NAME */
-static void cmd_forget(struct state *state, int argc, char **argv)
+static void cmd_forget(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	bus_peer_remove(node_find(state, argv[1])->bus, argv[2]);
 }
 
 /* answers A: A answers each ping with a nonce 1000 higher */
-static void cmd_answers(struct state *state, int argc, char **argv)
+static void cmd_answers(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	node_find(state, argv[1])->answers = true;
 }
 
 /* forgets A NAME: A removes a peer while it handles a ping */
-static void cmd_forgets(struct state *state, int argc, char **argv)
+static void cmd_forgets(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	node_find(state, argv[1])->forgets = g_strdup(argv[2]);
 }
@@ -247,8 +253,9 @@
 }
 
 /* send A NAME NONCE [until=ok|not-sent]: until the status comes */
-static void cmd_send(struct state *state, int argc, char **argv)
+static void cmd_send(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	const char *until = script_arg(argc, argv, "until", NULL);
 	uint64_t nonce = strtoul(argv[3], NULL, 10);
 	struct node *from = node_find(state, argv[1]);
@@ -268,8 +275,9 @@
 }
 
 /* big A NAME BYTES: sends a message with so many bytes in it */
-static void cmd_big(struct state *state, int argc, char **argv)
+static void cmd_big(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__AnswerChunk chunk = BRIARPLANK__ANSWER_CHUNK__INIT;
 
@@ -300,8 +308,9 @@
 }
 
 /* receive A NR: waits for so many pings and prints them */
-static void cmd_receive(struct state *state, int argc, char **argv)
+static void cmd_receive(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	state->awaited = node_find(state, argv[1]);
 	state->wanted = (unsigned)strtoul(argv[2], NULL, 10);
@@ -311,8 +320,9 @@
 }
 
 /* quiet A MS: prints what comes meanwhile */
-static void cmd_quiet(struct state *state, int argc, char **argv)
+static void cmd_quiet(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	loop_sleep(&state->loop, strtoul(argv[2], NULL, 10));
 	print_received(state, node_find(state, argv[1]));
@@ -328,8 +338,9 @@
 }
 
 /* count A METRIC NR: waits until a counter has reached a number */
-static void cmd_count(struct state *state, int argc, char **argv)
+static void cmd_count(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	char *name = g_strdup_printf("briarplank_bus_%s_total", argv[2]);
 
 	(void)argc;
@@ -343,8 +354,9 @@
 }
 
 /* bytes A BYTES: raw bytes to the port of A */
-static void cmd_bytes(struct state *state, int argc, char **argv)
+static void cmd_bytes(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	char *bytes = g_strcompress(argv[2]);
 	struct raw_client *client = raw_client_create(
 		&state->loop, node_find(state, argv[1])->address);
@@ -419,8 +431,9 @@
 }
 
 /* frames A IDENTITY FRAME...: a ZeroMQ peer; @NAME is an envelope of NAME */
-static void cmd_frames(struct state *state, int argc, char **argv)
+static void cmd_frames(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	void *socket = peer_socket(state, argv[1], argv[2], NULL, NULL);
 
 	send_frames(socket, argc - 3, argv + 3);
@@ -429,8 +442,9 @@
 }
 
 /* curve A SERVER-KEYS OWN-KEYS FRAME...: a peer named x with keys */
-static void cmd_curve(struct state *state, int argc, char **argv)
+static void cmd_curve(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	void *socket =
 		peer_socket(state, argv[1], "x#1", key_find(state, argv[2]),
 			    key_find(state, argv[3]));
@@ -448,8 +462,9 @@
 }
 
 /* flood A B: sends without a pause until a message is refused */
-static void cmd_flood(struct state *state, int argc, char **argv)
+static void cmd_flood(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	struct node *from = node_find(state, argv[1]);
 	struct node *to = node_find(state, argv[2]);
 	unsigned before = to->total;
@@ -474,12 +489,7 @@
 	to->received_nr = 0;
 }
 
-struct command {
-	const char *name;
-	void (*run)(struct state *state, int argc, char **argv);
-};
-
-static const struct command commands[] = {
+static const struct script_command commands[] = {
 	{ "answers", cmd_answers }, { "big", cmd_big },
 	{ "bus", cmd_bus },	    { "bytes", cmd_bytes },
 	{ "count", cmd_count },	    { "curve", cmd_curve },
@@ -493,16 +503,10 @@
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
-	size_t i;
 
 	state->out = out;
-	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, argv[0]))
-			continue;
-		commands[i].run(state, argc, argv);
-		return;
-	}
-	g_string_append(out, "no such command\n");
+	script_dispatch(commands, G_N_ELEMENTS(commands), state, argc, argv,
+			out);
 }
 
 static const struct script_driver driver = {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -118,8 +118,9 @@
 }
 
 /* start COMMAND [option...] */
-static void cmd_start(struct state *state, int argc, char **argv)
+static void cmd_start(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	state->standin = standin_start(&state->loop, argc - 1, argv + 1);
 	if (!state->standin) {
 		g_string_append(state->out, "bad\n");
@@ -130,8 +131,9 @@
 }
 
 /* raw BYTES [then=hold|close|reset]: a peer that answers with the bytes */
-static void cmd_raw(struct state *state, int argc, char **argv)
+static void cmd_raw(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	const char *then = script_arg(argc, argv, "then", "hold");
 	char *bytes = g_strcompress(argv[1]);
 
@@ -144,8 +146,9 @@
 }
 
 /* nobody: the port of a server that is gone */
-static void cmd_nobody(struct state *state, int argc, char **argv)
+static void cmd_nobody(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	struct raw_server *gone =
 		raw_server_create(&state->loop, "", RAW_CLOSE);
 
@@ -155,8 +158,9 @@
 	raw_server_destroy(gone);
 }
 
-static void cmd_received(struct state *state, int argc, char **argv)
+static void cmd_received(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	const GString *received = raw_server_received(state->raw);
 	char **lines = g_strsplit(received->str, "\r\n", -1);
 	char **line;
@@ -210,8 +214,9 @@
 }
 
 /* fault QUERY [end=1]: with end, waits for the end of a call that runs */
-static void cmd_fault(struct state *state, int argc, char **argv)
+static void cmd_fault(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	char *path = g_strdup_printf("/fault?%s", argv[1]);
 
 	fetch(state, "POST", path, "", on_fault_set);
@@ -222,13 +227,15 @@
 }
 
 /* fetch METHOD PATH [BODY] */
-static void cmd_fetch(struct state *state, int argc, char **argv)
+static void cmd_fetch(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	fetch(state, argv[1], argv[2], argc > 3 ? argv[3] : "", on_answer);
 }
 
-static void cmd_sleep(struct state *state, int argc, char **argv)
+static void cmd_sleep(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	loop_sleep(&state->loop, g_ascii_strtoull(argv[1], NULL, 10));
 }
@@ -246,8 +253,9 @@
 }
 
 /* append STREAM PAYLOAD */
-static void cmd_append(struct state *state, int argc, char **argv)
+static void cmd_append(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	state->log->ops->append(state->log, argv[1], argv[2], strlen(argv[2]),
 				on_appended, state);
@@ -275,8 +283,9 @@
 }
 
 /* read STREAM [from=N] [max=BYTES] [wait=MS] [append=PAYLOAD] */
-static void cmd_read(struct state *state, int argc, char **argv)
+static void cmd_read(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	const char *append = script_arg(argc, argv, "append", NULL);
 
 	state->log->ops->read(
@@ -306,8 +315,9 @@
 	state->done = true;
 }
 
-static void cmd_load(struct state *state, int argc, char **argv)
+static void cmd_load(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	state->backend->ops->load(state->backend, on_load, state);
@@ -325,8 +335,9 @@
 }
 
 /* order action=A [model=M] [version=V] [adapter=A] [role=R] [number=N] */
-static void cmd_order(struct state *state, int argc, char **argv)
+static void cmd_order(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	struct backend_order order = {
 		.action = script_arg(argc, argv, "action", ""),
 		.model = script_arg(argc, argv, "model", NULL),
@@ -356,8 +367,9 @@
 	state->done = true;
 }
 
-static void cmd_held(struct state *state, int argc, char **argv)
+static void cmd_held(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	state->backend->ops->held(state->backend, on_held, state);
@@ -380,8 +392,9 @@
 	state->done = true;
 }
 
-static void cmd_vms(struct state *state, int argc, char **argv)
+static void cmd_vms(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	state->vms->ops->fetch(state->vms, on_vms, state);
@@ -402,8 +415,9 @@
 }
 
 /* describe MODEL VERSION */
-static void cmd_describe(struct state *state, int argc, char **argv)
+static void cmd_describe(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	state->weights->ops->describe(state->weights, argv[1], argv[2],
 				      on_described, state);
@@ -555,8 +569,9 @@
  * [resume=N|next] [first=MS] [idle=MS] [cancel=BYTES] [pause=MS]
  * [field=NAME:VALUE] [quiet=1]; resume=next goes on with the call before.
  */
-static void cmd_call(struct state *state, int argc, char **argv)
+static void cmd_call(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	const char *field = script_arg(argc, argv, "field", NULL);
 	char **pair = g_strsplit(field ? field : "x:y", ":", 2);
 	struct http_field fields[] = { { pair[0], g_strcompress(pair[1]) } };
@@ -602,12 +617,7 @@
 	g_free(path);
 }
 
-struct command {
-	const char *name;
-	void (*run)(struct state *state, int argc, char **argv);
-};
-
-static const struct command commands[] = {
+static const struct script_command commands[] = {
 	{ "append", cmd_append },     { "call", cmd_call },
 	{ "describe", cmd_describe }, { "fault", cmd_fault },
 	{ "fetch", cmd_fetch },	      { "held", cmd_held },
@@ -621,17 +631,11 @@
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
-	size_t i;
 
 	state->out = out;
 	state->done = false;
-	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, argv[0]))
-			continue;
-		commands[i].run(state, argc, argv);
-		return;
-	}
-	g_string_append(out, "no such command\n");
+	script_dispatch(commands, G_N_ELEMENTS(commands), state, argc, argv,
+			out);
 }
 
 static const struct script_driver driver = {
--- a/tests/test_web.c
+++ b/tests/test_web.c
@@ -201,8 +201,9 @@
 }
 
 /* send CLIENT BYTES */
-static void cmd_send(struct state *state, int argc, char **argv)
+static void cmd_send(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	char *bytes = g_strcompress(argv[2]);
 
 	(void)argc;
@@ -211,8 +212,9 @@
 }
 
 /* post CLIENT PATH BYTES: a POST with a body of so many bytes */
-static void cmd_post(struct state *state, int argc, char **argv)
+static void cmd_post(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	size_t len = strtoul(argv[3], NULL, 10);
 	GString *text = g_string_new(NULL);
 
@@ -226,8 +228,9 @@
 }
 
 /* fill CLIENT BYTES: sends so many bytes of a body */
-static void cmd_fill(struct state *state, int argc, char **argv)
+static void cmd_fill(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	size_t len = strtoul(argv[2], NULL, 10);
 	char *bytes = g_malloc(len);
 
@@ -284,8 +287,9 @@
 }
 
 /* receive CLIENT: the next answer, or what came before the end */
-static void cmd_receive(struct state *state, int argc, char **argv)
+static void cmd_receive(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	GString *received;
 	size_t len;
 
@@ -309,8 +313,9 @@
 }
 
 /* ended CLIENT: waits for the end, and tells how many bytes are left */
-static void cmd_ended(struct state *state, int argc, char **argv)
+static void cmd_ended(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	state->awaited = client_find(state, argv[1]);
 	if (loop_wait(&state->loop, has_ended, state, LOOP_WAIT_MS))
@@ -321,15 +326,17 @@
 		g_string_append(state->out, "still open\n");
 }
 
-static void cmd_half_close(struct state *state, int argc, char **argv)
+static void cmd_half_close(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	raw_client_half_close(client_find(state, argv[1]));
 }
 
 /* close CLIENT [reset=1] */
-static void cmd_close(struct state *state, int argc, char **argv)
+static void cmd_close(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	gpointer name, client;
 
 	g_hash_table_steal_extended(state->clients, argv[1], &name, &client);
@@ -338,8 +345,9 @@
 }
 
 /* read CLIENT on|off */
-static void cmd_read(struct state *state, int argc, char **argv)
+static void cmd_read(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	raw_client_read(client_find(state, argv[1]), !strcmp(argv[2], "on"));
 }
@@ -352,8 +360,9 @@
 }
 
 /* events NR: waits for so many and prints them */
-static void cmd_events(struct state *state, int argc, char **argv)
+static void cmd_events(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	state->events_wanted = (unsigned)strtoul(argv[1], NULL, 10);
 	if (!loop_wait(&state->loop, has_events, state, LOOP_WAIT_MS))
@@ -364,8 +373,9 @@
 }
 
 /* answer: answers the request of /late */
-static void cmd_answer(struct state *state, int argc, char **argv)
+static void cmd_answer(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	if (state->late)
@@ -374,15 +384,17 @@
 		g_string_append(state->out, "nobody waits\n");
 }
 
-static void cmd_sleep(struct state *state, int argc, char **argv)
+static void cmd_sleep(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	loop_sleep(&state->loop, strtoul(argv[1], NULL, 10));
 }
 
 /* queued: tells whether the stream holds more than one piece back */
-static void cmd_queued(struct state *state, int argc, char **argv)
+static void cmd_queued(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	g_string_append_printf(state->out, "%s, pieces left: %s\n",
@@ -392,19 +404,15 @@
 			       state->pieces ? "some" : "none");
 }
 
-static void cmd_running(struct state *state, int argc, char **argv)
+static void cmd_running(void *data, int argc, char **argv)
 {
+	struct state *state = data;
 	(void)argc;
 	(void)argv;
 	g_string_append_printf(state->out, "%u\n", web_running(state->web));
 }
 
-struct command {
-	const char *name;
-	void (*run)(struct state *state, int argc, char **argv);
-};
-
-static const struct command commands[] = {
+static const struct script_command commands[] = {
 	{ "answer", cmd_answer },   { "close", cmd_close },
 	{ "ended", cmd_ended },	    { "events", cmd_events },
 	{ "fill", cmd_fill },	    { "half-close", cmd_half_close },
@@ -417,16 +425,10 @@
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
-	size_t i;
 
 	state->out = out;
-	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, argv[0]))
-			continue;
-		commands[i].run(state, argc, argv);
-		return;
-	}
-	g_string_append(out, "no such command\n");
+	script_dispatch(commands, G_N_ELEMENTS(commands), state, argc, argv,
+			out);
 }
 
 static const struct script_driver driver = {
