Wait for a killed entry's end before asking it

Cause: the last step of the operators' test kills an entry and asks it at once, and expects "nothing was sent". A dying process may still take the connection; the client then says truly that the command may have taken effect, and the test fails.

--- a/tests/process/operators.sh
+++ b/tests/process/operators.sh
@@ -122,7 +122,10 @@
 		-k "$FLEET_DIR/ann.key" >"$FLEET_DIR/out" 2>&1
 test $? -eq 2 || fleet_fail "a script's status was lost"
 said 'service.chat.created'
+# A dying entry may still take a connection: then the client can't say that
+# nothing was sent.
 fleet_signal entry-2 KILL
+fleet_wait entry-2
 ctl 3 entry-2 ann show nodes
 said 'nothing was sent'
 echo "commands, conflicts, resends and partial views end as they should"
