Cut and delay regions with a proxy between real processes

Cause: a region that is cut off and comes back, and a slow link between regions, were tested in virtual time only; real nodes all stood on one loopback without delay.

Ruled out: network namespaces and traffic shaping of the kernel, which need rights that tests lack; one proxy address for a node in all regions, which would delay its own region as well.

Change: the stand-in program has a command "proxy" that delays, narrows, cuts (bytes held, connections kept) and resets connections by faults over HTTP. The harness puts one before each region and gives each region a list of VMs of its own. A node introduces itself to other regions by the new setting node.bus_advertised, as it must where a gateway stands between; before, its introduction led round the proxy.

Test: process_region_cut has 5 nodes in akl and 3 in chc, 60 ms apart each way. Changes are in force at all within 8 s, 10 requests of each region stay there; then both ways and chc's log are cut for 7 s under a job of 1,500 items, an operator and requests.

--- a/briarplankd/daemon_settings.c
+++ b/briarplankd/daemon_settings.c
@@ -58,6 +58,8 @@
 	  .help = "region of this VM" },
 	{ "node.bus", SETTING_ADDRESS, DAEMON(bus_address), .required = true,
 	  .help = "address for messages between nodes" },
+	{ "node.bus_advertised", SETTING_ADDRESS, DAEMON(bus_advertised),
+	  .help = "address at which nodes of other regions reach node.bus, where a gateway stands between" },
 	{ "node.stop_grace_ms", SETTING_INT, DAEMON(stop_grace_ms), .min = 0,
 	  .max = 600000, .unit = "ms", .fallback = "1000",
 	  .help = "time in which a stopping node still accepts connections and refuses requests, so that the balancer can see that it isn't ready" },
--- a/briarplankd/members_messages.c
+++ b/briarplankd/members_messages.c
@@ -9,6 +9,17 @@
 /* Round trips above this come from a broken nonce, in us. */
 #define ROUND_TRIP_MAX_US 60000000
 
+/* Between regions a gateway may stand before the bus. */
+static char *address_for(const struct node *node, const struct member *member)
+{
+	const struct daemon_settings *settings = node->settings;
+
+	if (settings->bus_advertised &&
+	    strcmp(member->region, settings->region) != 0)
+		return settings->bus_advertised;
+	return (char *)bus_address(node->bus);
+}
+
 void members_send_ping(struct members_task *task, struct member *member)
 {
 	struct node *node = task->super.node;
@@ -18,7 +29,7 @@
 	Briarplank__NodeFacts facts = BRIARPLANK__NODE_FACTS__INIT;
 
 	facts.role = settings->role;
-	facts.address = (char *)bus_address(node->bus);
+	facts.address = address_for(node, member);
 	facts.data_centre = settings->data_centre;
 	facts.region = settings->region;
 	facts.service = settings->service ? settings->service : "";
--- a/include/briarplankd/daemon_settings.h
+++ b/include/briarplankd/daemon_settings.h
@@ -37,6 +37,8 @@
 	char *data_centre;
 	char *region;
 	char *bus_address;
+	/** Where other regions reach the bus; NULL for the same address. */
+	char *bus_advertised;
 	int log_level;
 
 	char *web_address;
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -101,6 +101,52 @@
 	FLEET_VMS=$(fleet_address vms)
 }
 
+# Sets or ends a fault of a stand-in: fleet_fault NAME QUERY.
+fleet_fault () {
+	curl -sf -X POST "http://$(fleet_address "$1")/fault?$2" >/dev/null ||
+		fleet_fail "$1 didn't take the fault $2"
+}
+
+# fleet_link PROXY NAME [ADDRESS]: prints the address of a proxy's link, which
+# leads to the address once one is given.
+fleet_link () {
+	proxy=http://$(fleet_address "$1")
+	curl -sf -X POST "$proxy/link?name=$2" || fleet_fail "no link to $2"
+	test -z "${3:-}" ||
+		curl -sf -X POST "$proxy/target?name=$2&address=$3" \
+			>/dev/null || fleet_fail "$2 has no target"
+}
+
+# fleet_regions REGION... [-- PROXY ARGS]: puts a proxy "wan-REGION" before the
+# nodes of each region that are started from now on; the other regions reach
+# them through it, and find them in a list of VMs of their own.
+fleet_regions () {
+	FLEET_REGIONS=
+	while test $# -gt 0 && test "$1" != --
+	do
+		FLEET_REGIONS="$FLEET_REGIONS $1"
+		shift
+	done
+	test $# -eq 0 || shift
+	for region in $FLEET_REGIONS
+	do
+		fleet_standin "wan-$region" proxy "$@"
+		fleet_standin "vms-$region" vms
+	done
+}
+
+# Prints a node's further settings where regions have proxies.
+fleet_advertised () {
+	test -z "${FLEET_REGIONS:-}" ||
+		printf '"bus_advertised": "%s",' \
+			"$(fleet_link "wan-$2" "$1")"
+}
+
+fleet_vms () {
+	test -z "${FLEET_REGIONS:-}" && echo "$FLEET_VMS" ||
+		fleet_address "vms-$1"
+}
+
 # Access rules of all entries; the key of each is its name.
 fleet_access () {
 	printf '%s\n' "$*" | tr ' ' '\n' | while IFS=: read -r caller class flag
@@ -128,10 +174,11 @@
 {
 	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "entry", "data_centre": "$2",
-		  "region": "$3", "bus": "127.0.0.1:0" },
+		  "region": "$3", $(fleet_advertised "$1" "$3")
+		  "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
 	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$(fleet_vms "$3")"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
 	"ledger": { "shards": ${FLEET_SHARDS:-4} },
 	"peers": [ ${FLEET_PEERS:-} ],
 	"access": [ ${FLEET_ACCESS:-} ]
@@ -147,10 +194,11 @@
 {
 	${FLEET_SETTINGS:+$FLEET_SETTINGS,}
 	"node": { "name": "$1", "role": "agent", "data_centre": "$2",
-		  "region": "$3", "bus": "127.0.0.1:0" },
+		  "region": "$3", $(fleet_advertised "$1" "$3")
+		  "bus": "127.0.0.1:0" },
 	"log": { "level": "${FLEET_LEVEL:-info}" },
 	"web": { "listen": "127.0.0.1:0"${FLEET_WEB:+, $FLEET_WEB} },
-	"platform": { "log": "$FLEET_LOG", "vm_list": "$FLEET_VMS"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
+	"platform": { "log": "$FLEET_LOG", "vm_list": "$(fleet_vms "$3")"${FLEET_PLATFORM_SETTINGS:+, $FLEET_PLATFORM_SETTINGS} },
 	"server": { "service": "$4", "address": "$5", "kind": "${6:-engine}"${FLEET_SERVER:+, $FLEET_SERVER} },
 	"peers": [ ${FLEET_PEERS:-} ],
 	"ledger": { "shards": ${FLEET_SHARDS:-4} }
@@ -165,6 +213,15 @@
 	fleet_spawn "$1" "$BUILD/briarplankd/briarplankd" \
 		--config "$FLEET_DIR/$1.json"
 	wait_until fleet_has_word "$1" "bus"
+	test -z "${FLEET_REGIONS:-}" || fleet_retarget "$1"
+}
+
+# Leads the other regions to where a node is now.
+fleet_retarget () {
+	region=$(sed -n 's/.*"region": "\([^"]*\)".*/\1/p' \
+		"$FLEET_DIR/$1.json" | head -n 1)
+	fleet_link "wan-$region" "$1" "$(fleet_word "$1" bus)" \
+		>"$FLEET_DIR/$1.wan"
 }
 
 # Notes a node's row of the list of VMs, in place of an older one.
@@ -173,15 +230,43 @@
 		>"$FLEET_DIR/$1.row"
 }
 
-# Gives the list of VMs the rows of all nodes.
-fleet_publish () {
-	cat "$FLEET_DIR"/*.row | paste -s -d, - | sed 's/^/[/; s/$/]/' \
+# Notes the address of a node that was started again.
+fleet_row_again () {
+	sed "s/\"address\":\"[^\"]*\"/\"address\":\"$(fleet_word "$1" bus)\"/" \
+		"$FLEET_DIR/$1.row" >"$FLEET_DIR/row" &&
+		mv "$FLEET_DIR/row" "$FLEET_DIR/$1.row"
+}
+
+# fleet_rows REGION: prints the rows of all nodes as the region sees them.
+fleet_rows () {
+	for row in "$FLEET_DIR"/*.row
+	do
+		if grep -q "\"region\":\"$1\"" "$row" || test -z "$1"
+		then
+			cat "$row"
+		else
+			sed "s/\"address\":\"[^\"]*\"/\"address\":\"$(cat "${row%.row}.wan")\"/" "$row"
+		fi
+	done
+}
+
+# fleet_publish_to REGION ADDRESS: gives a list of VMs the rows of all nodes.
+fleet_publish_to () {
+	fleet_rows "$1" | paste -s -d, - | sed 's/^/[/; s/$/]/' \
 		>"$FLEET_DIR/vms.json"
 	curl -sf -X POST --data-binary "@$FLEET_DIR/vms.json" \
-		"http://$FLEET_VMS/v1/vms" >/dev/null ||
+		"http://$2/v1/vms" >/dev/null ||
 		fleet_fail "the list of VMs was not taken"
 }
 
+fleet_publish () {
+	fleet_publish_to "" "$FLEET_VMS"
+	for region in ${FLEET_REGIONS:-}
+	do
+		fleet_publish_to "$region" "$(fleet_address "vms-$region")"
+	done
+}
+
 # Prints an entry's or agent's base URL.
 fleet_url () {
 	echo "http://$(fleet_word "$1" web)"
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -39,7 +39,7 @@
 
 	if (argc < 2) {
 		fprintf(stderr,
-			"usage: standin engine|log|plain|vms|weights\n");
+			"usage: standin engine|log|plain|proxy|vms|weights\n");
 		return EXIT_USAGE;
 	}
 	log_open(LOG_LEVEL_WARN);
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -40,11 +40,12 @@
 static const char *const fault_names[FAULT_KINDS] = {
 	"none",	       "outage",  "slow",      "reject", "lose_answer",
 	"half_answer", "garbage", "duplicate", "stall",	 "kill_streams",
+	"cut",	       "reset",	  "narrow",
 };
 
 static const struct standin_command *const commands[] = {
-	&engine_command, &log_command,	   &plain_command,
-	&vms_command,	 &weights_command,
+	&engine_command, &log_command, &plain_command,
+	&proxy_command,	 &vms_command, &weights_command,
 };
 
 const struct standin_command *standin_find(const char *name)
@@ -86,6 +87,11 @@
 	return kind == FAULT_SLOW || !fault->ms || age_ms < fault->ms;
 }
 
+const struct fault *standin_fault(const struct standin *standin)
+{
+	return &standin->fault;
+}
+
 bool standin_strikes(struct standin *standin, enum fault_kind kind)
 {
 	if (!standin_faulty(standin, kind))
@@ -407,3 +413,8 @@
 {
 	return standin->loop;
 }
+
+struct web *standin_web(const struct standin *standin)
+{
+	return standin->web;
+}
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -37,6 +37,12 @@
 	FAULT_STALL,
 	/** Streams that run break at once; later ones don't. */
 	FAULT_KILL_STREAMS,
+	/** Nothing passes a proxy; bytes are held, connections stay. */
+	FAULT_CUT,
+	/** A proxy resets its connections, new ones as well. */
+	FAULT_RESET,
+	/** A proxy passes count bytes a second. */
+	FAULT_NARROW,
 	FAULT_KINDS,
 };
 
@@ -44,7 +50,7 @@
 	enum fault_kind kind;
 	/** Delay of FAULT_SLOW; else the time until it ends, 0 for no end. */
 	uint64_t ms;
-	/** Requests that it strikes, 0 for no limit. */
+	/** Requests that it strikes, 0 for no limit; rate of FAULT_NARROW. */
 	uint64_t count;
 	/** Status of FAULT_REJECT. */
 	int status;
@@ -76,6 +82,7 @@
 extern const struct standin_command engine_command;
 extern const struct standin_command log_command;
 extern const struct standin_command plain_command;
+extern const struct standin_command proxy_command;
 extern const struct standin_command vms_command;
 extern const struct standin_command weights_command;
 
@@ -91,14 +98,18 @@
 /** Returns the bound IP:PORT. */
 const char *standin_address(const struct standin *standin);
 
-/** For commands: the loop, and routes that faults strike first. */
+/** For commands: the loop, routes, and routes that faults strike first. */
 uv_loop_t *standin_loop(const struct standin *standin);
+struct web *standin_web(const struct standin *standin);
 void standin_route(struct standin *standin, const char *prefix,
 		   web_handler_fn fn, void *ctx);
 
 /** Tells whether a fault is set, and counts a strike when it is. */
 bool standin_strikes(struct standin *standin, enum fault_kind kind);
 
+/** Returns the fault that was set last. */
+const struct fault *standin_fault(const struct standin *standin);
+
 /** Tells whether a fault is set. */
 bool standin_faulty(struct standin *standin, enum fault_kind kind);
 
