--- a/tests/standin/log.c
+++ b/tests/standin/log.c
@@ -30,6 +30,9 @@
 	GQueue records;
 	uint64_t end;
 	struct list waiters;
+	/* Calls since the start. */
+	int64_t reads;
+	int64_t appends;
 };
 
 /* A read that waits for its record. */
@@ -198,6 +201,7 @@
 	uint64_t max_bytes =
 		standin_query_int(request, "max_bytes", DEFAULT_MAX_BYTES);
 
+	stream->reads++;
 	stream_trim(state, stream);
 	if (from >= stream->end && wait_ms)
 		wait_for_record(state, stream, request, from, max_bytes,
@@ -256,6 +260,7 @@
 			    state->settings.appends_per_s);
 		return;
 	}
+	stream->appends++;
 	body = web_body(request, &len);
 	answer.offset = store(stream, body, len);
 	if (standin_strikes(state->standin, FAULT_DUPLICATE))
@@ -325,6 +330,30 @@
 	standin_answer_json(state->standin, request, 200, root);
 }
 
+/* Reads and appends of each stream since the start. */
+static void on_counts(void *ctx, struct web_request *request)
+{
+	struct log_state *state = ctx;
+	struct json_object *root = json_object_new_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, state->streams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct stream *stream = value;
+		struct json_object *row = json_object_new_object();
+
+		json_object_object_add(row, "name",
+				       json_object_new_string(stream->name));
+		json_object_object_add(row, "reads",
+				       json_object_new_int64(stream->reads));
+		json_object_object_add(row, "appends",
+				       json_object_new_int64(stream->appends));
+		json_object_array_add(root, row);
+	}
+	standin_answer_json(state->standin, request, 200, root);
+}
+
 /* Reads that wait when an outage begins lose their connection. */
 static void log_faulted(void *data, const struct fault *fault)
 {
@@ -360,6 +389,7 @@
 	state->streams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       stream_free);
 	standin_route(standin, "/v1/streams", on_list, state);
+	standin_route(standin, "/v1/counts", on_counts, state);
 	standin_route(standin, PREFIX, on_records, state);
 	return state;
 }
