Measure priority over batch with real processes

Cause: harm to online callers and batch throughput had been measured in virtual time only.

Ruled out: policies one after the other, which the machine's other work would have met differently; a load model of its own for the processes, whose arrivals could not be compared.

The stand-in's load report counts its tokens, so that batch tokens are counted alike for all policies.

--- a/bench/load.c
+++ b/bench/load.c
@@ -1,6 +1,9 @@
 /*
- * An open-loop load tool: requests arrive by a Poisson process, whether or not
- * earlier ones have ended, so that a slow system can't hide its delay.
+ * An open-loop load tool: requests arrive by a Poisson process or by a trace,
+ * whether or not earlier ones have ended, so that a slow system can't hide its
+ * delay. With --closed a fixed number of requests is kept running instead.
+ *
+ * A trace holds a line "AT_US WORDS TOKENS" for each request, by time.
  */
 #include <math.h>
 #include <stdio.h>
@@ -15,6 +18,8 @@
 #define US_PER_S 1000000ULL
 /* Time beyond its deadline in which a request must be answered, in ms. */
 #define ANSWER_GRACE_MS 2000
+/* Gap between tokens that a reader doesn't notice, in us. */
+#define GAP_TARGET_US 32000
 
 static char **addresses;
 static char *service = "claim-desk";
@@ -30,7 +35,11 @@
 static double burst_length_s;
 static double duration_s = 10;
 static int max_tokens = 32;
+static int max_tokens_most;
 static int prompt_words = 40;
+static int prompt_words_most;
+static int closed_nr;
+static char *trace_file;
 static int prefixes = 20;
 static int seed = 1;
 static int timeout_ms = 10000;
@@ -62,6 +71,14 @@
 	  "Tokens of each answer", "N" },
 	{ "words", 'w', 0, G_OPTION_ARG_INT, &prompt_words,
 	  "Words of each prompt", "N" },
+	{ "tokens-most", 0, 0, G_OPTION_ARG_INT, &max_tokens_most,
+	  "Draw the tokens of each answer from those of -t to this", "N" },
+	{ "words-most", 0, 0, G_OPTION_ARG_INT, &prompt_words_most,
+	  "Draw the words of each prompt from those of -w to this", "N" },
+	{ "closed", 0, 0, G_OPTION_ARG_INT, &closed_nr,
+	  "Keep so many requests running, whatever the rate", "N" },
+	{ "trace", 0, 0, G_OPTION_ARG_FILENAME, &trace_file,
+	  "Send the requests of a trace", "FILE" },
 	{ "prefixes", 0, 0, G_OPTION_ARG_INT, &prefixes,
 	  "Number of shared prompt prefixes", "N" },
 	{ "non-idempotent", 0, 0, G_OPTION_ARG_NONE, &non_idempotent,
@@ -72,6 +89,12 @@
 	{ 0 },
 };
 
+struct arrival {
+	uint64_t at_us;
+	int words;
+	int tokens;
+};
+
 struct load {
 	uv_loop_t loop;
 	struct http_client *http;
@@ -80,6 +103,9 @@
 	uint64_t start_us;
 	uint64_t next_us;
 	uint64_t end_us;
+	/* Arrivals of the trace, if there is one. */
+	GArray *trace;
+	guint next_arrival;
 	unsigned running;
 	unsigned sent;
 	unsigned whole;
@@ -179,6 +205,8 @@
 		uv_stop(&load->loop);
 }
 
+static void send_drawn(struct load *load);
+
 static void on_end(void *ctx, enum http_end end)
 {
 	struct request *request = ctx;
@@ -189,10 +217,18 @@
 	load->running--;
 	g_string_free(request->body, TRUE);
 	g_free(request);
+	if (closed_nr && now_us() < load->end_us)
+		send_drawn(load);
 	finish(load);
 }
 
-static char *make_body(struct load *load)
+/* Prompts of a trace have nothing in common, as in the model. */
+static int shared_words(const struct arrival *arrival)
+{
+	return trace_file || prompt_words_most ? 0 : arrival->words / 2;
+}
+
+static char *make_body(struct load *load, const struct arrival *arrival)
 {
 	GString *prompt = g_string_new(NULL);
 	struct json_object *root = json_object_new_object();
@@ -201,16 +237,16 @@
 
 	g_string_printf(prompt, "prefix %d",
 			g_rand_int_range(load->random, 0, MAX(prefixes, 1)));
-	for (i = 0; i < prompt_words; i++)
-		g_string_append_printf(
-			prompt, " w%d",
-			i < prompt_words / 2 ?
-				i :
-				g_rand_int_range(load->random, 0, 1000));
+	for (i = 0; i < arrival->words; i++) {
+		int shared = i < shared_words(arrival);
+		int word = shared ? i : g_rand_int_range(load->random, 0, 1000);
+
+		g_string_append_printf(prompt, " %03d", word);
+	}
 	json_object_object_add(root, "prompt",
 			       json_object_new_string(prompt->str));
 	json_object_object_add(root, "max_tokens",
-			       json_object_new_int(max_tokens));
+			       json_object_new_int(arrival->tokens));
 	json_object_object_add(root, "stream", json_object_new_boolean(1));
 	text = g_strdup(json_object_to_json_string(root));
 	json_object_put(root);
@@ -218,7 +254,7 @@
 	return text;
 }
 
-static void send_request(struct load *load)
+static void send_request(struct load *load, const struct arrival *arrival)
 {
 	struct request *request = g_new0(struct request, 1);
 	char *full =
@@ -226,7 +262,7 @@
 			 g_strdup_printf("/v1/services/%s/%s", service, path);
 	char *bearer = g_strdup_printf("Bearer %s", key);
 	char *limit = g_strdup_printf("%dms", timeout_ms);
-	char *body = make_body(load);
+	char *body = make_body(load, arrival);
 	struct http_field fields[] = {
 		{ "authorization", bearer },
 		{ "content-type", "application/json" },
@@ -262,6 +298,22 @@
 	g_free(body);
 }
 
+static int draw(struct load *load, int least, int most)
+{
+	return most > least ? g_rand_int_range(load->random, least, most + 1) :
+			      least;
+}
+
+static void send_drawn(struct load *load)
+{
+	struct arrival arrival = {
+		.words = draw(load, prompt_words, prompt_words_most),
+		.tokens = draw(load, max_tokens, max_tokens_most),
+	};
+
+	send_request(load, &arrival);
+}
+
 static double current_rate(const struct load *load)
 {
 	double since_s = (double)(now_us() - load->start_us) / US_PER_S;
@@ -273,21 +325,83 @@
 
 static void schedule(struct load *load);
 
-static void on_arrival(uv_timer_t *timer)
+static void send_by_rate(struct load *load, uint64_t now)
 {
-	struct load *load = timer->data;
-	uint64_t now = now_us();
-
 	while (load->next_us <= now && load->next_us < load->end_us) {
 		double u = g_rand_double(load->random);
 
-		send_request(load);
+		send_drawn(load);
 		load->next_us +=
 			(uint64_t)(-log(1 - u) * US_PER_S / current_rate(load));
 	}
+}
+
+static void send_by_trace(struct load *load, uint64_t now)
+{
+	const GArray *trace = load->trace;
+
+	while (load->next_us <= now && load->next_us < load->end_us) {
+		guint at = load->next_arrival++;
+
+		send_request(load, &g_array_index(trace, struct arrival, at));
+		load->next_us =
+			load->next_arrival < trace->len ?
+				load->start_us + g_array_index(trace,
+							       struct arrival,
+							       at + 1)
+							 .at_us :
+				load->end_us;
+	}
+}
+
+static void on_arrival(uv_timer_t *timer)
+{
+	struct load *load = timer->data;
+
+	if (load->trace)
+		send_by_trace(load, now_us());
+	else
+		send_by_rate(load, now_us());
 	schedule(load);
 }
 
+/* Keeps the wanted number running from the start to the end. */
+static void begin_closed(struct load *load)
+{
+	int i;
+
+	for (i = 0; i < closed_nr; i++)
+		send_drawn(load);
+	load->next_us = load->end_us;
+}
+
+static void begin_trace(struct load *load)
+{
+	load->next_us =
+		load->trace->len ?
+			load->start_us +
+				g_array_index(load->trace, struct arrival, 0)
+					.at_us :
+			load->end_us;
+}
+
+/* Reads the trace; NULL when there is none, or it can't be read. */
+static GArray *read_trace(void)
+{
+	FILE *file = trace_file ? fopen(trace_file, "r") : NULL;
+	struct arrival arrival;
+	GArray *trace;
+
+	if (!file)
+		return NULL;
+	trace = g_array_new(FALSE, FALSE, sizeof(arrival));
+	while (fscanf(file, "%" G_GUINT64_FORMAT " %d %d", &arrival.at_us,
+		      &arrival.words, &arrival.tokens) == 3)
+		g_array_append_val(trace, arrival);
+	fclose(file);
+	return trace;
+}
+
 /* The loop's clock lags, so that a timer may fire a little early. */
 static void on_last(uv_timer_t *timer)
 {
@@ -326,6 +440,15 @@
 	       1000.0;
 }
 
+static double share_within(const GArray *times, uint32_t limit_us)
+{
+	guint within = 0, i;
+
+	for (i = 0; i < times->len; i++)
+		within += g_array_index(times, uint32_t, i) <= limit_us;
+	return times->len ? (double)within / times->len : 1;
+}
+
 static void print_quantiles(const char *name, GArray *times)
 {
 	g_array_sort(times, compare_times);
@@ -344,7 +467,9 @@
 	print_quantiles("first", load->first_byte);
 	print_quantiles("gap", load->gap);
 	print_quantiles("total", load->total);
-	printf(" tokens_per_s=%.0f\n", (double)load->tokens / took_s);
+	printf(" within_32ms=%.4f", share_within(load->gap, GAP_TARGET_US));
+	printf(" tokens=%" G_GUINT64_FORMAT " tokens_per_s=%.0f\n",
+	       load->tokens, (double)load->tokens / took_s);
 }
 
 static void run(struct load *load)
@@ -360,6 +485,10 @@
 	load->end_us = load->start_us + (uint64_t)(duration_s * US_PER_S);
 	uv_timer_init(&load->loop, &load->arrival);
 	load->arrival.data = load;
+	if (load->trace)
+		begin_trace(load);
+	else if (closed_nr)
+		begin_closed(load);
 	schedule(load);
 	uv_run(&load->loop, UV_RUN_DEFAULT);
 	print_result(load);
@@ -386,6 +515,13 @@
 		fprintf(stderr, "load: --address and a rate are needed\n");
 		return 2;
 	}
+	load.trace = read_trace();
+	if (trace_file && !load.trace) {
+		fprintf(stderr, "load: %s can't be read\n", trace_file);
+		return 2;
+	}
 	run(&load);
+	if (load.trace)
+		g_array_free(load.trace, TRUE);
 	return 0;
 }
--- a/bench/share/batch_share.c
+++ b/bench/share/batch_share.c
@@ -4,7 +4,10 @@
  * the whole range of the weight, and an oracle that knows the engine's curve
  * and the arrivals.
  *
- * usage: batch_share [SEED] [SECONDS] [CURVE]
+ * usage: batch_share [SEED] [SECONDS] [CURVE] [LOAD]
+ *        batch_share trace SEED SECONDS CURVE LOAD
+ *
+ * The second form prints the online arrivals, for bench/load --trace.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -167,26 +170,45 @@
 	g_array_free(oracles, TRUE);
 }
 
+static bool is_wanted(const char *name, const char *wanted)
+{
+	return !wanted || !strcmp(name, wanted);
+}
+
 int main(int argc, char **argv)
 {
+	bool trace = argc > 1 && !strcmp(argv[1], "trace");
 	struct sim_options options = {
-		.seed = argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : 1,
+		.seed = 1,
 		.duration_us = DEFAULT_SECONDS * 1000000ULL,
 		.jitter_us = JITTER_US,
 		.gap_target_us = GAP_TARGET_US,
 	};
+	const char *curve, *load;
 	unsigned i, j;
 
+	argv += trace;
+	argc -= trace;
+	if (argc > 1)
+		options.seed = (uint32_t)strtoul(argv[1], NULL, 10);
 	if (argc > 2)
 		options.duration_us = strtoull(argv[2], NULL, 10) * 1000000;
-	printf("# times of online callers in ms, %u us of jitter\n", JITTER_US);
+	curve = argc > 3 ? argv[3] : NULL;
+	load = argc > 4 ? argv[4] : NULL;
+	if (!trace)
+		printf("# times of online callers in ms, %u us of jitter\n",
+		       JITTER_US);
 	for (i = 0; i < G_N_ELEMENTS(curves); i++) {
-		if (argc > 3 && strcmp(argv[3], curves[i].name) != 0)
-			continue;
 		for (j = 0; j < G_N_ELEMENTS(loads); j++) {
+			if (!is_wanted(curves[i].name, curve) ||
+			    !is_wanted(loads[j].name, load))
+				continue;
 			options.curve = &curves[i];
 			options.load = &loads[j];
-			run_all(options);
+			if (trace)
+				sim_print_trace(&options, stdout);
+			else
+				run_all(options);
 			fflush(stdout);
 		}
 	}
--- /dev/null
+++ b/bench/share/processes.sh
@@ -0,0 +1,180 @@
+# Harm of batch work to online callers, and its throughput, with real processes:
+# entry, agents and engines' stand-ins, each policy on an engine of its own at
+# the same time and with the same arrivals, which are those of batch_share.
+#
+# usage: processes.sh [SEED] [SECONDS] [LOAD]
+#
+# (a) no batch, (b) the engine left to itself, (c) fixed splits, (d) ours at
+# both users' weights. Batch work of (b) and (c) goes past the agent, straight
+# to the engine.
+. tests/fleet/fleet.sh
+. tests/process/ledger.sh
+FLEET_WAIT_MS=60000
+seed=${1:-${SEED:-1}}
+seconds=${2:-60}
+arrivals=${3:-busy}
+policies="no-batch engine-alone fixed-08 ours-020 ours-080"
+# The "large" curve of batch_share.
+curve="--base-gap-us 15000 --knee 16 --slope 500 --max-running 64
+	--prefill-us-per-token 20 --cache-tokens 131072"
+alone_streams=256
+items=1500
+
+fleet_begin
+load=$BUILD/bench/load
+FLEET_ACCESS=$(fleet_access "desk:batch ann:ops:operator"),$(
+	fleet_access "depot:online" |
+		sed 's/}$/,"requests_per_s":100000,"burst":100000}/')
+fleet_platform
+ENTRIES=entry-1
+fleet_entry entry-1 akl-a akl
+for policy in $policies
+do
+	# shellcheck disable=SC2086
+	fleet_standin "engine-$policy" engine $curve
+	fleet_agent "agent-$policy" akl-a akl "$policy" \
+		"$(fleet_address "engine-$policy")"
+done
+fleet_publish
+wait_until fleet_ready entry-1
+wait_until all_owned
+entry=$(fleet_word entry-1 web)
+
+# operate COMMAND: carries out an operator's command.
+operate () {
+	curl -sf -H "Authorization: Bearer ann" -d "$1" \
+		"http://$entry/v1/operator" >/dev/null
+}
+
+for policy in $policies
+do
+	wait_until operate "set service.$policy.token_gap_target_ms 32"
+	weight=$(echo "$policy" | sed -n 's/ours-0*//p')
+	test -z "$weight" ||
+		wait_until operate "set service.$policy.batch_weight $weight"
+done
+
+works () {
+	"$load" -a "$entry" -k depot -s "$1" -r 10 -d 0.3 -t 2 |
+		grep -q 'whole=[1-9]'
+}
+for policy in $policies
+do
+	wait_until works "$policy"
+done
+
+"$BUILD/bench/batch_share" trace "$seed" "$seconds" large "$arrivals" \
+	>"$FLEET_DIR/arrivals"
+awk -v nr="$items" -v seed="$seed" 'BEGIN {
+	srand(seed)
+	for (i = 1; i <= nr; i++) {
+		words = 100 + int(rand() * 701)
+		printf "{\"id\":\"item-%d\",\"idempotent\":true,\"body\":{\"stream\":true,\"max_tokens\":%d,\"prompt\":\"", i, 30 + int(rand() * 171)
+		for (j = 0; j < words; j++)
+			printf " %03d", rand() * 1000
+		print "\"}}"
+	}
+}' >"$FLEET_DIR/items"
+
+# Prints the tokens that an engine has given so far.
+engine_tokens () {
+	curl -s "http://$(fleet_address "engine-$1")/v1/load" |
+		sed 's/.*"tokens": *\([0-9]*\).*/\1/'
+}
+
+# begin_batch POLICY: batch work for the whole run.
+begin_batch () {
+	streams=0
+	case "$1" in
+	no-batch)
+		return
+		;;
+	engine-alone)
+		streams=$alone_streams
+		;;
+	fixed-*)
+		streams=$(echo "$1" | sed 's/fixed-0*//')
+		;;
+	ours-*)
+		wait_until submitted entry-1 "$1" "$FLEET_DIR/items" \
+			"service=$1&path=v1/completions&keep=1h"
+		return
+		;;
+	esac
+	# Longer than the run, so that batch work lasts to its end.
+	fleet_spawn "batch-$1" "$load" --direct \
+		-a "$(fleet_address "engine-$1")" --closed "$streams" \
+		-w 100 --words-most 800 -t 30 --tokens-most 200 \
+		--timeout 600000 --seed "$seed" -d $((seconds * 2))
+}
+
+# measure POLICY: its online load, and the tokens that its engine gives
+# meanwhile.
+measure () {
+	before=$(engine_tokens "$1")
+	begun=$(date +%s%3N)
+	"$load" -l "$1" -a "$entry" -k depot -s "$1" \
+		--trace "$FLEET_DIR/arrivals" --timeout 30000 -d "$seconds" \
+		--seed "$seed" >"$FLEET_DIR/online-$1"
+	echo "$(($(engine_tokens "$1") - before)) $(($(date +%s%3N) - begun))" \
+		>"$FLEET_DIR/given-$1"
+}
+
+for policy in $policies
+do
+	begin_batch "$policy"
+done
+pids=
+for policy in $policies
+do
+	measure "$policy" &
+	pids="$pids $!"
+done
+# shellcheck disable=SC2086
+wait $pids
+
+for policy in $policies
+do
+	awk -v curve="large-$arrivals" \
+		-v given="$(cut -d' ' -f1 "$FLEET_DIR/given-$policy")" \
+		-v ms="$(cut -d' ' -f2 "$FLEET_DIR/given-$policy")" '
+	{
+		for (i = 1; i <= NF; i++) {
+			split($i, pair, "=")
+			value[pair[1]] = pair[2]
+		}
+		printf "processes-%s-%s first_ms_p50=%.1f first_ms_p95=%.1f first_ms_p99=%.1f gap_ms_p50=%.1f gap_ms_p95=%.1f gap_ms_p99=%.1f within_32ms=%.4f batch_tokens_s=%.1f sent=%d whole=%d not_run=%d\n", \
+			curve, $1, value["first_p50_ms"], value["first_p95_ms"], \
+			value["first_p99_ms"], value["gap_p50_ms"], \
+			value["gap_p95_ms"], value["gap_p99_ms"], \
+			value["within_32ms"], \
+			(given - value["tokens"] + value["whole"]) * 1000 / ms, \
+			value["sent"], value["whole"], value["not_run"]
+	}' "$FLEET_DIR/online-$policy" | tee -a "$FLEET_DIR/all"
+done
+
+# The same in virtual time, and the oracle.
+"$BUILD/bench/batch_share" "$seed" "$seconds" large "$arrivals" |
+	grep -E -e "-(no-batch|engine-alone|fixed-08|ours-020|ours-080) " |
+	sed 's/^/virtual-/' | tee "$FLEET_DIR/virtual"
+
+# Ratios of ours: the oracle's tokens are those of virtual time.
+awk '
+{
+	label = $1
+	sub(/^(processes|virtual)-/, "", label)
+	for (i = 2; i <= NF; i++) {
+		split($i, pair, "=")
+		value[label, FILENAME, pair[1]] = pair[2]
+	}
+	labels[label]
+	sub(/-(no-batch|engine-alone|fixed-[0-9]*|ours-[0-9]*)$/, "", label)
+	run = label
+}
+END {
+	for (label in labels)
+		if (label ~ /ours/)
+			printf "processes-%s first_p99_ratio=%.3f oracle_share=%.3f\n", label, \
+				value[label, ARGV[1], "first_ms_p99"] / value[run "-no-batch", ARGV[1], "first_ms_p99"], \
+				value[label, ARGV[1], "batch_tokens_s"] / value[label, ARGV[2], "oracle_tokens_s"]
+}' "$FLEET_DIR/all" "$FLEET_DIR/virtual" | sort
--- a/bench/share/sim.c
+++ b/bench/share/sim.c
@@ -473,6 +473,24 @@
 		share_within(result->gaps, options->gap_target_us);
 }
 
+void sim_print_trace(const struct sim_options *options, FILE *out)
+{
+	struct sim_result result = { 0 };
+	struct sim sim = { .options = options, .result = &result };
+	guint i;
+
+	sim_init(&sim);
+	for (i = 0; i < sim.arrivals->len; i++) {
+		struct sim_stream *stream = stream_create(&sim, true);
+
+		fprintf(out, "%" G_GUINT64_FORMAT " %u %u\n",
+			g_array_index(sim.arrivals, uint64_t, i),
+			stream->prompt_tokens, stream->max_tokens);
+		g_free(stream);
+	}
+	sim_clear(&sim);
+}
+
 void sim_result_clear(struct sim_result *result)
 {
 	g_array_free(result->first_tokens, TRUE);
--- a/bench/share/sim.h
+++ b/bench/share/sim.h
@@ -6,6 +6,8 @@
 #define BENCH_SIM_H
 
 #include <stdint.h>
+#include <stdio.h>
+
 #include <glib.h>
 
 #include "sim_engine.h"
@@ -72,6 +74,10 @@
 };
 
 void sim_run(const struct sim_options *options, struct sim_result *result);
+
+/** Prints the run's online arrivals: "AT_US PROMPT_TOKENS TOKENS" a line. */
+void sim_print_trace(const struct sim_options *options, FILE *out);
+
 void sim_result_clear(struct sim_result *result);
 
 /** A quantile of sorted times. */
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -49,6 +49,8 @@
 	struct list calls;
 	uint32_t running;
 	uint32_t waiting;
+	/** Tokens given so far. */
+	uint64_t tokens;
 	/** Call id to the number of times that it was started. */
 	GHashTable *runs;
 	GArray *samples;
--- a/tests/standin/engine_batch.c
+++ b/tests/standin/engine_batch.c
@@ -46,6 +46,8 @@
 			       json_object_new_int64(sample->running));
 	json_object_object_add(root, "waiting",
 			       json_object_new_int64(sample->waiting));
+	json_object_object_add(root, "tokens",
+			       json_object_new_int64((int64_t)batch->tokens));
 	json_object_object_add(root, "measured_ms",
 			       json_object_new_int64((int64_t)seen_ms));
 	return root;
@@ -184,6 +186,7 @@
 	char *event;
 
 	if (call->next < call->max_tokens) {
+		call->batch->tokens++;
 		engine_token(call->prompt_hash, call->next, token);
 		g_string_append_printf(call->text, "%s ", token);
 		event = g_strdup_printf(
