Give the idempotency key of a refused call back

Cause: a call that won the claim of its key and was then refused as not run left the key used. The same call, sent again with the same key, got 409 with an unknown outcome although nothing had run.

Ruled out: asking the winner's entry what became of it, as that entry may be gone, and two later calls could both be told that they may run; waiting for the release before the refusal is answered, as what is given up must be answered at once.

Change: ClaimKey and KeyClaimed carry a release. A call with an unknown outcome never releases.

Without the mechanism the key's second call is a 409 for good: wait_until serves_again can't end.

Conclusion: the key of a refused call is free within a moment; while the log is out for longer it stays used, which errs on the safe side.

--- a/briarplankd/entry/claim.c
+++ b/briarplankd/entry/claim.c
@@ -15,6 +15,14 @@
 #define ASK_AGAIN_MS 500
 /* Time after which the request is refused for want of a claim, in ms. */
 #define CLAIM_LIMIT_MS 3000
+/* Time for which the release of a key is tried, in ms. */
+#define RELEASE_LIMIT_MS 10000
+
+/* A key that is given back, as its request has not run. */
+struct key_release {
+	struct online_claim claim;
+	char *request_id;
+};
 
 static uint64_t now_ms(const struct online_request *request)
 {
@@ -35,15 +43,15 @@
 	g_string_free(text, TRUE);
 }
 
-static void ask(struct online_request *request)
+static void ask_owner(struct online *online, struct online_claim *claim,
+		      const char *request_id, bool release)
 {
-	struct online_claim *claim = request->claim;
-	struct node *node = request->online->super.node;
+	struct node *node = online->super.node;
 	const char *owner = node_shard_owner(node, claim->shard);
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__ClaimKey body = BRIARPLANK__CLAIM_KEY__INIT;
 
-	claim->ask_again_ms = now_ms(request) + ASK_AGAIN_MS;
+	claim->ask_again_ms = node_now_ms(node) + ASK_AGAIN_MS;
 	if (!owner)
 		return;
 	body.call_id = claim->call_id;
@@ -52,12 +60,58 @@
 	body.key_hash.len = sizeof(claim->key_hash);
 	body.content_hash.data = claim->content_hash;
 	body.content_hash.len = sizeof(claim->content_hash);
-	body.request_id = request->id;
+	body.request_id = (char *)request_id;
+	body.release = release;
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY;
 	env.claim_key = &body;
 	bus_send(node->bus, owner, &env);
 }
 
+static void ask(struct online_request *request)
+{
+	ask_owner(request->online, request->claim, request->id, false);
+}
+
+static void release_free(void *data)
+{
+	struct key_release *release = data;
+
+	g_free(release->request_id);
+	g_free(release);
+}
+
+/* Gives back the key of a request that has not run and never will. */
+static void release_key(struct online_request *request)
+{
+	struct online *online = request->online;
+	struct key_release *release = g_new0(struct key_release, 1);
+
+	release->claim = *request->claim;
+	release->claim.call_id = ++online->next_claim;
+	release->claim.give_up_ms = now_ms(request) + RELEASE_LIMIT_MS;
+	release->request_id = g_strdup(request->id);
+	g_hash_table_insert(online->releases, &release->claim.call_id, release);
+	ask_owner(online, &release->claim, release->request_id, true);
+}
+
+void online_claim_sweep(struct online *online)
+{
+	uint64_t now = node_now_ms(online->super.node);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, online->releases);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct key_release *release = value;
+
+		if (now >= release->claim.give_up_ms)
+			g_hash_table_iter_remove(&iter);
+		else if (now >= release->claim.ask_again_ms)
+			ask_owner(online, &release->claim, release->request_id,
+				  true);
+	}
+}
+
 void online_claim_begin(struct online_request *request, const char *key)
 {
 	struct online *online = request->online;
@@ -76,7 +130,7 @@
 	online_request_arm(request);
 }
 
-void online_claim_forget(struct online_request *request)
+static void forget(struct online_request *request)
 {
 	if (!request->claim)
 		return;
@@ -85,6 +139,19 @@
 	request->claim = NULL;
 }
 
+void online_claim_end(struct online_request *request)
+{
+	if (request->claim &&
+	    outcome_statement(&request->outcome) == OUTCOME_NOT_RUN)
+		release_key(request);
+	forget(request);
+}
+
+bool online_claim_is_open(const struct online_request *request)
+{
+	return request->claim && !request->claim->won;
+}
+
 void online_claim_tick(struct online_request *request, uint64_t now)
 {
 	if (now >= request->claim->give_up_ms) {
@@ -111,18 +178,22 @@
 	struct online_request *request =
 		g_hash_table_lookup(online->claims, &reply->call_id);
 
-	if (!request ||
+	if (reply->code == BRIARPLANK__CLAIM_KEY_REPLY__CODE__RELEASED)
+		g_hash_table_remove(online->releases, &reply->call_id);
+	if (!request || !online_claim_is_open(request) ||
 	    reply->code == BRIARPLANK__CLAIM_KEY_REPLY__CODE__NOT_OWNER)
 		return;
-	online_claim_forget(request);
 	switch (reply->code) {
 	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__WON:
+		request->claim->won = true;
 		online_dispatch(request);
 		break;
 	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOST:
+		forget(request);
 		answer_lost(request, reply->winner_request_id);
 		break;
 	case BRIARPLANK__CLAIM_KEY_REPLY__CODE__CONFLICT:
+		forget(request);
 		online_request_finish(request, 422, "Key of another request",
 				      "the idempotency key came with other "
 				      "content before");
@@ -135,6 +206,8 @@
 void online_claim_register(struct online *online)
 {
 	online->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
+	online->releases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, release_free);
 	bus_handle(online->super.node->bus,
 		   BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY_REPLY, on_reply,
 		   online);
--- a/briarplankd/entry/online.c
+++ b/briarplankd/entry/online.c
@@ -138,6 +138,7 @@
 
 	limiter_sweep(online->limiter, node_now_us());
 	online_routing_sweep(online);
+	online_claim_sweep(online);
 	online_routing_changed(online);
 }
 
@@ -227,6 +228,7 @@
 	limiter_destroy(online->limiter);
 	g_rand_free(online->random);
 	g_hash_table_destroy(online->claims);
+	g_hash_table_destroy(online->releases);
 }
 
 static void online_destroy(struct task *task)
--- a/briarplankd/entry/request.c
+++ b/briarplankd/entry/request.c
@@ -70,7 +70,7 @@
 	}
 	request->web = NULL;
 	online_routing_left(request);
-	online_claim_forget(request);
+	online_claim_end(request);
 	if (request->counted) {
 		limiter_ended(request->online->limiter, request->service,
 			      request->caller);
@@ -305,7 +305,8 @@
 		online_request_give_up(request, "the deadline passed");
 	else if (!request->give_up_at_ms && now >= request->deadline_ms)
 		deadline_passed(request);
-	else if (request->claim && now >= request->claim->ask_again_ms)
+	else if (online_claim_is_open(request) &&
+		 now >= request->claim->ask_again_ms)
 		online_claim_tick(request, now);
 	else if (request->dispatch_at_ms && now >= request->dispatch_at_ms)
 		online_dispatch(request);
@@ -329,7 +330,7 @@
 		due = request->give_up_at_ms;
 	due = earlier(due, request->dispatch_at_ms);
 	due = earlier(due, request->probe_at_ms);
-	if (request->claim)
+	if (online_claim_is_open(request))
 		due = earlier(due, request->claim->ask_again_ms);
 	uv_update_time(request->timer.loop);
 	uv_timer_start(&request->timer, on_timer, due > now ? due - now : 0, 0);
--- a/core/ledger_fold.c
+++ b/core/ledger_fold.c
@@ -310,6 +310,17 @@
 	ledger_item_requeue(job, attempt->item);
 }
 
+/* A release counts only for the claim of the same request. */
+static void fold_key_release(struct ledger *ledger,
+			     const Briarplank__KeyClaimed *released)
+{
+	const struct ledger_key *key =
+		ledger_key_find(ledger, released->key_hash);
+
+	if (key && !strcmp(key->request_id, released->request_id))
+		g_hash_table_remove(ledger->keys, released->key_hash.data);
+}
+
 static void fold_key(struct ledger *ledger,
 		     const Briarplank__KeyClaimed *claimed)
 {
@@ -317,6 +328,10 @@
 
 	if (!id_valid(claimed->key_hash))
 		return;
+	if (claimed->released) {
+		fold_key_release(ledger, claimed);
+		return;
+	}
 	g_hash_table_remove(ledger->claiming, claimed->key_hash.data);
 	if (ledger_key_find(ledger, claimed->key_hash))
 		return;
--- a/core/ledger_requests.c
+++ b/core/ledger_requests.c
@@ -132,13 +132,28 @@
 		ledger_bytes(claim->content_hash.data, claim->content_hash.len);
 	key->request_id = g_strdup(claim->request_id);
 	key->claimed_ms = wall_ms;
+	key->released = claim->release;
 	record->key = key;
-	g_hash_table_insert(ledger->claiming,
-			    g_memdup2(claim->key_hash.data, HASH128_BYTES),
-			    g_strdup(claim->request_id));
+	if (!claim->release)
+		g_hash_table_insert(
+			ledger->claiming,
+			g_memdup2(claim->key_hash.data, HASH128_BYTES),
+			g_strdup(claim->request_id));
 	ledger_queue(ledger, record);
 }
 
+/* Tells whether the key belongs, or is about to belong, to the request. */
+static bool is_holder(const struct ledger *ledger,
+		      const Briarplank__ClaimKey *claim)
+{
+	const struct ledger_key *key = ledger_key_find(ledger, claim->key_hash);
+	const char *holder = key ? key->request_id :
+				   g_hash_table_lookup(ledger->claiming,
+						       claim->key_hash.data);
+
+	return holder && !strcmp(holder, claim->request_id);
+}
+
 enum ledger_status ledger_claim_key(struct ledger *ledger,
 				    const Briarplank__ClaimKey *claim,
 				    uint64_t wall_ms)
@@ -147,9 +162,12 @@
 		return LEDGER_NOT_OWNER;
 	if (claim->key_hash.len != HASH128_BYTES)
 		return LEDGER_BAD_SUBMISSION;
-	if (ledger_key_find(ledger, claim->key_hash))
+	if (claim->release && !is_holder(ledger, claim))
+		return LEDGER_OK;
+	if (!claim->release && ledger_key_find(ledger, claim->key_hash))
 		return LEDGER_OK;
-	if (g_hash_table_contains(ledger->claiming, claim->key_hash.data))
+	if (!claim->release &&
+	    g_hash_table_contains(ledger->claiming, claim->key_hash.data))
 		return LEDGER_QUEUED;
 	if (ledger->outbox_bytes > ledger->options.outbox_max_bytes)
 		return LEDGER_OVERLOADED;
@@ -164,7 +182,9 @@
 	const struct ledger_key *key = ledger_key_find(ledger, claim->key_hash);
 
 	*winner = key ? key->request_id : "";
-	if (!key)
+	if (claim->release && !is_holder(ledger, claim))
+		return BRIARPLANK__CLAIM_KEY_REPLY__CODE__RELEASED;
+	if (!key || claim->release)
 		return BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOG_UNAVAILABLE;
 	if (!strcmp(key->request_id, claim->request_id))
 		return BRIARPLANK__CLAIM_KEY_REPLY__CODE__WON;
--- a/include/briarplankd/online.h
+++ b/include/briarplankd/online.h
@@ -75,6 +75,8 @@
 	uv_timer_t sweep_timer;
 	/** Claims that wait for an answer, by call id. */
 	GHashTable *claims;
+	/** Keys of requests that have not run, by call id. */
+	GHashTable *releases;
 	uint64_t next_claim;
 	struct online_refusal refusals[ONLINE_REFUSALS];
 	uint64_t refusals_nr;
@@ -88,6 +90,8 @@
 	uint8_t content_hash[HASH128_BYTES];
 	uint64_t ask_again_ms;
 	uint64_t give_up_ms;
+	/** The claim was won; the key stays with the request. */
+	bool won;
 };
 
 /** One request of a caller. */
@@ -111,7 +115,7 @@
 	uint64_t deadline_ms;
 	/** It counts in its caller's share. */
 	bool counted;
-	/** NULL when no key must be claimed, or once that is done. */
+	/** NULL when no key must be claimed, or it belongs to another. */
 	struct online_claim *claim;
 
 	struct outcome outcome;
@@ -245,7 +249,14 @@
 /** Asks again, or gives up, when that is due. */
 void online_claim_tick(struct online_request *request, uint64_t now_ms);
 
-void online_claim_forget(struct online_request *request);
+/** Ends the request's claim; the key is given back if nothing has run. */
+void online_claim_end(struct online_request *request);
+
+/** Tells whether the claim has not been answered yet. */
+bool online_claim_is_open(const struct online_request *request);
+
+/** Asks again for the release of keys, for a while. */
+void online_claim_sweep(struct online *online);
 
 /** Registers the handler of replies. */
 void online_claim_register(struct online *online);
--- a/tests/process/online_keys.sh
+++ b/tests/process/online_keys.sh
@@ -1,5 +1,5 @@
 # A call with an idempotency key runs at most once across entries, and is
-# refused as not run while the log is out.
+# refused as not run while the log is out. A refused call gives its key back.
 . tests/fleet/fleet.sh
 fleet_begin
 
@@ -71,6 +71,20 @@
 done
 expect "runs of 20 keys sent twice at once" 20 "$(runs_of both)"
 
+# A refused call has not run, so its key may be used again, at any entry.
+fleet_signal agent-1 TERM
+fleet_wait agent-1 || fleet_fail "agent-1 ended with $?"
+expect "no server" "503 not_run" "$(call entry-1 k3 x three)"
+fleet_start_node agent-1
+fleet_row agent-1 agent akl-a akl plain
+fleet_publish
+serves_again () {
+	test "$(call entry-2 k3 x three)" = "200 completed"
+}
+wait_until serves_again
+expect "the same key once more" "409 unknown" "$(call entry-1 k3 x three)"
+expect "runs" 1 "$(runs_of three)"
+
 curl -s -X POST "http://$FLEET_LOG/fault?kind=outage" >/dev/null
 expect "while the log is out" "503 not_run" "$(call entry-1 k2 x out)"
 expect "runs" 0 "$(runs_of out)"
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -6,7 +6,7 @@
  *   claim|release N               packs and appends a claim
  *   chunk JOB i=I first=F items=a,b [once] [sub=S]
  *   seal N JOB items=K [sub=S] [caller=C] [service=S] [due=T] [keep=T]
- *   cancel N JOB | key N KEY REQUEST [content]
+ *   cancel N JOB | key N KEY REQUEST [content] | release_key N KEY REQUEST
  *   flush N [hold]                appends queued records, or only packs them
  *   late N [again]                appends what was held, and keeps it on again
  *   read N                        folds what is new in the stream
@@ -237,7 +237,9 @@
 			       world->now_ms));
 }
 
-static const char *const key_codes[] = { "won", "lost", "conflict", "not yet" };
+static const char *const key_codes[] = { "won",	    "lost",	 "conflict",
+					 "not yet", "not owner", "overloaded",
+					 "free" };
 
 static void claim_key(struct world *world, int argc, char **argv, GString *out)
 {
@@ -252,6 +254,7 @@
 	message.key_hash = field(key);
 	message.content_hash = field(content);
 	message.request_id = argv[3];
+	message.release = !strcmp(argv[0], "release_key");
 	status = ledger_claim_key(ledger, &message, world->now_ms);
 	if (status == LEDGER_OK)
 		g_string_append_printf(out, "%s\n",
@@ -590,7 +593,7 @@
 		seal(world, argc, argv, out);
 	else if (!strcmp(*argv, "cancel"))
 		cancel(world, argv, out);
-	else if (!strcmp(*argv, "key"))
+	else if (!strcmp(*argv, "key") || !strcmp(*argv, "release_key"))
 		claim_key(world, argc, argv, out);
 	else if (!strcmp(*argv, "flush"))
 		flush(world, argc, argv, out);
--- a/wire/batch.pb-c.c
+++ b/wire/batch.pb-c.c
@@ -2544,7 +2544,7 @@
   (ProtobufCMessageInit) briarplank__job_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__claim_key__field_descriptors[5] =
+static const ProtobufCFieldDescriptor briarplank__claim_key__field_descriptors[6] =
 {
   {
     "call_id",
@@ -2606,18 +2606,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__ClaimKey, release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__claim_key__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
   4,   /* field[4] = content_hash */
   2,   /* field[2] = key_hash */
+  5,   /* field[5] = release */
   3,   /* field[3] = request_id */
   1,   /* field[1] = shard */
 };
 static const ProtobufCIntRange briarplank__claim_key__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__claim_key__descriptor =
 {
@@ -2627,14 +2640,14 @@
   "Briarplank__ClaimKey",
   "briarplank",
   sizeof(Briarplank__ClaimKey),
-  5,
+  6,
   briarplank__claim_key__field_descriptors,
   briarplank__claim_key__field_indices_by_name,
   1,  briarplank__claim_key__number_ranges,
   (ProtobufCMessageInit) briarplank__claim_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue briarplank__claim_key_reply__code__enum_values_by_number[6] =
+static const ProtobufCEnumValue briarplank__claim_key_reply__code__enum_values_by_number[7] =
 {
   { "WON", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__WON", 0 },
   { "LOST", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOST", 1 },
@@ -2642,17 +2655,19 @@
   { "LOG_UNAVAILABLE", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOG_UNAVAILABLE", 3 },
   { "NOT_OWNER", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__NOT_OWNER", 4 },
   { "OVERLOADED", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__OVERLOADED", 5 },
+  { "RELEASED", "BRIARPLANK__CLAIM_KEY_REPLY__CODE__RELEASED", 6 },
 };
 static const ProtobufCIntRange briarplank__claim_key_reply__code__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex briarplank__claim_key_reply__code__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex briarplank__claim_key_reply__code__enum_values_by_name[7] =
 {
   { "CONFLICT", 2 },
   { "LOG_UNAVAILABLE", 3 },
   { "LOST", 1 },
   { "NOT_OWNER", 4 },
   { "OVERLOADED", 5 },
+  { "RELEASED", 6 },
   { "WON", 0 },
 };
 const ProtobufCEnumDescriptor briarplank__claim_key_reply__code__descriptor =
@@ -2662,9 +2677,9 @@
   "Code",
   "Briarplank__ClaimKeyReply__Code",
   "briarplank",
-  6,
+  7,
   briarplank__claim_key_reply__code__enum_values_by_number,
-  6,
+  7,
   briarplank__claim_key_reply__code__enum_values_by_name,
   1,
   briarplank__claim_key_reply__code__value_ranges,
--- a/wire/batch.pb-c.h
+++ b/wire/batch.pb-c.h
@@ -72,7 +72,8 @@
   BRIARPLANK__CLAIM_KEY_REPLY__CODE__CONFLICT = 2,
   BRIARPLANK__CLAIM_KEY_REPLY__CODE__LOG_UNAVAILABLE = 3,
   BRIARPLANK__CLAIM_KEY_REPLY__CODE__NOT_OWNER = 4,
-  BRIARPLANK__CLAIM_KEY_REPLY__CODE__OVERLOADED = 5
+  BRIARPLANK__CLAIM_KEY_REPLY__CODE__OVERLOADED = 5,
+  BRIARPLANK__CLAIM_KEY_REPLY__CODE__RELEASED = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRIARPLANK__CLAIM_KEY_REPLY__CODE)
 } Briarplank__ClaimKeyReply__Code;
 
@@ -376,10 +377,14 @@
   ProtobufCBinaryData key_hash;
   char *request_id;
   ProtobufCBinaryData content_hash;
+  /*
+   * The request is proven not to have run: its key is free again.
+   */
+  protobuf_c_boolean release;
 };
 #define BRIARPLANK__CLAIM_KEY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__claim_key__descriptor) \
-    , 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 struct  Briarplank__ClaimKeyReply
--- a/wire/ledger.pb-c.c
+++ b/wire/ledger.pb-c.c
@@ -1595,7 +1595,7 @@
   (ProtobufCMessageInit) briarplank__item_attempt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__key_claimed__field_descriptors[4] =
+static const ProtobufCFieldDescriptor briarplank__key_claimed__field_descriptors[5] =
 {
   {
     "key_hash",
@@ -1645,17 +1645,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__KeyClaimed, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__key_claimed__field_indices_by_name[] = {
   3,   /* field[3] = claimed_ms */
   2,   /* field[2] = content_hash */
   0,   /* field[0] = key_hash */
+  4,   /* field[4] = released */
   1,   /* field[1] = request_id */
 };
 static const ProtobufCIntRange briarplank__key_claimed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor briarplank__key_claimed__descriptor =
 {
@@ -1665,7 +1678,7 @@
   "Briarplank__KeyClaimed",
   "briarplank",
   sizeof(Briarplank__KeyClaimed),
-  4,
+  5,
   briarplank__key_claimed__field_descriptors,
   briarplank__key_claimed__field_indices_by_name,
   1,  briarplank__key_claimed__number_ranges,
--- a/wire/ledger.pb-c.h
+++ b/wire/ledger.pb-c.h
@@ -191,10 +191,14 @@
   char *request_id;
   ProtobufCBinaryData content_hash;
   uint64_t claimed_ms;
+  /*
+   * The claim of this request ends: it has not run.
+   */
+  protobuf_c_boolean released;
 };
 #define BRIARPLANK__KEY_CLAIMED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__key_claimed__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , {0,NULL}, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 typedef enum {
