--- a/bench/load.c
+++ b/bench/load.c
@@ -173,9 +173,11 @@
 		load->unknown++;
 }
 
+/* An arrival may be due that the loop has not yet come to. */
 static void finish(struct load *load)
 {
-	if (!load->running && now_us() >= load->end_us)
+	if (!load->running && now_us() >= load->end_us &&
+	    load->next_us >= load->end_us)
 		uv_stop(&load->loop);
 }
 
@@ -363,6 +365,7 @@
 	schedule(load);
 	uv_run(&load->loop, UV_RUN_DEFAULT);
 	print_result(load);
+	uv_close((uv_handle_t *)&load->arrival, NULL);
 	http_client_destroy(load->http);
 	g_array_free(load->first_byte, TRUE);
 	g_array_free(load->gap, TRUE);
--- a/include/platform/http_client.h
+++ b/include/platform/http_client.h
@@ -71,7 +71,10 @@
  */
 void http_client_silence(struct http_client *client);
 
-/** Cancels what runs and frees the client. */
+/**
+ * Cancels what runs and frees the client. Runs the loop meanwhile: a call that
+ * is started then never connects, and is cancelled before the return.
+ */
 void http_client_destroy(struct http_client *client);
 
 /**
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,257 @@
+/*
+ * The end of an HTTP client, whatever its calls are at: each call is freed
+ * once, none is heard of again, and nothing stays on the loop.
+ */
+#include <string.h>
+
+#include "loop_wait.h"
+#include "platform/http_client.h"
+#include "raw_peer.h"
+#include "script.h"
+
+struct state {
+	uv_loop_t loop;
+	struct http_client *http;
+	struct raw_server *peer;
+	GString *out;
+	/* Of the latest call. */
+	struct http_call *call;
+	GString *seen;
+	bool ended;
+	bool pause;
+	unsigned started;
+	unsigned freed;
+	/* Calls to start when one is freed, and when the timer fires. */
+	unsigned on_free;
+	uv_timer_t owner;
+};
+
+struct waited {
+	struct state *state;
+	const char *text;
+};
+
+static void start_call(struct state *state, bool fresh);
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	uv_loop_init(&state->loop);
+	uv_timer_init(&state->loop, &state->owner);
+	state->owner.data = state;
+	state->http = http_client_create(&state->loop);
+	state->seen = g_string_new(NULL);
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	if (state->http)
+		http_client_destroy(state->http);
+	if (state->peer)
+		raw_server_destroy(state->peer);
+	loop_close(&state->loop);
+	g_string_free(state->seen, TRUE);
+	g_free(state);
+}
+
+static void on_sent(void *ctx)
+{
+	g_string_append(((struct state *)ctx)->seen, "sent ");
+}
+
+static void on_head(void *ctx, int status, const struct http_field *fields,
+		    size_t nr)
+{
+	(void)fields;
+	(void)nr;
+	g_string_append_printf(((struct state *)ctx)->seen, "head=%d ", status);
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->seen, "body=%.*s ", (int)len, data);
+	if (state->pause)
+		http_call_pause(state->call, true);
+}
+
+static void on_end(void *ctx, enum http_end end)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->seen, "end=%d ", end);
+	state->call = NULL;
+}
+
+static void on_free(void *ctx)
+{
+	struct state *state = ctx;
+
+	state->freed++;
+	if (!state->on_free)
+		return;
+	state->on_free--;
+	start_call(state, false);
+}
+
+static void start_call(struct state *state, bool fresh)
+{
+	struct http_call_options options = {
+		.address = raw_server_address(state->peer),
+		.method = "GET",
+		.path = "/",
+		.fresh_connection = fresh,
+		.connect_timeout_ms = LOOP_WAIT_MS,
+		.first_byte_timeout_ms = LOOP_WAIT_MS,
+		.idle_timeout_ms = LOOP_WAIT_MS,
+		.on_sent = on_sent,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.on_free = on_free,
+		.ctx = state,
+	};
+
+	state->started++;
+	state->call = http_call_start(state->http, &options);
+}
+
+/* peer BYTES [then=hold|close]: a peer that answers with the bytes */
+static void cmd_peer(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	char *bytes = g_strcompress(argv[1]);
+
+	state->peer = raw_server_create(
+		&state->loop, bytes,
+		strcmp(script_arg(argc, argv, "then", "hold"), "close") ?
+			RAW_HOLD :
+			RAW_CLOSE);
+	g_free(bytes);
+}
+
+/* call [fresh=1] [pause=1] [nr=N]: starts calls; pause at the first piece */
+static void cmd_call(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	int64_t nr = script_arg_int(argc, argv, "nr", 1);
+
+	state->pause = script_arg_int(argc, argv, "pause", 0);
+	while (nr--)
+		start_call(state, script_arg_int(argc, argv, "fresh", 0));
+}
+
+static void on_owner(uv_timer_t *timer)
+{
+	start_call(timer->data, false);
+}
+
+/* owner timer | owner free=N: starts calls in the midst of the end */
+static void cmd_owner(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+
+	state->on_free = (unsigned)script_arg_int(argc, argv, "free", 0);
+	if (!state->on_free)
+		uv_timer_start(&state->owner, on_owner, 0, 0);
+}
+
+/* turns N: turns of the loop that wait for nothing */
+static void cmd_turns(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	int64_t nr = g_ascii_strtoll(argv[1], NULL, 10);
+
+	(void)argc;
+	while (nr--)
+		uv_run(&state->loop, UV_RUN_NOWAIT);
+}
+
+static bool was_seen(void *ctx)
+{
+	struct waited *waited = ctx;
+
+	return strstr(waited->state->seen->str, waited->text) != NULL;
+}
+
+/* wait TEXT: until it was seen, as sent, head=, body= or end= */
+static void cmd_wait(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	struct waited waited = { state, argv[1] };
+
+	(void)argc;
+	if (!loop_wait(&state->loop, was_seen, &waited, LOOP_WAIT_MS))
+		g_string_append(state->out, "nothing came\n");
+}
+
+static void cmd_cancel(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+
+	(void)argc;
+	(void)argv;
+	http_call_cancel(state->call);
+	state->call = NULL;
+}
+
+static void count_active(uv_handle_t *handle, void *ctx)
+{
+	if (uv_is_active(handle) && uv_has_ref(handle))
+		++*(unsigned *)ctx;
+}
+
+/* destroy: the client, and then what is left on the loop but the peer */
+static void cmd_destroy(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	unsigned left = 0;
+
+	(void)argc;
+	(void)argv;
+	g_string_truncate(state->seen, 0);
+	http_client_destroy(state->http);
+	state->http = NULL;
+	raw_server_destroy(state->peer);
+	state->peer = NULL;
+	cmd_turns(state, 2, (char *[]){ "turns", "4" });
+	uv_walk(&state->loop, count_active, &left);
+	g_string_append_printf(state->out, "freed %u of %u, %u handles left\n",
+			       state->freed, state->started, left);
+	if (state->seen->len)
+		g_string_append_printf(state->out, "heard %s\n",
+				       state->seen->str);
+}
+
+static const struct script_command commands[] = {
+	{ "call", cmd_call },	    { "cancel", cmd_cancel },
+	{ "destroy", cmd_destroy }, { "owner", cmd_owner },
+	{ "peer", cmd_peer },	    { "turns", cmd_turns },
+	{ "wait", cmd_wait },
+};
+
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+
+	state->out = out;
+	script_dispatch(commands, G_N_ELEMENTS(commands), state, argc, argv,
+			out);
+}
+
+static const struct script_driver driver = {
+	.name = "http_client",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
