Measure the machine's floor beside the path's added latency

Cause of the tail of 5 to 14 ms: other work on the processors, as far as the measurements show. A bare libuv chain with as many wake-ups as the path, without h2o and ZeroMQ, has a tail of that size when every core has a busy process, and neither has it when the machine is idle.

Busy cores shorten the median, as none has to be woken from idle, and lengthen the tail, as a woken process waits for its turn.

Ruled out: the load tool's buckets (it keeps exact times) and its loop (its clock starts when it sends, without the arrival's own delay); our histogram's buckets (off by 19% at most); time limits and timers (in a trace of calls by strace, no wait between the caller's request and the answer ended by a timer, at either node); Nagle towards callers, whose sockets have TCP_NODELAY. Not looked into: malloc trim, log flushing.

Change: bench/chain; path prints its figures as "floor" beside "path".

--- a/bench/path.sh
+++ b/bench/path.sh
@@ -36,13 +36,22 @@
 wait_until echo_works
 "$load" -l direct --direct -a "$(fleet_address plain-1)" -p echo --mark "" -r 200 -d 8 -t 8 -w 4 --seed "$SEED" >"$FLEET_DIR/direct"
 "$load" -l through -a "$entry" -k bench -s echo-desk -p echo --mark "" -r 200 -d 8 -t 8 -w 4 --seed "$SEED" >"$FLEET_DIR/through"
-cat "$FLEET_DIR/direct" "$FLEET_DIR/through" | tr ' ' '\n' | awk -F= '
-	$1 == "first_p50_ms" { p50[++n] = $2 }
-	$1 == "first_p99_ms" { p99[n] = $2 }
-	END {
-		printf "path added_p50_ms=%.3f added_p99_ms=%.3f\n", \
-			p50[2] - p50[1], p99[2] - p99[1]
-	}'
+# What the machine itself adds for as many wake-ups: the call at the service has
+# 2; the path has 8 more, for the loop and ZeroMQ's thread of two nodes, there
+# and back.
+"$BUILD/bench/chain" -l floor_direct -n 1 -r 200 -d 4 --seed "$SEED" >"$FLEET_DIR/floor_direct"
+"$BUILD/bench/chain" -l floor_through -n 5 -r 200 -d 4 --seed "$SEED" >"$FLEET_DIR/floor_through"
+for pair in "floor_direct floor_through floor" "direct through path"
+do
+	set -- $pair
+	cat "$FLEET_DIR/$1" "$FLEET_DIR/$2" | tr ' ' '\n' | awk -F= -v label="$3" '
+		$1 == "first_p50_ms" { p50[++n] = $2 }
+		$1 == "first_p99_ms" { p99[n] = $2 }
+		END {
+			printf "%s direct_p99_ms=%.3f through_p99_ms=%.3f added_p50_ms=%.3f added_p99_ms=%.3f\n", \
+				label, p99[1], p99[2], p50[2] - p50[1], p99[2] - p99[1]
+		}'
+done
 
 # Processor time of a process so far, in clock ticks.
 ticks () {
