Send only news of owners while shards move

Cause: a pong carried the whole map of owners wherever the hashes of two maps differed. One change makes most maps differ until it has spread, and a node answers and asks 28 times a second each: at 64 shards of 35 B that is up to 120 KB/s, against 24 KB/s. While a fleet that just started hands shards over, changes never stop for minutes.

Ruled out: load reports (subsets bound them), pings (28 a second at any size above 48) and pulls (20 a second for each owner); a map once in 2 s alone, as agents would hear of a takeover too late.

Change: a pong carries what changed at the answering node in the last 3 s; another version of the same owner and epoch is no change. The whole map goes to a node without one, and else at most each 2 s, so that what was missed is mended.

Tests: owners.txt asks which shards have news.

--- a/briarplankd/members_messages.c
+++ b/briarplankd/members_messages.c
@@ -8,6 +8,10 @@
 
 /* Round trips above this come from a broken nonce, in us. */
 #define ROUND_TRIP_MAX_US 60000000
+/* Time for which news of an owner goes along with pongs, in ms. */
+#define OWNER_NEWS_MS 3000
+/* Time between two whole maps of owners that a node sends, in ms. */
+#define WHOLE_MAP_INTERVAL_MS 2000
 
 void members_send_ping(struct members_task *task, struct member *member)
 {
@@ -32,8 +36,25 @@
 		members_ping_unsent(task->members, member);
 }
 
+/*
+ * While owners change, most nodes' maps differ for a few seconds. The whole map
+ * goes to a node that has none, and else now and then, for what was missed.
+ */
+static bool owes_whole_map(struct members_task *task,
+			   const Briarplank__Ping *ping)
+{
+	uint64_t now_ms = node_now_ms(task->super.node);
+
+	if (!ping->shard_digest)
+		return true;
+	if (now_ms < task->whole_map_at_ms)
+		return false;
+	task->whole_map_at_ms = now_ms + WHOLE_MAP_INTERVAL_MS;
+	return true;
+}
+
 /* Fills in the owners that are known; the caller frees both arrays. */
-static void fill_shard_map(const struct members_task *task,
+static void fill_shard_map(const struct members_task *task, bool whole,
 			   Briarplank__Pong *pong)
 {
 	uint32_t i, nr = shard_map_size(task->shard_map);
@@ -46,7 +67,9 @@
 		struct shard_owner owner;
 
 		shard_map_find(task->shard_map, i, &owner);
-		if (!owner.owner)
+		if (!owner.owner ||
+		    (!whole &&
+		     !shard_map_is_recent(task->shard_map, i, OWNER_NEWS_MS)))
 			continue;
 		briarplank__shard_owner__init(row);
 		row->shard = i;
@@ -74,7 +97,7 @@
 	pong.owned_epochs = task->epochs;
 	pong.owned_version = task->shards_version;
 	if (ping && ping->shard_digest != shard_map_digest(task->shard_map))
-		fill_shard_map(task, &pong);
+		fill_shard_map(task, owes_whole_map(task, ping), &pong);
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_PONG;
 	env.pong = &pong;
 	bus_send(node->bus, peer, &env);
--- a/briarplankd/members_private.h
+++ b/briarplankd/members_private.h
@@ -27,6 +27,8 @@
 	uint64_t shards_version;
 	struct shard_map *shard_map;
 	uint64_t owners_at_ms;
+	/** Time from which the whole map of owners may be sent again. */
+	uint64_t whole_map_at_ms;
 	struct counter *up_entries;
 	struct counter *up_agents;
 	struct counter *bytes_sent;
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -160,6 +160,7 @@
 	GPtrArray *pings = g_ptr_array_new();
 	guint i;
 
+	shard_map_tick(task->shard_map, now_ms);
 	fetch_list(task, now_ms);
 	members_watch_owners(task, now_ms);
 	members_tick(task->members, now_ms, pings);
--- a/core/shard_map.c
+++ b/core/shard_map.c
@@ -9,6 +9,9 @@
 	uint32_t nr;
 	struct shard_owner *owners;
 	uint64_t digest;
+	uint64_t now_ms;
+	/* Time of each shard's last news. */
+	uint64_t *noted_ms;
 };
 
 struct shard_map *shard_map_create(uint32_t nr)
@@ -18,6 +21,7 @@
 
 	map->nr = nr;
 	map->owners = g_new0(struct shard_owner, nr);
+	map->noted_ms = g_new0(uint64_t, nr);
 	for (i = 0; i < nr; i++)
 		map->owners[i].shard = i;
 	return map;
@@ -30,6 +34,7 @@
 	for (i = 0; i < map->nr; i++)
 		g_free((char *)map->owners[i].owner);
 	g_free(map->owners);
+	g_free(map->noted_ms);
 	g_free(map);
 }
 
@@ -61,6 +66,7 @@
 bool shard_map_note(struct shard_map *map, const struct shard_owner *owner)
 {
 	struct shard_owner *known;
+	uint64_t digest = map->digest;
 	char *name;
 
 	if (owner->shard >= map->nr || !owner->owner)
@@ -74,6 +80,9 @@
 	*known = *owner;
 	known->owner = name;
 	map->digest ^= owner_hash(known);
+	/* Another version alone is nothing that others miss. */
+	if (map->digest != digest)
+		map->noted_ms[owner->shard] = map->now_ms;
 	return true;
 }
 
@@ -125,6 +134,18 @@
 	return true;
 }
 
+void shard_map_tick(struct shard_map *map, uint64_t now_ms)
+{
+	map->now_ms = now_ms;
+}
+
+bool shard_map_is_recent(const struct shard_map *map, uint32_t shard,
+			 uint32_t within_ms)
+{
+	return shard < map->nr && map->owners[shard].owner &&
+	       map->now_ms - map->noted_ms[shard] <= within_ms;
+}
+
 uint32_t shard_map_size(const struct shard_map *map)
 {
 	return map->nr;
--- a/include/core/shard_map.h
+++ b/include/core/shard_map.h
@@ -51,6 +51,13 @@
 bool shard_map_find(const struct shard_map *map, uint32_t shard,
 		    struct shard_owner *owner);
 
+/** Sets the time at which news is noted from now on. */
+void shard_map_tick(struct shard_map *map, uint64_t now_ms);
+
+/** Tells whether news of a shard came within this time, in ms. */
+bool shard_map_is_recent(const struct shard_map *map, uint32_t shard,
+			 uint32_t within_ms);
+
 /** Number of shards. */
 uint32_t shard_map_size(const struct shard_map *map);
 
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -352,18 +352,31 @@
 				       owner.released ? " released" : "");
 }
 
+/* "recent TIME WITHIN": shards with news at a time. */
+static void cmd_recent(struct state *state, int argc, char **argv, GString *out)
+{
+	uint32_t i;
+
+	shard_map_tick(state->map, strtoull(argv[1], NULL, 10));
+	for (i = 0; i < shard_map_size(state->map); i++) {
+		if (shard_map_is_recent(state->map, i, (uint32_t)atoi(argv[2])))
+			g_string_append_printf(out, "%u\n", i);
+	}
+}
+
 static const struct {
 	const char *name;
 	void (*fn)(struct state *state, int argc, char **argv, GString *out);
 } commands[] = {
-	{ "count", cmd_count }, { "introduce", cmd_introduce },
-	{ "list", cmd_list },	{ "load", cmd_load },
-	{ "mute", cmd_mute },	{ "new", cmd_new },
-	{ "owner", cmd_owner }, { "owners", cmd_owners },
-	{ "pong", cmd_pong },	{ "relays", cmd_relays },
-	{ "run", cmd_run },	{ "show", cmd_show },
-	{ "sleep", cmd_sleep }, { "unmute", cmd_unmute },
-	{ "watch", cmd_watch }, { "states", cmd_states },
+	{ "count", cmd_count },	  { "introduce", cmd_introduce },
+	{ "list", cmd_list },	  { "load", cmd_load },
+	{ "mute", cmd_mute },	  { "new", cmd_new },
+	{ "owner", cmd_owner },	  { "owners", cmd_owners },
+	{ "recent", cmd_recent }, { "pong", cmd_pong },
+	{ "relays", cmd_relays }, { "run", cmd_run },
+	{ "show", cmd_show },	  { "sleep", cmd_sleep },
+	{ "unmute", cmd_unmute }, { "watch", cmd_watch },
+	{ "states", cmd_states },
 };
 
 static void command(void *state, int argc, char **argv, GString *out)
