Restart 20 nodes in a cut and an outage under two operators

Cause: the test of this stood at 12 nodes of which 8 started anew, with no region cut and no change tried while they did.

Ruled out: keeping the three faults apart, as they are meant to come together.

Change: process_config_outage has 24 nodes in two regions. Two operators change the same key all the while, one in each region; two nodes freeze, the regions and the log of one are cut, the log goes out, and 20 nodes are killed and started. All former checks stay: one winner, the loser is told the revision, the resend has one result, one revision everywhere, nobody went back. Added: both operators' changes are done before and after, and every status is 200, 409, 503 or 504.

--- a/tests/process/config_outage.sh
+++ b/tests/process/config_outage.sh
@@ -1,31 +1,48 @@
-# Two operators change the same key while nodes are killed, frozen and started
-# anew and the log goes out and comes back: every node ends at the same
-# revision, and none was ever seen going back.
+# Two operators change the same key in two regions while nodes are killed,
+# frozen and cut off, the log goes out and 20 nodes start anew: every node ends
+# at the same revision, and none was ever seen going back.
 . tests/fleet/fleet.sh
 fleet_begin
 
 FLEET_ACCESS=$(fleet_access "ann:ops:operator bob:ops:operator")
 fleet_platform
+log=$FLEET_LOG
+fleet_regions akl chc
+fleet_standin wan-log proxy
+far_log=$(fleet_link wan-log log "$log")
 fleet_standin engine-1 engine
 engine=$(fleet_address engine-1)
-entries="entry-1 entry-2 entry-3 entry-4"
-agents="agent-1 agent-2 agent-3 agent-4 agent-5 agent-6 agent-7 agent-8"
-nodes="$entries $agents"
 
-data_centre () {
+agents=
+restarted=entry-2
+i=1
+while test $i -le 20
+do
+	agents="$agents agent-$i"
+	test $i -eq 1 || restarted="$restarted agent-$i"
+	i=$((i + 1))
+done
+nodes="entry-1 entry-2 entry-3 entry-4$agents"
+
+# place NODE: sets its data centre, its region and the log that it reads.
+place () {
 	case "$1" in
-	*[1256]) echo akl-a ;;
-	*) echo chc-a ;;
+	entry-[34] | agent-1[5-9] | agent-20)
+		region=chc data_centre=chc-a FLEET_LOG=$far_log ;;
+	*[1256])
+		region=akl data_centre=akl-a FLEET_LOG=$log ;;
+	*)
+		region=akl data_centre=akl-b FLEET_LOG=$log ;;
 	esac
 }
 
-for node in $entries
-do
-	fleet_entry "$node" "$(data_centre "$node")" akl
-done
-for node in $agents
+for node in $nodes
 do
-	fleet_agent "$node" "$(data_centre "$node")" akl claim-desk "$engine"
+	place "$node"
+	case "$node" in
+	entry-*) fleet_entry "$node" $data_centre $region ;;
+	*) fleet_agent "$node" $data_centre $region claim-desk "$engine" ;;
+	esac
 done
 fleet_publish
 for node in $nodes
@@ -45,14 +62,6 @@
 		sed -n 's/^briarplank_config_revision \([0-9]*\)$/\1/p'
 }
 
-# Starts a node again; its revisions of before are kept to compare.
-restart () {
-	fleet_signal "$1" KILL
-	wait "$(fleet_pid "$1")" 2>/dev/null
-	mv "$FLEET_DIR/$1.log" "$FLEET_DIR/$1.before"
-	fleet_start_node "$1"
-}
-
 all_at () {
 	for node in $nodes
 	do
@@ -60,6 +69,43 @@
 	done
 }
 
+all_the_same () {
+	all_at "$(revision entry-1)"
+}
+
+# compete ENTRY OPERATOR: changes a key again and again until the file "over"
+# is there; notes the statuses.
+compete () {
+	changes=0
+	while ! test -e "$FLEET_DIR/over"
+	do
+		changes=$((changes + 1))
+		command "$1" "$2" "set service.chat.timeout_ms $((4000 + changes))"
+		echo
+		sleep 0.2
+	done >"$FLEET_DIR/statuses.$2"
+}
+
+# done_by OPERATOR NR: at least so many of its changes were done.
+done_by () {
+	test "$(grep -c 200 "$FLEET_DIR/statuses.$1")" -ge "$2"
+}
+
+# sees_all ENTRY: it works with each of the 23 others.
+sees_all () {
+	test "$(curl -s -m 2 "$(fleet_url "$1")/metrics" |
+		sed -n 's/^briarplank_members_up.* \([0-9]*\)$/\1/p' |
+		awk '{ sum += $1 } END { print sum + 0 }')" -eq 23
+}
+
+takes_for_lost () {
+	grep -q "$2 is down" "$FLEET_DIR/$1.log"
+}
+
+for entry in entry-1 entry-3
+do
+	wait_until sees_all $entry
+done
 test "$(command entry-1 ann 'set service.chat.timeout_ms 1000')" = 200 ||
 	fleet_fail "the first change was refused"
 wait_until all_at 1
@@ -78,27 +124,44 @@
 grep -q 'was changed at revision' "$FLEET_DIR"/answer.ann \
 	"$FLEET_DIR"/answer.bob || fleet_fail "the loser isn't told the revision"
 
-# A frozen node misses a change; the log goes out; changes are refused.
+# From here to the end both go on changing the key, one in each region.
+(compete entry-1 ann) &
+ann=$!
+(compete entry-3 bob) &
+bob=$!
+FLEET_PIDS="$FLEET_PIDS $ann $bob"
+
+wait_until done_by ann 2
+wait_until done_by bob 2
+
+# Frozen nodes and a region that is cut off miss changes; then the log is out.
 fleet_signal agent-1 STOP
 fleet_signal entry-4 STOP
-test "$(command entry-2 ann 'set service.chat.batch_weight 10')" = 200 ||
+for proxy in wan-akl wan-chc wan-log
+do
+	fleet_fault $proxy kind=cut
+done
+test "$(command entry-2 bob 'set service.chat.batch_weight 10')" = 200 ||
 	fleet_fail "a change was refused"
-curl -s -X POST "http://$FLEET_LOG/fault?kind=outage" >/dev/null
-during=$(command entry-1 ann 'set service.chat.batch_weight 20' resend-1)
+fleet_fault log kind=outage
+during=$(command entry-2 bob 'set service.chat.batch_weight 20' resend-1)
 test "$during" = 503 || test "$during" = 504 ||
 	fleet_fail "a change in the outage got $during"
 
-# Most nodes start anew while the log is out, and take what their peers hold.
-for node in entry-1 entry-2 agent-2 agent-3 agent-4 agent-5 agent-6 agent-7
+wait_until takes_for_lost entry-1 agent-1
+wait_until takes_for_lost entry-1 entry-3
+
+# Twenty nodes start anew meanwhile, and take what their peers hold.
+for node in $restarted
 do
-	restart "$node"
+	fleet_signal "$node" KILL
 done
-for node in entry-1 entry-2 agent-2 agent-3 agent-4 agent-5 agent-6 agent-7
+for node in $restarted
 do
-	row=$(cat "$FLEET_DIR/$node.row")
-	old=$(printf '%s' "$row" | sed 's/.*"address":"\([^"]*\)".*/\1/')
-	printf '%s\n' "$row" | sed "s/$old/$(fleet_word "$node" bus)/" \
-		>"$FLEET_DIR/$node.row"
+	wait "$(fleet_pid "$node")" 2>/dev/null
+	mv "$FLEET_DIR/$node.log" "$FLEET_DIR/$node.before"
+	fleet_start_node "$node"
+	fleet_row_again "$node"
 done
 fleet_publish
 fleet_signal agent-1 CONT
@@ -107,22 +170,42 @@
 do
 	wait_until fleet_ready "$node"
 done
-highest=$(revision entry-3)
-wait_until all_at "$highest"
+for proxy in wan-akl wan-chc wan-log
+do
+	fleet_fault $proxy kind=none
+done
+wait_until all_the_same
 
 # The log is back; the change that was in doubt has one result.
-curl -s -X POST "http://$FLEET_LOG/fault?kind=none" >/dev/null
+fleet_fault log kind=none
 again () {
-	test "$(command entry-2 ann 'set service.chat.batch_weight 20' \
+	test "$(command entry-2 bob 'set service.chat.batch_weight 20' \
 		resend-1)" = 200
 }
+for operator in ann bob
+do
+	wait_until done_by $operator \
+		$(($(grep -c 200 "$FLEET_DIR/statuses.$operator") + 2))
+done
+touch "$FLEET_DIR/over"
+wait $ann $bob
 wait_until again
-first=$(sed 's/.*revision \([0-9]*\).*/\1/' "$FLEET_DIR/answer.ann")
+first=$(sed 's/.*revision \([0-9]*\).*/\1/' "$FLEET_DIR/answer.bob")
 again || fleet_fail "the resend was refused"
-test "$(sed 's/.*revision \([0-9]*\).*/\1/' "$FLEET_DIR/answer.ann")" = \
+test "$(sed 's/.*revision \([0-9]*\).*/\1/' "$FLEET_DIR/answer.bob")" = \
 	"$first" || fleet_fail "the resend had another result"
 wait_until all_at "$(revision entry-2)"
 
+# Each change was done, lost to the other's, refused or left in doubt.
+for operator in ann bob
+do
+	if grep -qvE '^(200|409|503|504)$' "$FLEET_DIR/statuses.$operator"
+	then
+		fleet_fail "$operator: $(sort "$FLEET_DIR/statuses.$operator" |
+			uniq -c)"
+	fi
+done
+
 # The revisions in each node's log, its restarts included, only go up.
 for node in $nodes
 do
@@ -131,4 +214,4 @@
 		awk '$1 < last { exit 1 } { last = $1 }' ||
 		fleet_fail "$node went back"
 done
-echo "12 nodes, 8 restarted in an outage, end at revision $(revision entry-1)"
+echo "24 nodes, 20 restarted in an outage, end at revision $(revision entry-1)"
