Tell others the losses that a node saw itself

Cause: in a large fleet a node pings 24 members each second and the others in turn, so with 970 nodes it took up to 4 minutes until a loss was known to all, though on average 24 others saw it within 4 s.

Ruled out: watchers chosen for each member of a data centre, as every member has enough already (at least 11 with the names of the transcript, 970 nodes); taking over another's verdict, as a node that errs would then evict others everywhere; telling losses in answers as well, which with four losses would take 26 KB/s.

Change: a ping carries up to four losses that its sender judged by its own observation in the last 10 s. Who is told pings that member at once and judges as ever: it is lost 3 s later or has answered. What was heard within 3 s, an earlier incarnation, and strangers are ignored. A node that is cut off judges nobody and so tells nothing.

In virtual time with 969 members a node that is told has its verdict after 3 s, and one that lives costs one ping. No fleet of that size was run, and the rate on the bus was not measured.

The transcript needs the new commands, so it wasn't seen failing before. members and bus pass; fleet-wide spread is arithmetic only.

--- a/briarplankd/members_messages.c
+++ b/briarplankd/members_messages.c
@@ -20,6 +20,23 @@
 	return (char *)bus_address(node->bus);
 }
 
+/* Fills in losses; the rows are of MEMBERS_LOSSES_MAX and the caller's. */
+static void fill_losses(struct members_task *task, Briarplank__Ping *ping,
+			Briarplank__Loss *rows, Briarplank__Loss **losses)
+{
+	const struct member *lost[MEMBERS_LOSSES_MAX];
+	unsigned i, nr = members_losses(task->members, lost);
+
+	for (i = 0; i < nr; i++) {
+		briarplank__loss__init(&rows[i]);
+		rows[i].name = lost[i]->name;
+		rows[i].incarnation = lost[i]->incarnation;
+		losses[i] = &rows[i];
+	}
+	ping->losses = losses;
+	ping->n_losses = nr;
+}
+
 void members_send_ping(struct members_task *task, struct member *member)
 {
 	struct node *node = task->super.node;
@@ -27,6 +44,8 @@
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__Ping ping = BRIARPLANK__PING__INIT;
 	Briarplank__NodeFacts facts = BRIARPLANK__NODE_FACTS__INIT;
+	Briarplank__Loss rows[MEMBERS_LOSSES_MAX];
+	Briarplank__Loss *losses[MEMBERS_LOSSES_MAX];
 
 	facts.role = settings->role;
 	facts.address = address_for(node, member);
@@ -39,6 +58,7 @@
 		ping.facts = &facts;
 	env.body_case = BRIARPLANK__ENVELOPE__BODY_PING;
 	env.ping = &ping;
+	fill_losses(task, &ping, rows, losses);
 	if (bus_send(node->bus, member->name, &env) != BUS_OK)
 		members_ping_unsent(task->members, member);
 }
@@ -98,7 +118,12 @@
 {
 	struct members_task *task = ctx;
 	const Briarplank__NodeFacts *facts = env->ping->facts;
+	size_t i;
 
+	for (i = 0; i < env->ping->n_losses; i++)
+		members_told_lost(task->members, env->ping->losses[i]->name,
+				  env->ping->losses[i]->incarnation,
+				  node_now_ms(task->super.node));
 	if (facts) {
 		struct member_facts known = {
 			.name = env->sender,
--- a/briarplankd/members_task.c
+++ b/briarplankd/members_task.c
@@ -27,6 +27,9 @@
 #define WATCH_NEAR 16
 #define WATCH_FAR 8
 #define SAMPLE 2
+/* Time for which a loss is told, in ms, and losses in one ping. */
+#define TELL_LOSSES_MS 10000
+#define TELL_LOSSES_MAX 4
 /* Time after which the connection for a ping in turn is closed, in ms. */
 #define REST_AFTER_MS 3000
 /* Bounds of the time between two reads of the list of VMs, in ms. */
@@ -215,6 +218,8 @@
 		.watch_near = WATCH_NEAR,
 		.watch_far = WATCH_FAR,
 		.sample = SAMPLE,
+		.tell_losses_ms = TELL_LOSSES_MS,
+		.tell_losses_max = TELL_LOSSES_MAX,
 	};
 
 	task->members = members_create(&options);
--- a/core/members.c
+++ b/core/members.c
@@ -30,6 +30,7 @@
 	members->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	list_init(&members->all);
 	members->cursor = &members->all;
+	members->losses = g_ptr_array_new();
 	g_queue_init(&members->changes);
 	return members;
 }
@@ -50,6 +51,7 @@
 		member_free(list_entry(pos, struct member, link));
 	g_queue_clear_full(&members->changes, change_free);
 	g_hash_table_destroy(members->by_name);
+	g_ptr_array_free(members->losses, TRUE);
 	g_free(members->last_name);
 	g_free(members->self);
 	g_free(members);
@@ -224,6 +226,8 @@
 	member->heard_ms = now_ms;
 	member->unanswered_ms = 0;
 	member->unsent = 0;
+	member->doubted = false;
+	member->lost_ms = 0;
 	if (member->state == MEMBER_UP)
 		return member;
 	if (member->state != MEMBER_SUSPECT)
@@ -335,6 +339,8 @@
 	if (!silent_for(member, now_ms, members->options.down_after_ms))
 		return;
 	member->state = MEMBER_DOWN;
+	member->lost_ms = now_ms;
+	member->doubted = false;
 	members_push_change(members, MEMBERS_WENT_DOWN, member);
 }
 
@@ -380,6 +386,7 @@
 		if (is_forgotten(members, member, now_ms))
 			member_remove(members, member);
 	}
+	members_collect_losses(members, now_ms);
 	members_choose_pings(members, now_ms, pings);
 }
 
--- a/core/members_ping.c
+++ b/core/members_ping.c
@@ -105,7 +105,7 @@
 {
 	if (!*member->address)
 		return false;
-	if (member->state == MEMBER_SUSPECT ||
+	if (member->state == MEMBER_SUSPECT || member->doubted ||
 	    (!member->watched && member->unsent &&
 	     member->unsent <= UNSENT_PINGS_MAX))
 		return true;
--- a/core/members_private.h
+++ b/core/members_private.h
@@ -20,6 +20,9 @@
 	uint64_t isolated_ms;
 	/** Members came or went since the watched ones were chosen. */
 	bool watch_stale;
+	/** Members that this node lately judged lost, and how many it told. */
+	GPtrArray *losses;
+	unsigned losses_told;
 	/** Next of the members that are pinged in turn. */
 	struct list *cursor;
 };
@@ -32,4 +35,7 @@
 void members_choose_pings(struct members *members, uint64_t now_ms,
 			  GPtrArray *pings);
 
+/** Finds the losses to tell, after the members were judged. */
+void members_collect_losses(struct members *members, uint64_t now_ms);
+
 #endif
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -67,6 +67,10 @@
 	uint64_t config_revision;
 	/** Revision last pushed to it by this node. */
 	uint64_t config_pushed;
+	/** When this node judged it lost; 0 when it did not. */
+	uint64_t lost_ms;
+	/** Another node told its loss: it is pinged until that is decided. */
+	bool doubted;
 	/** Pings in a row that found no connection. */
 	unsigned unsent;
 	/** Named in this node's settings, so never forgotten. */
@@ -148,6 +152,9 @@
 	uint32_t watch_far;
 	/** Members pinged in turn at each tick besides the watched ones. */
 	uint32_t sample;
+	/** Time for which a loss is told to others, and losses in one ping. */
+	uint32_t tell_losses_ms;
+	uint32_t tell_losses_max;
 	uint64_t seed;
 };
 
@@ -205,6 +212,19 @@
  */
 void members_ping_unsent(struct members *members, struct member *member);
 
+/** Most losses told at once. */
+#define MEMBERS_LOSSES_MAX 4
+
+/**
+ * Chooses losses that this node lately saw itself, to tell another one; others
+ * at each call if there are many. Returns how many of MEMBERS_LOSSES_MAX.
+ */
+unsigned members_losses(struct members *members, const struct member **losses);
+
+/** Another node says that it lost a member in this incarnation. */
+void members_told_lost(struct members *members, const char *name,
+		       uint64_t incarnation, uint64_t now_ms);
+
 /** Takes the next change, in the order in which they came; false for none. */
 bool members_next_change(struct members *members,
 			 struct members_change *change);
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -18,7 +18,7 @@
 	GHashTable *mute;
 };
 
-static void make_members(struct state *state, int argc, char **argv)
+static struct members_options options_from(int argc, char **argv)
 {
 	struct members_options options = {
 		.self = script_arg(argc, argv, "self", "me"),
@@ -36,8 +36,17 @@
 		.watch_near = (uint32_t)script_arg_int(argc, argv, "near", 16),
 		.watch_far = (uint32_t)script_arg_int(argc, argv, "far", 8),
 		.sample = (uint32_t)script_arg_int(argc, argv, "sample", 4),
+		.tell_losses_ms = 10000,
+		.tell_losses_max = 4,
 	};
 
+	return options;
+}
+
+static void make_members(struct state *state, int argc, char **argv)
+{
+	struct members_options options = options_from(argc, argv);
+
 	if (state->members)
 		members_destroy(state->members);
 	state->members = members_create(&options);
@@ -270,6 +279,95 @@
 	members_watch(state->members, argv[1], true);
 }
 
+/* "told NAME [inc=N]": another node says that it lost a member. */
+static void cmd_told(struct state *state, int argc, char **argv, GString *out)
+{
+	members_told_lost(state->members, argv[1],
+			  script_arg_int(argc, argv, "inc", 1), state->now_ms);
+}
+
+static void cmd_losses(struct state *state, int argc, char **argv, GString *out)
+{
+	const struct member *losses[MEMBERS_LOSSES_MAX];
+	unsigned i, nr = members_losses(state->members, losses);
+
+	for (i = 0; i < nr; i++)
+		g_string_append_printf(out, "%s %" PRIu64 "\n", losses[i]->name,
+				       losses[i]->incarnation);
+	if (!nr)
+		g_string_append(out, "none\n");
+}
+
+/* Counts whom one node of the fleet watches. */
+static void count_watched(int argc, char **argv, const char *self_dc, int self,
+			  GHashTable *watchers)
+{
+	struct members_options options = options_from(0, NULL);
+	GPtrArray *pings = g_ptr_array_new();
+	struct members *members;
+	char name[32], own_name[32];
+	struct list *pos;
+	int i, j;
+
+	g_snprintf(own_name, sizeof(own_name), "%s-%d", self_dc, self);
+	options.self = own_name;
+	options.data_centre = self_dc;
+	members = members_create(&options);
+	for (i = 1; i < argc; i++) {
+		char **parts = g_strsplit(argv[i], "*", 2);
+		struct member_facts facts = { .name = name,
+					      .address = "1",
+					      .data_centre = parts[0],
+					      .region = "r",
+					      .service = "" };
+
+		for (j = 0; j < atoi(parts[1]); j++) {
+			g_snprintf(name, sizeof(name), "%s-%d", parts[0], j);
+			members_listed(members, &facts, 1);
+		}
+		g_strfreev(parts);
+	}
+	members_tick(members, 500, pings);
+	list_for_each (pos, members_all(members)) {
+		struct member *member = list_entry(pos, struct member, link);
+		gpointer nr = g_hash_table_lookup(watchers, member->name);
+
+		g_hash_table_insert(
+			watchers, g_strdup(member->name),
+			GINT_TO_POINTER(GPOINTER_TO_INT(nr) + member->watched));
+	}
+	g_ptr_array_free(pings, TRUE);
+	members_destroy(members);
+}
+
+/* "watchers DC*NR...": the fewest nodes of a fleet that watch another. */
+static void cmd_watchers(struct state *state, int argc, char **argv,
+			 GString *out)
+{
+	GHashTable *watchers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	int i, j, least = G_MAXINT, sum = 0;
+	GHashTableIter iter;
+	gpointer nr;
+
+	for (i = 1; i < argc; i++) {
+		char **parts = g_strsplit(argv[i], "*", 2);
+
+		for (j = 0; j < atoi(parts[1]); j++)
+			count_watched(argc, argv, parts[0], j, watchers);
+		g_strfreev(parts);
+	}
+	g_hash_table_iter_init(&iter, watchers);
+	while (g_hash_table_iter_next(&iter, NULL, &nr)) {
+		least = MIN(least, GPOINTER_TO_INT(nr));
+		sum += GPOINTER_TO_INT(nr);
+	}
+	g_string_append_printf(out, "%u nodes, at least %d, mean %d\n",
+			       g_hash_table_size(watchers), least,
+			       sum / (int)g_hash_table_size(watchers));
+	g_hash_table_destroy(watchers);
+}
+
 static void cmd_new(struct state *state, int argc, char **argv, GString *out)
 {
 	make_members(state, argc, argv);
@@ -356,14 +454,16 @@
 	const char *name;
 	void (*fn)(struct state *state, int argc, char **argv, GString *out);
 } commands[] = {
-	{ "count", cmd_count }, { "introduce", cmd_introduce },
-	{ "list", cmd_list },	{ "load", cmd_load },
-	{ "mute", cmd_mute },	{ "new", cmd_new },
-	{ "owner", cmd_owner }, { "owners", cmd_owners },
-	{ "pong", cmd_pong },	{ "relays", cmd_relays },
-	{ "run", cmd_run },	{ "show", cmd_show },
-	{ "sleep", cmd_sleep }, { "unmute", cmd_unmute },
-	{ "watch", cmd_watch }, { "states", cmd_states },
+	{ "count", cmd_count },	      { "introduce", cmd_introduce },
+	{ "losses", cmd_losses },     { "told", cmd_told },
+	{ "watchers", cmd_watchers }, { "list", cmd_list },
+	{ "load", cmd_load },	      { "mute", cmd_mute },
+	{ "new", cmd_new },	      { "owner", cmd_owner },
+	{ "owners", cmd_owners },     { "pong", cmd_pong },
+	{ "relays", cmd_relays },     { "run", cmd_run },
+	{ "show", cmd_show },	      { "sleep", cmd_sleep },
+	{ "unmute", cmd_unmute },     { "watch", cmd_watch },
+	{ "states", cmd_states },
 };
 
 static void command(void *state, int argc, char **argv, GString *out)
--- a/wire/member.pb-c.c
+++ b/wire/member.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &briarplank__shard_owner__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__loss__init
+                     (Briarplank__Loss         *message)
+{
+  static const Briarplank__Loss init_value = BRIARPLANK__LOSS__INIT;
+  *message = init_value;
+}
+size_t briarplank__loss__get_packed_size
+                     (const Briarplank__Loss *message)
+{
+  assert(message->base.descriptor == &briarplank__loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__loss__pack
+                     (const Briarplank__Loss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__loss__pack_to_buffer
+                     (const Briarplank__Loss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__Loss *
+       briarplank__loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__Loss *)
+     protobuf_c_message_unpack (&briarplank__loss__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__loss__free_unpacked
+                     (Briarplank__Loss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__ping__init
                      (Briarplank__Ping         *message)
 {
@@ -425,7 +470,58 @@
   (ProtobufCMessageInit) briarplank__shard_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__loss__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Loss, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__Loss, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__loss__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange briarplank__loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor briarplank__loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.Loss",
+  "Loss",
+  "Briarplank__Loss",
+  "briarplank",
+  sizeof(Briarplank__Loss),
+  2,
+  briarplank__loss__field_descriptors,
+  briarplank__loss__field_indices_by_name,
+  1,  briarplank__loss__number_ranges,
+  (ProtobufCMessageInit) briarplank__loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__ping__field_descriptors[4] =
 {
   {
     "nonce",
@@ -463,16 +559,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__Ping, n_losses),
+    offsetof(Briarplank__Ping, losses),
+    &briarplank__loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__ping__field_indices_by_name[] = {
   1,   /* field[1] = facts */
+  3,   /* field[3] = losses */
   0,   /* field[0] = nonce */
   2,   /* field[2] = shard_digest */
 };
 static const ProtobufCIntRange briarplank__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor briarplank__ping__descriptor =
 {
@@ -482,7 +591,7 @@
   "Briarplank__Ping",
   "briarplank",
   sizeof(Briarplank__Ping),
-  3,
+  4,
   briarplank__ping__field_descriptors,
   briarplank__ping__field_indices_by_name,
   1,  briarplank__ping__number_ranges,
--- a/wire/member.pb-c.h
+++ b/wire/member.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Briarplank__NodeFacts Briarplank__NodeFacts;
 typedef struct Briarplank__ShardOwner Briarplank__ShardOwner;
+typedef struct Briarplank__Loss Briarplank__Loss;
 typedef struct Briarplank__Ping Briarplank__Ping;
 typedef struct Briarplank__Pong Briarplank__Pong;
 typedef struct Briarplank__LoadReport Briarplank__LoadReport;
@@ -70,7 +71,19 @@
 
 /*
  * A direct ping. Answered with Pong carrying the same nonce.
+ * A node that the sender has itself judged lost a short while ago.
  */
+struct  Briarplank__Loss
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t incarnation;
+};
+#define BRIARPLANK__LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__loss__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Briarplank__Ping
 {
   ProtobufCMessage base;
@@ -83,10 +96,12 @@
    * Digest of the sender's map of shard owners.
    */
   uint64_t shard_digest;
+  size_t n_losses;
+  Briarplank__Loss **losses;
 };
 #define BRIARPLANK__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__ping__descriptor) \
-    , 0, NULL, 0 }
+    , 0, NULL, 0, 0,NULL }
 
 
 struct  Briarplank__Pong
@@ -179,6 +194,25 @@
 void   briarplank__shard_owner__free_unpacked
                      (Briarplank__ShardOwner *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__Loss methods */
+void   briarplank__loss__init
+                     (Briarplank__Loss         *message);
+size_t briarplank__loss__get_packed_size
+                     (const Briarplank__Loss   *message);
+size_t briarplank__loss__pack
+                     (const Briarplank__Loss   *message,
+                      uint8_t             *out);
+size_t briarplank__loss__pack_to_buffer
+                     (const Briarplank__Loss   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__Loss *
+       briarplank__loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__loss__free_unpacked
+                     (Briarplank__Loss *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__Ping methods */
 void   briarplank__ping__init
                      (Briarplank__Ping         *message);
@@ -244,6 +278,9 @@
 typedef void (*Briarplank__ShardOwner_Closure)
                  (const Briarplank__ShardOwner *message,
                   void *closure_data);
+typedef void (*Briarplank__Loss_Closure)
+                 (const Briarplank__Loss *message,
+                  void *closure_data);
 typedef void (*Briarplank__Ping_Closure)
                  (const Briarplank__Ping *message,
                   void *closure_data);
@@ -261,6 +298,7 @@
 
 extern const ProtobufCMessageDescriptor briarplank__node_facts__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__shard_owner__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__loss__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__ping__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__pong__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__load_report__descriptor;
