Change the fleet's key pair without splitting it

Cause: nodes with the old and the new CURVE pair did not speak, so a rolling change split the fleet while it lasted.

Ruled out: a second bound socket for the other pair, whose port every node would have to be told; naming each node's pair in the list of VMs, which lags; trying both pairs at once, which doubles the connections.

Change: keys.other_public is the public key of the next or previous pair. A node lets in clients of either; as a client it expects its own pair and after 1 s without a connection the other, and keeps what it found. Callers' and operators' keys needed nothing: two entries of "access" with one name are one caller.

--- a/briarplankd/bus.c
+++ b/briarplankd/bus.c
@@ -15,6 +15,8 @@
 
 /* Time for which a connection that carried work is kept, in ms. */
 #define PEER_KEEP_MS 60000
+/* Time without a connection after which the other key is tried, in ms. */
+#define KEY_TRY_MS 1000
 
 struct peer {
 	char *name;
@@ -26,6 +28,9 @@
 	uint64_t route_incarnation;
 	/* When something else than a ping or its answer last went over it. */
 	uint64_t used_ms;
+	/* The peer holds the other pair, and when that was last tried. */
+	bool other_key;
+	uint64_t key_ms;
 };
 
 /* A message to this node itself. */
@@ -147,8 +152,12 @@
 	}
 	if (!bus_auth_check_keys(bus->keys.public_key, bus->keys.secret_key))
 		return false;
-	bus->auth = bus_auth_create(bus->zmq, bus->loop, bus->keys.public_key,
-				    options->metrics);
+	if (bus->keys.other_public_key &&
+	    !bus_auth_check_public(bus->keys.other_public_key))
+		return false;
+	bus->auth =
+		bus_auth_create(bus->zmq, bus->loop, bus->keys.public_key,
+				bus->keys.other_public_key, options->metrics);
 	return true;
 }
 
@@ -283,6 +292,27 @@
 	return g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", name, incarnation);
 }
 
+static void set_server_key(const struct bus *bus, struct peer *peer,
+			   struct bus_socket *socket)
+{
+	const char *key = peer->other_key ? bus->keys.other_public_key :
+					    bus->keys.public_key;
+
+	peer->key_ms = uv_now(bus->loop);
+	zmq_setsockopt(socket->zmq, ZMQ_CURVE_SERVERKEY, key, strlen(key) + 1);
+}
+
+/* While the fleet's pair is being changed a peer may hold either. */
+static void try_other_key(struct bus *bus, struct peer *peer)
+{
+	if (!bus->auth || !bus->keys.other_public_key ||
+	    uv_now(bus->loop) < peer->key_ms + KEY_TRY_MS)
+		return;
+	peer->other_key = !peer->other_key;
+	bus_socket_destroy(peer->socket);
+	peer->socket = NULL;
+}
+
 /* Connects to the peer; the identity names this incarnation. */
 static bool peer_connect(struct bus *bus, struct peer *peer)
 {
@@ -294,9 +324,7 @@
 	zmq_setsockopt(socket->zmq, ZMQ_ROUTING_ID, identity, strlen(identity));
 	bus_socket_set_int(socket->zmq, ZMQ_IMMEDIATE, 1);
 	if (bus->auth)
-		zmq_setsockopt(socket->zmq, ZMQ_CURVE_SERVERKEY,
-			       bus->keys.public_key,
-			       strlen(bus->keys.public_key) + 1);
+		set_server_key(bus, peer, socket);
 	rc = zmq_connect(socket->zmq, endpoint);
 	g_free(endpoint);
 	g_free(identity);
@@ -373,6 +401,10 @@
 		peer->used_ms = uv_now(bus->loop);
 	if (peer->socket)
 		sent = send_frames(peer->socket, peer, env, len);
+	if (sent)
+		peer->key_ms = uv_now(bus->loop);
+	else if (peer->socket)
+		try_other_key(bus, peer);
 	if (!sent)
 		sent = send_route(bus, peer, env, len);
 	if (!sent && !peer->socket && peer->address && !peer_connect(bus, peer))
--- a/briarplankd/bus_auth.c
+++ b/briarplankd/bus_auth.c
@@ -36,6 +36,8 @@
 	void *socket;
 	uv_poll_t poll;
 	uint8_t key[KEY_BYTES];
+	uint8_t other_key[KEY_BYTES];
+	bool has_other;
 	struct counter *denied;
 };
 
@@ -56,6 +58,17 @@
 	return false;
 }
 
+bool bus_auth_check_public(const char *public_key)
+{
+	uint8_t key[KEY_BYTES];
+
+	if (strlen(public_key) == BUS_KEY_TEXT_BYTES &&
+	    zmq_z85_decode(key, public_key))
+		return true;
+	error_set("a bus key must be of %d Z85 characters", BUS_KEY_TEXT_BYTES);
+	return false;
+}
+
 /* Takes one request; returns its number of frames, 0 when there is none. */
 static int take_request(void *socket, struct frame frames[ZAP_FRAMES])
 {
@@ -86,6 +99,12 @@
 	return frame->len == len && !memcmp(frame->bytes, bytes, len);
 }
 
+static bool is_known_key(const struct bus_auth *auth, const struct frame *frame)
+{
+	return frame_is(frame, auth->key, KEY_BYTES) ||
+	       (auth->has_other && frame_is(frame, auth->other_key, KEY_BYTES));
+}
+
 static bool is_allowed(const struct bus_auth *auth,
 		       const struct frame frames[ZAP_FRAMES], int nr)
 {
@@ -95,7 +114,7 @@
 	       frame_is(&frames[ZAP_FRAME_DOMAIN], BUS_AUTH_DOMAIN,
 			strlen(BUS_AUTH_DOMAIN)) &&
 	       frame_is(&frames[ZAP_FRAME_MECHANISM], "CURVE", 5) &&
-	       frame_is(&frames[ZAP_FRAME_KEY], auth->key, KEY_BYTES);
+	       is_known_key(auth, &frames[ZAP_FRAME_KEY]);
 }
 
 static void send_text(void *socket, const char *text, int flags)
@@ -137,7 +156,7 @@
 }
 
 struct bus_auth *bus_auth_create(void *zmq, uv_loop_t *loop,
-				 const char *public_key,
+				 const char *public_key, const char *other_key,
 				 struct metrics *metrics)
 {
 	struct bus_auth *auth = g_new0(struct bus_auth, 1);
@@ -146,6 +165,9 @@
 	int fd;
 
 	zmq_z85_decode(auth->key, public_key);
+	auth->has_other = other_key != NULL;
+	if (other_key)
+		zmq_z85_decode(auth->other_key, other_key);
 	auth->denied =
 		metrics_counter(metrics, "briarplank_bus_denied_total", "");
 	auth->socket = zmq_socket(zmq, ZMQ_REP);
--- a/briarplankd/bus_auth.h
+++ b/briarplankd/bus_auth.h
@@ -23,9 +23,15 @@
 /** Tells whether both texts are keys and belong together; sets the error. */
 bool bus_auth_check_keys(const char *public_key, const char *secret_key);
 
-/** Answers for a ZeroMQ context; must exist before sockets are bound. */
+/** Tells whether a text is a public key; sets the error. */
+bool bus_auth_check_public(const char *public_key);
+
+/**
+ * Answers for a ZeroMQ context; must exist before sockets are bound. The other
+ * key is let in as well, unless it is NULL.
+ */
 struct bus_auth *bus_auth_create(void *zmq, uv_loop_t *loop,
-				 const char *public_key,
+				 const char *public_key, const char *other_key,
 				 struct metrics *metrics);
 
 /** Closes the socket in the loop's next turn, and then frees the module. */
--- a/briarplankd/daemon_settings.c
+++ b/briarplankd/daemon_settings.c
@@ -112,6 +112,9 @@
 	{ "keys.secret", SETTING_STRING, DAEMON(bus_secret_key),
 	  .help = "CURVE secret key that all nodes share, Z85" },
 
+	{ "keys.other_public", SETTING_STRING, DAEMON(bus_other_key),
+	  .help = "CURVE public key of the next or previous pair, accepted as well while the pair is being changed, Z85" },
+
 	{ "ledger.shards", SETTING_INT, DAEMON(ledger_shards), .min = 1,
 	  .max = 1024, .unit = "shards", .fallback = "8",
 	  .help = "shards of the job ledger, the same on every node" },
@@ -182,6 +185,12 @@
 			 "keys.public and keys.secret go together");
 	else if (secret_key && !bus_auth_check_keys(public_key, secret_key))
 		fault_at(check, "keys", error_last());
+	if (settings->bus_other_key && !public_key)
+		fault_at(check, "keys.other_public",
+			 "keys.public and keys.secret are missing");
+	else if (settings->bus_other_key &&
+		 !bus_auth_check_public(settings->bus_other_key))
+		fault_at(check, "keys.other_public", error_last());
 	if (!settings->web_tls_key != !settings->web_tls_certificate)
 		fault_at(check, "web",
 			 "web.tls_key and web.tls_certificate go together");
--- a/include/briarplankd/bus.h
+++ b/include/briarplankd/bus.h
@@ -37,6 +37,11 @@
 struct bus_keys {
 	const char *public_key;
 	const char *secret_key;
+	/**
+	 * Public key of the next or previous pair, which peers may hold while
+	 * the pair is being changed; NULL for none.
+	 */
+	const char *other_public_key;
 };
 
 struct bus_options {
--- /dev/null
+++ b/tests/process/keys_rotation.sh
@@ -0,0 +1,186 @@
+# The fleet's key pair and a caller's key are changed node by node while
+# requests run: nobody is split off, no request is lost, and in the end the old
+# keys are refused.
+. tests/fleet/fleet.sh
+fleet_begin
+
+daemon=$BUILD/briarplankd/briarplankd
+nodes="entry-1 entry-2 agent-1 agent-2 agent-3 agent-4"
+
+# pair NAME: makes a key pair; its members of "keys" are $FLEET_DIR/NAME.
+pair () {
+	"$daemon" --make-keys | sed '1d; $d' | tr -d '\n\t' >"$FLEET_DIR/$1"
+}
+
+public () {
+	sed 's/.*"public": "\([^"]*\)".*/\1/' "$FLEET_DIR/$1"
+}
+
+# keys PAIR [OTHER]: prints the member "keys" of a step.
+keys () {
+	printf '"keys": { %s%s }' "$(cat "$FLEET_DIR/$1")" \
+		"${2:+, \"other_public\": \"$(public "$2")\"}"
+}
+
+# access KEY...: prints the access rules of a caller with these keys.
+access () {
+	for key in "$@"
+	do
+		printf '{"name":"depot","class":"online","key_sha256":"%s"}\n' \
+			"$(printf '%s' "$key" | sha256sum | cut -d' ' -f1)"
+	done | paste -s -d, -
+}
+
+# configure NODE: writes the settings of the step that is under way.
+configure () {
+	awk -v keys="$KEYS" -v access="$ACCESS" '
+		/^\t"keys": / { print "\t" keys ","; next }
+		/"node": / && !/stop_grace/ {
+			sub("{", "{ \"stop_grace_ms\": 100,")
+		}
+		/"access": / { print "\t\"access\": [ " access " ]"; next }
+		{ print }' "$FLEET_DIR/$1.json" >"$FLEET_DIR/json" &&
+		mv "$FLEET_DIR/json" "$FLEET_DIR/$1.json"
+}
+
+up_nr () {
+	curl -s -m 2 "$(fleet_url "$1")/metrics" |
+		sed -n 's/^briarplank_members_up.* \([0-9]*\)$/\1/p' |
+		awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# Each node works with all five others.
+whole () {
+	for node in $nodes
+	do
+		test "$(up_nr "$node")" -eq 5 || return 1
+	done
+}
+
+# restart NODE...: gracefully, with the settings of the step.
+restart () {
+	for node in "$@"
+	do
+		fleet_signal "$node" TERM
+	done
+	for node in "$@"
+	do
+		fleet_wait "$node" || fleet_fail "$node ended with $?"
+		mv "$FLEET_DIR/$node.log" "$FLEET_DIR/$node.before"
+		configure "$node"
+		fleet_start_node "$node"
+		fleet_row_again "$node"
+	done
+	fleet_publish
+	wait_until whole
+	for node in "$@"
+	do
+		wait_until fleet_ready "$node"
+	done
+}
+
+# send_callers ENTRY: once this returns, no request is under way elsewhere.
+send_callers () {
+	echo "$1" >"$FLEET_DIR/entry"
+	wait_until grep -q "$1" "$FLEET_DIR/used"
+}
+
+# step: rolls the settings over the fleet, one half at a time; the balancer,
+# which is the file "entry", sends callers elsewhere first.
+step () {
+	send_callers entry-2
+	restart entry-1 agent-1 agent-2
+	send_callers entry-1
+	restart entry-2 agent-3 agent-4
+}
+
+# ask KEY ENTRY: prints the status of a request.
+ask () {
+	curl -s -o "$FLEET_DIR/answer" -w '%{http_code}\n' -m 10 \
+		-H "Authorization: Bearer $1" \
+		-d '{"prompt":"p","max_tokens":2}' \
+		"$(fleet_url "$2")/v1/services/claim-desk/v1/completions"
+}
+
+call_on () {
+	while ! test -e "$FLEET_DIR/over"
+	do
+		entry=$(cat "$FLEET_DIR/entry")
+		echo "$entry" >"$FLEET_DIR/used"
+		status=$(ask "$(cat "$FLEET_DIR/key")" "$entry")
+		echo "$status"
+		test "$status" = 200 || cat "$FLEET_DIR/answer" \
+			>>"$FLEET_DIR/refusals.log"
+		sleep 0.02
+	done >"$FLEET_DIR/statuses"
+}
+
+pair old
+pair new
+fleet_platform
+fleet_standin engine-1 engine
+KEYS=$(keys old)
+ACCESS=$(access depot-1)
+FLEET_SETTINGS=$KEYS
+FLEET_ACCESS=$ACCESS
+for entry in entry-1 entry-2
+do
+	fleet_entry $entry akl-a akl
+done
+for agent in agent-1 agent-2 agent-3 agent-4
+do
+	fleet_agent $agent akl-a akl claim-desk "$(fleet_address engine-1)"
+done
+fleet_publish
+wait_until whole
+served () {
+	test "$(ask depot-1 entry-1)" = 200
+}
+wait_until served
+
+echo entry-1 >"$FLEET_DIR/entry"
+echo depot-1 >"$FLEET_DIR/key"
+call_on &
+calls=$!
+FLEET_PIDS="$FLEET_PIDS $calls"
+
+# Accept the new keys, use them, and drop the old ones.
+KEYS=$(keys old new)
+ACCESS=$(access depot-1 depot-2)
+step
+echo depot-2 >"$FLEET_DIR/key"
+KEYS=$(keys new old)
+step
+KEYS=$(keys new)
+ACCESS=$(access depot-2)
+step
+
+touch "$FLEET_DIR/over"
+wait $calls
+total=$(wc -l <"$FLEET_DIR/statuses")
+test "$(grep -c '^200$' "$FLEET_DIR/statuses")" -eq "$total" ||
+	fleet_fail "requests were lost: $(sort "$FLEET_DIR/statuses" | uniq -c)"
+test "$total" -ge 100 || fleet_fail "only $total requests ran"
+
+# A node that still uses the old pair stays outside, and so does the old key.
+test "$(ask depot-1 entry-1)" = 401 || fleet_fail "the old key was accepted"
+FLEET_SETTINGS=$(keys old new)
+fleet_agent late-1 akl-a akl claim-desk "$(fleet_address engine-1)"
+fleet_publish
+denied () {
+	curl -s "$(fleet_url entry-1)/metrics" |
+		grep -q '^briarplank_bus_denied_total [1-9]'
+}
+wait_until denied
+curl -s "$(fleet_url late-1)/metrics" |
+	grep -q '^briarplank_bus_received_total 0$' ||
+	fleet_fail "the late node received a message"
+
+# A key that is none is a fault of the settings.
+sed 's/"other_public": "[^"]*"/"other_public": "short"/' \
+	"$FLEET_DIR/late-1.json" >"$FLEET_DIR/bad.json"
+"$daemon" --config "$FLEET_DIR/bad.json" --check 2>"$FLEET_DIR/bad.out"
+test $? -eq 2 || fleet_fail "a bad key was taken"
+grep -q 'keys.other_public: ' "$FLEET_DIR/bad.out" ||
+	fleet_fail "no word of the key: $(cat "$FLEET_DIR/bad.out")"
+echo "both keys changed over 6 nodes with $total requests, none lost"
--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -167,7 +167,7 @@
 
 /*
  * bus LABEL [as=NAME] [incarnation=N] [at=LABEL] [public=KEYS] [secret=KEYS]
- * starts a node, on the address of another that was stopped if so asked.
+ * [other=KEYS] starts a node, on the address of another that was stopped if so asked.
  */
 static void cmd_bus(void *data, int argc, char **argv)
 {
@@ -176,6 +176,7 @@
 	const char *at = script_arg(argc, argv, "at", NULL);
 	const char *public_keys = script_arg(argc, argv, "public", NULL);
 	const char *secret_keys = script_arg(argc, argv, "secret", NULL);
+	const char *other_keys = script_arg(argc, argv, "other", NULL);
 	struct bus_options options = {
 		.loop = &state->loop,
 		.incarnation = script_arg_int(argc, argv, "incarnation", 1),
@@ -192,6 +193,9 @@
 	if (secret_keys)
 		options.keys.secret_key =
 			key_find(state, secret_keys)->secret_key;
+	if (other_keys)
+		options.keys.other_public_key =
+			key_find(state, other_keys)->public_key;
 	node->bus = bus_create(&options);
 	if (!node->bus) {
 		g_string_append_printf(state->out, "%s\n", error_last());
