--- a/briarplankctl/client.c
+++ b/briarplankctl/client.c
@@ -16,6 +16,9 @@
 /* Times a command is sent before its fate counts as unknown. */
 #define SEND_LIMIT 4
 #define RETRY_WAIT_MS 500
+/* The same for a request that may be sent as often as needed. */
+#define REQUEST_LIMIT 30
+#define REQUEST_WAIT_MS 1000
 
 struct client {
 	uv_loop_t loop;
@@ -111,8 +114,9 @@
 	exchange->end = end;
 }
 
-static void exchange_run(struct client *client, const char *text,
-			 const char *id, struct exchange *exchange)
+static void exchange_run(struct client *client,
+			 const struct client_request *request, const char *id,
+			 struct exchange *exchange)
 {
 	struct http_field fields[] = {
 		{ "Authorization", client->authorization },
@@ -121,12 +125,12 @@
 	};
 	struct http_call_options options = {
 		.address = client->addresses[client->next],
-		.method = "POST",
-		.path = "/v1/operator",
+		.method = request->method,
+		.path = request->path,
 		.fields = fields,
-		.fields_nr = G_N_ELEMENTS(fields),
-		.body = text,
-		.body_len = strlen(text),
+		.fields_nr = G_N_ELEMENTS(fields) - (id ? 0 : 1),
+		.body = request->body,
+		.body_len = request->body_len,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.first_byte_timeout_ms = ANSWER_TIMEOUT_MS,
 		.idle_timeout_ms = ANSWER_TIMEOUT_MS,
@@ -163,6 +167,8 @@
 	struct json_object *status;
 
 	switch (exchange->status) {
+	case 201:
+		return CLIENT_DONE;
 	case 200:
 		status = json_object_object_get(root, "status");
 		return status && !strcmp(json_object_get_string(status),
@@ -185,7 +191,7 @@
 static void take_answer(const struct exchange *exchange,
 			struct client_answer *answer)
 {
-	const char *field = exchange->status == 200 ? "message" : "detail";
+	const char *field = exchange->status < 300 ? "message" : "detail";
 	struct json_object *text = NULL;
 
 	answer->body = g_strdup(exchange->body->str);
@@ -224,6 +230,12 @@
 			     g_strdup(command);
 	char *own_id = id ? g_strdup(id) : g_uuid_string_random();
 	struct exchange exchange = { .body = g_string_new(NULL) };
+	struct client_request request = {
+		.method = "POST",
+		.path = "/v1/operator",
+		.body = text,
+		.body_len = strlen(text),
+	};
 	bool sent = false;
 	unsigned i;
 
@@ -231,7 +243,7 @@
 	for (i = 0; i < SEND_LIMIT; i++) {
 		if (i)
 			g_usleep(RETRY_WAIT_MS * 1000);
-		exchange_run(client, text, own_id, &exchange);
+		exchange_run(client, &request, own_id, &exchange);
 		if (!in_doubt(&exchange))
 			break;
 		sent |= exchange.end != HTTP_NOT_SENT;
@@ -246,6 +258,32 @@
 	g_free(text);
 }
 
+void client_request_run(struct client *client,
+			const struct client_request *request,
+			struct client_answer *answer)
+{
+	struct exchange exchange = { .body = g_string_new(NULL) };
+	unsigned i;
+
+	memset(answer, 0, sizeof(*answer));
+	for (i = 0; i < REQUEST_LIMIT; i++) {
+		if (i)
+			g_usleep(REQUEST_WAIT_MS * 1000);
+		exchange_run(client, request, NULL, &exchange);
+		if (!in_doubt(&exchange) && exchange.status != 503)
+			break;
+		next_entry(client);
+	}
+	if (in_doubt(&exchange)) {
+		answer->status = CLIENT_NOT_REACHED;
+		answer->message = g_strdup("no entry answers; run the same "
+					   "command again later");
+	} else {
+		take_answer(&exchange, answer);
+	}
+	g_string_free(exchange.body, TRUE);
+}
+
 void client_answer_clear(struct client_answer *answer)
 {
 	json_object_put(answer->root);
--- a/briarplankctl/client.h
+++ b/briarplankctl/client.h
@@ -4,6 +4,8 @@
 #ifndef BRIARPLANKCTL_CLIENT_H
 #define BRIARPLANKCTL_CLIENT_H
 
+#include <stddef.h>
+
 #include <json-c/json.h>
 
 struct client;
@@ -24,6 +26,16 @@
 	const char *key;
 };
 
+/** A request that is safe to send again. */
+struct client_request {
+	const char *method;
+	/** Path with the query, escaped. */
+	const char *path;
+	/** NULL for none. */
+	const char *body;
+	size_t body_len;
+};
+
 /** What a command came to. */
 struct client_answer {
 	enum client_status status;
@@ -46,6 +58,14 @@
  */
 void client_run(struct client *client, const char *command, const char *items,
 		const char *id, struct client_answer *answer);
+
+/**
+ * Sends a request to one entry after the other until one has carried it out
+ * or refused it for good.
+ */
+void client_request_run(struct client *client,
+			const struct client_request *request,
+			struct client_answer *answer);
 void client_answer_clear(struct client_answer *answer);
 
 #endif
--- a/briarplankctl/main.c
+++ b/briarplankctl/main.c
@@ -12,6 +12,7 @@
 #include "core/command.h"
 #include "core/version.h"
 #include "prompt.h"
+#include "submit.h"
 #include "table.h"
 
 #define DEFAULT_URL "http://127.0.0.1:8080"
@@ -163,7 +164,11 @@
 		fputs(help_text, stdout);
 		return CLIENT_DONE;
 	}
-	client_run(session->client, line, session->items, command_id, &answer);
+	if (submit_needs_parts(line, session->items))
+		submit_parts(session->client, line, session->items, &answer);
+	else
+		client_run(session->client, line, session->items, command_id,
+			   &answer);
 	print_answer(session, line, &answer);
 	fflush(stdout);
 	status = answer.status;
--- a/briarplankd/entry/jobs.c
+++ b/briarplankd/entry/jobs.c
@@ -9,10 +9,12 @@
 #include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/log.h"
+#include "core/ledger.h"
 #include "core/shard_claims.h"
 
 #define PREFIX "/v1/jobs/"
 #define RESULTS "/results"
+#define PARTS "/parts/"
 #define NAME_MAX_BYTES 256
 
 #define TICK_MS 50
@@ -155,12 +157,32 @@
 	seal->items = submission->items;
 	seal->n_chunk_offsets = call->offsets->len;
 	seal->chunk_offsets = (uint64_t *)call->offsets->data;
+	seal->parts = call->parts;
+}
+
+static void fill_part(const struct job_call *call, Briarplank__StorePart *store)
+{
+	const struct submission *submission =
+		submission_parser_result(call->parser);
+
+	store->call_id = call->id;
+	store->shard = call->shard;
+	store->job_id = bytes_of(call->job_id, HASH128_BYTES);
+	store->part = call->part;
+	store->submission_id =
+		bytes_of(submission->content_hash, HASH128_BYTES);
+	store->first_line = call->first_line;
+	store->lines = submission->lines;
+	store->items = submission->items;
+	store->n_chunk_offsets = call->offsets->len;
+	store->chunk_offsets = (uint64_t *)call->offsets->data;
 }
 
 static bool send_call(struct job_call *call, const char *owner)
 {
 	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
 	Briarplank__SealJob seal = BRIARPLANK__SEAL_JOB__INIT;
+	Briarplank__StorePart store = BRIARPLANK__STORE_PART__INIT;
 	Briarplank__CancelJob cancel = BRIARPLANK__CANCEL_JOB__INIT;
 	Briarplank__QueryJob query = BRIARPLANK__QUERY_JOB__INIT;
 	Briarplank__QueryResults results = BRIARPLANK__QUERY_RESULTS__INIT;
@@ -172,6 +194,11 @@
 		env.body_case = BRIARPLANK__ENVELOPE__BODY_SEAL_JOB;
 		env.seal_job = &seal;
 		break;
+	case JOB_CALL_PART:
+		fill_part(call, &store);
+		env.body_case = BRIARPLANK__ENVELOPE__BODY_STORE_PART;
+		env.store_part = &store;
+		break;
 	case JOB_CALL_CANCEL:
 		cancel.call_id = call->id;
 		cancel.shard = call->shard;
@@ -230,17 +257,22 @@
 	job_call_answer(call, reply);
 }
 
+static bool submits(const struct job_call *call)
+{
+	return call->kind == JOB_CALL_SUBMIT || call->kind == JOB_CALL_PART;
+}
+
 /* Only a seal that was sent may have taken effect. */
 static void give_up(struct job_call *call)
 {
-	bool doubt = call->asked && (call->kind == JOB_CALL_SUBMIT ||
-				     call->kind == JOB_CALL_CANCEL);
+	bool doubt =
+		call->asked && (submits(call) || call->kind == JOB_CALL_CANCEL);
 
 	job_call_unavailable(
 		call, RETRY_AFTER_MS,
 		doubt ? "not confirmed in time; it may have taken effect, "
 			"send the same request again" :
-		call->kind == JOB_CALL_SUBMIT ?
+		submits(call) ?
 			"not accepted: the job's shard has no owner now" :
 			"the job's shard has no owner that answers now");
 }
@@ -254,7 +286,7 @@
 		give_up(call);
 	else if (call->ask_ms && now >= call->ask_ms)
 		job_call_ask(call);
-	else if (!call->ask_ms && call->kind == JOB_CALL_SUBMIT)
+	else if (!call->ask_ms && submits(call))
 		job_submit_step(call);
 }
 
@@ -270,12 +302,26 @@
 	g_list_free(calls);
 }
 
-/* Splits "/v1/jobs/NAME[/results]"; NULL when it is neither. */
-static char *job_name(const char *path, bool *results)
+/* Cuts "/parts/N" off; 0 when there is none, or no number of a part. */
+static uint32_t cut_part(char *rest)
+{
+	char *at = strstr(rest, PARTS);
+	guint64 number;
+
+	if (!at || !g_ascii_string_to_unsigned(at + strlen(PARTS), 10, 1,
+					       LEDGER_PARTS_MAX, &number, NULL))
+		return 0;
+	*at = '\0';
+	return (uint32_t)number;
+}
+
+/* Splits "/v1/jobs/NAME[/results|/parts/N]"; NULL when it is none of them. */
+static char *job_name(const char *path, bool *results, uint32_t *part)
 {
 	char *rest = g_strdup(path + strlen(PREFIX));
 	char *name;
 
+	*part = cut_part(rest);
 	*results = g_str_has_suffix(rest, RESULTS);
 	if (*results)
 		rest[strlen(rest) - strlen(RESULTS)] = '\0';
@@ -308,7 +354,7 @@
 
 static void call_run(struct job_call *call)
 {
-	if (call->kind == JOB_CALL_SUBMIT)
+	if (submits(call))
 		job_submit_start(call);
 	else
 		job_call_ask(call);
@@ -335,6 +381,7 @@
 	const char *caller = identify(jobs->super.node->access, web);
 	enum job_call_kind kind;
 	struct job_call *call;
+	uint32_t part;
 	bool results;
 	char *name;
 
@@ -343,21 +390,23 @@
 			    "the bearer key names no caller");
 		return;
 	}
-	name = job_name(web_path(web), &results);
+	name = job_name(web_path(web), &results, &part);
 	if (!name) {
 		web_problem(web, 404, "Not found",
 			    "a job's name of 1 to %d bytes must follow %s",
 			    NAME_MAX_BYTES, PREFIX);
 		return;
 	}
-	if (!kind_of(web_method(web), results, &kind)) {
+	if (!kind_of(web_method(web), results, &kind) ||
+	    (part && (results || kind != JOB_CALL_SUBMIT))) {
 		g_free(name);
 		web_problem(web, 405, "Method not allowed",
 			    "%s is not possible here", web_method(web));
 		return;
 	}
 	call = call_create(jobs, caller, name);
-	call->kind = kind;
+	call->kind = part ? JOB_CALL_PART : kind;
+	call->part = part;
 	call->web = web;
 	web_on_close(web, on_close, call);
 	call_run(call);
--- a/briarplankd/entry/jobs_answer.c
+++ b/briarplankd/entry/jobs_answer.c
@@ -35,6 +35,27 @@
 	job_call_end(call);
 }
 
+static void answer_part(struct job_call *call)
+{
+	const struct submission *submission =
+		submission_parser_result(call->parser);
+	struct json_object *root = json_object_new_object();
+	const char *text;
+
+	json_object_object_add(root, "job", json_object_new_string(call->name));
+	json_object_object_add(root, "part", json_object_new_int64(call->part));
+	json_object_object_add(root, "line",
+			       json_object_new_int64(call->first_line));
+	json_object_object_add(root, "lines",
+			       json_object_new_int64(submission->lines));
+	json_object_object_add(root, "items",
+			       json_object_new_int64(submission->items));
+	text = json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN);
+	web_answer(call->web, 200, "application/json", text, strlen(text));
+	json_object_put(root);
+	job_call_end(call);
+}
+
 static void append_string(GString *out, const char *text, size_t len)
 {
 	struct json_object *value = json_object_new_string_len(text, (int)len);
@@ -125,10 +146,23 @@
 {
 	if (call->kind == JOB_CALL_RESULTS)
 		answer_results(call, reply);
+	else if (call->kind == JOB_CALL_PART)
+		answer_part(call);
 	else
 		answer_job(call, 200, reply);
 }
 
+static void answer_conflict(struct job_call *call,
+			    const Briarplank__JobReply *reply)
+{
+	if (*reply->message)
+		job_call_fail(call, 409, "Conflict", "job %s: %s", call->name,
+			      reply->message);
+	else
+		job_call_fail(call, 409, "Conflict",
+			      "job %s exists with other content", call->name);
+}
+
 void job_call_answer(struct job_call *call, const Briarplank__JobReply *reply)
 {
 	uint32_t retry =
@@ -142,8 +176,11 @@
 		answer_job(call, 201, reply);
 		break;
 	case BRIARPLANK__JOB_REPLY__CODE__CONFLICT:
-		job_call_fail(call, 409, "Conflict",
-			      "job %s exists with other content", call->name);
+		answer_conflict(call, reply);
+		break;
+	case BRIARPLANK__JOB_REPLY__CODE__BAD_LINE:
+		job_call_fail(call, 400, "Bad submission", "%s",
+			      reply->message);
 		break;
 	case BRIARPLANK__JOB_REPLY__CODE__UNKNOWN_JOB:
 		job_call_fail(call, 404, "Unknown job", "no job %s of yours",
@@ -155,6 +192,10 @@
 			      call->name);
 		break;
 	case BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION:
+		if (call->kind == JOB_CALL_PART && !call->looked_up) {
+			job_submit_part_unknown(call);
+			break;
+		}
 		job_call_unavailable(call, retry,
 				     "not accepted: parts of the submission "
 				     "were lost, send it again");
--- a/briarplankd/entry/jobs_submit.c
+++ b/briarplankd/entry/jobs_submit.c
@@ -7,6 +7,7 @@
 #include "briarplankd/entry/jobs.h"
 #include "briarplankd/entry/record_cache.h"
 #include "common/error.h"
+#include "core/ledger.h"
 
 /* Bytes of items in one chunk. */
 #define CHUNK_BYTES (512 << 10)
@@ -68,18 +69,36 @@
 	return call->web ? web_query(call->web) : call->query_text;
 }
 
+static bool parse_number(const char *text, uint32_t max, uint32_t *number)
+{
+	guint64 value;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 1, max, &value, NULL))
+		return false;
+	*number = (uint32_t)value;
+	return true;
+}
+
+/* A part has only its place; what the job is stands in the seal. */
+static const char *parse_part_query(struct job_call *call)
+{
+	const char *line = g_hash_table_lookup(call->query, "line");
+
+	if (!line || !parse_number(line, UINT32_MAX / 2, &call->first_line))
+		return "line must be the number of the part's first line "
+		       "within the job";
+	return NULL;
+}
+
 /* Takes service, path, due and keep; NULL, or what is wrong. */
-static const char *parse_query(struct job_call *call)
+static const char *parse_job_query(struct job_call *call)
 {
-	const char *service, *due, *keep;
+	const char *service, *due, *keep, *parts;
 
-	call->query = g_uri_parse_params(query_text(call), -1, "&",
-					 G_URI_PARAMS_NONE, NULL);
-	if (!call->query)
-		return "the query can't be parsed";
 	service = g_hash_table_lookup(call->query, "service");
 	due = g_hash_table_lookup(call->query, "due");
 	keep = g_hash_table_lookup(call->query, "keep");
+	parts = g_hash_table_lookup(call->query, "parts");
 	if (!service || !*service)
 		return "service is missing";
 	if (due && !parse_due(due, &call->due_ms))
@@ -89,9 +108,31 @@
 		return "keep must be a duration such as 72h";
 	if (call->keep_ms > KEEP_MAX_MS)
 		return "keep must be at most 90d";
+	if (parts && !parse_number(parts, LEDGER_PARTS_MAX, &call->parts))
+		return "parts must be a number of 1 to 1024";
 	return NULL;
 }
 
+static const char *parse_query(struct job_call *call)
+{
+	call->query = g_uri_parse_params(query_text(call), -1, "&",
+					 G_URI_PARAMS_NONE, NULL);
+	if (!call->query)
+		return "the query can't be parsed";
+	return call->kind == JOB_CALL_PART ? parse_part_query(call) :
+					     parse_job_query(call);
+}
+
+/* The parts are there, or the owner says which is not. */
+static void seal_parts(struct job_call *call, size_t body_len)
+{
+	if (body_len)
+		job_call_fail(call, 400, "Bad submission",
+			      "a request with parts has no body");
+	else
+		job_call_ask(call);
+}
+
 void job_submit_start(struct job_call *call)
 {
 	const struct node *node = call->jobs->super.node;
@@ -114,13 +155,18 @@
 				     "not accepted: this entry has no log");
 		return;
 	}
+	options.part = call->part;
+	options.first_line = call->first_line;
 	options.body = call->body;
 	options.body_len = call->body_len;
 	if (call->web)
 		options.body = web_body(call->web, &options.body_len);
 	call->parser = submission_parser_create(&options);
 	call->offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	job_submit_step(call);
+	if (call->parts)
+		seal_parts(call, options.body_len);
+	else
+		job_submit_step(call);
 }
 
 static void refuse(struct job_call *call)
@@ -187,6 +233,19 @@
 		return;
 	}
 	call->deadline_ms += (uint64_t)submission->chunks->len * CHUNK_LIMIT_MS;
+	/* A part that was sent before needs no append. */
+	if (call->kind == JOB_CALL_PART) {
+		job_call_ask(call);
+		return;
+	}
+	call->append_ms = 1;
+	append_chunk(call);
+}
+
+void job_submit_part_unknown(struct job_call *call)
+{
+	call->looked_up = true;
+	call->asked = false;
 	call->append_ms = 1;
 	append_chunk(call);
 }
--- a/briarplankd/entry/ledger_calls.c
+++ b/briarplankd/entry/ledger_calls.c
@@ -7,6 +7,7 @@
 #include "briarplankd/entry/ledger_results.h"
 #include "briarplankd/entry/ledger_task.h"
 #include "briarplankd/members_task.h"
+#include "common/error.h"
 #include "common/hash.h"
 
 /* Time in which the chunks of a seal must be found in the stream, in ms. */
@@ -37,6 +38,7 @@
 	[LEDGER_NOT_OWNER] = BRIARPLANK__JOB_REPLY__CODE__NOT_OWNER,
 	[LEDGER_BAD_SUBMISSION] = BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION,
 	[LEDGER_OVERLOADED] = BRIARPLANK__JOB_REPLY__CODE__OVERLOADED,
+	[LEDGER_BAD_LINE] = BRIARPLANK__JOB_REPLY__CODE__BAD_LINE,
 };
 
 static void send_reply(struct ledger_task *task, const char *peer,
@@ -89,6 +91,8 @@
 		owner = node_shard_owner(task->super.node, shard);
 	if (status == LEDGER_OVERLOADED)
 		reply.retry_after_ms = OVERLOADED_RETRY_MS;
+	if (status == LEDGER_CONFLICT || status == LEDGER_BAD_LINE)
+		reply.message = (char *)error_last();
 	reply.owner = (char *)(owner ? owner : "");
 	send_reply(task, peer, &reply);
 }
@@ -156,7 +160,7 @@
 	if (!job)
 		reply_status(call->task, call->peer, call->call_id, call->shard,
 			     LEDGER_NOT_OWNER);
-	else if (!ledger_job_same_content(job, seal->content_hash))
+	else if (!ledger_seal_matches(job, seal))
 		reply_job(call->task, call->peer, call->call_id,
 			  BRIARPLANK__JOB_REPLY__CODE__CONFLICT, job);
 	else
@@ -165,18 +169,31 @@
 	call_free(call);
 }
 
-static bool chunks_read(const struct ledger *ledger,
-			const Briarplank__SealJob *seal)
+static bool chunks_read(const struct ledger *ledger, const uint64_t *offsets,
+			size_t nr)
 {
 	size_t i;
 
-	for (i = 0; i < seal->n_chunk_offsets; i++) {
-		if (seal->chunk_offsets[i] > ledger_position(ledger))
+	for (i = 0; i < nr; i++) {
+		if (offsets[i] > ledger_position(ledger))
 			return false;
 	}
 	return true;
 }
 
+/* Tells whether the chunks that a call names were read. */
+static bool call_chunks_read(const struct call *call,
+			     const struct ledger *ledger)
+{
+	const Briarplank__Envelope *env = call->env;
+
+	if (env->body_case == BRIARPLANK__ENVELOPE__BODY_STORE_PART)
+		return chunks_read(ledger, env->store_part->chunk_offsets,
+				   env->store_part->n_chunk_offsets);
+	return chunks_read(ledger, env->seal_job->chunk_offsets,
+			   env->seal_job->n_chunk_offsets);
+}
+
 static void answer_seal(struct call *call, struct ledger *ledger)
 {
 	const Briarplank__SealJob *seal = call->env->seal_job;
@@ -199,6 +216,48 @@
 	call_free(call);
 }
 
+static void answer_part(struct call *call, struct ledger *ledger);
+
+/* Only the fold knows whether the part was stored. */
+static void on_part_durable(void *ctx, bool durable)
+{
+	struct call *call = ctx;
+	struct ledger *ledger = ledger_task_owned(call->task, call->shard);
+
+	if (ledger && durable) {
+		answer_part(call, ledger);
+		return;
+	}
+	reply_status(call->task, call->peer, call->call_id, call->shard,
+		     LEDGER_NOT_OWNER);
+	call_free(call);
+}
+
+static void answer_part(struct call *call, struct ledger *ledger)
+{
+	enum ledger_status status;
+
+	status = ledger_store_part(ledger, call->env->store_part,
+				   node_wall_ms());
+	if (status == LEDGER_QUEUED) {
+		ledger_wait(call->task, call->shard, ledger_queued(ledger),
+			    on_part_durable, call);
+		shard_kick(call->task->shards[call->shard]);
+		return;
+	}
+	reply_status(call->task, call->peer, call->call_id, call->shard,
+		     status);
+	call_free(call);
+}
+
+static void answer_call(struct call *call, struct ledger *ledger)
+{
+	if (call->env->body_case == BRIARPLANK__ENVELOPE__BODY_STORE_PART)
+		answer_part(call, ledger);
+	else
+		answer_seal(call, ledger);
+}
+
 /* Goes on with a seal once its chunks were read; true when it is done. */
 static bool try_seal(struct call *call)
 {
@@ -211,9 +270,9 @@
 		call_free(call);
 		return true;
 	}
-	if (chunks_read(ledger, call->env->seal_job)) {
+	if (call_chunks_read(call, ledger)) {
 		list_remove(&call->link);
-		answer_seal(call, ledger);
+		answer_call(call, ledger);
 		return true;
 	}
 	if (node_now_ms(task->super.node) < call->until_ms)
@@ -231,18 +290,38 @@
 		try_seal(list_entry(pos, struct call, link));
 }
 
-static void on_seal(void *ctx, const Briarplank__Envelope *env)
+static void wait_for_chunks(struct ledger_task *task, struct call *call,
+			    const Briarplank__Envelope *env)
 {
-	struct ledger_task *task = ctx;
-	const Briarplank__SealJob *seal = env->seal_job;
-	struct call *call = call_create(task, env, seal->call_id, seal->shard,
-					seal->job_id);
+	uint32_t shard = call->shard;
 
 	call->env = copy_envelope(env);
 	call->until_ms = node_now_ms(task->super.node) + SEAL_WAIT_MS;
 	list_append(&task->seals, &call->link);
 	if (!try_seal(call))
-		shard_catch_up(task->shards[seal->shard]);
+		shard_catch_up(task->shards[shard]);
+}
+
+static void on_seal(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__SealJob *seal = env->seal_job;
+
+	wait_for_chunks(task,
+			call_create(task, env, seal->call_id, seal->shard,
+				    seal->job_id),
+			env);
+}
+
+static void on_store_part(void *ctx, const Briarplank__Envelope *env)
+{
+	struct ledger_task *task = ctx;
+	const Briarplank__StorePart *store = env->store_part;
+
+	wait_for_chunks(task,
+			call_create(task, env, store->call_id, store->shard,
+				    store->job_id),
+			env);
 }
 
 static void on_cancel_durable(void *ctx, bool durable)
@@ -460,6 +539,8 @@
 	struct bus *bus = task->super.node->bus;
 
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_SEAL_JOB, on_seal, task);
+	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_STORE_PART, on_store_part,
+		   task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_CANCEL_JOB, on_cancel, task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_QUERY_JOB, on_query, task);
 	bus_handle(bus, BRIARPLANK__ENVELOPE__BODY_QUERY_RESULTS, on_results,
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -5,8 +5,6 @@
 
 #include "core/ledger_state.h"
 
-/* Time after which chunks without a seal lapse, in ms. */
-#define SUBMISSION_KEEP_MS (60 * 60 * 1000ull)
 /* Time for which an idempotency key is remembered, in ms. */
 #define KEY_KEEP_MS (24 * 60 * 60 * 1000ull)
 
@@ -46,6 +44,7 @@
 	struct ledger_chunk *chunk = data;
 
 	g_free(chunk->idempotent);
+	g_free(chunk->marks);
 	g_free(chunk);
 }
 
@@ -84,6 +83,8 @@
 	ledger->jobs_by_number = g_hash_table_new(NULL, NULL);
 	ledger->submissions = g_hash_table_new_full(
 		ledger_id_hash, ledger_id_equal, NULL, ledger_submission_free);
+	ledger->drafts = g_hash_table_new_full(ledger_id_hash, ledger_id_equal,
+					       NULL, ledger_draft_free);
 	ledger->keys = g_hash_table_new_full(ledger_id_hash, ledger_id_equal,
 					     NULL, ledger_key_free);
 	ledger->grants_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -125,6 +126,7 @@
 	g_hash_table_destroy(ledger->jobs_by_id);
 	g_hash_table_destroy(ledger->jobs_by_number);
 	g_hash_table_destroy(ledger->submissions);
+	g_hash_table_destroy(ledger->drafts);
 	g_hash_table_destroy(ledger->keys);
 	g_hash_table_destroy(ledger->grants_by_id);
 	g_hash_table_destroy(ledger->sealing);
@@ -154,6 +156,17 @@
 		memcpy(out, id.data, HASH128_BYTES);
 }
 
+static void copy_part_ids(struct ledger_job *job,
+			  const Briarplank__JobSealed *sealed)
+{
+	size_t i;
+
+	job->parts_nr = sealed->n_part_ids;
+	job->part_ids = g_malloc0_n(job->parts_nr + 1, HASH128_BYTES);
+	for (i = 0; i < sealed->n_part_ids; i++)
+		copy_id(job->part_ids[i], sealed->part_ids[i]);
+}
+
 struct ledger_job *ledger_job_create(struct ledger *ledger,
 				     const Briarplank__JobSealed *sealed)
 {
@@ -163,6 +176,7 @@
 	copy_id(job->id, sealed->job_id);
 	copy_id(job->content_hash, sealed->content_hash);
 	copy_id(job->submission_id, sealed->submission_id);
+	copy_part_ids(job, sealed);
 	job->name = g_strdup(sealed->name);
 	job->caller = g_strdup(sealed->caller);
 	job->service = g_strdup(sealed->service);
@@ -195,6 +209,7 @@
 	list_remove(&job->open_link);
 	job_free_items(job);
 	g_hash_table_destroy(job->intents);
+	g_free(job->part_ids);
 	g_free(job->name);
 	g_free(job->caller);
 	g_free(job->service);
@@ -288,7 +303,7 @@
 		return NULL;
 	submission = g_hash_table_lookup(ledger->submissions, id.data);
 	if (submission &&
-	    ledger->time_ms > submission->first_ms + SUBMISSION_KEEP_MS)
+	    ledger->time_ms > submission->first_ms + LEDGER_SUBMISSION_KEEP_MS)
 		return NULL;
 	return submission;
 }
@@ -306,6 +321,15 @@
 	return key;
 }
 
+struct ledger_submission *ledger_submission_new(void)
+{
+	struct ledger_submission *submission =
+		g_new0(struct ledger_submission, 1);
+
+	submission->chunks = g_ptr_array_new_with_free_func(ledger_chunk_free);
+	return submission;
+}
+
 struct ledger_submission *ledger_submission_get(struct ledger *ledger,
 						ProtobufCBinaryData id,
 						ProtobufCBinaryData job_id)
@@ -316,11 +340,10 @@
 	if (submission)
 		return submission;
 	g_hash_table_remove(ledger->submissions, id.data);
-	submission = g_new0(struct ledger_submission, 1);
+	submission = ledger_submission_new();
 	copy_id(submission->id, id);
 	copy_id(submission->job_id, job_id);
 	submission->first_ms = ledger->time_ms;
-	submission->chunks = g_ptr_array_new_with_free_func(ledger_chunk_free);
 	g_hash_table_insert(ledger->submissions, submission->id, submission);
 	return submission;
 }
@@ -370,7 +393,14 @@
 	const struct ledger *ledger = ctx;
 
 	(void)id;
-	return ledger->time_ms > submission->first_ms + SUBMISSION_KEEP_MS;
+	return ledger->time_ms >
+	       submission->first_ms + LEDGER_SUBMISSION_KEEP_MS;
+}
+
+static gboolean draft_lapsed(gpointer id, gpointer draft, gpointer ledger)
+{
+	(void)id;
+	return ledger_draft_lapsed(ledger, draft);
 }
 
 static gboolean key_lapsed(gpointer hash, gpointer value, gpointer ctx)
@@ -388,6 +418,7 @@
 
 	g_hash_table_foreach_remove(ledger->submissions, submission_lapsed,
 				    ledger);
+	g_hash_table_foreach_remove(ledger->drafts, draft_lapsed, ledger);
 	g_hash_table_foreach_remove(ledger->keys, key_lapsed, ledger);
 	list_for_each (pos, &ledger->jobs) {
 		struct ledger_job *job =
--- a/core/ledger_checkpoint.c
+++ b/core/ledger_checkpoint.c
@@ -8,6 +8,8 @@
 
 /* Size at which a part is closed, in bytes. */
 #define PART_BYTES (512 << 10)
+/* An item's mark: the hash of its id and its line. */
+#define MARK_BYTES 12
 /* An item's state and flags share a byte; its attempts take the next. */
 #define FLAGS_SHIFT 4
 
@@ -82,6 +84,7 @@
 static Briarplank__JobSealed *job_sealed(const struct ledger_job *job)
 {
 	Briarplank__JobSealed *sealed = g_new(Briarplank__JobSealed, 1);
+	uint32_t i;
 
 	briarplank__job_sealed__init(sealed);
 	sealed->job_id = ledger_bytes(job->id, HASH128_BYTES);
@@ -95,9 +98,55 @@
 	sealed->keep_ms = job->keep_ms;
 	sealed->items = job->items_nr;
 	sealed->sealed_ms = job->sealed_ms;
+	sealed->n_part_ids = job->parts_nr;
+	sealed->part_ids = g_new(ProtobufCBinaryData, job->parts_nr + 1);
+	for (i = 0; i < job->parts_nr; i++)
+		sealed->part_ids[i] =
+			ledger_bytes(job->part_ids[i], HASH128_BYTES);
 	return sealed;
 }
 
+static ProtobufCBinaryData pack_marks(const struct ledger_chunk *chunk)
+{
+	ProtobufCBinaryData out = {
+		.len = chunk->items * MARK_BYTES,
+		.data = g_malloc(chunk->items * MARK_BYTES + 1),
+	};
+	uint8_t *at = out.data;
+	uint32_t i;
+
+	for (i = 0; i < chunk->items; i++, at += MARK_BYTES) {
+		uint64_t hash = GUINT64_TO_LE(chunk->marks[i].id_hash);
+		uint32_t line = GUINT32_TO_LE(chunk->marks[i].line);
+
+		memcpy(at, &hash, sizeof(hash));
+		memcpy(at + sizeof(hash), &line, sizeof(line));
+	}
+	return out;
+}
+
+static struct ledger_item_mark *load_marks(ProtobufCBinaryData in,
+					   uint32_t items)
+{
+	struct ledger_item_mark *marks;
+	const uint8_t *at = in.data;
+	uint32_t i;
+
+	if (!in.len || in.len != (size_t)items * MARK_BYTES)
+		return NULL;
+	marks = g_new(struct ledger_item_mark, items);
+	for (i = 0; i < items; i++, at += MARK_BYTES) {
+		uint64_t hash;
+		uint32_t line;
+
+		memcpy(&hash, at, sizeof(hash));
+		memcpy(&line, at + sizeof(hash), sizeof(line));
+		marks[i].id_hash = GUINT64_FROM_LE(hash);
+		marks[i].line = GUINT32_FROM_LE(line);
+	}
+	return marks;
+}
+
 static Briarplank__CheckpointChunk *pack_chunk(const struct ledger_chunk *chunk)
 {
 	Briarplank__CheckpointChunk *out =
@@ -111,6 +160,8 @@
 	if (chunk->idempotent)
 		out->idempotent =
 			ledger_bytes(chunk->idempotent, chunk->items / 8 + 1);
+	if (chunk->marks)
+		out->marks = pack_marks(chunk);
 	return out;
 }
 
@@ -179,6 +230,20 @@
 	return out;
 }
 
+static Briarplank__CheckpointSubmission *pack_part(
+	const struct ledger_draft *draft, const struct ledger_part *part,
+	uint32_t number)
+{
+	Briarplank__CheckpointSubmission *out =
+		pack_submission(part->submission);
+
+	out->first_ms = draft->first_ms;
+	out->part = number;
+	out->first_line = part->first_line;
+	out->lines = part->lines;
+	return out;
+}
+
 static Briarplank__KeyClaimed *pack_key(const struct ledger_key *key)
 {
 	Briarplank__KeyClaimed *out = g_new(Briarplank__KeyClaimed, 1);
@@ -251,6 +316,19 @@
 	packer_open(packer);
 }
 
+static void add_draft(struct packer *packer, const struct ledger_draft *draft)
+{
+	guint i;
+
+	for (i = 0; i < draft->parts->len; i++) {
+		const struct ledger_part *part = draft->parts->pdata[i];
+
+		if (part)
+			packer_add(packer, &packer->submissions,
+				   pack_part(draft, part, i + 1));
+	}
+}
+
 GPtrArray *ledger_checkpoint_parts(const struct ledger *ledger)
 {
 	struct packer packer = {
@@ -270,6 +348,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		packer_add(&packer, &packer.submissions,
 			   pack_submission(value));
+	g_hash_table_iter_init(&iter, ledger->drafts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_draft(&packer, value);
 	g_hash_table_iter_init(&iter, ledger->keys);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		packer_add(&packer, &packer.keys, pack_key(value));
@@ -381,7 +462,8 @@
 	struct ledger_submission *submission;
 	size_t i;
 
-	if (in->submission_id.len != HASH128_BYTES)
+	if (in->submission_id.len != HASH128_BYTES ||
+	    in->job_id.len != HASH128_BYTES || in->part > LEDGER_PARTS_MAX)
 		return;
 	submission =
 		ledger_submission_get(ledger, in->submission_id, in->job_id);
@@ -394,8 +476,13 @@
 		out->idempotent = g_malloc0(out->items / 8 + 1);
 		memcpy(out->idempotent, chunk->idempotent.data,
 		       MIN(chunk->idempotent.len, out->items / 8 + 1));
+		out->marks = load_marks(chunk->marks, out->items);
 		g_ptr_array_add(submission->chunks, out);
 	}
+	if (!in->part)
+		return;
+	g_hash_table_steal(ledger->submissions, submission->id);
+	ledger_load_stored_part(ledger, in, submission);
 }
 
 static void load_key(struct ledger *ledger, const Briarplank__KeyClaimed *in)
--- a/core/ledger_fold.c
+++ b/core/ledger_fold.c
@@ -49,6 +49,23 @@
 	return bits;
 }
 
+static struct ledger_item_mark *item_marks(const Briarplank__JobChunk *chunk)
+{
+	struct ledger_item_mark *marks =
+		g_new0(struct ledger_item_mark, chunk->n_items);
+	uint8_t hash[HASH128_BYTES];
+	size_t i;
+
+	for (i = 0; i < chunk->n_items; i++) {
+		const char *id = chunk->items[i]->id;
+
+		hash128_bytes(id, strlen(id), hash);
+		memcpy(&marks[i].id_hash, hash, sizeof(marks[i].id_hash));
+		marks[i].line = chunk->items[i]->line;
+	}
+	return marks;
+}
+
 /* Returns where a chunk's index is, or should be, among sorted chunks. */
 static guint chunk_place(const GPtrArray *chunks, uint32_t index)
 {
@@ -84,6 +101,8 @@
 	entry->first_item = chunk->first_item;
 	entry->items = chunk->n_items;
 	entry->idempotent = idempotent_bits(chunk);
+	if (chunk->part)
+		entry->marks = item_marks(chunk);
 	g_ptr_array_insert(submission->chunks, (gint)at, entry);
 }
 
@@ -168,11 +187,29 @@
 
 		job->chunks[i] = *chunk;
 		job->chunks[i].idempotent = NULL;
+		job->chunks[i].marks = NULL;
 		add_chunk_items(job, i, chunk->idempotent);
 	}
 	job->counts[ITEM_WAITING] = job->items_nr;
 }
 
+/* Takes the chunks that a seal makes a job, or NULL; to be freed. */
+static struct ledger_submission *take_chunks(
+	struct ledger *ledger, const Briarplank__JobSealed *sealed)
+{
+	struct ledger_submission *submission;
+
+	if (sealed->n_part_ids)
+		return ledger_take_parts(ledger, sealed);
+	submission = ledger_submission_find(ledger, sealed->submission_id);
+	if (!submission ||
+	    !ledger_submission_complete(submission, sealed->job_id.data,
+					sealed->items))
+		return NULL;
+	g_hash_table_steal(ledger->submissions, submission->id);
+	return submission;
+}
+
 static void fold_sealed(struct ledger *ledger,
 			const Briarplank__JobSealed *sealed)
 {
@@ -184,17 +221,16 @@
 	g_hash_table_remove(ledger->sealing, sealed->job_id.data);
 	if (ledger_job_find(ledger, sealed->job_id))
 		return;
-	submission = ledger_submission_find(ledger, sealed->submission_id);
-	if (!submission ||
-	    !ledger_submission_complete(submission, sealed->job_id.data,
-					sealed->items))
+	submission = take_chunks(ledger, sealed);
+	if (!submission)
 		return;
 	job = ledger_job_create(ledger, sealed);
 	advance(ledger, sealed->sealed_ms);
 	job->number = ledger->next_job_number++;
 	make_items(job, submission);
 	ledger_job_add(ledger, job);
-	g_hash_table_remove(ledger->submissions, sealed->submission_id.data);
+	g_hash_table_remove(ledger->drafts, sealed->job_id.data);
+	ledger_submission_free(submission);
 }
 
 static void end_item(struct ledger_job *job, uint32_t item,
@@ -339,6 +375,9 @@
 	case BRIARPLANK__LEDGER_RECORD__BODY_SEALED:
 		fold_sealed(ledger, record->sealed);
 		break;
+	case BRIARPLANK__LEDGER_RECORD__BODY_PART:
+		ledger_fold_part(ledger, record->part);
+		break;
 	case BRIARPLANK__LEDGER_RECORD__BODY_CANCELLED:
 		fold_cancelled(ledger, record->cancelled);
 		break;
--- a/core/ledger_refresh.c
+++ b/core/ledger_refresh.c
@@ -83,17 +83,34 @@
 	ledger_queue(ledger, record);
 }
 
+/* A chunk of a part is numbered within that until it is appended anew. */
+static void renumber(const struct ledger_job *job, uint32_t index,
+		     Briarplank__JobChunk *chunk)
+{
+	memcpy(chunk->submission_id.data, job->submission_id, HASH128_BYTES);
+	chunk->index = index;
+	chunk->first_item = job->chunks[index].first_item;
+	chunk->part = 0;
+}
+
 static bool chunk_needed(const struct ledger *ledger, uint64_t offset,
-			 const Briarplank__JobChunk *chunk)
+			 Briarplank__JobChunk *chunk)
 {
 	const struct ledger_job *job = ledger_job_find(ledger, chunk->job_id);
+	uint32_t i;
 
-	return job && chunk->index < job->chunks_nr &&
-	       job->chunks[chunk->index].offset == offset;
+	for (i = 0; job && i < job->chunks_nr; i++) {
+		if (job->chunks[i].offset != offset)
+			continue;
+		if (chunk->part)
+			renumber(job, i, chunk);
+		return true;
+	}
+	return false;
 }
 
 bool ledger_refresh(struct ledger *ledger, uint64_t offset,
-		    const Briarplank__ShardAppend *append)
+		    Briarplank__ShardAppend *append)
 {
 	size_t i;
 
--- a/core/ledger_requests.c
+++ b/core/ledger_requests.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "common/error.h"
 #include "core/ledger_state.h"
 
 /* Weight of the newest measurement in a job's rate. */
@@ -14,7 +15,7 @@
 				      const Briarplank__SealJob *seal,
 				      uint64_t wall_ms)
 {
-	if (!ledger_job_same_content(job, seal->content_hash))
+	if (!ledger_seal_matches(job, seal))
 		return LEDGER_CONFLICT;
 	return ledger_job_status(job, wall_ms);
 }
@@ -42,12 +43,12 @@
 }
 
 static void queue_sealed(struct ledger *ledger, const Briarplank__SealJob *seal,
-			 uint64_t wall_ms)
+			 Briarplank__JobSealed *sealed)
 {
 	Briarplank__LedgerRecord *record =
 		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_SEALED);
 
-	record->sealed = sealed_new(seal, wall_ms);
+	record->sealed = sealed;
 	g_hash_table_insert(ledger->sealing,
 			    g_memdup2(seal->job_id.data, HASH128_BYTES),
 			    g_memdup2(seal->content_hash.data, HASH128_BYTES));
@@ -61,14 +62,46 @@
 	       seal->content_hash.len == HASH128_BYTES;
 }
 
+/* Tells whether what the seal names is in the stream. */
+static enum ledger_status check_whole(struct ledger *ledger,
+				      const Briarplank__SealJob *seal)
+{
+	struct ledger_submission *submission =
+		ledger_submission_find(ledger, seal->submission_id);
+
+	if (!submission || !ledger_submission_complete(
+				   submission, seal->job_id.data, seal->items))
+		return LEDGER_BAD_SUBMISSION;
+	return LEDGER_QUEUED;
+}
+
+static enum ledger_status seal_new(struct ledger *ledger,
+				   const Briarplank__SealJob *seal,
+				   uint64_t wall_ms)
+{
+	Briarplank__JobSealed *sealed = sealed_new(seal, wall_ms);
+	enum ledger_status status =
+		seal->parts ? ledger_seal_draft(ledger, seal, sealed) :
+			      check_whole(ledger, seal);
+
+	if (status == LEDGER_QUEUED &&
+	    ledger->outbox_bytes > ledger->options.outbox_max_bytes)
+		status = LEDGER_OVERLOADED;
+	if (status == LEDGER_QUEUED)
+		queue_sealed(ledger, seal, sealed);
+	else
+		briarplank__job_sealed__free_unpacked(sealed, NULL);
+	return status;
+}
+
 enum ledger_status ledger_seal(struct ledger *ledger,
 			       const Briarplank__SealJob *seal,
 			       uint64_t wall_ms)
 {
-	struct ledger_submission *submission;
 	struct ledger_job *job;
 	const void *sealing;
 
+	error_set("%s", "");
 	if (!ledger_owned(ledger))
 		return LEDGER_NOT_OWNER;
 	if (!ids_valid(seal))
@@ -81,14 +114,7 @@
 		return ledger_id_equal(sealing, seal->content_hash.data) ?
 			       LEDGER_QUEUED :
 			       LEDGER_CONFLICT;
-	submission = ledger_submission_find(ledger, seal->submission_id);
-	if (!submission || !ledger_submission_complete(
-				   submission, seal->job_id.data, seal->items))
-		return LEDGER_BAD_SUBMISSION;
-	if (ledger->outbox_bytes > ledger->options.outbox_max_bytes)
-		return LEDGER_OVERLOADED;
-	queue_sealed(ledger, seal, wall_ms);
-	return LEDGER_QUEUED;
+	return seal_new(ledger, seal, wall_ms);
 }
 
 enum ledger_status ledger_cancel(struct ledger *ledger,
--- a/core/submission.c
+++ b/core/submission.c
@@ -77,6 +77,7 @@
 	item->body.data = g_memdup2(body, body_len);
 	item->body.len = body_len;
 	item->idempotent = idempotent;
+	item->line = parser->options.part ? parser->line : 0;
 	if (parser->bytes + body_len > parser->options.chunk_bytes)
 		close_chunk(parser);
 	g_ptr_array_add(parser->items, item);
@@ -138,6 +139,9 @@
 		return true;
 	if (parser->submission.items == LEDGER_ITEMS_MAX)
 		return bad_line(parser, "a job has at most 1048576 items");
+	if (parser->options.part &&
+	    parser->submission.items == LEDGER_PART_ITEMS_MAX)
+		return bad_line(parser, "a part has at most 32768 items");
 	json_tokener_reset(parser->tokener);
 	object = json_tokener_parse_ex(parser->tokener, line, (int)len);
 	if (!object ||
@@ -197,6 +201,7 @@
 		size_t len = (eol ? eol : end) - parser->at;
 
 		parser->line++;
+		parser->submission.lines++;
 		if (!parse_line(parser, parser->at, len))
 			return SUBMISSION_BAD_LINE;
 		parser->at += len + (eol ? 1 : 0);
@@ -211,6 +216,7 @@
 
 	parser->options = *options;
 	parser->at = options->body;
+	parser->line = options->part ? options->first_line - 1 : 0;
 	parser->submission.chunks = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)g_byte_array_unref);
 	identify(options, &parser->submission);
@@ -222,6 +228,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	parser->items = g_ptr_array_new_with_free_func(item_free);
 	briarplank__job_chunk__init(&parser->chunk);
+	parser->chunk.part = options->part;
 	parser->chunk.job_id = id_field(parser->submission.job_id);
 	parser->chunk.submission_id = id_field(parser->submission.content_hash);
 	return parser;
--- a/include/briarplankd/entry/jobs.h
+++ b/include/briarplankd/entry/jobs.h
@@ -27,6 +27,8 @@
 	JOB_CALL_QUERY,
 	JOB_CALL_RESULTS,
 	JOB_CALL_CANCEL,
+	/** One part of a job that is sent in parts. */
+	JOB_CALL_PART,
 };
 
 /** What a request came to, for those within the process. */
@@ -86,6 +88,13 @@
 	uint64_t keep_ms;
 	struct submission_parser *parser;
 	GArray *offsets;
+	/** Parts that a seal joins; 0 when the body is the whole job. */
+	uint32_t parts;
+	/** Of a part: its number and the line of the job it begins at. */
+	uint32_t part;
+	uint32_t first_line;
+	/** The owner was asked whether it has the part. */
+	bool looked_up;
 	unsigned tries;
 	uint64_t append_ms;
 	/** An append is under way: the call must outlive it. */
@@ -133,6 +142,9 @@
 /** Goes on with a submission: parses lines or appends the next chunk. */
 void job_submit_step(struct job_call *call);
 
+/** Appends the chunks of a part that the owner does not have. */
+void job_submit_part_unknown(struct job_call *call);
+
 /** Turns the owner's answer into the caller's. */
 void job_call_answer(struct job_call *call, const Briarplank__JobReply *reply);
 
--- a/include/core/ledger.h
+++ b/include/core/ledger.h
@@ -22,6 +22,9 @@
 #define LEDGER_ITEMS_MAX (1u << 20)
 /** Most chunks of one submission. */
 #define LEDGER_CHUNKS_MAX 65535u
+/** Most parts of a job, and items of one part. */
+#define LEDGER_PARTS_MAX 1024u
+#define LEDGER_PART_ITEMS_MAX 32768u
 /** Most parts of a checkpoint. */
 #define LEDGER_CHECKPOINT_PARTS_MAX 256u
 
@@ -67,6 +70,8 @@
 	/** The chunks are not all there, or don't fit the seal. */
 	LEDGER_BAD_SUBMISSION,
 	LEDGER_OVERLOADED,
+	/** A line of a part can't stand beside the other parts. */
+	LEDGER_BAD_LINE,
 	/** The grant is not in force and the item needs no outcome. */
 	LEDGER_VOID_GRANT,
 };
@@ -183,6 +188,13 @@
 enum ledger_status ledger_seal(struct ledger *ledger,
 			       const Briarplank__SealJob *seal,
 			       uint64_t wall_ms);
+/**
+ * Stores a part of a job whose chunks are in the stream. A message is set for
+ * LEDGER_CONFLICT and LEDGER_BAD_LINE.
+ */
+enum ledger_status ledger_store_part(struct ledger *ledger,
+				     const Briarplank__StorePart *store,
+				     uint64_t wall_ms);
 enum ledger_status ledger_cancel(struct ledger *ledger,
 				 ProtobufCBinaryData job_id, uint64_t wall_ms);
 enum ledger_status ledger_claim_key(struct ledger *ledger,
@@ -200,6 +212,9 @@
 				     uint64_t wall_ms);
 bool ledger_job_same_content(const struct ledger_job *job,
 			     ProtobufCBinaryData content_hash);
+/** Tells whether a seal asks for just this job. */
+bool ledger_seal_matches(const struct ledger_job *job,
+			 const Briarplank__SealJob *seal);
 /** Fills a state message; texts belong to the job. */
 void ledger_job_state(const struct ledger_job *job, uint64_t wall_ms,
 		      Briarplank__JobState *state);
@@ -272,7 +287,7 @@
  * chunk that is needed, which the caller appends.
  */
 bool ledger_refresh(struct ledger *ledger, uint64_t offset,
-		    const Briarplank__ShardAppend *append);
+		    Briarplank__ShardAppend *append);
 
 /** Smoothes the rate at which the items of each open job end. */
 void ledger_measure(struct ledger *ledger, uint64_t wall_ms);
--- a/include/core/ledger_state.h
+++ b/include/core/ledger_state.h
@@ -45,6 +45,13 @@
 	uint8_t flags;
 };
 
+/** What finds an id twice in two parts of a job, and names the lines. */
+struct ledger_item_mark {
+	uint64_t id_hash;
+	/** Within the whole job, from 1 on. */
+	uint32_t line;
+};
+
 /** Where a run of items stands in the stream. */
 struct ledger_chunk {
 	uint64_t offset;
@@ -54,6 +61,8 @@
 	uint32_t index;
 	/** One bit an item until the submission is sealed, then NULL. */
 	uint8_t *idempotent;
+	/** One an item of a part until the job is sealed, else NULL. */
+	struct ledger_item_mark *marks;
 };
 
 struct ledger_job {
@@ -64,6 +73,9 @@
 	uint8_t id[HASH128_BYTES];
 	uint8_t content_hash[HASH128_BYTES];
 	uint8_t submission_id[HASH128_BYTES];
+	/** Submission ids of the parts; none of a job sent whole. */
+	uint8_t (*part_ids)[HASH128_BYTES];
+	uint32_t parts_nr;
 	char *name;
 	char *caller;
 	char *service;
@@ -112,6 +124,25 @@
 	GPtrArray *chunks;
 };
 
+/** A stored part of a job that is not sealed. */
+struct ledger_part {
+	uint32_t first_line;
+	uint32_t lines;
+	struct ledger_submission *submission;
+};
+
+/** What is stored of a job that is sent in parts, until its seal. */
+struct ledger_draft {
+	uint8_t job_id[HASH128_BYTES];
+	uint64_t first_ms;
+	uint32_t items;
+	uint32_t chunks;
+	/** Of struct ledger_part, or NULL, by number less 1; owned. */
+	GPtrArray *parts;
+	/** struct ledger_item_mark of all items, by the hash of the id. */
+	GHashTable *ids;
+};
+
 struct ledger_key {
 	uint8_t hash[HASH128_BYTES];
 	uint8_t content_hash[HASH128_BYTES];
@@ -158,6 +189,7 @@
 	GHashTable *jobs_by_id;
 	GHashTable *jobs_by_number;
 	GHashTable *submissions;
+	GHashTable *drafts;
 	GHashTable *keys;
 	struct ledger_checkpoint_place checkpoint;
 	/** Parts of a checkpoint of the epoch in force seen so far. */
@@ -184,6 +216,9 @@
 	GPtrArray *revoked;
 };
 
+/** Time after which chunks and parts without a seal lapse, in ms. */
+#define LEDGER_SUBMISSION_KEEP_MS (60 * 60 * 1000ull)
+
 /** Hash and equality of 16-byte ids. */
 guint ledger_id_hash(gconstpointer id);
 gboolean ledger_id_equal(gconstpointer a, gconstpointer b);
@@ -204,6 +239,8 @@
 		     enum ledger_item_state state);
 bool ledger_item_ended(const struct ledger_item *item);
 
+/** Makes an empty set of chunks. */
+struct ledger_submission *ledger_submission_new(void);
 struct ledger_submission *ledger_submission_get(
 	struct ledger *ledger, ProtobufCBinaryData submission_id,
 	ProtobufCBinaryData job_id);
@@ -217,6 +254,26 @@
 struct ledger_key *ledger_key_find(const struct ledger *ledger,
 				   ProtobufCBinaryData hash);
 void ledger_submission_free(gpointer data);
+/** Returns what is stored of a job and has not lapsed, or NULL. */
+struct ledger_draft *ledger_draft_find(const struct ledger *ledger,
+				       ProtobufCBinaryData job_id);
+bool ledger_draft_lapsed(const struct ledger *ledger,
+			 const struct ledger_draft *draft);
+void ledger_draft_free(gpointer data);
+/** Makes a set of chunks a part, unless what is stored forbids it. */
+void ledger_fold_part(struct ledger *ledger,
+		      const Briarplank__PartStored *stored);
+/** Adds a part from a checkpoint; takes ownership of its chunks. */
+void ledger_load_stored_part(struct ledger *ledger,
+			     const Briarplank__CheckpointSubmission *in,
+			     struct ledger_submission *submission);
+/** Fills a seal's record from the stored parts; a message is set on a fault. */
+enum ledger_status ledger_seal_draft(struct ledger *ledger,
+				     const Briarplank__SealJob *seal,
+				     Briarplank__JobSealed *sealed);
+/** Joins the parts that a seal names, or NULL; to be freed. */
+struct ledger_submission *ledger_take_parts(
+	struct ledger *ledger, const Briarplank__JobSealed *sealed);
 void ledger_chunk_free(gpointer data);
 void ledger_key_free(gpointer data);
 
--- a/include/core/submission.h
+++ b/include/core/submission.h
@@ -1,5 +1,5 @@
 /**
- * A job's body: JSON lines, checked whole and cut into chunks.
+ * A job's body, or a part of it: JSON lines, checked and cut into chunks.
  *
  * The same body always yields the same chunks, so that a resent submission
  * completes one that was left half done. Pure.
@@ -18,6 +18,8 @@
 	/** Of caller, name, query and body; also names the submission. */
 	uint8_t content_hash[HASH128_BYTES];
 	uint32_t items;
+	/** Lines read, blank ones too. */
+	uint32_t lines;
 	/** Packed ShardAppends (GByteArray), one a chunk. */
 	GPtrArray *chunks;
 };
@@ -27,10 +29,14 @@
 	uint64_t writer_incarnation;
 	const char *caller;
 	const char *name;
-	/** Query of the request: service, path, due and keep. */
+	/** Query of the request: service, path, due and keep; or of a part. */
 	const char *query;
 	const char *body;
 	size_t body_len;
+	/** Number of the part that the body is; 0 for a whole job. */
+	uint32_t part;
+	/** Line of the whole job at which a part begins, from 1 on. */
+	uint32_t first_line;
 	/** Bytes of items at which a chunk is closed. */
 	size_t chunk_bytes;
 };
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -4,8 +4,10 @@
  *
  *   node N [incarnation=I]        makes a node that knows nothing
  *   claim|release N               packs and appends a claim
- *   chunk JOB i=I first=F items=a,b [once] [sub=S]
+ *   chunk JOB i=I first=F items=a,b [once] [sub=S] [part=P line=L]
  *   seal N JOB items=K [sub=S] [caller=C] [service=S] [due=T] [keep=T]
+ *   seal N JOB parts=K [sub=S]
+ *   store N JOB part=P line=L lines=K items=K [sub=S]
  *   cancel N JOB | key N KEY REQUEST [content]
  *   flush N [hold]                appends queued records, or only packs them
  *   late N [again]                appends what was held, and keeps it on again
@@ -19,6 +21,7 @@
  */
 #include <string.h>
 
+#include "common/error.h"
 #include "core/ledger_schedule.h"
 #include "core/ledger_state.h"
 #include "script.h"
@@ -174,12 +177,15 @@
 	chunk.submission_id = field(submission);
 	chunk.index = script_arg_int(argc, argv, "i", 0);
 	chunk.first_item = script_arg_int(argc, argv, "first", 0);
+	chunk.part = script_arg_int(argc, argv, "part", 0);
 	for (; names[chunk.n_items]; chunk.n_items++) {
 		Briarplank__JobItem *item = &items[chunk.n_items];
 
 		briarplank__job_item__init(item);
 		item->id = names[chunk.n_items];
 		item->idempotent = !has(argc, argv, "once");
+		item->line =
+			script_arg_int(argc, argv, "line", 0) + chunk.n_items;
 		list[chunk.n_items] = item;
 	}
 	chunk.items = list;
@@ -200,6 +206,7 @@
 	[LEDGER_NOT_OWNER] = "not owner",
 	[LEDGER_BAD_SUBMISSION] = "bad submission",
 	[LEDGER_OVERLOADED] = "overloaded",
+	[LEDGER_BAD_LINE] = "bad line",
 	[LEDGER_VOID_GRANT] = "void grant",
 };
 
@@ -208,6 +215,17 @@
 	g_string_append_printf(out, "%s\n", statuses[status]);
 }
 
+/* What is refused on behalf of parts comes with a message. */
+static void say_why(GString *out, enum ledger_status status)
+{
+	if ((status == LEDGER_CONFLICT || status == LEDGER_BAD_LINE) &&
+	    *error_last())
+		g_string_append_printf(out, "%s: %s\n", statuses[status],
+				       error_last());
+	else
+		say(out, status);
+}
+
 static void seal(struct world *world, int argc, char **argv, GString *out)
 {
 	Briarplank__SealJob message = BRIARPLANK__SEAL_JOB__INIT;
@@ -224,8 +242,26 @@
 	message.items = script_arg_int(argc, argv, "items", 0);
 	message.due_ms = script_arg_int(argc, argv, "due", 0);
 	message.keep_ms = script_arg_int(argc, argv, "keep", 100000);
-	say(out, ledger_seal(node_get(world, argv[1])->ledger, &message,
-			     world->now_ms));
+	message.parts = script_arg_int(argc, argv, "parts", 0);
+	say_why(out, ledger_seal(node_get(world, argv[1])->ledger, &message,
+				 world->now_ms));
+}
+
+static void store(struct world *world, int argc, char **argv, GString *out)
+{
+	Briarplank__StorePart message = BRIARPLANK__STORE_PART__INIT;
+	uint8_t job[HASH128_BYTES], submission[HASH128_BYTES];
+
+	make_id(argv[2], job);
+	make_id(script_arg(argc, argv, "sub", "s"), submission);
+	message.job_id = field(job);
+	message.submission_id = field(submission);
+	message.part = script_arg_int(argc, argv, "part", 1);
+	message.first_line = script_arg_int(argc, argv, "line", 1);
+	message.lines = script_arg_int(argc, argv, "lines", 0);
+	message.items = script_arg_int(argc, argv, "items", message.lines);
+	say_why(out, ledger_store_part(node_get(world, argv[1])->ledger,
+				       &message, world->now_ms));
 }
 
 static void cancel(struct world *world, char **argv, GString *out)
@@ -588,6 +624,8 @@
 		append_bytes(world, ledger_pack_claim(ledger, true), out);
 	else if (!strcmp(*argv, "seal"))
 		seal(world, argc, argv, out);
+	else if (!strcmp(*argv, "store"))
+		store(world, argc, argv, out);
 	else if (!strcmp(*argv, "cancel"))
 		cancel(world, argv, out);
 	else if (!strcmp(*argv, "key"))
--- a/tests/test_submission.c
+++ b/tests/test_submission.c
@@ -2,7 +2,7 @@
  * Submissions: lines, chunks and content hashes.
  *
  *   body TEXT                        adds a line to the body
- *   parse [chunk=BYTES] [step=LINES] [query=Q] [name=N]
+ *   parse [chunk=BYTES] [step=LINES] [query=Q] [name=N] [part=P line=L]
  *   same                             compares the last two content hashes
  */
 #include <inttypes.h>
@@ -43,12 +43,18 @@
 
 	g_string_append_printf(out, "chunk %u from %u\n", chunk->index,
 			       chunk->first_item);
-	for (i = 0; i < chunk->n_items; i++)
-		g_string_append_printf(
-			out, "  %s %.*s%s\n", chunk->items[i]->id,
-			(int)chunk->items[i]->body.len,
-			(const char *)chunk->items[i]->body.data,
-			chunk->items[i]->idempotent ? "" : " once");
+	for (i = 0; i < chunk->n_items; i++) {
+		g_string_append_printf(out, "  %s %.*s%s", chunk->items[i]->id,
+				       (int)chunk->items[i]->body.len,
+				       (const char *)chunk->items[i]->body.data,
+				       chunk->items[i]->idempotent ? "" :
+								     " once");
+		if (chunk->part)
+			g_string_append_printf(out, " line %u of part %u",
+					       chunk->items[i]->line,
+					       chunk->part);
+		g_string_append_c(out, '\n');
+	}
 	briarplank__shard_append__free_unpacked(append, NULL);
 }
 
@@ -71,6 +77,8 @@
 		.caller = "desk",
 		.name = script_arg(argc, argv, "name", "night"),
 		.query = script_arg(argc, argv, "query", "service=s"),
+		.part = script_arg_int(argc, argv, "part", 0),
+		.first_line = script_arg_int(argc, argv, "line", 0),
 		.body = state->body->str,
 		.body_len = state->body->len,
 		.chunk_bytes = script_arg_int(argc, argv, "chunk", 1000),
--- a/wire/batch.pb-c.c
+++ b/wire/batch.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &briarplank__seal_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__store_part__init
+                     (Briarplank__StorePart         *message)
+{
+  static const Briarplank__StorePart init_value = BRIARPLANK__STORE_PART__INIT;
+  *message = init_value;
+}
+size_t briarplank__store_part__get_packed_size
+                     (const Briarplank__StorePart *message)
+{
+  assert(message->base.descriptor == &briarplank__store_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__store_part__pack
+                     (const Briarplank__StorePart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__store_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__store_part__pack_to_buffer
+                     (const Briarplank__StorePart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__store_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__StorePart *
+       briarplank__store_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__StorePart *)
+     protobuf_c_message_unpack (&briarplank__store_part__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__store_part__free_unpacked
+                     (Briarplank__StorePart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__store_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__cancel_job__init
                      (Briarplank__CancelJob         *message)
 {
@@ -1574,7 +1619,7 @@
   (ProtobufCMessageInit) briarplank__completions_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__seal_job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor briarplank__seal_job__field_descriptors[14] =
 {
   {
     "call_id",
@@ -1732,6 +1777,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__SealJob, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__seal_job__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
@@ -1743,6 +1800,7 @@
   2,   /* field[2] = job_id */
   8,   /* field[8] = keep_ms */
   4,   /* field[4] = name */
+  13,   /* field[13] = parts */
   6,   /* field[6] = path */
   5,   /* field[5] = service */
   1,   /* field[1] = shard */
@@ -1751,7 +1809,7 @@
 static const ProtobufCIntRange briarplank__seal_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor briarplank__seal_job__descriptor =
 {
@@ -1761,13 +1819,155 @@
   "Briarplank__SealJob",
   "briarplank",
   sizeof(Briarplank__SealJob),
-  13,
+  14,
   briarplank__seal_job__field_descriptors,
   briarplank__seal_job__field_indices_by_name,
   1,  briarplank__seal_job__number_ranges,
   (ProtobufCMessageInit) briarplank__seal_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor briarplank__store_part__field_descriptors[9] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submission_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, submission_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_line",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, first_line),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, lines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__StorePart, items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk_offsets",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Briarplank__StorePart, n_chunk_offsets),
+    offsetof(Briarplank__StorePart, chunk_offsets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__store_part__field_indices_by_name[] = {
+  0,   /* field[0] = call_id */
+  8,   /* field[8] = chunk_offsets */
+  5,   /* field[5] = first_line */
+  7,   /* field[7] = items */
+  2,   /* field[2] = job_id */
+  6,   /* field[6] = lines */
+  3,   /* field[3] = part */
+  1,   /* field[1] = shard */
+  4,   /* field[4] = submission_id */
+};
+static const ProtobufCIntRange briarplank__store_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor briarplank__store_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.StorePart",
+  "StorePart",
+  "Briarplank__StorePart",
+  "briarplank",
+  sizeof(Briarplank__StorePart),
+  9,
+  briarplank__store_part__field_descriptors,
+  briarplank__store_part__field_indices_by_name,
+  1,  briarplank__store_part__number_ranges,
+  (ProtobufCMessageInit) briarplank__store_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor briarplank__cancel_job__field_descriptors[3] =
 {
   {
@@ -2360,7 +2560,7 @@
   (ProtobufCMessageInit) briarplank__result_line__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue briarplank__job_reply__code__enum_values_by_number[9] =
+static const ProtobufCEnumValue briarplank__job_reply__code__enum_values_by_number[10] =
 {
   { "OK", "BRIARPLANK__JOB_REPLY__CODE__OK", 0 },
   { "CREATED", "BRIARPLANK__JOB_REPLY__CODE__CREATED", 1 },
@@ -2371,12 +2571,14 @@
   { "LOG_UNAVAILABLE", "BRIARPLANK__JOB_REPLY__CODE__LOG_UNAVAILABLE", 6 },
   { "OVERLOADED", "BRIARPLANK__JOB_REPLY__CODE__OVERLOADED", 7 },
   { "BAD_SUBMISSION", "BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION", 8 },
+  { "BAD_LINE", "BRIARPLANK__JOB_REPLY__CODE__BAD_LINE", 9 },
 };
 static const ProtobufCIntRange briarplank__job_reply__code__value_ranges[] = {
-{0, 0},{0, 9}
+{0, 0},{0, 10}
 };
-static const ProtobufCEnumValueIndex briarplank__job_reply__code__enum_values_by_name[9] =
+static const ProtobufCEnumValueIndex briarplank__job_reply__code__enum_values_by_name[10] =
 {
+  { "BAD_LINE", 9 },
   { "BAD_SUBMISSION", 8 },
   { "CONFLICT", 2 },
   { "CREATED", 1 },
@@ -2394,9 +2596,9 @@
   "Code",
   "Briarplank__JobReply__Code",
   "briarplank",
-  9,
+  10,
   briarplank__job_reply__code__enum_values_by_number,
-  9,
+  10,
   briarplank__job_reply__code__enum_values_by_name,
   1,
   briarplank__job_reply__code__value_ranges,
--- a/wire/batch.pb-c.h
+++ b/wire/batch.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Briarplank__Completions Briarplank__Completions;
 typedef struct Briarplank__CompletionsAck Briarplank__CompletionsAck;
 typedef struct Briarplank__SealJob Briarplank__SealJob;
+typedef struct Briarplank__StorePart Briarplank__StorePart;
 typedef struct Briarplank__CancelJob Briarplank__CancelJob;
 typedef struct Briarplank__QueryJob Briarplank__QueryJob;
 typedef struct Briarplank__QueryResults Briarplank__QueryResults;
@@ -63,7 +64,11 @@
   BRIARPLANK__JOB_REPLY__CODE__NOT_OWNER = 5,
   BRIARPLANK__JOB_REPLY__CODE__LOG_UNAVAILABLE = 6,
   BRIARPLANK__JOB_REPLY__CODE__OVERLOADED = 7,
-  BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION = 8
+  BRIARPLANK__JOB_REPLY__CODE__BAD_SUBMISSION = 8,
+  /*
+   * The message names the line.
+   */
+  BRIARPLANK__JOB_REPLY__CODE__BAD_LINE = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRIARPLANK__JOB_REPLY__CODE)
 } Briarplank__JobReply__Code;
 typedef enum _Briarplank__ClaimKeyReply__Code {
@@ -245,10 +250,37 @@
   ProtobufCBinaryData submission_id;
   size_t n_chunk_offsets;
   uint64_t *chunk_offsets;
+  /*
+   * Number of stored parts that make the job; 0 for a job sent whole.
+   */
+  uint32_t parts;
 };
 #define BRIARPLANK__SEAL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__seal_job__descriptor) \
-    , 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, {0,NULL}, 0,NULL }
+    , 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, {0,NULL}, 0,NULL, 0 }
+
+
+/*
+ * Sent by the entry that received a part. Without offsets it only asks whether
+ * the part, or its chunks, are there.
+ */
+struct  Briarplank__StorePart
+{
+  ProtobufCMessage base;
+  uint64_t call_id;
+  uint32_t shard;
+  ProtobufCBinaryData job_id;
+  uint32_t part;
+  ProtobufCBinaryData submission_id;
+  uint32_t first_line;
+  uint32_t lines;
+  uint32_t items;
+  size_t n_chunk_offsets;
+  uint64_t *chunk_offsets;
+};
+#define BRIARPLANK__STORE_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__store_part__descriptor) \
+    , 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0,NULL }
 
 
 struct  Briarplank__CancelJob
@@ -584,6 +616,25 @@
 void   briarplank__seal_job__free_unpacked
                      (Briarplank__SealJob *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__StorePart methods */
+void   briarplank__store_part__init
+                     (Briarplank__StorePart         *message);
+size_t briarplank__store_part__get_packed_size
+                     (const Briarplank__StorePart   *message);
+size_t briarplank__store_part__pack
+                     (const Briarplank__StorePart   *message,
+                      uint8_t             *out);
+size_t briarplank__store_part__pack_to_buffer
+                     (const Briarplank__StorePart   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__StorePart *
+       briarplank__store_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__store_part__free_unpacked
+                     (Briarplank__StorePart *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__CancelJob methods */
 void   briarplank__cancel_job__init
                      (Briarplank__CancelJob         *message);
@@ -787,6 +838,9 @@
 typedef void (*Briarplank__SealJob_Closure)
                  (const Briarplank__SealJob *message,
                   void *closure_data);
+typedef void (*Briarplank__StorePart_Closure)
+                 (const Briarplank__StorePart *message,
+                  void *closure_data);
 typedef void (*Briarplank__CancelJob_Closure)
                  (const Briarplank__CancelJob *message,
                   void *closure_data);
@@ -831,6 +885,7 @@
 extern const ProtobufCMessageDescriptor briarplank__completions__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__completions_ack__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__seal_job__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__store_part__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__cancel_job__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__query_job__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__query_results__descriptor;
--- a/wire/envelope.pb-c.c
+++ b/wire/envelope.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &briarplank__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor briarplank__envelope__field_descriptors[34] =
+static const ProtobufCFieldDescriptor briarplank__envelope__field_descriptors[35] =
 {
   {
     "sender",
@@ -414,6 +414,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_part",
+    54,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__Envelope, body_case),
+    offsetof(Briarplank__Envelope, store_part),
+    &briarplank__store_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "config_fetch",
     70,
@@ -475,9 +487,9 @@
   29,   /* field[29] = claim_key_reply */
   20,   /* field[20] = completions */
   21,   /* field[21] = completions_ack */
-  30,   /* field[30] = config_fetch */
+  31,   /* field[31] = config_fetch */
   2,   /* field[2] = config_revision */
-  31,   /* field[31] = config_update */
+  32,   /* field[32] = config_update */
   12,   /* field[12] = credit */
   6,   /* field[6] = dispatch */
   17,   /* field[17] = grants */
@@ -485,8 +497,8 @@
   27,   /* field[27] = job_reply */
   26,   /* field[26] = list_jobs */
   5,   /* field[5] = load_report */
-  32,   /* field[32] = operator_query */
-  33,   /* field[33] = operator_reply */
+  33,   /* field[33] = operator_query */
+  34,   /* field[34] = operator_reply */
   3,   /* field[3] = ping */
   4,   /* field[4] = pong */
   16,   /* field[16] = pull */
@@ -498,6 +510,7 @@
   13,   /* field[13] = resume */
   22,   /* field[22] = seal_job */
   0,   /* field[0] = sender */
+  30,   /* field[30] = store_part */
 };
 static const ProtobufCIntRange briarplank__envelope__number_ranges[5 + 1] =
 {
@@ -505,8 +518,8 @@
   { 10, 3 },
   { 20, 6 },
   { 40, 16 },
-  { 70, 30 },
-  { 0, 34 }
+  { 70, 31 },
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor briarplank__envelope__descriptor =
 {
@@ -516,7 +529,7 @@
   "Briarplank__Envelope",
   "briarplank",
   sizeof(Briarplank__Envelope),
-  34,
+  35,
   briarplank__envelope__field_descriptors,
   briarplank__envelope__field_indices_by_name,
   5,  briarplank__envelope__number_ranges,
--- a/wire/envelope.pb-c.h
+++ b/wire/envelope.pb-c.h
@@ -56,6 +56,7 @@
   BRIARPLANK__ENVELOPE__BODY_JOB_REPLY = 51,
   BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY = 52,
   BRIARPLANK__ENVELOPE__BODY_CLAIM_KEY_REPLY = 53,
+  BRIARPLANK__ENVELOPE__BODY_STORE_PART = 54,
   BRIARPLANK__ENVELOPE__BODY_CONFIG_FETCH = 70,
   BRIARPLANK__ENVELOPE__BODY_CONFIG_UPDATE = 71,
   BRIARPLANK__ENVELOPE__BODY_OPERATOR_QUERY = 72,
@@ -101,6 +102,7 @@
     Briarplank__JobReply *job_reply;
     Briarplank__ClaimKey *claim_key;
     Briarplank__ClaimKeyReply *claim_key_reply;
+    Briarplank__StorePart *store_part;
     Briarplank__ConfigFetch *config_fetch;
     Briarplank__ConfigUpdate *config_update;
     Briarplank__OperatorQuery *operator_query;
--- a/wire/ledger.pb-c.c
+++ b/wire/ledger.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &briarplank__job_item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   briarplank__part_stored__init
+                     (Briarplank__PartStored         *message)
+{
+  static const Briarplank__PartStored init_value = BRIARPLANK__PART_STORED__INIT;
+  *message = init_value;
+}
+size_t briarplank__part_stored__get_packed_size
+                     (const Briarplank__PartStored *message)
+{
+  assert(message->base.descriptor == &briarplank__part_stored__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t briarplank__part_stored__pack
+                     (const Briarplank__PartStored *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &briarplank__part_stored__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t briarplank__part_stored__pack_to_buffer
+                     (const Briarplank__PartStored *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &briarplank__part_stored__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Briarplank__PartStored *
+       briarplank__part_stored__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Briarplank__PartStored *)
+     protobuf_c_message_unpack (&briarplank__part_stored__descriptor,
+                                allocator, len, data);
+}
+void   briarplank__part_stored__free_unpacked
+                     (Briarplank__PartStored *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &briarplank__part_stored__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   briarplank__job_sealed__init
                      (Briarplank__JobSealed         *message)
 {
@@ -907,7 +952,7 @@
   (ProtobufCMessageInit) briarplank__shard_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__job_chunk__field_descriptors[5] =
+static const ProtobufCFieldDescriptor briarplank__job_chunk__field_descriptors[6] =
 {
   {
     "job_id",
@@ -969,18 +1014,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__JobChunk, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__job_chunk__field_indices_by_name[] = {
   3,   /* field[3] = first_item */
   2,   /* field[2] = index */
   4,   /* field[4] = items */
   0,   /* field[0] = job_id */
+  5,   /* field[5] = part */
   1,   /* field[1] = submission_id */
 };
 static const ProtobufCIntRange briarplank__job_chunk__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__job_chunk__descriptor =
 {
@@ -990,14 +1048,14 @@
   "Briarplank__JobChunk",
   "briarplank",
   sizeof(Briarplank__JobChunk),
-  5,
+  6,
   briarplank__job_chunk__field_descriptors,
   briarplank__job_chunk__field_indices_by_name,
   1,  briarplank__job_chunk__number_ranges,
   (ProtobufCMessageInit) briarplank__job_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__job_item__field_descriptors[3] =
+static const ProtobufCFieldDescriptor briarplank__job_item__field_descriptors[4] =
 {
   {
     "id",
@@ -1035,16 +1093,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "line",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__JobItem, line),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__job_item__field_indices_by_name[] = {
   1,   /* field[1] = body */
   0,   /* field[0] = id */
   2,   /* field[2] = idempotent */
+  3,   /* field[3] = line */
 };
 static const ProtobufCIntRange briarplank__job_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor briarplank__job_item__descriptor =
 {
@@ -1054,14 +1125,130 @@
   "Briarplank__JobItem",
   "briarplank",
   sizeof(Briarplank__JobItem),
-  3,
+  4,
   briarplank__job_item__field_descriptors,
   briarplank__job_item__field_indices_by_name,
   1,  briarplank__job_item__number_ranges,
   (ProtobufCMessageInit) briarplank__job_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__job_sealed__field_descriptors[12] =
+static const ProtobufCFieldDescriptor briarplank__part_stored__field_descriptors[7] =
+{
+  {
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, job_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submission_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, submission_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_line",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, first_line),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, lines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__PartStored, stored_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned briarplank__part_stored__field_indices_by_name[] = {
+  3,   /* field[3] = first_line */
+  5,   /* field[5] = items */
+  0,   /* field[0] = job_id */
+  4,   /* field[4] = lines */
+  1,   /* field[1] = part */
+  6,   /* field[6] = stored_ms */
+  2,   /* field[2] = submission_id */
+};
+static const ProtobufCIntRange briarplank__part_stored__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor briarplank__part_stored__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "briarplank.PartStored",
+  "PartStored",
+  "Briarplank__PartStored",
+  "briarplank",
+  sizeof(Briarplank__PartStored),
+  7,
+  briarplank__part_stored__field_descriptors,
+  briarplank__part_stored__field_indices_by_name,
+  1,  briarplank__part_stored__number_ranges,
+  (ProtobufCMessageInit) briarplank__part_stored__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor briarplank__job_sealed__field_descriptors[13] =
 {
   {
     "job_id",
@@ -1207,6 +1394,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_ids",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Briarplank__JobSealed, n_part_ids),
+    offsetof(Briarplank__JobSealed, part_ids),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__job_sealed__field_indices_by_name[] = {
   1,   /* field[1] = caller */
@@ -1217,6 +1416,7 @@
   0,   /* field[0] = job_id */
   6,   /* field[6] = keep_ms */
   2,   /* field[2] = name */
+  12,   /* field[12] = part_ids */
   4,   /* field[4] = path */
   11,   /* field[11] = sealed_ms */
   3,   /* field[3] = service */
@@ -1225,7 +1425,7 @@
 static const ProtobufCIntRange briarplank__job_sealed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor briarplank__job_sealed__descriptor =
 {
@@ -1235,7 +1435,7 @@
   "Briarplank__JobSealed",
   "briarplank",
   sizeof(Briarplank__JobSealed),
-  12,
+  13,
   briarplank__job_sealed__field_descriptors,
   briarplank__job_sealed__field_indices_by_name,
   1,  briarplank__job_sealed__number_ranges,
@@ -1672,7 +1872,7 @@
   (ProtobufCMessageInit) briarplank__key_claimed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__ledger_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor briarplank__ledger_record__field_descriptors[7] =
 {
   {
     "sealed",
@@ -1746,6 +1946,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Briarplank__LedgerRecord, body_case),
+    offsetof(Briarplank__LedgerRecord, part),
+    &briarplank__part_stored__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__ledger_record__field_indices_by_name[] = {
   4,   /* field[4] = attempt */
@@ -1753,12 +1965,13 @@
   3,   /* field[3] = ended */
   2,   /* field[2] = intent */
   5,   /* field[5] = key */
+  6,   /* field[6] = part */
   0,   /* field[0] = sealed */
 };
 static const ProtobufCIntRange briarplank__ledger_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor briarplank__ledger_record__descriptor =
 {
@@ -1768,7 +1981,7 @@
   "Briarplank__LedgerRecord",
   "briarplank",
   sizeof(Briarplank__LedgerRecord),
-  6,
+  7,
   briarplank__ledger_record__field_descriptors,
   briarplank__ledger_record__field_indices_by_name,
   1,  briarplank__ledger_record__number_ranges,
@@ -2045,7 +2258,7 @@
   (ProtobufCMessageInit) briarplank__checkpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__checkpoint_chunk__field_descriptors[5] =
+static const ProtobufCFieldDescriptor briarplank__checkpoint_chunk__field_descriptors[6] =
 {
   {
     "offset",
@@ -2107,18 +2320,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "marks",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointChunk, marks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__checkpoint_chunk__field_indices_by_name[] = {
   1,   /* field[1] = first_item */
   3,   /* field[3] = idempotent */
   4,   /* field[4] = index */
   2,   /* field[2] = items */
+  5,   /* field[5] = marks */
   0,   /* field[0] = offset */
 };
 static const ProtobufCIntRange briarplank__checkpoint_chunk__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor briarplank__checkpoint_chunk__descriptor =
 {
@@ -2128,7 +2354,7 @@
   "Briarplank__CheckpointChunk",
   "briarplank",
   sizeof(Briarplank__CheckpointChunk),
-  5,
+  6,
   briarplank__checkpoint_chunk__field_descriptors,
   briarplank__checkpoint_chunk__field_indices_by_name,
   1,  briarplank__checkpoint_chunk__number_ranges,
@@ -2341,7 +2567,7 @@
   (ProtobufCMessageInit) briarplank__checkpoint_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor briarplank__checkpoint_submission__field_descriptors[4] =
+static const ProtobufCFieldDescriptor briarplank__checkpoint_submission__field_descriptors[7] =
 {
   {
     "submission_id",
@@ -2391,17 +2617,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_line",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, first_line),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Briarplank__CheckpointSubmission, lines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned briarplank__checkpoint_submission__field_indices_by_name[] = {
   3,   /* field[3] = chunks */
+  5,   /* field[5] = first_line */
   2,   /* field[2] = first_ms */
   1,   /* field[1] = job_id */
+  6,   /* field[6] = lines */
+  4,   /* field[4] = part */
   0,   /* field[0] = submission_id */
 };
 static const ProtobufCIntRange briarplank__checkpoint_submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor briarplank__checkpoint_submission__descriptor =
 {
@@ -2411,7 +2676,7 @@
   "Briarplank__CheckpointSubmission",
   "briarplank",
   sizeof(Briarplank__CheckpointSubmission),
-  4,
+  7,
   briarplank__checkpoint_submission__field_descriptors,
   briarplank__checkpoint_submission__field_indices_by_name,
   1,  briarplank__checkpoint_submission__number_ranges,
--- a/wire/ledger.pb-c.h
+++ b/wire/ledger.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Briarplank__ShardClaim Briarplank__ShardClaim;
 typedef struct Briarplank__JobChunk Briarplank__JobChunk;
 typedef struct Briarplank__JobItem Briarplank__JobItem;
+typedef struct Briarplank__PartStored Briarplank__PartStored;
 typedef struct Briarplank__JobSealed Briarplank__JobSealed;
 typedef struct Briarplank__JobCancelled Briarplank__JobCancelled;
 typedef struct Briarplank__ItemIntent Briarplank__ItemIntent;
@@ -79,10 +80,14 @@
   uint32_t first_item;
   size_t n_items;
   Briarplank__JobItem **items;
+  /*
+   * Number of the part of a job sent in parts; 0 for a job sent whole.
+   */
+  uint32_t part;
 };
 #define BRIARPLANK__JOB_CHUNK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__job_chunk__descriptor) \
-    , {0,NULL}, {0,NULL}, 0, 0, 0,NULL }
+    , {0,NULL}, {0,NULL}, 0, 0, 0,NULL, 0 }
 
 
 struct  Briarplank__JobItem
@@ -91,10 +96,33 @@
   char *id;
   ProtobufCBinaryData body;
   protobuf_c_boolean idempotent;
+  /*
+   * Line within the whole job, of an item of a part.
+   */
+  uint32_t line;
 };
 #define BRIARPLANK__JOB_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__job_item__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+/*
+ * Makes a set of chunks a part of a job that is not sealed yet.
+ */
+struct  Briarplank__PartStored
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData job_id;
+  uint32_t part;
+  ProtobufCBinaryData submission_id;
+  uint32_t first_line;
+  uint32_t lines;
+  uint32_t items;
+  uint64_t stored_ms;
+};
+#define BRIARPLANK__PART_STORED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&briarplank__part_stored__descriptor) \
+    , {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
 
 
 /*
@@ -116,10 +144,15 @@
   size_t n_chunk_offsets;
   uint64_t *chunk_offsets;
   uint64_t sealed_ms;
+  /*
+   * Submission ids of all parts in order; empty for a job sent whole.
+   */
+  size_t n_part_ids;
+  ProtobufCBinaryData *part_ids;
 };
 #define BRIARPLANK__JOB_SEALED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__job_sealed__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, {0,NULL}, 0,NULL, 0 }
+    , {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, {0,NULL}, 0,NULL, 0, 0,NULL }
 
 
 struct  Briarplank__JobCancelled
@@ -204,7 +237,8 @@
   BRIARPLANK__LEDGER_RECORD__BODY_INTENT = 3,
   BRIARPLANK__LEDGER_RECORD__BODY_ENDED = 4,
   BRIARPLANK__LEDGER_RECORD__BODY_ATTEMPT = 5,
-  BRIARPLANK__LEDGER_RECORD__BODY_KEY = 6
+  BRIARPLANK__LEDGER_RECORD__BODY_KEY = 6,
+  BRIARPLANK__LEDGER_RECORD__BODY_PART = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRIARPLANK__LEDGER_RECORD__BODY__CASE)
 } Briarplank__LedgerRecord__BodyCase;
 
@@ -219,6 +253,7 @@
     Briarplank__ItemEnded *ended;
     Briarplank__ItemAttempt *attempt;
     Briarplank__KeyClaimed *key;
+    Briarplank__PartStored *part;
   };
 };
 #define BRIARPLANK__LEDGER_RECORD__INIT \
@@ -302,10 +337,14 @@
    */
   ProtobufCBinaryData idempotent;
   uint32_t index;
+  /*
+   * Of an unsealed part, each item: hash of its id (8), line (4), LE.
+   */
+  ProtobufCBinaryData marks;
 };
 #define BRIARPLANK__CHECKPOINT_CHUNK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_chunk__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, {0,NULL}, 0, {0,NULL} }
 
 
 struct  Briarplank__CheckpointIntent
@@ -352,10 +391,16 @@
   uint64_t first_ms;
   size_t n_chunks;
   Briarplank__CheckpointChunk **chunks;
+  /*
+   * Set when the chunks are a stored part of a job.
+   */
+  uint32_t part;
+  uint32_t first_line;
+  uint32_t lines;
 };
 #define BRIARPLANK__CHECKPOINT_SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&briarplank__checkpoint_submission__descriptor) \
-    , {0,NULL}, {0,NULL}, 0, 0,NULL }
+    , {0,NULL}, {0,NULL}, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -439,6 +484,25 @@
 void   briarplank__job_item__free_unpacked
                      (Briarplank__JobItem *message,
                       ProtobufCAllocator *allocator);
+/* Briarplank__PartStored methods */
+void   briarplank__part_stored__init
+                     (Briarplank__PartStored         *message);
+size_t briarplank__part_stored__get_packed_size
+                     (const Briarplank__PartStored   *message);
+size_t briarplank__part_stored__pack
+                     (const Briarplank__PartStored   *message,
+                      uint8_t             *out);
+size_t briarplank__part_stored__pack_to_buffer
+                     (const Briarplank__PartStored   *message,
+                      ProtobufCBuffer     *buffer);
+Briarplank__PartStored *
+       briarplank__part_stored__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   briarplank__part_stored__free_unpacked
+                     (Briarplank__PartStored *message,
+                      ProtobufCAllocator *allocator);
 /* Briarplank__JobSealed methods */
 void   briarplank__job_sealed__init
                      (Briarplank__JobSealed         *message);
@@ -735,6 +799,9 @@
 typedef void (*Briarplank__JobItem_Closure)
                  (const Briarplank__JobItem *message,
                   void *closure_data);
+typedef void (*Briarplank__PartStored_Closure)
+                 (const Briarplank__PartStored *message,
+                  void *closure_data);
 typedef void (*Briarplank__JobSealed_Closure)
                  (const Briarplank__JobSealed *message,
                   void *closure_data);
@@ -789,6 +856,7 @@
 extern const ProtobufCMessageDescriptor briarplank__shard_claim__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__job_chunk__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__job_item__descriptor;
+extern const ProtobufCMessageDescriptor briarplank__part_stored__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__job_sealed__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__job_cancelled__descriptor;
 extern const ProtobufCMessageDescriptor briarplank__item_intent__descriptor;
