Report load to the entries that route here, and share the link by entries

Cause: above 25 entries an agent reported only to those that had dispatched within 10 s, so that the others of its subset routed blind; up to 25 it reported to all. The share of the regions' link counted only entries heard of, so one that had just started took too much.

Ruled out: reports to all entries (370 x 600 twice a second), and to all of a small service's entries at each round: with no more agents than a subset has, each entry works with each agent.

A node's share of the link is 25 % of 30 Mb/s by the entries of its region that are listed and not gone.

Control bytes a node were not measured.

--- a/briarplankd/agent/attempt_messages.c
+++ b/briarplankd/agent/attempt_messages.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "attempt.h"
+#include "report.h"
 #include "common/log.h"
 
 #define PART "gate"
@@ -70,7 +71,7 @@
 	int reason;
 
 	gate_wake(gate);
-	gate_note_entry(gate, env->sender);
+	report_sender_note(gate->reports, env->sender);
 	kind = tombstones_find(gate->tombstones, key,
 			       node_now_ms(gate->task.node));
 	g_free(key);
--- a/briarplankd/agent/gate.c
+++ b/briarplankd/agent/gate.c
@@ -6,8 +6,8 @@
 #include <glib.h>
 
 #include "gate.h"
+#include "report.h"
 #include "briarplankd/config_task.h"
-#include "briarplankd/members_task.h"
 #include "briarplankd/tasks.h"
 #include "common/log.h"
 
@@ -17,11 +17,6 @@
 #define TICK_MS 20
 /* A pause of the loop that counts as frozen, in ms. */
 #define FROZEN_MIN_MS 1000
-/* Period of load reports, and how long an entry that dispatched gets them. */
-#define REPORT_INTERVAL_MS 500
-#define REPORT_KEEP_MS 10000
-/* Entries up to which all get the reports. */
-#define REPORT_ENTRIES 25
 /* Ids remembered so that they never start, and for how long. */
 #define TOMBSTONES_MAX 65536
 #define TOMBSTONE_KEEP_MS 120000
@@ -70,14 +65,6 @@
 		gate->on_thaw(gate->thaw_ctx);
 }
 
-void gate_note_entry(struct gate *gate, const char *entry)
-{
-	uint64_t *at = g_new(uint64_t, 1);
-
-	*at = node_now_ms(gate->task.node);
-	g_hash_table_replace(gate->entries, g_strdup(entry), at);
-}
-
 void gate_count_refusal(struct gate *gate, const char *reason)
 {
 	char *labels = g_strdup_printf("reason=\"%s\"", reason);
@@ -219,75 +206,6 @@
 	batch_share_set(gate->share, &share);
 }
 
-static void fill_report(struct gate *gate, Briarplank__LoadReport *report)
-{
-	const struct daemon_settings *settings = gate->task.node->settings;
-	unsigned limit = concurrency_online_limit(gate->concurrency);
-
-	briarplank__load_report__init(report);
-	report->service = settings->service;
-	report->data_centre = settings->data_centre;
-	report->running_online = gate->running_online;
-	report->running_batch = gate->running_batch;
-	report->queued_online = admission_waiting(gate->admission);
-	report->concurrency_limit = limit;
-	report->expected_wait_us =
-		admission_wait_us(gate->admission, gate->running_online, limit);
-	report->leaving = gate->leaving;
-	report->ready = gate_takes_work(gate);
-	report->sequence = ++gate->report_sequence;
-}
-
-/* While the fleet is small, every entry gets the reports. */
-static void add_all_entries(struct gate *gate)
-{
-	struct members *members = node_members(gate->task.node);
-	struct list *pos;
-
-	if (members_up_nr(members, MEMBER_ENTRY) > REPORT_ENTRIES)
-		return;
-	list_for_each (pos, members_all(members)) {
-		const struct member *member =
-			list_entry(pos, struct member, link);
-
-		if (member->role == MEMBER_ENTRY && member->state == MEMBER_UP)
-			gate_note_entry(gate, member->name);
-	}
-}
-
-static bool entry_is_recent(gpointer name, gpointer value, gpointer ctx)
-{
-	const struct gate *gate = ctx;
-
-	(void)name;
-	return node_now_ms(gate->task.node) <
-	       *(const uint64_t *)value + REPORT_KEEP_MS;
-}
-
-static gboolean entry_is_old(gpointer name, gpointer value, gpointer ctx)
-{
-	return !entry_is_recent(name, value, ctx);
-}
-
-/* Tells the entries that use this server how loaded it is. */
-static void report(struct gate *gate)
-{
-	Briarplank__Envelope env = BRIARPLANK__ENVELOPE__INIT;
-	Briarplank__LoadReport body;
-	GHashTableIter iter;
-	gpointer name;
-
-	fill_report(gate, &body);
-	env.body_case = BRIARPLANK__ENVELOPE__BODY_LOAD_REPORT;
-	env.load_report = &body;
-	add_all_entries(gate);
-	g_hash_table_foreach_remove(gate->entries, entry_is_old, gate);
-	g_hash_table_iter_init(&iter, gate->entries);
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		bus_send(gate->task.node->bus, name, &env);
-	gate->reported_ms = node_now_ms(gate->task.node);
-}
-
 static void on_timer(uv_timer_t *timer)
 {
 	struct gate *gate = timer->data;
@@ -295,9 +213,7 @@
 	gate_wake(gate);
 	attempts_tick(gate);
 	gate_schedule(gate);
-	if (node_now_ms(gate->task.node) >=
-	    gate->reported_ms + REPORT_INTERVAL_MS)
-		report(gate);
+	report_sender_tick(gate->reports);
 }
 
 static void make_metrics(struct gate *gate)
@@ -346,7 +262,7 @@
 	if (gate->closed == closed)
 		return;
 	gate->closed = closed;
-	report(gate);
+	report_sender_all(gate->reports);
 	gate_schedule(gate);
 }
 
@@ -361,7 +277,7 @@
 	struct gate *gate = list_entry(task, struct gate, task);
 
 	gate->leaving = true;
-	report(gate);
+	report_sender_all(gate->reports);
 }
 
 static bool gate_stopped(struct task *task)
@@ -382,7 +298,7 @@
 	gate->drained = drained;
 	log_info(PART, "the server is %s",
 		 drained ? "drained" : "no longer drained");
-	report(gate);
+	report_sender_all(gate->reports);
 	gate_schedule(gate);
 }
 
@@ -392,6 +308,8 @@
 
 	if (event->kind == NODE_CONFIG_CHANGED)
 		apply_config(gate);
+	else
+		report_sender_changed(gate->reports);
 	if (event->kind == NODE_PEER_DOWN)
 		attempts_entry_down(gate, event->peer, true);
 	if (event->kind == NODE_PEER_UP)
@@ -413,7 +331,7 @@
 	admission_destroy(gate->admission);
 	concurrency_destroy(gate->concurrency);
 	tombstones_destroy(gate->tombstones);
-	g_hash_table_destroy(gate->entries);
+	report_sender_destroy(gate->reports);
 	g_free(gate);
 }
 
@@ -443,8 +361,7 @@
 	gate->task.ops = &gate_ops;
 	gate->attempts = g_hash_table_new(g_str_hash, g_str_equal);
 	gate->tombstones = tombstones_create(TOMBSTONES_MAX, TOMBSTONE_KEEP_MS);
-	gate->entries =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->reports = report_sender_create(gate);
 	list_init(&gate->works);
 	return &gate->task;
 }
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -25,6 +25,7 @@
 
 struct attempt;
 struct gate_work;
+struct report_sender;
 
 struct gate {
 	struct task task;
@@ -62,10 +63,7 @@
 	bool closed;
 	/** An operator drains the server. */
 	bool drained;
-	uint64_t report_sequence;
-	uint64_t reported_ms;
-	/* Entries that dispatched lately: name to the time of it. */
-	GHashTable *entries;
+	struct report_sender *reports;
 	struct {
 		struct counter *admitted;
 		struct counter *duplicates;
@@ -120,9 +118,6 @@
 /** Number of tokens, one an event, that begin in a part of a stream. */
 unsigned gate_count_tokens(const char *data, size_t len);
 
-/** Notes that an entry uses this server, so that it gets load reports. */
-void gate_note_entry(struct gate *gate, const char *entry);
-
 /** Counts a refusal by its reason. */
 void gate_count_refusal(struct gate *gate, const char *reason);
 
--- a/briarplankd/entry/routing.c
+++ b/briarplankd/entry/routing.c
@@ -6,20 +6,14 @@
 
 #include "briarplankd/members_task.h"
 #include "briarplankd/online.h"
-#include "core/subset.h"
+#include "briarplankd/service_nodes.h"
 
-/* Agents of a service that an entry works with. */
-#define SUBSET_SIZE 40
 /* Age up to which a load report counts, in ms. */
 #define REPORT_FRESH_MS 3000
 /* Time for which an agent is watched after its last request, in ms. */
 #define WATCH_MS 5000
 /* Limit taken for an agent that has not reported. */
 #define UNREPORTED_LIMIT 4
-/* Online's share of the link between regions, for all entries of a region. */
-#define LINK_BYTES_PER_S 1000000
-/* Time over which a node's share of the link may be saved up, in s. */
-#define LINK_BURST_S 2
 
 static void agent_free(void *data)
 {
@@ -45,49 +39,17 @@
 	return agent;
 }
 
-/* The nodes of one kind that are not known to be gone. */
-static GArray *list_nodes(struct node *node, enum member_role role,
-			  const char *service)
-{
-	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct subset_node));
-	struct list *pos;
-
-	list_for_each (pos, members_all(node_members(node))) {
-		struct member *member = list_entry(pos, struct member, link);
-		struct subset_node item = {
-			.name = member->name,
-			.data_centre = member->data_centre,
-			.region = member->region,
-		};
-
-		if (member->role != role || member->leaving ||
-		    member->state == MEMBER_DOWN)
-			continue;
-		if (service && strcmp(member->service, service) != 0)
-			continue;
-		g_array_append_val(nodes, item);
-	}
-	return nodes;
-}
-
 /* Names of the agents of a subset. */
 static GPtrArray *make_subset(struct node *node, const char *service)
 {
-	const struct daemon_settings *settings = node->settings;
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-	GArray *entries = list_nodes(node, MEMBER_ENTRY, NULL);
-	GArray *agents = list_nodes(node, MEMBER_AGENT, service);
-	struct subset_node self = {
-		.name = settings->name,
-		.data_centre = settings->data_centre,
-		.region = settings->region,
-	};
+	GArray *entries = service_nodes_list(node, MEMBER_ENTRY, NULL);
+	GArray *agents = service_nodes_list(node, MEMBER_AGENT, service);
 	struct subset_node *nodes = (struct subset_node *)agents->data;
 	guint i;
 
-	g_array_append_val(entries, self);
 	subset_pick((struct subset_node *)entries->data, entries->len,
-		    self.name, nodes, agents->len, SUBSET_SIZE);
+		    node->settings->name, nodes, agents->len, SUBSET_AGENTS);
 	for (i = 0; i < agents->len; i++) {
 		if (nodes[i].picked)
 			g_ptr_array_add(names, g_strdup(nodes[i].name));
@@ -113,28 +75,31 @@
 	return subset;
 }
 
+/*
+ * Entries of the region that may use its link: also those that are only
+ * listed, as one that has just started has heard of few.
+ */
 static unsigned count_entries(struct node *node)
 {
-	unsigned nr = 1;
-	struct list *pos;
-
-	list_for_each (pos, members_all(node_members(node))) {
-		struct member *member = list_entry(pos, struct member, link);
+	GArray *entries = service_nodes_list(node, MEMBER_ENTRY, NULL);
+	unsigned nr = 0;
+	guint i;
 
-		nr += member->role == MEMBER_ENTRY &&
-		      member->state == MEMBER_UP &&
-		      !strcmp(member->region, node->settings->region);
-	}
+	for (i = 0; i < entries->len; i++)
+		nr += !strcmp(
+			g_array_index(entries, struct subset_node, i).region,
+			node->settings->region);
+	g_array_free(entries, TRUE);
 	return nr;
 }
 
 void online_routing_changed(struct online *online)
 {
-	uint64_t share = LINK_BYTES_PER_S / count_entries(online->super.node);
+	uint64_t share = link_budget_share(count_entries(online->super.node));
 
 	if (online->subsets)
 		g_hash_table_remove_all(online->subsets);
-	link_budget_set(&online->link, share, share * LINK_BURST_S,
+	link_budget_set(&online->link, share, share * LINK_BUDGET_BURST_S,
 			node_now_us());
 }
 
--- a/core/link_budget.c
+++ b/core/link_budget.c
@@ -16,6 +16,12 @@
 	budget->updated_us = now_us;
 }
 
+uint64_t link_budget_share(unsigned entries)
+{
+	return (uint64_t)LINK_BYTES_PER_S * LINK_ONLINE_PERCENT / 100 /
+	       MAX(entries, 1);
+}
+
 void link_budget_init(struct link_budget *budget, uint64_t bytes_per_s,
 		      uint64_t burst_bytes, uint64_t now_us)
 {
--- a/core/subset.c
+++ b/core/subset.c
@@ -22,6 +22,7 @@
 /* The agents of one data centre, in ring order. */
 struct ring {
 	const char *data_centre;
+	const char *region;
 	enum tier tier;
 	struct place *places;
 	size_t nr;
@@ -60,16 +61,6 @@
 	return places;
 }
 
-static enum tier tier_of(const struct subset_node *self,
-			 const struct subset_node *agent)
-{
-	if (!strcmp(self->data_centre, agent->data_centre))
-		return TIER_DATA_CENTRE;
-	if (!strcmp(self->region, agent->region))
-		return TIER_REGION;
-	return TIER_OTHER;
-}
-
 static struct ring *find_ring(GArray *rings, const char *data_centre)
 {
 	guint i;
@@ -83,18 +74,17 @@
 	return NULL;
 }
 
-static GArray *make_rings(const struct subset_node *self,
-			  const struct subset_node *agents, size_t nr)
+static GArray *make_rings(const struct subset_node *agents, size_t nr)
 {
 	GArray *rings = g_array_new(FALSE, TRUE, sizeof(struct ring));
 	size_t i;
 
 	for (i = 0; i < nr; i++) {
-		struct ring ring = { .data_centre = agents[i].data_centre };
+		struct ring ring = { .data_centre = agents[i].data_centre,
+				     .region = agents[i].region };
 
 		if (find_ring(rings, ring.data_centre))
 			continue;
-		ring.tier = tier_of(self, &agents[i]);
 		ring.places =
 			sort_places(agents, nr, ring.data_centre, &ring.nr);
 		g_array_append_val(rings, ring);
@@ -102,6 +92,23 @@
 	return rings;
 }
 
+/* How far the rings are from an entry. */
+static void set_tiers(GArray *rings, const struct subset_node *entry)
+{
+	guint i;
+
+	for (i = 0; i < rings->len; i++) {
+		struct ring *ring = &g_array_index(rings, struct ring, i);
+
+		if (!strcmp(entry->data_centre, ring->data_centre))
+			ring->tier = TIER_DATA_CENTRE;
+		else if (!strcmp(entry->region, ring->region))
+			ring->tier = TIER_REGION;
+		else
+			ring->tier = TIER_OTHER;
+	}
+}
+
 /*
  * Spreads a share evenly over the rings of a tier; returns what is left. Odd
  * places go to other rings for each entry.
@@ -132,7 +139,10 @@
 	size_t shares[TIERS];
 	size_t left = 0;
 	int tier;
+	guint i;
 
+	for (i = 0; i < rings->len; i++)
+		g_array_index(rings, struct ring, i).quota = 0;
 	shares[TIER_DATA_CENTRE] = size * SAME_DATA_CENTRE_PERCENT / 100;
 	shares[TIER_REGION] = size * SAME_REGION_PERCENT / 100;
 	shares[TIER_OTHER] =
@@ -144,18 +154,23 @@
 }
 
 /*
- * Marks the arc of a ring that starts at the entry's place on its own. The
- * rings of each pair of data centres are turned against each other, so that
- * rounding doesn't meet the same agents each time.
+ * Where the arc of an entry begins on a ring: at the entry's place on its own.
+ * The rings of each pair of data centres are turned against each other, so
+ * that rounding doesn't meet the same agents each time.
  */
-static unsigned mark_arc(const struct ring *ring, const char *data_centre,
-			 size_t place, size_t places,
-			 struct subset_node *agents)
+static size_t arc_start(const struct ring *ring, const char *data_centre,
+			size_t place, size_t places)
 {
 	uint64_t turn = hash_string(data_centre, RING_SEED) >> 32;
 	/* A part of the ring, so that it moves little when the ring grows. */
 	size_t offset = (turn * ring->nr) >> 32;
-	size_t start = place * ring->nr / places + offset;
+
+	return (place * ring->nr / places + offset) % ring->nr;
+}
+
+static unsigned mark_arc(const struct ring *ring, size_t start,
+			 struct subset_node *agents)
+{
 	size_t i;
 
 	for (i = 0; i < ring->quota; i++)
@@ -185,6 +200,15 @@
 	return nr;
 }
 
+static void free_rings(GArray *rings)
+{
+	guint i;
+
+	for (i = 0; i < rings->len; i++)
+		g_free(g_array_index(rings, struct ring, i).places);
+	g_array_free(rings, TRUE);
+}
+
 unsigned subset_pick(const struct subset_node *entries, size_t entries_nr,
 		     const char *self, struct subset_node *agents,
 		     size_t agents_nr, unsigned size)
@@ -201,15 +225,90 @@
 	places = sort_places(entries, entries_nr, own->data_centre, &nr);
 	for (at = 0; strcmp(places[at].name, self) != 0; at++)
 		;
-	rings = make_rings(own, agents, agents_nr);
+	rings = make_rings(agents, agents_nr);
+	set_tiers(rings, own);
 	set_quotas(rings, size, at);
 	for (i = 0; i < rings->len; i++) {
 		struct ring *ring = &g_array_index(rings, struct ring, i);
 
-		picked += mark_arc(ring, own->data_centre, at, nr, agents);
-		g_free(ring->places);
+		picked += mark_arc(ring,
+				   arc_start(ring, own->data_centre, at, nr),
+				   agents);
+	}
+	free_rings(rings);
+	g_free(places);
+	return picked;
+}
+
+/* Place of an agent on a ring. */
+static size_t ring_place(const struct ring *ring, const char *name)
+{
+	size_t i;
+
+	for (i = 0; strcmp(ring->places[i].name, name) != 0; i++)
+		;
+	return i;
+}
+
+/*
+ * Marks the entries of the data centre of one of them whose arcs hold the
+ * agent at a place of its ring.
+ */
+static unsigned mark_centre(struct subset_node *entries, size_t entries_nr,
+			    const struct subset_node *one, GArray *rings,
+			    const struct ring *own, size_t place, unsigned size)
+{
+	size_t nr, at;
+	struct place *places =
+		sort_places(entries, entries_nr, one->data_centre, &nr);
+	unsigned picked = 0;
+
+	set_tiers(rings, one);
+	for (at = 0; at < nr; at++) {
+		size_t start = arc_start(own, one->data_centre, at, nr);
+
+		set_quotas(rings, size, at);
+		if ((place + own->nr - start) % own->nr >= own->quota)
+			continue;
+		entries[places[at].index].picked = true;
+		picked++;
 	}
-	g_array_free(rings, TRUE);
 	g_free(places);
 	return picked;
 }
+
+/* The first entry of each data centre stands for it. */
+static bool is_first(const struct subset_node *entries, size_t at)
+{
+	size_t i;
+
+	for (i = 0; i < at; i++) {
+		if (!strcmp(entries[i].data_centre, entries[at].data_centre))
+			return false;
+	}
+	return true;
+}
+
+unsigned subset_pick_entries(struct subset_node *entries, size_t entries_nr,
+			     const struct subset_node *agents, size_t agents_nr,
+			     const char *self, unsigned size)
+{
+	const struct subset_node *own = find_node(agents, agents_nr, self);
+	const struct ring *ring;
+	unsigned picked = 0;
+	size_t place, i;
+	GArray *rings;
+
+	if (!own || agents_nr <= size)
+		return pick_all(entries, entries_nr);
+	rings = make_rings(agents, agents_nr);
+	ring = find_ring(rings, own->data_centre);
+	place = ring_place(ring, self);
+	for (i = 0; i < entries_nr; i++) {
+		if (is_first(entries, i))
+			picked += mark_centre(entries, entries_nr, &entries[i],
+					      rings, ring, place, size);
+	}
+	free_rings(rings);
+	return picked;
+}
--- a/include/core/link_budget.h
+++ b/include/core/link_budget.h
@@ -11,6 +11,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Bytes a second of the link between regions, each way. */
+#define LINK_BYTES_PER_S 3750000
+/** Share of it for online requests; the rest is for batch work and control. */
+#define LINK_ONLINE_PERCENT 25
+/** Time over which a node may save up its share, in s. */
+#define LINK_BUDGET_BURST_S 2
+
 struct link_budget {
 	uint64_t bytes_per_s;
 	uint64_t burst_bytes;
@@ -18,6 +25,12 @@
 	uint64_t updated_us;
 };
 
+/**
+ * A node's share in bytes a second, when so many entries of the region are
+ * known, itself among them: all shares together keep to online's part.
+ */
+uint64_t link_budget_share(unsigned entries);
+
 /** Begins with a full bucket. */
 void link_budget_init(struct link_budget *budget, uint64_t bytes_per_s,
 		      uint64_t burst_bytes, uint64_t now_us);
--- a/include/core/subset.h
+++ b/include/core/subset.h
@@ -14,12 +14,15 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+/** Agents of a service that an entry works with. */
+#define SUBSET_AGENTS 40
+
 /** An entry, or an agent of the service. */
 struct subset_node {
 	const char *name;
 	const char *data_centre;
 	const char *region;
-	/** Set by subset_pick() for agents in the subset. */
+	/** Set for those that were picked. */
 	bool picked;
 };
 
@@ -31,4 +34,12 @@
 		     const char *self, struct subset_node *agents,
 		     size_t agents_nr, unsigned size);
 
+/**
+ * The same seen from an agent: marks the entries that have it in their subset
+ * and returns their number. self must be among the agents.
+ */
+unsigned subset_pick_entries(struct subset_node *entries, size_t entries_nr,
+			     const struct subset_node *agents, size_t agents_nr,
+			     const char *self, unsigned size);
+
 #endif
--- a/tests/test_link_budget.c
+++ b/tests/test_link_budget.c
@@ -17,12 +17,41 @@
 	return budget;
 }
 
+/*
+ * Entries that all take what they may for a while; the last ones know only of
+ * so many entries.
+ */
+static void print_region(int argc, char **argv, GString *out)
+{
+	int64_t entries = script_arg_int(argc, argv, "entries", 1);
+	int64_t unaware = script_arg_int(argc, argv, "unaware", 0);
+	int64_t known = script_arg_int(argc, argv, "known", entries);
+	uint64_t seconds = script_arg_int(argc, argv, "seconds", 60);
+	uint64_t bytes = 0;
+	int64_t i;
+
+	for (i = 0; i < entries; i++) {
+		uint64_t share = link_budget_share(
+			i < entries - unaware ? entries : known);
+
+		bytes += share * (seconds + LINK_BUDGET_BURST_S);
+	}
+	g_string_append_printf(out,
+			       "%" PRIu64 " kB/s, %" PRIu64 " %% of the link\n",
+			       bytes / seconds / 1000,
+			       bytes * 100 / seconds / LINK_BYTES_PER_S);
+}
+
 static void command(void *state, int argc, char **argv, GString *out)
 {
 	struct link_budget *budget = state;
 	uint64_t now_us = script_arg_int(argc, argv, "at", 0) * US_PER_MS;
 	uint64_t bytes = script_arg_int(argc, argv, "bytes", 0);
 
+	if (!strcmp(argv[0], "region")) {
+		print_region(argc, argv, out);
+		return;
+	}
 	if (!strcmp(argv[0], "take"))
 		link_budget_take(budget, bytes, now_us);
 	else if (!strcmp(argv[0], "set"))
--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -141,6 +141,79 @@
 	g_string_append_printf(out, "an entry loses at most %u\n", most);
 }
 
+/* Fills a row for each entry: the agents that it works with. */
+static bool *entry_side(struct shape *shape)
+{
+	bool *rows = g_new0(bool, shape->entries.nr * shape->agents.nr);
+	size_t i, k;
+
+	for (i = 0; i < shape->entries.nr; i++) {
+		pick(shape, shape->entries.nodes[i].name);
+		for (k = 0; k < shape->agents.nr; k++)
+			rows[i * shape->agents.nr + k] =
+				shape->agents.nodes[k].picked;
+	}
+	return rows;
+}
+
+static void pick_entries(struct shape *shape, const char *self)
+{
+	size_t i;
+
+	for (i = 0; i < shape->entries.nr; i++)
+		shape->entries.nodes[i].picked = false;
+	subset_pick_entries(shape->entries.nodes, shape->entries.nr,
+			    shape->agents.nodes, shape->agents.nr, self,
+			    shape->size);
+}
+
+/* Names of the picked nodes; they stay the fleet's. */
+static GHashTable *picked_names(const struct fleet *fleet)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < fleet->nr; i++) {
+		if (fleet->nodes[i].picked)
+			g_hash_table_add(names, (char *)fleet->nodes[i].name);
+	}
+	return names;
+}
+
+/*
+ * Compares what entries choose by one view with the entries that agents choose
+ * by another.
+ */
+static void print_agreement(struct shape *entry_view, struct shape *agent_view,
+			    GString *out)
+{
+	bool *rows = entry_side(entry_view);
+	unsigned pairs = 0, without = 0, more = 0, most = 0;
+	GHashTable *names;
+	size_t i, k;
+
+	for (k = 0; k < entry_view->agents.nr; k++) {
+		pick_entries(agent_view, entry_view->agents.nodes[k].name);
+		names = picked_names(&agent_view->entries);
+		for (i = 0; i < entry_view->entries.nr; i++) {
+			bool routes = rows[i * entry_view->agents.nr + k];
+			bool told = g_hash_table_contains(
+				names, entry_view->entries.nodes[i].name);
+
+			pairs += routes;
+			without += routes && !told;
+			more += told && !routes;
+		}
+		most = MAX(most, g_hash_table_size(names));
+		g_hash_table_destroy(names);
+	}
+	g_string_append_printf(out,
+			       "%u pairs, %u without reports, %u reports "
+			       "unused, at most %u entries an agent\n",
+			       pairs, without, more, most);
+	g_free(rows);
+}
+
 static void print_tiers(struct shape *shape, const char *self, GString *out)
 {
 	size_t i;
@@ -168,6 +241,12 @@
 		whole = make_shape(1, argv);
 		print_change(&whole, &shape, out);
 		free_shape(&whole);
+	} else if (!strcmp(argv[0], "agree")) {
+		print_agreement(&shape, &shape, out);
+	} else if (!strcmp(argv[0], "views")) {
+		whole = make_shape(1, argv);
+		print_agreement(&shape, &whole, out);
+		free_shape(&whole);
 	}
 	free_shape(&shape);
 }
