Make a seal's record before it is filled

Cause: clang-tidy sees a leak in seal_new, where the JobSealed message had no owner between its making and its queueing. Ruled out: a leak in fact (both branches pass it on or free it; AddressSanitizer is silent). Change: the record that owns the message is made first and is queued or freed whole. clang-tidy is clean on the file; ledger and ledger_storm pass under AddressSanitizer and UndefinedBehaviorSanitizer. Conclusion: no change in behaviour.

--- a/core/ledger_requests.c
+++ b/core/ledger_requests.c
@@ -43,12 +43,8 @@
 }
 
 static void queue_sealed(struct ledger *ledger, const Briarplank__SealJob *seal,
-			 Briarplank__JobSealed *sealed)
+			 Briarplank__LedgerRecord *record)
 {
-	Briarplank__LedgerRecord *record =
-		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_SEALED);
-
-	record->sealed = sealed;
 	g_hash_table_insert(ledger->sealing,
 			    g_memdup2(seal->job_id.data, HASH128_BYTES),
 			    g_memdup2(seal->content_hash.data, HASH128_BYTES));
@@ -79,18 +75,22 @@
 				   const Briarplank__SealJob *seal,
 				   uint64_t wall_ms)
 {
-	Briarplank__JobSealed *sealed = sealed_new(seal, wall_ms);
-	enum ledger_status status =
-		seal->parts ? ledger_seal_draft(ledger, seal, sealed) :
-			      check_whole(ledger, seal);
+	Briarplank__LedgerRecord *record =
+		ledger_record_new(BRIARPLANK__LEDGER_RECORD__BODY_SEALED);
+	enum ledger_status status;
 
+	record->sealed = sealed_new(seal, wall_ms);
+	if (seal->parts)
+		status = ledger_seal_draft(ledger, seal, record->sealed);
+	else
+		status = check_whole(ledger, seal);
 	if (status == LEDGER_QUEUED &&
 	    ledger->outbox_bytes > ledger->options.outbox_max_bytes)
 		status = LEDGER_OVERLOADED;
 	if (status == LEDGER_QUEUED)
-		queue_sealed(ledger, seal, sealed);
+		queue_sealed(ledger, seal, record);
 	else
-		briarplank__job_sealed__free_unpacked(sealed, NULL);
+		briarplank__ledger_record__free_unpacked(record, NULL);
 	return status;
 }
 
