Keep a proxy's bytes queued until they are written

Cause: clang-tidy took the queue's first link for freed memory after a write that failed at once, and could not see that it had been removed.

Ruled out: a suppression; walking the list another way, which alone left the warning.

Change: bytes leave the queue only when their write has begun; else they are freed with the connection.

--- a/tests/standin/proxy_pipe.c
+++ b/tests/standin/proxy_pipe.c
@@ -131,20 +131,20 @@
 static void write_due(struct flow *flow)
 {
 	uint64_t now_us = standin_now_us();
-	struct list *pos;
+	struct list *pos, *tmp;
 
-	while ((pos = list_first(&flow->queue)) != NULL) {
+	list_for_each_safe (pos, tmp, &flow->queue) {
 		struct chunk *chunk = list_entry(pos, struct chunk, link);
 		uv_buf_t buf = uv_buf_init(chunk->bytes, chunk->len);
 
 		if (chunk->due_us > now_us)
 			return;
-		list_remove(pos);
-		flow->queued -= chunk->len;
 		chunk->write.data = chunk;
 		if (uv_write(&chunk->write, (uv_stream_t *)flow->to, &buf, 1,
 			     on_written) != 0)
-			g_free(chunk);
+			return;
+		list_remove(pos);
+		flow->queued -= chunk->len;
 	}
 }
 
@@ -277,12 +277,10 @@
 		pipe->connect->data = NULL;
 	for (i = 0; i < PROXY_DIRECTIONS; i++) {
 		struct flow *flow = &pipe->flows[i];
-		struct list *pos;
+		struct list *pos, *tmp;
 
-		while ((pos = list_first(&flow->queue)) != NULL) {
-			list_remove(pos);
+		list_for_each_safe (pos, tmp, &flow->queue)
 			g_free(list_entry(pos, struct chunk, link));
-		}
 		uv_timer_stop(flow->timer);
 		uv_close((uv_handle_t *)flow->timer, on_closed);
 		close_end(flow->from, reset);
