Allocate a place more than a fleet of no agents needs

Cause: clang-tidy follows a fleet without agents into an allocation of no bytes in the tests of subsets.

Ruled out: a suppression, as the path can be had from a transcript.

Change: one place more in both arrays of tests/test_subset.c.

--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -85,7 +85,7 @@
 /* Sizes of all subsets, and in how many of them each agent is. */
 static void print_balance(struct shape *shape, GString *out)
 {
-	unsigned *counts = g_new0(unsigned, shape->agents.nr);
+	unsigned *counts = g_new0(unsigned, shape->agents.nr + 1);
 	unsigned min = UINT_MAX, max = 0, low = UINT_MAX, high = 0;
 	size_t i, k;
 
@@ -144,7 +144,7 @@
 /* Fills a row for each entry: the agents that it works with. */
 static bool *entry_side(struct shape *shape)
 {
-	bool *rows = g_new0(bool, shape->entries.nr * shape->agents.nr);
+	bool *rows = g_new0(bool, shape->entries.nr * shape->agents.nr + 1);
 	size_t i, k;
 
 	for (i = 0; i < shape->entries.nr; i++) {
