Wake no more agents than there are items

Cause: while any item waited, an owner of shards woke 16 idle agents each 100 ms, however few items there were.

Ruled out: longer ticks, which would delay the first item of a burst.

Change: ledger_schedule_free_nr() counts the items that nobody holds, and a tick wakes at most as many agents, and 16 as before. For single items that makes one wake, pull and answer an item in place of sixteen.

The wakes' bytes are not measured in a fleet.

--- a/briarplankd/entry/ledger_pulls.c
+++ b/briarplankd/entry/ledger_pulls.c
@@ -371,31 +371,26 @@
 	bus_send(task->super.node->bus, agent, &env);
 }
 
-static bool has_items(struct ledger_task *task, const char *service)
+static uint32_t free_items(struct ledger_task *task, const char *service)
 {
 	struct ledger **ledgers = g_new(struct ledger *, task->shards_nr);
-	uint32_t nr = granting_ledgers(task, ledgers);
-	uint64_t now = node_now_ms(task->super.node);
-	uint64_t wall = node_wall_ms();
-	bool found;
+	uint32_t ledgers_nr = granting_ledgers(task, ledgers);
+	uint32_t nr = ledger_schedule_free_nr(ledgers, ledgers_nr, service,
+					      node_now_ms(task->super.node));
 
-	found = ledger_schedule_choose(task->schedule, ledgers, nr, service,
-				       false, now, wall) ||
-		ledger_schedule_choose(task->schedule, ledgers, nr, service,
-				       true, now, wall);
 	g_free(ledgers);
-	return found;
+	return nr;
 }
 
+/* Wakes no more agents than there are items. */
 static void wake_service(void *ctx, const char *service)
 {
 	struct ledger_task *task = ctx;
-	unsigned woken;
+	uint32_t wanted = MIN(free_items(task, service), WAKES_PER_TICK);
+	uint32_t woken;
 	char *agent;
 
-	if (!has_items(task, service))
-		return;
-	for (woken = 0; woken < WAKES_PER_TICK; woken++) {
+	for (woken = 0; woken < wanted; woken++) {
 		agent = pull_pace_wake(task->pace, service);
 		if (!agent)
 			return;
--- a/core/ledger_schedule.c
+++ b/core/ledger_schedule.c
@@ -136,6 +136,37 @@
 	return best;
 }
 
+/* Items that have not ended and that nobody holds. */
+static uint32_t free_nr(const struct ledger_job *job)
+{
+	uint32_t open = job->counts[ITEM_WAITING] + job->counts[ITEM_INTENT];
+	uint32_t held = job->granted + job->ending;
+
+	return open > held ? open - held : 0;
+}
+
+uint32_t ledger_schedule_free_nr(struct ledger **ledgers, uint32_t ledgers_nr,
+				 const char *service, uint64_t now_ms)
+{
+	struct list *pos;
+	uint32_t nr = 0;
+	uint32_t i;
+
+	for (i = 0; i < ledgers_nr; i++) {
+		list_for_each (pos, &ledgers[i]->open_jobs) {
+			struct ledger_job *job =
+				list_entry(pos, struct ledger_job, open_link);
+
+			if (strcmp(job->service, service) != 0)
+				continue;
+			if (ledger_grantable(job, false, now_ms) ||
+			    ledger_grantable(job, true, now_ms))
+				nr += MAX(free_nr(job), 1);
+		}
+	}
+	return nr;
+}
+
 void ledger_schedule_charge(struct ledger_schedule *schedule,
 			    const struct ledger_job *job, uint64_t wall_ms)
 {
--- a/include/core/ledger_schedule.h
+++ b/include/core/ledger_schedule.h
@@ -35,6 +35,10 @@
 					  const char *service, bool alone,
 					  uint64_t now_ms, uint64_t wall_ms);
 
+/** At most so many items of the service can be granted now; 0 for none. */
+uint32_t ledger_schedule_free_nr(struct ledger **ledgers, uint32_t ledgers_nr,
+				 const char *service, uint64_t now_ms);
+
 /** Charges an item of the chosen job to its caller. */
 void ledger_schedule_charge(struct ledger_schedule *schedule,
 			    const struct ledger_job *job, uint64_t wall_ms);
--- /dev/null
+++ b/tests/ledger_stored.c
@@ -0,0 +1,157 @@
+/*
+ * The ledger's transcripts: checkpoints, results, and what is appended anew.
+ */
+#include <string.h>
+
+#include "core/ledger_state.h"
+#include "ledger_world.h"
+
+bool world_same_parts(const struct ledger *a, const struct ledger *b)
+{
+	GPtrArray *x = ledger_checkpoint_parts(a);
+	GPtrArray *y = ledger_checkpoint_parts(b);
+	bool same =
+		x->len == y->len && ledger_position(a) == ledger_position(b);
+	guint i;
+
+	for (i = 0; same && i < x->len; i++) {
+		const GByteArray *p = x->pdata[i];
+		const GByteArray *q = y->pdata[i];
+
+		same = p->len == q->len && !memcmp(p->data, q->data, p->len);
+	}
+	g_ptr_array_free(x, TRUE);
+	g_ptr_array_free(y, TRUE);
+	return same;
+}
+
+void world_checkpoint(struct world *world, char **argv, GString *out)
+{
+	struct node *node = world_node(world, argv[1]);
+	GPtrArray *parts = ledger_checkpoint_parts(node->ledger);
+	uint64_t as_of = ledger_position(node->ledger);
+	guint i;
+
+	for (i = 0; i < parts->len; i++) {
+		world_append(world,
+			     ledger_pack_part(node->ledger, parts->pdata[i],
+					      as_of, i, parts->len),
+			     out);
+		world_read(world, node, out);
+	}
+	g_ptr_array_free(parts, TRUE);
+}
+
+static const Briarplank__CheckpointHint *find_hint(
+	struct world *world, Briarplank__ShardAppend **holder)
+{
+	uint64_t offset;
+
+	for (offset = world->log->len; offset >= world->first_offset;
+	     offset--) {
+		const GByteArray *bytes = world->log->pdata[offset - 1];
+
+		*holder = briarplank__shard_append__unpack(NULL, bytes->len,
+							   bytes->data);
+		if ((*holder)->hint)
+			return (*holder)->hint;
+		briarplank__shard_append__free_unpacked(*holder, NULL);
+	}
+	return NULL;
+}
+
+/* Starts a node from the newest checkpoint that the stream points to. */
+void world_restore(struct world *world, char **argv, GString *out)
+{
+	struct node *node = world_node(world, argv[1]);
+	Briarplank__ShardAppend *holder;
+	const Briarplank__CheckpointHint *hint = find_hint(world, &holder);
+	size_t i;
+
+	if (!hint) {
+		g_string_append(out, "no checkpoint\n");
+		return;
+	}
+	for (i = 0; i < hint->n_part_offsets; i++) {
+		uint64_t offset = hint->part_offsets[i];
+		const GByteArray *bytes = world->log->pdata[offset - 1];
+		Briarplank__ShardAppend *part =
+			briarplank__shard_append__unpack(NULL, bytes->len,
+							 bytes->data);
+
+		g_assert(offset >= world->first_offset);
+		if (!ledger_load_part(node->ledger, part->checkpoint))
+			g_string_append(out, "bad part\n");
+		briarplank__shard_append__free_unpacked(part, NULL);
+	}
+	g_string_append_printf(out, "as of %" G_GUINT64_FORMAT "\n",
+			       hint->as_of_offset);
+	briarplank__shard_append__free_unpacked(holder, NULL);
+	world_read(world, node, out);
+}
+
+void world_results(struct world *world, char **argv, GString *out)
+{
+	struct ledger *ledger = world_node(world, argv[1])->ledger;
+	GArray *places =
+		g_array_new(FALSE, FALSE, sizeof(struct ledger_result_place));
+	uint8_t id[HASH128_BYTES];
+	ProtobufCBinaryData job_id = { HASH128_BYTES, id };
+	struct ledger_job *job;
+	bool more;
+	guint i;
+
+	hash128_pair("", argv[2], id);
+	job = ledger_find(ledger, job_id);
+	g_assert(job);
+	if (ledger_job_status(job, world->now_ms) == LEDGER_EXPIRED)
+		g_string_append(out, "expired\n");
+	ledger_results(job, 0, places, 100, &more);
+	for (i = 0; i < places->len; i++) {
+		const struct ledger_result_place *place =
+			&g_array_index(places, struct ledger_result_place, i);
+
+		g_string_append_printf(out,
+				       "%u %s id at %" G_GUINT64_FORMAT
+				       "/%u result at %" G_GUINT64_FORMAT "\n",
+				       place->item,
+				       ledger_item_status(place->state),
+				       place->body_offset, place->body_index,
+				       place->result_offset);
+	}
+	g_array_free(places, TRUE);
+}
+
+/* Appends anew what stands at an old offset and is still needed. */
+static void refresh_one(struct world *world, struct node *node, uint64_t offset,
+			GString *out)
+{
+	const GByteArray *bytes = world->log->pdata[offset - 1];
+	Briarplank__ShardAppend *append =
+		briarplank__shard_append__unpack(NULL, bytes->len, bytes->data);
+	GByteArray *next;
+
+	if (ledger_refresh(node->ledger, offset, append))
+		next = ledger_pack_chunk(node->ledger, append->chunk);
+	else
+		next = ledger_next_append(node->ledger, 1 << 20);
+	if (next) {
+		world_append(world, next, out);
+		world_read(world, node, out);
+	}
+	briarplank__shard_append__free_unpacked(append, NULL);
+}
+
+void world_refresh(struct world *world, char **argv, GString *out)
+{
+	struct node *node = world_node(world, argv[1]);
+	GArray *offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	guint i;
+
+	ledger_stale(node->ledger, g_ascii_strtoull(argv[2], NULL, 10),
+		     offsets);
+	for (i = 0; i < offsets->len; i++)
+		refresh_one(world, node, g_array_index(offsets, uint64_t, i),
+			    out);
+	g_array_free(offsets, TRUE);
+}
--- a/tests/process/preemption.sh
+++ b/tests/process/preemption.sh
@@ -54,12 +54,21 @@
 # The engine itself says what each answer is.
 call "$url/v1/jobs/night/results" >"$FLEET_DIR/results"
 i=0
+asked=
 while test $i -lt 24
 do
 	curl -s -d "{\"prompt\":\"claim $i\",\"max_tokens\":120}" \
-		"http://$engine/v1/completions" >"$FLEET_DIR/exact"
-	text=$(sed -n 's/.*"text": *"\([^"]*\)".*/\1/p' "$FLEET_DIR/exact")
-	test -n "$text" || fleet_fail "no text: $(cat "$FLEET_DIR/exact")"
+		"http://$engine/v1/completions" >"$FLEET_DIR/exact-$i" &
+	asked="$asked $!"
+	i=$((i + 1))
+done
+# shellcheck disable=SC2086
+wait $asked
+i=0
+while test $i -lt 24
+do
+	text=$(sed -n 's/.*"text": *"\([^"]*\)".*/\1/p' "$FLEET_DIR/exact-$i")
+	test -n "$text" || fleet_fail "no text: $(cat "$FLEET_DIR/exact-$i")"
 	grep "\"whole-$i\"" "$FLEET_DIR/results" | grep -qF "$text" ||
 		fleet_fail "whole-$i differs: $(grep "\"whole-$i\"" "$FLEET_DIR/results")"
 	tokens=$(grep "\"stream-$i\"" "$FLEET_DIR/results" |
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -14,6 +14,7 @@
  *   read N                        folds what is new in the stream
  *   takeover N | expire N | time MS
  *   pull N AGENT [n=K] [alone] [service=S]
+ *   free N SERVICE                items that could be granted now
  *   done|failed|lost|notrun|renew N AGENT GRANT
  *   refresh N HORIZON             appends anew what is needed up to there
  *   checkpoint N | restore N | trim OFFSET | sweep N
@@ -22,8 +23,8 @@
 #include <string.h>
 
 #include "common/error.h"
-#include "core/ledger_schedule.h"
 #include "core/ledger_state.h"
+#include "ledger_world.h"
 #include "script.h"
 
 #define LEASE_MS 1000
@@ -31,24 +32,6 @@
 #define ATTEMPTS_MAX 3
 #define NAMES_MAX 16
 
-struct node {
-	char *name;
-	uint64_t incarnation;
-	struct ledger *ledger;
-	GByteArray *held;
-};
-
-struct world {
-	/* Of GByteArray; the record at offset n stands at n - 1. */
-	GPtrArray *log;
-	uint64_t first_offset;
-	GHashTable *nodes;
-	struct ledger_schedule *schedule;
-	/* Grants by label g1, g2, ... */
-	GArray *grants;
-	uint64_t now_ms;
-};
-
 static uint32_t attempts_max(void *ctx, const char *service)
 {
 	(void)ctx;
@@ -121,7 +104,7 @@
 	g_hash_table_replace(world->nodes, node->name, node);
 }
 
-static struct node *node_get(struct world *world, const char *name)
+struct node *world_node(struct world *world, const char *name)
 {
 	struct node *node = g_hash_table_lookup(world->nodes, name);
 
@@ -129,8 +112,7 @@
 	return node;
 }
 
-static uint64_t append_bytes(struct world *world, GByteArray *bytes,
-			     GString *out)
+uint64_t world_append(struct world *world, GByteArray *bytes, GString *out)
 {
 	g_ptr_array_add(world->log, bytes);
 	if (out)
@@ -193,7 +175,7 @@
 	g_byte_array_set_size(
 		bytes, briarplank__shard_append__get_packed_size(&message));
 	briarplank__shard_append__pack(&message, bytes->data);
-	append_bytes(world, bytes, out);
+	world_append(world, bytes, out);
 	g_strfreev(names);
 }
 
@@ -243,7 +225,7 @@
 	message.due_ms = script_arg_int(argc, argv, "due", 0);
 	message.keep_ms = script_arg_int(argc, argv, "keep", 100000);
 	message.parts = script_arg_int(argc, argv, "parts", 0);
-	say_why(out, ledger_seal(node_get(world, argv[1])->ledger, &message,
+	say_why(out, ledger_seal(world_node(world, argv[1])->ledger, &message,
 				 world->now_ms));
 }
 
@@ -260,7 +242,7 @@
 	message.first_line = script_arg_int(argc, argv, "line", 1);
 	message.lines = script_arg_int(argc, argv, "lines", 0);
 	message.items = script_arg_int(argc, argv, "items", message.lines);
-	say_why(out, ledger_store_part(node_get(world, argv[1])->ledger,
+	say_why(out, ledger_store_part(world_node(world, argv[1])->ledger,
 				       &message, world->now_ms));
 }
 
@@ -269,7 +251,7 @@
 	uint8_t job[HASH128_BYTES];
 
 	make_id(argv[2], job);
-	say(out, ledger_cancel(node_get(world, argv[1])->ledger, field(job),
+	say(out, ledger_cancel(world_node(world, argv[1])->ledger, field(job),
 			       world->now_ms));
 }
 
@@ -280,7 +262,7 @@
 static void claim_key(struct world *world, int argc, char **argv, GString *out)
 {
 	Briarplank__ClaimKey message = BRIARPLANK__CLAIM_KEY__INIT;
-	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	struct ledger *ledger = world_node(world, argv[1])->ledger;
 	uint8_t key[HASH128_BYTES], content[HASH128_BYTES];
 	enum ledger_status status;
 	const char *winner;
@@ -302,7 +284,7 @@
 
 static void flush(struct world *world, int argc, char **argv, GString *out)
 {
-	struct node *node = node_get(world, argv[1]);
+	struct node *node = world_node(world, argv[1]);
 	GByteArray *bytes = ledger_next_append(node->ledger, 1 << 20);
 
 	if (!bytes) {
@@ -311,26 +293,26 @@
 		bytes_free(node->held);
 		node->held = bytes;
 	} else {
-		append_bytes(world, bytes, out);
+		world_append(world, bytes, out);
 	}
 }
 
 static void deliver_late(struct world *world, int argc, char **argv,
 			 GString *out)
 {
-	struct node *node = node_get(world, argv[1]);
+	struct node *node = world_node(world, argv[1]);
 	GByteArray *copy;
 
 	copy = g_byte_array_new();
 	g_byte_array_append(copy, node->held->data, node->held->len);
-	append_bytes(world, copy, out);
+	world_append(world, copy, out);
 	if (has(argc, argv, "again"))
 		return;
 	bytes_free(node->held);
 	node->held = NULL;
 }
 
-static void read_stream(struct world *world, struct node *node, GString *out)
+void world_read(struct world *world, struct node *node, GString *out)
 {
 	uint64_t offset = ledger_position(node->ledger) + 1;
 
@@ -369,7 +351,7 @@
 
 static void pull(struct world *world, int argc, char **argv, GString *out)
 {
-	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	struct ledger *ledger = world_node(world, argv[1])->ledger;
 	const char *service = script_arg(argc, argv, "service", "claims");
 	int64_t nr = script_arg_int(argc, argv, "n", 1);
 	bool alone = has(argc, argv, "alone");
@@ -408,7 +390,7 @@
 	outcome.body.data = (uint8_t *)argv[3];
 	outcome.body.len = strlen(argv[3]);
 	outcome.message = "error";
-	say(out, ledger_complete(node_get(world, argv[1])->ledger, &outcome,
+	say(out, ledger_complete(world_node(world, argv[1])->ledger, &outcome,
 				 ATTEMPTS_MAX, world->now_ms));
 }
 
@@ -451,7 +433,7 @@
 
 static void show(struct world *world, char **argv, GString *out)
 {
-	struct ledger *ledger = node_get(world, argv[1])->ledger;
+	struct ledger *ledger = world_node(world, argv[1])->ledger;
 
 	g_string_append_printf(out,
 			       "epoch %" G_GUINT64_FORMAT
@@ -465,166 +447,17 @@
 	ledger_each_job(ledger, show_job, out);
 }
 
-static bool same_parts(const struct ledger *a, const struct ledger *b)
-{
-	GPtrArray *x = ledger_checkpoint_parts(a);
-	GPtrArray *y = ledger_checkpoint_parts(b);
-	bool same =
-		x->len == y->len && ledger_position(a) == ledger_position(b);
-	guint i;
-
-	for (i = 0; same && i < x->len; i++) {
-		const GByteArray *p = x->pdata[i];
-		const GByteArray *q = y->pdata[i];
-
-		same = p->len == q->len && !memcmp(p->data, q->data, p->len);
-	}
-	g_ptr_array_free(x, TRUE);
-	g_ptr_array_free(y, TRUE);
-	return same;
-}
-
-static void checkpoint(struct world *world, char **argv, GString *out)
-{
-	struct node *node = node_get(world, argv[1]);
-	GPtrArray *parts = ledger_checkpoint_parts(node->ledger);
-	uint64_t as_of = ledger_position(node->ledger);
-	guint i;
-
-	for (i = 0; i < parts->len; i++) {
-		append_bytes(world,
-			     ledger_pack_part(node->ledger, parts->pdata[i],
-					      as_of, i, parts->len),
-			     out);
-		read_stream(world, node, out);
-	}
-	g_ptr_array_free(parts, TRUE);
-}
-
-static const Briarplank__CheckpointHint *find_hint(
-	struct world *world, Briarplank__ShardAppend **holder)
-{
-	uint64_t offset;
-
-	for (offset = world->log->len; offset >= world->first_offset;
-	     offset--) {
-		const GByteArray *bytes = world->log->pdata[offset - 1];
-
-		*holder = briarplank__shard_append__unpack(NULL, bytes->len,
-							   bytes->data);
-		if ((*holder)->hint)
-			return (*holder)->hint;
-		briarplank__shard_append__free_unpacked(*holder, NULL);
-	}
-	return NULL;
-}
-
-/* Starts a node from the newest checkpoint that the stream points to. */
-static void restore(struct world *world, char **argv, GString *out)
-{
-	struct node *node = node_get(world, argv[1]);
-	Briarplank__ShardAppend *holder;
-	const Briarplank__CheckpointHint *hint = find_hint(world, &holder);
-	size_t i;
-
-	if (!hint) {
-		g_string_append(out, "no checkpoint\n");
-		return;
-	}
-	for (i = 0; i < hint->n_part_offsets; i++) {
-		uint64_t offset = hint->part_offsets[i];
-		const GByteArray *bytes = world->log->pdata[offset - 1];
-		Briarplank__ShardAppend *part =
-			briarplank__shard_append__unpack(NULL, bytes->len,
-							 bytes->data);
-
-		g_assert(offset >= world->first_offset);
-		if (!ledger_load_part(node->ledger, part->checkpoint))
-			g_string_append(out, "bad part\n");
-		briarplank__shard_append__free_unpacked(part, NULL);
-	}
-	g_string_append_printf(out, "as of %" G_GUINT64_FORMAT "\n",
-			       hint->as_of_offset);
-	briarplank__shard_append__free_unpacked(holder, NULL);
-	read_stream(world, node, out);
-}
-
-static void results(struct world *world, char **argv, GString *out)
-{
-	struct ledger *ledger = node_get(world, argv[1])->ledger;
-	GArray *places =
-		g_array_new(FALSE, FALSE, sizeof(struct ledger_result_place));
-	uint8_t id[HASH128_BYTES];
-	struct ledger_job *job;
-	bool more;
-	guint i;
-
-	make_id(argv[2], id);
-	job = ledger_find(ledger, field(id));
-	g_assert(job);
-	if (ledger_job_status(job, world->now_ms) == LEDGER_EXPIRED)
-		g_string_append(out, "expired\n");
-	ledger_results(job, 0, places, 100, &more);
-	for (i = 0; i < places->len; i++) {
-		const struct ledger_result_place *place =
-			&g_array_index(places, struct ledger_result_place, i);
-
-		g_string_append_printf(out,
-				       "%u %s id at %" G_GUINT64_FORMAT
-				       "/%u result at %" G_GUINT64_FORMAT "\n",
-				       place->item,
-				       ledger_item_status(place->state),
-				       place->body_offset, place->body_index,
-				       place->result_offset);
-	}
-	g_array_free(places, TRUE);
-}
-
-/* Appends anew what stands at an old offset and is still needed. */
-static void refresh_one(struct world *world, struct node *node, uint64_t offset,
-			GString *out)
-{
-	const GByteArray *bytes = world->log->pdata[offset - 1];
-	Briarplank__ShardAppend *append =
-		briarplank__shard_append__unpack(NULL, bytes->len, bytes->data);
-	GByteArray *next;
-
-	if (ledger_refresh(node->ledger, offset, append))
-		next = ledger_pack_chunk(node->ledger, append->chunk);
-	else
-		next = ledger_next_append(node->ledger, 1 << 20);
-	if (next) {
-		append_bytes(world, next, out);
-		read_stream(world, node, out);
-	}
-	briarplank__shard_append__free_unpacked(append, NULL);
-}
-
-static void refresh(struct world *world, char **argv, GString *out)
-{
-	struct node *node = node_get(world, argv[1]);
-	GArray *offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	guint i;
-
-	ledger_stale(node->ledger, g_ascii_strtoull(argv[2], NULL, 10),
-		     offsets);
-	for (i = 0; i < offsets->len; i++)
-		refresh_one(world, node, g_array_index(offsets, uint64_t, i),
-			    out);
-	g_array_free(offsets, TRUE);
-}
-
 /* Commands that name a node first. */
 static void node_command(struct world *world, int argc, char **argv,
 			 GString *out)
 {
-	struct node *node = node_get(world, argv[1]);
+	struct node *node = world_node(world, argv[1]);
 	struct ledger *ledger = node->ledger;
 
 	if (!strcmp(*argv, "claim"))
-		append_bytes(world, ledger_pack_claim(ledger, false), out);
+		world_append(world, ledger_pack_claim(ledger, false), out);
 	else if (!strcmp(*argv, "release"))
-		append_bytes(world, ledger_pack_claim(ledger, true), out);
+		world_append(world, ledger_pack_claim(ledger, true), out);
 	else if (!strcmp(*argv, "seal"))
 		seal(world, argc, argv, out);
 	else if (!strcmp(*argv, "store"))
@@ -638,7 +471,7 @@
 	else if (!strcmp(*argv, "late"))
 		deliver_late(world, argc, argv, out);
 	else if (!strcmp(*argv, "read"))
-		read_stream(world, node, out);
+		world_read(world, node, out);
 	else if (!strcmp(*argv, "takeover"))
 		ledger_take_over(ledger, world->now_ms);
 	else if (!strcmp(*argv, "expire"))
@@ -648,6 +481,11 @@
 		ledger_sweep(ledger, world->now_ms);
 	else if (!strcmp(*argv, "pull"))
 		pull(world, argc, argv, out);
+	else if (!strcmp(*argv, "free"))
+		g_string_append_printf(out, "%u\n",
+				       ledger_schedule_free_nr(&ledger, 1,
+							       argv[2],
+							       world->now_ms));
 	else if (!strcmp(*argv, "renew"))
 		g_string_append_printf(out, "%s\n",
 				       ledger_renew(ledger,
@@ -656,15 +494,15 @@
 					       "renewed" :
 					       "void");
 	else if (!strcmp(*argv, "refresh"))
-		refresh(world, argv, out);
+		world_refresh(world, argv, out);
 	else if (!strcmp(*argv, "checkpoint"))
-		checkpoint(world, argv, out);
+		world_checkpoint(world, argv, out);
 	else if (!strcmp(*argv, "restore"))
-		restore(world, argv, out);
+		world_restore(world, argv, out);
 	else if (!strcmp(*argv, "show"))
 		show(world, argv, out);
 	else if (!strcmp(*argv, "results"))
-		results(world, argv, out);
+		world_results(world, argv, out);
 	else
 		g_string_append_printf(out, "no command %s\n", *argv);
 	print_revoked(ledger, out);
@@ -708,8 +546,8 @@
 	else if (!strcmp(*argv, "compare"))
 		g_string_append_printf(
 			out, "%s\n",
-			same_parts(node_get(world, argv[1])->ledger,
-				   node_get(world, argv[2])->ledger) ?
+			world_same_parts(world_node(world, argv[1])->ledger,
+					 world_node(world, argv[2])->ledger) ?
 				"equal" :
 				"different");
 	else if (!outcome_command(world, argv, out))
