--- a/briarplankctl/prompt.c
+++ b/briarplankctl/prompt.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <wchar.h>
 
 #include <glib.h>
 #include <histedit.h>
@@ -44,7 +45,7 @@
 }
 
 /* Inserts what all candidates share, or shows them. */
-static unsigned char complete(EditLine *edit, int key)
+static unsigned char complete(EditLine *edit, wint_t key)
 {
 	const LineInfo *info = el_line(edit);
 	char *line = g_strndup(info->buffer, info->cursor - info->buffer);
@@ -81,7 +82,8 @@
 	el_set(edit, EL_PROMPT, prompt_text);
 	el_set(edit, EL_EDITOR, "emacs");
 	el_set(edit, EL_HIST, history, lines);
-	el_set(edit, EL_ADDFN, "complete", "Complete a word", complete);
+	/* el_set() would copy both texts and never free them. */
+	el_wset(edit, EL_ADDFN, L"complete", L"Complete a word", complete);
 	el_set(edit, EL_BIND, "^I", "complete", NULL);
 	el_set(edit, EL_SIGNAL, 1);
 	return edit;
