--- a/tests/process/operator_jobs.sh
+++ b/tests/process/operator_jobs.sh
@@ -1,6 +1,7 @@
 # Operators submit, see and cancel jobs; a view that covers all shards is whole,
 # and one that doesn't says so.
 . tests/fleet/fleet.sh
+. tests/process/operator.sh
 fleet_begin
 
 FLEET_ACCESS=$(fleet_access "ann:ops:operator bob:ops:operator depot:online")
@@ -15,24 +16,6 @@
 	wait_until fleet_ready "$node"
 done
 
-# ctl STATUS ENTRY OPERATOR ARGS...: the command must end with the status.
-ctl () {
-	wanted=$1
-	entry=$2
-	echo "$3" >"$FLEET_DIR/key"
-	shift 3
-	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url "$entry")" \
-		-k "$FLEET_DIR/key" "$@" >"$FLEET_DIR/out" 2>&1 </dev/null
-	got=$?
-	test "$got" -eq "$wanted" ||
-		fleet_fail "$* ended with $got: $(cat "$FLEET_DIR/out")"
-}
-
-said () {
-	grep -q -e "$1" "$FLEET_DIR/out" ||
-		fleet_fail "no \"$1\" in: $(cat "$FLEET_DIR/out")"
-}
-
 # All shards have an owner that answers.
 covered () {
 	curl -s -H "Authorization: Bearer ann" -d "show jobs" \
@@ -77,7 +60,7 @@
 fleet_signal entry-2 KILL
 whole () {
 	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url entry-1)" \
-		-k "$FLEET_DIR/key" show jobs >"$FLEET_DIR/out" 2>&1 </dev/null
+		-k "$FLEET_DIR/ann.key" show jobs >"$FLEET_DIR/out" 2>&1 </dev/null
 }
 wait_until whole
 said 'night-1'
--- a/tests/process/operators.sh
+++ b/tests/process/operators.sh
@@ -1,6 +1,7 @@
 # Operators' commands through briarplankctl: exit statuses, conflicts, resends,
 # partial views, and servers that obey a drain within seconds.
 . tests/fleet/fleet.sh
+. tests/process/operator.sh
 fleet_begin
 
 FLEET_ACCESS=$(fleet_access "ann:ops:operator bob:ops:operator depot:online")
@@ -16,30 +17,8 @@
 do
 	wait_until fleet_ready "$node"
 done
-for name in ann bob depot nobody
-do
-	echo "$name" >"$FLEET_DIR/$name.key"
-done
-
-# ctl STATUS ENTRY OPERATOR ARGS...: the command must end with the status.
-ctl () {
-	wanted=$1
-	entry=$2
-	key=$FLEET_DIR/$3.key
-	shift 3
-	"$BUILD/briarplankctl/briarplankctl" -e "$(fleet_url "$entry")" \
-		-k "$key" "$@" >"$FLEET_DIR/out" 2>&1 </dev/null
-	got=$?
-	test "$got" -eq "$wanted" ||
-		fleet_fail "$* ended with $got: $(cat "$FLEET_DIR/out")"
-}
-
-said () {
-	grep -q -e "$1" "$FLEET_DIR/out" ||
-		fleet_fail "no \"$1\" in: $(cat "$FLEET_DIR/out")"
-}
-
 # Prints an answer whatever its status.
+echo ann >"$FLEET_DIR/ann.key"
 ask () {
 	entry=$1
 	shift
