Count the takeovers of shards

Cause: an entry's metrics had no count of the shards that it took over; only its log said so.

Change: briarplank_ledger_takeovers_total counts each claim that was won.

Test: process_ledger_outage compares the survivors' counts with their logs after an owner was killed in an outage of the log (14.9 s, passes, as does process_ledger_basics). Without the counter the sum is empty and the test fails by its first comparison; that was not run.

--- a/briarplankd/entry/shard.c
+++ b/briarplankd/entry/shard.c
@@ -44,6 +44,8 @@
 	shard->timer.data = shard;
 	g_queue_init(&shard->chunks);
 	shard->refresh.offsets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	shard->takeovers = metrics_counter(
+		metrics, "briarplank_ledger_takeovers_total", "");
 	shard->appends =
 		metrics_counter(metrics, "briarplank_ledger_appends_total", "");
 	shard->append_bytes = metrics_counter(
@@ -169,6 +171,7 @@
 	shard->unverified = false;
 	log_info(PART, "shard %u: owned from epoch %" G_GUINT64_FORMAT,
 		 shard->options.index, ledger_epoch(shard->ledger));
+	counter_add(shard->takeovers, 1);
 	set_state(shard, SHARD_OWNED);
 }
 
--- a/include/briarplankd/entry/shard_state.h
+++ b/include/briarplankd/entry/shard_state.h
@@ -82,6 +82,7 @@
 	/** Chunks (Briarplank__JobChunk) that are appended anew. */
 	GQueue chunks;
 	struct counter *appends;
+	struct counter *takeovers;
 	struct counter *append_bytes;
 };
 
--- a/tests/process/ledger_outage.sh
+++ b/tests/process/ledger_outage.sh
@@ -51,3 +51,18 @@
 check_accounts "$near" "$far" once 60
 test "$(job_field "$near" night done)" = 600 || fleet_fail "not all are done"
 check_once
+
+# The survivors count what they took over.
+counted=0
+logged=0
+for entry in $alive
+do
+	nr=$(curl -s "$(fleet_url "$entry")/metrics" |
+		sed -n 's/^briarplank_ledger_takeovers_total //p')
+	counted=$((counted + nr))
+	nr=$(grep -c "shard 0: owned from" "$FLEET_DIR/$entry.log")
+	logged=$((logged + nr))
+done
+test "$counted" -ge 1 || fleet_fail "no takeover was counted"
+test "$counted" -eq "$logged" ||
+	fleet_fail "$counted takeovers counted, $logged logged"
