Change the callers' entry in one step in the test of rotation

"echo >file" empties the file before it writes, and a caller read it in between.

Change: the file is written beside and moved into place. The check, that no request is lost, is the same.

--- a/tests/process/keys_rotation.sh
+++ b/tests/process/keys_rotation.sh
@@ -79,9 +79,15 @@
 	done
 }
 
+# publish_word FILE WORD: callers who read the file see the old word or the new.
+publish_word () {
+	echo "$2" >"$FLEET_DIR/$1.new"
+	mv "$FLEET_DIR/$1.new" "$FLEET_DIR/$1"
+}
+
 # send_callers ENTRY: once this returns, no request is under way elsewhere.
 send_callers () {
-	echo "$1" >"$FLEET_DIR/entry"
+	publish_word entry "$1"
 	wait_until grep -q "$1" "$FLEET_DIR/used"
 }
 
@@ -138,8 +144,8 @@
 }
 wait_until served
 
-echo entry-1 >"$FLEET_DIR/entry"
-echo depot-1 >"$FLEET_DIR/key"
+publish_word entry entry-1
+publish_word key depot-1
 call_on &
 calls=$!
 FLEET_PIDS="$FLEET_PIDS $calls"
@@ -148,7 +154,7 @@
 KEYS=$(keys old new)
 ACCESS=$(access depot-1 depot-2)
 step
-echo depot-2 >"$FLEET_DIR/key"
+publish_word key depot-2
 KEYS=$(keys new old)
 step
 KEYS=$(keys new)
