End the clean-up of a fleet where set -e holds

Cause: scripts/demo did all that it should and ended with 1. It has set -e, and the clean-up's kill of a node that had already ended stopped it, so that the stand-ins and the folder were left behind as well.

Ruled out: a node's exit status; all four are 0.

Change: the clean-up of tests/fleet runs on after a failed kill; the exit status is the one that it was given, as before.

--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -21,6 +21,8 @@
 
 fleet_end () {
 	trap - EXIT
+	# A process that has ended must not end the clean-up where set -e holds.
+	set +e
 	for pid in $FLEET_PIDS
 	do
 		kill -CONT "$pid" 2>/dev/null
