--- /dev/null
+++ b/briarplankd/gateway/batch.h
@@ -0,0 +1,29 @@
+/**
+ * Runs the items of the jobs that this node owns, in the slots that online
+ * requests leave, and gives way when they need them.
+ */
+#ifndef BRIARPLANKD_GATEWAY_BATCH_H
+#define BRIARPLANKD_GATEWAY_BATCH_H
+
+#include "gateway.h"
+
+struct batch *batch_create(struct gateway *gateway);
+void batch_destroy(struct batch *batch);
+
+/** A job was accepted here; its encoded items, in order, are at hand. */
+void batch_adopt(struct batch *batch, struct job *job, GPtrArray *items);
+
+/** What the fold of the job log tells. */
+void batch_result(struct batch *batch, struct job_item *item);
+void batch_job_ended(struct batch *batch, struct job *job);
+
+/** The load of a server changed: items may have to yield. */
+void batch_load_changed(struct batch *batch);
+
+/** Items that wait for a slot. */
+unsigned batch_backlog(const struct batch *batch);
+
+/** Ends all runs; others take the items over. */
+void batch_stop(struct batch *batch);
+
+#endif
--- /dev/null
+++ b/briarplankd/gateway/gateway.c
@@ -0,0 +1,335 @@
+#include <signal.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "batch.h"
+#include "briarplankd/gateway.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "directory.h"
+#include "gateway.h"
+#include "job_calls.h"
+#include "job_store.h"
+#include "peers.h"
+#include "platform/codec.h"
+#include "server_call.h"
+
+/* Time after SIGTERM in which new connections still come, in ms: the platform
+ * looks once a second, and takes a node out after two misses. */
+#define DRAIN_ACCEPT_MS 3200
+/* Time before the end of the grace period at which the process ends, in ms. */
+#define GRACE_SLACK_MS 500
+/* Period of the look whether all is done while stopping, in ms. */
+#define STOP_LOOK_MS 50
+/* Largest body of a caller before a configuration says so, in bytes. */
+#define MAX_BODY_BYTES 4194304
+/* Idle time of a caller's connection before a configuration says so, in ms. */
+#define IDLE_TIMEOUT_MS 15000
+
+struct process {
+	struct gateway gateway;
+	uv_signal_t sigterm;
+	uv_signal_t sighup;
+	uv_timer_t stop_timer;
+	uint64_t stop_ms;
+	struct counter *config_version;
+};
+
+uint64_t gateway_wall_ms(void)
+{
+	return (uint64_t)(g_get_real_time() / 1000);
+}
+
+void gateway_refuse(struct web_request *web, int status, double retry_after_s,
+		    const char *fmt, ...)
+{
+	char retry[G_ASCII_DTOSTR_BUF_SIZE];
+	char *detail;
+	va_list args;
+
+	va_start(args, fmt);
+	detail = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	g_ascii_formatd(retry, sizeof(retry), "%.3f", retry_after_s);
+	web_add_field(web, "Retry-After", retry);
+	web_problem(web, status, "Not run", "%s", detail);
+	g_free(detail);
+}
+
+void gateway_config_changed(struct gateway *gateway)
+{
+	uint32_t idle_ms = gateway->config->limits.idle_timeout_ms;
+
+	if (idle_ms)
+		web_set_idle_timeout(gateway->front, idle_ms);
+}
+
+static bool is_ready(const struct gateway *gateway)
+{
+	return !gateway->stopping && directory_loaded(gateway->directory) &&
+	       job_store_loaded(gateway->job_store);
+}
+
+static void on_front(void *ctx, struct web_request *web)
+{
+	struct gateway *gateway = ctx;
+	struct platform_call call;
+
+	platform_call_parse(web_method(web), web_path(web), web_query(web),
+			    &call);
+	if (call.kind == PLATFORM_REQUEST || call.kind == PLATFORM_READY)
+		online_request_start(gateway, web, web_path(web));
+	else
+		job_calls_start(gateway, web, &call);
+	platform_call_clear(&call);
+}
+
+static void on_ready(void *ctx, struct web_request *web)
+{
+	struct gateway *gateway = ctx;
+
+	if (is_ready(gateway))
+		web_answer(web, 200, "text/plain", "ready\n", 6);
+	else
+		gateway_refuse(web, 503, 1, "not ready");
+}
+
+static void on_metrics(void *ctx, struct web_request *web)
+{
+	struct gateway *gateway = ctx;
+	GString *out = g_string_new(NULL);
+
+	metrics_render(gateway->metrics, out);
+	web_answer(web, 200, "text/plain; version=0.0.4", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* The fold of the job log. */
+
+static void on_submission(void *ctx, uint64_t number,
+			  enum job_submission_outcome outcome, struct job *job)
+{
+	struct gateway *gateway = ctx;
+
+	job_calls_submitted(gateway->job_calls, number, outcome, job);
+}
+
+static void on_result(void *ctx, struct job *job, struct job_item *item)
+{
+	struct gateway *gateway = ctx;
+
+	batch_result(gateway->batch, item);
+	job_calls_result(gateway->job_calls, job);
+}
+
+static void on_job_end(void *ctx, struct job *job)
+{
+	struct gateway *gateway = ctx;
+
+	batch_job_ended(gateway->batch, job);
+}
+
+static void on_node(void *ctx, const char *name, const char *address,
+		    const char *data_centre)
+{
+	struct gateway *gateway = ctx;
+
+	peers_learn(gateway->peers, name, address, data_centre);
+}
+
+static void on_server_forgotten(void *ctx, struct server *server)
+{
+	(void)ctx;
+	server_connections_close(server);
+}
+
+static void announce(struct gateway *gateway)
+{
+	char *address = g_strdup_printf("%s:%" PRId64, gateway->settings->ip,
+					gateway->settings->node_port);
+
+	job_store_append(gateway->job_store,
+			 job_log_encode_node(gateway->identity, address,
+					     gateway->settings->data_centre),
+			 false, NULL, NULL);
+	g_free(address);
+}
+
+/* Stopping. */
+
+static void on_stop_look(uv_timer_t *timer)
+{
+	struct process *process = timer->data;
+	struct gateway *gateway = &process->gateway;
+	uint64_t since = uv_now(gateway->loop) - process->stop_ms;
+	uint64_t grace = (uint64_t)gateway->settings->stop_grace_ms;
+
+	if (since >= DRAIN_ACCEPT_MS && web_listening(gateway->front)) {
+		log_event("stop", LOG_LEVEL_INFO, "stops listening running=%u",
+			  web_running(gateway->front));
+		web_stop_listening(gateway->front);
+	}
+	if ((since >= DRAIN_ACCEPT_MS && !web_running(gateway->front)) ||
+	    since + GRACE_SLACK_MS >= grace)
+		uv_stop(gateway->loop);
+}
+
+static void on_sigterm(uv_signal_t *handle, int signum)
+{
+	struct process *process = handle->data;
+	struct gateway *gateway = &process->gateway;
+
+	(void)signum;
+	if (gateway->stopping)
+		return;
+	log_event("stop", LOG_LEVEL_INFO, "SIGTERM running=%u",
+		  web_running(gateway->front));
+	gateway->stopping = true;
+	process->stop_ms = uv_now(gateway->loop);
+	web_drain(gateway->front);
+	batch_stop(gateway->batch);
+	peers_load_changed(gateway->peers);
+	uv_timer_start(&process->stop_timer, on_stop_look, STOP_LOOK_MS,
+		       STOP_LOOK_MS);
+}
+
+/* Addresses can't change while the process runs, and nothing else in the file
+ * is read twice. */
+static void on_sighup(uv_signal_t *handle, int signum)
+{
+	(void)handle;
+	(void)signum;
+	log_event("reload", LOG_LEVEL_INFO,
+		  "SIGHUP: the settings hold until the next start");
+}
+
+static struct web *open_web(struct gateway *gateway, const char *address,
+			    web_handler_fn fn)
+{
+	struct web_options options = {
+		.loop = gateway->loop,
+		.address = address,
+		.max_body_bytes = MAX_BODY_BYTES,
+		.request_timeout_ms = IDLE_TIMEOUT_MS,
+		.metrics = gateway->metrics,
+	};
+	struct web *web = web_create(&options);
+
+	if (web)
+		web_route(web, "", fn, gateway);
+	return web;
+}
+
+static void read_regions(struct gateway *gateway)
+{
+	const struct gateway_settings *settings = gateway->settings;
+	const struct data_centre_settings *items = settings->data_centres.items;
+	size_t i;
+
+	gateway->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = 0; i < settings->data_centres.nr; i++)
+		g_hash_table_insert(gateway->regions, items[i].name,
+				    items[i].region);
+}
+
+static void open_core(struct gateway *gateway)
+{
+	const struct gateway_settings *settings = gateway->settings;
+	struct fleet_options fleet = {
+		.data_centre = settings->data_centre,
+		.region = settings->region,
+		.regions = gateway->regions,
+		.on_forget = on_server_forgotten,
+	};
+	struct store_options store = {
+		.loop = gateway->loop,
+		.address = settings->store_address,
+		.metrics = gateway->metrics,
+	};
+
+	gateway->identity = g_strdup_printf("%s-%08x%08x", settings->name,
+					    g_random_int(), g_random_int());
+	gateway->identity_hash = hash_string(gateway->identity, 0);
+	gateway->fleet = fleet_create(&fleet);
+	gateway->store = store_create(&store);
+	gateway->batch = batch_create(gateway);
+	gateway->job_calls = job_calls_create(gateway);
+}
+
+static bool gateway_open(struct gateway *gateway)
+{
+	const struct gateway_settings *settings = gateway->settings;
+	struct job_store_options jobs = {
+		.gateway = gateway,
+		.watcher = {
+			.on_submission = on_submission,
+			.on_result = on_result,
+			.on_end = on_job_end,
+			.on_node = on_node,
+			.ctx = gateway,
+		},
+	};
+
+	gateway->peers = peers_create(gateway);
+	if (!gateway->peers)
+		return false;
+	gateway->front = open_web(gateway, settings->front_address, on_front);
+	gateway->ready =
+		gateway->front ?
+			open_web(gateway, settings->ready_address, on_ready) :
+			NULL;
+	gateway->metrics_web =
+		gateway->ready ? open_web(gateway, settings->metrics_address,
+					  on_metrics) :
+				 NULL;
+	if (!gateway->metrics_web)
+		return false;
+	gateway->job_store = job_store_create(&jobs);
+	gateway->directory = directory_create(gateway);
+	announce(gateway);
+	return true;
+}
+
+static void open_signals(struct process *process)
+{
+	uv_loop_t *loop = process->gateway.loop;
+
+	uv_signal_init(loop, &process->sigterm);
+	process->sigterm.data = process;
+	uv_signal_start(&process->sigterm, on_sigterm, SIGTERM);
+	uv_signal_init(loop, &process->sighup);
+	process->sighup.data = process;
+	uv_signal_start(&process->sighup, on_sighup, SIGHUP);
+	uv_timer_init(loop, &process->stop_timer);
+	process->stop_timer.data = process;
+}
+
+int gateway_run(const struct gateway_settings *settings)
+{
+	struct process process = { 0 };
+	struct gateway *gateway = &process.gateway;
+
+	log_event_name(settings->name);
+	gateway->loop = uv_default_loop();
+	gateway->settings = settings;
+	gateway->metrics = metrics_create();
+	read_regions(gateway);
+	open_core(gateway);
+	open_signals(&process);
+	if (!gateway_open(gateway)) {
+		log_event("start", LOG_LEVEL_ERROR, "%s", error_last());
+		return 1;
+	}
+	log_event("start", LOG_LEVEL_INFO,
+		  "identity=%s front=%s store=%s data_centre=%s region=%s "
+		  "retention_ms=%" PRId64,
+		  gateway->identity, settings->front_address,
+		  settings->store_address, settings->data_centre,
+		  settings->region, settings->store_retention_ms);
+	uv_run(gateway->loop, UV_RUN_DEFAULT);
+	log_event("stop", LOG_LEVEL_INFO, "ended running=%u",
+		  web_running(gateway->front));
+	/* The process ends here: what is still open is the system's to free. */
+	return 0;
+}
--- /dev/null
+++ b/briarplankd/gateway/gateway.h
@@ -0,0 +1,73 @@
+/**
+ * What the parts of the gateway share. gateway.c owns it all and calls
+ * downwards; the parts know each other only by the functions here.
+ */
+#ifndef BRIARPLANKD_GATEWAY_GATEWAY_H
+#define BRIARPLANKD_GATEWAY_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "briarplankd/gateway_settings.h"
+#include "briarplankd/web.h"
+#include "common/list.h"
+#include "common/metrics.h"
+#include "core/fleet.h"
+#include "core/job_log.h"
+#include "core/route_table.h"
+#include "platform/store.h"
+
+struct directory;
+struct job_store;
+struct batch;
+struct job_calls;
+struct peers;
+
+struct gateway {
+	uv_loop_t *loop;
+	const struct gateway_settings *settings;
+	/** Name and incarnation of this process. */
+	char *identity;
+	uint64_t identity_hash;
+	/** Data centre to region, both strings of the settings. */
+	GHashTable *regions;
+	struct metrics *metrics;
+	struct store *store;
+	struct fleet *fleet;
+	/** NULL until a configuration was read. */
+	struct route_table *config;
+	struct directory *directory;
+	struct job_store *job_store;
+	struct batch *batch;
+	struct job_calls *job_calls;
+	struct peers *peers;
+	struct web *front;
+	struct web *ready;
+	struct web *metrics_web;
+	bool stopping;
+};
+
+/** Unix time in ms by this VM's clock. */
+uint64_t gateway_wall_ms(void);
+
+/** A new configuration is in force. */
+void gateway_config_changed(struct gateway *gateway);
+
+/** Starts a request of a route (online.c). */
+void online_request_start(struct gateway *gateway, struct web_request *web,
+			  const char *path);
+
+/** Starts the submission of a job or one of the job calls (job_calls.c). */
+void job_calls_submit(struct gateway *gateway, struct web_request *web,
+		      const struct route *route);
+struct platform_call;
+void job_calls_start(struct gateway *gateway, struct web_request *web,
+		     const struct platform_call *call);
+
+/** Answers with a problem that proves that nothing ran. */
+__attribute__((format(printf, 4, 5))) void gateway_refuse(
+	struct web_request *web, int status, double retry_after_s,
+	const char *fmt, ...);
+
+#endif
--- /dev/null
+++ b/briarplankd/gateway/job_store.h
@@ -0,0 +1,64 @@
+/**
+ * Batch jobs in the platform's store: an index that this node follows and
+ * folds, and bulk records for bodies and outputs.
+ */
+#ifndef BRIARPLANKD_GATEWAY_JOB_STORE_H
+#define BRIARPLANKD_GATEWAY_JOB_STORE_H
+
+#include "gateway.h"
+
+struct job_store_options {
+	struct gateway *gateway;
+	struct job_log_watcher watcher;
+};
+
+struct job_store *job_store_create(const struct job_store_options *options);
+void job_store_destroy(struct job_store *store);
+
+struct job_log *job_store_log(struct job_store *store);
+
+/** The index was read to its end at least once. */
+bool job_store_loaded(const struct job_store *store);
+
+/** What the fold says is at most a second old. */
+bool job_store_current(const struct job_store *store);
+
+/** How the append of a record to the index ended. */
+enum job_append_result {
+	JOB_APPEND_DONE,
+	/** The record is not in the log and never will be. */
+	JOB_APPEND_REFUSED,
+};
+
+/**
+ * Appends a record to the index; takes it over. It is sent again until it is
+ * there. With may_give_up it ends as refused when the store refuses it and it
+ * is sure never to be there.
+ */
+void job_store_append(struct job_store *store, GByteArray *record,
+		      bool may_give_up,
+		      void (*done)(void *ctx, enum job_append_result result),
+		      void *ctx);
+
+struct job_blob_write;
+
+/** Writes byte arrays in a row; gives each one's place, or NULL if refused. */
+struct job_blob_write *job_store_write(
+	struct job_store *store, GPtrArray *blobs, uint64_t hash,
+	uint64_t give_up_ms,
+	void (*done)(void *ctx, const struct job_blob *places), void *ctx);
+
+/** No callback comes any more. */
+void job_blob_write_cancel(struct job_blob_write *write);
+
+struct job_blob_read;
+
+/** Reads a blob; data is NULL when the store can't give it now. */
+struct job_blob_read *job_store_read(
+	struct job_store *store, const struct job_blob *place,
+	void (*done)(void *ctx, const char *data, size_t len), void *ctx);
+
+/** No callback comes any more. */
+void job_blob_read_cancel(struct job_blob_read *read);
+
+#endif
--- /dev/null
+++ b/briarplankd/gateway/online.c
@@ -0,0 +1,566 @@
+#include <string.h>
+
+#include "batch.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "core/event_stream.h"
+#include "platform/codec.h"
+#include "server_call.h"
+
+/* Servers that one request is offered to, refusals counted. */
+#define OFFERS_MAX 4
+/* Retry-After while no server can be used, in s: about a heartbeat. */
+#define NO_SERVER_RETRY_S 0.6
+/* Bounds of the Retry-After under load, in s. */
+#define RETRY_MIN_S 0.15
+#define RETRY_MAX_S 1.5
+/* Time left below which a request isn't sent once more, in ms. */
+#define RESEND_LEFT_MS 30
+/* Pause in a stream after which a repeatable one goes on elsewhere, in ms. */
+#define STALL_MS 1200
+
+struct online_request {
+	struct gateway *gateway;
+	struct web_request *web;
+	/* What the route said when the request came. */
+	char *route;
+	char *service;
+	enum route_kind kind;
+	bool repeatable;
+	uint32_t objective_ms;
+	unsigned runs_max;
+	uint64_t prefix_hash;
+	char *id;
+	char *method;
+	char *target;
+	char *host;
+	char *fields;
+	const char *body;
+	size_t body_len;
+	uint64_t arrived_ms;
+	/* When the caller, or the route, has waited long enough. */
+	uint64_t deadline_ms;
+	struct server *tried[OFFERS_MAX];
+	size_t tried_nr;
+	/* Servers that may have run it. */
+	unsigned runs;
+	struct server_call *call;
+	struct server *server;
+	uv_timer_t timer;
+	uint64_t heard_ms;
+	/* The answer under way. */
+	int status;
+	bool is_signed;
+	bool streaming;
+	bool broken;
+	bool ended;
+	GString *buffer;
+	struct event_stream *events;
+	int64_t last_event;
+	uint64_t first_ms;
+};
+
+static void dispatch(struct online_request *request);
+
+static uint64_t now_ms(const struct online_request *request)
+{
+	return uv_now(request->gateway->loop);
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct online_request *request = handle->data;
+
+	g_free(request->route);
+	g_free(request->service);
+	g_free(request->id);
+	g_free(request->method);
+	g_free(request->target);
+	g_free(request->host);
+	g_free(request->fields);
+	g_string_free(request->buffer, TRUE);
+	event_stream_destroy(request->events);
+	g_free(request);
+}
+
+static void cancel_call(struct online_request *request)
+{
+	if (request->call)
+		server_call_cancel(request->call);
+	request->call = NULL;
+	request->server = NULL;
+}
+
+/* Logs the outcome and frees the request; its answer is with the web. */
+static void finish(struct online_request *request, const char *outcome)
+{
+	uint64_t now = now_ms(request);
+	struct metrics *metrics = request->gateway->metrics;
+	char *labels;
+
+	if (request->ended)
+		return;
+	request->ended = true;
+	log_event(
+		request->status >= 200 && request->status < 300 &&
+				!request->broken ?
+			"request" :
+			"request_failed",
+		request->status >= 200 && request->status < 300 ?
+			LOG_LEVEL_INFO :
+			LOG_LEVEL_WARN,
+		"request=%s route=%s outcome=%s status=%d offers=%zu "
+		"runs=%u server=%s first_ms=%" PRIu64 " ms=%" PRIu64
+		" left_ms=%" PRId64 " last_event=%" PRId64,
+		request->id, request->route, outcome, request->status,
+		request->tried_nr, request->runs,
+		request->tried_nr ? request->tried[request->tried_nr - 1]->id :
+				    "-",
+		request->first_ms ? request->first_ms - request->arrived_ms : 0,
+		now - request->arrived_ms,
+		(int64_t)(request->deadline_ms - now), request->last_event);
+	labels = g_strdup_printf("outcome=\"%s\"", outcome);
+	counter_add(
+		metrics_counter(metrics, "briarplank_requests_total", labels),
+		1);
+	g_free(labels);
+	if (request->first_ms)
+		histogram_record(
+			metrics_histogram(metrics, "briarplank_first_byte", ""),
+			(request->first_ms - request->arrived_ms) * 1000);
+	cancel_call(request);
+	if (request->web)
+		web_on_close(request->web, NULL, NULL);
+	uv_timer_stop(&request->timer);
+	uv_close((uv_handle_t *)&request->timer, on_timer_closed);
+}
+
+static void refuse(struct online_request *request, int status, double retry_s,
+		   const char *why)
+{
+	request->status = status;
+	gateway_refuse(request->web, status, retry_s, "%s", why);
+	finish(request, why);
+}
+
+/* Ends a request of which it isn't known that nothing ran. */
+static void fail(struct online_request *request, int status, const char *why)
+{
+	if (web_begun(request->web)) {
+		request->broken = true;
+		web_stream_end(request->web, false);
+	} else {
+		request->status = status;
+		web_problem(request->web, status, "The request failed", "%s",
+			    why);
+	}
+	finish(request, why);
+}
+
+static void on_caller_gone(void *ctx, bool sent)
+{
+	struct online_request *request = ctx;
+
+	(void)sent;
+	request->web = NULL;
+	finish(request, "the caller left");
+}
+
+static void on_timer(uv_timer_t *timer);
+
+static void arm_timer(struct online_request *request)
+{
+	uint64_t now = now_ms(request);
+	uint64_t at = request->deadline_ms;
+
+	if (request->streaming && request->repeatable)
+		at = MIN(at, request->heard_ms + STALL_MS);
+	uv_timer_start(&request->timer, on_timer, at > now ? at - now : 0, 0);
+}
+
+static bool may_run_again(const struct online_request *request)
+{
+	return request->repeatable && request->runs < request->runs_max &&
+	       request->tried_nr < OFFERS_MAX &&
+	       request->deadline_ms > now_ms(request) + RESEND_LEFT_MS;
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct online_request *request = timer->data;
+	uint64_t now = now_ms(request);
+
+	if (now >= request->deadline_ms) {
+		if (!request->runs)
+			refuse(request, 503, NO_SERVER_RETRY_S,
+			       "the time to run it is over");
+		else
+			fail(request, 504, "the time to run it is over");
+		return;
+	}
+	if (request->streaming && now - request->heard_ms >= STALL_MS &&
+	    may_run_again(request)) {
+		cancel_call(request);
+		event_stream_reset(request->events);
+		dispatch(request);
+		return;
+	}
+	arm_timer(request);
+}
+
+/* The answer of a server. */
+
+static bool is_connection_field(const char *name)
+{
+	static const char *const names[] = {
+		"connection",
+		"content-length",
+		"keep-alive",
+		"proxy-connection",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (!g_ascii_strcasecmp(names[i], name))
+			return true;
+	}
+	return false;
+}
+
+static void add_answer_fields(struct online_request *request,
+			      const struct http_link_head *head)
+{
+	size_t i;
+
+	for (i = 0; i < head->fields_nr; i++) {
+		if (!is_connection_field(head->fields[i].name))
+			web_add_field(request->web, head->fields[i].name,
+				      head->fields[i].value);
+	}
+}
+
+static void on_head(void *ctx, const struct server_answer *answer)
+{
+	struct online_request *request = ctx;
+	bool success = answer->status >= 200 && answer->status < 300;
+
+	request->heard_ms = now_ms(request);
+	/* A run that goes on keeps the head of the first. */
+	if (web_begun(request->web)) {
+		request->broken = !success || !answer->is_signed;
+		return;
+	}
+	request->status = answer->status;
+	request->is_signed = answer->is_signed;
+	request->broken = success && !answer->is_signed;
+	if (request->broken ||
+	    (!success && answer->status >= 500 && may_run_again(request)))
+		return;
+	add_answer_fields(request, answer->head);
+	if (!success || request->kind != ROUTE_STREAM)
+		return;
+	request->streaming = true;
+	web_stream_begin(request->web, answer->status, NULL);
+	arm_timer(request);
+}
+
+static void on_event(void *ctx, const struct stream_event *event)
+{
+	struct online_request *request = ctx;
+
+	if (request->broken || request->ended)
+		return;
+	if (event->has_id) {
+		if (request->last_event >= 0 &&
+		    event->id != (uint64_t)request->last_event + 1) {
+			request->broken = true;
+			return;
+		}
+		request->last_event = (int64_t)event->id;
+	}
+	if (!request->first_ms)
+		request->first_ms = now_ms(request);
+	web_stream_write(request->web, event->raw, event->raw_len);
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct online_request *request = ctx;
+
+	request->heard_ms = now_ms(request);
+	if (request->streaming)
+		event_stream_feed(request->events, data, len, on_event,
+				  request);
+	else
+		g_string_append_len(request->buffer, data, (gssize)len);
+}
+
+static void answer_whole(struct online_request *request)
+{
+	const char *rest;
+	size_t rest_len;
+
+	if (!request->first_ms)
+		request->first_ms = now_ms(request);
+	if (request->streaming) {
+		rest = event_stream_rest(request->events, &rest_len);
+		if (rest_len)
+			web_stream_write(request->web, rest, rest_len);
+		/* The write may have found that the caller left. */
+		if (request->ended)
+			return;
+		web_stream_end(request->web, true);
+	} else {
+		web_answer(request->web, request->status, NULL,
+			   request->buffer->str, request->buffer->len);
+	}
+	finish(request, "completed");
+}
+
+static void go_on_elsewhere(struct online_request *request, const char *why)
+{
+	if (!may_run_again(request)) {
+		fail(request, 502, why);
+		return;
+	}
+	event_stream_reset(request->events);
+	g_string_truncate(request->buffer, 0);
+	request->broken = false;
+	dispatch(request);
+}
+
+static void on_end(void *ctx, enum server_call_end end)
+{
+	struct online_request *request = ctx;
+	bool success = request->status >= 200 && request->status < 300;
+
+	request->call = NULL;
+	request->server = NULL;
+	switch (end) {
+	case SERVER_CALL_NOT_RUN:
+		request->runs--;
+		dispatch(request);
+		return;
+	case SERVER_CALL_WHOLE:
+		if (request->broken)
+			go_on_elsewhere(request, "the answer was spoiled");
+		else if (!success && request->status >= 500 &&
+			 may_run_again(request))
+			go_on_elsewhere(request, "the server failed");
+		else
+			answer_whole(request);
+		return;
+	default:
+		go_on_elsewhere(request, end == SERVER_CALL_CUT ?
+						 "the answer broke off" :
+						 "no answer came");
+		return;
+	}
+}
+
+/* The way to a server. */
+
+static void send_to(struct online_request *request, struct server *server)
+{
+	uint64_t now = now_ms(request);
+	struct server_call_options options = {
+		.gateway = request->gateway,
+		.server = server,
+		.class = WORK_ONLINE,
+		.method = request->method,
+		.target = request->target,
+		.host = request->host,
+		.request_id = request->id,
+		.fields = request->fields,
+		.body = request->body,
+		.body_len = request->body_len,
+		.has_body = request->body_len ||
+			    strcmp(request->method, "GET") != 0,
+		.deadline_ms = request->deadline_ms - now,
+		.last_event = request->last_event,
+		.careful = !request->repeatable,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = request,
+	};
+
+	request->tried[request->tried_nr++] = server;
+	request->server = server;
+	request->runs++;
+	request->heard_ms = now;
+	request->call = server_call_start(&options);
+	/* Items on the server give way at once. */
+	batch_load_changed(request->gateway->batch);
+}
+
+static double retry_after(const struct online_request *request,
+			  const struct fleet_choice *choice)
+{
+	double late_ms = choice->first_ms - request->objective_ms / 2.0;
+
+	return CLAMP(late_ms / 1000, RETRY_MIN_S, RETRY_MAX_S);
+}
+
+static void dispatch(struct online_request *request)
+{
+	struct fleet_query query = {
+		.service = request->service,
+		.now_ms = now_ms(request),
+		.prefix_hash = request->prefix_hash,
+		.tried = request->tried,
+		.tried_nr = request->tried_nr,
+	};
+	struct fleet_choice choice = { 0 };
+	bool in_time = request->deadline_ms > query.now_ms + RESEND_LEFT_MS;
+	double waited = (double)(query.now_ms - request->arrived_ms);
+
+	if (in_time && request->tried_nr < OFFERS_MAX)
+		choice = fleet_choose(request->gateway->fleet, &query);
+	if (!choice.server) {
+		if (request->runs)
+			fail(request, 502, "no further server could run it");
+		else
+			refuse(request, 503, NO_SERVER_RETRY_S,
+			       "no server can run it");
+		return;
+	}
+	/* Late is worth little to the caller, who may come back in time. */
+	if (!request->runs && choice.wait_ms > 0 &&
+	    waited + choice.first_ms > request->objective_ms) {
+		refuse(request, 503, retry_after(request, &choice),
+		       "all servers are busy");
+		return;
+	}
+	send_to(request, choice.server);
+}
+
+/* The request of a caller. */
+
+static bool is_forwarded(const char *name, const char *named_by_connection)
+{
+	if (is_connection_field(name) || !g_ascii_strcasecmp(name, "host") ||
+	    !g_ascii_strcasecmp(name, "expect") ||
+	    !g_ascii_strcasecmp(name, platform_fields.request_id) ||
+	    !g_ascii_strcasecmp(name, platform_fields.deadline_ms) ||
+	    !g_ascii_strcasecmp(name, platform_fields.expected_server) ||
+	    !g_ascii_strcasecmp(name, platform_fields.last_event))
+		return false;
+	return !named_by_connection || !strstr(named_by_connection, name);
+}
+
+static char *forwarded_fields(const struct web_request *web)
+{
+	const char *connection = web_field(web, "connection");
+	GString *out = g_string_new(NULL);
+	const char *name, *value;
+	size_t i;
+
+	for (i = 0; i < web_fields_nr(web); i++) {
+		web_field_at(web, i, &name, &value);
+		if (is_forwarded(name, connection))
+			g_string_append_printf(out, "%s: %s\r\n", name, value);
+	}
+	return g_string_free(out, FALSE);
+}
+
+/* Hash of the parts that requests share: all but the last. */
+static uint64_t prefix_hash(const char *prefix)
+{
+	const char *last = prefix ? strrchr(prefix, ',') : NULL;
+
+	return last ? hash_bytes(prefix, (size_t)(last - prefix), 0) : 0;
+}
+
+static void read_deadline(struct online_request *request,
+			  const struct route *route)
+{
+	const char *text = web_field(request->web, platform_fields.deadline_ms);
+	uint64_t ms = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+
+	if (!ms || (route->timeout_ms && ms > route->timeout_ms))
+		ms = route->timeout_ms;
+	request->deadline_ms = request->arrived_ms + ms;
+}
+
+static void read_last_event(struct online_request *request)
+{
+	const char *text = web_field(request->web, platform_fields.last_event);
+
+	request->last_event =
+		text ? (int64_t)g_ascii_strtoull(text, NULL, 10) : -1;
+}
+
+static void request_begin(struct gateway *gateway, struct web_request *web,
+			  const struct route *route, const char *id)
+{
+	struct online_request *request = g_new0(struct online_request, 1);
+
+	request->gateway = gateway;
+	request->web = web;
+	request->route = g_strdup(route->name);
+	request->id = g_strdup(id);
+	request->service =
+		g_strdup(route_pick_service(route, hash_string(id, 0)));
+	request->kind = route->kind;
+	request->repeatable = route_repeatable(route);
+	request->objective_ms = route->objective_ms;
+	request->runs_max = route->attempts_max;
+	request->prefix_hash =
+		prefix_hash(web_field(web, platform_fields.prompt_prefix));
+	request->method = g_strdup(web_method(web));
+	request->target = g_strdup(web_target(web));
+	request->host = g_strdup(web_field(web, "host"));
+	request->fields = forwarded_fields(web);
+	request->body = web_body(web, &request->body_len);
+	request->buffer = g_string_new(NULL);
+	request->events = event_stream_create();
+	request->arrived_ms = uv_now(gateway->loop);
+	read_deadline(request, route);
+	read_last_event(request);
+	uv_timer_init(gateway->loop, &request->timer);
+	request->timer.data = request;
+	web_on_close(web, on_caller_gone, request);
+	arm_timer(request);
+	dispatch(request);
+}
+
+void online_request_start(struct gateway *gateway, struct web_request *web,
+			  const char *path)
+{
+	const struct route *route;
+	const char *host = web_field(web, "host");
+	const char *id = web_field(web, platform_fields.request_id);
+
+	if (!gateway->config) {
+		gateway_refuse(web, 503, NO_SERVER_RETRY_S,
+			       "no configuration is known yet");
+		return;
+	}
+	route = host ? route_table_find(gateway->config, host, path) : NULL;
+	if (!route) {
+		log_event("request_failed", LOG_LEVEL_WARN,
+			  "request=%s host=%s path=%s no route in version "
+			  "%" PRIu64,
+			  id ? id : "-", host ? host : "-", path,
+			  gateway->config->version);
+		web_problem(web, 404, "No such route",
+			    "no route of %s begins %s", host ? host : "-",
+			    path);
+		return;
+	}
+	if (!id) {
+		web_problem(web, 400, "No request id",
+			    "the field %s is missing",
+			    platform_fields.request_id);
+		return;
+	}
+	if (route->kind == ROUTE_BATCH)
+		job_calls_submit(gateway, web, route);
+	else
+		request_begin(gateway, web, route, id);
+}
--- /dev/null
+++ b/briarplankd/gateway/peers.c
@@ -0,0 +1,401 @@
+#include <string.h>
+
+#include "batch.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "nodeload.pb-c.h"
+#include "peers.h"
+
+/* Shortest time between two reports, in ms. Batch gives way to online
+ * requests within this and the way between two nodes; the link between
+ * regions is narrow and slow anyway. */
+#define REPORT_MS 15
+#define REPORT_OTHER_REGION_MS 90
+/* Longest time between two reports, in ms. */
+#define HEARTBEAT_MS 300
+/* Silence after which an entry counts as dead, in ms: five heartbeats. */
+#define DEAD_MS 1500
+/* Silence after which nothing is sent to an entry any more, in ms. */
+#define FORGET_MS 60000
+/* Longest datagram, in bytes, below the MTU of common links. */
+#define REPORT_BYTES_MAX 1400
+
+struct peer {
+	struct list link;
+	char *identity;
+	uint64_t hash;
+	struct sockaddr_in addr;
+	bool same_region;
+	uint64_t heard_ms;
+	uint64_t sequence;
+	bool alive;
+	bool leaving;
+	unsigned backlog;
+};
+
+struct peers {
+	struct gateway *gateway;
+	uv_udp_t udp;
+	uv_timer_t timer;
+	uv_timer_t look_timer;
+	int handles;
+	struct list list;
+	uint64_t sequence;
+	bool dirty;
+	bool dirty_far;
+	uint64_t sent_ms;
+	uint64_t sent_far_ms;
+};
+
+static struct peer *peer_find(const struct peers *peers, const char *identity)
+{
+	struct list *pos;
+
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (!strcmp(peer->identity, identity))
+			return peer;
+	}
+	return NULL;
+}
+
+static void peer_dead(struct peers *peers, struct peer *peer, const char *why)
+{
+	if (!peer->alive)
+		return;
+	peer->alive = false;
+	fleet_peer(peers->gateway->fleet, peer->hash, NULL, 0);
+	log_event("peer", LOG_LEVEL_WARN, "entry=%s lost: %s", peer->identity,
+		  why);
+}
+
+static void peer_free(struct peers *peers, struct peer *peer)
+{
+	fleet_peer(peers->gateway->fleet, peer->hash, NULL, 0);
+	list_remove(&peer->link);
+	g_free(peer->identity);
+	g_free(peer);
+}
+
+static struct peer *peer_add(struct peers *peers, const char *identity,
+			     const struct sockaddr_in *addr, bool same_region)
+{
+	struct peer *peer;
+	struct list *pos, *tmp;
+
+	/* A new process at the same address replaces the one before. */
+	list_for_each_safe (pos, tmp, &peers->list) {
+		peer = list_entry(pos, struct peer, link);
+		if (peer->addr.sin_addr.s_addr == addr->sin_addr.s_addr &&
+		    peer->addr.sin_port == addr->sin_port) {
+			peer_dead(peers, peer, "its node started again");
+			peer_free(peers, peer);
+		}
+	}
+	peer = g_new0(struct peer, 1);
+	peer->identity = g_strdup(identity);
+	peer->hash = hash_string(identity, 0);
+	peer->addr = *addr;
+	peer->same_region = same_region;
+	list_append(&peers->list, &peer->link);
+	return peer;
+}
+
+static void peer_heard(struct peers *peers, struct peer *peer)
+{
+	peer->heard_ms = uv_now(peers->gateway->loop);
+	if (peer->alive)
+		return;
+	peer->alive = true;
+	log_event("peer", LOG_LEVEL_INFO, "entry=%s alive", peer->identity);
+}
+
+void peers_learn(struct peers *peers, const char *identity, const char *address,
+		 const char *data_centre)
+{
+	struct gateway *gateway = peers->gateway;
+	const char *region = g_hash_table_lookup(gateway->regions, data_centre);
+	const char *colon = strrchr(address, ':');
+	struct sockaddr_in addr;
+	char *ip;
+	bool good;
+
+	if (!strcmp(identity, gateway->identity) ||
+	    peer_find(peers, identity) || !colon)
+		return;
+	ip = g_strndup(address, colon - address);
+	good = !uv_ip4_addr(ip, (int)g_ascii_strtoll(colon + 1, NULL, 10),
+			    &addr);
+	g_free(ip);
+	/* It counts as alive once it is heard itself. */
+	if (good)
+		peer_add(peers, identity, &addr,
+			 region && !strcmp(region, gateway->settings->region))
+			->heard_ms = uv_now(gateway->loop);
+	peers->dirty = true;
+	peers->dirty_far = true;
+}
+
+static void take_load(struct peers *peers, struct peer *peer,
+		      const NodeLoad *load)
+{
+	size_t i, nr = MIN(load->n_servers, MIN(load->n_online, load->n_batch));
+	struct peer_load *loads = g_new0(struct peer_load, nr);
+
+	for (i = 0; i < nr; i++) {
+		loads[i].server_hash = load->servers[i];
+		loads[i].counts[WORK_ONLINE] = load->online[i];
+		loads[i].counts[WORK_BATCH] = load->batch[i];
+	}
+	fleet_peer(peers->gateway->fleet, peer->hash, loads, nr);
+	g_free(loads);
+	peer->leaving = load->leaving;
+	peer->backlog = load->backlog;
+	batch_load_changed(peers->gateway->batch);
+}
+
+static void on_datagram(uv_udp_t *udp, ssize_t nread, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned flags)
+{
+	struct peers *peers = udp->data;
+	struct peer *peer;
+	NodeLoad *load;
+
+	(void)flags;
+	if (nread <= 0 || !from || from->sa_family != AF_INET)
+		return;
+	load = node_load__unpack(NULL, (size_t)nread, (uint8_t *)buf->base);
+	if (!load) {
+		log_event("peer", LOG_LEVEL_WARN, "unreadable load report");
+		return;
+	}
+	peer = peer_find(peers, load->node);
+	if (!peer && *load->node &&
+	    strcmp(load->node, peers->gateway->identity) != 0)
+		peer = peer_add(peers, load->node,
+				(const struct sockaddr_in *)from, true);
+	if (peer && load->sequence > peer->sequence) {
+		peer->sequence = load->sequence;
+		peer_heard(peers, peer);
+		take_load(peers, peer, load);
+	}
+	node_load__free_unpacked(load, NULL);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[65536];
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+/* Writes this node's load; the caller frees the buffer. */
+static uint8_t *report_encode(struct peers *peers, size_t *len)
+{
+	struct gateway *gateway = peers->gateway;
+	NodeLoad load = NODE_LOAD__INIT;
+	GArray *servers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *online = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GArray *batch = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	struct list *pos;
+	uint8_t *out;
+
+	list_for_each (pos, fleet_servers(gateway->fleet)) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		if (!server->own[WORK_ONLINE] && !server->own[WORK_BATCH])
+			continue;
+		g_array_append_val(servers, server->hash);
+		g_array_append_val(online, server->own[WORK_ONLINE]);
+		g_array_append_val(batch, server->own[WORK_BATCH]);
+	}
+	load.node = gateway->identity;
+	load.sequence = ++peers->sequence;
+	load.leaving = gateway->stopping;
+	load.backlog = batch_backlog(gateway->batch);
+	load.servers = (uint64_t *)servers->data;
+	load.n_servers = servers->len;
+	load.online = (uint32_t *)online->data;
+	load.n_online = online->len;
+	load.batch = (uint32_t *)batch->data;
+	load.n_batch = batch->len;
+	*len = node_load__get_packed_size(&load);
+	out = g_malloc(*len);
+	node_load__pack(&load, out);
+	g_array_free(servers, TRUE);
+	g_array_free(online, TRUE);
+	g_array_free(batch, TRUE);
+	return out;
+}
+
+static void report_send(struct peers *peers, bool near, bool far)
+{
+	uint64_t now = uv_now(peers->gateway->loop);
+	size_t len;
+	uint8_t *bytes = report_encode(peers, &len);
+	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned)len);
+	struct list *pos;
+
+	if (len > REPORT_BYTES_MAX)
+		log_event("peer", LOG_LEVEL_WARN,
+			  "load report of %zu bytes may be fragmented", len);
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (now - peer->heard_ms > FORGET_MS ||
+		    !(peer->same_region ? near : far))
+			continue;
+		/* A lost report is made good by the next. */
+		uv_udp_try_send(&peers->udp, &buf, 1,
+				(const struct sockaddr *)&peer->addr);
+	}
+	g_free(bytes);
+	if (near) {
+		peers->dirty = false;
+		peers->sent_ms = now;
+	}
+	if (far) {
+		peers->dirty_far = false;
+		peers->sent_far_ms = now;
+	}
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct peers *peers = timer->data;
+	uint64_t now = uv_now(peers->gateway->loop);
+	bool far = peers->dirty_far &&
+		   now - peers->sent_far_ms >= REPORT_OTHER_REGION_MS;
+
+	report_send(peers, peers->dirty, far);
+}
+
+static void on_look(uv_timer_t *timer)
+{
+	struct peers *peers = timer->data;
+	uint64_t now = uv_now(peers->gateway->loop);
+	struct list *pos;
+
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (peer->alive && now - peer->heard_ms > DEAD_MS)
+			peer_dead(peers, peer, "no report");
+	}
+	report_send(peers, now - peers->sent_ms >= HEARTBEAT_MS / 2,
+		    now - peers->sent_far_ms >= HEARTBEAT_MS / 2 ||
+			    peers->dirty_far);
+}
+
+void peers_load_changed(struct peers *peers)
+{
+	uint64_t now, age;
+
+	peers->dirty = true;
+	peers->dirty_far = true;
+	if (uv_is_active((uv_handle_t *)&peers->timer))
+		return;
+	now = uv_now(peers->gateway->loop);
+	age = now - peers->sent_ms;
+	uv_timer_start(&peers->timer, on_timer,
+		       age >= REPORT_MS ? 0 : REPORT_MS - age, 0);
+}
+
+bool peers_alive(const struct peers *peers, const char *identity)
+{
+	struct peer *peer;
+
+	if (!strcmp(identity, peers->gateway->identity))
+		return !peers->gateway->stopping;
+	peer = peer_find(peers, identity);
+	return peer && peer->alive && !peer->leaving;
+}
+
+bool peers_own(const struct peers *peers, const struct job *job)
+{
+	const struct gateway *gateway = peers->gateway;
+	uint64_t job_hash, own_rank;
+	struct list *pos;
+
+	if (gateway->stopping)
+		return false;
+	if (peers_alive(peers, job->node))
+		return !strcmp(job->node, gateway->identity);
+	job_hash = hash_string(job->id, 0);
+	own_rank = hash_mix(job_hash, gateway->identity_hash);
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (peer->alive && !peer->leaving &&
+		    hash_mix(job_hash, peer->hash) > own_rank)
+			return false;
+	}
+	return true;
+}
+
+unsigned peers_backlogged(const struct peers *peers)
+{
+	unsigned nr = 1;
+	struct list *pos;
+
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		nr += peer->alive && peer->backlog;
+	}
+	return nr;
+}
+
+struct peers *peers_create(struct gateway *gateway)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+	struct sockaddr_in addr;
+	int rc;
+
+	peers->gateway = gateway;
+	list_init(&peers->list);
+	uv_timer_init(gateway->loop, &peers->timer);
+	peers->timer.data = peers;
+	uv_timer_init(gateway->loop, &peers->look_timer);
+	peers->look_timer.data = peers;
+	uv_udp_init(gateway->loop, &peers->udp);
+	peers->udp.data = peers;
+	uv_ip4_addr(gateway->settings->ip, (int)gateway->settings->node_port,
+		    &addr);
+	rc = uv_udp_bind(&peers->udp, (struct sockaddr *)&addr, 0);
+	if (!rc)
+		rc = uv_udp_recv_start(&peers->udp, on_alloc, on_datagram);
+	if (rc) {
+		error_set("can't listen for load reports on %s:%" PRId64 ": %s",
+			  gateway->settings->ip, gateway->settings->node_port,
+			  uv_strerror(rc));
+		peers_destroy(peers);
+		return NULL;
+	}
+	uv_timer_start(&peers->look_timer, on_look, HEARTBEAT_MS, HEARTBEAT_MS);
+	return peers;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct peers *peers = handle->data;
+
+	if (--peers->handles == 0)
+		g_free(peers);
+}
+
+void peers_destroy(struct peers *peers)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &peers->list)
+		peer_free(peers, list_entry(pos, struct peer, link));
+	peers->handles = 3;
+	uv_close((uv_handle_t *)&peers->timer, on_closed);
+	uv_close((uv_handle_t *)&peers->look_timer, on_closed);
+	uv_close((uv_handle_t *)&peers->udp, on_closed);
+}
--- /dev/null
+++ b/briarplankd/gateway/server_call.c
@@ -0,0 +1,325 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "peers.h"
+#include "platform/codec.h"
+#include "server_call.h"
+
+/* Time to establish a connection, in ms: a few round trips between regions.
+ * Until then the request is known not to have run. */
+#define CONNECT_TIMEOUT_MS 250
+/* Sent bytes that aren't acknowledged by then break a connection, in ms. */
+#define UNACKED_TIMEOUT_MS 1500
+/* Idle connections to a server that are kept: its slots, for a burst that
+ * fills them from one node. */
+#define IDLE_LINKS_MAX 8
+/* Idle time after which a connection isn't used any more, in ms: for requests
+ * that can be repeated, and for those that can't. Beyond the server's own
+ * limit, of which half is used, a close may cross the request. */
+#define REUSE_LIMIT_MS 6000
+#define REUSE_LIMIT_CAREFUL_MS 3000
+
+struct kept_link {
+	struct list link;
+	struct http_link *http;
+};
+
+/* The idle connections to one server. */
+struct connections {
+	struct list idle;
+	unsigned idle_nr;
+};
+
+struct server_call {
+	struct server_call_options options;
+	struct http_link *http;
+	/* The server's fate in the fleet outlives a forgotten server. */
+	struct server *server;
+	uint64_t started_ms;
+	bool queued;
+	bool headed;
+	bool not_run;
+	int status;
+};
+
+static const char *const end_names[] = {
+	[SERVER_CALL_WHOLE] = "whole",
+	[SERVER_CALL_NOT_RUN] = "not-run",
+	[SERVER_CALL_UNKNOWN] = "unknown",
+	[SERVER_CALL_CUT] = "cut",
+};
+
+const char *server_call_end_name(enum server_call_end end)
+{
+	return end_names[end];
+}
+
+static void kept_free(struct connections *connections, struct kept_link *kept)
+{
+	list_remove(&kept->link);
+	connections->idle_nr--;
+	g_free(kept);
+}
+
+static void on_kept_lost(void *ctx, struct http_link *http)
+{
+	struct connections *connections = ctx;
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &connections->idle) {
+		struct kept_link *kept =
+			list_entry(pos, struct kept_link, link);
+
+		if (kept->http == http)
+			kept_free(connections, kept);
+	}
+	http_link_close(http);
+}
+
+static struct connections *connections_of(struct server *server)
+{
+	struct connections *connections = server->connections;
+
+	if (connections)
+		return connections;
+	connections = g_new0(struct connections, 1);
+	list_init(&connections->idle);
+	server->connections = connections;
+	return connections;
+}
+
+void server_connections_close(struct server *server)
+{
+	struct connections *connections = server->connections;
+
+	if (!connections)
+		return;
+	while (!list_empty(&connections->idle)) {
+		struct kept_link *kept = list_entry(connections->idle.next,
+						    struct kept_link, link);
+
+		http_link_close(kept->http);
+		kept_free(connections, kept);
+	}
+	/* Links under way still name it. */
+	if (server->own[WORK_ONLINE] || server->own[WORK_BATCH])
+		return;
+	g_free(connections);
+	server->connections = NULL;
+}
+
+static struct http_link *take_link(const struct server_call_options *options)
+{
+	struct connections *connections = connections_of(options->server);
+	uint64_t now = uv_now(options->gateway->loop);
+	struct http_link_options link_options = {
+		.loop = options->gateway->loop,
+		.address = options->server->address,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.unacked_timeout_ms = UNACKED_TIMEOUT_MS,
+		.on_lost = on_kept_lost,
+		.ctx = connections,
+	};
+
+	while (!list_empty(&connections->idle)) {
+		struct kept_link *kept = list_entry(connections->idle.prev,
+						    struct kept_link, link);
+		struct http_link *http = kept->http;
+		uint64_t limit = options->careful ? REUSE_LIMIT_CAREFUL_MS :
+						    REUSE_LIMIT_MS;
+		uint64_t named = http_link_idle_limit_ms(http);
+		uint64_t age = now - http_link_idle_since_ms(http);
+
+		if (named)
+			limit = MIN(limit, named / 2);
+		if (options->careful && age >= limit && age < REUSE_LIMIT_MS &&
+		    http_link_reusable(http))
+			break;
+		kept_free(connections, kept);
+		if (http_link_reusable(http) && age < limit)
+			return http;
+		http_link_close(http);
+	}
+	return http_link_open(&link_options);
+}
+
+static void give_link(struct server *server, struct http_link *http)
+{
+	struct connections *connections = connections_of(server);
+	struct kept_link *kept;
+
+	if (!http_link_reusable(http) ||
+	    connections->idle_nr >= IDLE_LINKS_MAX) {
+		http_link_close(http);
+		return;
+	}
+	kept = g_new0(struct kept_link, 1);
+	kept->http = http;
+	list_append(&connections->idle, &kept->link);
+	connections->idle_nr++;
+}
+
+static void learn_load(struct server_call *call,
+		       const struct http_link_head *head)
+{
+	const char *load = http_link_head_field(head, platform_fields.load);
+	unsigned running, waiting;
+
+	if (load && platform_load_parse(load, &running, &waiting))
+		fleet_reported(call->server, running, waiting,
+			       uv_now(call->options.gateway->loop));
+}
+
+static bool on_head(void *ctx, const struct http_link_head *head)
+{
+	struct server_call *call = ctx;
+	uint64_t now = uv_now(call->options.gateway->loop);
+	const char *echo =
+		http_link_head_field(head, platform_fields.request_id);
+	struct server_answer answer = { .status = head->status, .head = head };
+
+	fleet_heard(call->server, now);
+	if (echo && strcmp(echo, call->options.request_id) != 0) {
+		log_event("server_answer", LOG_LEVEL_WARN,
+			  "server=%s request=%s skipped the answer to %s",
+			  call->server->id, call->options.request_id, echo);
+		return false;
+	}
+	call->headed = true;
+	call->status = head->status;
+	call->not_run = http_link_head_field(head, platform_fields.not_run) ||
+			head->status == 421;
+	learn_load(call, head);
+	if (call->not_run)
+		return true;
+	fleet_answered(call->server,
+		       call->queued ? -1 : (double)(now - call->started_ms));
+	answer.is_signed =
+		http_link_head_field(head, platform_fields.signature) != NULL;
+	call->options.on_head(call->options.ctx, &answer);
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct server_call *call = ctx;
+
+	fleet_heard(call->server, uv_now(call->options.gateway->loop));
+	if (!call->not_run)
+		call->options.on_body(call->options.ctx, data, len);
+}
+
+static enum server_call_end meaning(const struct server_call *call,
+				    enum http_link_end end)
+{
+	if (end == HTTP_LINK_UNSENT || call->not_run)
+		return SERVER_CALL_NOT_RUN;
+	if (end == HTTP_LINK_WHOLE)
+		return SERVER_CALL_WHOLE;
+	return call->headed ? SERVER_CALL_CUT : SERVER_CALL_UNKNOWN;
+}
+
+static enum fleet_result result_of(const struct server_call *call,
+				   enum http_link_end link_end,
+				   enum server_call_end end)
+{
+	if (link_end == HTTP_LINK_UNSENT)
+		return FLEET_UNREACHED;
+	if (end == SERVER_CALL_NOT_RUN)
+		return FLEET_REFUSED;
+	if (end == SERVER_CALL_WHOLE && call->status < 500)
+		return FLEET_GOOD;
+	return FLEET_FAILED;
+}
+
+static void call_free(struct server_call *call)
+{
+	g_free((char *)call->options.request_id);
+	g_free(call);
+}
+
+static void on_end(void *ctx, enum http_link_end link_end)
+{
+	struct server_call *call = ctx;
+	enum server_call_end end = meaning(call, link_end);
+	uint64_t now = uv_now(call->options.gateway->loop);
+
+	if (link_end == HTTP_LINK_WHOLE)
+		give_link(call->server, call->http);
+	else
+		http_link_close(call->http);
+	if (end != SERVER_CALL_WHOLE)
+		log_event("server_call", LOG_LEVEL_WARN,
+			  "request=%s server=%s status=%d end=%s link=%d "
+			  "ms=%" PRIu64,
+			  call->options.request_id, call->server->id,
+			  call->status, end_names[end], link_end,
+			  now - call->started_ms);
+	fleet_done(call->server, call->options.class,
+		   result_of(call, link_end, end),
+		   (double)(now - call->started_ms), now);
+	peers_load_changed(call->options.gateway->peers);
+	call->options.on_end(call->options.ctx, end);
+	call_free(call);
+}
+
+static const struct http_link_handlers handlers = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static GString *write_request(const struct server_call_options *options)
+{
+	GString *out = g_string_sized_new(1024 + options->body_len);
+
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n",
+			       options->method, options->target, options->host,
+			       platform_fields.request_id, options->request_id);
+	g_string_append_printf(
+		out, "%s: %" PRIu64 "\r\n%s: %s\r\n",
+		platform_fields.deadline_ms, options->deadline_ms,
+		platform_fields.expected_server, options->server->id);
+	if (options->last_event >= 0)
+		g_string_append_printf(out, "%s: %" PRId64 "\r\n",
+				       platform_fields.last_event,
+				       options->last_event);
+	g_string_append(out, options->fields);
+	if (options->has_body)
+		g_string_append_printf(out, "Content-Length: %zu\r\n",
+				       options->body_len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, options->body, (gssize)options->body_len);
+	return out;
+}
+
+struct server_call *server_call_start(const struct server_call_options *options)
+{
+	struct server_call *call = g_new0(struct server_call, 1);
+	struct server *server = options->server;
+
+	call->options = *options;
+	call->server = server;
+	call->started_ms = uv_now(options->gateway->loop);
+	call->queued = server->own[WORK_ONLINE] + server->own[WORK_BATCH] +
+			       server->others[WORK_ONLINE] +
+			       server->others[WORK_BATCH] >=
+		       server->slots;
+	fleet_sent(server, options->class, call->started_ms);
+	peers_load_changed(options->gateway->peers);
+	call->http = take_link(options);
+	call->options.request_id = g_strdup(options->request_id);
+	http_link_send(call->http, write_request(options), &handlers, call);
+	return call;
+}
+
+void server_call_cancel(struct server_call *call)
+{
+	uint64_t now = uv_now(call->options.gateway->loop);
+
+	http_link_close(call->http);
+	fleet_done(call->server, call->options.class, FLEET_CANCELLED,
+		   (double)(now - call->started_ms), now);
+	peers_load_changed(call->options.gateway->peers);
+	call_free(call);
+}
--- /dev/null
+++ b/briarplankd/gateway_settings.c
@@ -0,0 +1,87 @@
+#include <stdio.h>
+
+#include "briarplankd/gateway_settings.h"
+#include "common/error.h"
+
+#define FIELD(type, member) offsetof(struct type, member)
+#define GATEWAY(member) FIELD(gateway_settings, member)
+
+static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
+
+static const struct setting_spec data_centre_specs[] = {
+	{ "name", SETTING_STRING, FIELD(data_centre_settings, name),
+	  .required = true, .help = "name of the data centre" },
+	{ "region", SETTING_STRING, FIELD(data_centre_settings, region),
+	  .required = true, .help = "its region" },
+	{ 0 },
+};
+
+const struct setting_spec gateway_setting_specs[] = {
+	{ "node.name", SETTING_STRING, GATEWAY(name), .required = true,
+	  .help = "name of this node, unique in the fleet" },
+	{ "node.ip", SETTING_STRING, GATEWAY(ip), .required = true,
+	  .help = "IP of this VM" },
+	{ "node.port", SETTING_INT, GATEWAY(node_port), .required = true,
+	  .min = 1, .max = 65535,
+	  .help = "UDP port for load reports between nodes" },
+	{ "node.data_centre", SETTING_STRING, GATEWAY(data_centre),
+	  .required = true, .help = "data centre of this VM" },
+	{ "node.region", SETTING_STRING, GATEWAY(region), .required = true,
+	  .help = "region of this VM" },
+	{ "data_centres", SETTING_LIST, GATEWAY(data_centres), .required = true,
+	  .item_specs = data_centre_specs,
+	  .item_size = sizeof(struct data_centre_settings),
+	  .help = "all data centres" },
+	{ "listen.front", SETTING_ADDRESS, GATEWAY(front_address),
+	  .required = true, .help = "address for callers" },
+	{ "listen.ready", SETTING_ADDRESS, GATEWAY(ready_address),
+	  .required = true, .help = "address of the readiness check" },
+	{ "listen.metrics", SETTING_ADDRESS, GATEWAY(metrics_address),
+	  .required = true, .help = "address of the metrics" },
+	{ "store.address", SETTING_ADDRESS, GATEWAY(store_address),
+	  .required = true, .help = "address of the platform's store" },
+	{ "store.partitions", SETTING_INT, GATEWAY(store_partitions), .min = 1,
+	  .max = 1000, .fallback = "12",
+	  .help = "partitions of the bulk topic" },
+	{ "store.record_bytes", SETTING_INT, GATEWAY(store_record_bytes),
+	  .min = 1024, .max = 16777216, .unit = "bytes", .fallback = "262144",
+	  .help = "longest record that the store takes" },
+	{ "store.call_bytes", SETTING_INT, GATEWAY(store_call_bytes),
+	  .min = 1024, .max = 67108864, .unit = "bytes", .fallback = "2097152",
+	  .help = "most bytes of records in one call" },
+	{ "store.retention_s", SETTING_SECONDS, GATEWAY(store_retention_ms),
+	  .min = 1000, .max = 31536000000, .fallback = "300",
+	  .help = "time for which the store keeps records" },
+	{ "stop.grace_s", SETTING_SECONDS, GATEWAY(stop_grace_ms), .min = 100,
+	  .max = 600000, .fallback = "8",
+	  .help = "time from SIGTERM to the end of the process" },
+	{ "jobs.results_kept_s", SETTING_SECONDS, GATEWAY(results_kept_ms),
+	  .min = 1000, .max = 31536000000, .fallback = "120",
+	  .help = "time for which a job's results stay readable" },
+	{ "log.level", SETTING_CHOICE, GATEWAY(log_level), .choices = levels,
+	  .fallback = "\"info\"", .help = "lowest level that is written" },
+	{ 0 },
+};
+
+bool gateway_settings_load(const char *file, struct gateway_settings *settings)
+{
+	GPtrArray *faults = settings_faults_new();
+	bool good;
+	guint i;
+
+	settings_load(file, gateway_setting_specs, settings, faults);
+	for (i = 0; i < faults->len; i++) {
+		const struct settings_fault *fault = faults->pdata[i];
+
+		fprintf(stderr, "%s:%d: %s\n", file, fault->line,
+			fault->message);
+	}
+	good = !faults->len;
+	g_ptr_array_free(faults, TRUE);
+	return good;
+}
+
+void gateway_settings_clear(struct gateway_settings *settings)
+{
+	settings_clear(gateway_setting_specs, settings);
+}
--- a/briarplankd/main.c
+++ b/briarplankd/main.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "briarplankd/daemon_settings.h"
+#include "briarplankd/gateway.h"
 #include "briarplankd/node.h"
 #include "briarplankd/tasks.h"
 #include "common/error.h"
@@ -14,6 +15,8 @@
 #include "make_keys.h"
 
 #define EXIT_USAGE 2
+/* Names the settings file where --config doesn't. */
+#define CONFIG_VARIABLE "BRIARPLANK_SETTINGS"
 
 static char *config_file;
 static char *role_text;
@@ -28,7 +31,7 @@
 	{ "make-keys", 0, 0, G_OPTION_ARG_NONE, &make_keys,
 	  "Print a new key pair for the fleet's bus and exit", NULL },
 	{ "role", 0, 0, G_OPTION_ARG_STRING, &role_text,
-	  "Role instead of the one in the settings", "entry|agent" },
+	  "Role instead of the one in the settings", "entry|agent|gateway" },
 	{ 0 },
 };
 
@@ -46,6 +49,8 @@
 		g_error_free(error);
 		return false;
 	}
+	if (!config_file)
+		config_file = g_strdup(g_getenv(CONFIG_VARIABLE));
 	if (!config_file && !make_keys) {
 		fprintf(stderr, "briarplankd: --config FILE is missing\n");
 		return false;
@@ -83,6 +88,17 @@
 	return status;
 }
 
+static int run_gateway(void)
+{
+	struct gateway_settings settings = { 0 };
+	int status = EXIT_USAGE;
+
+	if (gateway_settings_load(config_file, &settings))
+		status = check_only ? 0 : gateway_run(&settings);
+	gateway_settings_clear(&settings);
+	return status;
+}
+
 int main(int argc, char **argv)
 {
 	struct daemon_settings settings = { 0 };
@@ -93,6 +109,8 @@
 		return EXIT_USAGE;
 	if (make_keys)
 		return make_keys_print();
+	if (role_text && !strcmp(role_text, "gateway"))
+		return run_gateway();
 	if (role_text && !parse_role(role_text, &role))
 		fprintf(stderr, "briarplankd: no such role: %s\n", role_text);
 	else if (!daemon_settings_load(config_file, role_text ? &role : NULL,
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -103,6 +103,8 @@
 	struct web *web = timer->data;
 	struct list *pos, *tmp;
 
+	if (list_empty(&web->requests))
+		uv_timer_stop(timer);
 	list_for_each_safe (pos, tmp, &web->requests) {
 		struct web_request *request =
 			list_entry(pos, struct web_request, link);
@@ -117,6 +119,14 @@
 	}
 }
 
+void web_watch_callers(struct web *web)
+{
+	if (!uv_is_active((uv_handle_t *)&web->caller_timer))
+		uv_timer_start(&web->caller_timer, on_caller_timer,
+			       CALLER_CHECK_INTERVAL_MS,
+			       CALLER_CHECK_INTERVAL_MS);
+}
+
 static void on_connection_closed(uv_handle_t *handle)
 {
 	struct connection *conn = list_entry(handle, struct connection, tcp);
@@ -284,8 +294,6 @@
 	set_up_h2o(web, options);
 	uv_timer_init(web->loop, &web->caller_timer);
 	web->caller_timer.data = web;
-	uv_timer_start(&web->caller_timer, on_caller_timer,
-		       CALLER_CHECK_INTERVAL_MS, CALLER_CHECK_INTERVAL_MS);
 	uv_timer_init(web->loop, &web->dead_timer);
 	web->dead_timer.data = web;
 	uv_timer_start(&web->dead_timer, on_dead_timer, DEAD_LOOK_INTERVAL_MS,
@@ -305,6 +313,16 @@
 	h2o_context_request_shutdown(&web->context);
 }
 
+void web_drain(struct web *web)
+{
+	h2o_context_request_shutdown(&web->context);
+}
+
+void web_set_idle_timeout(struct web *web, uint32_t ms)
+{
+	web->context.http1.req_timeout.timeout = ms;
+}
+
 bool web_listening(const struct web *web)
 {
 	return web->listening;
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -37,6 +37,7 @@
 	h2o_req_t *req;
 	h2o_generator_t generator;
 	char *method;
+	char *target;
 	char *path;
 	char *query;
 	bool begun;
@@ -52,6 +53,9 @@
 	void *on_taken_ctx;
 };
 
+/** Looks from now on for callers that leave. */
+void web_watch_callers(struct web *web);
+
 /** Makes the request, which frees itself when h2o disposes of its own. */
 struct web_request *web_request_create(struct web *web, h2o_req_t *req);
 
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -20,6 +20,7 @@
 	g_string_free(request->queue, TRUE);
 	g_string_free(request->in_flight, TRUE);
 	g_free(request->method);
+	g_free(request->target);
 	g_free(request->path);
 	g_free(request->query);
 	g_free(request);
@@ -84,6 +85,7 @@
 {
 	size_t query_at = req->query_at;
 
+	request->target = g_strndup(req->input.path.base, req->input.path.len);
 	if (query_at == SIZE_MAX) {
 		request->path = g_strndup(req->path.base, req->path.len);
 		request->query = g_strdup("");
@@ -120,6 +122,16 @@
 	return request->method;
 }
 
+const char *web_target(const struct web_request *request)
+{
+	return request->target;
+}
+
+bool web_begun(const struct web_request *request)
+{
+	return request->begun;
+}
+
 const char *web_path(const struct web_request *request)
 {
 	return request->path;
@@ -177,6 +189,7 @@
 {
 	request->on_close = fn;
 	request->on_close_ctx = ctx;
+	web_watch_callers(request->web);
 }
 
 void web_on_taken(struct web_request *request, void (*fn)(void *ctx), void *ctx)
--- /dev/null
+++ b/common/event_log.c
@@ -0,0 +1,124 @@
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "common/log.h"
+
+/* Longest line in bytes. At most PIPE_BUF, so that a write that poll() allows
+ * never blocks. */
+#define EVENT_LINE_BYTES 1024
+/* Lines a second of one kind: enough to follow single requests, and little
+ * beside the work that a request costs. */
+#define EVENT_BUDGET_INFO 40
+#define EVENT_BUDGET_WARN 100
+#define EVENT_KINDS_MAX 32
+#define EVENT_NAME_BYTES 64
+
+struct event_kind {
+	const char *name;
+	time_t second;
+	unsigned written;
+	unsigned dropped;
+};
+
+static struct event_kind kinds[EVENT_KINDS_MAX];
+static char node_name[EVENT_NAME_BYTES] = "-";
+static unsigned unwritten;
+
+static const char *const level_names[] = {
+	[LOG_LEVEL_ERROR] = "error",
+	[LOG_LEVEL_WARN] = "warn",
+	[LOG_LEVEL_INFO] = "info",
+	[LOG_LEVEL_DEBUG] = "debug",
+};
+
+void log_event_name(const char *node)
+{
+	snprintf(node_name, sizeof(node_name), "%s", node);
+}
+
+static struct event_kind *kind_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < EVENT_KINDS_MAX && kinds[i].name; i++) {
+		if (!strcmp(kinds[i].name, name))
+			return &kinds[i];
+	}
+	/* The last slot is shared by all kinds beyond the table. */
+	if (!kinds[i].name)
+		kinds[i].name = name;
+	return &kinds[i];
+}
+
+static void put_line(const char *line, size_t len)
+{
+	struct pollfd fd = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	if (poll(&fd, 1, 0) != 1 || !(fd.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, len) != (ssize_t)len)
+		unwritten++;
+}
+
+static size_t put_head(char *line, const struct timespec *now,
+		       enum log_level level, const char *kind)
+{
+	struct tm parts;
+	size_t used;
+
+	gmtime_r(&now->tv_sec, &parts);
+	used = strftime(line, EVENT_LINE_BYTES, "ts=%Y-%m-%dT%H:%M:%S", &parts);
+	used += (size_t)snprintf(line + used, EVENT_LINE_BYTES - used,
+				 ".%03ldZ level=%s node=%s event=%s ",
+				 now->tv_nsec / 1000000, level_names[level],
+				 node_name, kind);
+	return used;
+}
+
+static void tell_dropped(struct event_kind *kind, const struct timespec *now)
+{
+	char line[EVENT_LINE_BYTES];
+	size_t used = put_head(line, now, LOG_LEVEL_WARN, "log");
+
+	used += (size_t)snprintf(line + used, sizeof(line) - used,
+				 "dropped=%u kind=%s unwritten=%u\n",
+				 kind->dropped, kind->name, unwritten);
+	kind->dropped = 0;
+	put_line(line, used);
+}
+
+void log_event(const char *name, enum log_level level, const char *fmt, ...)
+{
+	struct event_kind *kind = kind_find(name);
+	char line[EVENT_LINE_BYTES];
+	struct timespec now;
+	size_t used;
+	va_list args;
+	int len;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	if (kind->second != now.tv_sec) {
+		kind->second = now.tv_sec;
+		kind->written = 0;
+		if (kind->dropped)
+			tell_dropped(kind, &now);
+	}
+	if (kind->written >=
+	    (level <= LOG_LEVEL_WARN ? EVENT_BUDGET_WARN : EVENT_BUDGET_INFO)) {
+		kind->dropped++;
+		return;
+	}
+	kind->written++;
+	used = put_head(line, &now, level, name);
+	va_start(args, fmt);
+	len = vsnprintf(line + used, sizeof(line) - used, fmt, args);
+	va_end(args);
+	used += (size_t)len;
+	if (used > sizeof(line) - 2)
+		used = sizeof(line) - 2;
+	line[used++] = '\n';
+	put_line(line, used);
+}
--- a/common/settings.c
+++ b/common/settings.c
@@ -136,6 +136,28 @@
 	*slot = nr;
 }
 
+static void load_seconds(struct loader *load, const struct setting_spec *spec,
+			 const char *path, struct json_object *value,
+			 int64_t *slot)
+{
+	double ms;
+
+	if (!json_object_is_type(value, json_type_int) &&
+	    !json_object_is_type(value, json_type_double)) {
+		path_fault(load, path, "%s must be a number of seconds", path);
+		return;
+	}
+	ms = json_object_get_double(value) * 1000;
+	if (!(ms >= (double)spec->min && ms <= (double)spec->max)) {
+		path_fault(load, path,
+			   "%s must lie between %g and %g s, not %g", path,
+			   (double)spec->min / 1000, (double)spec->max / 1000,
+			   ms / 1000);
+		return;
+	}
+	*slot = (int64_t)ms;
+}
+
 static void load_choice(struct loader *load, const struct setting_spec *spec,
 			const char *path, struct json_object *value, int *slot)
 {
@@ -191,6 +213,9 @@
 	case SETTING_INT:
 		load_int(load, spec, path, value, slot);
 		break;
+	case SETTING_SECONDS:
+		load_seconds(load, spec, path, value, slot);
+		break;
 	case SETTING_BOOL:
 		if (json_object_is_type(value, json_type_boolean))
 			*(bool *)slot = json_object_get_boolean(value);
--- /dev/null
+++ b/core/event_stream.c
@@ -0,0 +1,119 @@
+#include <string.h>
+
+#include "core/event_stream.h"
+
+struct event_stream {
+	GString *buffer;
+	GString *data;
+};
+
+struct event_stream *event_stream_create(void)
+{
+	struct event_stream *stream = g_new0(struct event_stream, 1);
+
+	stream->buffer = g_string_new(NULL);
+	stream->data = g_string_new(NULL);
+	return stream;
+}
+
+void event_stream_destroy(struct event_stream *stream)
+{
+	if (!stream)
+		return;
+	g_string_free(stream->buffer, TRUE);
+	g_string_free(stream->data, TRUE);
+	g_free(stream);
+}
+
+void event_stream_reset(struct event_stream *stream)
+{
+	g_string_truncate(stream->buffer, 0);
+}
+
+/* Returns the length of the first whole event, or 0. */
+static size_t event_length(const GString *buffer)
+{
+	const char *at = buffer->str, *end = at + buffer->len;
+
+	while ((at = memchr(at, '\n', (size_t)(end - at)))) {
+		at++;
+		if (at < end && *at == '\n')
+			return (size_t)(at + 1 - buffer->str);
+		if (at + 1 < end && at[0] == '\r' && at[1] == '\n')
+			return (size_t)(at + 2 - buffer->str);
+	}
+	return 0;
+}
+
+static void read_line(struct event_stream *stream, struct stream_event *event,
+		      const char *line, size_t len, bool *first_data)
+{
+	static const char id[] = "id:", data[] = "data:";
+
+	if (len && line[len - 1] == '\r')
+		len--;
+	if (len >= strlen(id) && !memcmp(line, id, strlen(id))) {
+		event->has_id = true;
+		event->id = g_ascii_strtoull(line + strlen(id), NULL, 10);
+		return;
+	}
+	if (len < strlen(data) || memcmp(line, data, strlen(data)) != 0)
+		return;
+	line += strlen(data);
+	len -= strlen(data);
+	if (len && *line == ' ') {
+		line++;
+		len--;
+	}
+	if (!*first_data)
+		g_string_append_c(stream->data, '\n');
+	*first_data = false;
+	g_string_append_len(stream->data, line, (gssize)len);
+}
+
+static void read_event(struct event_stream *stream, size_t len,
+		       struct stream_event *event)
+{
+	const char *at = stream->buffer->str, *end = at + len;
+	bool first_data = true;
+
+	memset(event, 0, sizeof(*event));
+	g_string_truncate(stream->data, 0);
+	while (at < end) {
+		const char *stop = memchr(at, '\n', (size_t)(end - at));
+
+		if (!stop)
+			break;
+		read_line(stream, event, at, (size_t)(stop - at), &first_data);
+		at = stop + 1;
+	}
+	event->raw = stream->buffer->str;
+	event->raw_len = len;
+	event->data = stream->data->str;
+	event->data_len = stream->data->len;
+}
+
+void event_stream_feed(struct event_stream *stream, const char *bytes,
+		       size_t len,
+		       void (*fn)(void *ctx, const struct stream_event *event),
+		       void *ctx)
+{
+	struct stream_event event;
+	size_t event_len;
+
+	g_string_append_len(stream->buffer, bytes, (gssize)len);
+	while ((event_len = event_length(stream->buffer))) {
+		read_event(stream, event_len, &event);
+		fn(ctx, &event);
+		/* The callback may have reset the stream. */
+		if (stream->buffer->len < event_len)
+			return;
+		g_string_erase(stream->buffer, 0, (gssize)event_len);
+	}
+}
+
+const char *event_stream_rest(const struct event_stream *stream, size_t *len)
+{
+	*len = stream->buffer->len;
+	return stream->buffer->str;
+}
--- /dev/null
+++ b/core/fleet.c
@@ -0,0 +1,565 @@
+#include <math.h>
+#include <string.h>
+
+#include "common/hash.h"
+#include "core/fleet.h"
+
+/* Time to the first byte that a server's distance adds, in ms: a round trip
+ * within a data centre, between data centres, between regions. */
+static const double distance_ms[SERVER_DISTANCES] = { 0.5, 3, 62 };
+
+/* First guesses before a server has answered, in ms. */
+#define FIRST_MS_GUESS 40
+#define HOLD_MS_GUESS 500
+/* Weight of a new sample in the smoothed values. */
+#define SMOOTHING 0.15
+/* Cost of taking a slot from a batch item, which must first be cancelled. */
+#define DISPLACE_MS 12
+/* Cost of a failed request in expected ms, at a failure share of one. */
+#define FAILURE_MS 1500
+/* Advantage of a server that likely caches the prompt's shared parts, in ms:
+ * about what reading a few hundred tokens takes. */
+#define PREFIX_MS 6
+/* A server that has work and was not heard for so long is avoided, in ms. */
+#define SILENCE_MS 900
+/* First and longest time for which an unreachable server is avoided, in ms. */
+#define AVOID_MS 250
+#define AVOID_MAX_MS 4000
+/* Time for which a server that refused is taken as full, in ms. */
+#define REFUSED_MS 120
+/* Time over which unexplained load in a report fades, in ms. */
+#define REPORT_FADE_MS 800.0
+/* Time over which a peak of online load fades, in ms. Bursts of seconds must
+ * not let batch items in between two arrivals. */
+#define PEAK_FADE_MS 700.0
+/* Share of the slots kept free of batch for the next arrivals. */
+#define RESERVE_SHARE 0.06
+
+struct peer {
+	struct peer_load *loads;
+	size_t nr;
+};
+
+struct peak {
+	double value;
+	uint64_t at_ms;
+};
+
+struct fleet {
+	struct fleet_options options;
+	char *data_centre;
+	char *region;
+	struct list servers;
+	/* Server hash to struct server *. */
+	GHashTable *by_hash;
+	/* Peer to struct peer *. */
+	GHashTable *peers;
+	/* Service name to struct peak * of its online load. */
+	GHashTable *peaks;
+};
+
+static void peer_free(gpointer data)
+{
+	struct peer *peer = data;
+
+	g_free(peer->loads);
+	g_free(peer);
+}
+
+struct fleet *fleet_create(const struct fleet_options *options)
+{
+	struct fleet *fleet = g_new0(struct fleet, 1);
+
+	fleet->options = *options;
+	fleet->data_centre = g_strdup(options->data_centre);
+	fleet->region = g_strdup(options->region);
+	list_init(&fleet->servers);
+	fleet->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, peer_free);
+	fleet->peaks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return fleet;
+}
+
+static void server_forget(struct fleet *fleet, struct server *server)
+{
+	if (fleet->options.on_forget)
+		fleet->options.on_forget(fleet->options.ctx, server);
+	list_remove(&server->link);
+	g_hash_table_remove(fleet->by_hash, &server->hash);
+	g_free(server->id);
+	g_free(server->service);
+	g_free(server->address);
+	g_free(server->data_centre);
+	g_free(server);
+}
+
+void fleet_destroy(struct fleet *fleet)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &fleet->servers)
+		server_forget(fleet, list_entry(pos, struct server, link));
+	g_hash_table_destroy(fleet->by_hash);
+	g_hash_table_destroy(fleet->peers);
+	g_hash_table_destroy(fleet->peaks);
+	g_free(fleet->data_centre);
+	g_free(fleet->region);
+	g_free(fleet);
+}
+
+static enum server_distance distance_of(const struct fleet *fleet,
+					const char *data_centre)
+{
+	const char *region;
+
+	if (!strcmp(data_centre, fleet->data_centre))
+		return SERVER_SAME_DATA_CENTRE;
+	region = g_hash_table_lookup(fleet->options.regions, data_centre);
+	if (region && !strcmp(region, fleet->region))
+		return SERVER_SAME_REGION;
+	return SERVER_OTHER_REGION;
+}
+
+struct server *fleet_find(struct fleet *fleet, const char *id)
+{
+	uint64_t hash = hash_string(id, 0);
+
+	return g_hash_table_lookup(fleet->by_hash, &hash);
+}
+
+/* A new incarnation knows and holds nothing of what the old one had. */
+static void server_reset(struct server *server)
+{
+	server->first_ms = FIRST_MS_GUESS;
+	server->hold_ms = HOLD_MS_GUESS;
+	server->failures = 0;
+	server->unheard = 0;
+	server->avoid_until_ms = 0;
+	server->strikes = 0;
+	server->unexplained = 0;
+}
+
+static struct server *server_add(struct fleet *fleet, const char *id)
+{
+	struct server *server = g_new0(struct server, 1);
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	server->id = g_strdup(id);
+	server->hash = hash_string(id, 0);
+	server_reset(server);
+	list_append(&fleet->servers, &server->link);
+	g_hash_table_insert(fleet->by_hash, &server->hash, server);
+	/* Peers may have spoken of it already. */
+	g_hash_table_iter_init(&iter, fleet->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		for (i = 0; i < peer->nr; i++) {
+			if (peer->loads[i].server_hash != server->hash)
+				continue;
+			server->others[WORK_ONLINE] +=
+				peer->loads[i].counts[WORK_ONLINE];
+			server->others[WORK_BATCH] +=
+				peer->loads[i].counts[WORK_BATCH];
+		}
+	}
+	return server;
+}
+
+static bool is_silent(const struct server *server, uint64_t now_ms)
+{
+	return server->unheard &&
+	       now_ms - server->unheard_since_ms > SILENCE_MS;
+}
+
+static void set_text(char **field, const char *text)
+{
+	if (*field && !strcmp(*field, text))
+		return;
+	g_free(*field);
+	*field = g_strdup(text);
+}
+
+void fleet_learn(struct fleet *fleet, const struct server_facts *facts)
+{
+	struct server *server = fleet_find(fleet, facts->id);
+
+	if (!server)
+		server = server_add(fleet, facts->id);
+	if (server->born_ms != facts->born_ms ||
+	    (server->address && strcmp(server->address, facts->address) != 0)) {
+		if (server->address && fleet->options.on_forget)
+			fleet->options.on_forget(fleet->options.ctx, server);
+		server_reset(server);
+	}
+	set_text(&server->service, facts->service);
+	set_text(&server->address, facts->address);
+	set_text(&server->data_centre, facts->data_centre);
+	server->distance = distance_of(fleet, facts->data_centre);
+	server->slots = MAX(facts->slots, 1);
+	server->draining = facts->draining;
+	server->born_ms = facts->born_ms;
+	server->listed = true;
+}
+
+void fleet_unlist(struct fleet *fleet, const char *id)
+{
+	struct server *server = fleet_find(fleet, id);
+
+	if (server)
+		server->listed = false;
+}
+
+static void strike(struct server *server, uint64_t now_ms)
+{
+	uint64_t ms = (uint64_t)AVOID_MS << MIN(server->strikes, 4);
+
+	server->strikes++;
+	server->avoid_until_ms = now_ms + MIN(ms, AVOID_MAX_MS);
+}
+
+void fleet_sweep(struct fleet *fleet, uint64_t now_ms)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		if (is_silent(server, now_ms) &&
+		    server->avoid_until_ms <= now_ms)
+			strike(server, now_ms);
+		if (!server->listed && !server->own[WORK_ONLINE] &&
+		    !server->own[WORK_BATCH])
+			server_forget(fleet, server);
+	}
+}
+
+struct list *fleet_servers(struct fleet *fleet)
+{
+	return &fleet->servers;
+}
+
+static double unexplained_now(const struct server *server, uint64_t now_ms)
+{
+	double age = (double)(now_ms - server->reported_ms);
+
+	if (age >= REPORT_FADE_MS)
+		return 0;
+	return server->unexplained * (1 - age / REPORT_FADE_MS);
+}
+
+static double load_of(const struct server *server, enum work_class class)
+{
+	return server->own[class] + server->others[class];
+}
+
+static bool serves(const struct server *server, const char *service)
+{
+	return server->listed && !server->draining &&
+	       !strcmp(server->service, service);
+}
+
+static bool usable(const struct server *server, uint64_t now_ms)
+{
+	return server->avoid_until_ms <= now_ms && !is_silent(server, now_ms);
+}
+
+static double wait_for_slot(const struct server *server, uint64_t now_ms)
+{
+	double ahead = load_of(server, WORK_ONLINE) +
+		       unexplained_now(server, now_ms) + 1 - server->slots;
+
+	return ahead <= 0 ? 0 : ahead * server->hold_ms / server->slots;
+}
+
+static bool was_tried(const struct fleet_query *query,
+		      const struct server *server)
+{
+	size_t i;
+
+	for (i = 0; i < query->tried_nr; i++) {
+		if (query->tried[i] == server)
+			return true;
+	}
+	return false;
+}
+
+static double score(const struct server *server,
+		    const struct fleet_query *query)
+{
+	double online = load_of(server, WORK_ONLINE);
+	double total = online + load_of(server, WORK_BATCH);
+	double ms = wait_for_slot(server, query->now_ms);
+
+	ms += distance_ms[server->distance] + server->first_ms;
+	ms += FAILURE_MS * server->failures;
+	/* What was sent and not answered may wait for a dead server. */
+	if (server->unheard)
+		ms += (double)(query->now_ms - server->unheard_since_ms);
+	if (total + 1 > server->slots)
+		ms += DISPLACE_MS;
+	/* Equal waits spread over the servers by their load. */
+	ms += 2 * total / server->slots;
+	if (query->prefix_hash) {
+		double rank =
+			(double)(hash_mix(query->prefix_hash, server->hash) >>
+				 11) /
+			(double)(1ULL << 53);
+
+		ms += PREFIX_MS * rank;
+	}
+	return ms;
+}
+
+struct fleet_choice fleet_choose(struct fleet *fleet,
+				 const struct fleet_query *query)
+{
+	struct fleet_choice choice = { 0 };
+	double best = INFINITY;
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+		double ms;
+
+		if (!serves(server, query->service) ||
+		    !usable(server, query->now_ms) || was_tried(query, server))
+			continue;
+		ms = score(server, query);
+		if (ms >= best)
+			continue;
+		best = ms;
+		choice.server = server;
+	}
+	if (!choice.server)
+		return choice;
+	choice.wait_ms = wait_for_slot(choice.server, query->now_ms);
+	choice.first_ms = choice.wait_ms + choice.server->first_ms +
+			  distance_ms[choice.server->distance];
+	return choice;
+}
+
+unsigned fleet_usable(struct fleet *fleet, const char *service, uint64_t now_ms)
+{
+	unsigned nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		nr += serves(server, service) && usable(server, now_ms);
+	}
+	return nr;
+}
+
+void fleet_sent(struct server *server, enum work_class class, uint64_t now_ms)
+{
+	server->own[class]++;
+	if (!server->unheard++)
+		server->unheard_since_ms = now_ms;
+}
+
+void fleet_heard(struct server *server, uint64_t now_ms)
+{
+	server->unheard = 0;
+	server->strikes = 0;
+	server->unheard_since_ms = now_ms;
+}
+
+static void smooth(double *value, double sample)
+{
+	*value += SMOOTHING * (sample - *value);
+}
+
+void fleet_answered(struct server *server, double first_ms)
+{
+	if (first_ms >= 0)
+		smooth(&server->first_ms, first_ms);
+}
+
+void fleet_done(struct server *server, enum work_class class,
+		enum fleet_result result, double hold_ms, uint64_t now_ms)
+{
+	if (server->own[class])
+		server->own[class]--;
+	if (server->unheard)
+		server->unheard--;
+	switch (result) {
+	case FLEET_GOOD:
+		smooth(&server->failures, 0);
+		if (class == WORK_ONLINE)
+			smooth(&server->hold_ms, hold_ms);
+		break;
+	case FLEET_FAILED:
+		smooth(&server->failures, 1);
+		break;
+	case FLEET_REFUSED:
+		server->avoid_until_ms = now_ms + REFUSED_MS;
+		break;
+	case FLEET_UNREACHED:
+		strike(server, now_ms);
+		break;
+	case FLEET_CANCELLED:
+		break;
+	}
+}
+
+void fleet_reported(struct server *server, unsigned running, unsigned waiting,
+		    uint64_t now_ms)
+{
+	double known =
+		load_of(server, WORK_ONLINE) + load_of(server, WORK_BATCH);
+	double seen = (double)running + waiting;
+
+	server->unexplained = seen > known ? (unsigned)(seen - known) : 0;
+	server->reported_ms = now_ms;
+}
+
+static void add_peer(struct fleet *fleet, const struct peer *peer, int sign)
+{
+	size_t i;
+	int class;
+
+	for (i = 0; i < peer->nr; i++) {
+		struct server *server = g_hash_table_lookup(
+			fleet->by_hash, &peer->loads[i].server_hash);
+
+		for (class = 0; server && class < WORK_CLASSES; class ++)
+			server->others[class] +=
+				sign * (int)peer->loads[i].counts[class];
+	}
+}
+
+void fleet_peer(struct fleet *fleet, uint64_t id, const struct peer_load *loads,
+		size_t nr)
+{
+	struct peer *peer = g_hash_table_lookup(fleet->peers, &id);
+	uint64_t *key;
+
+	if (peer)
+		add_peer(fleet, peer, -1);
+	if (!nr) {
+		g_hash_table_remove(fleet->peers, &id);
+		return;
+	}
+	if (!peer) {
+		peer = g_new0(struct peer, 1);
+		key = g_new(uint64_t, 1);
+		*key = id;
+		g_hash_table_insert(fleet->peers, key, peer);
+	}
+	g_free(peer->loads);
+	peer->loads = g_memdup2(loads, nr * sizeof(*loads));
+	peer->nr = nr;
+	add_peer(fleet, peer, 1);
+}
+
+/* The highest online load of late, which fades in a straight line. */
+static double online_peak(struct fleet *fleet, const char *service,
+			  double online, double slots, uint64_t now_ms)
+{
+	struct peak *peak = g_hash_table_lookup(fleet->peaks, service);
+	double faded;
+
+	if (!peak) {
+		peak = g_new0(struct peak, 1);
+		g_hash_table_insert(fleet->peaks, g_strdup(service), peak);
+	}
+	faded = peak->value -
+		slots * (double)(now_ms - peak->at_ms) / PEAK_FADE_MS;
+	peak->value = MAX(online, faded);
+	peak->at_ms = now_ms;
+	return peak->value;
+}
+
+int fleet_batch_room(struct fleet *fleet, const char *service, uint64_t now_ms)
+{
+	double slots = 0, online = 0, batch = 0;
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		if (!serves(server, service) || !usable(server, now_ms))
+			continue;
+		slots += server->slots;
+		online += load_of(server, WORK_ONLINE) +
+			  unexplained_now(server, now_ms);
+		batch += load_of(server, WORK_BATCH);
+	}
+	online = online_peak(fleet, service, online, slots, now_ms);
+	return (int)floor(slots * (1 - RESERVE_SHARE) - online - batch);
+}
+
+struct server *fleet_choose_batch(struct fleet *fleet, const char *service,
+				  uint64_t now_ms)
+{
+	struct server *best = NULL;
+	double best_free = 0;
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+		double free;
+
+		if (!serves(server, service) || !usable(server, now_ms))
+			continue;
+		free = server->slots - load_of(server, WORK_ONLINE) -
+		       load_of(server, WORK_BATCH) -
+		       unexplained_now(server, now_ms);
+		if (free < 1)
+			continue;
+		free -= 4 * server->failures * server->slots;
+		/* Outputs are long: their bytes stay in the region. */
+		if (server->distance == SERVER_OTHER_REGION)
+			free -= 2;
+		else if (server->distance == SERVER_SAME_DATA_CENTRE)
+			free += 0.5;
+		if (best && free <= best_free)
+			continue;
+		best = server;
+		best_free = free;
+	}
+	return best;
+}
+
+/* A node's turn to yield on a server: the lowest goes first. */
+static uint64_t turn(uint64_t node, const struct server *server)
+{
+	return hash_mix(node, server->hash);
+}
+
+unsigned fleet_yield(struct fleet *fleet, const struct server *server,
+		     uint64_t self)
+{
+	double online = load_of(server, WORK_ONLINE);
+	int excess = (int)(online + load_of(server, WORK_BATCH)) -
+		     (int)server->slots;
+	uint64_t own_turn = turn(self, server);
+	GHashTableIter iter;
+	gpointer key, value;
+	size_t i;
+
+	/* Load beyond the slots that isn't batch's doing can't be yielded. */
+	if (excess <= 0 || !server->own[WORK_BATCH])
+		return 0;
+	g_hash_table_iter_init(&iter, fleet->peers);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct peer *peer = value;
+
+		if (turn(*(uint64_t *)key, server) >= own_turn)
+			continue;
+		for (i = 0; i < peer->nr; i++) {
+			if (peer->loads[i].server_hash == server->hash)
+				excess -=
+					(int)peer->loads[i].counts[WORK_BATCH];
+		}
+	}
+	if (excess <= 0)
+		return 0;
+	return MIN((unsigned)excess, server->own[WORK_BATCH]);
+}
--- /dev/null
+++ b/include/briarplankd/gateway_settings.h
@@ -0,0 +1,49 @@
+/**
+ * Settings of the gateway, the entry of a fleet on the platform.
+ */
+#ifndef BRIARPLANKD_GATEWAY_SETTINGS_H
+#define BRIARPLANKD_GATEWAY_SETTINGS_H
+
+#include "common/settings.h"
+
+/** A data centre and its region. */
+struct data_centre_settings {
+	char *name;
+	char *region;
+};
+
+struct gateway_settings {
+	char *name;
+	char *ip;
+	char *data_centre;
+	char *region;
+	struct setting_array data_centres;
+	int log_level;
+
+	char *front_address;
+	char *ready_address;
+	char *metrics_address;
+	/** First port for datagrams between nodes. */
+	int64_t node_port;
+
+	char *store_address;
+	int64_t store_partitions;
+	int64_t store_record_bytes;
+	int64_t store_call_bytes;
+	/** Time for which the store keeps records, in ms. */
+	int64_t store_retention_ms;
+
+	/** Time from SIGTERM to SIGKILL, in ms. */
+	int64_t stop_grace_ms;
+	/** Time for which results stay readable, in ms. */
+	int64_t results_kept_ms;
+};
+
+extern const struct setting_spec gateway_setting_specs[];
+
+/** Loads and checks a file and prints each fault with its line. */
+bool gateway_settings_load(const char *file, struct gateway_settings *settings);
+
+void gateway_settings_clear(struct gateway_settings *settings);
+
+#endif
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -38,6 +38,12 @@
 /** Stops listening; requests that run go on. */
 void web_stop_listening(struct web *web);
 
+/** Goes on accepting, but each connection closes after its next answer. */
+void web_drain(struct web *web);
+
+/** Changes the time for which a connection may stay idle, in ms. */
+void web_set_idle_timeout(struct web *web, uint32_t ms);
+
 /** Tells whether new connections are accepted. */
 bool web_listening(const struct web *web);
 
@@ -55,6 +61,8 @@
 	       void *ctx);
 
 const char *web_method(const struct web_request *request);
+/** Path and query as the caller sent them. */
+const char *web_target(const struct web_request *request);
 /** Path without the query. */
 const char *web_path(const struct web_request *request);
 /** Query without the question mark; empty when there is none. */
@@ -101,6 +109,9 @@
 /** Ends the stream, whole or visibly broken. */
 void web_stream_end(struct web_request *request, bool whole);
 
+/** Tells whether the answer has begun. */
+bool web_begun(const struct web_request *request);
+
 /** Closes the caller's connection without an answer, or in the midst of one. */
 void web_cut(struct web_request *request);
 
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -33,6 +33,19 @@
 						     enum log_level level,
 						     const char *fmt, ...);
 
+/**
+ * Writes one event of the daemon on the platform as a line of key=value pairs
+ * to standard output. Each kind of event has a budget of lines a second, larger
+ * for warnings and errors; what goes beyond it is counted and told later. A
+ * reader that stops reading costs lines, never time.
+ */
+__attribute__((format(printf, 3, 4))) void log_event(const char *kind,
+						     enum log_level level,
+						     const char *fmt, ...);
+
+/** Name of this process in its events, at most 63 bytes are kept. */
+void log_event_name(const char *node);
+
 #define log_error(part, ...) log_write(part, LOG_LEVEL_ERROR, __VA_ARGS__)
 #define log_warn(part, ...) log_write(part, LOG_LEVEL_WARN, __VA_ARGS__)
 #define log_info(part, ...) log_write(part, LOG_LEVEL_INFO, __VA_ARGS__)
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -18,6 +18,8 @@
 	SETTING_STRING,
 	/** int64_t within min and max, in the unit of the spec. */
 	SETTING_INT,
+	/** int64_t in ms from seconds, whole or not; min and max in ms. */
+	SETTING_SECONDS,
 	/** bool. */
 	SETTING_BOOL,
 	/** char * of the form IP:PORT with a numeric IP. */
--- /dev/null
+++ b/include/core/job_log.h
@@ -0,0 +1,139 @@
+/**
+ * The state of all batch jobs as a fold over the records of the job log.
+ *
+ * Every entry folds the same records in the order of their offsets and comes
+ * to the same state: which submission was accepted, which result of an item
+ * counts, and at which position of its job it stands.
+ */
+#ifndef BRIARPLANK_CORE_JOB_LOG_H
+#define BRIARPLANK_CORE_JOB_LOG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "common/list.h"
+
+struct job_log;
+
+/** Where bytes lie in the bulk topic. */
+struct job_blob {
+	int partition;
+	uint64_t offset;
+	/** Number of records in a row that hold it. */
+	unsigned records;
+	uint64_t bytes;
+};
+
+enum job_item_state { JOB_ITEM_OPEN, JOB_ITEM_DONE, JOB_ITEM_DEAD };
+
+struct job_item {
+	char *id;
+	uint64_t tokens;
+	enum job_item_state state;
+	struct job_blob body;
+	/** Of JOB_ITEM_DONE. */
+	struct job_blob output;
+	/** Runs that a server answered with a failure. */
+	unsigned failures;
+	/** This node's run of the item; owned by who runs it. */
+	void *run;
+};
+
+struct job {
+	struct list link;
+	char *id;
+	char *host;
+	char *path;
+	char *route;
+	/** The entry that took it. */
+	char *node;
+	uint64_t accepted_ms;
+	uint64_t due_ms;
+	/** When open items may be given up. */
+	uint64_t expires_ms;
+	unsigned attempts_max;
+	bool ended;
+	struct job_item *items;
+	size_t items_nr;
+	size_t open_nr;
+	/** Indices of items in the order of their results. */
+	uint32_t *results;
+	size_t results_nr;
+};
+
+enum job_submission_outcome {
+	JOB_ACCEPTED,
+	/** The same job was accepted before. */
+	JOB_REPEATED,
+	/** It doesn't fit the route's limit of waiting tokens. */
+	JOB_OVER_LIMIT,
+};
+
+/** Whom the fold tells; any may be NULL. */
+struct job_log_watcher {
+	void (*on_submission)(void *ctx, uint64_t submission,
+			      enum job_submission_outcome outcome,
+			      struct job *job);
+	/** An item ended, at the last position of job->results. */
+	void (*on_result)(void *ctx, struct job *job, struct job_item *item);
+	void (*on_end)(void *ctx, struct job *job);
+	void (*on_node)(void *ctx, const char *name, const char *address,
+			const char *data_centre);
+	/** The job's memory goes. */
+	void (*on_forget)(void *ctx, struct job *job);
+	void *ctx;
+};
+
+struct job_log *job_log_create(const struct job_log_watcher *watcher);
+void job_log_destroy(struct job_log *log);
+
+/** Takes the next record; false when it can't be read. */
+bool job_log_fold(struct job_log *log, const void *data, size_t len);
+
+struct job *job_log_find(struct job_log *log, const char *id);
+
+/** All jobs by their link, oldest first. */
+struct list *job_log_jobs(struct job_log *log);
+
+/** Tokens of a route that no server has finished yet. */
+uint64_t job_log_waiting_tokens(const struct job_log *log, const char *route);
+
+/** Forgets jobs accepted before a time that have no open items. */
+void job_log_expire(struct job_log *log, uint64_t accepted_before_ms);
+
+/** An item of a submission, with where its body lies. */
+struct job_submission_item {
+	const char *id;
+	uint64_t tokens;
+	struct job_blob body;
+};
+
+struct job_submission {
+	const char *id;
+	uint64_t submission;
+	const char *host;
+	const char *path;
+	const char *route;
+	const char *node;
+	uint64_t accepted_ms;
+	uint64_t completion_ms;
+	uint64_t retention_ms;
+	unsigned attempts_max;
+	uint64_t waiting_tokens_max;
+	const struct job_submission_item *items;
+	size_t items_nr;
+};
+
+/** Encode records; the caller frees the buffers. */
+GByteArray *job_log_encode_submission(const struct job_submission *submission);
+GByteArray *job_log_encode_result(const char *job, size_t item,
+				  const struct job_blob *output,
+				  const char *dead_reason);
+GByteArray *job_log_encode_failure(const char *job, size_t item, int status);
+GByteArray *job_log_encode_end(const char *job);
+GByteArray *job_log_encode_node(const char *name, const char *address,
+				const char *data_centre);
+
+#endif
--- /dev/null
+++ b/net/http_link.c
@@ -0,0 +1,420 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <http_parser.h>
+
+#include "common/error.h"
+#include "net/http_link.h"
+
+/* Bytes read from a connection at once. */
+#define READ_BYTES 65536
+
+struct http_link {
+	uv_loop_t *loop;
+	uv_tcp_t tcp;
+	uv_timer_t connect_timer;
+	uv_connect_t connect;
+	struct http_link_options options;
+	/* Handles that still have to be closed before the link is freed. */
+	int handles;
+	bool connected;
+	bool closing;
+	bool busy;
+	bool spoiled;
+	/* The request of the exchange, until the connection stands. */
+	GString *request;
+	unsigned writes_pending;
+	struct http_link_handlers handlers;
+	void *ctx;
+	http_parser parser;
+	bool head_done;
+	bool message_done;
+	bool skipping;
+	bool keep_alive;
+	GArray *fields;
+	GString *name;
+	GString *value;
+	bool in_value;
+	uint64_t idle_limit_ms;
+	uint64_t idle_since_ms;
+};
+
+struct write {
+	uv_write_t req;
+	struct http_link *link;
+	GString *data;
+};
+
+static int on_field_name(http_parser *parser, const char *at, size_t len);
+static int on_field_value(http_parser *parser, const char *at, size_t len);
+static int on_headers_complete(http_parser *parser);
+static int on_body(http_parser *parser, const char *at, size_t len);
+static int on_message_complete(http_parser *parser);
+
+static const http_parser_settings parser_settings = {
+	.on_header_field = on_field_name,
+	.on_header_value = on_field_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+static void field_clear(gpointer data)
+{
+	struct http_link_field *field = data;
+
+	g_free(field->name);
+	g_free(field->value);
+}
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	struct http_link *link = handle->data;
+
+	if (--link->handles)
+		return;
+	if (link->request)
+		g_string_free(link->request, TRUE);
+	g_array_free(link->fields, TRUE);
+	g_string_free(link->name, TRUE);
+	g_string_free(link->value, TRUE);
+	g_free(link);
+}
+
+void http_link_close(struct http_link *link)
+{
+	if (link->closing)
+		return;
+	link->closing = true;
+	link->busy = false;
+	uv_timer_stop(&link->connect_timer);
+	uv_close((uv_handle_t *)&link->connect_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&link->tcp, on_handle_closed);
+}
+
+static void exchange_end(struct http_link *link, enum http_link_end end)
+{
+	void (*on_end)(void *, enum http_link_end) = link->handlers.on_end;
+
+	if (link->closing)
+		return;
+	if (end != HTTP_LINK_WHOLE)
+		link->spoiled = true;
+	link->idle_since_ms = uv_now(link->loop);
+	if (!link->busy) {
+		if (link->options.on_lost)
+			link->options.on_lost(link->options.ctx, link);
+		return;
+	}
+	link->busy = false;
+	on_end(link->ctx, end);
+}
+
+static void field_finish(struct http_link *link)
+{
+	struct http_link_field field;
+
+	if (!link->in_value)
+		return;
+	field.name = g_strndup(link->name->str, link->name->len);
+	field.value = g_strndup(link->value->str, link->value->len);
+	g_array_append_val(link->fields, field);
+	g_string_truncate(link->name, 0);
+	g_string_truncate(link->value, 0);
+	link->in_value = false;
+}
+
+static int on_field_name(http_parser *parser, const char *at, size_t len)
+{
+	struct http_link *link = parser->data;
+
+	field_finish(link);
+	g_string_append_len(link->name, at, (gssize)len);
+	return 0;
+}
+
+static int on_field_value(http_parser *parser, const char *at, size_t len)
+{
+	struct http_link *link = parser->data;
+
+	link->in_value = true;
+	g_string_append_len(link->value, at, (gssize)len);
+	return 0;
+}
+
+/* Reads the timeout of a Keep-Alive field, in whole seconds. */
+static void learn_idle_limit(struct http_link *link, const char *value)
+{
+	const char *at = value ? strstr(value, "timeout=") : NULL;
+
+	if (at)
+		link->idle_limit_ms =
+			1000 *
+			g_ascii_strtoull(at + strlen("timeout="), NULL, 10);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct http_link *link = parser->data;
+	struct http_link_head head = { 0 };
+
+	field_finish(link);
+	/* An interim answer has no body and is followed by the real one. */
+	if (parser->status_code / 100 == 1) {
+		link->skipping = true;
+		return 0;
+	}
+	head.status = (int)parser->status_code;
+	head.fields = (const struct http_link_field *)link->fields->data;
+	head.fields_nr = link->fields->len;
+	head.framed = (parser->flags & F_CHUNKED) ||
+		      parser->content_length != ULLONG_MAX;
+	head.length = parser->content_length == ULLONG_MAX ||
+				      (parser->flags & F_CHUNKED) ?
+			      -1 :
+			      (int64_t)parser->content_length;
+	link->keep_alive = http_should_keep_alive(parser);
+	learn_idle_limit(link, http_link_head_field(&head, "keep-alive"));
+	link->skipping = !link->handlers.on_head(link->ctx, &head);
+	link->head_done = !link->skipping;
+	return link->closing ? -1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct http_link *link = parser->data;
+
+	if (!link->skipping)
+		link->handlers.on_body(link->ctx, at, len);
+	return link->closing ? -1 : 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct http_link *link = parser->data;
+
+	g_array_set_size(link->fields, 0);
+	if (link->skipping) {
+		link->skipping = false;
+		return 0;
+	}
+	link->message_done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static void finish_message(struct http_link *link, bool extra_bytes)
+{
+	/* An answer that overtakes its request leaves the rest unread. */
+	if (extra_bytes || !link->keep_alive || link->writes_pending)
+		link->spoiled = true;
+	exchange_end(link, HTTP_LINK_WHOLE);
+}
+
+static void feed(struct http_link *link, const char *data, size_t len)
+{
+	size_t used;
+	enum http_errno error;
+
+	if (!link->busy) {
+		/* Bytes between exchanges belong to no request. */
+		exchange_end(link, HTTP_LINK_GARBLED);
+		return;
+	}
+	used = http_parser_execute(&link->parser, &parser_settings, data, len);
+	if (link->closing)
+		return;
+	error = HTTP_PARSER_ERRNO(&link->parser);
+	if (link->message_done)
+		finish_message(link, used < len);
+	else if (error != HPE_OK)
+		exchange_end(link, HTTP_LINK_GARBLED);
+}
+
+static void on_eof(struct http_link *link, bool orderly)
+{
+	if (link->busy && orderly) {
+		http_parser_execute(&link->parser, &parser_settings, NULL, 0);
+		if (link->closing)
+			return;
+		if (link->message_done) {
+			link->keep_alive = false;
+			finish_message(link, false);
+			return;
+		}
+	}
+	exchange_end(link, link->head_done ? HTTP_LINK_CUT : HTTP_LINK_NO_HEAD);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[READ_BYTES];
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+	struct http_link *link = stream->data;
+
+	if (link->closing || nread == 0)
+		return;
+	if (nread > 0) {
+		feed(link, buf->base, (size_t)nread);
+		return;
+	}
+	uv_read_stop(stream);
+	on_eof(link, nread == UV_EOF);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *write = (struct write *)req;
+
+	(void)status;
+	write->link->writes_pending--;
+	g_string_free(write->data, TRUE);
+	g_free(write);
+}
+
+static void send_request(struct http_link *link)
+{
+	struct write *write = g_new0(struct write, 1);
+	uv_buf_t buf;
+
+	write->link = link;
+	write->data = link->request;
+	link->request = NULL;
+	link->writes_pending++;
+	buf = uv_buf_init(write->data->str, (unsigned)write->data->len);
+	/* A failed write shows as the end of reading. */
+	if (uv_write(&write->req, (uv_stream_t *)&link->tcp, &buf, 1,
+		     on_written)) {
+		link->writes_pending--;
+		g_string_free(write->data, TRUE);
+		g_free(write);
+	}
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	struct http_link *link = connect->data;
+	uv_os_fd_t fd;
+	unsigned timeout = link->options.unacked_timeout_ms;
+
+	if (link->closing)
+		return;
+	uv_timer_stop(&link->connect_timer);
+	if (status) {
+		exchange_end(link, HTTP_LINK_UNSENT);
+		return;
+	}
+	link->connected = true;
+	uv_tcp_nodelay(&link->tcp, 1);
+	if (timeout && !uv_fileno((uv_handle_t *)&link->tcp, &fd))
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+			   sizeof(timeout));
+	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+	if (link->request)
+		send_request(link);
+}
+
+static void on_connect_timeout(uv_timer_t *timer)
+{
+	exchange_end(timer->data, HTTP_LINK_UNSENT);
+}
+
+static bool address_parse(const char *text, struct sockaddr_in *addr)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, colon - text);
+	host[colon - text] = '\0';
+	return !uv_ip4_addr(host, (int)g_ascii_strtoll(colon + 1, NULL, 10),
+			    addr);
+}
+
+struct http_link *http_link_open(const struct http_link_options *options)
+{
+	struct http_link *link = g_new0(struct http_link, 1);
+	struct sockaddr_in addr;
+	int rc = -1;
+
+	link->loop = options->loop;
+	link->options = *options;
+	link->options.address = NULL;
+	link->handles = 2;
+	uv_tcp_init(link->loop, &link->tcp);
+	link->tcp.data = link;
+	uv_timer_init(link->loop, &link->connect_timer);
+	link->connect_timer.data = link;
+	link->connect.data = link;
+	link->fields =
+		g_array_new(FALSE, FALSE, sizeof(struct http_link_field));
+	g_array_set_clear_func(link->fields, field_clear);
+	link->name = g_string_new(NULL);
+	link->value = g_string_new(NULL);
+	if (address_parse(options->address, &addr))
+		rc = uv_tcp_connect(&link->connect, &link->tcp,
+				    (struct sockaddr *)&addr, on_connected);
+	/* A failure at once is reported from the timer, like a late one. */
+	uv_timer_start(&link->connect_timer, on_connect_timeout,
+		       rc ? 0 : options->connect_timeout_ms, 0);
+	return link;
+}
+
+void http_link_send(struct http_link *link, GString *request,
+		    const struct http_link_handlers *handlers, void *ctx)
+{
+	link->handlers = *handlers;
+	link->ctx = ctx;
+	link->busy = true;
+	link->request = request;
+	link->head_done = false;
+	link->message_done = false;
+	link->skipping = false;
+	link->in_value = false;
+	g_array_set_size(link->fields, 0);
+	g_string_truncate(link->name, 0);
+	g_string_truncate(link->value, 0);
+	http_parser_init(&link->parser, HTTP_RESPONSE);
+	link->parser.data = link;
+	if (link->connected)
+		send_request(link);
+}
+
+bool http_link_reusable(const struct http_link *link)
+{
+	return link->connected && !link->busy && !link->spoiled &&
+	       !link->closing;
+}
+
+uint64_t http_link_idle_limit_ms(const struct http_link *link)
+{
+	return link->idle_limit_ms;
+}
+
+uint64_t http_link_idle_since_ms(const struct http_link *link)
+{
+	return link->idle_since_ms;
+}
+
+const char *http_link_head_field(const struct http_link_head *head,
+				 const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < head->fields_nr; i++) {
+		if (!g_ascii_strcasecmp(head->fields[i].name, name))
+			return head->fields[i].value;
+	}
+	return NULL;
+}
