End a broken stream without bytes that are no chunk

Ruled out: the server's bytes; its stream was cut and nothing of it was passed on beyond whole events.

Change: what is queued is sent, then the socket is shut down; over TLS h2o's mark stays, as it lies below the socket.

--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -40,6 +40,19 @@
 	request_free(request);
 }
 
+/*
+ * Lets the connection end after what was sent. h2o marks a broken body by
+ * bytes that are no chunk, which a caller can't tell from a garbled answer.
+ */
+static void shut_down(struct web_request *request)
+{
+	h2o_socket_t *sock =
+		request->req->conn->callbacks->get_socket(request->req->conn);
+
+	if (sock)
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+}
+
 static void stream_push(struct web_request *request)
 {
 	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
@@ -54,9 +67,13 @@
 	request->in_flight = request->queue;
 	request->queue = spare;
 	g_string_truncate(request->queue, 0);
-	if (request->ended)
-		state = request->whole ? H2O_SEND_STATE_FINAL :
-					 H2O_SEND_STATE_ERROR;
+	if (request->ended && request->whole)
+		state = H2O_SEND_STATE_FINAL;
+	else if (request->ended && !request->in_flight->len)
+		state = H2O_SEND_STATE_ERROR;
+	/* TLS has an end of its own, which the socket below can't send. */
+	if (state == H2O_SEND_STATE_ERROR && !request->web->accept.ssl_ctx)
+		shut_down(request);
 	buf = h2o_iovec_init(request->in_flight->str, request->in_flight->len);
 	request->sending = state == H2O_SEND_STATE_IN_PROGRESS;
 	h2o_send(request->req, &buf, buf.len ? 1 : 0, state);
