Pass on the fields of the answer that counts only

Ruled out: the echo of the request's id; both servers ran this request.

Change: the fields wait with the body until the answer is whole; a stream's are passed on with its head.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -54,6 +54,8 @@
 	bool streaming;
 	bool broken;
 	bool ended;
+	/* Names and values by turns; they wait until the answer is whole. */
+	GPtrArray *answer_fields;
 	GString *buffer;
 	struct event_stream *events;
 	int64_t last_event;
@@ -78,6 +80,7 @@
 	g_free(request->target);
 	g_free(request->host);
 	g_free(request->fields);
+	g_ptr_array_free(request->answer_fields, TRUE);
 	g_string_free(request->buffer, TRUE);
 	event_stream_destroy(request->events);
 	g_free(request);
@@ -231,18 +234,33 @@
 	return false;
 }
 
-static void add_answer_fields(struct online_request *request,
-			      const struct http_link_head *head)
+static void keep_answer_fields(struct online_request *request,
+			       const struct http_link_head *head)
 {
 	size_t i;
 
+	/* An answer that broke off leaves nothing in the one that counts. */
+	g_ptr_array_set_size(request->answer_fields, 0);
 	for (i = 0; i < head->fields_nr; i++) {
-		if (!is_connection_field(head->fields[i].name))
-			web_add_field(request->web, head->fields[i].name,
-				      head->fields[i].value);
+		if (is_connection_field(head->fields[i].name))
+			continue;
+		g_ptr_array_add(request->answer_fields,
+				g_strdup(head->fields[i].name));
+		g_ptr_array_add(request->answer_fields,
+				g_strdup(head->fields[i].value));
 	}
 }
 
+static void add_answer_fields(struct online_request *request)
+{
+	guint i;
+
+	for (i = 0; i + 1 < request->answer_fields->len; i += 2)
+		web_add_field(request->web,
+			      g_ptr_array_index(request->answer_fields, i),
+			      g_ptr_array_index(request->answer_fields, i + 1));
+}
+
 static void on_head(void *ctx, const struct server_answer *answer)
 {
 	struct online_request *request = ctx;
@@ -260,10 +278,11 @@
 	if (request->broken ||
 	    (!success && answer->status >= 500 && may_run_again(request)))
 		return;
-	add_answer_fields(request, answer->head);
+	keep_answer_fields(request, answer->head);
 	if (!success || request->kind != ROUTE_STREAM)
 		return;
 	request->streaming = true;
+	add_answer_fields(request);
 	web_stream_begin(request->web, answer->status, NULL);
 	arm_timer(request);
 }
@@ -315,6 +334,7 @@
 			return;
 		web_stream_end(request->web, true);
 	} else {
+		add_answer_fields(request);
 		web_answer(request->web, request->status, NULL,
 			   request->buffer->str, request->buffer->len);
 	}
@@ -517,6 +537,7 @@
 	request->host = g_strdup(web_field(web, "host"));
 	request->fields = forwarded_fields(web);
 	request->body = web_body(web, &request->body_len);
+	request->answer_fields = g_ptr_array_new_with_free_func(g_free);
 	request->buffer = g_string_new(NULL);
 	request->events = event_stream_create();
 	request->arrived_ms = uv_now(gateway->loop);
