Save the progress of batch items, and give each one owner

A quarter of the starts yielded within 25 ms, because each of nine nodes started one item for the same free slot. A node that stopped threw away what its items had done.

Ruled out: slots; the fleet had about 60 of 80 in use by plan.

Change: a node waits a second before it takes orphans, and drops runs that another owns. Starts are this node's part of the room, rounded by chance, and servers are drawn by their free slots; other regions need more of these. Progress goes into the log every 1.2 s and at SIGTERM; who takes over goes on behind the last saved event.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -20,6 +20,13 @@
 /* Silence of a server in the midst of an item, in ms; queues and prefill
  * take less. */
 #define STALL_MS 3500
+/* Period in which the runs' progress is saved, in ms, and the events that
+ * must have come since. A node that dies loses about half of it a run, and
+ * each save is two calls to the store for all runs together. */
+#define SAVE_MS 1200
+#define SAVE_EVENTS 12
+/* Longest time for which a stopping node waits for its last save, in ms. */
+#define HAND_OVER_MS 2000
 /* Time for which an output is offered to the store, in ms; it is tried again
  * after that. */
 #define WRITE_TIME_MS 20000
@@ -50,6 +57,10 @@
 	struct job_blob_write *write;
 	GString *output;
 	int64_t last_event;
+	/* Last event whose output is saved or being saved. */
+	int64_t saved_event;
+	/* The saved output is being read; the body comes before. */
+	bool reading_saved;
 	struct event_stream *events;
 	bool broken;
 	int status;
@@ -65,6 +76,8 @@
 	unsigned waiting;
 	uv_timer_t timer;
 	uint64_t scanned_ms;
+	uint64_t saved_ms;
+	struct save *save;
 	bool yielding;
 	struct counter *started;
 	struct counter *yielded;
@@ -72,6 +85,19 @@
 	struct counter *failed;
 };
 
+/* Outputs on the way to the store, each for one of the records. */
+struct save {
+	struct batch *batch;
+	GPtrArray *entries;
+	unsigned appends;
+};
+
+struct save_entry {
+	char *job;
+	size_t item;
+	uint64_t last_event;
+};
+
 static uint64_t now_ms(const struct batch *batch)
 {
 	return uv_now(batch->gateway->loop);
@@ -127,6 +153,7 @@
 	run->item = item;
 	run->output = g_string_new(NULL);
 	run->last_event = -1;
+	run->saved_event = item->saved_event;
 	run->events = event_stream_create();
 	run->state = RUN_ENDING;
 	item->run = run;
@@ -226,6 +253,7 @@
 		job_log_encode_failure(run->job->id, index, run->status), false,
 		NULL, NULL);
 	run->last_event = -1;
+	run->saved_event = -1;
 	g_string_truncate(run->output, 0);
 	if (run->item->failures + 1 >= run->job->attempts_max)
 		set_state(run, RUN_ENDING);
@@ -386,6 +414,32 @@
 				   &run->item->body, on_payload, run);
 }
 
+static void on_saved_output(void *ctx, const char *data, size_t len)
+{
+	struct run *run = ctx;
+
+	run->read = NULL;
+	run->reading_saved = false;
+	/* Without the saved part the item starts anew. */
+	if (data) {
+		g_string_append_len(run->output, data, (gssize)len);
+		run->last_event = run->saved_event;
+	} else {
+		run->saved_event = -1;
+	}
+	wait_again(run, 0);
+}
+
+/* Reads what another node, or an earlier process of this one, had done. */
+static void fetch_saved(struct run *run)
+{
+	run->saved_event = run->item->saved_event;
+	run->reading_saved = true;
+	set_state(run, RUN_FETCHING);
+	run->read = job_store_read(run->batch->gateway->job_store,
+				   &run->item->saved, on_saved_output, run);
+}
+
 /* Finds out what a waiting item needs next. */
 static bool prepare(struct run *run, uint64_t now)
 {
@@ -404,18 +458,38 @@
 		give_up(run, "its route was removed");
 		return false;
 	}
-	if (run->fields || (run->payload && decode_payload(run)))
-		return true;
-	fetch_payload(run);
-	return false;
+	if (!run->fields && !(run->payload && decode_payload(run))) {
+		fetch_payload(run);
+		return false;
+	}
+	if (run->last_event < 0 && run->saved_event >= 0) {
+		fetch_saved(run);
+		return false;
+	}
+	return true;
 }
 
-static void start_waiting(struct batch *batch)
+/* Items that may start now: this node's part of the room, rounded by chance. */
+static int starts_allowed(struct batch *batch, const struct batch_query *query)
 {
 	struct gateway *gateway = batch->gateway;
-	uint64_t now = now_ms(batch);
-	const char *service = NULL;
-	int room = 0;
+	double room = fleet_batch_room(gateway->fleet, query) /
+		      peers_backlogged(gateway->peers, query->far);
+
+	return room <= 0 ? 0 : (int)(room + g_random_double());
+}
+
+static uint64_t random_number(void)
+{
+	return (uint64_t)g_random_int() << 32 | g_random_int();
+}
+
+/* Starts items in their order at servers of this region or of the others. */
+static void start_waiting(struct batch *batch, bool far)
+{
+	struct gateway *gateway = batch->gateway;
+	struct batch_query query = { .now_ms = now_ms(batch), .far = far };
+	int starts = 0;
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &batch->runs) {
@@ -423,27 +497,25 @@
 		struct server *server;
 		const char *wanted;
 
-		if (!prepare(run, now))
+		if (!prepare(run, query.now_ms))
 			continue;
 		wanted = route_pick_service(route_of(run),
 					    hash_string(run->item->id, 0));
 		if (!wanted)
 			continue;
-		if (!service || strcmp(service, wanted) != 0) {
-			service = wanted;
-			room = fleet_batch_room(gateway->fleet, service, now);
-			if (room > 0)
-				room = 1 + (room - 1) / (int)peers_backlogged(
-								gateway->peers);
+		if (!query.service || strcmp(query.service, wanted) != 0) {
+			query.service = wanted;
+			starts = starts_allowed(batch, &query);
 		}
-		if (room <= 0)
+		query.random = random_number();
+		if (starts <= 0)
 			continue;
-		server = fleet_choose_batch(gateway->fleet, service, now);
+		server = fleet_choose_batch(gateway->fleet, &query);
 		if (!server) {
-			room = 0;
+			starts = 0;
 			continue;
 		}
-		room--;
+		starts--;
 		start_at(run, server);
 	}
 }
@@ -512,13 +584,144 @@
 	}
 }
 
+/* Saving what the runs have done. */
+
+static void save_entry_free(gpointer data)
+{
+	struct save_entry *entry = data;
+
+	g_free(entry->job);
+	g_free(entry);
+}
+
+static void batch_handed_over(struct batch *batch, const char *how)
+{
+	struct list *pos, *tmp;
+
+	if (batch->gateway->handed_over)
+		return;
+	log_event("stop", LOG_LEVEL_INFO, "batch items handed over: %s", how);
+	batch->gateway->handed_over = true;
+	uv_timer_stop(&batch->timer);
+	list_for_each_safe (pos, tmp, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if (run->state != RUN_ENDING)
+			run_free(run);
+	}
+	peers_load_changed(batch->gateway->peers);
+}
+
+static void save_end(struct save *save)
+{
+	save->batch->save = NULL;
+	if (save->batch->gateway->stopping)
+		batch_handed_over(save->batch, "saved");
+	g_ptr_array_free(save->entries, TRUE);
+	g_free(save);
+}
+
+static void on_save_appended(void *ctx, enum job_append_result result)
+{
+	struct save *save = ctx;
+
+	(void)result;
+	if (--save->appends == 0)
+		save_end(save);
+}
+
+static void on_save_written(void *ctx, const struct job_blob *places)
+{
+	struct save *save = ctx;
+	struct job_store *store = save->batch->gateway->job_store;
+	guint i;
+
+	if (!places) {
+		save_end(save);
+		return;
+	}
+	save->appends = save->entries->len;
+	for (i = 0; i < save->entries->len; i++) {
+		struct save_entry *entry = g_ptr_array_index(save->entries, i);
+
+		job_store_append(
+			store,
+			job_log_encode_progress(entry->job, entry->item,
+						entry->last_event, &places[i]),
+			true, on_save_appended, save);
+	}
+}
+
+static void save_add(struct save *save, struct run *run, GPtrArray *blobs)
+{
+	struct save_entry *entry = g_new0(struct save_entry, 1);
+	GByteArray *blob = g_byte_array_new();
+
+	entry->job = g_strdup(run->job->id);
+	entry->item = (size_t)(run->item - run->job->items);
+	entry->last_event = (uint64_t)run->last_event;
+	g_ptr_array_add(save->entries, entry);
+	g_byte_array_append(blob, (const guint8 *)run->output->str,
+			    (guint)run->output->len);
+	g_ptr_array_add(blobs, blob);
+	run->saved_event = run->last_event;
+}
+
+/* Saves the runs that came on by some events; false when there is none. */
+static bool save_runs(struct batch *batch, int64_t events)
+{
+	struct save *save = g_new0(struct save, 1);
+	GPtrArray *blobs = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_byte_array_unref);
+	struct list *pos;
+
+	save->batch = batch;
+	save->entries = g_ptr_array_new_with_free_func(save_entry_free);
+	list_for_each (pos, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if ((run->state == RUN_RUNNING || run->state == RUN_WAITING) &&
+		    run->last_event >= run->saved_event + events)
+			save_add(save, run, blobs);
+	}
+	batch->saved_ms = now_ms(batch);
+	if (!blobs->len) {
+		g_ptr_array_free(blobs, TRUE);
+		g_ptr_array_free(save->entries, TRUE);
+		g_free(save);
+		return false;
+	}
+	batch->save = save;
+	job_store_write(batch->gateway->job_store, blobs,
+			batch->gateway->identity_hash,
+			now_ms(batch) + HAND_OVER_MS, on_save_written, save);
+	return true;
+}
+
+static void run_drop(struct run *run, const char *why)
+{
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s dropped after_event=%" PRId64 ": %s",
+		  run->job->id, run->item->id, run->last_event, why);
+	run_free(run);
+}
+
 /* Takes the items of jobs that this node owns, also by a takeover. */
 static void scan_jobs(struct batch *batch)
 {
 	struct gateway *gateway = batch->gateway;
-	struct list *pos;
+	struct list *pos, *tmp;
 	size_t i;
 
+	/* Another node may own by now what this one took over. */
+	list_for_each_safe (pos, tmp, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if (run->state != RUN_ENDING &&
+		    !peers_own(gateway->peers, run->job))
+			run_drop(run, "another node owns the job");
+	}
+
 	list_for_each (pos, job_log_jobs(job_store_log(gateway->job_store))) {
 		struct job *job = list_entry(pos, struct job, link);
 
@@ -546,14 +749,21 @@
 		scan_jobs(batch);
 		end_stalled(batch);
 	}
+	if (!batch->save && now - batch->saved_ms >= SAVE_MS)
+		save_runs(batch, SAVE_EVENTS);
+	if (batch->waiting)
+		start_waiting(batch, false);
 	if (batch->waiting)
-		start_waiting(batch);
+		start_waiting(batch, true);
 }
 
 void batch_adopt(struct batch *batch, struct job *job, GPtrArray *items)
 {
 	size_t i;
 
+	if (batch->gateway->stopping)
+		return;
+
 	for (i = 0; i < job->items_nr && i < items->len; i++) {
 		struct run *run;
 
@@ -584,6 +794,11 @@
 	return batch->waiting;
 }
 
+static void on_hand_over_late(uv_timer_t *timer)
+{
+	batch_handed_over(timer->data, "its progress was not saved in time");
+}
+
 void batch_stop(struct batch *batch)
 {
 	struct list *pos, *tmp;
@@ -591,9 +806,14 @@
 	list_for_each_safe (pos, tmp, &batch->runs) {
 		struct run *run = list_entry(pos, struct run, link);
 
-		if (run->state != RUN_ENDING)
-			run_free(run);
+		if (run->state == RUN_RUNNING)
+			run_yield(run, "the node stops", 0);
 	}
+	uv_timer_start(&batch->timer, on_hand_over_late, HAND_OVER_MS, 0);
+	/* An earlier save under way ends the hand-over as well; what it lacks
+	 * is little. */
+	if (!save_runs(batch, 1) && !batch->save)
+		batch_handed_over(batch, "nothing to save");
 }
 
 struct batch *batch_create(struct gateway *gateway)
--- a/briarplankd/gateway/batch.h
+++ b/briarplankd/gateway/batch.h
@@ -23,7 +23,10 @@
 /** Items that wait for a slot. */
 unsigned batch_backlog(const struct batch *batch);
 
-/** Ends all runs; others take the items over. */
+/**
+ * Ends all runs and saves how far they came. Once that is in the log, or takes
+ * too long, the node counts as handed over and others go on.
+ */
 void batch_stop(struct batch *batch);
 
 #endif
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -46,6 +46,8 @@
 	struct web *ready;
 	struct web *metrics_web;
 	bool stopping;
+	/** The batch items of this node are the others' to run. */
+	bool handed_over;
 };
 
 /** Unix time in ms by this VM's clock. */
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -16,6 +16,8 @@
 #define HEARTBEAT_MS 300
 /* Silence after which an entry counts as dead, in ms: five heartbeats. */
 #define DEAD_MS 1500
+/* Time after the start in which other entries make themselves heard, in ms. */
+#define SETTLE_MS 1000
 /* Silence after which nothing is sent to an entry any more, in ms. */
 #define FORGET_MS 60000
 /* Longest datagram, in bytes, below the MTU of common links. */
@@ -46,6 +48,7 @@
 	bool dirty_far;
 	uint64_t sent_ms;
 	uint64_t sent_far_ms;
+	uint64_t created_ms;
 };
 
 static struct peer *peer_find(const struct peers *peers, const char *identity)
@@ -215,7 +218,7 @@
 	}
 	load.node = gateway->identity;
 	load.sequence = ++peers->sequence;
-	load.leaving = gateway->stopping;
+	load.leaving = gateway->handed_over;
 	load.backlog = batch_backlog(gateway->batch);
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
@@ -310,7 +313,7 @@
 	struct peer *peer;
 
 	if (!strcmp(identity, peers->gateway->identity))
-		return !peers->gateway->stopping;
+		return !peers->gateway->handed_over;
 	peer = peer_find(peers, identity);
 	return peer && peer->alive && !peer->leaving;
 }
@@ -321,10 +324,13 @@
 	uint64_t job_hash, own_rank;
 	struct list *pos;
 
-	if (gateway->stopping)
+	if (gateway->handed_over)
 		return false;
 	if (peers_alive(peers, job->node))
 		return !strcmp(job->node, gateway->identity);
+	/* A node that just started hasn't heard the others yet. */
+	if (uv_now(gateway->loop) - peers->created_ms < SETTLE_MS)
+		return false;
 	job_hash = hash_string(job->id, 0);
 	own_rank = hash_mix(job_hash, gateway->identity_hash);
 	list_for_each (pos, &peers->list) {
@@ -337,7 +343,7 @@
 	return true;
 }
 
-unsigned peers_backlogged(const struct peers *peers)
+unsigned peers_backlogged(const struct peers *peers, bool far)
 {
 	unsigned nr = 1;
 	struct list *pos;
@@ -345,7 +351,8 @@
 	list_for_each (pos, &peers->list) {
 		struct peer *peer = list_entry(pos, struct peer, link);
 
-		nr += peer->alive && peer->backlog;
+		nr += peer->alive && peer->backlog &&
+		      (far || peer->same_region);
 	}
 	return nr;
 }
@@ -357,6 +364,7 @@
 	int rc;
 
 	peers->gateway = gateway;
+	peers->created_ms = uv_now(gateway->loop);
 	list_init(&peers->list);
 	uv_timer_init(gateway->loop, &peers->timer);
 	peers->timer.data = peers;
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -30,6 +30,6 @@
 bool peers_own(const struct peers *peers, const struct job *job);
 
 /** Entries with batch items that wait, this one included. */
-unsigned peers_backlogged(const struct peers *peers);
+unsigned peers_backlogged(const struct peers *peers, bool far);
 
 #endif
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -28,12 +28,14 @@
 /* Time for which a server that refused is taken as full, in ms. */
 #define REFUSED_MS 120
 /* Time over which unexplained load in a report fades, in ms. */
-#define REPORT_FADE_MS 800.0
+#define REPORT_FADE_MS 400.0
 /* Time over which a peak of online load fades, in ms. Bursts of seconds must
  * not let batch items in between two arrivals. */
 #define PEAK_FADE_MS 700.0
 /* Share of the slots kept free of batch for the next arrivals. */
 #define RESERVE_SHARE 0.06
+/* Further share kept free in other regions, whose load is known late. */
+#define FAR_RESERVE_SHARE 0.15
 
 struct peer {
 	struct peer_load *loads;
@@ -415,7 +417,10 @@
 		load_of(server, WORK_ONLINE) + load_of(server, WORK_BATCH);
 	double seen = (double)running + waiting;
 
-	server->unexplained = seen > known ? (unsigned)(seen - known) : 0;
+	/* Reports of other entries are on the way for a few ms: one request
+	 * more than is known means nothing. */
+	server->unexplained =
+		seen > known + 1 ? (unsigned)(seen - known - 1) : 0;
 	server->reported_ms = now_ms;
 }
 
@@ -459,24 +464,35 @@
 }
 
 /* The highest online load of late, which fades in a straight line. */
-static double online_peak(struct fleet *fleet, const char *service,
-			  double online, double slots, uint64_t now_ms)
+static double online_peak(struct fleet *fleet, const struct batch_query *query,
+			  double online, double slots)
 {
-	struct peak *peak = g_hash_table_lookup(fleet->peaks, service);
+	char *key = g_strdup_printf("%s/%d", query->service, query->far);
+	struct peak *peak = g_hash_table_lookup(fleet->peaks, key);
 	double faded;
 
 	if (!peak) {
 		peak = g_new0(struct peak, 1);
-		g_hash_table_insert(fleet->peaks, g_strdup(service), peak);
+		g_hash_table_insert(fleet->peaks, g_strdup(key), peak);
 	}
+	g_free(key);
 	faded = peak->value -
-		slots * (double)(now_ms - peak->at_ms) / PEAK_FADE_MS;
+		slots * (double)(query->now_ms - peak->at_ms) / PEAK_FADE_MS;
 	peak->value = MAX(online, faded);
-	peak->at_ms = now_ms;
+	peak->at_ms = query->now_ms;
 	return peak->value;
 }
 
-int fleet_batch_room(struct fleet *fleet, const char *service, uint64_t now_ms)
+static bool takes_batch(const struct server *server,
+			const struct batch_query *query)
+{
+	bool far = server->distance == SERVER_OTHER_REGION;
+
+	return serves(server, query->service) && far == query->far &&
+	       usable(server, query->now_ms);
+}
+
+double fleet_batch_room(struct fleet *fleet, const struct batch_query *query)
 {
 	double slots = 0, online = 0, batch = 0;
 	struct list *pos;
@@ -484,47 +500,58 @@
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
 
-		if (!serves(server, service) || !usable(server, now_ms))
+		if (!takes_batch(server, query))
 			continue;
 		slots += server->slots;
 		online += load_of(server, WORK_ONLINE) +
-			  unexplained_now(server, now_ms);
+			  unexplained_now(server, query->now_ms);
 		batch += load_of(server, WORK_BATCH);
 	}
-	online = online_peak(fleet, service, online, slots, now_ms);
-	return (int)floor(slots * (1 - RESERVE_SHARE) - online - batch);
+	online = online_peak(fleet, query, online, slots);
+	return slots * (1 - RESERVE_SHARE) - online - batch -
+	       (query->far ? slots * FAR_RESERVE_SHARE : 0);
+}
+
+static double batch_slots_free(const struct server *server,
+			       const struct batch_query *query)
+{
+	double free = server->slots - load_of(server, WORK_ONLINE) -
+		      load_of(server, WORK_BATCH) -
+		      unexplained_now(server, query->now_ms);
+
+	if (free < (query->far ? 2 : 1))
+		return 0;
+	return free * (1 - MIN(server->failures, 0.95));
 }
 
-struct server *fleet_choose_batch(struct fleet *fleet, const char *service,
-				  uint64_t now_ms)
+/*
+ * Nodes that look at the same time see the same free slots. A random choice by
+ * their number keeps them from all taking the same one.
+ */
+struct server *fleet_choose_batch(struct fleet *fleet,
+				  const struct batch_query *query)
 {
-	struct server *best = NULL;
-	double best_free = 0;
+	double sum = 0, at;
 	struct list *pos;
 
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
-		double free;
 
-		if (!serves(server, service) || !usable(server, now_ms))
-			continue;
-		free = server->slots - load_of(server, WORK_ONLINE) -
-		       load_of(server, WORK_BATCH) -
-		       unexplained_now(server, now_ms);
-		if (free < 1)
-			continue;
-		free -= 4 * server->failures * server->slots;
-		/* Outputs are long: their bytes stay in the region. */
-		if (server->distance == SERVER_OTHER_REGION)
-			free -= 2;
-		else if (server->distance == SERVER_SAME_DATA_CENTRE)
-			free += 0.5;
-		if (best && free <= best_free)
-			continue;
-		best = server;
-		best_free = free;
+		if (takes_batch(server, query))
+			sum += batch_slots_free(server, query);
+	}
+	at = sum * (double)(query->random >> 11) / (double)(1ULL << 53);
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+		double free = 0;
+
+		if (takes_batch(server, query))
+			free = batch_slots_free(server, query);
+		if (free > 0 && at < free)
+			return server;
+		at -= free;
 	}
-	return best;
+	return NULL;
 }
 
 /* A node's turn to yield on a server: the lowest goes first. */
--- a/core/job_log.c
+++ b/core/job_log.c
@@ -122,6 +122,7 @@
 	for (i = 0; i < record->n_items; i++) {
 		job->items[i].id = g_strdup(record->items[i]->id);
 		job->items[i].tokens = record->items[i]->tokens;
+		job->items[i].saved_event = -1;
 		job->items[i].body = blob_of(record->items[i]->body);
 	}
 	return job;
@@ -205,10 +206,23 @@
 	if (!item)
 		return;
 	item->failures++;
+	/* The next run starts anew. */
+	item->saved_event = -1;
 	if (item->failures >= job->attempts_max)
 		item_end(log, job, record->item, JOB_ITEM_DEAD, NULL);
 }
 
+static void fold_progress(struct job_log *log, const JobProgress *record)
+{
+	struct job *job;
+	struct job_item *item = open_item(log, record->job, record->item, &job);
+
+	if (!item || (int64_t)record->last_event <= item->saved_event)
+		return;
+	item->saved_event = (int64_t)record->last_event;
+	item->saved = blob_of(record->output);
+}
+
 static void fold_end(struct job_log *log, const JobEnd *record)
 {
 	struct job *job = job_log_find(log, record->job);
@@ -243,6 +257,9 @@
 	case JOB_LOG_RECORD__RECORD_FAILURE:
 		fold_failure(log, record->failure);
 		break;
+	case JOB_LOG_RECORD__RECORD_PROGRESS:
+		fold_progress(log, record->progress);
+		break;
 	case JOB_LOG_RECORD__RECORD_END:
 		fold_end(log, record->end);
 		break;
@@ -368,6 +385,24 @@
 	return encode(&record);
 }
 
+GByteArray *job_log_encode_progress(const char *job, size_t item,
+				    uint64_t last_event,
+				    const struct job_blob *output)
+{
+	JobLogRecord record = JOB_LOG_RECORD__INIT;
+	JobProgress progress = JOB_PROGRESS__INIT;
+	JobBlob blob;
+
+	blob_encode(output, &blob);
+	progress.job = (char *)job;
+	progress.item = (uint32_t)item;
+	progress.last_event = last_event;
+	progress.output = &blob;
+	record.record_case = JOB_LOG_RECORD__RECORD_PROGRESS;
+	record.progress = &progress;
+	return encode(&record);
+}
+
 GByteArray *job_log_encode_end(const char *job)
 {
 	JobLogRecord record = JOB_LOG_RECORD__INIT;
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -177,12 +177,22 @@
 void fleet_peer(struct fleet *fleet, uint64_t peer,
 		const struct peer_load *loads, size_t nr);
 
-/** Slots of a service that batch items may take now, with a reserve kept. */
-int fleet_batch_room(struct fleet *fleet, const char *service, uint64_t now_ms);
+/** A batch item that looks for a slot. */
+struct batch_query {
+	const char *service;
+	uint64_t now_ms;
+	/** Takes servers of other regions, of which less is known. */
+	bool far;
+	/** Any number; nodes that ask at the same time differ by it. */
+	uint64_t random;
+};
+
+/** Slots that batch items may take now, with a reserve kept. */
+double fleet_batch_room(struct fleet *fleet, const struct batch_query *query);
 
 /** Chooses a server with a free slot for a batch item, or NULL. */
-struct server *fleet_choose_batch(struct fleet *fleet, const char *service,
-				  uint64_t now_ms);
+struct server *fleet_choose_batch(struct fleet *fleet,
+				  const struct batch_query *query);
 
 /**
  * Number of its batch items that this node must take off a server, so that
--- a/include/core/job_log.h
+++ b/include/core/job_log.h
@@ -35,6 +35,9 @@
 	struct job_blob body;
 	/** Of JOB_ITEM_DONE. */
 	struct job_blob output;
+	/** Last event of the saved part of an open item's output, or -1. */
+	int64_t saved_event;
+	struct job_blob saved;
 	/** Runs that a server answered with a failure. */
 	unsigned failures;
 	/** This node's run of the item; owned by who runs it. */
@@ -132,6 +135,9 @@
 				  const struct job_blob *output,
 				  const char *dead_reason);
 GByteArray *job_log_encode_failure(const char *job, size_t item, int status);
+GByteArray *job_log_encode_progress(const char *job, size_t item,
+				    uint64_t last_event,
+				    const struct job_blob *output);
 GByteArray *job_log_encode_end(const char *job);
 GByteArray *job_log_encode_node(const char *name, const char *address,
 				const char *data_centre);
--- a/wire/joblog.pb-c.c
+++ b/wire/joblog.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &job_failure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   job_progress__init
+                     (JobProgress         *message)
+{
+  static const JobProgress init_value = JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t job_progress__get_packed_size
+                     (const JobProgress *message)
+{
+  assert(message->base.descriptor == &job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t job_progress__pack
+                     (const JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t job_progress__pack_to_buffer
+                     (const JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+JobProgress *
+       job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (JobProgress *)
+     protobuf_c_message_unpack (&job_progress__descriptor,
+                                allocator, len, data);
+}
+void   job_progress__free_unpacked
+                     (JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   job_end__init
                      (JobEnd         *message)
 {
@@ -933,6 +978,83 @@
   (ProtobufCMessageInit) job_failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor job_progress__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(JobProgress, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "item",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(JobProgress, item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_event",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(JobProgress, last_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "output",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(JobProgress, output),
+    &job_blob__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned job_progress__field_indices_by_name[] = {
+  1,   /* field[1] = item */
+  0,   /* field[0] = job */
+  2,   /* field[2] = last_event */
+  3,   /* field[3] = output */
+};
+static const ProtobufCIntRange job_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor job_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "JobProgress",
+  "JobProgress",
+  "JobProgress",
+  "",
+  sizeof(JobProgress),
+  4,
+  job_progress__field_descriptors,
+  job_progress__field_indices_by_name,
+  1,  job_progress__number_ranges,
+  (ProtobufCMessageInit) job_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor job_end__field_descriptors[1] =
 {
   {
@@ -1035,7 +1157,7 @@
   (ProtobufCMessageInit) job_node__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job_log_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor job_log_record__field_descriptors[6] =
 {
   {
     "accepted",
@@ -1097,18 +1219,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "progress",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(JobLogRecord, record_case),
+    offsetof(JobLogRecord, progress),
+    &job_progress__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned job_log_record__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   3,   /* field[3] = end */
   2,   /* field[2] = failure */
   4,   /* field[4] = node */
+  5,   /* field[5] = progress */
   1,   /* field[1] = result */
 };
 static const ProtobufCIntRange job_log_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor job_log_record__descriptor =
 {
@@ -1118,7 +1253,7 @@
   "JobLogRecord",
   "",
   sizeof(JobLogRecord),
-  5,
+  6,
   job_log_record__field_descriptors,
   job_log_record__field_indices_by_name,
   1,  job_log_record__number_ranges,
--- a/wire/joblog.pb-c.h
+++ b/wire/joblog.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct JobAccepted JobAccepted;
 typedef struct JobResult JobResult;
 typedef struct JobFailure JobFailure;
+typedef struct JobProgress JobProgress;
 typedef struct JobEnd JobEnd;
 typedef struct JobNode JobNode;
 typedef struct JobLogRecord JobLogRecord;
@@ -138,6 +139,25 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * How far an unfinished run came; another node goes on from there.
+ */
+struct  JobProgress
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t item;
+  /*
+   * Last event that the output holds.
+   */
+  uint64_t last_event;
+  JobBlob *output;
+};
+#define JOB_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&job_progress__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, NULL }
+
+
 struct  JobEnd
 {
   ProtobufCMessage base;
@@ -172,7 +192,8 @@
   JOB_LOG_RECORD__RECORD_RESULT = 2,
   JOB_LOG_RECORD__RECORD_FAILURE = 3,
   JOB_LOG_RECORD__RECORD_END = 4,
-  JOB_LOG_RECORD__RECORD_NODE = 5
+  JOB_LOG_RECORD__RECORD_NODE = 5,
+  JOB_LOG_RECORD__RECORD_PROGRESS = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB_LOG_RECORD__RECORD__CASE)
 } JobLogRecord__RecordCase;
 
@@ -186,6 +207,7 @@
     JobFailure *failure;
     JobEnd *end;
     JobNode *node;
+    JobProgress *progress;
   };
 };
 #define JOB_LOG_RECORD__INIT \
@@ -315,6 +337,25 @@
 void   job_failure__free_unpacked
                      (JobFailure *message,
                       ProtobufCAllocator *allocator);
+/* JobProgress methods */
+void   job_progress__init
+                     (JobProgress         *message);
+size_t job_progress__get_packed_size
+                     (const JobProgress   *message);
+size_t job_progress__pack
+                     (const JobProgress   *message,
+                      uint8_t             *out);
+size_t job_progress__pack_to_buffer
+                     (const JobProgress   *message,
+                      ProtobufCBuffer     *buffer);
+JobProgress *
+       job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   job_progress__free_unpacked
+                     (JobProgress *message,
+                      ProtobufCAllocator *allocator);
 /* JobEnd methods */
 void   job_end__init
                      (JobEnd         *message);
@@ -427,6 +468,9 @@
 typedef void (*JobFailure_Closure)
                  (const JobFailure *message,
                   void *closure_data);
+typedef void (*JobProgress_Closure)
+                 (const JobProgress *message,
+                  void *closure_data);
 typedef void (*JobEnd_Closure)
                  (const JobEnd *message,
                   void *closure_data);
@@ -453,6 +497,7 @@
 extern const ProtobufCMessageDescriptor job_accepted__descriptor;
 extern const ProtobufCMessageDescriptor job_result__descriptor;
 extern const ProtobufCMessageDescriptor job_failure__descriptor;
+extern const ProtobufCMessageDescriptor job_progress__descriptor;
 extern const ProtobufCMessageDescriptor job_end__descriptor;
 extern const ProtobufCMessageDescriptor job_node__descriptor;
 extern const ProtobufCMessageDescriptor job_log_record__descriptor;
