--- a/net/http_link.c
+++ b/net/http_link.c
@@ -258,6 +258,19 @@
 	*buf = uv_buf_init(bytes, sizeof(bytes));
 }
 
+/*
+ * libuv tells an end for a hang-up behind a short read, whatever the reason.
+ * Only the socket itself knows a reset, which cuts an answer without a length.
+ */
+static bool ended_orderly(struct http_link *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return !uv_fileno((uv_handle_t *)&link->tcp, &fd) &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
 	struct http_link *link = stream->data;
@@ -269,7 +282,7 @@
 		return;
 	}
 	uv_read_stop(stream);
-	on_eof(link, nread == UV_EOF);
+	on_eof(link, nread == UV_EOF && ended_orderly(link));
 }
 
 static void on_written(uv_write_t *req, int status)
