--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -379,10 +379,12 @@
 				     &run->request))
 		return false;
 	fields = g_string_new(NULL);
-	for (i = 0; i < run->request.fields_nr; i++)
-		g_string_append_printf(fields, "%s: %s\r\n",
-				       run->request.fields[i].name,
-				       run->request.fields[i].value);
+	for (i = 0; i < run->request.fields_nr; i++) {
+		if (server_call_passes_field(run->request.fields[i].name))
+			g_string_append_printf(fields, "%s: %s\r\n",
+					       run->request.fields[i].name,
+					       run->request.fields[i].value);
+	}
 	run->fields = g_string_free(fields, FALSE);
 	/* The decoded form holds it all. */
 	g_byte_array_free(run->payload, TRUE);
@@ -744,17 +746,17 @@
 	if (batch->gateway->stopping ||
 	    !job_store_loaded(batch->gateway->job_store))
 		return;
-	if (now - batch->scanned_ms >= SCAN_MS) {
-		batch->scanned_ms = now;
-		scan_jobs(batch);
-		end_stalled(batch);
-	}
 	if (!batch->save && now - batch->saved_ms >= SAVE_MS)
 		save_runs(batch, SAVE_EVENTS);
 	if (batch->waiting)
 		start_waiting(batch, false);
 	if (batch->waiting)
 		start_waiting(batch, true);
+	if (now - batch->scanned_ms >= SCAN_MS) {
+		batch->scanned_ms = now;
+		end_stalled(batch);
+		scan_jobs(batch);
+	}
 }
 
 void batch_adopt(struct batch *batch, struct job *job, GPtrArray *items)
--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -184,7 +184,8 @@
 static void topic_restart(struct topic *topic)
 {
 	topic->following = false;
-	g_clear_pointer(&topic->page_key, g_free);
+	g_free(topic->page_key);
+	topic->page_key = NULL;
 }
 
 /* Servers that a whole set of pages doesn't hold are gone. */
@@ -198,7 +199,8 @@
 		if (!g_hash_table_contains(directory->seen, server->id))
 			server_vanished(directory, server->id);
 	}
-	g_clear_pointer(&directory->seen, g_hash_table_destroy);
+	g_hash_table_destroy(directory->seen);
+	directory->seen = NULL;
 }
 
 static void on_newest(void *ctx, const struct store_read_result *result)
@@ -233,7 +235,8 @@
 		topic_next(topic, 0);
 		return;
 	}
-	g_clear_pointer(&topic->page_key, g_free);
+	g_free(topic->page_key);
+	topic->page_key = NULL;
 	if (servers)
 		unlist_unseen(directory);
 	topic->following = true;
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -146,14 +146,11 @@
 
 static void announce(struct gateway *gateway)
 {
-	char *address = g_strdup_printf("%s:%" PRId64, gateway->settings->ip,
-					gateway->settings->node_port);
-
 	job_store_append(gateway->job_store,
-			 job_log_encode_node(gateway->identity, address,
+			 job_log_encode_node(gateway->identity,
+					     peers_address(gateway->peers),
 					     gateway->settings->data_centre),
 			 false, NULL, NULL);
-	g_free(address);
 }
 
 /* Stopping. */
@@ -322,11 +319,14 @@
 		return 1;
 	}
 	log_event("start", LOG_LEVEL_INFO,
-		  "identity=%s front=%s store=%s data_centre=%s region=%s "
-		  "retention_ms=%" PRId64,
-		  gateway->identity, settings->front_address,
-		  settings->store_address, settings->data_centre,
-		  settings->region, settings->store_retention_ms);
+		  "identity=%s front=%s ready=%s metrics=%s nodes=%s store=%s "
+		  "data_centre=%s region=%s retention_ms=%" PRId64,
+		  gateway->identity, web_address(gateway->front),
+		  web_address(gateway->ready),
+		  web_address(gateway->metrics_web),
+		  peers_address(gateway->peers), settings->store_address,
+		  settings->data_centre, settings->region,
+		  settings->store_retention_ms);
 	uv_run(gateway->loop, UV_RUN_DEFAULT);
 	log_event("stop", LOG_LEVEL_INFO, "ended running=%u",
 		  web_running(gateway->front));
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -218,13 +218,14 @@
 
 static void append_done(struct job_store *store)
 {
+	struct list *pos, *tmp;
+
 	store->sequence++;
 	store->ambiguous = false;
-	while (!list_empty(&store->in_flight))
-		pending_end(
-			list_entry(store->in_flight.next, struct pending, link),
-			JOB_APPEND_DONE);
-	append_next(store);
+	list_for_each_safe (pos, tmp, &store->in_flight)
+		pending_end(list_entry(pos, struct pending, link),
+			    JOB_APPEND_DONE);
+	uv_timer_start(&store->append_timer, on_append_timer, 0, 0);
 }
 
 static void on_appended(void *ctx, const struct store_append_result *result)
@@ -614,9 +615,10 @@
 
 static void free_pending(struct list *list)
 {
-	while (!list_empty(list)) {
-		struct pending *pending =
-			list_entry(list->next, struct pending, link);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, list) {
+		struct pending *pending = list_entry(pos, struct pending, link);
 
 		list_remove(&pending->link);
 		g_byte_array_free(pending->record, TRUE);
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -461,16 +461,17 @@
 
 /* The request of a caller. */
 
-static bool is_forwarded(const char *name, const char *named_by_connection)
+/* Tells whether the Connection field names another one. */
+static bool is_named_by(const char *connection, const char *name)
 {
-	if (is_connection_field(name) || !g_ascii_strcasecmp(name, "host") ||
-	    !g_ascii_strcasecmp(name, "expect") ||
-	    !g_ascii_strcasecmp(name, platform_fields.request_id) ||
-	    !g_ascii_strcasecmp(name, platform_fields.deadline_ms) ||
-	    !g_ascii_strcasecmp(name, platform_fields.expected_server) ||
-	    !g_ascii_strcasecmp(name, platform_fields.last_event))
-		return false;
-	return !named_by_connection || !strstr(named_by_connection, name);
+	char **names = connection ? g_strsplit(connection, ",", -1) : NULL;
+	bool found = false;
+	char **at;
+
+	for (at = names; at && *at && !found; at++)
+		found = !g_ascii_strcasecmp(g_strstrip(*at), name);
+	g_strfreev(names);
+	return found;
 }
 
 static char *forwarded_fields(const struct web_request *web)
@@ -482,7 +483,8 @@
 
 	for (i = 0; i < web_fields_nr(web); i++) {
 		web_field_at(web, i, &name, &value);
-		if (is_forwarded(name, connection))
+		if (server_call_passes_field(name) &&
+		    !is_named_by(connection, name))
 			g_string_append_printf(out, "%s: %s\r\n", name, value);
 	}
 	return g_string_free(out, FALSE);
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <string.h>
 
 #include "batch.h"
@@ -49,6 +50,7 @@
 	uint64_t sent_ms;
 	uint64_t sent_far_ms;
 	uint64_t created_ms;
+	char *address;
 };
 
 static struct peer *peer_find(const struct peers *peers, const char *identity)
@@ -357,6 +359,11 @@
 	return nr;
 }
 
+const char *peers_address(const struct peers *peers)
+{
+	return peers->address;
+}
+
 struct peers *peers_create(struct gateway *gateway)
 {
 	struct peers *peers = g_new0(struct peers, 1);
@@ -384,6 +391,10 @@
 		peers_destroy(peers);
 		return NULL;
 	}
+	rc = sizeof(addr);
+	uv_udp_getsockname(&peers->udp, (struct sockaddr *)&addr, &rc);
+	peers->address = g_strdup_printf("%s:%d", gateway->settings->ip,
+					 ntohs(addr.sin_port));
 	uv_timer_start(&peers->look_timer, on_look, HEARTBEAT_MS, HEARTBEAT_MS);
 	return peers;
 }
@@ -402,6 +413,7 @@
 
 	list_for_each_safe (pos, tmp, &peers->list)
 		peer_free(peers, list_entry(pos, struct peer, link));
+	g_free(peers->address);
 	peers->handles = 3;
 	uv_close((uv_handle_t *)&peers->timer, on_closed);
 	uv_close((uv_handle_t *)&peers->look_timer, on_closed);
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -13,6 +13,9 @@
 struct peers *peers_create(struct gateway *gateway);
 void peers_destroy(struct peers *peers);
 
+/** IP:PORT at which this node is told of others' load. */
+const char *peers_address(const struct peers *peers);
+
 /** The job log told of an entry that started. */
 void peers_learn(struct peers *peers, const char *identity, const char *address,
 		 const char *data_centre);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -54,6 +54,33 @@
 	return end_names[end];
 }
 
+bool server_call_passes_field(const char *name)
+{
+	const char *const own[] = {
+		"connection",
+		"content-length",
+		"expect",
+		"host",
+		"keep-alive",
+		"proxy-connection",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+		platform_fields.deadline_ms,
+		platform_fields.expected_server,
+		platform_fields.last_event,
+		platform_fields.request_id,
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(own); i++) {
+		if (!g_ascii_strcasecmp(own[i], name))
+			return false;
+	}
+	return true;
+}
+
 static void kept_free(struct connections *connections, struct kept_link *kept)
 {
 	list_remove(&kept->link);
@@ -91,12 +118,13 @@
 void server_connections_close(struct server *server)
 {
 	struct connections *connections = server->connections;
+	struct list *pos, *tmp;
 
 	if (!connections)
 		return;
-	while (!list_empty(&connections->idle)) {
-		struct kept_link *kept = list_entry(connections->idle.next,
-						    struct kept_link, link);
+	list_for_each_safe (pos, tmp, &connections->idle) {
+		struct kept_link *kept =
+			list_entry(pos, struct kept_link, link);
 
 		http_link_close(kept->http);
 		kept_free(connections, kept);
@@ -120,10 +148,12 @@
 		.on_lost = on_kept_lost,
 		.ctx = connections,
 	};
+	struct list *pos, *tmp;
 
-	while (!list_empty(&connections->idle)) {
-		struct kept_link *kept = list_entry(connections->idle.prev,
-						    struct kept_link, link);
+	/* The one used last has the best chance to be alive. */
+	list_for_each_safe (pos, tmp, &connections->idle) {
+		struct kept_link *kept =
+			list_entry(pos, struct kept_link, link);
 		struct http_link *http = kept->http;
 		uint64_t limit = options->careful ? REUSE_LIMIT_CAREFUL_MS :
 						    REUSE_LIMIT_MS;
@@ -155,7 +185,7 @@
 	}
 	kept = g_new0(struct kept_link, 1);
 	kept->http = http;
-	list_append(&connections->idle, &kept->link);
+	list_insert(&connections->idle, &kept->link);
 	connections->idle_nr++;
 }
 
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -68,6 +68,12 @@
 /** Ends a call without on_end; the server drops the request. */
 void server_call_cancel(struct server_call *call);
 
+/**
+ * Tells whether a field of a request is passed on to a server: one that
+ * concerns a single connection, or that the gateway sets itself, is not.
+ */
+bool server_call_passes_field(const char *name);
+
 /** Closes the kept connections to a server, before it is forgotten. */
 void server_connections_close(struct server *server);
 
--- a/briarplankd/gateway_settings.c
+++ b/briarplankd/gateway_settings.c
@@ -22,8 +22,9 @@
 	{ "node.ip", SETTING_STRING, GATEWAY(ip), .required = true,
 	  .help = "IP of this VM" },
 	{ "node.port", SETTING_INT, GATEWAY(node_port), .required = true,
-	  .min = 1, .max = 65535,
-	  .help = "UDP port for load reports between nodes" },
+	  .min = 0, .max = 65535,
+	  .help = "UDP port for load reports between nodes; 0 takes a free "
+		  "one" },
 	{ "node.data_centre", SETTING_STRING, GATEWAY(data_centre),
 	  .required = true, .help = "data centre of this VM" },
 	{ "node.region", SETTING_STRING, GATEWAY(region), .required = true,
--- /dev/null
+++ b/tests/fleet/gateway.sh
@@ -0,0 +1,125 @@
+# A fleet of gateways with the platform's store and its servers on loopback; a
+# test sources it after tests/fleet/fleet.sh.
+
+GATEWAY_HOST=desk.example
+
+# Puts a value under a key of one of the platform's topics.
+gateway_put () {
+	curl -sf -X POST --data-binary "$3" \
+		"http://$(fleet_address store)/put?Topic=$1&Key=$2" ||
+		fleet_fail "the store did not take $2"
+}
+
+# gateway_config VERSION [LIMIT]: a stream route that resumes, one that
+# doesn't, a plain one and a batch route with a limit of waiting tokens.
+gateway_config () {
+	gateway_put keyed.op config "{\"Version\":$1,\"Routes\":[
+	{\"Name\":\"stream\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/stream/\",\"Kind\":\"stream\",\"TimeoutMs\":8000,\"ObjectiveMs\":2000,\"Service\":\"model\",\"MaxAttempts\":2,\"CanResume\":true},
+	{\"Name\":\"once\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/once/\",\"Kind\":\"stream\",\"TimeoutMs\":8000,\"ObjectiveMs\":2000,\"Service\":\"model\",\"MaxAttempts\":1,\"CanResume\":false},
+	{\"Name\":\"plain\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/plain/\",\"Kind\":\"safe\",\"TimeoutMs\":3000,\"ObjectiveMs\":1000,\"Service\":\"desk\",\"MaxAttempts\":3},
+	{\"Name\":\"batch\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/batch/\",\"Kind\":\"batch\",\"TimeoutMs\":9000,\"ObjectiveMs\":400,\"Service\":\"model\",\"MaxAttempts\":3,\"CanResume\":true,\"CompletionMs\":18000,\"RetentionS\":60,\"MaxCount\":${2:-0}}],
+	\"Services\":[{\"Name\":\"model\",\"HealthPath\":\"/health\",\"MaxConns\":300},{\"Name\":\"desk\",\"HealthPath\":\"/health\",\"MaxConns\":300}],
+	\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}"
+}
+
+# gateway_list NAME SERVICE [STATE] [ID]: lists a server, or its next state.
+gateway_list () {
+	gateway_put keyed.servers "${4:-$(fleet_address "$1")}" "{\"Service\":\"$2\",\"Address\":\"$(fleet_address "$1")\",\"Zone\":\"dc1\",\"Version\":\"v1\",\"Capacity\":4,\"State\":\"${3:-ready}\",\"WarmupMs\":0,\"Sequence\":1,\"born\":1}"
+}
+
+# gateway_server NAME SERVICE [STAND-IN ARGS]: starts and lists a server.
+gateway_server () {
+	name=$1
+	service=$2
+	shift 2
+	fleet_standin "$name" worker "$@"
+	gateway_list "$name" "$service"
+}
+
+# Starts a gateway, or starts it again.
+gateway_start () {
+	cat >"$FLEET_DIR/$1.json" <<END
+{
+	"node": { "name": "$1", "ip": "127.0.0.1", "port": 0,
+		  "data_centre": "dc1", "region": "r1" },
+	"data_centres": [ { "name": "dc1", "region": "r1" } ],
+	"listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0",
+		    "metrics": "127.0.0.1:0" },
+	"store": { "address": "${GATEWAY_STORE:-$(fleet_address store)}",
+		   "retention_s": 300 },
+	"stop": { "grace_s": ${GATEWAY_GRACE_S:-8} }
+}
+END
+	fleet_spawn "$1" "$BUILD/briarplankd/briarplankd" --role gateway \
+		--config "$FLEET_DIR/$1.json"
+	wait_until grep -q event=start "$FLEET_DIR/$1.log"
+}
+
+# gateway_address NAME front|ready|metrics
+gateway_address () {
+	sed -n "s/.*event=start.* $2=\\([0-9.:]*\\).*/\\1/p" \
+		"$FLEET_DIR/$1.log" | tail -n 1
+}
+
+# gateway_knows NAME SERVER: tells whether a gateway has a server in its list.
+gateway_knows () {
+	grep -q "event=server id=$(fleet_address "$2") .* ready" \
+		"$FLEET_DIR/$1.log"
+}
+
+gateway_ready () {
+	curl -sf -o /dev/null "http://$(gateway_address "$1" ready)/ready"
+}
+
+# gateway_call NAME ID PATH [CURL ARGS]
+gateway_call () {
+	node=$1
+	id=$2
+	path=$3
+	shift 3
+	curl -s -H "Host: $GATEWAY_HOST" -H "X-Attempt-Id: $id" \
+		-H "X-Deadline-Ms: 6000" "$@" \
+		"http://$(gateway_address "$node" front)$path"
+}
+
+# gateway_status NAME ID PATH [CURL ARGS]: prints the status alone.
+gateway_status () {
+	gateway_call "$@" -o "$FLEET_DIR/body" -w '%{http_code}'
+}
+
+# gateway_job ITEMS [BODY]: prints a job whose items have the body.
+gateway_job () {
+	body=$(printf '%s' "${2:-work}" | base64 -w0)
+	seq 1 "$1" | while read -r i
+	do
+		printf '{"Id":"%s-%s","Path":"/batch/%s","Headers":{"X-Model":"m"},"Body":"%s","Tokens":100}\n' \
+			"${3:-item}" "$i" "$i" "$body"
+	done | paste -s -d, - | sed 's/^/{"Items":[/; s/$/]}/'
+}
+
+# gateway_results NAME JOB: prints how many results of a job are listed.
+gateway_results () {
+	gateway_call "$1" read "/lots/$2?After=0" |
+		grep -o '"Id"' | wc -l
+}
+
+gateway_has_results () {
+	test "$(gateway_results "$1" "$2")" -ge "$3"
+}
+
+# Prints how often all servers together ran a request.
+gateway_runs () {
+	for log in "$FLEET_DIR"/server-*.log
+	do
+		curl -s "http://$(fleet_address "$(basename "$log" .log)")/runs" |
+			grep -o "\"$1\": *[0-9]*" | grep -o '[0-9]*$'
+	done | awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# Prints the value of a metric of a gateway, summed over its labels.
+gateway_metric () {
+	curl -s "http://$(gateway_address "$1" metrics)/metrics" |
+		awk -v name="$2" '$1 == name || index($1, name "{") == 1 {
+			sum += $2
+		} END { print sum + 0 }'
+}
--- /dev/null
+++ b/tests/process/gateway_online.sh
@@ -0,0 +1,115 @@
+# Online requests through a gateway: streams and plain answers as the servers
+# give them, refusals that are true, and callers and servers that leave.
+. tests/fleet/fleet.sh
+. tests/fleet/gateway.sh
+fleet_begin
+
+fleet_standin store store
+gateway_start g1
+gateway_ready g1 && fleet_fail "ready without a configuration"
+test "$(gateway_status g1 early /stream/x -d p)" = 503 ||
+	fleet_fail "a node that knows no configuration must answer 503"
+gateway_config 1
+gateway_server server-1 model --events 30
+gateway_server server-2 desk --plain on --event-ms 5
+wait_until gateway_ready g1
+wait_until gateway_knows g1 server-1
+wait_until gateway_knows g1 server-2
+
+is_whole () {
+	test "$(grep -c '^data: ' "$1")" = 30 ||
+		fleet_fail "$1 has $(grep -c '^data: ' "$1") of 30 events"
+}
+
+# A stream, whole and in order, with the server's signature and id.
+gateway_call g1 s1 /stream/x -d p -D "$FLEET_DIR/head" >"$FLEET_DIR/s1"
+is_whole "$FLEET_DIR/s1"
+grep -qi '^x-server-signature:' "$FLEET_DIR/head" ||
+	fleet_fail "the signature is missing"
+grep -qi '^x-attempt-id: s1' "$FLEET_DIR/head" || fleet_fail "no echo"
+echo "stream: whole"
+
+# Plain answers, byte for byte.
+test "$(gateway_call g1 p1 /plain/x -d 'a body')" = "a body" ||
+	fleet_fail "the body is another one"
+head -c 300000 /dev/urandom >"$FLEET_DIR/bytes"
+gateway_call g1 p2 /plain/x --data-binary "@$FLEET_DIR/bytes" |
+	cmp - "$FLEET_DIR/bytes" || fleet_fail "a large body came back changed"
+echo "plain: whole"
+
+# What no route allows, and what lacks an id.
+test "$(gateway_status g1 n1 /nowhere/x)" = 404 || fleet_fail "no 404"
+test "$(curl -s -o /dev/null -w '%{http_code}' -H "Host: $GATEWAY_HOST" \
+	-d p "http://$(gateway_address g1 front)/plain/x")" = 400 ||
+	fleet_fail "no 400 without an id"
+test "$(GATEWAY_HOST=other.example
+	gateway_status g1 n2 /plain/x -d p)" = 404 ||
+	fleet_fail "no 404 for another host"
+
+# Oversized and broken requests disturb nothing.
+head -c 5000000 /dev/zero >"$FLEET_DIR/large"
+test "$(gateway_status g1 n3 /plain/x --data-binary "@$FLEET_DIR/large")" = 413 ||
+	fleet_fail "no 413 for an oversized body"
+gateway_call g1 n4 /plain/x --data-binary "@$FLEET_DIR/bytes" \
+	--limit-rate 50k -m 0.5 >/dev/null
+test "$(gateway_call g1 p3 /plain/x -d 'still here')" = "still here" ||
+	fleet_fail "a broken request disturbed the next"
+echo "bad requests: refused"
+
+# A stream that may be resumed goes on at another server when its own breaks.
+gateway_server server-3 model --events 30
+wait_until gateway_knows g1 server-3
+gateway_call g1 r1 /stream/x -d p >"$FLEET_DIR/r1" &
+caller=$!
+has_run () {
+	test "$(gateway_runs "$1")" = 1
+}
+
+wait_until has_run r1
+sleep 0.2
+server=server-1
+curl -s "http://$(fleet_address server-1)/runs" | grep -q '"r1"' ||
+	server=server-3
+fleet_fault $server kind=kill_streams
+wait $caller
+is_whole "$FLEET_DIR/r1"
+seq 1 30 | sed 's/^/data: r1-/' >"$FLEET_DIR/expected"
+grep '^data: ' "$FLEET_DIR/r1" | cmp - "$FLEET_DIR/expected" ||
+	fleet_fail "the resumed stream lacks or repeats an event"
+echo "resumed: whole"
+
+# One that may not is visibly broken, and ran once.
+status=0
+(
+	gateway_call g1 o1 /once/x -d p >"$FLEET_DIR/o1"
+	echo $? >"$FLEET_DIR/o1.status"
+) &
+caller=$!
+wait_until has_run o1
+sleep 0.2
+fleet_fault server-1 kind=kill_streams
+fleet_fault server-3 kind=kill_streams
+wait $caller
+test "$(cat "$FLEET_DIR/o1.status")" -ne 0 ||
+	fleet_fail "a broken stream ended as whole"
+test "$(gateway_runs o1)" = 1 || fleet_fail "ran more than once"
+echo "unrepeatable: broken, ran once"
+
+# A caller that leaves takes its request off the server.
+gateway_call g1 l1 /once/x -d p -m 0.3 >/dev/null
+sleep 0.6
+load=$(gateway_call g1 l2 /once/x -d p -D - -o /dev/null |
+	tr -d '\r' | sed -n 's/^x-server-load: //Ip')
+test "${load%%,*}" = 1 || fleet_fail "the server still runs it: load $load"
+echo "caller left: off the server"
+
+# A server at an address that another one had runs nothing meant for that.
+gateway_list server-1 model draining
+gateway_list server-3 model draining
+gateway_list server-2 model ready i-gone
+sleep 1
+test "$(gateway_status g1 e1 /once/x -d p)" = 503 ||
+	fleet_fail "no 503 when no server may run it"
+test "$(gateway_runs e1)" = 0 ||
+	fleet_fail "ran at another incarnation"
+echo "other incarnation: not run"
--- a/tests/reference.c
+++ b/tests/reference.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "briarplankd/daemon_settings.h"
+#include "briarplankd/gateway_settings.h"
 #include "core/config_keys.h"
 
 /* What is printed of one key. */
@@ -31,6 +32,9 @@
 		return g_strdup_printf("%" PRId64 " to %" PRId64 " %s",
 				       spec->min, spec->max,
 				       spec->unit ? spec->unit : "");
+	case SETTING_SECONDS:
+		return g_strdup_printf("%g to %g s", (double)spec->min / 1000,
+				       (double)spec->max / 1000);
 	case SETTING_BOOL:
 		return g_strdup("true or false");
 	case SETTING_ADDRESS:
@@ -132,6 +136,8 @@
 		printf("| key | values | default | meaning |\n|---|---|---|---|\n");
 	if (!strcmp(argv[1], "settings"))
 		print_settings(daemon_setting_specs, "", print);
+	else if (!strcmp(argv[1], "gateway"))
+		print_settings(gateway_setting_specs, "", print);
 	else
 		print_keys(print);
 	return 0;
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -83,8 +83,10 @@
 extern const struct standin_command log_command;
 extern const struct standin_command plain_command;
 extern const struct standin_command proxy_command;
+extern const struct standin_command store_command;
 extern const struct standin_command vms_command;
 extern const struct standin_command weights_command;
+extern const struct standin_command worker_command;
 
 /** Finds a command by name, or NULL. */
 const struct standin_command *standin_find(const char *name);
--- /dev/null
+++ b/tests/standin/worker.c
@@ -0,0 +1,289 @@
+/*
+ * A backend server as the platform has them: it signs and echoes, runs some
+ * requests at once and lets others wait, refuses what is meant for another
+ * server, and resumes streams.
+ *
+ * GET /runs counts the runs of each request id. A body that begins "fail "
+ * and a status is answered with that status.
+ */
+#include <string.h>
+
+#include "common/list.h"
+#include "standin.h"
+
+#define FAIL "fail "
+
+struct worker_settings {
+	int64_t slots;
+	int64_t events;
+	int64_t event_ms;
+	bool plain;
+};
+
+struct worker_state {
+	struct standin *standin;
+	struct worker_settings settings;
+	GHashTable *runs;
+	/* Requests that run, and those that wait for a slot. */
+	struct list running;
+	struct list waiting;
+	unsigned running_nr;
+	unsigned waiting_nr;
+};
+
+struct run {
+	struct list link;
+	struct worker_state *state;
+	struct web_request *request;
+	char *id;
+	int64_t event;
+	bool started;
+	uv_timer_t timer;
+};
+
+static const char *name_of(const struct worker_state *state)
+{
+	return standin_address(state->standin);
+}
+
+static void on_run_closed(uv_handle_t *handle)
+{
+	struct run *run = handle->data;
+
+	g_free(run->id);
+	g_free(run);
+}
+
+static void start_next(struct worker_state *state);
+
+static void run_free(struct run *run)
+{
+	struct worker_state *state = run->state;
+
+	list_remove(&run->link);
+	if (run->started)
+		state->running_nr--;
+	else
+		state->waiting_nr--;
+	if (run->request)
+		web_on_close(run->request, NULL, NULL);
+	uv_timer_stop(&run->timer);
+	uv_close((uv_handle_t *)&run->timer, on_run_closed);
+}
+
+static void add_fields(struct run *run)
+{
+	struct worker_state *state = run->state;
+	char *load = g_strdup_printf("%u,%u,%" PRId64, state->running_nr,
+				     state->waiting_nr, state->settings.slots);
+
+	web_add_field(run->request, "X-Attempt-Id", run->id);
+	web_add_field(run->request, "X-Server-Signature", name_of(state));
+	web_add_field(run->request, "X-Server-Load", load);
+	g_free(load);
+}
+
+static void run_end(struct run *run)
+{
+	struct worker_state *state = run->state;
+
+	run_free(run);
+	start_next(state);
+}
+
+static void on_event_timer(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+	struct worker_state *state = run->state;
+	struct web_request *request = run->request;
+	char *text;
+
+	if (standin_faulty(state->standin, FAULT_STALL))
+		return;
+	run->event++;
+	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "\n\n",
+			       run->event, run->id, run->event);
+	web_stream_write(request, text, strlen(text));
+	g_free(text);
+	if (run->event < state->settings.events)
+		return;
+	run_end(run);
+	web_stream_end(request, true);
+}
+
+static void answer_plain(struct run *run, int status)
+{
+	struct web_request *request = run->request;
+	size_t len;
+	const char *body = web_body(request, &len);
+
+	add_fields(run);
+	run_end(run);
+	web_answer(request, status, "text/plain", body, len);
+}
+
+static void on_plain_timer(uv_timer_t *timer)
+{
+	answer_plain(timer->data, 200);
+}
+
+static void run_start(struct run *run)
+{
+	struct worker_state *state = run->state;
+	gpointer nr = g_hash_table_lookup(state->runs, run->id);
+	uint64_t ms = (uint64_t)state->settings.event_ms;
+	size_t len;
+	const char *body = web_body(run->request, &len);
+
+	run->started = true;
+	state->running_nr++;
+	state->waiting_nr--;
+	list_remove(&run->link);
+	list_append(&state->running, &run->link);
+	g_hash_table_insert(state->runs, g_strdup(run->id),
+			    GSIZE_TO_POINTER(GPOINTER_TO_SIZE(nr) + 1));
+	if (len > strlen(FAIL) && !memcmp(body, FAIL, strlen(FAIL))) {
+		char *status =
+			g_strndup(body + strlen(FAIL), len - strlen(FAIL));
+
+		answer_plain(run, (int)g_ascii_strtoll(status, NULL, 10));
+		g_free(status);
+		return;
+	}
+	if (state->settings.plain) {
+		uv_timer_start(&run->timer, on_plain_timer, ms, 0);
+		return;
+	}
+	add_fields(run);
+	web_stream_begin(run->request, 200, "text/event-stream");
+	uv_timer_start(&run->timer, on_event_timer, ms, ms);
+}
+
+static void start_next(struct worker_state *state)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &state->waiting) {
+		if (state->running_nr >= state->settings.slots)
+			return;
+		run_start(list_entry(pos, struct run, link));
+	}
+}
+
+static void on_caller_gone(void *ctx, bool sent)
+{
+	struct run *run = ctx;
+
+	(void)sent;
+	run->request = NULL;
+	run_end(run);
+}
+
+static void on_request(void *ctx, struct web_request *request)
+{
+	struct worker_state *state = ctx;
+	const char *id = web_field(request, "x-attempt-id");
+	const char *expected = web_field(request, "x-expect-instance");
+	const char *last = web_field(request, "last-event-id");
+	struct run *run;
+
+	if (!id || (expected && strcmp(expected, name_of(state)) != 0)) {
+		web_add_field(request, "X-Not-Executed", "1");
+		web_add_field(request, "X-Instance-Id", name_of(state));
+		web_answer(request, id ? 421 : 400, NULL, "", 0);
+		return;
+	}
+	run = g_new0(struct run, 1);
+	run->state = state;
+	run->request = request;
+	run->id = g_strdup(id);
+	run->event = last ? g_ascii_strtoll(last, NULL, 10) : 0;
+	uv_timer_init(standin_loop(state->standin), &run->timer);
+	run->timer.data = run;
+	list_append(&state->waiting, &run->link);
+	state->waiting_nr++;
+	web_on_close(request, on_caller_gone, run);
+	start_next(state);
+}
+
+static void on_runs(void *ctx, struct web_request *request)
+{
+	struct worker_state *state = ctx;
+	struct json_object *root = json_object_new_object();
+	GHashTableIter iter;
+	gpointer key, nr;
+
+	g_hash_table_iter_init(&iter, state->runs);
+	while (g_hash_table_iter_next(&iter, &key, &nr))
+		json_object_object_add(
+			root, key,
+			json_object_new_int64((int64_t)GPOINTER_TO_SIZE(nr)));
+	standin_answer_json(state->standin, request, 200, root);
+}
+
+static void worker_faulted(void *data, const struct fault *fault)
+{
+	struct worker_state *state = data;
+
+	struct list *pos, *tmp;
+
+	if (fault->kind != FAULT_KILL_STREAMS)
+		return;
+	list_for_each_safe (pos, tmp, &state->running) {
+		struct run *run = list_entry(pos, struct run, link);
+		struct web_request *request = run->request;
+
+		run_free(run);
+		web_cut(request);
+	}
+	start_next(state);
+}
+
+static void *worker_create(struct standin *standin, const void *settings)
+{
+	struct worker_state *state = g_new0(struct worker_state, 1);
+
+	state->standin = standin;
+	state->settings = *(const struct worker_settings *)settings;
+	state->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	list_init(&state->running);
+	list_init(&state->waiting);
+	standin_route(standin, "/", on_request, state);
+	web_route(standin_web(standin), "/runs", on_runs, state);
+	return state;
+}
+
+static void worker_destroy(void *data)
+{
+	struct worker_state *state = data;
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &state->waiting)
+		run_free(list_entry(pos, struct run, link));
+	list_for_each_safe (pos, tmp, &state->running)
+		run_free(list_entry(pos, struct run, link));
+	g_hash_table_destroy(state->runs);
+	g_free(state);
+}
+
+static const struct standin_option worker_options[] = {
+	{ "slots", offsetof(struct worker_settings, slots), 4,
+	  .help = "requests that run at once" },
+	{ "events", offsetof(struct worker_settings, events), 20,
+	  .help = "events of a stream" },
+	{ "event-ms", offsetof(struct worker_settings, event_ms), 20,
+	  .help = "time of an event, or of a plain answer" },
+	{ "plain", offsetof(struct worker_settings, plain), 0, .on_off = true,
+	  .help = "answers with the body instead of a stream" },
+	{ 0 },
+};
+
+const struct standin_command worker_command = {
+	.name = "worker",
+	.options = worker_options,
+	.settings_size = sizeof(struct worker_settings),
+	.create = worker_create,
+	.destroy = worker_destroy,
+	.faulted = worker_faulted,
+};
--- /dev/null
+++ b/tests/test_codec.c
@@ -0,0 +1,173 @@
+/*
+ * Documents of the platform, good and bad: what is decoded, and why not.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "platform/codec.h"
+#include "script.h"
+
+static void *state_create(void)
+{
+	return g_new0(int, 1);
+}
+
+static void state_destroy(void *state)
+{
+	g_free(state);
+}
+
+static void config(const char *text, GString *out)
+{
+	static const char *const kinds[] = { "safe", "unsafe", "stream",
+					     "batch" };
+	struct route_table *table = platform_config_decode(text, strlen(text));
+	guint i;
+
+	if (!table) {
+		g_string_append_printf(out, "refused: %s\n", error_last());
+		return;
+	}
+	g_string_append_printf(out,
+			       "version %" PRIu64 " body=%" PRIu64 " idle=%u\n",
+			       table->version, table->limits.body_bytes,
+			       table->limits.idle_timeout_ms);
+	for (i = 0; i < table->routes->len; i++) {
+		const struct route *route = g_ptr_array_index(table->routes, i);
+
+		g_string_append_printf(
+			out,
+			"route %s %s%s %s to %s timeout=%u objective=%u "
+			"runs=%u tokens=%" PRIu64 " keep=%" PRIu64 "%s\n",
+			route->name, route->host, route->prefix,
+			kinds[route->kind],
+			route->targets_nr ? route->targets[0].service : "-",
+			route->timeout_ms, route->objective_ms,
+			route->attempts_max, route->waiting_tokens_max,
+			route->retention_ms,
+			route->can_resume ? " resumes" : "");
+	}
+	route_table_destroy(table);
+}
+
+static void server(const char *text, GString *out)
+{
+	struct server_facts facts = { 0 };
+	void *hold;
+
+	if (!platform_server_decode("i-1", text, strlen(text), &facts, &hold)) {
+		g_string_append_printf(out, "refused: %s\n", error_last());
+		return;
+	}
+	g_string_append_printf(out, "%s of %s at %s in %s slots=%u%s\n",
+			       facts.id, facts.service, facts.address,
+			       facts.data_centre, facts.slots,
+			       facts.draining ? " draining" : "");
+	platform_server_free(hold);
+}
+
+static void job(const char *text, GString *out)
+{
+	struct job_request *request = platform_job_decode(text, strlen(text));
+	size_t i;
+
+	if (!request) {
+		g_string_append_printf(out, "refused: %s\n", error_last());
+		return;
+	}
+	for (i = 0; i < request->items_nr; i++) {
+		const struct job_request_item *item = &request->items[i];
+
+		g_string_append_printf(
+			out, "item %s %s tokens=%" PRIu64 " body='%.*s'",
+			item->id, item->path, item->tokens, (int)item->body_len,
+			item->body);
+		if (item->fields_nr)
+			g_string_append_printf(out, " %s=%s",
+					       item->fields[0].name,
+					       item->fields[0].value);
+		g_string_append(out, "\n");
+	}
+	job_request_free(request);
+}
+
+/* A job of many items, of which the ids differ or not. */
+static void many(int argc, char **argv, GString *out)
+{
+	int64_t i, nr = script_arg_int(argc, argv, "nr", 1);
+	GString *text = g_string_new("{\"Items\":[");
+
+	for (i = 0; i < nr; i++)
+		g_string_append_printf(text,
+				       "%s{\"Id\":\"%" PRId64
+				       "\",\"Path\":\"/p\","
+				       "\"Body\":\"\",\"Tokens\":1}",
+				       i ? "," : "", i);
+	g_string_append(text, "]}");
+	job(text->str, out);
+	g_string_free(text, TRUE);
+}
+
+static void call(char **argv, GString *out)
+{
+	static const char *const kinds[] = { "request", "ready", "results",
+					     "item", "end" };
+	struct platform_call parsed;
+
+	platform_call_parse(argv[1], argv[2], argv[3], &parsed);
+	g_string_append_printf(
+		out, "%s job=%s item=%s position=%" PRIu64 "\n",
+		kinds[parsed.kind], parsed.job ? parsed.job : "-",
+		parsed.item ? parsed.item : "-", parsed.position);
+	platform_call_clear(&parsed);
+}
+
+static void results(GString *out)
+{
+	const struct platform_result list[] = {
+		{ .item = "a", .output = "x\n\"y\"", .output_len = 5 },
+		{ .item = "b" },
+		{ .item = "c", .output = "", .output_len = 0 },
+	};
+	char *text = platform_results_encode(5, 4, list, 3);
+
+	g_string_append_printf(out, "%s\n", text);
+	g_free(text);
+}
+
+static void command(void *state, int argc, char **argv, GString *out)
+{
+	unsigned running = 0, waiting = 0;
+
+	(void)state;
+	if (!strcmp(argv[0], "config"))
+		config(argv[1], out);
+	else if (!strcmp(argv[0], "server"))
+		server(argv[1], out);
+	else if (!strcmp(argv[0], "job"))
+		job(argv[1], out);
+	else if (!strcmp(argv[0], "many"))
+		many(argc, argv, out);
+	else if (!strcmp(argv[0], "call"))
+		call(argv, out);
+	else if (!strcmp(argv[0], "results"))
+		results(out);
+	else if (platform_load_parse(argv[1], &running, &waiting))
+		g_string_append_printf(out, "running=%u waiting=%u\n", running,
+				       waiting);
+	else
+		g_string_append(out, "malformed\n");
+}
+
+static const struct script_driver driver = {
+	.name = "codec",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
--- /dev/null
+++ b/tests/test_fleet_core.c
@@ -0,0 +1,250 @@
+/*
+ * Where work goes: waits, distances, faults, and how batch gives way.
+ */
+#include <string.h>
+
+#include "common/hash.h"
+#include "core/fleet.h"
+#include "script.h"
+
+struct state {
+	struct fleet *fleet;
+	GHashTable *regions;
+	uint64_t now_ms;
+	uint64_t random;
+};
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+	struct fleet_options options = {
+		.data_centre = "a1",
+		.region = "a",
+	};
+
+	state->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(state->regions, "a1", "a");
+	g_hash_table_insert(state->regions, "a2", "a");
+	g_hash_table_insert(state->regions, "b1", "b");
+	options.regions = state->regions;
+	state->fleet = fleet_create(&options);
+	state->now_ms = 100000;
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	fleet_destroy(state->fleet);
+	g_hash_table_destroy(state->regions);
+	g_free(state);
+}
+
+static void learn(struct state *state, int argc, char **argv)
+{
+	struct server_facts facts = {
+		.id = argv[1],
+		.service = script_arg(argc, argv, "service", "s"),
+		.address = script_arg(argc, argv, "address", "1.1.1.1:1"),
+		.data_centre = script_arg(argc, argv, "dc", "a1"),
+		.slots = (unsigned)script_arg_int(argc, argv, "slots", 8),
+		.draining = script_arg_int(argc, argv, "draining", 0),
+		.born_ms = (uint64_t)script_arg_int(argc, argv, "born", 1),
+	};
+
+	fleet_learn(state->fleet, &facts);
+}
+
+static enum work_class class_of(int argc, char **argv)
+{
+	return script_arg_int(argc, argv, "batch", 0) ? WORK_BATCH :
+							WORK_ONLINE;
+}
+
+static void send_some(struct state *state, int argc, char **argv)
+{
+	struct server *server = fleet_find(state->fleet, argv[1]);
+	int64_t nr = script_arg_int(argc, argv, "nr", 1);
+
+	while (nr-- > 0)
+		fleet_sent(server, class_of(argc, argv), state->now_ms);
+}
+
+static void end_some(struct state *state, int argc, char **argv)
+{
+	static const char *const names[] = { "good", "failed", "refused",
+					     "unreached", "cancelled" };
+	struct server *server = fleet_find(state->fleet, argv[1]);
+	int64_t nr = script_arg_int(argc, argv, "nr", 1);
+	const char *how = script_arg(argc, argv, "how", "good");
+	int i;
+
+	for (i = 0; strcmp(names[i], how) != 0; i++)
+		;
+	while (nr-- > 0)
+		fleet_done(server, class_of(argc, argv), (enum fleet_result)i,
+			   (double)script_arg_int(argc, argv, "ms", 500),
+			   state->now_ms);
+}
+
+/* peer NAME SERVER online=N batch=N; without a server it is forgotten */
+static void peer(struct state *state, int argc, char **argv)
+{
+	struct peer_load load = { 0 };
+
+	if (argc > 2) {
+		load.server_hash = hash_string(argv[2], 0);
+		load.counts[WORK_ONLINE] =
+			(unsigned)script_arg_int(argc, argv, "online", 0);
+		load.counts[WORK_BATCH] =
+			(unsigned)script_arg_int(argc, argv, "batch", 0);
+	}
+	fleet_peer(state->fleet, hash_string(argv[1], 0), &load, argc > 2);
+}
+
+static void choose(struct state *state, int argc, char **argv, GString *out)
+{
+	struct fleet_query query = {
+		.service = script_arg(argc, argv, "service", "s"),
+		.now_ms = state->now_ms,
+		.prefix_hash =
+			(uint64_t)script_arg_int(argc, argv, "prefix", 0),
+	};
+	struct server *tried;
+	struct fleet_choice choice;
+	const char *but = script_arg(argc, argv, "but", NULL);
+
+	if (but) {
+		tried = fleet_find(state->fleet, but);
+		query.tried = &tried;
+		query.tried_nr = 1;
+	}
+	choice = fleet_choose(state->fleet, &query);
+	if (!choice.server)
+		g_string_append(out, "none\n");
+	else
+		g_string_append_printf(out, "%s wait=%.0f first=%.0f\n",
+				       choice.server->id, choice.wait_ms,
+				       choice.first_ms);
+}
+
+/* Spreads requests of a burst, as they would be sent. */
+static void burst(struct state *state, int argc, char **argv, GString *out)
+{
+	int64_t nr = script_arg_int(argc, argv, "nr", 1);
+	struct fleet_query query = { .service = "s", .now_ms = state->now_ms };
+	struct list *pos;
+
+	while (nr-- > 0) {
+		struct fleet_choice choice = fleet_choose(state->fleet, &query);
+
+		if (choice.server)
+			fleet_sent(choice.server, WORK_ONLINE, state->now_ms);
+	}
+	list_for_each (pos, fleet_servers(state->fleet)) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		fleet_heard(server, state->now_ms);
+		g_string_append_printf(out, "%s %u\n", server->id,
+				       server->own[WORK_ONLINE]);
+	}
+}
+
+/* Starts items as long as there is room. */
+static void fill(struct state *state, int argc, char **argv, GString *out)
+{
+	struct batch_query query = {
+		.service = "s",
+		.now_ms = state->now_ms,
+		.far = script_arg_int(argc, argv, "far", 0),
+	};
+	int started = 0;
+
+	while (fleet_batch_room(state->fleet, &query) >= 1) {
+		struct server *server;
+
+		query.random = hash_mix(state->random++, 1);
+		server = fleet_choose_batch(state->fleet, &query);
+		if (!server)
+			break;
+		fleet_sent(server, WORK_BATCH, state->now_ms);
+		fleet_heard(server, state->now_ms);
+		started++;
+	}
+	g_string_append_printf(out, "%d started\n", started);
+}
+
+static void show(struct state *state, const char *id, GString *out)
+{
+	struct server *server = fleet_find(state->fleet, id);
+
+	if (!server) {
+		g_string_append(out, "unknown\n");
+		return;
+	}
+	g_string_append_printf(
+		out, "online=%u+%u batch=%u+%u failures=%.2f%s%s\n",
+		server->own[WORK_ONLINE], server->others[WORK_ONLINE],
+		server->own[WORK_BATCH], server->others[WORK_BATCH],
+		server->failures, server->listed ? "" : " unlisted",
+		server->draining ? " draining" : "");
+}
+
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+
+	if (!strcmp(argv[0], "server"))
+		learn(state, argc, argv);
+	else if (!strcmp(argv[0], "unlist"))
+		fleet_unlist(state->fleet, argv[1]);
+	else if (!strcmp(argv[0], "pass"))
+		state->now_ms += g_ascii_strtoull(argv[1], NULL, 10);
+	else if (!strcmp(argv[0], "sweep"))
+		fleet_sweep(state->fleet, state->now_ms);
+	else if (!strcmp(argv[0], "send"))
+		send_some(state, argc, argv);
+	else if (!strcmp(argv[0], "end"))
+		end_some(state, argc, argv);
+	else if (!strcmp(argv[0], "heard"))
+		fleet_heard(fleet_find(state->fleet, argv[1]), state->now_ms);
+	else if (!strcmp(argv[0], "answered"))
+		fleet_answered(fleet_find(state->fleet, argv[1]),
+			       (double)script_arg_int(argc, argv, "ms", 0));
+	else if (!strcmp(argv[0], "reported"))
+		fleet_reported(
+			fleet_find(state->fleet, argv[1]),
+			(unsigned)script_arg_int(argc, argv, "running", 0),
+			(unsigned)script_arg_int(argc, argv, "waiting", 0),
+			state->now_ms);
+	else if (!strcmp(argv[0], "peer"))
+		peer(state, argc, argv);
+	else if (!strcmp(argv[0], "choose"))
+		choose(state, argc, argv, out);
+	else if (!strcmp(argv[0], "burst"))
+		burst(state, argc, argv, out);
+	else if (!strcmp(argv[0], "fill"))
+		fill(state, argc, argv, out);
+	else if (!strcmp(argv[0], "yield"))
+		g_string_append_printf(
+			out, "%u\n",
+			fleet_yield(
+				state->fleet, fleet_find(state->fleet, argv[1]),
+				hash_string(script_arg(argc, argv, "as", "me"),
+					    0)));
+	else if (!strcmp(argv[0], "show"))
+		show(state, argv[1], out);
+}
+
+static const struct script_driver driver = {
+	.name = "fleet_core",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
--- /dev/null
+++ b/tests/test_http_link.c
@@ -0,0 +1,179 @@
+/*
+ * Kept connections to servers that answer well, badly, twice and not at all.
+ */
+#include <string.h>
+
+#include "loop_wait.h"
+#include "net/http_link.h"
+#include "raw_peer.h"
+#include "script.h"
+
+/* Time after which an address that takes no connection is given up, in ms. */
+#define CONNECT_MS 2000
+
+struct state {
+	uv_loop_t loop;
+	struct raw_server *peer;
+	struct http_link *link;
+	GString *seen;
+	/* Answers with this id are the ones that are waited for. */
+	char *id;
+	bool ended;
+	bool lost;
+};
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	uv_loop_init(&state->loop);
+	state->seen = g_string_new(NULL);
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	if (state->link)
+		http_link_close(state->link);
+	if (state->peer)
+		raw_server_destroy(state->peer);
+	loop_close(&state->loop);
+	g_string_free(state->seen, TRUE);
+	g_free(state->id);
+	g_free(state);
+}
+
+static bool on_head(void *ctx, const struct http_link_head *head)
+{
+	struct state *state = ctx;
+	const char *id = http_link_head_field(head, "X-ID");
+
+	if (state->id && id && strcmp(id, state->id) != 0) {
+		g_string_append_printf(state->seen, "skipped %s\n", id);
+		return false;
+	}
+	g_string_append_printf(state->seen, "head %d%s\n", head->status,
+			       head->framed ? "" : " without a length");
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->seen, "body '%.*s'\n", (int)len, data);
+}
+
+static void on_end(void *ctx, enum http_link_end end)
+{
+	static const char *const names[] = { "whole", "unsent", "no head",
+					     "cut", "garbled" };
+	struct state *state = ctx;
+
+	g_string_append_printf(state->seen, "end: %s%s\n", names[end],
+			       http_link_reusable(state->link) ? ", reusable" :
+								 "");
+	state->ended = true;
+}
+
+static const struct http_link_handlers handlers = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static void on_lost(void *ctx, struct http_link *link)
+{
+	struct state *state = ctx;
+
+	(void)link;
+	g_string_append(state->seen, "lost between exchanges\n");
+	state->lost = true;
+}
+
+static bool is_ended(void *ctx)
+{
+	return ((struct state *)ctx)->ended;
+}
+
+static bool is_lost(void *ctx)
+{
+	return ((struct state *)ctx)->lost;
+}
+
+static void open_link(struct state *state, const char *address)
+{
+	struct http_link_options options = {
+		.loop = &state->loop,
+		.address = address,
+		.connect_timeout_ms = CONNECT_MS,
+		.on_lost = on_lost,
+		.ctx = state,
+	};
+
+	state->link = http_link_open(&options);
+}
+
+static enum raw_then then_of(const char *text)
+{
+	if (!strcmp(text, "close"))
+		return RAW_CLOSE;
+	return strcmp(text, "reset") ? RAW_HOLD : RAW_RESET;
+}
+
+static void serve(struct state *state, int argc, char **argv)
+{
+	char *bytes = g_strcompress(argv[1]);
+
+	state->peer = raw_server_create(
+		&state->loop, bytes,
+		then_of(script_arg(argc, argv, "then", "hold")));
+	open_link(state, raw_server_address(state->peer));
+	g_free(bytes);
+}
+
+/* serve BYTES then=hold|close|reset, nobody, send id=ID, await_loss, limit */
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+
+	if (!strcmp(argv[0], "serve")) {
+		serve(state, argc, argv);
+	} else if (!strcmp(argv[0], "nobody")) {
+		/* Port 1 of the loopback has no listener. */
+		open_link(state, "127.0.0.1:1");
+	} else if (!strcmp(argv[0], "send")) {
+		g_free(state->id);
+		state->id = g_strdup(script_arg(argc, argv, "id", NULL));
+		state->ended = false;
+		http_link_send(
+			state->link,
+			g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+			&handlers, state);
+		if (!loop_wait(&state->loop, is_ended, state, LOOP_WAIT_MS))
+			g_string_append(out, "no end\n");
+	} else if (!strcmp(argv[0], "await_loss")) {
+		if (!loop_wait(&state->loop, is_lost, state, LOOP_WAIT_MS))
+			g_string_append(out, "not lost\n");
+	} else if (!strcmp(argv[0], "limit")) {
+		g_string_append_printf(
+			out, "%" G_GUINT64_FORMAT " ms\n",
+			(guint64)http_link_idle_limit_ms(state->link));
+	}
+	g_string_append(out, state->seen->str);
+	g_string_truncate(state->seen, 0);
+}
+
+static const struct script_driver driver = {
+	.name = "http_link",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
