Log each decision on a request with what it was made from

Cause: a refused request's line named neither the wait that was expected nor the loads, their age, or the version of the configuration.

Change: the line of a request holds the last choice's inputs. Servers that a request was at are kept by their hash, so that one that is forgotten meanwhile leaves nothing behind.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -1,9 +1,11 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "batch.h"
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/event_stream.h"
+#include "peers.h"
 #include "platform/codec.h"
 #include "server_call.h"
 
@@ -19,6 +21,18 @@
 /* Pause in a stream after which a repeatable one goes on elsewhere, in ms. */
 #define STALL_MS 1200
 
+/* What the last choice of a server was made from, for the log. */
+struct choice_inputs {
+	char *server;
+	double wait_ms;
+	double first_ms;
+	unsigned own[WORK_CLASSES];
+	unsigned others[WORK_CLASSES];
+	unsigned usable;
+	/* Age of the oldest report of another entry, in ms. */
+	uint64_t peers_age_ms;
+};
+
 struct online_request {
 	struct gateway *gateway;
 	struct web_request *web;
@@ -40,7 +54,11 @@
 	uint64_t arrived_ms;
 	/* When the caller, or the route, has waited long enough. */
 	uint64_t deadline_ms;
-	struct server *tried[OFFERS_MAX];
+	/* Version of the configuration that gave the route. */
+	uint64_t config_version;
+	struct choice_inputs inputs;
+	/* Hashes of the servers that it was offered to. */
+	uint64_t tried[OFFERS_MAX];
 	size_t tried_nr;
 	/* Servers that may have run it. */
 	unsigned runs;
@@ -75,6 +93,7 @@
 
 	g_free(request->route);
 	g_free(request->service);
+	g_free(request->inputs.server);
 	g_free(request->id);
 	g_free(request->method);
 	g_free(request->target);
@@ -94,35 +113,52 @@
 	request->server = NULL;
 }
 
-/* Logs the outcome and frees the request; its answer is with the web. */
-static void finish(struct online_request *request, const char *outcome)
+/* Longest list of the inputs of a choice, in bytes. */
+#define INPUTS_BYTES 192
+
+static bool is_success(const struct online_request *request)
 {
+	return request->status >= 200 && request->status < 300 &&
+	       !request->broken;
+}
+
+static void log_outcome(const struct online_request *request,
+			const char *outcome)
+{
+	const struct choice_inputs *inputs = &request->inputs;
 	uint64_t now = now_ms(request);
+	char text[INPUTS_BYTES];
+	bool good = is_success(request);
+
+	snprintf(text, sizeof(text),
+		 "expected_ms=%.0f wait_ms=%.0f online=%u+%u batch=%u+%u "
+		 "usable=%u peers_age_ms=%" PRIu64,
+		 inputs->first_ms, inputs->wait_ms, inputs->own[WORK_ONLINE],
+		 inputs->others[WORK_ONLINE], inputs->own[WORK_BATCH],
+		 inputs->others[WORK_BATCH], inputs->usable,
+		 inputs->peers_age_ms);
+	log_event(good ? "request" : "request_failed",
+		  good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		  "request=%s route=%s version=%" PRIu64
+		  " outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
+		  "first_ms=%" PRIu64 " ms=%" PRIu64 " left_ms=%" PRId64
+		  " last_event=%" PRId64 " %s",
+		  request->id, request->route, request->config_version, outcome,
+		  request->status, request->tried_nr, request->runs,
+		  inputs->server ? inputs->server : "-",
+		  request->first_ms ? request->first_ms - request->arrived_ms :
+				      0,
+		  now - request->arrived_ms,
+		  (int64_t)(request->deadline_ms - now), request->last_event,
+		  text);
+}
+
+static void count_outcome(const struct online_request *request,
+			  const char *outcome)
+{
 	struct metrics *metrics = request->gateway->metrics;
-	char *labels;
+	char *labels = g_strdup_printf("outcome=\"%s\"", outcome);
 
-	if (request->ended)
-		return;
-	request->ended = true;
-	log_event(
-		request->status >= 200 && request->status < 300 &&
-				!request->broken ?
-			"request" :
-			"request_failed",
-		request->status >= 200 && request->status < 300 ?
-			LOG_LEVEL_INFO :
-			LOG_LEVEL_WARN,
-		"request=%s route=%s outcome=%s status=%d offers=%zu "
-		"runs=%u server=%s first_ms=%" PRIu64 " ms=%" PRIu64
-		" left_ms=%" PRId64 " last_event=%" PRId64,
-		request->id, request->route, outcome, request->status,
-		request->tried_nr, request->runs,
-		request->tried_nr ? request->tried[request->tried_nr - 1]->id :
-				    "-",
-		request->first_ms ? request->first_ms - request->arrived_ms : 0,
-		now - request->arrived_ms,
-		(int64_t)(request->deadline_ms - now), request->last_event);
-	labels = g_strdup_printf("outcome=\"%s\"", outcome);
 	counter_add(
 		metrics_counter(metrics, "briarplank_requests_total", labels),
 		1);
@@ -131,6 +167,16 @@
 		histogram_record(
 			metrics_histogram(metrics, "briarplank_first_byte", ""),
 			(request->first_ms - request->arrived_ms) * 1000);
+}
+
+/* Logs the outcome and frees the request; its answer is with the web. */
+static void finish(struct online_request *request, const char *outcome)
+{
+	if (request->ended)
+		return;
+	request->ended = true;
+	log_outcome(request, outcome);
+	count_outcome(request, outcome);
 	cancel_call(request);
 	if (request->web)
 		web_on_close(request->web, NULL, NULL);
@@ -409,7 +455,7 @@
 		.ctx = request,
 	};
 
-	request->tried[request->tried_nr++] = server;
+	request->tried[request->tried_nr++] = server->hash;
 	request->server = server;
 	request->runs++;
 	request->heard_ms = now;
@@ -426,6 +472,24 @@
 	return CLAMP(late_ms / 1000, RETRY_MIN_S, RETRY_MAX_S);
 }
 
+static void note_inputs(struct online_request *request,
+			const struct fleet_choice *choice, uint64_t now)
+{
+	struct choice_inputs *inputs = &request->inputs;
+	struct gateway *gateway = request->gateway;
+
+	inputs->usable = fleet_usable(gateway->fleet, request->service, now);
+	inputs->peers_age_ms = peers_age_ms(gateway->peers);
+	inputs->wait_ms = choice->wait_ms;
+	inputs->first_ms = choice->first_ms;
+	if (!choice->server)
+		return;
+	g_free(inputs->server);
+	inputs->server = g_strdup(choice->server->id);
+	memcpy(inputs->own, choice->server->own, sizeof(inputs->own));
+	memcpy(inputs->others, choice->server->others, sizeof(inputs->others));
+}
+
 static void dispatch(struct online_request *request)
 {
 	struct fleet_query query = {
@@ -441,6 +505,7 @@
 
 	if (in_time && request->tried_nr < OFFERS_MAX)
 		choice = fleet_choose(request->gateway->fleet, &query);
+	note_inputs(request, &choice, query.now_ms);
 	if (!choice.server) {
 		if (request->runs)
 			fail(request, 502, "no further server could run it");
@@ -528,6 +593,7 @@
 	request->id = g_strdup(id);
 	request->service =
 		g_strdup(route_pick_service(route, hash_string(id, 0)));
+	request->config_version = gateway->config->version;
 	request->kind = route->kind;
 	request->repeatable = route_repeatable(route);
 	request->objective_ms = route->objective_ms;
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -345,6 +345,20 @@
 	return true;
 }
 
+uint64_t peers_age_ms(const struct peers *peers)
+{
+	uint64_t now = uv_now(peers->gateway->loop), age = 0;
+	struct list *pos;
+
+	list_for_each (pos, &peers->list) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (peer->alive)
+			age = MAX(age, now - peer->heard_ms);
+	}
+	return age;
+}
+
 unsigned peers_backlogged(const struct peers *peers, bool far)
 {
 	unsigned nr = 1;
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -32,6 +32,9 @@
  */
 bool peers_own(const struct peers *peers, const struct job *job);
 
+/** Age of the oldest report of a living entry, in ms. */
+uint64_t peers_age_ms(const struct peers *peers);
+
 /** Entries with batch items that wait, this one included. */
 unsigned peers_backlogged(const struct peers *peers, bool far);
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -284,7 +284,7 @@
 	size_t i;
 
 	for (i = 0; i < query->tried_nr; i++) {
-		if (query->tried[i] == server)
+		if (query->tried[i] == server->hash)
 			return true;
 	}
 	return false;
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -116,8 +116,8 @@
 	uint64_t now_ms;
 	/** Hash of the prompt's shared parts; 0 when there is none. */
 	uint64_t prefix_hash;
-	/** Servers that this request was at already. */
-	struct server *const *tried;
+	/** Hashes of the servers that this request was at already. */
+	const uint64_t *tried;
 	size_t tried_nr;
 };
 
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -111,12 +111,12 @@
 		.prefix_hash =
 			(uint64_t)script_arg_int(argc, argv, "prefix", 0),
 	};
-	struct server *tried;
+	uint64_t tried;
 	struct fleet_choice choice;
 	const char *but = script_arg(argc, argv, "but", NULL);
 
 	if (but) {
-		tried = fleet_find(state->fleet, but);
+		tried = fleet_find(state->fleet, but)->hash;
 		query.tried = &tried;
 		query.tried_nr = 1;
 	}
