--- a/net/http_link.c
+++ b/net/http_link.c
@@ -115,13 +115,15 @@
 
 static void field_finish(struct http_link *link)
 {
-	struct http_link_field field;
+	struct http_link_field *field;
 
 	if (!link->in_value)
 		return;
-	field.name = g_strndup(link->name->str, link->name->len);
-	field.value = g_strndup(link->value->str, link->value->len);
-	g_array_append_val(link->fields, field);
+	g_array_set_size(link->fields, link->fields->len + 1);
+	field = &g_array_index(link->fields, struct http_link_field,
+			       link->fields->len - 1);
+	field->name = g_strndup(link->name->str, link->name->len);
+	field->value = g_strndup(link->value->str, link->value->len);
 	g_string_truncate(link->name, 0);
 	g_string_truncate(link->value, 0);
 	link->in_value = false;
