--- /dev/null
+++ b/tests/fuzz/fuzz_event_stream.c
@@ -0,0 +1,36 @@
+/*
+ * Streams of any bytes in pieces of any length: the events and what is left
+ * are all that was fed.
+ */
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "core/event_stream.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
+
+static void on_event(void *ctx, const struct stream_event *event)
+{
+	*(size_t *)ctx += event->raw_len;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+	struct event_stream *stream = event_stream_create();
+	size_t at = 0, seen = 0, rest;
+
+	while (at < len) {
+		size_t piece = 1 + data[at] % 16;
+
+		if (piece > len - at)
+			piece = len - at;
+		event_stream_feed(stream, (const char *)data + at, piece,
+				  on_event, &seen);
+		at += piece;
+	}
+	event_stream_rest(stream, &rest);
+	if (seen + rest != len)
+		abort();
+	event_stream_destroy(stream);
+	return 0;
+}
