--- a/bench/load.c
+++ b/bench/load.c
@@ -13,7 +13,7 @@
 #include <json-c/json.h>
 
 #include "common/list.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 #define US_PER_S 1000000ULL
 /* Time beyond its deadline in which a request must be answered, in ms. */
--- a/briarplankctl/client.c
+++ b/briarplankctl/client.c
@@ -7,7 +7,7 @@
 #include "client.h"
 #include "common/error.h"
 #include "common/settings.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 #define SCHEME "http://"
 #define CONNECT_TIMEOUT_MS 2000
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -16,7 +16,7 @@
 #include "core/batch_share.h"
 #include "core/concurrency.h"
 #include "core/tombstones.h"
-#include "platform/backend.h"
+#include "standalone/backend.h"
 
 /** Longest silence of a server within an answer, in ms. */
 #define SERVER_STALL_MS 10000
--- a/briarplankd/agent/orders.c
+++ b/briarplankd/agent/orders.c
@@ -11,7 +11,7 @@
 #include "common/log.h"
 #include "gate.h"
 #include "order_claims.h"
-#include "platform/weight_store.h"
+#include "standalone/weight_store.h"
 
 #define PART "orders"
 
--- a/briarplankd/entry/answer.c
+++ b/briarplankd/entry/answer.c
@@ -3,7 +3,7 @@
  */
 #include "briarplankd/online.h"
 #include "common/log.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 #define PART "online"
 
--- a/briarplankd/entry/online_http.c
+++ b/briarplankd/entry/online_http.c
@@ -4,7 +4,7 @@
 #include "briarplankd/members_task.h"
 #include "briarplankd/online.h"
 #include "common/hash.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 #define PREFIX "/v1/services/"
 /* Bounds of the time limit that a caller may name, in ms. */
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -327,6 +327,13 @@
 		  peers_address(gateway->peers), settings->store_address,
 		  settings->data_centre, settings->region,
 		  settings->store_retention_ms);
+	/* Jobs are read from the log for as long as their results are kept. */
+	if (settings->results_kept_ms > settings->store_retention_ms)
+		log_event("start", LOG_LEVEL_WARN,
+			  "the store keeps records for %" PRId64
+			  " ms, less than results are owed (%" PRId64 " ms)",
+			  settings->store_retention_ms,
+			  settings->results_kept_ms);
 	uv_run(gateway->loop, UV_RUN_DEFAULT);
 	log_event("stop", LOG_LEVEL_INFO, "ended running=%u",
 		  web_running(gateway->front));
--- a/briarplankd/gateway_settings.c
+++ b/briarplankd/gateway_settings.c
@@ -1,7 +1,8 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "briarplankd/gateway_settings.h"
-#include "common/error.h"
+#include "common/json_lines.h"
 
 #define FIELD(type, member) offsetof(struct type, member)
 #define GATEWAY(member) FIELD(gateway_settings, member)
@@ -64,13 +65,48 @@
 	{ 0 },
 };
 
+static int line_of(const char *file, const char *key)
+{
+	GHashTable *lines;
+	char *text;
+	int line;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL))
+		return 0;
+	lines = json_lines_index(text);
+	line = json_lines_find(lines, key);
+	g_hash_table_destroy(lines);
+	g_free(text);
+	return line;
+}
+
+/* What the table can't say: how settings must fit each other. */
+static void check_whole(const char *file,
+			const struct gateway_settings *settings,
+			GPtrArray *faults)
+{
+	const struct data_centre_settings *items = settings->data_centres.items;
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < settings->data_centres.nr; i++)
+		found |= !strcmp(items[i].name, settings->data_centre);
+	if (!found)
+		settings_fault_add(faults, line_of(file, "node.data_centre"),
+				   "node.data_centre %s is not among "
+				   "data_centres",
+				   settings->data_centre);
+}
+
 bool gateway_settings_load(const char *file, struct gateway_settings *settings)
 {
 	GPtrArray *faults = settings_faults_new();
 	bool good;
 	guint i;
 
-	settings_load(file, gateway_setting_specs, settings, faults);
+	if (settings_load(file, gateway_setting_specs, settings, faults) ==
+	    SETTINGS_OK)
+		check_whole(file, settings, faults);
 	for (i = 0; i < faults->len; i++) {
 		const struct settings_fault *fault = faults->pdata[i];
 
--- a/briarplankd/members_private.h
+++ b/briarplankd/members_private.h
@@ -6,7 +6,7 @@
 
 #include "briarplankd/members_task.h"
 #include "core/shard_map.h"
-#include "platform/vm_list.h"
+#include "standalone/vm_list.h"
 
 #define MEMBERS_PART "members"
 
--- a/include/briarplankd/entry/record_cache.h
+++ b/include/briarplankd/entry/record_cache.h
@@ -9,7 +9,7 @@
 #include <stdint.h>
 
 #include "ledger.pb-c.h"
-#include "platform/log_service.h"
+#include "standalone/log_service.h"
 
 struct record_cache;
 
--- a/include/briarplankd/node.h
+++ b/include/briarplankd/node.h
@@ -17,8 +17,8 @@
 #include "briarplankd/web.h"
 #include "common/list.h"
 #include "common/metrics.h"
-#include "platform/http_client.h"
-#include "platform/log_service.h"
+#include "standalone/http_client.h"
+#include "standalone/log_service.h"
 
 struct node;
 struct task;
--- a/include/platform/backend.h
+++ b/include/standalone/backend.h
@@ -2,14 +2,14 @@
  * A backend server beside an agent, as a table of functions: a model engine
  * or a plain service.
  */
-#ifndef BRIARPLANK_PLATFORM_BACKEND_H
-#define BRIARPLANK_PLATFORM_BACKEND_H
+#ifndef BRIARPLANK_STANDALONE_BACKEND_H
+#define BRIARPLANK_STANDALONE_BACKEND_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 struct backend;
 struct backend_call;
--- a/include/platform/http_client.h
+++ b/include/standalone/http_client.h
@@ -4,8 +4,8 @@
  * The end of a call says what is known of its fate: only HTTP_NOT_SENT proves
  * that the other side saw no byte of the request.
  */
-#ifndef BRIARPLANK_PLATFORM_HTTP_CLIENT_H
-#define BRIARPLANK_PLATFORM_HTTP_CLIENT_H
+#ifndef BRIARPLANK_STANDALONE_HTTP_CLIENT_H
+#define BRIARPLANK_STANDALONE_HTTP_CLIENT_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/include/platform/http_fetch.h
+++ b/include/standalone/http_fetch.h
@@ -1,10 +1,10 @@
 /**
  * HTTP calls whose whole answer is wanted at once.
  */
-#ifndef BRIARPLANK_PLATFORM_HTTP_FETCH_H
-#define BRIARPLANK_PLATFORM_HTTP_FETCH_H
+#ifndef BRIARPLANK_STANDALONE_HTTP_FETCH_H
+#define BRIARPLANK_STANDALONE_HTTP_FETCH_H
 
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 /** Longest answer that is kept, in bytes. */
 #define HTTP_FETCH_MAX_BYTES (64 << 20)
--- a/include/platform/json_answer.h
+++ b/include/standalone/json_answer.h
@@ -1,12 +1,12 @@
 /**
  * Reads members of JSON answers; absent ones and a NULL root are empty.
  */
-#ifndef BRIARPLANK_PLATFORM_JSON_ANSWER_H
-#define BRIARPLANK_PLATFORM_JSON_ANSWER_H
+#ifndef BRIARPLANK_STANDALONE_JSON_ANSWER_H
+#define BRIARPLANK_STANDALONE_JSON_ANSWER_H
 
 #include <json-c/json.h>
 
-#include "platform/http_fetch.h"
+#include "standalone/http_fetch.h"
 
 /** Parses a whole answer with status 200; NULL for any other type or text. */
 struct json_object *json_answer_parse(const struct http_answer *answer,
--- a/include/platform/log_service.h
+++ b/include/standalone/log_service.h
@@ -1,13 +1,13 @@
 /**
  * The platform's append-only log service, as a table of functions.
  */
-#ifndef BRIARPLANK_PLATFORM_LOG_SERVICE_H
-#define BRIARPLANK_PLATFORM_LOG_SERVICE_H
+#ifndef BRIARPLANK_STANDALONE_LOG_SERVICE_H
+#define BRIARPLANK_STANDALONE_LOG_SERVICE_H
 
 #include <stddef.h>
 #include <stdint.h>
 
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 struct log_service;
 
--- a/include/platform/vm_list.h
+++ b/include/standalone/vm_list.h
@@ -1,14 +1,14 @@
 /**
  * The platform's lagging list of VMs, as a table of functions.
  */
-#ifndef BRIARPLANK_PLATFORM_VM_LIST_H
-#define BRIARPLANK_PLATFORM_VM_LIST_H
+#ifndef BRIARPLANK_STANDALONE_VM_LIST_H
+#define BRIARPLANK_STANDALONE_VM_LIST_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 struct vm_list;
 
--- a/include/platform/weight_store.h
+++ b/include/standalone/weight_store.h
@@ -1,13 +1,13 @@
 /**
  * The platform's rate-limited weight store, as a table of functions.
  */
-#ifndef BRIARPLANK_PLATFORM_WEIGHT_STORE_H
-#define BRIARPLANK_PLATFORM_WEIGHT_STORE_H
+#ifndef BRIARPLANK_STANDALONE_WEIGHT_STORE_H
+#define BRIARPLANK_STANDALONE_WEIGHT_STORE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 struct weight_store;
 
--- a/platform/backend_http.h
+++ b/standalone/backend_http.h
@@ -1,12 +1,12 @@
 /**
  * What the adapters for engines and plain services share.
  */
-#ifndef BRIARPLANK_PLATFORM_BACKEND_HTTP_H
-#define BRIARPLANK_PLATFORM_BACKEND_HTTP_H
+#ifndef BRIARPLANK_STANDALONE_BACKEND_HTTP_H
+#define BRIARPLANK_STANDALONE_BACKEND_HTTP_H
 
 #include <glib.h>
 
-#include "platform/backend.h"
+#include "standalone/backend.h"
 
 struct backend_http {
 	struct backend super;
--- a/platform/engine_http.c
+++ b/standalone/engine_http.c
@@ -8,8 +8,8 @@
 
 #include "backend_http.h"
 #include "engine_stream.h"
-#include "platform/http_fetch.h"
-#include "platform/json_answer.h"
+#include "standalone/http_fetch.h"
+#include "standalone/json_answer.h"
 
 /* Time in which an engine must have carried out an order, in ms. */
 #define ORDER_TIMEOUT_MS 120000
--- a/platform/engine_stream.h
+++ b/standalone/engine_stream.h
@@ -2,8 +2,8 @@
  * Asks an engine for a stream in place of a whole answer, so that the tokens
  * of a call that must give way are kept, and makes the whole answer of it.
  */
-#ifndef BRIARPLANK_PLATFORM_ENGINE_STREAM_H
-#define BRIARPLANK_PLATFORM_ENGINE_STREAM_H
+#ifndef BRIARPLANK_STANDALONE_ENGINE_STREAM_H
+#define BRIARPLANK_STANDALONE_ENGINE_STREAM_H
 
 #include <stddef.h>
 
--- a/platform/http_client.c
+++ b/standalone/http_client.c
@@ -7,7 +7,7 @@
 #include <h2o/socketpool.h>
 
 #include "common/list.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 
 /* Upper bound of h2o's own time limit; calls set tighter ones, in ms. */
 #define IO_TIMEOUT_MS (3600 * 1000)
--- a/platform/http_fetch.c
+++ b/standalone/http_fetch.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 
-#include "platform/http_fetch.h"
+#include "standalone/http_fetch.h"
 
 struct fetch {
 	http_fetch_fn done;
--- a/platform/json_answer.c
+++ b/standalone/json_answer.c
@@ -1,4 +1,4 @@
-#include "platform/json_answer.h"
+#include "standalone/json_answer.h"
 
 #define JSON_DEPTH 32
 
--- a/platform/log_http.c
+++ b/standalone/log_http.c
@@ -6,8 +6,8 @@
 #include <glib.h>
 
 #include "logservice.pb-c.h"
-#include "platform/http_fetch.h"
-#include "platform/log_service.h"
+#include "standalone/http_fetch.h"
+#include "standalone/log_service.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 
--- a/platform/vm_list_http.c
+++ b/standalone/vm_list_http.c
@@ -6,8 +6,8 @@
 #include <glib.h>
 
 #include "common/settings.h"
-#include "platform/json_answer.h"
-#include "platform/vm_list.h"
+#include "standalone/json_answer.h"
+#include "standalone/vm_list.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define ANSWER_TIMEOUT_MS 3000
--- a/platform/weight_store_http.c
+++ b/standalone/weight_store_http.c
@@ -3,8 +3,8 @@
  */
 #include <glib.h>
 
-#include "platform/json_answer.h"
-#include "platform/weight_store.h"
+#include "standalone/json_answer.h"
+#include "standalone/weight_store.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define ANSWER_TIMEOUT_MS 5000
--- a/tests/platform_state.h
+++ b/tests/platform_state.h
@@ -11,7 +11,7 @@
 #include <glib.h>
 #include <uv.h>
 
-#include "platform/backend.h"
+#include "standalone/backend.h"
 
 struct state {
 	uv_loop_t loop;
--- a/tests/process/settings_check.sh
+++ b/tests/process/settings_check.sh
@@ -27,6 +27,44 @@
 	diff expected out || exit 1
 }
 
+cat >gateway.json <<'EOF'
+{
+	// A gateway.
+	"node": { "name": "g", "ip": "10.0.0.1", "port": "7660",
+		  "data_centre": "a", "region": "r" },
+	"data_centres": [ { "name": "a" } ],
+	"listen": { "front": "10.0.0.1:80", "ready": "10.0.0.1",
+		    "metrics": "10.0.0.1:81" },
+	"store": { "address": "10.0.9.1:80", "retention_s": true },
+	"other": 1
+}
+EOF
+check 2 --role gateway --config gateway.json
+prints <<'EOF'
+gateway.json:9: other is no known key
+gateway.json:3: node.port must be a whole number
+gateway.json:5: data_centres[0].region is missing
+gateway.json:6: listen.ready must be a numeric IP address with a port, not "10.0.0.1"
+gateway.json:8: store.retention_s must be a number of seconds
+EOF
+
+cat >elsewhere.json <<'EOF'
+{
+	"node": { "name": "g", "ip": "10.0.0.1", "port": 7660,
+		  "data_centre": "b", "region": "r" },
+	"data_centres": [ { "name": "a", "region": "r" } ],
+	"listen": { "front": "10.0.0.1:80", "ready": "10.0.0.1:82",
+		    "metrics": "10.0.0.1:81" },
+	"store": { "address": "10.0.9.1:80" }
+}
+EOF
+check 2 --role gateway --config elsewhere.json
+prints <<'EOF'
+elsewhere.json:3: node.data_centre b is not among data_centres
+EOF
+sed 's/"b"/"a"/' elsewhere.json >good.json
+check 0 --role gateway --config good.json
+
 cat >entry.json <<'EOF'
 {
 	// An entry.
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "loop_wait.h"
-#include "platform/http_client.h"
+#include "standalone/http_client.h"
 #include "raw_peer.h"
 #include "script.h"
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -7,10 +7,10 @@
 #include <string.h>
 
 #include "loop_wait.h"
-#include "platform/http_fetch.h"
-#include "platform/log_service.h"
-#include "platform/vm_list.h"
-#include "platform/weight_store.h"
+#include "standalone/http_fetch.h"
+#include "standalone/log_service.h"
+#include "standalone/vm_list.h"
+#include "standalone/weight_store.h"
 #include "platform_state.h"
 #include "raw_peer.h"
 #include "script.h"
