--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
+#include <time.h>
 
 #include "batch.h"
 #include "briarplankd/gateway.h"
@@ -41,6 +42,14 @@
 	return (uint64_t)(g_get_real_time() / 1000);
 }
 
+uint64_t gateway_boot_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 void gateway_refuse(struct web_request *web, int status, double retry_after_s,
 		    const char *fmt, ...)
 {
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -53,6 +53,9 @@
 /** Unix time in ms by this VM's clock. */
 uint64_t gateway_wall_ms(void);
 
+/** Time in ms that goes on while the VM is suspended, unlike the loop's. */
+uint64_t gateway_boot_ms(void);
+
 /** A new configuration is in force. */
 void gateway_config_changed(struct gateway *gateway);
 
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -11,7 +11,7 @@
 #define INDEX_PARTITION 0
 #define READ_MAX_KB 1024
 /* Longest wait of the store for a new record, in ms. */
-#define FOLLOW_WAIT_MS 500
+#define FOLLOW_WAIT_MS 400
 /* Time beyond the wait after which a call counts as unanswered, in ms. */
 #define CALL_TIMEOUT_MS 900
 /* Pause after a call that failed, in ms. */
@@ -41,7 +41,10 @@
 	struct gateway *gateway;
 	struct job_log *log;
 	uint64_t next_offset;
-	uint64_t current_ms;
+	/* Boot times at which the read under way was sent, and as of which the
+	 * fold is whole. */
+	uint64_t sent_boot_ms;
+	uint64_t current_boot_ms;
 	bool loaded;
 	uv_timer_t follow_timer;
 	uv_timer_t append_timer;
@@ -105,7 +108,7 @@
 bool job_store_current(const struct job_store *store)
 {
 	return store->loaded &&
-	       uv_now(store->gateway->loop) - store->current_ms <= CURRENT_MS;
+	       gateway_boot_ms() - store->current_boot_ms <= CURRENT_MS;
 }
 
 /* Following the index. */
@@ -145,7 +148,12 @@
 	}
 	store->next_offset = result->next_offset;
 	if (store->next_offset >= result->end_offset) {
-		store->current_ms = uv_now(store->gateway->loop);
+		/* An answer may have lain here while this process stood
+		 * still: it is as old as its request, and by its wait younger
+		 * when nothing came in that time. */
+		store->current_boot_ms = store->sent_boot_ms;
+		if (!result->records_nr && store->loaded)
+			store->current_boot_ms += FOLLOW_WAIT_MS;
 		if (!store->loaded)
 			log_event("job_index", LOG_LEVEL_INFO,
 				  "loaded end=%" PRIu64, result->end_offset);
@@ -169,6 +177,7 @@
 		.ctx = store,
 	};
 
+	store->sent_boot_ms = gateway_boot_ms();
 	store_read(store->gateway->store, &read);
 }
 
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -71,8 +71,12 @@
 		state = H2O_SEND_STATE_FINAL;
 	else if (request->ended && !request->in_flight->len)
 		state = H2O_SEND_STATE_ERROR;
-	/* TLS has an end of its own, which the socket below can't send. */
-	if (state == H2O_SEND_STATE_ERROR && !request->web->accept.ssl_ctx)
+	/*
+	 * TLS has an end of its own, which the socket below can't send, and an
+	 * HTTP/1.0 body is broken by a reset only.
+	 */
+	if (state == H2O_SEND_STATE_ERROR && !request->web->accept.ssl_ctx &&
+	    request->req->version >= HTTP_1_1)
 		shut_down(request);
 	buf = h2o_iovec_init(request->in_flight->str, request->in_flight->len);
 	request->sending = state == H2O_SEND_STATE_IN_PROGRESS;
@@ -273,17 +277,22 @@
 	g_free(detail);
 }
 
-void web_stream_begin(struct web_request *request, int status, const char *type)
+/* Sends the head before the body's first piece, or before its break. */
+static void head_send(struct web_request *request, int status, const char *type)
 {
-	if (!request->req || request->begun)
-		return;
 	begin(request, status, type);
 	h2o_start_response(request->req, &request->generator);
-	/* An empty piece makes the head leave before the body's first. */
 	request->sending = true;
 	h2o_send(request->req, NULL, 0, H2O_SEND_STATE_IN_PROGRESS);
 }
 
+void web_stream_begin(struct web_request *request, int status, const char *type)
+{
+	if (!request->req || request->begun)
+		return;
+	head_send(request, status, type);
+}
+
 void web_stream_write(struct web_request *request, const void *data, size_t len)
 {
 	if (!request->req || request->ended)
@@ -322,9 +331,9 @@
 		break_visibly(request);
 	if (!request->begun) {
 		/* Nothing was sent: a bare end would look like an answer. */
-		begin(request, 502, NULL);
-		h2o_start_response(request->req, &request->generator);
-		whole = false;
+		request->ended = true;
+		head_send(request, 502, NULL);
+		return;
 	}
 	request->ended = true;
 	request->whole = whole;
