Free what the gateway holds at its end

Cause: under the leak sanitizer a graceful stop ended with 1, as the process left its memory to the system (process_gateway_jobs, process_gateway_stop).

Change: the process closes its parts in the order in which they use each other.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -844,10 +844,15 @@
 	g_free(handle->data);
 }
 
+/* The store's client, which would end a save under way, goes next. */
 void batch_destroy(struct batch *batch)
 {
 	struct list *pos, *tmp;
 
+	if (batch->save) {
+		g_ptr_array_free(batch->save->entries, TRUE);
+		g_free(batch->save);
+	}
 	list_for_each_safe (pos, tmp, &batch->runs)
 		run_free(list_entry(pos, struct run, link));
 	uv_close((uv_handle_t *)&batch->timer, on_closed);
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -311,6 +311,38 @@
 	process->stop_timer.data = process;
 }
 
+/* Callers go first, as their requests hold calls to servers and the store. */
+static void process_close(struct process *process)
+{
+	struct gateway *gateway = &process->gateway;
+
+	if (gateway->front)
+		web_destroy(gateway->front);
+	if (gateway->ready)
+		web_destroy(gateway->ready);
+	if (gateway->metrics_web)
+		web_destroy(gateway->metrics_web);
+	batch_destroy(gateway->batch);
+	job_calls_destroy(gateway->job_calls);
+	store_destroy(gateway->store);
+	if (gateway->job_store)
+		job_store_destroy(gateway->job_store);
+	if (gateway->directory)
+		directory_destroy(gateway->directory);
+	if (gateway->peers)
+		peers_destroy(gateway->peers);
+	fleet_destroy(gateway->fleet);
+	uv_close((uv_handle_t *)&process->sigterm, NULL);
+	uv_close((uv_handle_t *)&process->sighup, NULL);
+	uv_close((uv_handle_t *)&process->stop_timer, NULL);
+	uv_run(gateway->loop, UV_RUN_DEFAULT);
+	uv_loop_close(gateway->loop);
+	route_table_destroy(gateway->config);
+	metrics_destroy(gateway->metrics);
+	g_hash_table_destroy(gateway->regions);
+	g_free(gateway->identity);
+}
+
 int gateway_run(const struct gateway_settings *settings)
 {
 	struct process process = { 0 };
@@ -325,6 +357,7 @@
 	open_signals(&process);
 	if (!gateway_open(gateway)) {
 		log_event("start", LOG_LEVEL_ERROR, "%s", error_last());
+		process_close(&process);
 		return 1;
 	}
 	log_event("start", LOG_LEVEL_INFO,
@@ -346,6 +379,6 @@
 	uv_run(gateway->loop, UV_RUN_DEFAULT);
 	log_event("stop", LOG_LEVEL_INFO, "ended running=%u",
 		  web_running(gateway->front));
-	/* The process ends here: what is still open is the system's to free. */
+	process_close(&process);
 	return 0;
 }
