--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -383,6 +383,7 @@
 	for (i = 0; i < ONLINE_CLIENTS; i++) {
 		struct client *client = g_new0(struct client, 1);
 
+		g_ptr_array_add(soak->clients, client);
 		client->soak = soak;
 		client->nr = i;
 		uv_timer_init(&soak->loop, &client->timer);
@@ -409,6 +410,46 @@
 	return soak->open_calls == 0;
 }
 
+static void on_client_closed(uv_handle_t *handle)
+{
+	struct client *client = handle->data;
+
+	g_free(client->id);
+	g_free(client);
+}
+
+static void on_job_closed(uv_handle_t *handle)
+{
+	struct job *job = handle->data;
+
+	g_ptr_array_free(job->listed, TRUE);
+	g_string_free(job->text, TRUE);
+	g_free(job->id);
+	g_free(job);
+}
+
+static bool no_calls(void *ctx)
+{
+	return ((struct soak *)ctx)->open_calls == 0;
+}
+
+void soak_clients_free(struct soak *soak)
+{
+	guint i;
+
+	soak_wait(soak, no_calls, soak, CALL_TIMEOUT_MS);
+	for (i = 0; i < soak->clients->len; i++) {
+		struct client *client = g_ptr_array_index(soak->clients, i);
+
+		uv_close((uv_handle_t *)&client->timer, on_client_closed);
+	}
+	for (i = 0; i < soak->jobs->len; i++) {
+		struct job *job = g_ptr_array_index(soak->jobs, i);
+
+		uv_close((uv_handle_t *)&job->timer, on_job_closed);
+	}
+}
+
 /* The end: what ran, against what was said. */
 
 struct tally {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -183,4 +183,5 @@
 	uv_timer_stop(&fault_timer);
 	if (!soak_wait(soak, all_over, NULL, 20000))
 		soak_violation(soak, "a process did not stop in its time");
+	uv_close((uv_handle_t *)&fault_timer, NULL);
 }
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -298,3 +298,24 @@
 		kill_process(&soak->servers[i]);
 	kill_process(&soak->store);
 }
+
+static void process_free(struct soak_process *process)
+{
+	g_free(process->name);
+	g_free(process->log);
+	g_free(process->address);
+}
+
+void soak_fleet_free(struct soak *soak)
+{
+	unsigned i;
+
+	for (i = 0; i < SOAK_GATEWAYS; i++) {
+		process_free(&soak->gateways[i]);
+		process_free(&soak->proxies[i]);
+		g_free(soak->proxy_links[i]);
+	}
+	for (i = 0; i < SOAK_SERVERS; i++)
+		process_free(&soak->servers[i]);
+	process_free(&soak->store);
+}
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -47,6 +47,19 @@
 	soak_check_end(soak);
 }
 
+static void soak_free(struct soak *soak)
+{
+	soak_clients_free(soak);
+	uv_run(&soak->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&soak->loop);
+	soak_fleet_free(soak);
+	g_ptr_array_free(soak->jobs, TRUE);
+	g_ptr_array_free(soak->clients, TRUE);
+	g_hash_table_destroy(soak->told);
+	g_rand_free(soak->rand);
+	g_free(soak->dir);
+}
+
 int main(int argc, char **argv)
 {
 	struct soak soak = { 0 };
@@ -67,6 +80,7 @@
 	soak.told =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	soak.jobs = g_ptr_array_new();
+	soak.clients = g_ptr_array_new();
 	if (soak_fleet_start(&soak))
 		play(&soak, seconds * 1000);
 	else
@@ -76,5 +90,6 @@
 	       "broken, %u jobs, %u faults, %u violations; logs in %s\n",
 	       soak.seed, soak.requests, soak.served, soak.refused, soak.broken,
 	       soak.jobs->len, soak.faults, soak.violations, soak.dir);
+	soak_free(&soak);
 	return soak.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -44,6 +44,7 @@
 	/* Request id to what its caller was told (enum soak_told). */
 	GHashTable *told;
 	GPtrArray *jobs;
+	GPtrArray *clients;
 	unsigned open_calls;
 	/* Clients start nothing new. */
 	bool ending;
@@ -71,6 +72,7 @@
 /* Processes (fleet.c). */
 bool soak_fleet_start(struct soak *soak);
 void soak_fleet_stop(struct soak *soak);
+void soak_fleet_free(struct soak *soak);
 void soak_gateway_start(struct soak *soak, unsigned i);
 void soak_signal(struct soak_process *process, int signum);
 bool soak_wait(struct soak *soak, bool (*done)(void *ctx), void *ctx,
@@ -98,6 +100,9 @@
 /** Tells whether each accepted job has all its results. */
 bool soak_jobs_done(void *ctx);
 
+/** Frees clients and jobs, when no call is open any more. */
+void soak_clients_free(struct soak *soak);
+
 /** Compares what callers were told with what the servers ran. */
 void soak_check_end(struct soak *soak);
 
