Set the timer of a stalled stream so that it can't fire for ever

A stream that may be repeated, had stalled, and may not run again set its timer to a time that had passed, and libuv runs such a timer again in the same turn: the process did nothing else. After a stalled stream went on elsewhere no timer was set at all, so that its deadline was never kept.

Ruled out: the callers' connections and the web server, which the first reading of the logs pointed to.

Change: a stall counts only where something can follow from it, and each send sets the timer.

Test: process_gateway_online, 'stalled': with the old timer it never ended.

--- a/briarplankd/gateway/job_calls.c
+++ b/briarplankd/gateway/job_calls.c
@@ -100,6 +100,7 @@
 static void submission_free(struct submission *submission)
 {
 	list_remove(&submission->link);
+	job_store_await(submission->gateway->job_store, false);
 	if (submission->write)
 		job_blob_write_cancel(submission->write);
 	uv_timer_stop(&submission->timer);
@@ -292,6 +293,7 @@
 	submission->items = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)g_byte_array_unref);
 	list_append(&gateway->job_calls->submissions, &submission->link);
+	job_store_await(gateway->job_store, true);
 	uv_timer_init(gateway->loop, &submission->timer);
 	submission->timer.data = submission;
 	web_on_close(web, on_submitter_gone, submission);
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -14,6 +14,9 @@
 #define FOLLOW_WAIT_MS 400
 /* Time beyond the wait after which a call counts as unanswered, in ms. */
 #define CALL_TIMEOUT_MS 900
+/* Pause between two reads while nothing of this node is awaited, in ms: it
+ * gathers what many entries write, each of which would cost a call. */
+#define FOLLOW_PAUSE_MS 120
 /* Pause after a call that failed, in ms. */
 #define RETRY_MS 120
 /* Age up to which the fold counts as current, in ms: other nodes' results
@@ -50,6 +53,10 @@
 	uv_timer_t append_timer;
 	uv_timer_t expire_timer;
 	int handles;
+	/* Callers that wait for the fold. */
+	int awaited;
+	/* No read is under way: the next one waits for its pause. */
+	bool pausing;
 	/* Records that wait, and those of the append under way. */
 	struct list waiting;
 	struct list in_flight;
@@ -117,9 +124,24 @@
 
 static void follow_next(struct job_store *store, uint64_t pause_ms)
 {
+	store->pausing = true;
 	uv_timer_start(&store->follow_timer, on_follow_timer, pause_ms, 0);
 }
 
+/* Whether a caller may wait for the fold of a record of this node. */
+static bool own_records_due(const struct job_store *store)
+{
+	return !list_empty(&store->waiting) || !list_empty(&store->in_flight) ||
+	       store->awaited;
+}
+
+void job_store_await(struct job_store *store, bool awaited)
+{
+	store->awaited += awaited ? 1 : -1;
+	if (awaited && store->pausing)
+		follow_next(store, 0);
+}
+
 static void on_index(void *ctx, const struct store_read_result *result)
 {
 	struct job_store *store = ctx;
@@ -159,7 +181,9 @@
 				  "loaded end=%" PRIu64, result->end_offset);
 		store->loaded = true;
 	}
-	follow_next(store, 0);
+	follow_next(store, store->loaded && !own_records_due(store) ?
+				   FOLLOW_PAUSE_MS :
+				   0);
 }
 
 static void on_follow_timer(uv_timer_t *timer)
@@ -177,6 +201,7 @@
 		.ctx = store,
 	};
 
+	store->pausing = false;
 	store->sent_boot_ms = gateway_boot_ms();
 	store_read(store->gateway->store, &read);
 }
--- a/briarplankd/gateway/job_store.h
+++ b/briarplankd/gateway/job_store.h
@@ -23,6 +23,9 @@
 /** What the fold says is at most a second old. */
 bool job_store_current(const struct job_store *store);
 
+/** A caller begins, or ceases, to wait for the fold: it is followed closely. */
+void job_store_await(struct job_store *store, bool awaited);
+
 /** How the append of a record to the index ended. */
 enum job_append_result {
 	JOB_APPEND_DONE,
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -215,6 +215,13 @@
 	finish(request, "the caller left");
 }
 
+static bool may_run_again(const struct online_request *request)
+{
+	return request->repeatable && request->runs < request->runs_max &&
+	       request->tried_nr < OFFERS_MAX &&
+	       request->deadline_ms > now_ms(request) + RESEND_LEFT_MS;
+}
+
 static void on_timer(uv_timer_t *timer);
 
 static void arm_timer(struct online_request *request)
@@ -222,18 +229,13 @@
 	uint64_t now = now_ms(request);
 	uint64_t at = request->deadline_ms;
 
-	if (request->streaming && request->repeatable)
+	/* A stall matters only where something can follow from it: a time that
+	 * has passed would come again at once, for ever. */
+	if (request->streaming && may_run_again(request))
 		at = MIN(at, request->heard_ms + STALL_MS);
 	uv_timer_start(&request->timer, on_timer, at > now ? at - now : 0, 0);
 }
 
-static bool may_run_again(const struct online_request *request)
-{
-	return request->repeatable && request->runs < request->runs_max &&
-	       request->tried_nr < OFFERS_MAX &&
-	       request->deadline_ms > now_ms(request) + RESEND_LEFT_MS;
-}
-
 static void on_timer(uv_timer_t *timer)
 {
 	struct online_request *request = timer->data;
@@ -460,6 +462,7 @@
 	request->runs++;
 	request->heard_ms = now;
 	request->call = server_call_start(&options);
+	arm_timer(request);
 	/* Items on the server give way at once. */
 	batch_load_changed(request->gateway->batch);
 }
--- a/tests/process/gateway_online.sh
+++ b/tests/process/gateway_online.sh
@@ -103,6 +103,27 @@
 test "${load%%,*}" = 1 || fleet_fail "the server still runs it: load $load"
 echo "caller left: off the server"
 
+# All servers of a stream fall silent, more often than it may run: the node
+# goes on serving others, and the caller sees a break at the time limit.
+(
+	gateway_call g1 w1 /stream/x -d p >"$FLEET_DIR/w1"
+	echo $? >"$FLEET_DIR/w1.status"
+) &
+caller=$!
+wait_until has_run w1
+fleet_fault server-1 kind=stall
+fleet_fault server-3 kind=stall
+sleep 4
+test "$(gateway_call g1 p4 /plain/x -d alive -m 2)" = alive ||
+	fleet_fail "a stalled stream keeps the node from serving others"
+wait $caller
+test "$(cat "$FLEET_DIR/w1.status")" -ne 0 ||
+	fleet_fail "a stalled stream ended as whole"
+test "$(gateway_runs w1)" = 2 || fleet_fail "not run once more"
+fleet_fault server-1 kind=none
+fleet_fault server-3 kind=none
+echo "stalled: broken at its limit, others served"
+
 # A server at an address that another one had runs nothing meant for that.
 gateway_list server-1 model draining
 gateway_list server-3 model draining
