Split batch and job calls by what each file does

Change: one item's run, saving and scheduling are apart, as are submissions, reads and the cache of outputs. The end of a job whose append has no answer by the caller's deadline is told 504, and its record goes on; before, the caller was left without an answer.

--- /dev/null
+++ b/briarplankd/gateway/batch_run.c
@@ -0,0 +1,402 @@
+#include <string.h>
+
+#include "batch_run.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "platform/codec.h"
+
+/* Pause of an item after a failure, in ms. */
+#define FAILURE_PAUSE_MS 250
+/* Time for which an output is offered to the store, in ms; it is tried again
+ * after that. */
+#define WRITE_TIME_MS 20000
+
+static uint64_t now_ms(const struct batch *batch)
+{
+	return uv_now(batch->gateway->loop);
+}
+
+static void set_state(struct run *run, enum run_state state)
+{
+	if (run->state == RUN_WAITING)
+		run->batch->waiting--;
+	run->state = state;
+	if (state == RUN_WAITING)
+		run->batch->waiting++;
+}
+
+static void run_cancel(struct run *run)
+{
+	if (run->call)
+		server_call_cancel(run->call);
+	if (run->read)
+		job_blob_read_cancel(run->read);
+	if (run->write)
+		job_blob_write_cancel(run->write);
+	run->call = NULL;
+	run->server = NULL;
+	run->read = NULL;
+	run->write = NULL;
+}
+
+void run_free(struct run *run)
+{
+	run_cancel(run);
+	set_state(run, RUN_ENDING);
+	run->item->run = NULL;
+	list_remove(&run->link);
+	if (run->payload)
+		g_byte_array_free(run->payload, TRUE);
+	job_request_item_clear(&run->request);
+	g_free(run->fields);
+	g_string_free(run->output, TRUE);
+	event_stream_destroy(run->events);
+	g_free(run);
+}
+
+struct run *run_create(struct batch *batch, struct job *job,
+		       struct job_item *item)
+{
+	struct run *run = g_new0(struct run, 1);
+	struct list *pos;
+
+	run->batch = batch;
+	run->job = job;
+	run->item = item;
+	run->output = g_string_new(NULL);
+	run->last_event = -1;
+	run->saved_event = item->saved_event;
+	run->events = event_stream_create();
+	run->state = RUN_ENDING;
+	item->run = run;
+	for (pos = batch->runs.prev; pos != &batch->runs; pos = pos->prev) {
+		if (list_entry(pos, struct run, link)->job->due_ms <=
+		    job->due_ms)
+			break;
+	}
+	list_insert(pos, &run->link);
+	set_state(run, RUN_WAITING);
+	return run;
+}
+
+static void wait_again(struct run *run, uint64_t pause_ms)
+{
+	event_stream_reset(run->events);
+	run->broken = false;
+	run->not_before_ms = now_ms(run->batch) + pause_ms;
+	set_state(run, RUN_WAITING);
+}
+
+/* Ends. */
+
+static void append_end(struct run *run, const struct job_blob *output,
+		       const char *dead_reason)
+{
+	size_t index = (size_t)(run->item - run->job->items);
+
+	set_state(run, RUN_ENDING);
+	/* The fold frees the run when the record comes back. */
+	job_store_append(
+		run->batch->gateway->job_store,
+		job_log_encode_result(run->job->id, index, output, dead_reason),
+		false, NULL, NULL);
+}
+
+static void give_up(struct run *run, const char *reason)
+{
+	log_event("item", LOG_LEVEL_WARN, "job=%s item=%s dead: %s",
+		  run->job->id, run->item->id, reason);
+	counter_add(run->batch->failed, 1);
+	append_end(run, NULL, reason);
+}
+
+static void write_output(struct run *run);
+
+static void on_output_written(void *ctx, const struct job_blob *places)
+{
+	struct run *run = ctx;
+
+	run->write = NULL;
+	if (places)
+		append_end(run, &places[0], NULL);
+	else
+		write_output(run);
+}
+
+static void write_output(struct run *run)
+{
+	struct batch *batch = run->batch;
+	GPtrArray *blobs = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_byte_array_unref);
+	GByteArray *blob = g_byte_array_new();
+
+	g_byte_array_append(blob, (const guint8 *)run->output->str,
+			    (guint)run->output->len);
+	g_ptr_array_add(blobs, blob);
+	set_state(run, RUN_ENDING);
+	run->write = job_store_write(
+		batch->gateway->job_store, blobs, hash_string(run->item->id, 0),
+		now_ms(batch) + WRITE_TIME_MS, on_output_written, run);
+}
+
+static void run_done(struct run *run)
+{
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s done events=%" PRId64 " bytes=%zu "
+		  "slack_ms=%" PRId64,
+		  run->job->id, run->item->id, run->last_event,
+		  run->output->len,
+		  (int64_t)(run->job->due_ms - gateway_wall_ms()));
+	counter_add(run->batch->done, 1);
+	write_output(run);
+}
+
+static void run_failed(struct run *run)
+{
+	struct batch *batch = run->batch;
+	size_t index = (size_t)(run->item - run->job->items);
+
+	log_event("item", LOG_LEVEL_WARN,
+		  "job=%s item=%s status=%d failures=%u of %u", run->job->id,
+		  run->item->id, run->status, run->item->failures + 1,
+		  run->job->attempts_max);
+	job_store_append(
+		batch->gateway->job_store,
+		job_log_encode_failure(run->job->id, index, run->status), false,
+		NULL, NULL);
+	run->last_event = -1;
+	run->saved_event = -1;
+	g_string_truncate(run->output, 0);
+	if (run->item->failures + 1 >= run->job->attempts_max)
+		set_state(run, RUN_ENDING);
+	else
+		wait_again(run, FAILURE_PAUSE_MS);
+}
+
+/* The run at a server. */
+
+static void on_event(void *ctx, const struct stream_event *event)
+{
+	struct run *run = ctx;
+
+	if (run->broken || !event->has_id)
+		return;
+	if (run->last_event >= 0 &&
+	    event->id != (uint64_t)run->last_event + 1) {
+		run->broken = true;
+		return;
+	}
+	if (run->last_event >= 0)
+		g_string_append_c(run->output, '\n');
+	g_string_append_len(run->output, event->data, (gssize)event->data_len);
+	run->last_event = (int64_t)event->id;
+}
+
+static void on_head(void *ctx, const struct server_answer *answer)
+{
+	struct run *run = ctx;
+
+	run->heard_ms = now_ms(run->batch);
+	run->status = answer->status;
+	if (answer->status == 200 && !answer->is_signed)
+		run->broken = true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct run *run = ctx;
+
+	run->heard_ms = now_ms(run->batch);
+	if (run->status == 200 && !run->broken)
+		event_stream_feed(run->events, data, len, on_event, run);
+}
+
+static void on_end(void *ctx, enum server_call_end end)
+{
+	struct run *run = ctx;
+	size_t rest;
+
+	run->call = NULL;
+	run->server = NULL;
+	event_stream_rest(run->events, &rest);
+	if (end == SERVER_CALL_WHOLE && run->status == 200 && !run->broken &&
+	    !rest && run->last_event >= 0)
+		run_done(run);
+	else if (end == SERVER_CALL_WHOLE && run->status == 422)
+		give_up(run, "a server answered that it can't be done");
+	else if (end == SERVER_CALL_WHOLE && run->status == 500)
+		run_failed(run);
+	else
+		wait_again(run, FAILURE_PAUSE_MS);
+}
+
+const struct route *run_route(const struct run *run)
+{
+	const struct route_table *config = run->batch->gateway->config;
+
+	return config ? route_table_find(config, run->job->host,
+					 run->job->path) :
+			NULL;
+}
+
+void run_start_at(struct run *run, struct server *server)
+{
+	struct batch *batch = run->batch;
+	uint64_t wall = gateway_wall_ms();
+	struct server_call_options options = {
+		.gateway = batch->gateway,
+		.server = server,
+		.class = WORK_BATCH,
+		.method = "POST",
+		.target = run->request.path,
+		.host = run->job->host,
+		.request_id = run->item->id,
+		.fields = run->fields,
+		.body = (const char *)run->request.body,
+		.body_len = run->request.body_len,
+		.has_body = true,
+		.deadline_ms = run->job->expires_ms > wall ?
+				       run->job->expires_ms - wall :
+				       1,
+		.last_event = run->last_event,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.ctx = run,
+	};
+
+	set_state(run, RUN_RUNNING);
+	run->status = 0;
+	run->server = server;
+	run->started_ms = now_ms(batch);
+	run->heard_ms = run->started_ms;
+	counter_add(batch->started, 1);
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s server=%s after_event=%" PRId64
+		  " online=%u+%u batch=%u+%u",
+		  run->job->id, run->item->id, server->id, run->last_event,
+		  server->own[WORK_ONLINE], server->others[WORK_ONLINE],
+		  server->own[WORK_BATCH], server->others[WORK_BATCH]);
+	run->call = server_call_start(&options);
+}
+
+static bool decode_payload(struct run *run)
+{
+	GString *fields;
+	size_t i;
+
+	if (run->fields)
+		return true;
+	if (!job_request_item_decode(run->payload->data, run->payload->len,
+				     &run->request))
+		return false;
+	fields = g_string_new(NULL);
+	for (i = 0; i < run->request.fields_nr; i++) {
+		if (server_call_passes_field(run->request.fields[i].name))
+			g_string_append_printf(fields, "%s: %s\r\n",
+					       run->request.fields[i].name,
+					       run->request.fields[i].value);
+	}
+	run->fields = g_string_free(fields, FALSE);
+	/* The decoded form holds it all. */
+	g_byte_array_free(run->payload, TRUE);
+	run->payload = NULL;
+	return true;
+}
+
+static void on_payload(void *ctx, const char *data, size_t len)
+{
+	struct run *run = ctx;
+
+	run->read = NULL;
+	if (data) {
+		run->payload = g_byte_array_new();
+		g_byte_array_append(run->payload, (const guint8 *)data,
+				    (guint)len);
+		if (!decode_payload(run))
+			log_event("item", LOG_LEVEL_ERROR,
+				  "job=%s item=%s unreadable body",
+				  run->job->id, run->item->id);
+	}
+	wait_again(run, data ? 0 : FAILURE_PAUSE_MS);
+}
+
+static void fetch_payload(struct run *run)
+{
+	set_state(run, RUN_FETCHING);
+	run->read = job_store_read(run->batch->gateway->job_store,
+				   &run->item->body, on_payload, run);
+}
+
+static void on_saved_output(void *ctx, const char *data, size_t len)
+{
+	struct run *run = ctx;
+
+	run->read = NULL;
+	/* Without the saved part the item starts anew. */
+	if (data) {
+		g_string_append_len(run->output, data, (gssize)len);
+		run->last_event = run->saved_event;
+	} else {
+		run->saved_event = -1;
+	}
+	wait_again(run, 0);
+}
+
+/* Reads what another node, or an earlier process of this one, had done. */
+static void fetch_saved(struct run *run)
+{
+	run->saved_event = run->item->saved_event;
+	set_state(run, RUN_FETCHING);
+	run->read = job_store_read(run->batch->gateway->job_store,
+				   &run->item->saved, on_saved_output, run);
+}
+
+bool run_prepare(struct run *run, uint64_t now)
+{
+	const struct route *route;
+
+	if (run->state != RUN_WAITING || run->not_before_ms > now)
+		return false;
+	if (gateway_wall_ms() >= run->job->expires_ms) {
+		give_up(run, "its time to be done is over");
+		return false;
+	}
+	route = run_route(run);
+	if (!run->batch->gateway->config)
+		return false;
+	if (!route) {
+		give_up(run, "its route was removed");
+		return false;
+	}
+	if (!run->fields && !(run->payload && decode_payload(run))) {
+		fetch_payload(run);
+		return false;
+	}
+	if (run->last_event < 0 && run->saved_event >= 0) {
+		fetch_saved(run);
+		return false;
+	}
+	return true;
+}
+
+void run_yield(struct run *run, const char *why, uint64_t pause_ms)
+{
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s server=%s off after_event=%" PRId64
+		  " ms=%" PRIu64 ": %s",
+		  run->job->id, run->item->id, run->server->id, run->last_event,
+		  now_ms(run->batch) - run->started_ms, why);
+	server_call_cancel(run->call);
+	run->call = NULL;
+	run->server = NULL;
+	wait_again(run, pause_ms);
+}
+
+void run_drop(struct run *run, const char *why)
+{
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s dropped after_event=%" PRId64 ": %s",
+		  run->job->id, run->item->id, run->last_event, why);
+	run_free(run);
+}
--- /dev/null
+++ b/briarplankd/gateway/batch_run.h
@@ -0,0 +1,91 @@
+/**
+ * One batch item at work. batch.c decides when and where it runs, batch_save.c
+ * keeps what it has done.
+ */
+#ifndef BRIARPLANKD_GATEWAY_BATCH_RUN_H
+#define BRIARPLANKD_GATEWAY_BATCH_RUN_H
+
+#include "batch.h"
+#include "core/event_stream.h"
+#include "core/job_request.h"
+#include "job_store.h"
+#include "server_call.h"
+
+struct batch_save;
+
+/** What an item waits for. */
+enum run_state {
+	/** Waits for a slot. */
+	RUN_WAITING,
+	/** Its body is being read from the store. */
+	RUN_FETCHING,
+	RUN_RUNNING,
+	/** Its output or end is on the way to the log. */
+	RUN_ENDING,
+};
+
+struct run {
+	struct list link;
+	struct batch *batch;
+	struct job *job;
+	struct job_item *item;
+	enum run_state state;
+	/* Encoded body; NULL until it was read. */
+	GByteArray *payload;
+	struct job_request_item request;
+	char *fields;
+	struct server_call *call;
+	struct server *server;
+	struct job_blob_read *read;
+	struct job_blob_write *write;
+	GString *output;
+	int64_t last_event;
+	/* Last event whose output is saved or being saved. */
+	int64_t saved_event;
+	struct event_stream *events;
+	bool broken;
+	int status;
+	uint64_t not_before_ms;
+	uint64_t heard_ms;
+	uint64_t started_ms;
+};
+
+struct batch {
+	struct gateway *gateway;
+	/* Runs by due time. */
+	struct list runs;
+	unsigned waiting;
+	uv_timer_t timer;
+	uint64_t scanned_ms;
+	uint64_t saved_ms;
+	struct batch_save *save;
+	bool yielding;
+	struct counter *started;
+	struct counter *yielded;
+	struct counter *done;
+	struct counter *failed;
+};
+
+/** Adds an item in the order of the jobs' due times. */
+struct run *run_create(struct batch *batch, struct job *job,
+		       struct job_item *item);
+
+/** Ends its calls and forgets it. */
+void run_free(struct run *run);
+
+/** The route that the job's submission has now, or NULL. */
+const struct route *run_route(const struct run *run);
+
+/** Tells whether a waiting item can start; fetches what it lacks. */
+bool run_prepare(struct run *run, uint64_t now);
+
+/** Sends a prepared item to a server. */
+void run_start_at(struct run *run, struct server *server);
+
+/** Takes an item off its server; it goes on elsewhere behind its last event. */
+void run_yield(struct run *run, const char *why, uint64_t pause_ms);
+
+/** Leaves an item to the node that owns it. */
+void run_drop(struct run *run, const char *why);
+
+#endif
--- /dev/null
+++ b/briarplankd/gateway/batch_save.c
@@ -0,0 +1,122 @@
+#include "batch_save.h"
+#include "common/log.h"
+#include "peers.h"
+
+/* Longest time for which a save is offered to the store, in ms: a stopping node
+ * waits no longer for its last one. */
+#define SAVE_TIME_MS 2000
+
+/* Outputs on the way to the store, each for one of the records. */
+struct batch_save {
+	struct batch *batch;
+	GPtrArray *entries;
+	unsigned appends;
+};
+
+struct save_entry {
+	char *job;
+	size_t item;
+	uint64_t last_event;
+};
+
+static void save_entry_free(gpointer data)
+{
+	struct save_entry *entry = data;
+
+	g_free(entry->job);
+	g_free(entry);
+}
+
+static void save_end(struct batch_save *save)
+{
+	save->batch->save = NULL;
+	if (save->batch->gateway->stopping)
+		batch_handed_over(save->batch, "saved");
+	g_ptr_array_free(save->entries, TRUE);
+	g_free(save);
+}
+
+static void on_save_appended(void *ctx, enum job_append_result result)
+{
+	struct batch_save *save = ctx;
+
+	(void)result;
+	if (--save->appends == 0)
+		save_end(save);
+}
+
+static void on_save_written(void *ctx, const struct job_blob *places)
+{
+	struct batch_save *save = ctx;
+	struct job_store *store = save->batch->gateway->job_store;
+	guint i;
+
+	if (!places) {
+		save_end(save);
+		return;
+	}
+	save->appends = save->entries->len;
+	for (i = 0; i < save->entries->len; i++) {
+		struct save_entry *entry = g_ptr_array_index(save->entries, i);
+
+		job_store_append(
+			store,
+			job_log_encode_progress(entry->job, entry->item,
+						entry->last_event, &places[i]),
+			true, on_save_appended, save);
+	}
+}
+
+static void save_add(struct batch_save *save, struct run *run, GPtrArray *blobs)
+{
+	struct save_entry *entry = g_new0(struct save_entry, 1);
+	GByteArray *blob = g_byte_array_new();
+
+	entry->job = g_strdup(run->job->id);
+	entry->item = (size_t)(run->item - run->job->items);
+	entry->last_event = (uint64_t)run->last_event;
+	g_ptr_array_add(save->entries, entry);
+	g_byte_array_append(blob, (const guint8 *)run->output->str,
+			    (guint)run->output->len);
+	g_ptr_array_add(blobs, blob);
+	run->saved_event = run->last_event;
+}
+
+bool batch_save_runs(struct batch *batch, int64_t events)
+{
+	struct batch_save *save = g_new0(struct batch_save, 1);
+	GPtrArray *blobs = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_byte_array_unref);
+	struct list *pos;
+
+	save->batch = batch;
+	save->entries = g_ptr_array_new_with_free_func(save_entry_free);
+	list_for_each (pos, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if ((run->state == RUN_RUNNING || run->state == RUN_WAITING) &&
+		    run->last_event >= run->saved_event + events)
+			save_add(save, run, blobs);
+	}
+	batch->saved_ms = uv_now(batch->gateway->loop);
+	if (!blobs->len) {
+		g_ptr_array_free(blobs, TRUE);
+		g_ptr_array_free(save->entries, TRUE);
+		g_free(save);
+		return false;
+	}
+	batch->save = save;
+	job_store_write(batch->gateway->job_store, blobs,
+			batch->gateway->identity_hash,
+			uv_now(batch->gateway->loop) + SAVE_TIME_MS,
+			on_save_written, save);
+	return true;
+}
+
+void batch_save_free(struct batch_save *save)
+{
+	if (!save)
+		return;
+	g_ptr_array_free(save->entries, TRUE);
+	g_free(save);
+}
--- /dev/null
+++ b/briarplankd/gateway/job_submit.c
@@ -0,0 +1,305 @@
+#include <string.h>
+
+#include "batch.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "common/log.h"
+#include "core/job_request.h"
+#include "job_calls_private.h"
+#include "platform/codec.h"
+
+/* Retry-After for a job that exceeds its route's limit, in s: a few items
+ * are done by then. */
+#define LIMIT_RETRY_S 1.0
+
+struct submission {
+	struct list link;
+	struct gateway *gateway;
+	struct web_request *web;
+	struct job_request *request;
+	char *job;
+	char *host;
+	char *path;
+	char *route;
+	uint64_t completion_ms;
+	uint64_t retention_ms;
+	uint64_t tokens_max;
+	unsigned attempts_max;
+	uint64_t number;
+	uint64_t deadline_ms;
+	uint64_t arrived_ms;
+	uint64_t arrived_wall_ms;
+	GPtrArray *items;
+	struct job_blob_write *write;
+	/* Its record is on the way to the log, or may be. */
+	bool appending;
+	uv_timer_t timer;
+};
+
+static void on_submission_closed(uv_handle_t *handle)
+{
+	struct submission *submission = handle->data;
+
+	job_request_free(submission->request);
+	g_ptr_array_unref(submission->items);
+	g_free(submission->job);
+	g_free(submission->host);
+	g_free(submission->path);
+	g_free(submission->route);
+	g_free(submission);
+}
+
+static void submission_free(struct submission *submission)
+{
+	list_remove(&submission->link);
+	job_store_await(submission->gateway->job_store, false);
+	if (submission->write)
+		job_blob_write_cancel(submission->write);
+	uv_timer_stop(&submission->timer);
+	uv_close((uv_handle_t *)&submission->timer, on_submission_closed);
+}
+
+static void log_submission(const struct submission *submission, int status,
+			   const char *why)
+{
+	log_event("job", status == 202 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		  "job=%s route=%s items=%zu status=%d ms=%" PRIu64
+		  " waiting_tokens=%" PRIu64 " limit=%" PRIu64 " %s",
+		  submission->job, submission->route,
+		  submission->request->items_nr, status,
+		  uv_now(submission->gateway->loop) - submission->arrived_ms,
+		  job_log_waiting_tokens(
+			  job_store_log(submission->gateway->job_store),
+			  submission->route),
+		  submission->tokens_max, why);
+}
+
+static void submission_refuse(struct submission *submission, int status,
+			      double retry_s, const char *why)
+{
+	log_submission(submission, status, why);
+	if (submission->web)
+		gateway_refuse(job_call_answered(&submission->web), status,
+			       retry_s, "%s", why);
+}
+
+static void on_submitter_gone(void *ctx, bool sent)
+{
+	struct submission *submission = ctx;
+
+	(void)sent;
+	submission->web = NULL;
+}
+
+/* The record may yet come into the log, so that nothing can be promised. */
+static void on_submission_timer(uv_timer_t *timer)
+{
+	struct submission *submission = timer->data;
+	struct web_request *web = submission->web;
+
+	if (!submission->appending) {
+		submission_refuse(submission, 503, STORE_RETRY_S,
+				  "the store can't be reached");
+		submission_free(submission);
+		return;
+	}
+	log_submission(submission, 504, "the log has not answered yet");
+	if (web)
+		web_problem(job_call_answered(&submission->web), 504,
+			    "The outcome is not known yet",
+			    "the log has not answered yet");
+}
+
+static void on_appended(void *ctx, enum job_append_result result)
+{
+	struct submission *submission = ctx;
+
+	/* What was appended ends in the fold. */
+	if (result == JOB_APPEND_DONE)
+		return;
+	submission_refuse(submission, 503, STORE_RETRY_S,
+			  "the store refuses writes");
+	submission_free(submission);
+}
+
+static void on_bodies_written(void *ctx, const struct job_blob *places)
+{
+	struct submission *submission = ctx;
+	struct job_submission record = {
+		.id = submission->job,
+		.submission = submission->number,
+		.host = submission->host,
+		.path = submission->path,
+		.route = submission->route,
+		.node = submission->gateway->identity,
+		.accepted_ms = submission->arrived_wall_ms,
+		.completion_ms = submission->completion_ms,
+		.retention_ms = submission->retention_ms,
+		.attempts_max = submission->attempts_max,
+		.waiting_tokens_max = submission->tokens_max,
+		.items_nr = submission->request->items_nr,
+	};
+	struct job_submission_item *items;
+	size_t i;
+
+	submission->write = NULL;
+	if (!places || !submission->web) {
+		submission_refuse(submission, 503, STORE_RETRY_S,
+				  places ? "the caller left" :
+					   "the store refuses writes");
+		submission_free(submission);
+		return;
+	}
+	items = g_new0(struct job_submission_item, record.items_nr);
+	for (i = 0; i < record.items_nr; i++) {
+		items[i].id = submission->request->items[i].id;
+		items[i].tokens = submission->request->items[i].tokens;
+		items[i].body = places[i];
+	}
+	record.items = items;
+	submission->appending = true;
+	job_store_append(submission->gateway->job_store,
+			 job_log_encode_submission(&record), true, on_appended,
+			 submission);
+	g_free(items);
+}
+
+static uint64_t tokens_of(const struct job_request *request)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < request->items_nr; i++)
+		sum += request->items[i].tokens;
+	return sum;
+}
+
+/* Answers what needs no write; false when the job must be written. */
+static bool submit_at_once(struct submission *submission)
+{
+	struct job_store *store = submission->gateway->job_store;
+	struct job_log *log = job_store_log(store);
+
+	if (!job_store_loaded(store)) {
+		submission_refuse(submission, 503, STORE_RETRY_S,
+				  "the job log isn't loaded yet");
+		return true;
+	}
+	if (job_log_find(log, submission->job)) {
+		log_submission(submission, 202, "repeated");
+		web_answer(job_call_answered(&submission->web), 202, NULL, "",
+			   0);
+		return true;
+	}
+	if (!job_store_current(store)) {
+		submission_refuse(submission, 503, STORE_RETRY_S,
+				  "the store can't be reached");
+		return true;
+	}
+	if (submission->tokens_max &&
+	    job_log_waiting_tokens(log, submission->route) +
+			    tokens_of(submission->request) >
+		    submission->tokens_max) {
+		submission_refuse(submission, 429, LIMIT_RETRY_S,
+				  "the route's limit of waiting tokens");
+		return true;
+	}
+	return false;
+}
+
+void job_calls_submit(struct gateway *gateway, struct web_request *web,
+		      const struct route *route)
+{
+	struct submission *submission;
+	struct job_request *request;
+	size_t len, i;
+	const char *body = web_body(web, &len);
+
+	if (strcmp(web_method(web), "POST") != 0) {
+		web_problem(web, 405, "Wrong method", "jobs are POSTed");
+		return;
+	}
+	request = platform_job_decode(body, len);
+	if (!request) {
+		log_event("job", LOG_LEVEL_WARN, "job=%s status=400 %s",
+			  web_field(web, platform_fields.request_id),
+			  error_last());
+		web_problem(web, 400, "Malformed job", "%s", error_last());
+		return;
+	}
+	submission = g_new0(struct submission, 1);
+	submission->gateway = gateway;
+	submission->web = web;
+	submission->request = request;
+	submission->job = g_strdup(web_field(web, platform_fields.request_id));
+	submission->host = g_strdup(web_field(web, "host"));
+	submission->path = g_strdup(web_path(web));
+	submission->route = g_strdup(route->name);
+	submission->completion_ms = route->completion_ms;
+	submission->retention_ms = route->retention_ms;
+	submission->tokens_max = route->waiting_tokens_max;
+	submission->attempts_max = route->attempts_max;
+	submission->number = ((uint64_t)g_random_int() << 32) | g_random_int();
+	submission->arrived_ms = uv_now(gateway->loop);
+	submission->arrived_wall_ms = gateway_wall_ms();
+	submission->deadline_ms = job_call_deadline(gateway, web);
+	submission->items = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_byte_array_unref);
+	list_append(&gateway->job_calls->submissions, &submission->link);
+	job_store_await(gateway->job_store, true);
+	uv_timer_init(gateway->loop, &submission->timer);
+	submission->timer.data = submission;
+	web_on_close(web, on_submitter_gone, submission);
+	if (submit_at_once(submission)) {
+		submission_free(submission);
+		return;
+	}
+	for (i = 0; i < request->items_nr; i++)
+		g_ptr_array_add(submission->items,
+				job_request_item_encode(&request->items[i]));
+	uv_timer_start(&submission->timer, on_submission_timer,
+		       submission->deadline_ms - submission->arrived_ms, 0);
+	submission->write = job_store_write(
+		gateway->job_store, g_ptr_array_ref(submission->items),
+		hash_string(submission->job, 0), submission->deadline_ms,
+		on_bodies_written, submission);
+}
+
+void job_calls_submitted(struct job_calls *calls, uint64_t number,
+			 enum job_submission_outcome outcome, struct job *job)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &calls->submissions) {
+		struct submission *submission =
+			list_entry(pos, struct submission, link);
+
+		if (submission->number != number)
+			continue;
+		if (outcome == JOB_OVER_LIMIT) {
+			submission_refuse(submission, 429, LIMIT_RETRY_S,
+					  "the route's limit of waiting "
+					  "tokens");
+		} else {
+			log_submission(submission, 202,
+				       outcome == JOB_ACCEPTED ? "accepted" :
+								 "repeated");
+			if (submission->web)
+				web_answer(job_call_answered(&submission->web),
+					   202, NULL, "", 0);
+		}
+		if (outcome == JOB_ACCEPTED)
+			batch_adopt(calls->gateway->batch, job,
+				    submission->items);
+		submission_free(submission);
+		return;
+	}
+}
+
+void job_submissions_free(struct job_calls *calls)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &calls->submissions)
+		submission_free(list_entry(pos, struct submission, link));
+}
