Trace a request, job or item through the logs of several entries

Cause: the way from an id to its cause led through the logs of all entries by hand.

Test: process_gateway_jobs traces an item whose node was killed.

--- a/briarplankctl/main.c
+++ b/briarplankctl/main.c
@@ -14,6 +14,7 @@
 #include "prompt.h"
 #include "submit.h"
 #include "table.h"
+#include "trace.h"
 
 #define DEFAULT_URL "http://127.0.0.1:8080"
 
@@ -22,6 +23,7 @@
 static char *output;
 static char *items_file;
 static char *command_id;
+static char *trace_id;
 static gboolean show_version;
 static char **words;
 
@@ -37,6 +39,10 @@
 	  "FILE" },
 	{ "id", 0, 0, G_OPTION_ARG_STRING, &command_id,
 	  "Id of a command that is sent again", "ID" },
+	{ "trace", 0, 0, G_OPTION_ARG_STRING, &trace_id,
+	  "Print what the logs of gateways that are named say of a request, "
+	  "job or item",
+	  "ID" },
 	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
 	  "Print the version and exit", NULL },
 	{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &words, NULL,
@@ -228,6 +234,8 @@
 
 	if (!parse_options(&argc, &argv))
 		return CLIENT_USAGE;
+	if (trace_id)
+		return trace_print(trace_id, words);
 	if (show_version) {
 		printf("briarplankctl %s\n", briarplank_version());
 		return 0;
--- a/tests/process/gateway_jobs.sh
+++ b/tests/process/gateway_jobs.sh
@@ -109,3 +109,16 @@
 	fleet_fail "nothing went on behind a saved event"
 wait "$(fleet_pid g2)" || fleet_fail "the stop was not graceful"
 echo "stopped: handed over"
+
+# The logs of all nodes tell one item's way.
+"$BUILD/briarplankctl/briarplankctl" --trace killed-1 "$FLEET_DIR"/g?.log \
+	>"$FLEET_DIR/trace" || fleet_fail "no trace"
+grep -q 'event=start' "$FLEET_DIR/trace" || fleet_fail "no start of a node"
+grep -q 'event=item job=killed item=killed-1 done' "$FLEET_DIR/trace" ||
+	fleet_fail "no end of the item"
+grep 'event=item' "$FLEET_DIR/trace" | grep -v 'item=killed-1 ' &&
+	fleet_fail "lines of another item"
+sort -c "$FLEET_DIR/trace" || fleet_fail "not in the order of time"
+"$BUILD/briarplankctl/briarplankctl" --trace nobody "$FLEET_DIR"/g?.log
+test $? -eq 1 || fleet_fail "an unknown id is no 1"
+echo "trace: whole"
