--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -12,6 +12,8 @@
 #define JOB_ATTEMPTS 8
 #define CALL_TIMEOUT_MS 7000
 #define PAUSE_MS 120
+/* One request in so many goes to another gateway all the same. */
+#define CHANGE 10
 #define POLL_MS 250
 /* Time in which each node knows what another accepted, in ms. */
 #define SETTLE_MS 1000
@@ -37,8 +39,13 @@
 
 static void call_end(struct call *call, bool whole)
 {
+	struct soak_kept *kept = call->options.kept;
+
 	call->soak->open_calls--;
-	http_link_close(call->link);
+	if (kept && http_link_reusable(call->link))
+		kept->link = call->link;
+	else
+		http_link_close(call->link);
 	uv_timer_stop(&call->timer);
 	call->options.done(call->options.ctx, call->status, whole, call->body);
 	uv_close((uv_handle_t *)&call->timer, on_call_closed);
@@ -77,6 +84,43 @@
 	call_end(timer->data, false);
 }
 
+/* The gateway, or its process, ended a connection that lay idle. */
+static void on_kept_lost(void *ctx, struct http_link *link)
+{
+	struct soak_kept *kept = ctx;
+
+	if (kept && kept->link == link)
+		kept->link = NULL;
+	http_link_close(link);
+}
+
+/* Takes the kept connection if it leads to the address, else a new one. */
+static struct http_link *open_link(struct soak *soak,
+				   const struct soak_call *options)
+{
+	struct soak_kept *kept = options->kept;
+	struct http_link *link = kept ? kept->link : NULL;
+	struct http_link_options link_options = {
+		.loop = &soak->loop,
+		.address = options->address,
+		.connect_timeout_ms = 1000,
+		.on_lost = on_kept_lost,
+		.ctx = kept,
+	};
+
+	if (kept)
+		kept->link = NULL;
+	if (link && !strcmp(kept->address, options->address))
+		return link;
+	if (link)
+		http_link_close(link);
+	if (kept) {
+		g_free(kept->address);
+		kept->address = g_strdup(options->address);
+	}
+	return http_link_open(&link_options);
+}
+
 static const struct http_link_handlers handlers = {
 	.on_head = on_head,
 	.on_body = on_body,
@@ -86,11 +130,6 @@
 void soak_call_start(struct soak *soak, const struct soak_call *options)
 {
 	struct call *call = g_new0(struct call, 1);
-	struct http_link_options link = {
-		.loop = &soak->loop,
-		.address = options->address,
-		.connect_timeout_ms = 1000,
-	};
 	GString *request = g_string_new(NULL);
 
 	call->soak = soak;
@@ -109,7 +148,7 @@
 	uv_timer_init(&soak->loop, &call->timer);
 	call->timer.data = call;
 	uv_timer_start(&call->timer, on_timeout, options->timeout_ms, 0);
-	call->link = http_link_open(&link);
+	call->link = open_link(soak, options);
 	http_link_send(call->link, request, &handlers, call);
 }
 
@@ -127,6 +166,9 @@
 	unsigned sent;
 	char *id;
 	const char *path;
+	/* Its connection, kept open to the gateway that it is at. */
+	struct soak_kept kept;
+	unsigned gateway;
 };
 
 static const char *random_gateway(struct soak *soak)
@@ -183,7 +225,7 @@
 					     "/plain/x" };
 	struct client *client = timer->data;
 	struct soak_call call = {
-		.address = random_gateway(client->soak),
+		.kept = &client->kept,
 		.method = "POST",
 		.timeout_ms = CALL_TIMEOUT_MS,
 		.done = on_online_done,
@@ -192,6 +234,10 @@
 
 	if (client->soak->ending)
 		return;
+	/* It stays while its connection is open, and then goes elsewhere. */
+	if (!client->kept.link || soak_random(client->soak, CHANGE) == 0)
+		client->gateway = soak_random(client->soak, SOAK_GATEWAYS);
+	call.address = client->soak->gateways[client->gateway].address;
 	g_free(client->id);
 	client->path = paths[soak_random(client->soak, G_N_ELEMENTS(paths))];
 	client->id = g_strdup_printf("%c%u-%u", client->path[1], client->nr,
@@ -414,6 +460,9 @@
 {
 	struct client *client = handle->data;
 
+	if (client->kept.link)
+		http_link_close(client->kept.link);
+	g_free(client->kept.address);
 	g_free(client->id);
 	g_free(client);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -11,6 +11,8 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "net/http_link.h"
+
 #define SOAK_GATEWAYS 4
 #define SOAK_SERVERS 4
 #define SOAK_EVENTS 25
@@ -79,7 +81,14 @@
 	       uint64_t ms);
 
 /* Calls (client.c). */
+struct soak_kept {
+	struct http_link *link;
+	char *address;
+};
+
 struct soak_call {
+	/** A connection that is used again while it is open; may be NULL. */
+	struct soak_kept *kept;
 	const char *address;
 	const char *method;
 	const char *path;
