Report load less often among many entries

Cause: each entry reports to all others, 66 times a second when busy; at 300 entries that would be 20,000 datagrams a second into each (arithmetic).

Change: the shortest time between two reports grows with the number of entries beyond 12, so that a node sends and gets about 800 a second at most. The histogram's name ends with its unit.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -165,7 +165,8 @@
 	g_free(labels);
 	if (request->first_ms)
 		histogram_record(
-			metrics_histogram(metrics, "briarplank_first_byte", ""),
+			metrics_histogram(metrics,
+					  "briarplank_first_byte_seconds", ""),
 			(request->first_ms - request->arrived_ms) * 1000);
 }
 
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -13,6 +13,9 @@
  * regions is narrow and slow anyway. */
 #define REPORT_MS 15
 #define REPORT_OTHER_REGION_MS 90
+/* Entries up to which these times hold; with more they grow in proportion, so
+ * that a node sends and gets no more than about 800 reports a second. */
+#define REPORT_PEERS 12
 /* Longest time between two reports, in ms. */
 #define HEARTBEAT_MS 300
 /* Silence after which an entry counts as dead, in ms: five heartbeats. */
@@ -50,6 +53,9 @@
 	uint64_t sent_ms;
 	uint64_t sent_far_ms;
 	uint64_t created_ms;
+	/* Entries that reports go to, in this region and in others. */
+	unsigned near_nr;
+	unsigned far_nr;
 	char *address;
 };
 
@@ -269,35 +275,52 @@
 	}
 }
 
+/* Shortest time between two reports to so many entries, in ms. */
+static uint64_t report_pause(uint64_t base_ms, unsigned nr)
+{
+	return nr <= REPORT_PEERS ? base_ms : base_ms * nr / REPORT_PEERS;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct peers *peers = timer->data;
 	uint64_t now = uv_now(peers->gateway->loop);
-	bool far = peers->dirty_far &&
-		   now - peers->sent_far_ms >= REPORT_OTHER_REGION_MS;
+	uint64_t far_pause =
+		report_pause(REPORT_OTHER_REGION_MS, peers->far_nr);
 
-	report_send(peers, peers->dirty, far);
+	report_send(peers, peers->dirty,
+		    peers->dirty_far && now - peers->sent_far_ms >= far_pause);
 }
 
 static void on_look(uv_timer_t *timer)
 {
 	struct peers *peers = timer->data;
 	uint64_t now = uv_now(peers->gateway->loop);
+	uint64_t far_pause =
+		report_pause(REPORT_OTHER_REGION_MS, peers->far_nr);
 	struct list *pos;
 
+	peers->near_nr = 0;
+	peers->far_nr = 0;
 	list_for_each (pos, &peers->list) {
 		struct peer *peer = list_entry(pos, struct peer, link);
 
 		if (peer->alive && now - peer->heard_ms > DEAD_MS)
 			peer_dead(peers, peer, "no report");
+		if (now - peer->heard_ms > FORGET_MS)
+			continue;
+		peers->near_nr += peer->same_region;
+		peers->far_nr += !peer->same_region;
 	}
 	report_send(peers, now - peers->sent_ms >= HEARTBEAT_MS / 2,
 		    now - peers->sent_far_ms >= HEARTBEAT_MS / 2 ||
-			    peers->dirty_far);
+			    (peers->dirty_far &&
+			     now - peers->sent_far_ms >= far_pause));
 }
 
 void peers_load_changed(struct peers *peers)
 {
+	uint64_t pause = report_pause(REPORT_MS, peers->near_nr);
 	uint64_t now, age;
 
 	peers->dirty = true;
@@ -306,8 +329,8 @@
 		return;
 	now = uv_now(peers->gateway->loop);
 	age = now - peers->sent_ms;
-	uv_timer_start(&peers->timer, on_timer,
-		       age >= REPORT_MS ? 0 : REPORT_MS - age, 0);
+	uv_timer_start(&peers->timer, on_timer, age >= pause ? 0 : pause - age,
+		       0);
 }
 
 bool peers_alive(const struct peers *peers, const char *identity)
