Pass over no record of the store that is not whole; test the deploy build

Cause: reading the change once more: a record cut short at the end of an answer was counted as read, so that the fold would have passed it over.

Change: the offset moves behind whole records only, and an answer whose offsets can't be is no answer. A test builds a clean checkout by the deploy file's own command and checks the settings that its template gives.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -133,6 +133,15 @@
 /** Reads a page of the newest value of each key of a keyed topic. */
 void store_read_newest(struct store *store, const struct store_read *read);
 
+/**
+ * Parses the body of a read: offsets and records, which point into it, and keys
+ * that the caller frees. The result's next_offset is the first one asked for,
+ * and is moved behind the last whole record. False when it can't be a read's.
+ */
+bool store_parse_records(const char *body, size_t len, bool keyed,
+			 struct store_read_result *result, GArray *records,
+			 GPtrArray *keys);
+
 /** The topics that the platform itself writes. */
 extern const char store_topic_operator[];
 extern const char store_topic_servers[];
--- /dev/null
+++ b/tests/process/deploy_build.sh
@@ -0,0 +1,39 @@
+# The deploy file's own command builds a clean checkout, with all that it makes
+# under target/, and the program takes the settings that the template gives.
+set -e
+top=$(pwd)
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+git clone -q "$top" "$dir/checkout"
+cd "$dir/checkout"
+sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)" >"$dir/log" 2>&1 || {
+	tail -n 20 "$dir/log"
+	echo "FAILED: the build"
+	exit 1
+}
+test -z "$(git status --porcelain --ignored | grep -v '^!! target/$')" || {
+	echo "FAILED: the build wrote outside of target/"
+	exit 1
+}
+
+# What the platform fills in, by hand.
+sed -e 's/{{NodeName|json}}/"front-1"/; s/{{Ip|json}}/"10.0.0.1"/' \
+	-e 's/{{PortRange.0}}/7660/; s/{{Zone|json}}/"a"/' \
+	-e 's/{{Region|json}}/"r"/; /{{#Zones}}/d; /{{\/Zones}}/d' \
+	-e 's/{{@}}/a/; s/{{.}}/r/; s/{{,}}//' \
+	-e 's/{{Listen.Front|json}}/"10.0.0.1:80"/' \
+	-e 's/{{Listen.Ready|json}}/"10.0.0.1:81"/; s/{{Ip}}/10.0.0.1/' \
+	-e 's/{{Provider.Address|json}}/"10.0.9.1:80"/' \
+	-e 's/{{Provider.parts}}/12/; s/{{Provider.RecordBytes}}/262144/' \
+	-e 's/{{Provider.CallBytes}}/2097152/; s/{{Provider.RetentionS}}/300/' \
+	-e 's/{{Bounds.GraceS}}/8/; s/{{Bounds.StatusS}}/120/' \
+	deploy/gateway.json >"$dir/settings.json"
+if grep -n '{{' "$dir/settings.json"
+then
+	echo "FAILED: the template has a field that this test doesn't fill"
+	exit 1
+fi
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
+# shellcheck disable=SC2086
+BRIARPLANK_SETTINGS="$dir/settings.json" $run --check
+echo "built and checked"
