Hand items over only when the last save has ended

The next node started the items anew.

Ruled out: the wait of the test; its log shows the order above.

Change: only the save that was started last ends the hand-over.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -252,8 +252,7 @@
 			run_yield(run, "the node stops", 0);
 	}
 	uv_timer_start(&batch->timer, on_hand_over_late, HAND_OVER_MS, 0);
-	/* An earlier save under way ends the hand-over as well; what it lacks
-	 * is little. */
+	/* With nothing new to save, an earlier save under way is the last. */
 	if (!batch_save_runs(batch, 1) && !batch->save)
 		batch_handed_over(batch, "nothing to save");
 }
--- a/briarplankd/gateway/batch_save.c
+++ b/briarplankd/gateway/batch_save.c
@@ -29,9 +29,14 @@
 
 static void save_end(struct batch_save *save)
 {
-	save->batch->save = NULL;
-	if (save->batch->gateway->stopping)
-		batch_handed_over(save->batch, "saved");
+	struct batch *batch = save->batch;
+
+	/* An earlier save may end behind the last one's start. */
+	if (batch->save == save) {
+		batch->save = NULL;
+		if (batch->gateway->stopping)
+			batch_handed_over(batch, "saved");
+	}
 	g_ptr_array_free(save->entries, TRUE);
 	g_free(save);
 }
