Mend what one more read of the change found

Twins: the list of fields that concern one connection stood in online.c and server_call.c, web_cut() shut its socket beside shut_down(), web_stop_listening() drained beside web_drain(), the names of the log levels and a random 64-bit number stood twice, save_end() freed what batch_save_free() frees. Dead state: two fields of an online request were only written, and the setting log.level of a gateway was read and never used. An item whose stored body can't be decoded was fetched again without a pause, and leaked the bytes each time. A shared payload was freed, not released.

Change: one copy of each; the level holds for events, with the default as before; such an item waits as after any failure.

Not mended: the kept links of platform/store.c and of server_call.c are twins and want one pool in net/; start_waiting() looks up a route twice for each waiting item in both passes; scan_jobs() works out a job's owner for each run.

No test changed.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -40,11 +40,6 @@
 	return room <= 0 ? 0 : (int)(room + g_random_double());
 }
 
-static uint64_t random_number(void)
-{
-	return (uint64_t)g_random_int() << 32 | g_random_int();
-}
-
 /* Starts items in their order at servers of this region or of the others. */
 static void start_waiting(struct batch *batch, bool far)
 {
@@ -68,7 +63,7 @@
 			query.service = wanted;
 			starts = starts_allowed(batch, &query);
 		}
-		query.random = random_number();
+		query.random = gateway_random();
 		if (starts <= 0)
 			continue;
 		server = fleet_choose_batch(gateway->fleet, &query);
@@ -205,7 +200,6 @@
 
 	if (batch->gateway->stopping)
 		return;
-
 	for (i = 0; i < job->items_nr && i < items->len; i++) {
 		struct run *run;
 
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -46,7 +46,7 @@
 	run->item->run = NULL;
 	list_remove(&run->link);
 	if (run->payload)
-		g_byte_array_free(run->payload, TRUE);
+		g_byte_array_unref(run->payload);
 	job_request_item_clear(&run->request);
 	g_free(run->fields);
 	g_string_free(run->output, TRUE);
@@ -299,7 +299,7 @@
 	}
 	run->fields = g_string_free(fields, FALSE);
 	/* The decoded form holds it all. */
-	g_byte_array_free(run->payload, TRUE);
+	g_byte_array_unref(run->payload);
 	run->payload = NULL;
 	return true;
 }
@@ -307,18 +307,23 @@
 static void on_payload(void *ctx, const char *data, size_t len)
 {
 	struct run *run = ctx;
+	bool good = false;
 
 	run->read = NULL;
 	if (data) {
 		run->payload = g_byte_array_new();
 		g_byte_array_append(run->payload, (const guint8 *)data,
 				    (guint)len);
-		if (!decode_payload(run))
-			log_event("item", LOG_LEVEL_ERROR,
-				  "job=%s item=%s unreadable body",
-				  run->job->id, run->item->id);
+		good = decode_payload(run);
 	}
-	wait_again(run, data ? 0 : FAILURE_PAUSE_MS);
+	if (data && !good) {
+		log_event("item", LOG_LEVEL_ERROR,
+			  "job=%s item=%s unreadable body", run->job->id,
+			  run->item->id);
+		g_byte_array_unref(run->payload);
+		run->payload = NULL;
+	}
+	wait_again(run, good ? 0 : FAILURE_PAUSE_MS);
 }
 
 static void fetch_payload(struct run *run)
--- a/briarplankd/gateway/batch_save.c
+++ b/briarplankd/gateway/batch_save.c
@@ -37,8 +37,7 @@
 		if (batch->gateway->stopping)
 			batch_handed_over(batch, "saved");
 	}
-	g_ptr_array_free(save->entries, TRUE);
-	g_free(save);
+	batch_save_free(save);
 }
 
 static void on_save_appended(void *ctx, enum job_append_result result)
@@ -106,8 +105,7 @@
 	batch->saved_ms = uv_now(batch->gateway->loop);
 	if (!blobs->len) {
 		g_ptr_array_free(blobs, TRUE);
-		g_ptr_array_free(save->entries, TRUE);
-		g_free(save);
+		batch_save_free(save);
 		return false;
 	}
 	batch->save = save;
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -50,6 +50,11 @@
 	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
 }
 
+uint64_t gateway_random(void)
+{
+	return (uint64_t)g_random_int() << 32 | g_random_int();
+}
+
 void gateway_refuse(struct web_request *web, int status, double retry_after_s,
 		    const char *fmt, ...)
 {
@@ -348,7 +353,7 @@
 	struct process process = { 0 };
 	struct gateway *gateway = &process.gateway;
 
-	log_event_name(settings->name);
+	log_event_open(settings->name, (enum log_level)settings->log_level);
 	gateway->loop = uv_default_loop();
 	gateway->settings = settings;
 	gateway->metrics = metrics_create();
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -56,6 +56,9 @@
 /** Time in ms that goes on while the VM is suspended, unlike the loop's. */
 uint64_t gateway_boot_ms(void);
 
+/** A random number of 64 bits. */
+uint64_t gateway_random(void);
+
 /** A new configuration is in force. */
 void gateway_config_changed(struct gateway *gateway);
 
--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -252,7 +252,8 @@
 	const struct job *job = job_log_find(job_store_log(store), read->job);
 	size_t i;
 
-	for (i = 0; job && !job->ended && i < job->items_nr; i++) {
+	for (i = 0; job && !job->ended && read->item && i < job->items_nr;
+	     i++) {
 		if (strcmp(job->items[i].id, read->item) != 0)
 			continue;
 		read->blob = job_store_read(store, &job->items[i].body, on_body,
@@ -307,7 +308,7 @@
 	read->gateway = gateway;
 	read->web = web;
 	read->job = g_strdup(call->job);
-	read->item = g_strdup(call->item ? call->item : "");
+	read->item = g_strdup(call->item);
 	read->position = call->position;
 	read->outputs =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -239,7 +239,7 @@
 	submission->retention_ms = route->retention_ms;
 	submission->tokens_max = route->waiting_tokens_max;
 	submission->attempts_max = route->attempts_max;
-	submission->number = ((uint64_t)g_random_int() << 32) | g_random_int();
+	submission->number = gateway_random();
 	submission->arrived_ms = uv_now(gateway->loop);
 	submission->arrived_wall_ms = gateway_wall_ms();
 	submission->deadline_ms = job_call_deadline(gateway, web);
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -63,12 +63,10 @@
 	/* Servers that may have run it. */
 	unsigned runs;
 	struct server_call *call;
-	struct server *server;
 	uv_timer_t timer;
 	uint64_t heard_ms;
 	/* The answer under way. */
 	int status;
-	bool is_signed;
 	bool streaming;
 	bool broken;
 	bool ended;
@@ -110,7 +108,6 @@
 	if (request->call)
 		server_call_cancel(request->call);
 	request->call = NULL;
-	request->server = NULL;
 }
 
 /* Longest list of the inputs of a choice, in bytes. */
@@ -262,27 +259,6 @@
 
 /* The answer of a server. */
 
-static bool is_connection_field(const char *name)
-{
-	static const char *const names[] = {
-		"connection",
-		"content-length",
-		"keep-alive",
-		"proxy-connection",
-		"te",
-		"trailer",
-		"transfer-encoding",
-		"upgrade",
-	};
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(names); i++) {
-		if (!g_ascii_strcasecmp(names[i], name))
-			return true;
-	}
-	return false;
-}
-
 static void keep_answer_fields(struct online_request *request,
 			       const struct http_link_head *head)
 {
@@ -291,7 +267,7 @@
 	/* An answer that broke off leaves nothing in the one that counts. */
 	g_ptr_array_set_size(request->answer_fields, 0);
 	for (i = 0; i < head->fields_nr; i++) {
-		if (is_connection_field(head->fields[i].name))
+		if (server_call_connection_field(head->fields[i].name))
 			continue;
 		g_ptr_array_add(request->answer_fields,
 				g_strdup(head->fields[i].name));
@@ -322,7 +298,6 @@
 		return;
 	}
 	request->status = answer->status;
-	request->is_signed = answer->is_signed;
 	request->broken = success && !answer->is_signed;
 	if (request->broken ||
 	    (!success && answer->status >= 500 && may_run_again(request)))
@@ -408,7 +383,6 @@
 	bool success = request->status >= 200 && request->status < 300;
 
 	request->call = NULL;
-	request->server = NULL;
 	switch (end) {
 	case SERVER_CALL_NOT_RUN:
 		request->runs--;
@@ -459,7 +433,6 @@
 	};
 
 	request->tried[request->tried_nr++] = server->hash;
-	request->server = server;
 	request->runs++;
 	request->heard_ms = now;
 	request->call = server_call_start(&options);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -54,31 +54,46 @@
 	return end_names[end];
 }
 
-bool server_call_passes_field(const char *name)
+static bool is_among(const char *name, const char *const *names, size_t nr)
 {
-	const char *const own[] = {
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		if (!g_ascii_strcasecmp(names[i], name))
+			return true;
+	}
+	return false;
+}
+
+bool server_call_connection_field(const char *name)
+{
+	static const char *const names[] = {
 		"connection",
 		"content-length",
-		"expect",
-		"host",
 		"keep-alive",
 		"proxy-connection",
 		"te",
 		"trailer",
 		"transfer-encoding",
 		"upgrade",
+	};
+
+	return is_among(name, names, G_N_ELEMENTS(names));
+}
+
+bool server_call_passes_field(const char *name)
+{
+	const char *const own[] = {
+		"expect",
+		"host",
 		platform_fields.deadline_ms,
 		platform_fields.expected_server,
 		platform_fields.last_event,
 		platform_fields.request_id,
 	};
-	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(own); i++) {
-		if (!g_ascii_strcasecmp(own[i], name))
-			return false;
-	}
-	return true;
+	return !server_call_connection_field(name) &&
+	       !is_among(name, own, G_N_ELEMENTS(own));
 }
 
 static void kept_free(struct connections *connections, struct kept_link *kept)
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -68,6 +68,9 @@
 /** Ends a call without on_end; the server drops the request. */
 void server_call_cancel(struct server_call *call);
 
+/** Tells whether a field concerns a single connection only. */
+bool server_call_connection_field(const char *name);
+
 /**
  * Tells whether a field of a request is passed on to a server: one that
  * concerns a single connection, or that the gateway sets itself, is not.
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -304,18 +304,18 @@
 	return NULL;
 }
 
+void web_drain(struct web *web)
+{
+	h2o_context_request_shutdown(&web->context);
+}
+
 void web_stop_listening(struct web *web)
 {
 	if (!web->listening)
 		return;
 	web->listening = false;
 	uv_close((uv_handle_t *)&web->listener, NULL);
-	h2o_context_request_shutdown(&web->context);
-}
-
-void web_drain(struct web *web)
-{
-	h2o_context_request_shutdown(&web->context);
+	web_drain(web);
 }
 
 void web_set_idle_timeout(struct web *web, uint32_t ms)
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -40,10 +40,7 @@
 	request_free(request);
 }
 
-/*
- * Lets the connection end after what was sent. h2o marks a broken body by
- * bytes that are no chunk, which a caller can't tell from a garbled answer.
- */
+/* Lets the connection end after what was sent. */
 static void shut_down(struct web_request *request)
 {
 	h2o_socket_t *sock =
@@ -72,8 +69,10 @@
 	else if (request->ended && !request->in_flight->len)
 		state = H2O_SEND_STATE_ERROR;
 	/*
-	 * TLS has an end of its own, which the socket below can't send, and an
-	 * HTTP/1.0 body is broken by a reset only.
+	 * h2o marks a broken body by bytes that are no chunk, which a caller
+	 * can't tell from a garbled answer. TLS has an end of its own, which
+	 * the socket below can't send, and an HTTP/1.0 body is broken by a
+	 * reset only.
 	 */
 	if (state == H2O_SEND_STATE_ERROR && !request->web->accept.ssl_ctx &&
 	    request->req->version >= HTTP_1_1)
@@ -342,12 +341,8 @@
 
 void web_cut(struct web_request *request)
 {
-	h2o_socket_t *sock;
-
 	if (!request->req)
 		return;
-	sock = request->req->conn->callbacks->get_socket(request->req->conn);
-	if (sock)
-		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	shut_down(request);
 	web_stream_end(request, false);
 }
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -27,17 +27,12 @@
 static struct event_kind kinds[EVENT_KINDS_MAX];
 static char node_name[EVENT_NAME_BYTES] = "-";
 static unsigned unwritten;
+static enum log_level lowest_level = LOG_LEVEL_INFO;
 
-static const char *const level_names[] = {
-	[LOG_LEVEL_ERROR] = "error",
-	[LOG_LEVEL_WARN] = "warn",
-	[LOG_LEVEL_INFO] = "info",
-	[LOG_LEVEL_DEBUG] = "debug",
-};
-
-void log_event_name(const char *node)
+void log_event_open(const char *node, enum log_level level)
 {
 	snprintf(node_name, sizeof(node_name), "%s", node);
+	lowest_level = level;
 }
 
 static struct event_kind *kind_find(const char *name)
@@ -73,7 +68,7 @@
 	used = strftime(line, EVENT_LINE_BYTES, "ts=%Y-%m-%dT%H:%M:%S", &parts);
 	used += (size_t)snprintf(line + used, EVENT_LINE_BYTES - used,
 				 ".%03ldZ level=%s node=%s event=%s ",
-				 now->tv_nsec / 1000000, level_names[level],
+				 now->tv_nsec / 1000000, log_level_name(level),
 				 node_name, kind);
 	return used;
 }
@@ -92,13 +87,16 @@
 
 void log_event(const char *name, enum log_level level, const char *fmt, ...)
 {
-	struct event_kind *kind = kind_find(name);
+	struct event_kind *kind;
 	char line[EVENT_LINE_BYTES];
 	struct timespec now;
 	size_t used;
 	va_list args;
 	int len;
 
+	if (level > lowest_level)
+		return;
+	kind = kind_find(name);
 	clock_gettime(CLOCK_REALTIME, &now);
 	if (kind->second != now.tv_sec) {
 		kind->second = now.tv_sec;
--- a/common/log.c
+++ b/common/log.c
@@ -82,6 +82,11 @@
 				    priorities[level]);
 }
 
+const char *log_level_name(enum log_level level)
+{
+	return level_names[level];
+}
+
 bool log_level_parse(const char *text, enum log_level *level)
 {
 	int i;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -43,8 +43,14 @@
 						     enum log_level level,
 						     const char *fmt, ...);
 
-/** Name of this process in its events, at most 63 bytes are kept. */
-void log_event_name(const char *node);
+/**
+ * Sets the name of this process in its events, of which at most 63 bytes are
+ * kept, and the lowest level that is written.
+ */
+void log_event_open(const char *node, enum log_level level);
+
+/** Returns a level's name. */
+const char *log_level_name(enum log_level level);
 
 #define log_error(part, ...) log_write(part, LOG_LEVEL_ERROR, __VA_ARGS__)
 #define log_warn(part, ...) log_write(part, LOG_LEVEL_WARN, __VA_ARGS__)
