Give up the due time of items that can't be done in time

Entries also shared the room evenly, however many items waited at each.

Ruled out: idle slots. Sampled from the logs, online and batch fill 62 of 64 slots in the lulls, and the slots are refilled within 250 ms of a burst's end.

Items that can't be in time start behind the others and yield first. Room goes to entries by the items that wait there. A run keeps its route until the configuration changes, rather than look it up for each item in each 20 ms.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -30,18 +30,27 @@
 	return uv_now(batch->gateway->loop);
 }
 
-/* Items that may start now: this node's part of the room, rounded by chance. */
-static int starts_allowed(struct batch *batch, const struct batch_query *query)
+/*
+ * Items that may start now: this node's part of the room, rounded by chance.
+ * The room goes to the entries by the items that wait there, and late items
+ * get what the others of all entries leave.
+ */
+static int starts_allowed(struct batch *batch, const struct batch_query *query,
+			  bool late)
 {
 	struct gateway *gateway = batch->gateway;
-	double room = fleet_batch_room(gateway->fleet, query) /
-		      peers_backlogged(gateway->peers, query->far);
+	struct batch_backlog all = peers_backlog(gateway->peers, query->far);
+	double room = fleet_batch_room(gateway->fleet, query);
 
+	if (late)
+		room *= (double)batch->waiting.late / (all.in_time + all.late);
+	else
+		room *= (double)batch->waiting.in_time / all.in_time;
 	return room <= 0 ? 0 : (int)(room + g_random_double());
 }
 
 /* Starts items in their order at servers of this region or of the others. */
-static void start_waiting(struct batch *batch, bool far)
+static void start_waiting(struct batch *batch, bool far, bool late)
 {
 	struct gateway *gateway = batch->gateway;
 	struct batch_query query = { .now_ms = now_ms(batch), .far = far };
@@ -53,7 +62,7 @@
 		struct server *server;
 		const char *wanted;
 
-		if (!run_prepare(run, query.now_ms))
+		if (run->late != late || !run_prepare(run, query.now_ms))
 			continue;
 		wanted = route_pick_service(run_route(run),
 					    hash_string(run->item->id, 0));
@@ -61,7 +70,7 @@
 			continue;
 		if (!query.service || strcmp(query.service, wanted) != 0) {
 			query.service = wanted;
-			starts = starts_allowed(batch, &query);
+			starts = starts_allowed(batch, &query, late);
 		}
 		query.random = gateway_random();
 		if (starts <= 0)
@@ -76,23 +85,90 @@
 	}
 }
 
-static void yield_on(struct batch *batch, struct server *server)
+/* Takes up to nr items off a server, the latest due first; how many. */
+static unsigned yield_some(struct batch *batch, const struct server *server,
+			   unsigned nr, bool late)
 {
-	unsigned nr = fleet_yield(batch->gateway->fleet, server,
-				  batch->gateway->identity_hash);
+	unsigned yielded = 0;
 	struct list *pos, *prev;
 
-	/* From the end: the latest due yields first. */
-	for (pos = batch->runs.prev; nr && pos != &batch->runs; pos = prev) {
+	for (pos = batch->runs.prev; yielded < nr && pos != &batch->runs;
+	     pos = prev) {
 		struct run *run = list_entry(pos, struct run, link);
 
 		prev = pos->prev;
-		if (run->state != RUN_RUNNING || run->server != server)
+		if (run->state != RUN_RUNNING || run->server != server ||
+		    run->late != late)
 			continue;
 		counter_add(batch->yielded, 1);
 		run_yield(run, "online needs the slot", YIELD_PAUSE_MS);
-		nr--;
+		yielded++;
 	}
+	return yielded;
+}
+
+static void yield_on(struct batch *batch, const struct server *server)
+{
+	unsigned nr = fleet_yield(batch->gateway->fleet, server,
+				  batch->gateway->identity_hash);
+
+	nr -= yield_some(batch, server, nr, true);
+	yield_some(batch, server, nr, false);
+}
+
+/* Plans which items of this node are given up as late. */
+static void plan_items(struct batch *batch)
+{
+	struct gateway *gateway = batch->gateway;
+	struct job_log *log = job_store_log(gateway->job_store);
+	GArray *items =
+		g_array_new(FALSE, FALSE, sizeof(struct batch_plan_item));
+	struct batch_plan_item *item;
+	const char *service = NULL;
+	struct list *pos;
+	double slots;
+
+	list_for_each (pos, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+		const struct item_length *length =
+			batch_length(batch, run->job);
+		uint64_t done =
+			(uint64_t)(MAX(run->last_event, run->saved_event) + 1);
+		struct batch_plan_item added = {
+			.due_ms = run->job->due_ms,
+			.done_ms = (double)done * length->event_ms,
+			.left_ms = item_length_left_ms(length, done),
+		};
+
+		if (run->state == RUN_ENDING)
+			added.left_ms = 0;
+		else if (!service && run_route(run))
+			service = route_pick_service(
+				run_route(run), hash_string(run->item->id, 0));
+		g_array_append_val(items, added);
+	}
+	if (!service) {
+		g_array_free(items, TRUE);
+		return;
+	}
+	slots = fleet_batch_slots(gateway->fleet, service, now_ms(batch)) *
+		items->len / MAX(job_log_open_items(log), items->len);
+	item = (struct batch_plan_item *)items->data;
+	batch_plan(item, items->len, slots, gateway_wall_ms());
+	list_for_each (pos, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if (run->late != item->late)
+			log_event("item", LOG_LEVEL_INFO,
+				  "job=%s item=%s planned %s due_in_ms=%" PRId64
+				  " left_ms=%.0f items=%u slots=%.1f",
+				  run->job->id, run->item->id,
+				  item->late ? "late" : "in time",
+				  (int64_t)(item->due_ms - gateway_wall_ms()),
+				  item->left_ms, items->len, slots);
+		run_set_late(run, (item++)->late);
+	}
+	g_array_free(items, TRUE);
 }
 
 void batch_load_changed(struct batch *batch)
@@ -183,14 +259,19 @@
 		return;
 	if (!batch->save && now - batch->saved_ms >= SAVE_MS)
 		batch_save_runs(batch, SAVE_EVENTS);
-	if (batch->waiting)
-		start_waiting(batch, false);
-	if (batch->waiting)
-		start_waiting(batch, true);
+	if (batch->waiting.in_time) {
+		start_waiting(batch, false, false);
+		start_waiting(batch, true, false);
+	}
+	if (batch->waiting.late) {
+		start_waiting(batch, false, true);
+		start_waiting(batch, true, true);
+	}
 	if (now - batch->scanned_ms >= SCAN_MS) {
 		batch->scanned_ms = now;
 		end_stalled(batch);
 		scan_jobs(batch);
+		plan_items(batch);
 	}
 }
 
@@ -225,7 +306,7 @@
 		batch_result(batch, &job->items[i]);
 }
 
-unsigned batch_backlog(const struct batch *batch)
+struct batch_backlog batch_backlog(const struct batch *batch)
 {
 	return batch->waiting;
 }
@@ -258,6 +339,8 @@
 
 	batch->gateway = gateway;
 	list_init(&batch->runs);
+	batch->lengths =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	batch->started =
 		metrics_counter(metrics, "briarplank_item_runs_total", "");
 	batch->yielded =
@@ -285,5 +368,6 @@
 	batch_save_free(batch->save);
 	list_for_each_safe (pos, tmp, &batch->runs)
 		run_free(list_entry(pos, struct run, link));
+	g_hash_table_destroy(batch->lengths);
 	uv_close((uv_handle_t *)&batch->timer, on_closed);
 }
--- a/briarplankd/gateway/batch.h
+++ b/briarplankd/gateway/batch.h
@@ -21,7 +21,13 @@
 void batch_load_changed(struct batch *batch);
 
 /** Items that wait for a slot. */
-unsigned batch_backlog(const struct batch *batch);
+struct batch_backlog {
+	/** Those that can still be done by their due time. */
+	unsigned in_time;
+	unsigned late;
+};
+
+struct batch_backlog batch_backlog(const struct batch *batch);
 
 /**
  * Ends all runs and saves how far they came. Once that is in the log, or takes
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -16,13 +16,42 @@
 	return uv_now(batch->gateway->loop);
 }
 
+static void count_waiting(const struct run *run, int change)
+{
+	struct batch_backlog *waiting = &run->batch->waiting;
+
+	if (run->state != RUN_WAITING)
+		return;
+	if (run->late)
+		waiting->late += (unsigned)change;
+	else
+		waiting->in_time += (unsigned)change;
+}
+
 static void set_state(struct run *run, enum run_state state)
 {
-	if (run->state == RUN_WAITING)
-		run->batch->waiting--;
+	count_waiting(run, -1);
 	run->state = state;
-	if (state == RUN_WAITING)
-		run->batch->waiting++;
+	count_waiting(run, 1);
+}
+
+void run_set_late(struct run *run, bool late)
+{
+	count_waiting(run, -1);
+	run->late = late;
+	count_waiting(run, 1);
+}
+
+struct item_length *batch_length(struct batch *batch, const struct job *job)
+{
+	struct item_length *length =
+		g_hash_table_lookup(batch->lengths, job->route);
+
+	if (length)
+		return length;
+	length = g_new0(struct item_length, 1);
+	g_hash_table_insert(batch->lengths, g_strdup(job->route), length);
+	return length;
 }
 
 static void run_cancel(struct run *run)
@@ -148,6 +177,8 @@
 		  run->output->len,
 		  (int64_t)(run->job->due_ms - gateway_wall_ms()));
 	counter_add(run->batch->done, 1);
+	item_length_done(batch_length(run->batch, run->job),
+			 (uint64_t)run->last_event + 1);
 	write_output(run);
 }
 
@@ -211,6 +242,17 @@
 		event_stream_feed(run->events, data, len, on_event, run);
 }
 
+/* Learns the time of an event from the run that ends. */
+static void learn_pace(const struct run *run)
+{
+	int64_t events = run->last_event - run->first_event;
+
+	if (events > 0)
+		item_length_ran(batch_length(run->batch, run->job),
+				(uint64_t)events,
+				(double)(run->heard_ms - run->started_ms));
+}
+
 static void on_end(void *ctx, enum server_call_end end)
 {
 	struct run *run = ctx;
@@ -218,6 +260,7 @@
 
 	run->call = NULL;
 	run->server = NULL;
+	learn_pace(run);
 	event_stream_rest(run->events, &rest);
 	if (end == SERVER_CALL_WHOLE && run->status == 200 && !run->broken &&
 	    !rest && run->last_event >= 0)
@@ -230,13 +273,18 @@
 		wait_again(run, FAILURE_PAUSE_MS);
 }
 
-const struct route *run_route(const struct run *run)
+const struct route *run_route(struct run *run)
 {
 	const struct route_table *config = run->batch->gateway->config;
 
-	return config ? route_table_find(config, run->job->host,
-					 run->job->path) :
-			NULL;
+	if (!config)
+		return NULL;
+	if (!run->route || run->routed_version != config->version) {
+		run->route = route_table_find(config, run->job->host,
+					      run->job->path);
+		run->routed_version = config->version;
+	}
+	return run->route;
 }
 
 void run_start_at(struct run *run, struct server *server)
@@ -268,6 +316,7 @@
 	set_state(run, RUN_RUNNING);
 	run->status = 0;
 	run->server = server;
+	run->first_event = run->last_event;
 	run->started_ms = now_ms(batch);
 	run->heard_ms = run->started_ms;
 	counter_add(batch->started, 1);
@@ -395,6 +444,7 @@
 	server_call_cancel(run->call);
 	run->call = NULL;
 	run->server = NULL;
+	learn_pace(run);
 	wait_again(run, pause_ms);
 }
 
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -6,6 +6,7 @@
 #define BRIARPLANKD_GATEWAY_BATCH_RUN_H
 
 #include "batch.h"
+#include "core/batch_plan.h"
 #include "core/event_stream.h"
 #include "core/job_request.h"
 #include "job_store.h"
@@ -30,6 +31,11 @@
 	struct job *job;
 	struct job_item *item;
 	enum run_state state;
+	/* It won't be done by its due time and goes behind those that will. */
+	bool late;
+	/* The route of the job's submission in a configuration. */
+	const struct route *route;
+	uint64_t routed_version;
 	/* Encoded body; NULL until it was read. */
 	GByteArray *payload;
 	struct job_request_item request;
@@ -40,6 +46,8 @@
 	struct job_blob_write *write;
 	GString *output;
 	int64_t last_event;
+	/* Last event before the run at the server. */
+	int64_t first_event;
 	/* Last event whose output is saved or being saved. */
 	int64_t saved_event;
 	struct event_stream *events;
@@ -54,7 +62,9 @@
 	struct gateway *gateway;
 	/* Runs by due time. */
 	struct list runs;
-	unsigned waiting;
+	struct batch_backlog waiting;
+	/* Route name to struct item_length *. */
+	GHashTable *lengths;
 	uv_timer_t timer;
 	uint64_t scanned_ms;
 	uint64_t saved_ms;
@@ -74,7 +84,13 @@
 void run_free(struct run *run);
 
 /** The route that the job's submission has now, or NULL. */
-const struct route *run_route(const struct run *run);
+const struct route *run_route(struct run *run);
+
+/** Plans an item to be late or in time. */
+void run_set_late(struct run *run, bool late);
+
+/** What is known of the length of the items of a job's route. */
+struct item_length *batch_length(struct batch *batch, const struct job *job);
 
 /** Tells whether a waiting item can start; fetches what it lacks. */
 bool run_prepare(struct run *run, uint64_t now);
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -37,7 +37,7 @@
 	uint64_t sequence;
 	bool alive;
 	bool leaving;
-	unsigned backlog;
+	struct batch_backlog backlog;
 };
 
 struct peers {
@@ -163,7 +163,8 @@
 	fleet_peer(peers->gateway->fleet, peer->hash, loads, nr);
 	g_free(loads);
 	peer->leaving = load->leaving;
-	peer->backlog = load->backlog;
+	peer->backlog.in_time = load->backlog;
+	peer->backlog.late = load->backlog_late;
 	batch_load_changed(peers->gateway->batch);
 }
 
@@ -208,6 +209,7 @@
 static uint8_t *report_encode(struct peers *peers, size_t *len)
 {
 	struct gateway *gateway = peers->gateway;
+	struct batch_backlog backlog = batch_backlog(gateway->batch);
 	NodeLoad load = NODE_LOAD__INIT;
 	GArray *servers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *online = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -227,7 +229,8 @@
 	load.node = gateway->identity;
 	load.sequence = ++peers->sequence;
 	load.leaving = gateway->handed_over;
-	load.backlog = batch_backlog(gateway->batch);
+	load.backlog = backlog.in_time;
+	load.backlog_late = backlog.late;
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
 	load.online = (uint32_t *)online->data;
@@ -382,18 +385,20 @@
 	return age;
 }
 
-unsigned peers_backlogged(const struct peers *peers, bool far)
+struct batch_backlog peers_backlog(const struct peers *peers, bool far)
 {
-	unsigned nr = 1;
+	struct batch_backlog sum = batch_backlog(peers->gateway->batch);
 	struct list *pos;
 
 	list_for_each (pos, &peers->list) {
 		struct peer *peer = list_entry(pos, struct peer, link);
 
-		nr += peer->alive && peer->backlog &&
-		      (far || peer->same_region);
+		if (!peer->alive || (!far && !peer->same_region))
+			continue;
+		sum.in_time += peer->backlog.in_time;
+		sum.late += peer->backlog.late;
 	}
-	return nr;
+	return sum;
 }
 
 const char *peers_address(const struct peers *peers)
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -7,6 +7,7 @@
 #ifndef BRIARPLANKD_GATEWAY_PEERS_H
 #define BRIARPLANKD_GATEWAY_PEERS_H
 
+#include "batch.h"
 #include "gateway.h"
 
 /** NULL with an error message when the port can't be bound. */
@@ -35,7 +36,8 @@
 /** Age of the oldest report of a living entry, in ms. */
 uint64_t peers_age_ms(const struct peers *peers);
 
-/** Entries with batch items that wait, this one included. */
-unsigned peers_backlogged(const struct peers *peers, bool far);
+/** Batch items that wait at this entry and the others of its region, or of
+ * all regions. */
+struct batch_backlog peers_backlog(const struct peers *peers, bool far);
 
 #endif
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -32,6 +32,9 @@
 /* Time over which a peak of online load fades, in ms. Bursts of seconds must
  * not let batch items in between two arrivals. */
 #define PEAK_FADE_MS 700.0
+/* Time over which the slots that batch gets are averaged, in ms: longer than
+ * the bursts of seconds and the lulls between them. */
+#define BATCH_SLOTS_MS 5000.0
 /* Share of the slots kept free of batch for the next arrivals. */
 #define RESERVE_SHARE 0.06
 /* Further share kept free in other regions, whose load is known late. */
@@ -47,6 +50,11 @@
 	uint64_t at_ms;
 };
 
+struct mean {
+	double value;
+	uint64_t at_ms;
+};
+
 struct fleet {
 	struct fleet_options options;
 	char *data_centre;
@@ -58,6 +66,8 @@
 	GHashTable *peers;
 	/* Service name to struct peak * of its online load. */
 	GHashTable *peaks;
+	/* Service name to struct mean * of the slots that batch gets. */
+	GHashTable *batch_slots;
 };
 
 static void peer_free(gpointer data)
@@ -81,6 +91,8 @@
 					     g_free, peer_free);
 	fleet->peaks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->batch_slots =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -106,6 +118,7 @@
 	g_hash_table_destroy(fleet->by_hash);
 	g_hash_table_destroy(fleet->peers);
 	g_hash_table_destroy(fleet->peaks);
+	g_hash_table_destroy(fleet->batch_slots);
 	g_free(fleet->data_centre);
 	g_free(fleet->region);
 	g_free(fleet);
@@ -512,6 +525,35 @@
 	       (query->far ? slots * FAR_RESERVE_SHARE : 0);
 }
 
+double fleet_batch_slots(struct fleet *fleet, const char *service,
+			 uint64_t now_ms)
+{
+	struct mean *mean = g_hash_table_lookup(fleet->batch_slots, service);
+	double free = 0, age;
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		if (serves(server, service) && usable(server, now_ms))
+			free += MAX(server->slots * (1 - RESERVE_SHARE) -
+					    load_of(server, WORK_ONLINE),
+				    0);
+	}
+	if (!mean) {
+		mean = g_new0(struct mean, 1);
+		mean->value = free;
+		g_hash_table_insert(fleet->batch_slots, g_strdup(service),
+				    mean);
+	} else {
+		age = (double)(now_ms - mean->at_ms);
+		mean->value +=
+			(free - mean->value) * MIN(age / BATCH_SLOTS_MS, 1);
+	}
+	mean->at_ms = now_ms;
+	return mean->value;
+}
+
 static double batch_slots_free(const struct server *server,
 			       const struct batch_query *query)
 {
--- a/core/job_log.c
+++ b/core/job_log.c
@@ -88,6 +88,19 @@
 	return waiting ? *waiting : 0;
 }
 
+size_t job_log_open_items(const struct job_log *log)
+{
+	size_t nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &log->jobs) {
+		const struct job *job = list_entry(pos, struct job, link);
+
+		nr += job->ended ? 0 : job->open_nr;
+	}
+	return nr;
+}
+
 static struct job_blob blob_of(const JobBlob *blob)
 {
 	struct job_blob result = { 0 };
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -190,6 +190,13 @@
 /** Slots that batch items may take now, with a reserve kept. */
 double fleet_batch_room(struct fleet *fleet, const struct batch_query *query);
 
+/**
+ * Slots of a service that batch items get on average, over some seconds that
+ * end now. Called some times a second.
+ */
+double fleet_batch_slots(struct fleet *fleet, const char *service,
+			 uint64_t now_ms);
+
 /** Chooses a server with a free slot for a batch item, or NULL. */
 struct server *fleet_choose_batch(struct fleet *fleet,
 				  const struct batch_query *query);
--- a/include/core/job_log.h
+++ b/include/core/job_log.h
@@ -103,6 +103,9 @@
 /** Tokens of a route that no server has finished yet. */
 uint64_t job_log_waiting_tokens(const struct job_log *log, const char *route);
 
+/** Items of all jobs that are open and whose job wasn't ended. */
+size_t job_log_open_items(const struct job_log *log);
+
 /** Forgets jobs accepted before a time that have no open items. */
 void job_log_expire(struct job_log *log, uint64_t accepted_before_ms);
 
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[8] =
 {
   {
     "node",
@@ -138,9 +138,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backlog_late",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, backlog_late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
+  7,   /* field[7] = backlog_late */
   6,   /* field[6] = batch */
   2,   /* field[2] = leaving */
   0,   /* field[0] = node */
@@ -151,7 +164,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -161,7 +174,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  7,
+  8,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -39,7 +39,7 @@
    */
   protobuf_c_boolean leaving;
   /*
-   * Batch items that wait at the sender.
+   * Batch items that wait at the sender and can still be done in time.
    */
   uint32_t backlog;
   /*
@@ -51,10 +51,14 @@
   uint32_t *online;
   size_t n_batch;
   uint32_t *batch;
+  /*
+   * Batch items that wait at the sender and will be late.
+   */
+  uint32_t backlog_late;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* NodeLoad methods */
