Decide in the core which entries live and who runs a lost one's items

Change: core/peer_table.c takes these decisions out of the daemon. A record of the log's past doesn't replace an entry that is heard; a node that forgets another announces itself again, so that they find each other when the cut heals. Reports to an entry that was heard before it was announced follow its region once that is known.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -216,7 +216,7 @@
 		if (run->state != RUN_ENDING)
 			run_free(run);
 	}
-	peers_load_changed(batch->gateway->peers);
+	peers_hand_over(batch->gateway->peers);
 }
 
 /* Takes the items of jobs that this node owns, also by a takeover. */
--- a/briarplankd/gateway/batch.h
+++ b/briarplankd/gateway/batch.h
@@ -5,6 +5,7 @@
 #ifndef BRIARPLANKD_GATEWAY_BATCH_H
 #define BRIARPLANKD_GATEWAY_BATCH_H
 
+#include "core/peer_table.h"
 #include "gateway.h"
 
 struct batch *batch_create(struct gateway *gateway);
@@ -20,13 +21,7 @@
 /** The load of a server changed: items may have to yield. */
 void batch_load_changed(struct batch *batch);
 
-/** Items that wait for a slot. */
-struct batch_backlog {
-	/** Those that can still be done by their due time. */
-	unsigned in_time;
-	unsigned late;
-};
-
+/** Items of this node that wait for a slot. */
 struct batch_backlog batch_backlog(const struct batch *batch);
 
 /**
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -158,15 +158,6 @@
 	server_connections_close(server);
 }
 
-static void announce(struct gateway *gateway)
-{
-	job_store_append(gateway->job_store,
-			 job_log_encode_node(gateway->identity,
-					     peers_address(gateway->peers),
-					     gateway->settings->data_centre),
-			 false, NULL, NULL);
-}
-
 /* Stopping. */
 
 static void on_stop_look(uv_timer_t *timer)
@@ -298,7 +289,7 @@
 		return false;
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
-	announce(gateway);
+	peers_announce(gateway->peers);
 	return true;
 }
 
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -1,10 +1,13 @@
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "batch.h"
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/log.h"
+#include "core/peer_table.h"
+#include "job_store.h"
 #include "nodeload.pb-c.h"
 #include "peers.h"
 
@@ -18,109 +21,67 @@
 #define REPORT_PEERS 12
 /* Longest time between two reports, in ms. */
 #define HEARTBEAT_MS 300
-/* Silence after which an entry counts as dead, in ms: five heartbeats. */
-#define DEAD_MS 1500
-/* Time after the start in which other entries make themselves heard, in ms. */
-#define SETTLE_MS 1000
-/* Silence after which nothing is sent to an entry any more, in ms. */
-#define FORGET_MS 60000
 /* Longest datagram, in bytes, below the MTU of common links. */
 #define REPORT_BYTES_MAX 1400
 
-struct peer {
-	struct list link;
-	char *identity;
-	uint64_t hash;
-	struct sockaddr_in addr;
-	bool same_region;
-	uint64_t heard_ms;
-	uint64_t sequence;
-	bool alive;
-	bool leaving;
-	struct batch_backlog backlog;
-};
-
 struct peers {
 	struct gateway *gateway;
 	uv_udp_t udp;
 	uv_timer_t timer;
 	uv_timer_t look_timer;
 	int handles;
-	struct list list;
+	struct peer_table *table;
 	uint64_t sequence;
 	bool dirty;
 	bool dirty_far;
+	/* An entry that lives may have forgotten this one. */
+	bool announce;
 	uint64_t sent_ms;
 	uint64_t sent_far_ms;
-	uint64_t created_ms;
 	/* Entries that reports go to, in this region and in others. */
 	unsigned near_nr;
 	unsigned far_nr;
 	char *address;
 };
 
-static struct peer *peer_find(const struct peers *peers, const char *identity)
+/* Addresses in the table: IPv4 address and port, both in network order. */
+static uint64_t address_pack(const struct sockaddr_in *addr)
 {
-	struct list *pos;
+	return (uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port;
+}
 
-	list_for_each (pos, &peers->list) {
-		struct peer *peer = list_entry(pos, struct peer, link);
+static struct sockaddr_in address_unpack(uint64_t address)
+{
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = (in_addr_t)(address >> 16),
+		.sin_port = (in_port_t)(address & 0xffff),
+	};
 
-		if (!strcmp(peer->identity, identity))
-			return peer;
-	}
-	return NULL;
+	return addr;
 }
 
-static void peer_dead(struct peers *peers, struct peer *peer, const char *why)
+static void on_alive(void *ctx, const struct peer *peer)
 {
-	if (!peer->alive)
-		return;
-	peer->alive = false;
-	fleet_peer(peers->gateway->fleet, peer->hash, NULL, 0);
-	log_event("peer", LOG_LEVEL_WARN, "entry=%s lost: %s", peer->identity,
-		  why);
+	(void)ctx;
+	log_event("peer", LOG_LEVEL_INFO, "entry=%s alive", peer->identity);
 }
 
-static void peer_free(struct peers *peers, struct peer *peer)
+static void on_lost(void *ctx, const struct peer *peer, const char *why)
 {
+	struct peers *peers = ctx;
+
 	fleet_peer(peers->gateway->fleet, peer->hash, NULL, 0);
-	list_remove(&peer->link);
-	g_free(peer->identity);
-	g_free(peer);
+	log_event("peer", LOG_LEVEL_WARN, "entry=%s lost: %s", peer->identity,
+		  why);
 }
 
-static struct peer *peer_add(struct peers *peers, const char *identity,
-			     const struct sockaddr_in *addr, bool same_region)
+static void on_forgotten(void *ctx, const struct peer *peer)
 {
-	struct peer *peer;
-	struct list *pos, *tmp;
-
-	/* A new process at the same address replaces the one before. */
-	list_for_each_safe (pos, tmp, &peers->list) {
-		peer = list_entry(pos, struct peer, link);
-		if (peer->addr.sin_addr.s_addr == addr->sin_addr.s_addr &&
-		    peer->addr.sin_port == addr->sin_port) {
-			peer_dead(peers, peer, "its node started again");
-			peer_free(peers, peer);
-		}
-	}
-	peer = g_new0(struct peer, 1);
-	peer->identity = g_strdup(identity);
-	peer->hash = hash_string(identity, 0);
-	peer->addr = *addr;
-	peer->same_region = same_region;
-	list_append(&peers->list, &peer->link);
-	return peer;
-}
+	struct peers *peers = ctx;
 
-static void peer_heard(struct peers *peers, struct peer *peer)
-{
-	peer->heard_ms = uv_now(peers->gateway->loop);
-	if (peer->alive)
-		return;
-	peer->alive = true;
-	log_event("peer", LOG_LEVEL_INFO, "entry=%s alive", peer->identity);
+	log_event("peer", LOG_LEVEL_INFO, "entry=%s forgotten", peer->identity);
+	peers->announce = true;
 }
 
 void peers_learn(struct peers *peers, const char *identity, const char *address,
@@ -129,22 +90,26 @@
 	struct gateway *gateway = peers->gateway;
 	const char *region = g_hash_table_lookup(gateway->regions, data_centre);
 	const char *colon = strrchr(address, ':');
+	struct peer_announcement announcement = {
+		.identity = identity,
+		.same_region =
+			region && !strcmp(region, gateway->settings->region),
+		.past = !job_store_loaded(gateway->job_store),
+	};
 	struct sockaddr_in addr;
-	char *ip;
-	bool good;
+	char *ip = g_strndup(address, colon ? (gsize)(colon - address) : 0);
 
-	if (!strcmp(identity, gateway->identity) ||
-	    peer_find(peers, identity) || !colon)
+	if (!colon || uv_ip4_addr(ip, atoi(colon + 1), &addr)) {
+		log_event("peer", LOG_LEVEL_WARN,
+			  "entry=%s has an unreadable address: %s", identity,
+			  address);
+		g_free(ip);
 		return;
-	ip = g_strndup(address, colon - address);
-	good = !uv_ip4_addr(ip, (int)g_ascii_strtoll(colon + 1, NULL, 10),
-			    &addr);
+	}
 	g_free(ip);
-	/* It counts as alive once it is heard itself. */
-	if (good)
-		peer_add(peers, identity, &addr,
-			 region && !strcmp(region, gateway->settings->region))
-			->heard_ms = uv_now(gateway->loop);
+	announcement.address = address_pack(&addr);
+	peer_table_announced(peers->table, &announcement,
+			     uv_now(gateway->loop));
 	peers->dirty = true;
 	peers->dirty_far = true;
 }
@@ -183,16 +148,12 @@
 		log_event("peer", LOG_LEVEL_WARN, "unreadable load report");
 		return;
 	}
-	peer = peer_find(peers, load->node);
-	if (!peer && *load->node &&
-	    strcmp(load->node, peers->gateway->identity) != 0)
-		peer = peer_add(peers, load->node,
-				(const struct sockaddr_in *)from, true);
-	if (peer && load->sequence > peer->sequence) {
-		peer->sequence = load->sequence;
-		peer_heard(peers, peer);
+	peer = peer_table_reported(
+		peers->table, load->node,
+		address_pack((const struct sockaddr_in *)from), load->sequence,
+		uv_now(peers->gateway->loop));
+	if (peer)
 		take_load(peers, peer, load);
-	}
 	node_load__free_unpacked(load, NULL);
 }
 
@@ -257,15 +218,15 @@
 	if (len > REPORT_BYTES_MAX)
 		log_event("peer", LOG_LEVEL_WARN,
 			  "load report of %zu bytes may be fragmented", len);
-	list_for_each (pos, &peers->list) {
+	list_for_each (pos, peer_table_peers(peers->table)) {
 		struct peer *peer = list_entry(pos, struct peer, link);
+		struct sockaddr_in addr = address_unpack(peer->address);
 
-		if (now - peer->heard_ms > FORGET_MS ||
-		    !(peer->same_region ? near : far))
+		if (!(peer->same_region ? near : far))
 			continue;
 		/* A lost report is made good by the next. */
 		uv_udp_try_send(&peers->udp, &buf, 1,
-				(const struct sockaddr *)&peer->addr);
+				(const struct sockaddr *)&addr);
 	}
 	g_free(bytes);
 	if (near) {
@@ -295,6 +256,17 @@
 		    peers->dirty_far && now - peers->sent_far_ms >= far_pause);
 }
 
+void peers_announce(struct peers *peers)
+{
+	const struct gateway *gateway = peers->gateway;
+
+	peers->announce = false;
+	job_store_append(gateway->job_store,
+			 job_log_encode_node(gateway->identity, peers->address,
+					     gateway->settings->data_centre),
+			 false, NULL, NULL);
+}
+
 static void on_look(uv_timer_t *timer)
 {
 	struct peers *peers = timer->data;
@@ -305,13 +277,12 @@
 
 	peers->near_nr = 0;
 	peers->far_nr = 0;
-	list_for_each (pos, &peers->list) {
+	peer_table_sweep(peers->table, now);
+	if (peers->announce)
+		peers_announce(peers);
+	list_for_each (pos, peer_table_peers(peers->table)) {
 		struct peer *peer = list_entry(pos, struct peer, link);
 
-		if (peer->alive && now - peer->heard_ms > DEAD_MS)
-			peer_dead(peers, peer, "no report");
-		if (now - peer->heard_ms > FORGET_MS)
-			continue;
 		peers->near_nr += peer->same_region;
 		peers->far_nr += !peer->same_region;
 	}
@@ -336,68 +307,30 @@
 		       0);
 }
 
-bool peers_alive(const struct peers *peers, const char *identity)
+void peers_hand_over(struct peers *peers)
 {
-	struct peer *peer;
-
-	if (!strcmp(identity, peers->gateway->identity))
-		return !peers->gateway->handed_over;
-	peer = peer_find(peers, identity);
-	return peer && peer->alive && !peer->leaving;
+	peer_table_hand_over(peers->table);
+	peers_load_changed(peers);
 }
 
 bool peers_own(const struct peers *peers, const struct job *job)
 {
-	const struct gateway *gateway = peers->gateway;
-	uint64_t job_hash, own_rank;
-	struct list *pos;
-
-	if (gateway->handed_over)
-		return false;
-	if (peers_alive(peers, job->node))
-		return !strcmp(job->node, gateway->identity);
-	/* A node that just started hasn't heard the others yet. */
-	if (uv_now(gateway->loop) - peers->created_ms < SETTLE_MS)
-		return false;
-	job_hash = hash_string(job->id, 0);
-	own_rank = hash_mix(job_hash, gateway->identity_hash);
-	list_for_each (pos, &peers->list) {
-		struct peer *peer = list_entry(pos, struct peer, link);
-
-		if (peer->alive && !peer->leaving &&
-		    hash_mix(job_hash, peer->hash) > own_rank)
-			return false;
-	}
-	return true;
+	return peer_table_owns(peers->table, job->id, job->node,
+			       uv_now(peers->gateway->loop));
 }
 
 uint64_t peers_age_ms(const struct peers *peers)
 {
-	uint64_t now = uv_now(peers->gateway->loop), age = 0;
-	struct list *pos;
-
-	list_for_each (pos, &peers->list) {
-		struct peer *peer = list_entry(pos, struct peer, link);
-
-		if (peer->alive)
-			age = MAX(age, now - peer->heard_ms);
-	}
-	return age;
+	return peer_table_age_ms(peers->table, uv_now(peers->gateway->loop));
 }
 
 struct batch_backlog peers_backlog(const struct peers *peers, bool far)
 {
-	struct batch_backlog sum = batch_backlog(peers->gateway->batch);
-	struct list *pos;
-
-	list_for_each (pos, &peers->list) {
-		struct peer *peer = list_entry(pos, struct peer, link);
+	struct batch_backlog sum = peer_table_backlog(peers->table, far);
+	struct batch_backlog own = batch_backlog(peers->gateway->batch);
 
-		if (!peer->alive || (!far && !peer->same_region))
-			continue;
-		sum.in_time += peer->backlog.in_time;
-		sum.late += peer->backlog.late;
-	}
+	sum.in_time += own.in_time;
+	sum.late += own.late;
 	return sum;
 }
 
@@ -409,12 +342,19 @@
 struct peers *peers_create(struct gateway *gateway)
 {
 	struct peers *peers = g_new0(struct peers, 1);
+	struct peer_table_options table = {
+		.self = gateway->identity,
+		.now_ms = uv_now(gateway->loop),
+		.on_alive = on_alive,
+		.on_lost = on_lost,
+		.on_forgotten = on_forgotten,
+		.ctx = peers,
+	};
 	struct sockaddr_in addr;
 	int rc;
 
 	peers->gateway = gateway;
-	peers->created_ms = uv_now(gateway->loop);
-	list_init(&peers->list);
+	peers->table = peer_table_create(&table);
 	uv_timer_init(gateway->loop, &peers->timer);
 	peers->timer.data = peers;
 	uv_timer_init(gateway->loop, &peers->look_timer);
@@ -451,10 +391,7 @@
 
 void peers_destroy(struct peers *peers)
 {
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &peers->list)
-		peer_free(peers, list_entry(pos, struct peer, link));
+	peer_table_destroy(peers->table);
 	g_free(peers->address);
 	peers->handles = 3;
 	uv_close((uv_handle_t *)&peers->timer, on_closed);
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -7,7 +7,7 @@
 #ifndef BRIARPLANKD_GATEWAY_PEERS_H
 #define BRIARPLANKD_GATEWAY_PEERS_H
 
-#include "batch.h"
+#include "core/peer_table.h"
 #include "gateway.h"
 
 /** NULL with an error message when the port can't be bound. */
@@ -21,16 +21,16 @@
 void peers_learn(struct peers *peers, const char *identity, const char *address,
 		 const char *data_centre);
 
+/** Tells the other entries by the job log where this one is. */
+void peers_announce(struct peers *peers);
+
 /** This node's load changed; a report follows soon. */
 void peers_load_changed(struct peers *peers);
 
-/** Tells whether an entry is alive and takes batch items. */
-bool peers_alive(const struct peers *peers, const char *identity);
+/** Leaves the items of this node to the others, and tells them. */
+void peers_hand_over(struct peers *peers);
 
-/**
- * Tells whether this node owns a job: the entry that took it while it lives,
- * else the first of the living by a hash of both.
- */
+/** Tells whether this node runs the items of a job; see peer_table_owns(). */
 bool peers_own(const struct peers *peers, const struct job *job);
 
 /** Age of the oldest report of a living entry, in ms. */
--- /dev/null
+++ b/core/peer_table.c
@@ -0,0 +1,240 @@
+#include <string.h>
+#include <glib.h>
+
+#include "common/hash.h"
+#include "core/peer_table.h"
+
+/* Silence after which an entry counts as dead, in ms: five heartbeats. */
+#define DEAD_MS 1500
+/* Time after the start in which other entries make themselves heard, in ms:
+ * three heartbeats. */
+#define SETTLE_MS 1000
+/* Silence after which an entry is forgotten, in ms. */
+#define FORGET_MS 60000
+
+struct peer_table {
+	struct peer_table_options options;
+	char *self;
+	uint64_t self_hash;
+	bool handed_over;
+	struct list peers;
+};
+
+struct peer_table *peer_table_create(const struct peer_table_options *options)
+{
+	struct peer_table *table = g_new0(struct peer_table, 1);
+
+	table->options = *options;
+	table->self = g_strdup(options->self);
+	table->self_hash = hash_string(options->self, 0);
+	list_init(&table->peers);
+	return table;
+}
+
+static void peer_lost(struct peer_table *table, struct peer *peer,
+		      const char *why)
+{
+	if (!peer->alive)
+		return;
+	peer->alive = false;
+	if (table->options.on_lost)
+		table->options.on_lost(table->options.ctx, peer, why);
+}
+
+static void peer_free(struct peer *peer)
+{
+	list_remove(&peer->link);
+	g_free(peer->identity);
+	g_free(peer);
+}
+
+void peer_table_destroy(struct peer_table *table)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &table->peers)
+		peer_free(list_entry(pos, struct peer, link));
+	g_free(table->self);
+	g_free(table);
+}
+
+static struct peer *find(const struct peer_table *table, const char *identity)
+{
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (!strcmp(peer->identity, identity))
+			return peer;
+	}
+	return NULL;
+}
+
+static struct peer *find_at(const struct peer_table *table, uint64_t address)
+{
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (peer->address == address)
+			return peer;
+	}
+	return NULL;
+}
+
+/* Adds a process in place of the one before it at the address. */
+static struct peer *add(struct peer_table *table, const char *identity,
+			uint64_t address, bool same_region, uint64_t now_ms)
+{
+	struct peer *peer = find_at(table, address);
+
+	if (peer) {
+		peer_lost(table, peer, "its node started again");
+		peer_free(peer);
+	}
+	peer = g_new0(struct peer, 1);
+	peer->identity = g_strdup(identity);
+	peer->hash = hash_string(identity, 0);
+	peer->address = address;
+	peer->same_region = same_region;
+	peer->heard_ms = now_ms;
+	list_append(&table->peers, &peer->link);
+	return peer;
+}
+
+void peer_table_announced(struct peer_table *table,
+			  const struct peer_announcement *announcement,
+			  uint64_t now_ms)
+{
+	struct peer *peer = find(table, announcement->identity);
+	const struct peer *there = find_at(table, announcement->address);
+
+	if (!strcmp(announcement->identity, table->self))
+		return;
+	if (peer) {
+		peer->same_region = announcement->same_region;
+		return;
+	}
+	/* Who is heard there by now came after whom the log tells of. */
+	if (announcement->past && there && there->alive)
+		return;
+	add(table, announcement->identity, announcement->address,
+	    announcement->same_region, now_ms);
+}
+
+struct peer *peer_table_reported(struct peer_table *table, const char *identity,
+				 uint64_t address, uint64_t sequence,
+				 uint64_t now_ms)
+{
+	struct peer *peer = find(table, identity);
+
+	if (!*identity || !strcmp(identity, table->self))
+		return NULL;
+	/* Its region is known once it is announced. */
+	if (!peer)
+		peer = add(table, identity, address, true, now_ms);
+	if (sequence <= peer->sequence)
+		return NULL;
+	peer->sequence = sequence;
+	peer->heard_ms = now_ms;
+	if (!peer->alive) {
+		peer->alive = true;
+		if (table->options.on_alive)
+			table->options.on_alive(table->options.ctx, peer);
+	}
+	return peer;
+}
+
+void peer_table_sweep(struct peer_table *table, uint64_t now_ms)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (now_ms - peer->heard_ms > DEAD_MS)
+			peer_lost(table, peer, "no report");
+		if (now_ms - peer->heard_ms <= FORGET_MS)
+			continue;
+		if (table->options.on_forgotten)
+			table->options.on_forgotten(table->options.ctx, peer);
+		peer_free(peer);
+	}
+}
+
+void peer_table_hand_over(struct peer_table *table)
+{
+	table->handed_over = true;
+}
+
+static bool takes_items(const struct peer *peer)
+{
+	return peer->alive && !peer->leaving;
+}
+
+bool peer_table_owns(const struct peer_table *table, const char *job,
+		     const char *taken_by, uint64_t now_ms)
+{
+	const struct peer *taker;
+	uint64_t job_hash, own_rank;
+	struct list *pos;
+
+	if (table->handed_over)
+		return false;
+	if (!strcmp(taken_by, table->self))
+		return true;
+	taker = find(table, taken_by);
+	if (taker && takes_items(taker))
+		return false;
+	/* A node that just started hasn't heard the others yet. */
+	if (now_ms - table->options.now_ms < SETTLE_MS)
+		return false;
+	job_hash = hash_string(job, 0);
+	own_rank = hash_mix(job_hash, table->self_hash);
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (takes_items(peer) &&
+		    hash_mix(job_hash, peer->hash) > own_rank)
+			return false;
+	}
+	return true;
+}
+
+uint64_t peer_table_age_ms(const struct peer_table *table, uint64_t now_ms)
+{
+	uint64_t age = 0;
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (peer->alive)
+			age = MAX(age, now_ms - peer->heard_ms);
+	}
+	return age;
+}
+
+struct batch_backlog peer_table_backlog(const struct peer_table *table,
+					bool all_regions)
+{
+	struct batch_backlog sum = { 0 };
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (!peer->alive || (!all_regions && !peer->same_region))
+			continue;
+		sum.in_time += peer->backlog.in_time;
+		sum.late += peer->backlog.late;
+	}
+	return sum;
+}
+
+struct list *peer_table_peers(struct peer_table *table)
+{
+	return &table->peers;
+}
--- /dev/null
+++ b/tests/test_peer_table.c
@@ -0,0 +1,178 @@
+/*
+ * Which entries live, and who runs the items of a job whose entry is gone.
+ */
+#include <string.h>
+#include <glib.h>
+
+#include "core/peer_table.h"
+#include "script.h"
+
+/* Several nodes, each with a table of its own. */
+struct state {
+	/* Name to struct peer_table *. */
+	GHashTable *tables;
+	GString *events;
+	uint64_t now_ms;
+};
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	state->tables =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)peer_table_destroy);
+	state->events = g_string_new(NULL);
+	state->now_ms = 100000;
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+
+	g_hash_table_destroy(state->tables);
+	g_string_free(state->events, TRUE);
+	g_free(state);
+}
+
+static void on_alive(void *ctx, const struct peer *peer)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->events, "%s alive\n", peer->identity);
+}
+
+static void on_lost(void *ctx, const struct peer *peer, const char *why)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->events, "%s lost: %s\n", peer->identity,
+			       why);
+}
+
+static void on_forgotten(void *ctx, const struct peer *peer)
+{
+	struct state *state = ctx;
+
+	g_string_append_printf(state->events, "%s forgotten\n", peer->identity);
+}
+
+static void start(struct state *state, const char *name)
+{
+	struct peer_table_options options = {
+		.self = name,
+		.now_ms = state->now_ms,
+		.on_alive = on_alive,
+		.on_lost = on_lost,
+		.on_forgotten = on_forgotten,
+		.ctx = state,
+	};
+
+	g_hash_table_insert(state->tables, g_strdup(name),
+			    peer_table_create(&options));
+}
+
+/* announced AT IDENTITY address=N [far=1] [past=1] */
+static void announced(struct state *state, struct peer_table *table, int argc,
+		      char **argv)
+{
+	struct peer_announcement announcement = {
+		.identity = argv[2],
+		.address = (uint64_t)script_arg_int(argc, argv, "address", 0),
+		.same_region = !script_arg_int(argc, argv, "far", 0),
+		.past = script_arg_int(argc, argv, "past", 0),
+	};
+
+	peer_table_announced(table, &announcement, state->now_ms);
+}
+
+/* report AT IDENTITY address=N sequence=N [leaving=1] [waits=N] [late=N] */
+static void report(struct state *state, struct peer_table *table, int argc,
+		   char **argv)
+{
+	struct peer *peer = peer_table_reported(
+		table, argv[2],
+		(uint64_t)script_arg_int(argc, argv, "address", 0),
+		(uint64_t)script_arg_int(argc, argv, "sequence", 1),
+		state->now_ms);
+
+	if (!peer) {
+		g_string_append(state->events, "no news\n");
+		return;
+	}
+	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
+	peer->backlog.in_time =
+		(unsigned)script_arg_int(argc, argv, "waits", 0);
+	peer->backlog.late = (unsigned)script_arg_int(argc, argv, "late", 0);
+}
+
+/* owners JOB taken_by=IDENTITY: the nodes that would run its items */
+static void owners(struct state *state, int argc, char **argv)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(state->tables),
+				   (GCompareFunc)strcmp);
+	GList *at;
+
+	for (at = names; at; at = at->next) {
+		if (peer_table_owns(
+			    g_hash_table_lookup(state->tables, at->data),
+			    argv[1], script_arg(argc, argv, "taken_by", ""),
+			    state->now_ms))
+			g_string_append_printf(state->events, "%s\n",
+					       (char *)at->data);
+	}
+	g_list_free(names);
+}
+
+static void backlog(struct state *state, struct peer_table *table, int argc,
+		    char **argv)
+{
+	struct batch_backlog sum =
+		peer_table_backlog(table, script_arg_int(argc, argv, "all", 0));
+
+	g_string_append_printf(state->events, "in_time=%u late=%u\n",
+			       sum.in_time, sum.late);
+}
+
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+	struct peer_table *table =
+		argc > 1 ? g_hash_table_lookup(state->tables, argv[1]) : NULL;
+
+	if (!strcmp(argv[0], "start"))
+		start(state, argv[1]);
+	else if (!strcmp(argv[0], "announced"))
+		announced(state, table, argc, argv);
+	else if (!strcmp(argv[0], "report"))
+		report(state, table, argc, argv);
+	else if (!strcmp(argv[0], "sweep"))
+		peer_table_sweep(table, state->now_ms);
+	else if (!strcmp(argv[0], "pass"))
+		state->now_ms += g_ascii_strtoull(argv[1], NULL, 10);
+	else if (!strcmp(argv[0], "hand-over"))
+		peer_table_hand_over(table);
+	else if (!strcmp(argv[0], "owners"))
+		owners(state, argc, argv);
+	else if (!strcmp(argv[0], "backlog"))
+		backlog(state, table, argc, argv);
+	else if (!strcmp(argv[0], "age"))
+		g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
+				       peer_table_age_ms(table, state->now_ms));
+	g_string_append_len(out, state->events->str,
+			    (gssize)state->events->len);
+	g_string_truncate(state->events, 0);
+}
+
+static const struct script_driver driver = {
+	.name = "peer_table",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
