Write bulk to another partition when one is away

Cause: bodies and outputs go to a partition by hash and were offered to it until their time was over.

Change: after a failed write the next partition is tried, at once the first time. Bulk that no index record names means nothing, so that a write of unknown fate may be repeated elsewhere.

Result: gateway_store.sh submits 16 jobs while the stand-in rejects some partitions; before, one was answered 503, now all are accepted and done.

--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -81,6 +81,7 @@
 	/* Blobs written, and those of the call under way. */
 	guint written;
 	guint sending;
+	unsigned tries;
 	uv_timer_t timer;
 	bool cancelled;
 	bool in_call;
@@ -402,11 +403,16 @@
 	if (result->status != STORE_OK) {
 		/* Bulk without an index record means nothing: it may be
 		 * written twice. */
-		if (uv_now(write->store->gateway->loop) >= write->give_up_ms)
+		if (uv_now(write->store->gateway->loop) >= write->give_up_ms) {
 			write_end(write, false);
-		else
-			uv_timer_start(&write->timer, on_write_timer, RETRY_MS,
-				       0);
+			return;
+		}
+		/* A part of the partitions may be away. */
+		write->partition =
+			(write->partition + 1) %
+			(int)write->store->gateway->settings->store_partitions;
+		uv_timer_start(&write->timer, on_write_timer,
+			       write->tries++ ? RETRY_MS : 0, 0);
 		return;
 	}
 	for (i = 0; i < write->sending; i++) {
--- a/tests/process/gateway_store.sh
+++ b/tests/process/gateway_store.sh
@@ -62,6 +62,22 @@
 	fleet_fail "a refused job exists"
 echo "refusals: true"
 
+# Some partitions of the bulk topic are away: what would go there goes to
+# another one, and no job is refused for it.
+fleet_fault store "kind=reject&status=503&only=Topic%3Dbulk%26part%3D1"
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16
+do
+	status=$(submit g1 "partly$i")
+	test "$status" = 202 ||
+		fleet_fail "a job was answered $status while a partition was away"
+done
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16
+do
+	wait_until gateway_has_results g2 "partly$i" 3
+done
+fleet_fault store kind=none
+echo "partitions away: others used"
+
 # The history of the platform's topics is dropped; what holds is read anew.
 curl -sf -X POST "http://$(fleet_address store)/drop?Topic=keyed.servers"
 curl -sf -X POST "http://$(fleet_address store)/drop?Topic=keyed.op"
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -143,6 +143,13 @@
 	web_on_close(request, on_delayed_left, delayed);
 }
 
+/* Tells whether a fault is for this request. */
+static bool concerns(const struct fault *fault,
+		     const struct web_request *request)
+{
+	return !*fault->only || strstr(web_query(request), fault->only);
+}
+
 static void on_request(void *ctx, struct web_request *request)
 {
 	struct route *route = ctx;
@@ -155,7 +162,8 @@
 			web_cut(request);
 		return;
 	}
-	if (standin_strikes(standin, FAULT_REJECT)) {
+	if (concerns(&standin->fault, request) &&
+	    standin_strikes(standin, FAULT_REJECT)) {
 		web_problem(request, standin->fault.status, "Rejected",
 			    "rejected on purpose");
 		return;
@@ -193,10 +201,12 @@
 {
 	struct standin *standin = ctx;
 	char *name = standin_query(request, "kind");
+	char *only = standin_query(request, "only");
 	enum fault_kind kind = fault_kind_find(name);
 
 	g_free(name);
 	if (kind == FAULT_KINDS) {
+		g_free(only);
 		web_problem(request, 400, "No such fault", "see fault_names");
 		return;
 	}
@@ -208,6 +218,9 @@
 						 DEFAULT_REJECT_STATUS),
 		.set_ms = standin_wall_ms(),
 	};
+	g_strlcpy(standin->fault.only, only ? only : "",
+		  sizeof(standin->fault.only));
+	g_free(only);
 	if (standin->command->faulted)
 		standin->command->faulted(standin->state, &standin->fault);
 	web_answer(request, 200, "text/plain", "ok\n", 3);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -54,6 +54,8 @@
 	uint64_t count;
 	/** Status of FAULT_REJECT. */
 	int status;
+	/** Text in the query of the requests that FAULT_REJECT strikes. */
+	char only[64];
 	uint64_t set_ms;
 	uint64_t struck;
 };
