Reach the store by another entry when the own way is lost

Cause: the store turns some nodes away, or is cut off from them, while it serves the others. Jobs at such a node were refused for as long, reads of results answered 503, and items that it ran could not end.

Change: core/store_path.c decides from the fate of the calls and from what the other entries report of themselves. store_relay.c passes connections of known entries on to the store, byte by byte, so that what is known of a call stays the same; store_route.c asks every 700 ms whether the own way is back. Reads that wait on a lost way are sent again at once. The kept connections of the store's client and of calls to servers were twins and are net/http_pool.c now; addresses are read in one place.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -15,6 +15,8 @@
 #include "peers.h"
 #include "platform/codec.h"
 #include "server_call.h"
+#include "store_relay.h"
+#include "store_route.h"
 
 /* Time after SIGTERM in which new connections still come, in ms: the platform
  * looks once a second, and takes a node out after two misses. */
@@ -28,6 +30,9 @@
 /* Idle time of a caller's connection before a configuration says so, in ms. */
 #define IDLE_TIMEOUT_MS 15000
 
+/* Free ports that are tried, as one that is free for TCP may not be for UDP. */
+#define FREE_PORT_TRIES 8
+
 struct process {
 	struct gateway gateway;
 	uv_signal_t sigterm;
@@ -248,17 +253,38 @@
 		.loop = gateway->loop,
 		.address = settings->store_address,
 		.metrics = gateway->metrics,
+		.route = &store_route,
 	};
 
 	gateway->identity = g_strdup_printf("%s-%08x%08x", settings->name,
 					    g_random_int(), g_random_int());
 	gateway->identity_hash = hash_string(gateway->identity, 0);
 	gateway->fleet = fleet_create(&fleet);
+	gateway->store_route = store_route_create(gateway);
+	store.route_ctx = gateway->store_route;
 	gateway->store = store_create(&store);
 	gateway->batch = batch_create(gateway);
 	gateway->job_calls = job_calls_create(gateway);
 }
 
+/* Load reports come by UDP, and calls to pass on by TCP, at one port. */
+static bool open_node_port(struct gateway *gateway)
+{
+	int port = (int)gateway->settings->node_port;
+	int tries = port ? 1 : FREE_PORT_TRIES;
+
+	while (!gateway->peers && tries--) {
+		if (gateway->store_relay)
+			store_relay_destroy(gateway->store_relay);
+		gateway->store_relay = store_relay_create(gateway, port);
+		if (!gateway->store_relay)
+			return false;
+		gateway->peers = peers_create(
+			gateway, store_relay_port(gateway->store_relay));
+	}
+	return gateway->peers != NULL;
+}
+
 static bool gateway_open(struct gateway *gateway)
 {
 	const struct gateway_settings *settings = gateway->settings;
@@ -273,8 +299,7 @@
 		},
 	};
 
-	gateway->peers = peers_create(gateway);
-	if (!gateway->peers)
+	if (!open_node_port(gateway))
 		return false;
 	gateway->front = open_web(gateway, settings->front_address, on_front);
 	gateway->ready =
@@ -321,6 +346,9 @@
 	batch_destroy(gateway->batch);
 	job_calls_destroy(gateway->job_calls);
 	store_destroy(gateway->store);
+	store_route_destroy(gateway->store_route);
+	if (gateway->store_relay)
+		store_relay_destroy(gateway->store_relay);
 	if (gateway->job_store)
 		job_store_destroy(gateway->job_store);
 	if (gateway->directory)
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -23,6 +23,8 @@
 struct batch;
 struct job_calls;
 struct peers;
+struct store_relay;
+struct store_route_state;
 
 struct gateway {
 	uv_loop_t *loop;
@@ -34,6 +36,8 @@
 	GHashTable *regions;
 	struct metrics *metrics;
 	struct store *store;
+	struct store_route_state *store_route;
+	struct store_relay *store_relay;
 	struct fleet *fleet;
 	/** NULL until a configuration was read. */
 	struct route_table *config;
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -207,6 +207,27 @@
 	store_read(store->gateway->store, &read);
 }
 
+static void on_probed(void *ctx, const struct store_read_result *result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+void job_store_probe(struct job_store *store, uint32_t timeout_ms)
+{
+	struct store_read probe = {
+		.topic = INDEX_TOPIC,
+		.partition = INDEX_PARTITION,
+		.from = store->next_offset,
+		.max_kb = 1,
+		.timeout_ms = timeout_ms,
+		.direct = true,
+		.done = on_probed,
+	};
+
+	store_read(store->gateway->store, &probe);
+}
+
 /* Appending to the index. */
 
 static void append_next(struct job_store *store);
--- a/briarplankd/gateway/job_store.h
+++ b/briarplankd/gateway/job_store.h
@@ -20,6 +20,9 @@
 /** The index was read to its end at least once. */
 bool job_store_loaded(const struct job_store *store);
 
+/** Asks the store itself for the index's end; only the call's fate counts. */
+void job_store_probe(struct job_store *store, uint32_t timeout_ms);
+
 /** What the fold says is at most a second old. */
 bool job_store_current(const struct job_store *store);
 
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -1,5 +1,4 @@
 #include <arpa/inet.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "batch.h"
@@ -8,8 +7,10 @@
 #include "common/log.h"
 #include "core/peer_table.h"
 #include "job_store.h"
+#include "net/address.h"
 #include "nodeload.pb-c.h"
 #include "peers.h"
+#include "store_route.h"
 
 /* Shortest time between two reports, in ms. Batch gives way to online
  * requests within this and the way between two nodes; the link between
@@ -44,23 +45,6 @@
 	char *address;
 };
 
-/* Addresses in the table: IPv4 address and port, both in network order. */
-static uint64_t address_pack(const struct sockaddr_in *addr)
-{
-	return (uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port;
-}
-
-static struct sockaddr_in address_unpack(uint64_t address)
-{
-	struct sockaddr_in addr = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = (in_addr_t)(address >> 16),
-		.sin_port = (in_port_t)(address & 0xffff),
-	};
-
-	return addr;
-}
-
 static void on_alive(void *ctx, const struct peer *peer)
 {
 	(void)ctx;
@@ -89,7 +73,6 @@
 {
 	struct gateway *gateway = peers->gateway;
 	const char *region = g_hash_table_lookup(gateway->regions, data_centre);
-	const char *colon = strrchr(address, ':');
 	struct peer_announcement announcement = {
 		.identity = identity,
 		.same_region =
@@ -97,16 +80,13 @@
 		.past = !job_store_loaded(gateway->job_store),
 	};
 	struct sockaddr_in addr;
-	char *ip = g_strndup(address, colon ? (gsize)(colon - address) : 0);
 
-	if (!colon || uv_ip4_addr(ip, atoi(colon + 1), &addr)) {
+	if (!address_parse(address, &addr)) {
 		log_event("peer", LOG_LEVEL_WARN,
 			  "entry=%s has an unreadable address: %s", identity,
 			  address);
-		g_free(ip);
 		return;
 	}
-	g_free(ip);
 	announcement.address = address_pack(&addr);
 	peer_table_announced(peers->table, &announcement,
 			     uv_now(gateway->loop));
@@ -130,6 +110,7 @@
 	peer->leaving = load->leaving;
 	peer->backlog.in_time = load->backlog;
 	peer->backlog.late = load->backlog_late;
+	peer->reaches_store = load->reaches_store;
 	batch_load_changed(peers->gateway->batch);
 }
 
@@ -192,6 +173,7 @@
 	load.leaving = gateway->handed_over;
 	load.backlog = backlog.in_time;
 	load.backlog_late = backlog.late;
+	load.reaches_store = store_route_direct(gateway->store_route);
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
 	load.online = (uint32_t *)online->data;
@@ -334,12 +316,30 @@
 	return sum;
 }
 
+struct list *peers_list(struct peers *peers)
+{
+	return peer_table_peers(peers->table);
+}
+
+bool peers_know(struct peers *peers, const struct in_addr *ip)
+{
+	struct list *pos;
+
+	list_for_each (pos, peers_list(peers)) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (address_unpack(peer->address).sin_addr.s_addr == ip->s_addr)
+			return true;
+	}
+	return false;
+}
+
 const char *peers_address(const struct peers *peers)
 {
 	return peers->address;
 }
 
-struct peers *peers_create(struct gateway *gateway)
+struct peers *peers_create(struct gateway *gateway, int port)
 {
 	struct peers *peers = g_new0(struct peers, 1);
 	struct peer_table_options table = {
@@ -361,22 +361,17 @@
 	peers->look_timer.data = peers;
 	uv_udp_init(gateway->loop, &peers->udp);
 	peers->udp.data = peers;
-	uv_ip4_addr(gateway->settings->ip, (int)gateway->settings->node_port,
-		    &addr);
+	uv_ip4_addr(gateway->settings->ip, port, &addr);
 	rc = uv_udp_bind(&peers->udp, (struct sockaddr *)&addr, 0);
 	if (!rc)
 		rc = uv_udp_recv_start(&peers->udp, on_alloc, on_datagram);
 	if (rc) {
-		error_set("can't listen for load reports on %s:%" PRId64 ": %s",
-			  gateway->settings->ip, gateway->settings->node_port,
-			  uv_strerror(rc));
+		error_set("can't listen for load reports on %s:%d: %s",
+			  gateway->settings->ip, port, uv_strerror(rc));
 		peers_destroy(peers);
 		return NULL;
 	}
-	rc = sizeof(addr);
-	uv_udp_getsockname(&peers->udp, (struct sockaddr *)&addr, &rc);
-	peers->address = g_strdup_printf("%s:%d", gateway->settings->ip,
-					 ntohs(addr.sin_port));
+	peers->address = address_text(&addr);
 	uv_timer_start(&peers->look_timer, on_look, HEARTBEAT_MS, HEARTBEAT_MS);
 	return peers;
 }
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -7,11 +7,13 @@
 #ifndef BRIARPLANKD_GATEWAY_PEERS_H
 #define BRIARPLANKD_GATEWAY_PEERS_H
 
+#include <netinet/in.h>
+
 #include "core/peer_table.h"
 #include "gateway.h"
 
 /** NULL with an error message when the port can't be bound. */
-struct peers *peers_create(struct gateway *gateway);
+struct peers *peers_create(struct gateway *gateway, int port);
 void peers_destroy(struct peers *peers);
 
 /** IP:PORT at which this node is told of others' load. */
@@ -33,6 +35,12 @@
 /** Tells whether this node runs the items of a job; see peer_table_owns(). */
 bool peers_own(const struct peers *peers, const struct job *job);
 
+/** The other entries (struct peer), by their link. */
+struct list *peers_list(struct peers *peers);
+
+/** Tells whether an entry is known at an IP address. */
+bool peers_know(struct peers *peers, const struct in_addr *ip);
+
 /** Age of the oldest report of a living entry, in ms. */
 uint64_t peers_age_ms(const struct peers *peers);
 
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "peers.h"
 #include "platform/codec.h"
+#include "net/http_pool.h"
 #include "server_call.h"
 
 /* Time to establish a connection, in ms: a few round trips between regions.
@@ -19,19 +20,9 @@
 #define REUSE_LIMIT_MS 6000
 #define REUSE_LIMIT_CAREFUL_MS 3000
 
-struct kept_link {
-	struct list link;
-	struct http_link *http;
-};
-
-/* The idle connections to one server. */
-struct connections {
-	struct list idle;
-	unsigned idle_nr;
-};
-
 struct server_call {
 	struct server_call_options options;
+	struct http_pool *pool;
 	struct http_link *http;
 	/* The server's fate in the fleet outlives a forgotten server. */
 	struct server *server;
@@ -96,112 +87,32 @@
 	       !is_among(name, own, G_N_ELEMENTS(own));
 }
 
-static void kept_free(struct connections *connections, struct kept_link *kept)
+static struct http_pool *pool_of(const struct server_call_options *options)
 {
-	list_remove(&kept->link);
-	connections->idle_nr--;
-	g_free(kept);
-}
-
-static void on_kept_lost(void *ctx, struct http_link *http)
-{
-	struct connections *connections = ctx;
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &connections->idle) {
-		struct kept_link *kept =
-			list_entry(pos, struct kept_link, link);
-
-		if (kept->http == http)
-			kept_free(connections, kept);
-	}
-	http_link_close(http);
-}
-
-static struct connections *connections_of(struct server *server)
-{
-	struct connections *connections = server->connections;
-
-	if (connections)
-		return connections;
-	connections = g_new0(struct connections, 1);
-	list_init(&connections->idle);
-	server->connections = connections;
-	return connections;
-}
-
-void server_connections_close(struct server *server)
-{
-	struct connections *connections = server->connections;
-	struct list *pos, *tmp;
-
-	if (!connections)
-		return;
-	list_for_each_safe (pos, tmp, &connections->idle) {
-		struct kept_link *kept =
-			list_entry(pos, struct kept_link, link);
-
-		http_link_close(kept->http);
-		kept_free(connections, kept);
-	}
-	/* Links under way still name it. */
-	if (server->own[WORK_ONLINE] || server->own[WORK_BATCH])
-		return;
-	g_free(connections);
-	server->connections = NULL;
-}
-
-static struct http_link *take_link(const struct server_call_options *options)
-{
-	struct connections *connections = connections_of(options->server);
-	uint64_t now = uv_now(options->gateway->loop);
-	struct http_link_options link_options = {
+	struct server *server = options->server;
+	struct http_pool_options pool = {
 		.loop = options->gateway->loop,
-		.address = options->server->address,
+		.address = server->address,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.unacked_timeout_ms = UNACKED_TIMEOUT_MS,
-		.on_lost = on_kept_lost,
-		.ctx = connections,
+		.idle_max = IDLE_LINKS_MAX,
+		.reuse_limit_ms = REUSE_LIMIT_MS,
 	};
-	struct list *pos, *tmp;
-
-	/* The one used last has the best chance to be alive. */
-	list_for_each_safe (pos, tmp, &connections->idle) {
-		struct kept_link *kept =
-			list_entry(pos, struct kept_link, link);
-		struct http_link *http = kept->http;
-		uint64_t limit = options->careful ? REUSE_LIMIT_CAREFUL_MS :
-						    REUSE_LIMIT_MS;
-		uint64_t named = http_link_idle_limit_ms(http);
-		uint64_t age = now - http_link_idle_since_ms(http);
-
-		if (named)
-			limit = MIN(limit, named / 2);
-		if (options->careful && age >= limit && age < REUSE_LIMIT_MS &&
-		    http_link_reusable(http))
-			break;
-		kept_free(connections, kept);
-		if (http_link_reusable(http) && age < limit)
-			return http;
-		http_link_close(http);
-	}
-	return http_link_open(&link_options);
+
+	if (!server->connections)
+		server->connections = http_pool_create(&pool);
+	return server->connections;
 }
 
-static void give_link(struct server *server, struct http_link *http)
+void server_connections_close(struct server *server)
 {
-	struct connections *connections = connections_of(server);
-	struct kept_link *kept;
+	struct http_pool *pool = server->connections;
 
-	if (!http_link_reusable(http) ||
-	    connections->idle_nr >= IDLE_LINKS_MAX) {
-		http_link_close(http);
+	if (!pool)
 		return;
-	}
-	kept = g_new0(struct kept_link, 1);
-	kept->http = http;
-	list_insert(&connections->idle, &kept->link);
-	connections->idle_nr++;
+	server->connections = NULL;
+	http_pool_close(pool);
+	http_pool_unref(pool);
 }
 
 static void learn_load(struct server_call *call,
@@ -279,6 +190,7 @@
 
 static void call_free(struct server_call *call)
 {
+	http_pool_unref(call->pool);
 	g_free((char *)call->options.request_id);
 	g_free(call);
 }
@@ -290,7 +202,7 @@
 	uint64_t now = uv_now(call->options.gateway->loop);
 
 	if (link_end == HTTP_LINK_WHOLE)
-		give_link(call->server, call->http);
+		http_pool_give(call->pool, call->http);
 	else
 		http_link_close(call->http);
 	if (end != SERVER_CALL_WHOLE)
@@ -352,7 +264,10 @@
 		       server->slots;
 	fleet_sent(server, options->class, call->started_ms);
 	peers_load_changed(options->gateway->peers);
-	call->http = take_link(options);
+	call->pool = http_pool_ref(pool_of(options));
+	call->http = http_pool_take(call->pool, options->careful ?
+							REUSE_LIMIT_CAREFUL_MS :
+							REUSE_LIMIT_MS);
 	call->options.request_id = g_strdup(options->request_id);
 	http_link_send(call->http, write_request(options), &handlers, call);
 	return call;
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -76,7 +76,7 @@
 	/** Nothing is sent before this time, and how often that was so. */
 	uint64_t avoid_until_ms;
 	unsigned strikes;
-	/** Connections to the server; owned by the caller of the fleet. */
+	/** Kept connections; closed by the fleet's on_forget. */
 	void *connections;
 };
 
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -33,6 +33,8 @@
 	bool alive;
 	/** It shuts down and takes no more items. */
 	bool leaving;
+	/** Its own way to the store is open, as it last said. */
+	bool reaches_store;
 	struct batch_backlog backlog;
 };
 
@@ -98,7 +100,7 @@
 struct batch_backlog peer_table_backlog(const struct peer_table *table,
 					bool all_regions);
 
-/** All entries that reports are sent to, by their link. */
+/** All entries that reports are sent to (struct peer), by their link. */
 struct list *peer_table_peers(struct peer_table *table);
 
 #endif
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -36,11 +36,26 @@
 /** Names a status for logs and metrics. */
 const char *store_status_name(enum store_status status);
 
+/** Which way calls take; decided outside of the client. */
+struct store_route {
+	/**
+	 * The next call's way: the IP:PORT of a node that passes it on, or NULL
+	 * for the store's own address. Valid until the next call.
+	 */
+	const char *(*via)(void *ctx);
+	/** A call ended; answered tells that the store did not turn it away. */
+	void (*ended)(void *ctx, const char *via, bool answered,
+		      uint64_t sent_ms);
+};
+
 struct store_options {
 	uv_loop_t *loop;
 	/** IP:PORT. */
 	const char *address;
 	struct metrics *metrics;
+	/** NULL to call the store itself, always. */
+	const struct store_route *route;
+	void *route_ctx;
 };
 
 struct store *store_create(const struct store_options *options);
@@ -121,6 +136,8 @@
 	unsigned wait_ms;
 	/** Time beyond the wait after which the call is unanswered, in ms. */
 	uint32_t timeout_ms;
+	/** Calls the store itself, whatever the route says. */
+	bool direct;
 	/** Key after which to go on (newest values); NULL for the start. */
 	const char *after_key;
 	void (*done)(void *ctx, const struct store_read_result *result);
@@ -130,6 +147,12 @@
 /** Reads records from an offset on. */
 void store_read(struct store *store, const struct store_read *read);
 
+/**
+ * Sends the reads that wait for an answer again, by the route's way of now: the
+ * one that they took is lost.
+ */
+void store_resend_reads(struct store *store);
+
 /** Reads a page of the newest value of each key of a keyed topic. */
 void store_read_newest(struct store *store, const struct store_read *read);
 
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 #include <http_parser.h>
 
 #include "common/error.h"
+#include "net/address.h"
 #include "net/http_link.h"
 
 /* Bytes read from a connection at once. */
@@ -344,19 +344,6 @@
 	exchange_end(timer->data, HTTP_LINK_UNSENT);
 }
 
-static bool address_parse(const char *text, struct sockaddr_in *addr)
-{
-	const char *colon = strrchr(text, ':');
-	char host[INET_ADDRSTRLEN];
-
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	memcpy(host, text, colon - text);
-	host[colon - text] = '\0';
-	return !uv_ip4_addr(host, (int)g_ascii_strtoll(colon + 1, NULL, 10),
-			    addr);
-}
-
 struct http_link *http_link_open(const struct http_link_options *options)
 {
 	struct http_link *link = g_new0(struct http_link, 1);
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[9] =
 {
   {
     "node",
@@ -150,6 +150,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reaches_store",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, reaches_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
@@ -158,13 +170,14 @@
   2,   /* field[2] = leaving */
   0,   /* field[0] = node */
   5,   /* field[5] = online */
+  8,   /* field[8] = reaches_store */
   1,   /* field[1] = sequence */
   4,   /* field[4] = servers */
 };
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -174,7 +187,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  8,
+  9,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -55,10 +55,14 @@
    * Batch items that wait at the sender and will be late.
    */
   uint32_t backlog_late;
+  /*
+   * The sender reaches the store itself, and passes on others' calls to it.
+   */
+  protobuf_c_boolean reaches_store;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* NodeLoad methods */
