Let a few entries of a region read the directory for all

Each entry reads the store some eight times a second, more than its 2,000 reads a second allow, and follows every heartbeat of 3,000 servers, over 100 MB/s in all, where the store gives 80.

Change: core/poll_pace.c slows polls by the number of entries within what leaving servers and configurations allow. With 24 entries or more in a region three of them read servers and configuration in the store; the others ask these twice a second for what changed (core/change_list.c, directory_share.c), and read the store themselves when none of the three has fresh news.

Result: transcripts for pace, changes and choice of readers; gateway_directory.sh with six entries, changes, and a reader that dies.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -2,16 +2,17 @@
 
 #include "common/error.h"
 #include "common/log.h"
+#include "core/change_list.h"
 #include "directory.h"
+#include "directory_share.h"
+#include "peers.h"
 #include "platform/codec.h"
 
-/* Longest wait of the store for a new configuration, in ms. It is answered as
- * soon as there is one; the wait bounds how long a silent connection hides. */
-#define CONFIG_WAIT_MS 1000
-/* Pause between two reads of the servers, in ms: a server that leaves gets
- * nothing new for three seconds after it said so, and heartbeats need no read
- * of their own. */
-#define SERVERS_PAUSE_MS 500
+/* Period of asking another entry for what changed, in ms. */
+#define ASK_MS 500
+/* Age up to which the servers of another entry are taken, in ms: its own pause
+ * between two reads, and one that failed. */
+#define SHARED_AGE_MS 2500
 /* Pause after a read that failed, in ms. */
 #define RETRY_MS 150
 /* Time beyond the wait after which a read counts as unanswered, in ms. */
@@ -27,8 +28,8 @@
 struct topic {
 	struct directory *directory;
 	const char *name;
-	unsigned wait_ms;
-	uint64_t pause_ms;
+	/* The last answer of the store came in time, in loop ms. */
+	uint64_t answered_ms;
 	uint64_t next_offset;
 	uint64_t snapshot_offset;
 	/* The newest values were read; the records behind them follow. */
@@ -49,6 +50,13 @@
 	/* Servers whose entry vanished in trouble: id to uint64_t * time. */
 	GHashTable *lapsed;
 	uint64_t trouble_ms;
+	/* Newest entries of servers, for other entries. */
+	struct change_list *changes;
+	/* The configuration as the platform wrote it. */
+	GBytes *config;
+	uint64_t config_offset;
+	struct directory_share *share;
+	uv_timer_t ask_timer;
 	uv_timer_t sweep_timer;
 	int handles;
 };
@@ -80,9 +88,27 @@
 		  record->offset, table->routes->len, table->services->len);
 	route_table_destroy(gateway->config);
 	gateway->config = table;
+	if (directory->config)
+		g_bytes_unref(directory->config);
+	directory->config = g_bytes_new(record->data, record->len);
+	directory->config_offset = record->offset;
 	gateway_config_changed(gateway);
 }
 
+/*
+ * A server is gone as of now. Removals that no record tells of stand at the
+ * next offset, so that whoever asks from there sees them.
+ */
+static void server_unlist(struct directory *directory, const char *id,
+			  const char *why)
+{
+	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
+
+	log_event("server", LOG_LEVEL_INFO, "id=%s unlisted%s", id, why);
+	fleet_unlist(directory->gateway->fleet, id);
+	change_list_put(directory->changes, id, NULL, 0, servers->next_offset);
+}
+
 static void server_vanished(struct directory *directory, const char *id)
 {
 	struct gateway *gateway = directory->gateway;
@@ -94,8 +120,7 @@
 	if (!directory->trouble_ms ||
 	    now - directory->trouble_ms > STORE_TROUBLE_MS ||
 	    server->draining) {
-		log_event("server", LOG_LEVEL_INFO, "id=%s unlisted", id);
-		fleet_unlist(gateway->fleet, id);
+		server_unlist(directory, id, "");
 		return;
 	}
 	if (g_hash_table_contains(directory->lapsed, id))
@@ -107,6 +132,18 @@
 	g_hash_table_insert(directory->lapsed, g_strdup(id), since);
 }
 
+/* Tells whether a heartbeat changed nothing but its own number. */
+static bool is_same(const struct server *server,
+		    const struct server_facts *facts)
+{
+	return server->listed && server->draining == facts->draining &&
+	       server->born_ms == facts->born_ms &&
+	       server->slots == facts->slots &&
+	       !strcmp(server->service, facts->service) &&
+	       !strcmp(server->address, facts->address) &&
+	       !strcmp(server->data_centre, facts->data_centre);
+}
+
 static void take_server(struct directory *directory,
 			const struct store_record *record)
 {
@@ -125,12 +162,13 @@
 				    &facts, &hold)) {
 		log_event("server", LOG_LEVEL_WARN, "id=%s not used: %s",
 			  record->key, error_last());
-		fleet_unlist(gateway->fleet, record->key);
+		server_unlist(directory, record->key, ", unreadable");
 		return;
 	}
 	server = fleet_find(gateway->fleet, record->key);
-	if (!server || !server->listed || server->draining != facts.draining ||
-	    server->born_ms != facts.born_ms)
+	if (!server || !is_same(server, &facts)) {
+		change_list_put(directory->changes, record->key, record->data,
+				record->len, record->offset);
 		log_event("server", LOG_LEVEL_INFO,
 			  "id=%s service=%s address=%s data_centre=%s slots=%u "
 			  "%s offset=%" PRIu64,
@@ -138,6 +176,7 @@
 			  facts.data_centre, facts.slots,
 			  facts.draining ? "draining" : "ready",
 			  record->offset);
+	}
 	fleet_learn(gateway->fleet, &facts);
 	g_hash_table_remove(directory->lapsed, record->key);
 	platform_server_free(hold);
@@ -148,19 +187,45 @@
 static void on_newest(void *ctx, const struct store_read_result *result);
 static void on_records(void *ctx, const struct store_read_result *result);
 
+/* A configuration is waited for, servers are looked at now and then. */
+static unsigned wait_of(const struct topic *topic)
+{
+	struct directory *directory = topic->directory;
+
+	return topic == &directory->topics[TOPIC_CONFIG] ?
+		       peers_poll_pace(directory->gateway->peers)
+			       .config_wait_ms :
+		       0;
+}
+
+static uint64_t pause_of(const struct topic *topic)
+{
+	struct directory *directory = topic->directory;
+
+	return topic == &directory->topics[TOPIC_SERVERS] ?
+		       peers_poll_pace(directory->gateway->peers)
+			       .servers_pause_ms :
+		       0;
+}
+
 static void topic_read(struct topic *topic)
 {
-	struct store *store = topic->directory->gateway->store;
+	struct directory *directory = topic->directory;
+	struct store *store = directory->gateway->store;
 	struct store_read read = {
 		.topic = topic->name,
 		.from = topic->next_offset,
 		.max_kb = READ_MAX_KB,
-		.wait_ms = topic->wait_ms,
+		.wait_ms = wait_of(topic),
 		.timeout_ms = READ_TIMEOUT_MS,
 		.after_key = topic->page_key,
 		.ctx = topic,
 	};
 
+	if (topic->following && directory_share_asks(directory->share)) {
+		topic_next(topic, ASK_MS);
+		return;
+	}
 	if (topic->following) {
 		read.done = on_records;
 		store_read(store, &read);
@@ -203,6 +268,16 @@
 	directory->seen = NULL;
 }
 
+/* All servers follow; whatever isn't among them is gone. */
+static void begin_whole(struct directory *directory, uint64_t end_offset)
+{
+	if (directory->seen)
+		g_hash_table_destroy(directory->seen);
+	directory->seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	change_list_reset(directory->changes, end_offset ? end_offset - 1 : 0);
+}
+
 static void on_newest(void *ctx, const struct store_read_result *result)
 {
 	struct topic *topic = ctx;
@@ -220,11 +295,8 @@
 		/* Pages are no snapshot: what changes meanwhile is read again
 		 * from where the first page ended. */
 		topic->snapshot_offset = result->end_offset;
-		if (servers && directory->seen)
-			g_hash_table_destroy(directory->seen);
 		if (servers)
-			directory->seen = g_hash_table_new_full(
-				g_str_hash, g_str_equal, g_free, NULL);
+			begin_whole(directory, result->end_offset);
 	}
 	for (i = 0; i < result->records_nr; i++)
 		topic->take(directory, &result->records[i]);
@@ -240,8 +312,9 @@
 	if (servers)
 		unlist_unseen(directory);
 	topic->following = true;
+	topic->answered_ms = result->sent_ms;
 	topic->next_offset = topic->snapshot_offset;
-	topic_next(topic, topic->pause_ms);
+	topic_next(topic, pause_of(topic));
 }
 
 static void on_records(void *ctx, const struct store_read_result *result)
@@ -268,9 +341,119 @@
 	for (i = 0; i < result->records_nr; i++)
 		topic->take(directory, &result->records[i]);
 	topic->next_offset = result->next_offset;
-	topic_next(topic, topic->next_offset < result->end_offset ?
-				  0 :
-				  topic->pause_ms);
+	if (topic->next_offset < result->end_offset) {
+		topic_next(topic, 0);
+		return;
+	}
+	topic->answered_ms = result->sent_ms;
+	topic_next(topic, pause_of(topic));
+}
+
+/* Other entries. */
+
+static void add_change(void *ctx, const struct change *change)
+{
+	GPtrArray *servers = ctx;
+	DirectoryServer *server = g_new(DirectoryServer, 1);
+	gsize len = 0;
+	const void *data =
+		change->value ? g_bytes_get_data(change->value, &len) : NULL;
+
+	directory_server__init(server);
+	server->id = g_strdup(change->key);
+	server->offset = change->offset;
+	server->value.data = len ? g_memdup2(data, len) : NULL;
+	server->value.len = len;
+	g_ptr_array_add(servers, server);
+}
+
+static void fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
+		      uint64_t config_offset)
+{
+	struct directory *directory = ctx;
+	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
+	GPtrArray *list = g_ptr_array_new();
+	uint64_t known = servers_from ? servers_from - 1 : 0;
+	gsize len;
+	const void *data;
+
+	page->whole = !servers_from ||
+		      !change_list_complete_since(directory->changes, known);
+	change_list_since(directory->changes, known, page->whole, add_change,
+			  list);
+	page->n_servers = list->len;
+	page->servers = (DirectoryServer **)g_ptr_array_free(list, FALSE);
+	page->servers_offset = servers->next_offset;
+	page->config_offset = directory->config_offset;
+	if (directory->config && (directory->config_offset > config_offset)) {
+		data = g_bytes_get_data(directory->config, &len);
+		page->config.data = g_memdup2(data, len);
+		page->config.len = len;
+	}
+	page->age_ms = directory_loaded(directory) ?
+			       (uint32_t)MIN(uv_now(directory->gateway->loop) -
+						     servers->answered_ms,
+					     UINT32_MAX) :
+			       UINT32_MAX;
+}
+
+static void take_shared_servers(struct directory *directory,
+				const DirectoryPage *page)
+{
+	struct topic *servers = &directory->topics[TOPIC_SERVERS];
+	size_t i;
+
+	if (page->whole)
+		begin_whole(directory, page->servers_offset);
+	for (i = 0; i < page->n_servers; i++) {
+		const DirectoryServer *server = page->servers[i];
+		struct store_record record = {
+			.key = server->id,
+			.data = (const char *)server->value.data,
+			.len = server->value.len,
+			.offset = server->offset,
+		};
+
+		take_server(directory, &record);
+	}
+	servers->next_offset = MAX(servers->next_offset, page->servers_offset);
+	if (page->whole)
+		unlist_unseen(directory);
+}
+
+static bool take_page(void *ctx, const DirectoryPage *page)
+{
+	struct directory *directory = ctx;
+	struct topic *config = &directory->topics[TOPIC_CONFIG];
+	struct topic *servers = &directory->topics[TOPIC_SERVERS];
+	struct store_record record = {
+		.key = store_key_config,
+		.data = (const char *)page->config.data,
+		.len = page->config.len,
+		.offset = page->config_offset,
+	};
+
+	if (page->age_ms > SHARED_AGE_MS)
+		return false;
+	servers->answered_ms = uv_now(directory->gateway->loop) - page->age_ms;
+	if (record.len)
+		take_config(directory, &record);
+	config->next_offset = MAX(config->next_offset, page->config_offset + 1);
+	/* This node may have read further itself. */
+	if (page->servers_offset >= servers->next_offset)
+		take_shared_servers(directory, page);
+	return true;
+}
+
+static void on_ask(uv_timer_t *timer)
+{
+	struct directory *directory = timer->data;
+
+	if (directory_loaded(directory))
+		directory_share_ask(
+			directory->share,
+			directory->topics[TOPIC_SERVERS].next_offset,
+			directory->config_offset);
 }
 
 static void on_sweep(uv_timer_t *timer)
@@ -287,10 +470,7 @@
 			*(uint64_t *)since = now;
 		if (now - *(uint64_t *)since < LAPSED_GRACE_MS)
 			continue;
-		log_event("server", LOG_LEVEL_INFO,
-			  "id=%s unlisted, its entry did not come back",
-			  (const char *)id);
-		fleet_unlist(gateway->fleet, id);
+		server_unlist(directory, id, ", its entry did not come back");
 		g_hash_table_iter_remove(&iter);
 	}
 	fleet_sweep(gateway->fleet, now);
@@ -301,16 +481,25 @@
 	struct directory *directory = g_new0(struct directory, 1);
 	struct topic *config = &directory->topics[TOPIC_CONFIG];
 	struct topic *servers = &directory->topics[TOPIC_SERVERS];
+	struct directory_share_hooks hooks = {
+		.fill = fill_page,
+		.take = take_page,
+		.ctx = directory,
+	};
 	int i;
 
 	directory->gateway = gateway;
+	directory->share = directory_share_create(gateway, &hooks);
+	if (!directory->share) {
+		g_free(directory);
+		return NULL;
+	}
+	directory->changes = change_list_create();
 	directory->lapsed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	config->name = store_topic_operator;
-	config->wait_ms = CONFIG_WAIT_MS;
 	config->take = take_config;
 	servers->name = store_topic_servers;
-	servers->pause_ms = SERVERS_PAUSE_MS;
 	servers->take = take_server;
 	for (i = 0; i < TOPICS; i++) {
 		struct topic *topic = &directory->topics[i];
@@ -320,6 +509,9 @@
 		topic->timer.data = topic;
 		topic_next(topic, 0);
 	}
+	uv_timer_init(gateway->loop, &directory->ask_timer);
+	directory->ask_timer.data = directory;
+	uv_timer_start(&directory->ask_timer, on_ask, ASK_MS, ASK_MS);
 	uv_timer_init(gateway->loop, &directory->sweep_timer);
 	directory->sweep_timer.data = directory;
 	uv_timer_start(&directory->sweep_timer, on_sweep, SWEEP_MS, SWEEP_MS);
@@ -334,7 +526,7 @@
 		g_free(topic->directory);
 }
 
-static void on_sweep_closed(uv_handle_t *handle)
+static void on_own_timer_closed(uv_handle_t *handle)
 {
 	struct directory *directory = handle->data;
 
@@ -346,18 +538,28 @@
 {
 	int i;
 
-	directory->handles = TOPICS + 1;
+	directory->handles = TOPICS + 2;
+	directory_share_destroy(directory->share);
 	for (i = 0; i < TOPICS; i++) {
 		g_free(directory->topics[i].page_key);
 		uv_close((uv_handle_t *)&directory->topics[i].timer,
 			 on_timer_closed);
 	}
-	uv_close((uv_handle_t *)&directory->sweep_timer, on_sweep_closed);
+	uv_close((uv_handle_t *)&directory->ask_timer, on_own_timer_closed);
+	uv_close((uv_handle_t *)&directory->sweep_timer, on_own_timer_closed);
+	change_list_destroy(directory->changes);
+	if (directory->config)
+		g_bytes_unref(directory->config);
 	if (directory->seen)
 		g_hash_table_destroy(directory->seen);
 	g_hash_table_destroy(directory->lapsed);
 }
 
+unsigned directory_port(const struct directory *directory)
+{
+	return directory_share_port(directory->share);
+}
+
 bool directory_loaded(const struct directory *directory)
 {
 	return directory->gateway->config &&
--- /dev/null
+++ b/briarplankd/gateway/directory_share.c
@@ -0,0 +1,285 @@
+#include <string.h>
+
+#include "common/error.h"
+#include "common/log.h"
+#include "core/peer_table.h"
+#include "directory_share.h"
+#include "net/address.h"
+#include "net/http_pool.h"
+#include "peers.h"
+#include "store_route.h"
+
+#define PATH "/directory"
+/* Time to connect to another entry, and for it to answer, in ms: round trips
+ * within a region, and a busy entry. */
+#define CONNECT_TIMEOUT_MS 300
+#define ANSWER_TIMEOUT_MS 800
+#define UNACKED_TIMEOUT_MS 1000
+#define REUSE_LIMIT_MS 4000
+/* An entry that gave no good answer isn't asked for so long, in ms. */
+#define AVOID_MS 2000
+/* Longest request of an entry, in bytes: a line and some fields. */
+#define REQUEST_BYTES 4096
+/* Time in which an entry must have sent its request, in ms. */
+#define REQUEST_TIMEOUT_MS 5000
+
+struct directory_share {
+	struct gateway *gateway;
+	struct directory_share_hooks hooks;
+	struct web *web;
+	unsigned port;
+	/* The entry that is asked; 0 for none. */
+	uint64_t reader;
+	struct http_pool *pool;
+	/* The question under way. */
+	struct http_link *http;
+	int status;
+	GByteArray *body;
+	uv_timer_t timer;
+	uint64_t avoided;
+	uint64_t avoid_until_ms;
+};
+
+/* Answering. */
+
+static uint64_t query_number(const char *query, const char *name)
+{
+	char **pairs = g_strsplit(query, "&", -1);
+	size_t len = strlen(name);
+	uint64_t number = 0;
+	char **pair;
+
+	for (pair = pairs; *pair; pair++) {
+		if (!strncmp(*pair, name, len) && (*pair)[len] == '=')
+			number = g_ascii_strtoull(*pair + len + 1, NULL, 10);
+	}
+	g_strfreev(pairs);
+	return number;
+}
+
+static void page_clear(DirectoryPage *page)
+{
+	size_t i;
+
+	for (i = 0; i < page->n_servers; i++) {
+		g_free(page->servers[i]->id);
+		g_free(page->servers[i]->value.data);
+		g_free(page->servers[i]);
+	}
+	g_free(page->servers);
+	g_free(page->config.data);
+}
+
+static void on_question(void *ctx, struct web_request *web)
+{
+	struct directory_share *share = ctx;
+	DirectoryPage page = DIRECTORY_PAGE__INIT;
+	size_t len;
+	uint8_t *bytes;
+
+	share->hooks.fill(share->hooks.ctx, &page,
+			  query_number(web_query(web), "servers"),
+			  query_number(web_query(web), "config"));
+	len = directory_page__get_packed_size(&page);
+	bytes = g_malloc(len);
+	directory_page__pack(&page, bytes);
+	web_answer(web, 200, "application/x-protobuf", bytes, len);
+	g_free(bytes);
+	page_clear(&page);
+}
+
+/* Asking. */
+
+static void question_end(struct directory_share *share, bool good)
+{
+	uint64_t now = uv_now(share->gateway->loop);
+
+	uv_timer_stop(&share->timer);
+	if (share->http)
+		http_link_close(share->http);
+	share->http = NULL;
+	g_byte_array_set_size(share->body, 0);
+	if (good)
+		return;
+	share->avoided = share->reader;
+	share->avoid_until_ms = now + AVOID_MS;
+}
+
+static bool on_head(void *ctx, const struct http_link_head *head)
+{
+	struct directory_share *share = ctx;
+
+	share->status = head->status;
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct directory_share *share = ctx;
+
+	g_byte_array_append(share->body, (const guint8 *)data, (guint)len);
+}
+
+static bool take_page(struct directory_share *share)
+{
+	DirectoryPage *page = directory_page__unpack(NULL, share->body->len,
+						     share->body->data);
+	bool good = page && share->hooks.take(share->hooks.ctx, page);
+
+	if (page)
+		directory_page__free_unpacked(page, NULL);
+	return good;
+}
+
+static void on_end(void *ctx, enum http_link_end end)
+{
+	struct directory_share *share = ctx;
+	bool whole = end == HTTP_LINK_WHOLE && share->status == 200;
+
+	if (whole) {
+		http_pool_give(share->pool, share->http);
+		share->http = NULL;
+	}
+	question_end(share, whole && take_page(share));
+}
+
+static void on_timeout(uv_timer_t *timer)
+{
+	question_end(timer->data, false);
+}
+
+static const struct http_link_handlers handlers = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static void pool_close(struct directory_share *share)
+{
+	if (!share->pool)
+		return;
+	http_pool_close(share->pool);
+	http_pool_unref(share->pool);
+	share->pool = NULL;
+}
+
+/* Takes up another reader, or none. */
+static void set_reader(struct directory_share *share, uint64_t reader)
+{
+	struct sockaddr_in addr = address_unpack(reader);
+	char *text = address_text(&addr);
+	struct http_pool_options options = {
+		.loop = share->gateway->loop,
+		.address = text,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.unacked_timeout_ms = UNACKED_TIMEOUT_MS,
+		.idle_max = 1,
+		.reuse_limit_ms = REUSE_LIMIT_MS,
+	};
+
+	if (reader != share->reader) {
+		log_event("directory", LOG_LEVEL_INFO, "follows %s%s",
+			  reader ? "the entry at " : "the store itself",
+			  reader ? text : "");
+		pool_close(share);
+		if (reader)
+			share->pool = http_pool_create(&options);
+		share->reader = reader;
+	}
+	g_free(text);
+}
+
+static uint64_t choose_reader(const struct directory_share *share)
+{
+	struct gateway *gateway = share->gateway;
+	uint64_t now = uv_now(gateway->loop);
+	struct peer_reader_query query = {
+		.self_reaches_store = store_route_direct(gateway->store_route),
+		.readers_from = (unsigned)gateway->settings->readers_from,
+		.avoided = now < share->avoid_until_ms ? share->avoided : 0,
+	};
+
+	return peers_reader(gateway->peers, &query);
+}
+
+bool directory_share_asks(const struct directory_share *share)
+{
+	return share->reader != 0;
+}
+
+void directory_share_ask(struct directory_share *share, uint64_t servers_from,
+			 uint64_t config_offset)
+{
+	GString *request;
+
+	if (share->http)
+		return;
+	set_reader(share, choose_reader(share));
+	if (!share->reader)
+		return;
+	request = g_string_new(NULL);
+	g_string_append_printf(request,
+			       "GET " PATH "?servers=%" PRIu64
+			       "&config=%" PRIu64
+			       " HTTP/1.1\r\nHost: directory\r\n\r\n",
+			       servers_from, config_offset);
+	share->status = 0;
+	share->http = http_pool_take(share->pool, REUSE_LIMIT_MS);
+	uv_timer_start(&share->timer, on_timeout, ANSWER_TIMEOUT_MS, 0);
+	http_link_send(share->http, request, &handlers, share);
+}
+
+/* The whole. */
+
+unsigned directory_share_port(const struct directory_share *share)
+{
+	return share->port;
+}
+
+struct directory_share *directory_share_create(
+	struct gateway *gateway, const struct directory_share_hooks *hooks)
+{
+	struct directory_share *share = g_new0(struct directory_share, 1);
+	int64_t port = gateway->settings->node_port;
+	char *address = g_strdup_printf("%s:%" PRId64, gateway->settings->ip,
+					port ? port + 1 : 0);
+	struct web_options options = {
+		.loop = gateway->loop,
+		.address = address,
+		.max_body_bytes = REQUEST_BYTES,
+		.request_timeout_ms = REQUEST_TIMEOUT_MS,
+		.metrics = gateway->metrics,
+	};
+	struct sockaddr_in addr;
+
+	share->gateway = gateway;
+	share->hooks = *hooks;
+	share->body = g_byte_array_new();
+	uv_timer_init(gateway->loop, &share->timer);
+	share->timer.data = share;
+	share->web = web_create(&options);
+	g_free(address);
+	if (!share->web) {
+		directory_share_destroy(share);
+		return NULL;
+	}
+	web_route(share->web, PATH, on_question, share);
+	if (address_parse(web_address(share->web), &addr))
+		share->port = ntohs(addr.sin_port);
+	return share;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void directory_share_destroy(struct directory_share *share)
+{
+	if (share->web)
+		web_destroy(share->web);
+	question_end(share, true);
+	pool_close(share);
+	g_byte_array_free(share->body, TRUE);
+	uv_close((uv_handle_t *)&share->timer, on_closed);
+}
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -314,6 +314,8 @@
 		return false;
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
+	if (!gateway->directory)
+		return false;
 	peers_announce(gateway->peers);
 	return true;
 }
@@ -385,12 +387,14 @@
 		return 1;
 	}
 	log_event("start", LOG_LEVEL_INFO,
-		  "identity=%s front=%s ready=%s metrics=%s nodes=%s store=%s "
+		  "identity=%s front=%s ready=%s metrics=%s nodes=%s "
+		  "directory=%u store=%s "
 		  "data_centre=%s region=%s retention_ms=%" PRId64,
 		  gateway->identity, web_address(gateway->front),
 		  web_address(gateway->ready),
 		  web_address(gateway->metrics_web),
-		  peers_address(gateway->peers), settings->store_address,
+		  peers_address(gateway->peers),
+		  directory_port(gateway->directory), settings->store_address,
 		  settings->data_centre, settings->region,
 		  settings->store_retention_ms);
 	/* Jobs are read from the log for as long as their results are kept. */
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "job_store.h"
+#include "peers.h"
 
 #define INDEX_TOPIC "jobs"
 #define BULK_TOPIC "bulk"
@@ -14,9 +15,6 @@
 #define FOLLOW_WAIT_MS 400
 /* Time beyond the wait after which a call counts as unanswered, in ms. */
 #define CALL_TIMEOUT_MS 900
-/* Pause between two reads while nothing of this node is awaited, in ms: it
- * gathers what many entries write, each of which would cost a call. */
-#define FOLLOW_PAUSE_MS 120
 /* Pause after a call that failed, in ms. */
 #define RETRY_MS 120
 /* Age up to which the fold counts as current, in ms: other nodes' results
@@ -182,9 +180,11 @@
 				  "loaded end=%" PRIu64, result->end_offset);
 		store->loaded = true;
 	}
-	follow_next(store, store->loaded && !own_records_due(store) ?
-				   FOLLOW_PAUSE_MS :
-				   0);
+	follow_next(
+		store,
+		store->loaded && !own_records_due(store) ?
+			peers_poll_pace(store->gateway->peers).index_pause_ms :
+			0);
 }
 
 static void on_follow_timer(uv_timer_t *timer)
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -6,6 +6,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/peer_table.h"
+#include "directory.h"
 #include "job_store.h"
 #include "net/address.h"
 #include "nodeload.pb-c.h"
@@ -111,6 +112,10 @@
 	peer->backlog.in_time = load->backlog;
 	peer->backlog.late = load->backlog_late;
 	peer->reaches_store = load->reaches_store;
+	peer->directory =
+		load->directory_port ?
+			address_with_port(peer->address, load->directory_port) :
+			0;
 	batch_load_changed(peers->gateway->batch);
 }
 
@@ -174,6 +179,7 @@
 	load.backlog = backlog.in_time;
 	load.backlog_late = backlog.late;
 	load.reaches_store = store_route_direct(gateway->store_route);
+	load.directory_port = directory_port(gateway->directory);
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
 	load.online = (uint32_t *)online->data;
@@ -301,6 +307,19 @@
 			       uv_now(peers->gateway->loop));
 }
 
+uint64_t peers_reader(const struct peers *peers,
+		      const struct peer_reader_query *query)
+{
+	return peer_table_reader(peers->table, query);
+}
+
+struct poll_pace peers_poll_pace(const struct peers *peers)
+{
+	return poll_pace_of(
+		peer_table_entries(peers->table),
+		(unsigned)peers->gateway->settings->store_reads_per_s);
+}
+
 uint64_t peers_age_ms(const struct peers *peers)
 {
 	return peer_table_age_ms(peers->table, uv_now(peers->gateway->loop));
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 
 #include "core/peer_table.h"
+#include "core/poll_pace.h"
 #include "gateway.h"
 
 /** NULL with an error message when the port can't be bound. */
@@ -41,6 +42,13 @@
 /** Tells whether an entry is known at an IP address. */
 bool peers_know(struct peers *peers, const struct in_addr *ip);
 
+/** Directory address of the entry to ask, or 0; see peer_table_reader(). */
+uint64_t peers_reader(const struct peers *peers,
+		      const struct peer_reader_query *query);
+
+/** How often this entry reads the store, by the number of entries. */
+struct poll_pace peers_poll_pace(const struct peers *peers);
+
 /** Age of the oldest report of a living entry, in ms. */
 uint64_t peers_age_ms(const struct peers *peers);
 
--- a/briarplankd/gateway_settings.c
+++ b/briarplankd/gateway_settings.c
@@ -24,8 +24,9 @@
 	  .help = "IP of this VM" },
 	{ "node.port", SETTING_INT, GATEWAY(node_port), .required = true,
 	  .min = 0, .max = 65535,
-	  .help = "UDP port for load reports between nodes; 0 takes a free "
-		  "one" },
+	  .help = "port of the traffic between nodes, load reports by UDP and "
+		  "calls that are passed on by TCP; the next one is for the "
+		  "directory; 0 takes free ones" },
 	{ "node.data_centre", SETTING_STRING, GATEWAY(data_centre),
 	  .required = true, .help = "data centre of this VM" },
 	{ "node.region", SETTING_STRING, GATEWAY(region), .required = true,
@@ -51,6 +52,14 @@
 	{ "store.call_bytes", SETTING_INT, GATEWAY(store_call_bytes),
 	  .min = 1024, .max = 67108864, .unit = "bytes", .fallback = "2097152",
 	  .help = "most bytes of records in one call" },
+	{ "store.reads_per_s", SETTING_INT, GATEWAY(store_reads_per_s),
+	  .min = 1, .max = 10000000, .fallback = "2000",
+	  .help = "calls a second that the store lets all nodes together "
+		  "read" },
+	{ "store.readers_from", SETTING_INT, GATEWAY(readers_from), .min = 2,
+	  .max = 1000000, .fallback = "24",
+	  .help = "nodes of a region from which on only some read servers and "
+		  "configuration in the store, and the others ask these" },
 	{ "store.retention_s", SETTING_SECONDS, GATEWAY(store_retention_ms),
 	  .min = 1000, .max = 31536000000, .fallback = "300",
 	  .help = "time for which the store keeps records" },
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -12,6 +12,10 @@
 /* Silence after which an entry is forgotten, in ms. */
 #define FORGET_MS 60000
 
+/* Entries of a region that read the directory in the store for all. */
+#define READERS 3
+#define READER_SEED 0x6469726563746f72ULL
+
 struct peer_table {
 	struct peer_table_options options;
 	char *self;
@@ -234,6 +238,68 @@
 	return sum;
 }
 
+unsigned peer_table_entries(const struct peer_table *table)
+{
+	unsigned nr = 1;
+	struct list *pos;
+
+	list_for_each (pos, &table->peers)
+		nr++;
+	return nr;
+}
+
+/* The place of an entry among those that may read the directory. */
+static uint64_t reader_rank(uint64_t hash)
+{
+	return hash_mix(hash, READER_SEED);
+}
+
+static bool may_read(const struct peer *peer)
+{
+	return peer->same_region && takes_items(peer) && peer->reaches_store &&
+	       peer->directory;
+}
+
+/* Entries of this region that come before a rank. */
+static unsigned readers_before(const struct peer_table *table, uint64_t rank)
+{
+	unsigned nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+
+		nr += may_read(peer) && reader_rank(peer->hash) < rank;
+	}
+	return nr;
+}
+
+uint64_t peer_table_reader(const struct peer_table *table,
+			   const struct peer_reader_query *query)
+{
+	unsigned entries = 1, readers = 0, at;
+	const struct peer *found[READERS];
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+
+		entries += peer->same_region && peer->alive;
+		if (may_read(peer) && peer->directory != query->avoided &&
+		    readers < READERS &&
+		    readers_before(table, reader_rank(peer->hash)) < READERS)
+			found[readers++] = peer;
+	}
+	if (entries < query->readers_from || !readers)
+		return 0;
+	if (query->self_reaches_store &&
+	    readers_before(table, reader_rank(table->self_hash)) < READERS)
+		return 0;
+	/* Those who ask are spread over the readers. */
+	at = (unsigned)(table->self_hash % readers);
+	return found[at]->directory;
+}
+
 struct list *peer_table_peers(struct peer_table *table)
 {
 	return &table->peers;
--- a/include/briarplankd/gateway_settings.h
+++ b/include/briarplankd/gateway_settings.h
@@ -23,13 +23,17 @@
 	char *front_address;
 	char *ready_address;
 	char *metrics_address;
-	/** First port for datagrams between nodes. */
+	/** First of the two ports for traffic between nodes. */
 	int64_t node_port;
 
 	char *store_address;
 	int64_t store_partitions;
 	int64_t store_record_bytes;
 	int64_t store_call_bytes;
+	/** Reading calls a second of all nodes together. */
+	int64_t store_reads_per_s;
+	/** Nodes of a region from which on only some read the directory. */
+	int64_t readers_from;
 	/** Time for which the store keeps records, in ms. */
 	int64_t store_retention_ms;
 
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -33,6 +33,8 @@
 	bool alive;
 	/** It shuts down and takes no more items. */
 	bool leaving;
+	/** Where it is asked for the directory; 0 when that isn't known. */
+	uint64_t directory;
 	/** Its own way to the store is open, as it last said. */
 	bool reaches_store;
 	struct batch_backlog backlog;
@@ -100,6 +102,23 @@
 struct batch_backlog peer_table_backlog(const struct peer_table *table,
 					bool all_regions);
 
+/** Who reads the directory in the store for an entry. */
+struct peer_reader_query {
+	/** This entry could read it itself. */
+	bool self_reaches_store;
+	/** Entries of a region from which on only a few read it. */
+	unsigned readers_from;
+	/** Directory address of an entry that isn't asked now; 0 for none. */
+	uint64_t avoided;
+};
+
+/** Directory address of the entry to ask; 0 to read the store itself. */
+uint64_t peer_table_reader(const struct peer_table *table,
+			   const struct peer_reader_query *query);
+
+/** Entries that are known, this one included, whether they live or not. */
+unsigned peer_table_entries(const struct peer_table *table);
+
 /** All entries that reports are sent to (struct peer), by their link. */
 struct list *peer_table_peers(struct peer_table *table);
 
--- a/include/net/address.h
+++ b/include/net/address.h
@@ -18,4 +18,7 @@
 uint64_t address_pack(const struct sockaddr_in *addr);
 struct sockaddr_in address_unpack(uint64_t packed);
 
+/** The same host, another port. */
+uint64_t address_with_port(uint64_t packed, uint32_t port);
+
 #endif
--- a/net/address.c
+++ b/net/address.c
@@ -49,3 +49,8 @@
 
 	return addr;
 }
+
+uint64_t address_with_port(uint64_t packed, uint32_t port)
+{
+	return (packed & ~(uint64_t)UINT16_MAX) | (port & UINT16_MAX);
+}
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -46,6 +46,7 @@
 	"listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0",
 		    "metrics": "127.0.0.1:0" },
 	"store": { "address": "${GATEWAY_STORE:-$(fleet_address store)}",
+		   "readers_from": ${GATEWAY_READERS:-24},
 		   "retention_s": 300 },
 	"stop": { "grace_s": ${GATEWAY_GRACE_S:-8} }
 }
--- /dev/null
+++ b/tests/process/gateway_directory.sh
@@ -0,0 +1,78 @@
+# In a region with many entries a few read servers and configuration in the
+# store, and the others learn of every change from these.
+. tests/fleet/fleet.sh
+. tests/fleet/gateway.sh
+fleet_begin
+
+GATEWAY_READERS=2
+fleet_standin store store
+gateway_config 1
+gateway_server server-1 model --events 10
+for node in g1 g2 g3 g4 g5 g6
+do
+	gateway_start $node
+done
+for node in g1 g2 g3 g4 g5 g6
+do
+	wait_until gateway_ready $node
+done
+
+# Prints the nodes that ask another one, or only how many.
+followers () {
+	for log in "$FLEET_DIR"/g?.log
+	do
+		grep 'event=directory' "$log" | tail -n 1 |
+			grep -q 'follows the entry' && basename "$log" .log
+	done
+}
+
+three_follow () {
+	test "$(followers | wc -l)" -eq 3
+}
+
+all_logged () {
+	for log in "$FLEET_DIR"/g?.log
+	do
+		grep -q "$1" "$log" || return 1
+	done
+}
+
+wait_until three_follow
+echo "six entries: three ask"
+
+# Changes reach all of them: a configuration, a new server, its leaving.
+gateway_config 2
+wait_until all_logged 'event=config.*version=2 '
+gateway_server server-2 model --events 10
+wait_until all_logged "event=server id=$(fleet_address server-2) .* ready"
+gateway_list server-2 model draining
+wait_until all_logged "event=server id=$(fleet_address server-2) .* draining"
+gateway_put keyed.servers "$(fleet_address server-2)" ""
+wait_until all_logged "event=server id=$(fleet_address server-2) unlisted"
+echo "changes: known to all"
+
+# The one that is asked dies: its followers find another, or read the store.
+follower=$(followers | head -n 1)
+asked=$(sed -n 's/.*follows the entry at //p' "$FLEET_DIR/$follower.log" |
+	tail -n 1)
+for node in g1 g2 g3 g4 g5 g6
+do
+	port=$(sed -n 's/.*event=start.* directory=\([0-9]*\).*/\1/p' \
+		"$FLEET_DIR/$node.log")
+	test "127.0.0.1:$port" = "$asked" && victim=$node
+done
+fleet_signal "$victim" KILL
+gateway_config 3
+all_but_victim () {
+	for node in g1 g2 g3 g4 g5 g6
+	do
+		test "$node" = "$victim" ||
+			grep -q 'event=config.*version=3 ' \
+				"$FLEET_DIR/$node.log" || return 1
+	done
+}
+
+wait_until all_but_victim
+gateway_call "$follower" o1 /stream/x -d p | grep -q '^data: ' ||
+	fleet_fail "an online request failed"
+echo "a reader died: the others go on"
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -102,6 +102,9 @@
 		return;
 	}
 	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
+	peer->reaches_store = script_arg_int(argc, argv, "reaches", 1);
+	peer->directory =
+		(uint64_t)script_arg_int(argc, argv, "address", 0) + 1000;
 	peer->backlog.in_time =
 		(unsigned)script_arg_int(argc, argv, "waits", 0);
 	peer->backlog.late = (unsigned)script_arg_int(argc, argv, "late", 0);
@@ -135,6 +138,77 @@
 			       sum.in_time, sum.late);
 }
 
+/* reader AT [from=N] [avoid=ADDRESS] [lost=1]: whom the node asks, 0 for none */
+static void reader(struct state *state, struct peer_table *table, int argc,
+		   char **argv)
+{
+	struct peer_reader_query query = {
+		.self_reaches_store = !script_arg_int(argc, argv, "lost", 0),
+		.readers_from = (unsigned)script_arg_int(argc, argv, "from", 4),
+		.avoided = (uint64_t)script_arg_int(argc, argv, "avoid", 0),
+	};
+
+	g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
+			       peer_table_reader(table, &query));
+}
+
+/* meet NR [but=N]: starts nodes n1, n2, .. that all hear each other */
+static void meet(struct state *state, int argc, char **argv)
+{
+	unsigned nr = (unsigned)g_ascii_strtoull(argv[1], NULL, 10);
+	unsigned i, j;
+
+	for (i = 1; i <= nr; i++) {
+		char *name = g_strdup_printf("n%u", i);
+
+		start(state, name);
+		g_free(name);
+	}
+	for (i = 1; i <= nr * nr; i++) {
+		char *at = g_strdup_printf("n%u", (i - 1) / nr + 1);
+		char *from = g_strdup_printf("n%u", (j = (i - 1) % nr + 1));
+		struct peer *peer = peer_table_reported(
+			g_hash_table_lookup(state->tables, at), from, j, 1,
+			state->now_ms);
+
+		if (peer) {
+			peer->reaches_store = true;
+			peer->directory = j + 1000;
+		}
+		g_free(at);
+		g_free(from);
+	}
+	g_string_truncate(state->events, 0);
+}
+
+/* readers NR [from=N]: how many of n1, n2, .. read the store, and how many of
+ * these are asked by the others */
+static void readers(struct state *state, int argc, char **argv)
+{
+	unsigned nr = (unsigned)g_ascii_strtoull(argv[1], NULL, 10);
+	GHashTable *asked = g_hash_table_new(NULL, NULL);
+	unsigned reading = 0, i;
+
+	for (i = 1; i <= nr; i++) {
+		char *name = g_strdup_printf("n%u", i);
+		struct peer_reader_query query = {
+			.self_reaches_store = true,
+			.readers_from =
+				(unsigned)script_arg_int(argc, argv, "from", 4),
+		};
+		uint64_t at = peer_table_reader(
+			g_hash_table_lookup(state->tables, name), &query);
+
+		reading += !at;
+		if (at)
+			g_hash_table_add(asked, GSIZE_TO_POINTER(at));
+		g_free(name);
+	}
+	g_string_append_printf(state->events, "read=%u asked=%u\n", reading,
+			       g_hash_table_size(asked));
+	g_hash_table_destroy(asked);
+}
+
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
@@ -157,6 +231,12 @@
 		owners(state, argc, argv);
 	else if (!strcmp(argv[0], "backlog"))
 		backlog(state, table, argc, argv);
+	else if (!strcmp(argv[0], "reader"))
+		reader(state, table, argc, argv);
+	else if (!strcmp(argv[0], "meet"))
+		meet(state, argc, argv);
+	else if (!strcmp(argv[0], "readers"))
+		readers(state, argc, argv);
 	else if (!strcmp(argv[0], "age"))
 		g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
 				       peer_table_age_ms(table, state->now_ms));
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[10] =
 {
   {
     "node",
@@ -162,11 +162,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "directory_port",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, directory_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
   7,   /* field[7] = backlog_late */
   6,   /* field[6] = batch */
+  9,   /* field[9] = directory_port */
   2,   /* field[2] = leaving */
   0,   /* field[0] = node */
   5,   /* field[5] = online */
@@ -177,7 +190,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -187,7 +200,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  9,
+  10,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -59,10 +59,14 @@
    * The sender reaches the store itself, and passes on others' calls to it.
    */
   protobuf_c_boolean reaches_store;
+  /*
+   * Port at which the sender is asked for the directory.
+   */
+  uint32_t directory_port;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /* NodeLoad methods */
