Take a leaving entry's items over only after reading what it saved

Cause: process_gateway_jobs failed once ('nothing went on behind a saved event'): g2 handed over at 05.899 with its progress in the log, and g3, told so by a load report, started the items anew before it had read those records. Ruled out: a lost save; the records are in the log.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -59,9 +59,9 @@
 	if (run->call)
 		server_call_cancel(run->call);
 	if (run->read)
-		job_blob_read_cancel(run->read);
+		job_bulk_read_cancel(run->read);
 	if (run->write)
-		job_blob_write_cancel(run->write);
+		job_bulk_write_cancel(run->write);
 	run->call = NULL;
 	run->server = NULL;
 	run->read = NULL;
@@ -163,8 +163,8 @@
 			    (guint)run->output->len);
 	g_ptr_array_add(blobs, blob);
 	set_state(run, RUN_ENDING);
-	run->write = job_store_write(
-		batch->gateway->job_store, blobs, hash_string(run->item->id, 0),
+	run->write = job_bulk_write(
+		batch->gateway->job_bulk, blobs, hash_string(run->item->id, 0),
 		now_ms(batch) + WRITE_TIME_MS, on_output_written, run);
 }
 
@@ -378,8 +378,8 @@
 static void fetch_payload(struct run *run)
 {
 	set_state(run, RUN_FETCHING);
-	run->read = job_store_read(run->batch->gateway->job_store,
-				   &run->item->body, on_payload, run);
+	run->read = job_bulk_read(run->batch->gateway->job_bulk,
+				  &run->item->body, on_payload, run);
 }
 
 static void on_saved_output(void *ctx, const char *data, size_t len)
@@ -402,8 +402,8 @@
 {
 	run->saved_event = run->item->saved_event;
 	set_state(run, RUN_FETCHING);
-	run->read = job_store_read(run->batch->gateway->job_store,
-				   &run->item->saved, on_saved_output, run);
+	run->read = job_bulk_read(run->batch->gateway->job_bulk,
+				  &run->item->saved, on_saved_output, run);
 }
 
 bool run_prepare(struct run *run, uint64_t now)
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -9,6 +9,7 @@
 #include "core/batch_plan.h"
 #include "core/event_stream.h"
 #include "core/job_request.h"
+#include "job_bulk.h"
 #include "job_store.h"
 #include "server_call.h"
 
@@ -42,8 +43,8 @@
 	char *fields;
 	struct server_call *call;
 	struct server *server;
-	struct job_blob_read *read;
-	struct job_blob_write *write;
+	struct job_bulk_read *read;
+	struct job_bulk_write *write;
 	GString *output;
 	int64_t last_event;
 	/* Last event before the run at the server. */
--- a/briarplankd/gateway/batch_save.c
+++ b/briarplankd/gateway/batch_save.c
@@ -109,10 +109,10 @@
 		return false;
 	}
 	batch->save = save;
-	job_store_write(batch->gateway->job_store, blobs,
-			batch->gateway->identity_hash,
-			uv_now(batch->gateway->loop) + SAVE_TIME_MS,
-			on_save_written, save);
+	job_bulk_write(batch->gateway->job_bulk, blobs,
+		       batch->gateway->identity_hash,
+		       uv_now(batch->gateway->loop) + SAVE_TIME_MS,
+		       on_save_written, save);
 	return true;
 }
 
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "directory.h"
 #include "gateway.h"
+#include "job_bulk.h"
 #include "job_calls.h"
 #include "job_store.h"
 #include "peers.h"
@@ -263,6 +264,7 @@
 	gateway->store_route = store_route_create(gateway);
 	store.route_ctx = gateway->store_route;
 	gateway->store = store_create(&store);
+	gateway->job_bulk = job_bulk_create(gateway);
 	gateway->batch = batch_create(gateway);
 	gateway->job_calls = job_calls_create(gateway);
 }
@@ -351,6 +353,7 @@
 	store_route_destroy(gateway->store_route);
 	if (gateway->store_relay)
 		store_relay_destroy(gateway->store_relay);
+	job_bulk_destroy(gateway->job_bulk);
 	if (gateway->job_store)
 		job_store_destroy(gateway->job_store);
 	if (gateway->directory)
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -20,6 +20,7 @@
 
 struct directory;
 struct job_store;
+struct job_bulk;
 struct batch;
 struct job_calls;
 struct peers;
@@ -43,6 +44,7 @@
 	struct route_table *config;
 	struct directory *directory;
 	struct job_store *job_store;
+	struct job_bulk *job_bulk;
 	struct batch *batch;
 	struct job_calls *job_calls;
 	struct peers *peers;
--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "core/job_request.h"
+#include "job_bulk.h"
 #include "job_calls_private.h"
 #include "platform/codec.h"
 
@@ -21,7 +22,7 @@
 	uint64_t deadline_ms;
 	uv_timer_t timer;
 	/* The blob under way. */
-	struct job_blob_read *blob;
+	struct job_bulk_read *blob;
 	struct job_blob place;
 	/* Outputs of the page, in order; NULL for an item that was given up. */
 	GPtrArray *outputs;
@@ -42,7 +43,7 @@
 {
 	list_remove(&read->link);
 	if (read->blob)
-		job_blob_read_cancel(read->blob);
+		job_bulk_read_cancel(read->blob);
 	uv_timer_stop(&read->timer);
 	uv_close((uv_handle_t *)&read->timer, on_read_closed);
 }
@@ -162,8 +163,8 @@
 		if (!cached) {
 			read->place = item->output;
 			read->blob =
-				job_store_read(read->gateway->job_store,
-					       &item->output, on_output, read);
+				job_bulk_read(read->gateway->job_bulk,
+					      &item->output, on_output, read);
 			return;
 		}
 		page_add(read, cached->data, cached->len);
@@ -256,8 +257,8 @@
 	     i++) {
 		if (strcmp(job->items[i].id, read->item) != 0)
 			continue;
-		read->blob = job_store_read(store, &job->items[i].body, on_body,
-					    read);
+		read->blob = job_bulk_read(read->gateway->job_bulk,
+					   &job->items[i].body, on_body, read);
 		return;
 	}
 	read_unknown(read, "no such item");
--- a/briarplankd/gateway/job_store.h
+++ b/briarplankd/gateway/job_store.h
@@ -1,6 +1,6 @@
 /**
- * Batch jobs in the platform's store: an index that this node follows and
- * folds, and bulk records for bodies and outputs.
+ * The index of all batch jobs in the platform's store, which this node follows,
+ * folds and appends to.
  */
 #ifndef BRIARPLANKD_GATEWAY_JOB_STORE_H
 #define BRIARPLANKD_GATEWAY_JOB_STORE_H
@@ -17,6 +17,12 @@
 
 struct job_log *job_store_log(struct job_store *store);
 
+/** Offset up to which the index was read. */
+uint64_t job_store_offset(const struct job_store *store);
+
+/** Offset behind the last record that this node is known to have appended. */
+uint64_t job_store_written(const struct job_store *store);
+
 /** The index was read to its end at least once. */
 bool job_store_loaded(const struct job_store *store);
 
@@ -46,25 +52,4 @@
 		      void (*done)(void *ctx, enum job_append_result result),
 		      void *ctx);
 
-struct job_blob_write;
-
-/** Writes byte arrays in a row; gives each one's place, or NULL if refused. */
-struct job_blob_write *job_store_write(
-	struct job_store *store, GPtrArray *blobs, uint64_t hash,
-	uint64_t give_up_ms,
-	void (*done)(void *ctx, const struct job_blob *places), void *ctx);
-
-/** No callback comes any more. */
-void job_blob_write_cancel(struct job_blob_write *write);
-
-struct job_blob_read;
-
-/** Reads a blob; data is NULL when the store can't give it now. */
-struct job_blob_read *job_store_read(
-	struct job_store *store, const struct job_blob *place,
-	void (*done)(void *ctx, const char *data, size_t len), void *ctx);
-
-/** No callback comes any more. */
-void job_blob_read_cancel(struct job_blob_read *read);
-
 #endif
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -5,6 +5,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/job_request.h"
+#include "job_bulk.h"
 #include "job_calls_private.h"
 #include "platform/codec.h"
 
@@ -30,7 +31,7 @@
 	uint64_t arrived_ms;
 	uint64_t arrived_wall_ms;
 	GPtrArray *items;
-	struct job_blob_write *write;
+	struct job_bulk_write *write;
 	/* Its record is on the way to the log, or may be. */
 	bool appending;
 	uv_timer_t timer;
@@ -54,7 +55,7 @@
 	list_remove(&submission->link);
 	job_store_await(submission->gateway->job_store, false);
 	if (submission->write)
-		job_blob_write_cancel(submission->write);
+		job_bulk_write_cancel(submission->write);
 	uv_timer_stop(&submission->timer);
 	uv_close((uv_handle_t *)&submission->timer, on_submission_closed);
 }
@@ -259,8 +260,8 @@
 				job_request_item_encode(&request->items[i]));
 	uv_timer_start(&submission->timer, on_submission_timer,
 		       submission->deadline_ms - submission->arrived_ms, 0);
-	submission->write = job_store_write(
-		gateway->job_store, g_ptr_array_ref(submission->items),
+	submission->write = job_bulk_write(
+		gateway->job_bulk, g_ptr_array_ref(submission->items),
 		hash_string(submission->job, 0), submission->deadline_ms,
 		on_bodies_written, submission);
 }
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -109,6 +109,7 @@
 	fleet_peer(peers->gateway->fleet, peer->hash, loads, nr);
 	g_free(loads);
 	peer->leaving = load->leaving;
+	peer->index_offset = load->index_offset;
 	peer->backlog.in_time = load->backlog;
 	peer->backlog.late = load->backlog_late;
 	peer->reaches_store = load->reaches_store;
@@ -179,6 +180,7 @@
 	load.backlog = backlog.in_time;
 	load.backlog_late = backlog.late;
 	load.reaches_store = store_route_direct(gateway->store_route);
+	load.index_offset = job_store_written(gateway->job_store);
 	load.directory_port = directory_port(gateway->directory);
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
@@ -303,8 +305,14 @@
 
 bool peers_own(const struct peers *peers, const struct job *job)
 {
-	return peer_table_owns(peers->table, job->id, job->node,
-			       uv_now(peers->gateway->loop));
+	struct peer_owner_query query = {
+		.job = job->id,
+		.taken_by = job->node,
+		.index_offset = job_store_offset(peers->gateway->job_store),
+		.now_ms = uv_now(peers->gateway->loop),
+	};
+
+	return peer_table_owns(peers->table, &query);
 }
 
 uint64_t peers_reader(const struct peers *peers,
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -178,8 +178,8 @@
 	return peer->alive && !peer->leaving;
 }
 
-bool peer_table_owns(const struct peer_table *table, const char *job,
-		     const char *taken_by, uint64_t now_ms)
+bool peer_table_owns(const struct peer_table *table,
+		     const struct peer_owner_query *query)
 {
 	const struct peer *taker;
 	uint64_t job_hash, own_rank;
@@ -187,15 +187,16 @@
 
 	if (table->handed_over)
 		return false;
-	if (!strcmp(taken_by, table->self))
+	if (!strcmp(query->taken_by, table->self))
 		return true;
-	taker = find(table, taken_by);
-	if (taker && takes_items(taker))
+	taker = find(table, query->taken_by);
+	if (taker &&
+	    (takes_items(taker) || taker->index_offset > query->index_offset))
 		return false;
 	/* A node that just started hasn't heard the others yet. */
-	if (now_ms - table->options.now_ms < SETTLE_MS)
+	if (query->now_ms - table->options.now_ms < SETTLE_MS)
 		return false;
-	job_hash = hash_string(job, 0);
+	job_hash = hash_string(query->job, 0);
 	own_rank = hash_mix(job_hash, table->self_hash);
 	list_for_each (pos, &table->peers) {
 		struct peer *peer = list_entry(pos, struct peer, link);
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -33,6 +33,8 @@
 	bool alive;
 	/** It shuts down and takes no more items. */
 	bool leaving;
+	/** Offset behind its last record in the job index, as it last said. */
+	uint64_t index_offset;
 	/** Where it is asked for the directory; 0 when that isn't known. */
 	uint64_t directory;
 	/** Its own way to the store is open, as it last said. */
@@ -88,12 +90,23 @@
 /** This node leaves its items to the others. */
 void peer_table_hand_over(struct peer_table *table);
 
+/** Who runs the items of a job. */
+struct peer_owner_query {
+	const char *job;
+	/** Identity of the entry that took it. */
+	const char *taken_by;
+	/** Offset up to which this node has read the job index. */
+	uint64_t index_offset;
+	uint64_t now_ms;
+};
+
 /**
- * Tells whether this node runs the items of a job that an entry took: that
- * entry while it lives, else the first of the living by a hash of both.
+ * Tells whether this node runs the items of a job: the entry that took it while
+ * it lives, else the first of the living by a hash of both. What one that left
+ * has saved of its items must have been read first.
  */
-bool peer_table_owns(const struct peer_table *table, const char *job,
-		     const char *taken_by, uint64_t now_ms);
+bool peer_table_owns(const struct peer_table *table,
+		     const struct peer_owner_query *query);
 
 /** Age of the oldest report of a living entry, in ms. */
 uint64_t peer_table_age_ms(const struct peer_table *table, uint64_t now_ms);
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -102,6 +102,7 @@
 		return;
 	}
 	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
+	peer->index_offset = (uint64_t)script_arg_int(argc, argv, "wrote", 0);
 	peer->reaches_store = script_arg_int(argc, argv, "reaches", 1);
 	peer->directory =
 		(uint64_t)script_arg_int(argc, argv, "address", 0) + 1000;
@@ -110,7 +111,7 @@
 	peer->backlog.late = (unsigned)script_arg_int(argc, argv, "late", 0);
 }
 
-/* owners JOB taken_by=IDENTITY: the nodes that would run its items */
+/* owners JOB taken_by=IDENTITY [read=OFFSET]: the nodes that would run its items */
 static void owners(struct state *state, int argc, char **argv)
 {
 	GList *names = g_list_sort(g_hash_table_get_keys(state->tables),
@@ -118,10 +119,17 @@
 	GList *at;
 
 	for (at = names; at; at = at->next) {
+		struct peer_owner_query query = {
+			.job = argv[1],
+			.taken_by = script_arg(argc, argv, "taken_by", ""),
+			.index_offset =
+				(uint64_t)script_arg_int(argc, argv, "read", 0),
+			.now_ms = state->now_ms,
+		};
+
 		if (peer_table_owns(
 			    g_hash_table_lookup(state->tables, at->data),
-			    argv[1], script_arg(argc, argv, "taken_by", ""),
-			    state->now_ms))
+			    &query))
 			g_string_append_printf(state->events, "%s\n",
 					       (char *)at->data);
 	}
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[11] =
 {
   {
     "node",
@@ -174,12 +174,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "index_offset",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, index_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
   7,   /* field[7] = backlog_late */
   6,   /* field[6] = batch */
   9,   /* field[9] = directory_port */
+  10,   /* field[10] = index_offset */
   2,   /* field[2] = leaving */
   0,   /* field[0] = node */
   5,   /* field[5] = online */
@@ -190,7 +203,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -200,7 +213,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  10,
+  11,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -63,10 +63,15 @@
    * Port at which the sender is asked for the directory.
    */
   uint32_t directory_port;
+  /*
+   * Offset behind the sender's last record in the job index. Who takes over its
+   * items must have read so far.
+   */
+  uint64_t index_offset;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* NodeLoad methods */
