Tell callers of jobs to come back later the longer the store is away

Change: Retry-After is the time that the outage has lasted, between 0.5 and 2 s: of an outage of unknown length about as much is to come as has been.

--- a/briarplankd/gateway/job_calls_private.h
+++ b/briarplankd/gateway/job_calls_private.h
@@ -8,9 +8,6 @@
 #include "job_calls.h"
 #include "job_store.h"
 
-/** Retry-After while the store can't be reached or is behind, in s. */
-#define STORE_RETRY_S 0.5
-
 struct job_calls {
 	struct gateway *gateway;
 	struct list submissions;
--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -70,7 +70,8 @@
 	}
 	if (status == 503)
 		gateway_refuse(job_call_answered(&read->web), 503,
-			       STORE_RETRY_S, "%s", why);
+			       job_store_retry_s(read->gateway->job_store),
+			       "%s", why);
 	else
 		web_problem(job_call_answered(&read->web), status, "No answer",
 			    "%s", why);
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "core/retry.h"
 #include "job_store.h"
 #include "peers.h"
 
@@ -92,6 +93,13 @@
 	       gateway_boot_ms() - store->current_boot_ms <= CURRENT_MS;
 }
 
+double job_store_retry_s(const struct job_store *store)
+{
+	uint64_t behind_ms = gateway_boot_ms() - store->current_boot_ms;
+
+	return retry_after_outage_ms(store->loaded ? behind_ms : 0) / 1000.0;
+}
+
 /* Following the index. */
 
 static void on_follow_timer(uv_timer_t *timer);
--- a/briarplankd/gateway/job_store.h
+++ b/briarplankd/gateway/job_store.h
@@ -32,6 +32,9 @@
 /** What the fold says is at most a second old. */
 bool job_store_current(const struct job_store *store);
 
+/** Retry-After for calls that need the store, in s. */
+double job_store_retry_s(const struct job_store *store);
+
 /** A caller begins, or ceases, to wait for the fold: it is followed closely. */
 void job_store_await(struct job_store *store, bool awaited);
 
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -84,6 +84,11 @@
 			       retry_s, "%s", why);
 }
 
+static double store_retry_s(const struct submission *submission)
+{
+	return job_store_retry_s(submission->gateway->job_store);
+}
+
 static void on_submitter_gone(void *ctx, bool sent)
 {
 	struct submission *submission = ctx;
@@ -99,7 +104,7 @@
 	struct web_request *web = submission->web;
 
 	if (!submission->appending) {
-		submission_refuse(submission, 503, STORE_RETRY_S,
+		submission_refuse(submission, 503, store_retry_s(submission),
 				  "the store can't be reached");
 		submission_free(submission);
 		return;
@@ -118,7 +123,7 @@
 	/* What was appended ends in the fold. */
 	if (result == JOB_APPEND_DONE)
 		return;
-	submission_refuse(submission, 503, STORE_RETRY_S,
+	submission_refuse(submission, 503, store_retry_s(submission),
 			  "the store refuses writes");
 	submission_free(submission);
 }
@@ -145,7 +150,7 @@
 
 	submission->write = NULL;
 	if (!places || !submission->web) {
-		submission_refuse(submission, 503, STORE_RETRY_S,
+		submission_refuse(submission, 503, store_retry_s(submission),
 				  places ? "the caller left" :
 					   "the store refuses writes");
 		submission_free(submission);
@@ -182,7 +187,7 @@
 	struct job_log *log = job_store_log(store);
 
 	if (!job_store_loaded(store)) {
-		submission_refuse(submission, 503, STORE_RETRY_S,
+		submission_refuse(submission, 503, store_retry_s(submission),
 				  "the job log isn't loaded yet");
 		return true;
 	}
@@ -193,7 +198,7 @@
 		return true;
 	}
 	if (!job_store_current(store)) {
-		submission_refuse(submission, 503, STORE_RETRY_S,
+		submission_refuse(submission, 503, store_retry_s(submission),
 				  "the store can't be reached");
 		return true;
 	}
--- a/core/retry.c
+++ b/core/retry.c
@@ -1,5 +1,10 @@
 #include "core/retry.h"
 
+/* Bounds of the time after which a caller comes back to something that is
+ * away, in ms: a second look costs little, and callers have some seconds. */
+#define OUTAGE_RETRY_MIN_MS 500
+#define OUTAGE_RETRY_MAX_MS 2000
+
 #define MILLI 1000
 #define MS_PER_S 1000
 
@@ -71,6 +76,12 @@
 	return *at_ms > now_ms ? RETRY_LATER : RETRY_NOW;
 }
 
+uint32_t retry_after_outage_ms(uint64_t lasted_ms)
+{
+	return (uint32_t)CLAMP(lasted_ms, OUTAGE_RETRY_MIN_MS,
+			       OUTAGE_RETRY_MAX_MS);
+}
+
 const char *retry_verdict_text(enum retry_verdict verdict)
 {
 	static const char *const texts[] = {
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -57,6 +57,12 @@
 			     uint64_t now_ms, uint64_t deadline_ms,
 			     GRand *random, uint64_t *at_ms);
 
+/**
+ * Time after which a caller may come back while something is away, in ms. How
+ * long that lasts isn't known; on average it has lasted half of its time.
+ */
+uint32_t retry_after_outage_ms(uint64_t lasted_ms);
+
 /** Returns the name of a verdict. */
 const char *retry_verdict_text(enum retry_verdict verdict);
 
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -58,6 +58,10 @@
 			retry_succeeded(&state->retry);
 	} else if (!strcmp(argv[0], "spend")) {
 		state->retry.budget_milli = 0;
+	} else if (!strcmp(argv[0], "outage")) {
+		g_string_append_printf(out, "%u\n",
+				       retry_after_outage_ms(g_ascii_strtoull(
+					       argv[1], NULL, 10)));
 	} else {
 		ask(state, argc, argv, out);
 	}
