Keep hundreds of entries that start together from making it worse

Calls that the store turned away for the rate of all together counted as a lost way, so that entries sent them by each other and all reads anew; a refused page began the whole list again; and an entry that started was given all 3,000 servers although it had just read them.

Change: calls turned away for their rate count only after 1.5 s without an answer. A page of newest values that fails is read again from where it was, after a pause that grows and is spread. A page for another entry has what changed and, where removals aren't known, the hashes of what is left. An entry without items doesn't look at all servers for each load report, and finds peers by a table.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -176,7 +176,7 @@
 	struct list *pos;
 
 	/* Yielding changes the load, too. */
-	if (batch->yielding)
+	if (batch->yielding || list_empty(&batch->runs))
 		return;
 	batch->yielding = true;
 	list_for_each (pos, fleet_servers(batch->gateway->fleet)) {
--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "common/error.h"
+#include "common/hash.h"
 #include "common/log.h"
 #include "core/change_list.h"
 #include "directory.h"
@@ -13,8 +14,11 @@
 /* Age up to which the servers of another entry are taken, in ms: its own pause
  * between two reads, and one that failed. */
 #define SHARED_AGE_MS 2500
-/* Pause after a read that failed, in ms. */
+/* Pause after a read that failed, in ms; it grows with each that fails in a row
+ * up to some times that, and by half at random, so that hundreds of nodes that
+ * start together don't all come back at once. */
 #define RETRY_MS 150
+#define RETRY_GROWTH_MAX 4
 /* Time beyond the wait after which a read counts as unanswered, in ms. */
 #define READ_TIMEOUT_MS 900
 #define READ_MAX_KB 1024
@@ -32,6 +36,8 @@
 	uint64_t answered_ms;
 	uint64_t next_offset;
 	uint64_t snapshot_offset;
+	/* Reads that failed in a row. */
+	unsigned failures;
 	/* The newest values were read; the records behind them follow. */
 	bool following;
 	char *page_key;
@@ -246,6 +252,14 @@
 	uv_timer_start(&topic->timer, on_topic_timer, pause_ms, 0);
 }
 
+/* Reads the same page or records once more, later. */
+static void topic_retry(struct topic *topic)
+{
+	double pause = RETRY_MS * MIN(++topic->failures, RETRY_GROWTH_MAX);
+
+	topic_next(topic, (uint64_t)(pause * (0.75 + g_random_double() / 2)));
+}
+
 static void topic_restart(struct topic *topic)
 {
 	topic->following = false;
@@ -287,10 +301,10 @@
 
 	if (result->status != STORE_OK) {
 		directory->trouble_ms = uv_now(directory->gateway->loop);
-		topic_restart(topic);
-		topic_next(topic, RETRY_MS);
+		topic_retry(topic);
 		return;
 	}
+	topic->failures = 0;
 	if (!topic->page_key) {
 		/* Pages are no snapshot: what changes meanwhile is read again
 		 * from where the first page ended. */
@@ -335,9 +349,10 @@
 	}
 	if (result->status != STORE_OK) {
 		directory->trouble_ms = uv_now(directory->gateway->loop);
-		topic_next(topic, RETRY_MS);
+		topic_retry(topic);
 		return;
 	}
+	topic->failures = 0;
 	for (i = 0; i < result->records_nr; i++)
 		topic->take(directory, &result->records[i]);
 	topic->next_offset = result->next_offset;
@@ -351,20 +366,35 @@
 
 /* Other entries. */
 
+/* A page for another entry while it is made. */
+struct page_maker {
+	GPtrArray *servers;
+	GArray *live;
+	/* What it knows: all up to here, or nothing. */
+	uint64_t known;
+	bool knows_any;
+};
+
 static void add_change(void *ctx, const struct change *change)
 {
-	GPtrArray *servers = ctx;
-	DirectoryServer *server = g_new(DirectoryServer, 1);
+	struct page_maker *maker = ctx;
+	uint64_t hash = hash_string(change->key, 0);
+	DirectoryServer *server;
 	gsize len = 0;
 	const void *data =
 		change->value ? g_bytes_get_data(change->value, &len) : NULL;
 
+	if (change->value)
+		g_array_append_val(maker->live, hash);
+	if (maker->knows_any && change->offset <= maker->known)
+		return;
+	server = g_new(DirectoryServer, 1);
 	directory_server__init(server);
 	server->id = g_strdup(change->key);
 	server->offset = change->offset;
 	server->value.data = len ? g_memdup2(data, len) : NULL;
 	server->value.len = len;
-	g_ptr_array_add(servers, server);
+	g_ptr_array_add(maker->servers, server);
 }
 
 static void fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
@@ -372,18 +402,26 @@
 {
 	struct directory *directory = ctx;
 	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
-	GPtrArray *list = g_ptr_array_new();
-	uint64_t known = servers_from ? servers_from - 1 : 0;
+	struct page_maker maker = {
+		.servers = g_ptr_array_new(),
+		.live = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+		.known = servers_from ? servers_from - 1 : 0,
+		.knows_any = servers_from != 0,
+	};
 	gsize len;
 	const void *data;
 
-	page->whole = !servers_from ||
-		      !change_list_complete_since(directory->changes, known);
-	change_list_since(directory->changes, known, page->whole, add_change,
-			  list);
-	page->n_servers = list->len;
-	page->servers = (DirectoryServer **)g_ptr_array_free(list, FALSE);
+	change_list_each(directory->changes, add_change, &maker);
+	page->n_servers = maker.servers->len;
+	page->servers =
+		(DirectoryServer **)g_ptr_array_free(maker.servers, FALSE);
 	page->servers_offset = servers->next_offset;
+	page->whole =
+		!maker.knows_any ||
+		!change_list_complete_since(directory->changes, maker.known);
+	if (page->whole)
+		page->n_live = maker.live->len;
+	page->live = (uint64_t *)g_array_free(maker.live, FALSE);
 	page->config_offset = directory->config_offset;
 	if (directory->config && (directory->config_offset > config_offset)) {
 		data = g_bytes_get_data(directory->config, &len);
@@ -397,6 +435,25 @@
 			       UINT32_MAX;
 }
 
+/* Servers that a page's hashes don't name are gone. */
+static void unlist_others(struct directory *directory,
+			  const DirectoryPage *page)
+{
+	GHashTable *live = g_hash_table_new(g_int64_hash, g_int64_equal);
+	struct list *pos;
+	size_t i;
+
+	for (i = 0; i < page->n_live; i++)
+		g_hash_table_add(live, &page->live[i]);
+	list_for_each (pos, fleet_servers(directory->gateway->fleet)) {
+		struct server *server = list_entry(pos, struct server, link);
+
+		if (!g_hash_table_contains(live, &server->hash))
+			server_vanished(directory, server->id);
+	}
+	g_hash_table_destroy(live);
+}
+
 static void take_shared_servers(struct directory *directory,
 				const DirectoryPage *page)
 {
@@ -404,7 +461,8 @@
 	size_t i;
 
 	if (page->whole)
-		begin_whole(directory, page->servers_offset);
+		change_list_forget_removed(directory->changes,
+					   page->servers_offset);
 	for (i = 0; i < page->n_servers; i++) {
 		const DirectoryServer *server = page->servers[i];
 		struct store_record record = {
@@ -418,7 +476,7 @@
 	}
 	servers->next_offset = MAX(servers->next_offset, page->servers_offset);
 	if (page->whole)
-		unlist_unseen(directory);
+		unlist_others(directory, page);
 }
 
 static bool take_page(void *ctx, const DirectoryPage *page)
--- a/briarplankd/gateway/directory_share.c
+++ b/briarplankd/gateway/directory_share.c
@@ -68,6 +68,7 @@
 	}
 	g_free(page->servers);
 	g_free(page->config.data);
+	g_free(page->live);
 }
 
 static void on_question(void *ctx, struct web_request *web)
--- a/briarplankd/gateway/store_route.c
+++ b/briarplankd/gateway/store_route.c
@@ -48,18 +48,18 @@
 	return route->via;
 }
 
-static void store_route_ended(void *ctx, const char *via, bool answered,
-			      uint64_t sent_ms)
+static void store_route_ended(void *ctx, const struct store_call_end *end)
 {
 	struct store_route_state *route = ctx;
 	struct gateway *gateway = route->gateway;
 	struct sockaddr_in addr;
 	struct store_path_call call = {
-		.relay = via && address_parse(via, &addr) ?
+		.relay = end->via && address_parse(end->via, &addr) ?
 				 address_pack(&addr) :
 				 0,
-		.answered = answered,
-		.sent_ms = sent_ms,
+		.answered = end->answered,
+		.throttled = end->throttled,
+		.sent_ms = end->sent_ms,
 		.ended_ms = uv_now(gateway->loop),
 	};
 
@@ -92,7 +92,7 @@
 	struct store_route_state *route = g_new0(struct store_route_state, 1);
 
 	route->gateway = gateway;
-	route->path = store_path_create();
+	route->path = store_path_create(uv_now(gateway->loop));
 	uv_timer_init(gateway->loop, &route->timer);
 	route->timer.data = route;
 	return route;
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -22,6 +22,8 @@
 	uint64_t self_hash;
 	bool handed_over;
 	struct list peers;
+	/* Identity to struct peer *. */
+	GHashTable *by_identity;
 };
 
 struct peer_table *peer_table_create(const struct peer_table_options *options)
@@ -32,6 +34,7 @@
 	table->self = g_strdup(options->self);
 	table->self_hash = hash_string(options->self, 0);
 	list_init(&table->peers);
+	table->by_identity = g_hash_table_new(g_str_hash, g_str_equal);
 	return table;
 }
 
@@ -45,8 +48,9 @@
 		table->options.on_lost(table->options.ctx, peer, why);
 }
 
-static void peer_free(struct peer *peer)
+static void peer_free(struct peer_table *table, struct peer *peer)
 {
+	g_hash_table_remove(table->by_identity, peer->identity);
 	list_remove(&peer->link);
 	g_free(peer->identity);
 	g_free(peer);
@@ -57,22 +61,15 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &table->peers)
-		peer_free(list_entry(pos, struct peer, link));
+		peer_free(table, list_entry(pos, struct peer, link));
+	g_hash_table_destroy(table->by_identity);
 	g_free(table->self);
 	g_free(table);
 }
 
 static struct peer *find(const struct peer_table *table, const char *identity)
 {
-	struct list *pos;
-
-	list_for_each (pos, &table->peers) {
-		struct peer *peer = list_entry(pos, struct peer, link);
-
-		if (!strcmp(peer->identity, identity))
-			return peer;
-	}
-	return NULL;
+	return g_hash_table_lookup(table->by_identity, identity);
 }
 
 static struct peer *find_at(const struct peer_table *table, uint64_t address)
@@ -96,7 +93,7 @@
 
 	if (peer) {
 		peer_lost(table, peer, "its node started again");
-		peer_free(peer);
+		peer_free(table, peer);
 	}
 	peer = g_new0(struct peer, 1);
 	peer->identity = g_strdup(identity);
@@ -105,6 +102,7 @@
 	peer->same_region = same_region;
 	peer->heard_ms = now_ms;
 	list_append(&table->peers, &peer->link);
+	g_hash_table_insert(table->by_identity, peer->identity, peer);
 	return peer;
 }
 
@@ -164,7 +162,7 @@
 			continue;
 		if (table->options.on_forgotten)
 			table->options.on_forgotten(table->options.ctx, peer);
-		peer_free(peer);
+		peer_free(table, peer);
 	}
 }
 
--- a/core/store_path.c
+++ b/core/store_path.c
@@ -9,6 +9,10 @@
 /* A call that failed after so long counts as that many, in ms: what is cut off
  * shows by silence only. */
 #define SILENT_MS 400
+/* Time without an answer after which calls that are turned away for their rate
+ * count as failed, in ms. Hundreds of nodes that start together meet that for
+ * about as long, and another entry would not help them. */
+#define THROTTLED_MS 1500
 /* Calls in a row that must be answered before the own way is back: a store
  * that is busy turns away a part of the calls. */
 #define FOUND_ANSWERS 2
@@ -23,7 +27,7 @@
 	bool lost;
 	unsigned failures;
 	unsigned answers;
-	/* When the last call on the own way was answered. */
+	/* When the last call on the own way was answered, or the start. */
 	uint64_t answered_ms;
 	/* The entry in use, and the last one that failed. */
 	uint64_t relay;
@@ -31,9 +35,12 @@
 	uint64_t avoid_until_ms;
 };
 
-struct store_path *store_path_create(void)
+struct store_path *store_path_create(uint64_t now_ms)
 {
-	return g_new0(struct store_path, 1);
+	struct store_path *path = g_new0(struct store_path, 1);
+
+	path->answered_ms = now_ms;
+	return path;
 }
 
 void store_path_destroy(struct store_path *path)
@@ -54,9 +61,12 @@
 		       const struct store_path_call *call)
 {
 	/* Another call was answered while this one was under way. */
-	if (path->answered_ms >= call->sent_ms)
+	if (path->answered_ms > call->sent_ms)
 		return;
 	path->answers = 0;
+	if (call->throttled &&
+	    call->ended_ms - path->answered_ms < THROTTLED_MS)
+		return;
 	path->failures +=
 		call->ended_ms - call->sent_ms >= SILENT_MS ? LOST_FAILURES : 1;
 	if (path->failures >= LOST_FAILURES)
--- a/include/core/change_list.h
+++ b/include/core/change_list.h
@@ -31,17 +31,20 @@
 void change_list_put(struct change_list *list, const char *key,
 		     const void *value, size_t len, uint64_t offset);
 
+/** What was removed up to the offset isn't known any more. */
+void change_list_forget_removed(struct change_list *list, uint64_t offset);
+
 /**
- * Tells whether what change_list_since() yields is all that happened since the
- * offset. If not, it must be asked for everything, and other keys are gone.
+ * Tells whether the changes behind an offset are all that
+ * happened. If not, removals are missing: keys that the list doesn't have are
+ * gone.
  */
 bool change_list_complete_since(const struct change_list *list,
 				uint64_t offset);
 
-/** Calls fn for each change behind the offset; for all values with whole. */
-void change_list_since(const struct change_list *list, uint64_t offset,
-		       bool whole,
-		       void (*fn)(void *ctx, const struct change *change),
-		       void *ctx);
+/** Calls fn for each key, whether or not it changed behind some offset. */
+void change_list_each(const struct change_list *list,
+		      void (*fn)(void *ctx, const struct change *change),
+		      void *ctx);
 
 #endif
--- a/include/core/store_path.h
+++ b/include/core/store_path.h
@@ -16,7 +16,7 @@
 
 struct store_path;
 
-struct store_path *store_path_create(void);
+struct store_path *store_path_create(uint64_t now_ms);
 void store_path_destroy(struct store_path *path);
 
 /** A call to the store that ended. */
@@ -25,6 +25,11 @@
 	uint64_t relay;
 	/** The store answered and did not turn it away. */
 	bool answered;
+	/**
+	 * It was turned away for the rate of calls: of all nodes' calls
+	 * together, unless this node alone meets it.
+	 */
+	bool throttled;
 	uint64_t sent_ms;
 	uint64_t ended_ms;
 };
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -36,6 +36,18 @@
 /** Names a status for logs and metrics. */
 const char *store_status_name(enum store_status status);
 
+/** What became of a call, for the choice of the next one's way. */
+struct store_call_end {
+	/** The node that passed it on, or NULL. */
+	const char *via;
+	/** The store answered and did not turn it away. */
+	bool answered;
+	/** It was turned away for the rate of calls. */
+	bool throttled;
+	/** Loop time at which it was sent, in ms. */
+	uint64_t sent_ms;
+};
+
 /** Which way calls take; decided outside of the client. */
 struct store_route {
 	/**
@@ -43,9 +55,8 @@
 	 * for the store's own address. Valid until the next call.
 	 */
 	const char *(*via)(void *ctx);
-	/** A call ended; answered tells that the store did not turn it away. */
-	void (*ended)(void *ctx, const char *via, bool answered,
-		      uint64_t sent_ms);
+	/** A call ended. */
+	void (*ended)(void *ctx, const struct store_call_end *end);
 };
 
 struct store_options {
--- a/tests/test_change_list.c
+++ b/tests/test_change_list.c
@@ -17,17 +17,27 @@
 	change_list_destroy(state);
 }
 
+struct collection {
+	GPtrArray *lines;
+	uint64_t offset;
+	bool whole;
+};
+
 static void collect(void *ctx, const struct change *change)
 {
-	GPtrArray *lines = ctx;
+	struct collection *collection = ctx;
 	gsize len = 0;
 	const char *value =
 		change->value ? g_bytes_get_data(change->value, &len) : "-";
 
-	g_ptr_array_add(lines, g_strdup_printf("%s=%.*s@%" G_GUINT64_FORMAT,
-					       change->key,
-					       change->value ? (int)len : 1,
-					       value, change->offset));
+	if (collection->whole ? !change->value :
+				change->offset <= collection->offset)
+		return;
+	g_ptr_array_add(collection->lines,
+			g_strdup_printf("%s=%.*s@%" G_GUINT64_FORMAT,
+					change->key,
+					change->value ? (int)len : 1, value,
+					change->offset));
 }
 
 static gint compare(gconstpointer a, gconstpointer b)
@@ -39,9 +49,10 @@
 {
 	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
 	bool whole = !change_list_complete_since(list, offset);
+	struct collection collection = { lines, offset, whole };
 	guint i;
 
-	change_list_since(list, offset, whole, collect, lines);
+	change_list_each(list, collect, &collection);
 	g_ptr_array_sort(lines, compare);
 	g_string_append(out, whole ? "whole" : "changes");
 	for (i = 0; i < lines->len; i++)
--- a/tests/test_store_path.c
+++ b/tests/test_store_path.c
@@ -20,9 +20,9 @@
 	struct state *state = g_new0(struct state, 1);
 	struct peer_table_options options = { .self = "me" };
 
-	state->path = store_path_create();
-	state->peers = peer_table_create(&options);
 	state->now_ms = 100000;
+	state->path = store_path_create(state->now_ms - 100);
+	state->peers = peer_table_create(&options);
 	return state;
 }
 
@@ -48,12 +48,13 @@
 	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
 }
 
-/* call answered|failed [by=ADDRESS] [ms=N] [nr=N]: calls that end now */
+/* call answered|failed|throttled [by=ADDRESS] [ms=N] [nr=N]: calls that end now */
 static void call(struct state *state, int argc, char **argv, GString *out)
 {
 	struct store_path_call call = {
 		.relay = (uint64_t)script_arg_int(argc, argv, "by", 0),
 		.answered = !strcmp(argv[1], "answered"),
+		.throttled = !strcmp(argv[1], "throttled"),
 		.ended_ms = state->now_ms,
 	};
 	int64_t nr = script_arg_int(argc, argv, "nr", 1);
--- a/wire/directory.pb-c.c
+++ b/wire/directory.pb-c.c
@@ -161,7 +161,7 @@
   (ProtobufCMessageInit) directory_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor directory_page__field_descriptors[6] =
+static const ProtobufCFieldDescriptor directory_page__field_descriptors[7] =
 {
   {
     "whole",
@@ -235,11 +235,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(DirectoryPage, n_live),
+    offsetof(DirectoryPage, live),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned directory_page__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   3,   /* field[3] = config */
   4,   /* field[4] = config_offset */
+  6,   /* field[6] = live */
   2,   /* field[2] = servers */
   1,   /* field[1] = servers_offset */
   0,   /* field[0] = whole */
@@ -247,7 +260,7 @@
 static const ProtobufCIntRange directory_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor directory_page__descriptor =
 {
@@ -257,7 +270,7 @@
   "DirectoryPage",
   "",
   sizeof(DirectoryPage),
-  6,
+  7,
   directory_page__field_descriptors,
   directory_page__field_indices_by_name,
   1,  directory_page__number_ranges,
--- a/wire/directory.pb-c.h
+++ b/wire/directory.pb-c.h
@@ -43,13 +43,17 @@
 {
   ProtobufCMessage base;
   /*
-   * All servers are listed, and others are gone; else those that changed.
+   * Removals that the asker may have missed aren't known: all that it has and
+   * live doesn't name are gone.
    */
   protobuf_c_boolean whole;
   /*
    * Offset up to which the servers are as of the store.
    */
   uint64_t servers_offset;
+  /*
+   * Those that changed since the offset that was asked for.
+   */
   size_t n_servers;
   DirectoryServer **servers;
   /*
@@ -61,10 +65,15 @@
    * Time since the store last answered the sender, in ms.
    */
   uint32_t age_ms;
+  /*
+   * With whole: hashes of the ids of all servers.
+   */
+  size_t n_live;
+  uint64_t *live;
 };
 #define DIRECTORY_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&directory_page__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0,NULL }
 
 
 /* DirectoryServer methods */
