Report load less often among hundreds of entries, and wait longer for them

Change: from 40 entries on the heartbeat grows with their number up to a second; an entry counts as dead after three and a half, and one that starts waits for one and a half before it takes over items.

--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -21,8 +21,8 @@
 /* Entries up to which these times hold; with more they grow in proportion, so
  * that a node sends and gets no more than about 800 reports a second. */
 #define REPORT_PEERS 12
-/* Longest time between two reports, in ms. */
-#define HEARTBEAT_MS 300
+/* Period of the look at reports that are due, in ms. */
+#define LOOK_MS 300
 /* Longest datagram, in bytes, below the MTU of common links. */
 #define REPORT_BYTES_MAX 1400
 
@@ -263,6 +263,7 @@
 	uint64_t now = uv_now(peers->gateway->loop);
 	uint64_t far_pause =
 		report_pause(REPORT_OTHER_REGION_MS, peers->far_nr);
+	uint64_t heartbeat = peer_table_heartbeat_ms(peers->table);
 	struct list *pos;
 
 	peers->near_nr = 0;
@@ -276,8 +277,8 @@
 		peers->near_nr += peer->same_region;
 		peers->far_nr += !peer->same_region;
 	}
-	report_send(peers, now - peers->sent_ms >= HEARTBEAT_MS / 2,
-		    now - peers->sent_far_ms >= HEARTBEAT_MS / 2 ||
+	report_send(peers, now - peers->sent_ms + LOOK_MS / 2 >= heartbeat,
+		    now - peers->sent_far_ms + LOOK_MS / 2 >= heartbeat ||
 			    (peers->dirty_far &&
 			     now - peers->sent_far_ms >= far_pause));
 }
@@ -399,7 +400,7 @@
 		return NULL;
 	}
 	peers->address = address_text(&addr);
-	uv_timer_start(&peers->look_timer, on_look, HEARTBEAT_MS, HEARTBEAT_MS);
+	uv_timer_start(&peers->look_timer, on_look, LOOK_MS, LOOK_MS);
 	return peers;
 }
 
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -4,11 +4,19 @@
 #include "common/hash.h"
 #include "core/peer_table.h"
 
-/* Silence after which an entry counts as dead, in ms: five heartbeats. */
+/* Longest time between two reports, in ms, and the number of entries up to
+ * which it holds. With more it grows in proportion, as each reports to all. */
+#define HEARTBEAT_MS 300
+#define HEARTBEAT_MAX_MS 1000
+#define HEARTBEAT_ENTRIES 40
+/* Silence after which an entry counts as dead, in ms and in heartbeats: three
+ * datagrams in a row are rarely lost. */
 #define DEAD_MS 1500
-/* Time after the start in which other entries make themselves heard, in ms:
- * three heartbeats. */
+#define DEAD_HEARTBEATS 3.5
+/* Time after the start in which other entries make themselves heard, likewise.
+ */
 #define SETTLE_MS 1000
+#define SETTLE_HEARTBEATS 1.5
 /* Silence after which an entry is forgotten, in ms. */
 #define FORGET_MS 60000
 
@@ -149,14 +157,31 @@
 	return peer;
 }
 
+uint64_t peer_table_heartbeat_ms(const struct peer_table *table)
+{
+	uint64_t ms = HEARTBEAT_MS * (uint64_t)peer_table_entries(table) /
+		      HEARTBEAT_ENTRIES;
+
+	return CLAMP(ms, HEARTBEAT_MS, HEARTBEAT_MAX_MS);
+}
+
+/* A time, or so many heartbeats if that is longer, in ms. */
+static uint64_t at_least(const struct peer_table *table, uint64_t ms,
+			 double heartbeats)
+{
+	return MAX(ms, (uint64_t)(heartbeats *
+				  (double)peer_table_heartbeat_ms(table)));
+}
+
 void peer_table_sweep(struct peer_table *table, uint64_t now_ms)
 {
+	uint64_t dead_ms = at_least(table, DEAD_MS, DEAD_HEARTBEATS);
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &table->peers) {
 		struct peer *peer = list_entry(pos, struct peer, link);
 
-		if (now_ms - peer->heard_ms > DEAD_MS)
+		if (now_ms - peer->heard_ms > dead_ms)
 			peer_lost(table, peer, "no report");
 		if (now_ms - peer->heard_ms <= FORGET_MS)
 			continue;
@@ -192,7 +217,8 @@
 	    (takes_items(taker) || taker->index_offset > query->index_offset))
 		return false;
 	/* A node that just started hasn't heard the others yet. */
-	if (query->now_ms - table->options.now_ms < SETTLE_MS)
+	if (query->now_ms - table->options.now_ms <
+	    at_least(table, SETTLE_MS, SETTLE_HEARTBEATS))
 		return false;
 	job_hash = hash_string(query->job, 0);
 	own_rank = hash_mix(job_hash, table->self_hash);
@@ -239,12 +265,7 @@
 
 unsigned peer_table_entries(const struct peer_table *table)
 {
-	unsigned nr = 1;
-	struct list *pos;
-
-	list_for_each (pos, &table->peers)
-		nr++;
-	return nr;
+	return 1 + g_hash_table_size(table->by_identity);
 }
 
 /* The place of an entry among those that may read the directory. */
--- a/core/store_path.c
+++ b/core/store_path.c
@@ -19,9 +19,9 @@
 /* Time for which an entry isn't asked again after a call by it failed, in ms:
  * about what its report needs to say that it lost the store, too. */
 #define AVOID_MS 600
-/* Age up to which an entry's report that it reaches the store holds, in ms:
- * three heartbeats. */
-#define REPORT_MS 1000
+/* Age up to which an entry's report that it reaches the store holds, in ms: the
+ * longest heartbeat, and a datagram's way. */
+#define REPORT_MS 1100
 
 struct store_path {
 	bool lost;
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -84,6 +84,9 @@
 				 uint64_t address, uint64_t sequence,
 				 uint64_t now_ms);
 
+/** Longest time between two reports of an entry, by their number, in ms. */
+uint64_t peer_table_heartbeat_ms(const struct peer_table *table);
+
 /** Drops what is silent for too long; called some times a second. */
 void peer_table_sweep(struct peer_table *table, uint64_t now_ms);
 
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -239,6 +239,9 @@
 		owners(state, argc, argv);
 	else if (!strcmp(argv[0], "backlog"))
 		backlog(state, table, argc, argv);
+	else if (!strcmp(argv[0], "heartbeat"))
+		g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
+				       peer_table_heartbeat_ms(table));
 	else if (!strcmp(argv[0], "reader"))
 		reader(state, table, argc, argv);
 	else if (!strcmp(argv[0], "meet"))
