Answer operators' show commands on a gateway

Cause: on the platform operators had logs and metrics, and no answer to what runs, what has ended and what was refused; the query language was only the stand-alone daemon's.

Commands that change something are refused. briarplankctl needs no key for it.

--- a/briarplankctl/client.c
+++ b/briarplankctl/client.c
@@ -9,6 +9,8 @@
 #include "common/settings.h"
 #include "standalone/http_client.h"
 
+/* Fields of a request. */
+#define FIELDS_MAX 3
 #define SCHEME "http://"
 #define CONNECT_TIMEOUT_MS 2000
 #define ANSWER_TIMEOUT_MS 20000
@@ -75,7 +77,9 @@
 
 	uv_loop_init(&client->loop);
 	client->http = http_client_create(&client->loop);
-	client->authorization = g_strdup_printf("Bearer %s", options->key);
+	if (options->key)
+		client->authorization =
+			g_strdup_printf("Bearer %s", options->key);
 	if (parse_urls(client, options->urls))
 		return client;
 	client_destroy(client);
@@ -118,17 +122,15 @@
 			 const struct client_request *request, const char *id,
 			 struct exchange *exchange)
 {
-	struct http_field fields[] = {
-		{ "Authorization", client->authorization },
+	struct http_field fields[FIELDS_MAX] = {
 		{ "Content-Type", "text/plain" },
-		{ "Idempotency-Key", id },
 	};
+	size_t fields_nr = 1;
 	struct http_call_options options = {
 		.address = client->addresses[client->next],
 		.method = request->method,
 		.path = request->path,
 		.fields = fields,
-		.fields_nr = G_N_ELEMENTS(fields) - (id ? 0 : 1),
 		.body = request->body,
 		.body_len = request->body_len,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
@@ -140,6 +142,14 @@
 		.ctx = exchange,
 	};
 
+	if (client->authorization)
+		fields[fields_nr++] =
+			(struct http_field){ "Authorization",
+					     client->authorization };
+	if (id)
+		fields[fields_nr++] =
+			(struct http_field){ "Idempotency-Key", id };
+	options.fields_nr = fields_nr;
 	exchange->ended = false;
 	exchange->status = 0;
 	g_string_truncate(exchange->body, 0);
--- a/briarplankctl/client.h
+++ b/briarplankctl/client.h
@@ -22,7 +22,7 @@
 struct client_options {
 	/** "http://IP:PORT", several parted by commas. */
 	const char *urls;
-	/** Bearer key. */
+	/** Bearer key, or NULL. */
 	const char *key;
 };
 
--- a/briarplankctl/main.c
+++ b/briarplankctl/main.c
@@ -102,17 +102,18 @@
 	return text;
 }
 
-static char *read_key(void)
+/* Reads the key, if one is named: gateways ask for none. */
+static bool read_key(char **key)
 {
 	const char *file = key_file ? key_file : getenv("BRIARPLANK_KEYFILE");
-	char *key;
 
-	if (!file) {
-		fprintf(stderr, "briarplankctl: -k FILE is missing\n");
-		return NULL;
-	}
-	key = read_text(file);
-	return key ? g_strstrip(key) : NULL;
+	*key = NULL;
+	if (!file)
+		return true;
+	*key = read_text(file);
+	if (*key)
+		g_strstrip(*key);
+	return *key != NULL;
 }
 
 /* Kind of rows that a command shows, or NULL; to be freed. */
@@ -240,8 +241,7 @@
 		printf("briarplankctl %s\n", briarplank_version());
 		return 0;
 	}
-	key = read_key();
-	if (key)
+	if (read_key(&key))
 		status = run_session(key);
 	g_free(key);
 	return status;
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -13,8 +13,10 @@
 #include "job_bulk.h"
 #include "job_calls.h"
 #include "job_store.h"
+#include "operator.h"
 #include "peers.h"
 #include "platform/codec.h"
+#include "refusals.h"
 #include "server_call.h"
 #include "store_relay.h"
 #include "store_route.h"
@@ -260,6 +262,8 @@
 	gateway->identity = g_strdup_printf("%s-%08x%08x", settings->name,
 					    g_random_int(), g_random_int());
 	gateway->identity_hash = hash_string(gateway->identity, 0);
+	list_init(&gateway->requests);
+	gateway->refusals = refusals_create();
 	gateway->fleet = fleet_create(&fleet);
 	gateway->store_route = store_route_create(gateway);
 	store.route_ctx = gateway->store_route;
@@ -314,6 +318,8 @@
 				 NULL;
 	if (!gateway->metrics_web)
 		return false;
+	web_route(gateway->metrics_web, "/v1/operator", operator_request,
+		  gateway);
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
 	if (!gateway->directory)
@@ -360,6 +366,7 @@
 		directory_destroy(gateway->directory);
 	if (gateway->peers)
 		peers_destroy(gateway->peers);
+	refusals_destroy(gateway->refusals);
 	fleet_destroy(gateway->fleet);
 	uv_close((uv_handle_t *)&process->sigterm, NULL);
 	uv_close((uv_handle_t *)&process->sighup, NULL);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -24,6 +24,7 @@
 struct batch;
 struct job_calls;
 struct peers;
+struct refusals;
 struct store_relay;
 struct store_route_state;
 
@@ -48,6 +49,9 @@
 	struct batch *batch;
 	struct job_calls *job_calls;
 	struct peers *peers;
+	struct refusals *refusals;
+	/** Online requests under way, by a link of theirs. */
+	struct list requests;
 	struct web *front;
 	struct web *ready;
 	struct web *metrics_web;
@@ -72,6 +76,22 @@
 void online_request_start(struct gateway *gateway, struct web_request *web,
 			  const char *path);
 
+/** What operators see of an online request under way. */
+struct online_view {
+	const char *id;
+	const char *route;
+	const char *service;
+	/** Server of the last choice, or NULL. */
+	const char *server;
+	bool streaming;
+	uint64_t age_ms;
+};
+
+/** Calls fn for each online request under way (online.c). */
+void online_requests_each(struct gateway *gateway,
+			  void (*fn)(void *ctx, const struct online_view *view),
+			  void *ctx);
+
 /** Starts the submission of a job or one of the job calls (job_calls.c). */
 void job_calls_submit(struct gateway *gateway, struct web_request *web,
 		      const struct route *route);
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -8,6 +8,7 @@
 #include "job_bulk.h"
 #include "job_calls_private.h"
 #include "platform/codec.h"
+#include "refusals.h"
 
 /* Retry-After for a job that exceeds its route's limit, in s: a few items
  * are done by then. */
@@ -78,6 +79,15 @@
 static void submission_refuse(struct submission *submission, int status,
 			      double retry_s, const char *why)
 {
+	struct refusal refusal = {
+		.wall_ms = gateway_wall_ms(),
+		.id = submission->job,
+		.service = submission->route,
+		.reason = (char *)why,
+		.status = status,
+	};
+
+	refusals_note(submission->gateway->refusals, &refusal);
 	log_submission(submission, status, why);
 	if (submission->web)
 		gateway_refuse(job_call_answered(&submission->web), status,
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -7,6 +7,7 @@
 #include "core/event_stream.h"
 #include "peers.h"
 #include "platform/codec.h"
+#include "refusals.h"
 #include "server_call.h"
 
 /* Servers that one request is offered to, refusals counted. */
@@ -34,6 +35,7 @@
 };
 
 struct online_request {
+	struct list link;
 	struct gateway *gateway;
 	struct web_request *web;
 	/* What the route said when the request came. */
@@ -178,6 +180,7 @@
 	cancel_call(request);
 	if (request->web)
 		web_on_close(request->web, NULL, NULL);
+	list_remove(&request->link);
 	uv_timer_stop(&request->timer);
 	uv_close((uv_handle_t *)&request->timer, on_timer_closed);
 }
@@ -185,6 +188,15 @@
 static void refuse(struct online_request *request, int status, double retry_s,
 		   const char *why)
 {
+	struct refusal refusal = {
+		.wall_ms = gateway_wall_ms(),
+		.id = request->id,
+		.service = request->service,
+		.reason = (char *)why,
+		.status = status,
+	};
+
+	refusals_note(request->gateway->refusals, &refusal);
 	request->status = status;
 	gateway_refuse(request->web, status, retry_s, "%s", why);
 	finish(request, why);
@@ -564,6 +576,7 @@
 {
 	struct online_request *request = g_new0(struct online_request, 1);
 
+	list_append(&gateway->requests, &request->link);
 	request->gateway = gateway;
 	request->web = web;
 	request->route = g_strdup(route->name);
@@ -595,6 +608,28 @@
 	dispatch(request);
 }
 
+void online_requests_each(struct gateway *gateway,
+			  void (*fn)(void *ctx, const struct online_view *view),
+			  void *ctx)
+{
+	struct list *pos;
+
+	list_for_each (pos, &gateway->requests) {
+		const struct online_request *request =
+			list_entry(pos, struct online_request, link);
+		struct online_view view = {
+			.id = request->id,
+			.route = request->route,
+			.service = request->service,
+			.server = request->inputs.server,
+			.streaming = request->streaming,
+			.age_ms = now_ms(request) - request->arrived_ms,
+		};
+
+		fn(ctx, &view);
+	}
+}
+
 void online_request_start(struct gateway *gateway, struct web_request *web,
 			  const char *path)
 {
--- /dev/null
+++ b/briarplankd/gateway/operator.c
@@ -0,0 +1,354 @@
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "briarplankd/rows.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "core/peer_table.h"
+#include "job_store.h"
+#include "net/address.h"
+#include "operator.h"
+#include "peers.h"
+#include "refusals.h"
+#include "store_route.h"
+
+/* Rows of one answer; the message says when some were left out. */
+#define ROWS_MAX 5000
+
+static void add_text(struct json_object *row, const char *name,
+		     const char *value)
+{
+	json_object_object_add(row, name,
+			       json_object_new_string(value ? value : ""));
+}
+
+static void add_number(struct json_object *row, const char *name,
+		       uint64_t value)
+{
+	json_object_object_add(row, name, json_object_new_uint64(value));
+}
+
+static void add_bool(struct json_object *row, const char *name, bool value)
+{
+	json_object_object_add(row, name, json_object_new_boolean(value));
+}
+
+static void add_time(struct json_object *row, const char *name, uint64_t ms)
+{
+	GDateTime *time = g_date_time_new_from_unix_utc((gint64)(ms / 1000));
+	char *text = time ? g_date_time_format_iso8601(time) : NULL;
+
+	add_text(row, name, text);
+	g_free(text);
+	if (time)
+		g_date_time_unref(time);
+}
+
+static void config_rows(struct gateway *gateway, struct json_object *rows)
+{
+	static const char *const kinds[] = {
+		[ROUTE_SAFE] = "safe",
+		[ROUTE_UNSAFE] = "unsafe",
+		[ROUTE_STREAM] = "stream",
+		[ROUTE_BATCH] = "batch",
+	};
+	guint i;
+
+	for (i = 0; gateway->config && i < gateway->config->routes->len; i++) {
+		const struct route *route =
+			g_ptr_array_index(gateway->config->routes, i);
+		struct json_object *row = json_object_new_object();
+		char *key = g_strdup_printf("route.%s", route->name);
+		GString *value = g_string_new(NULL);
+		size_t at;
+
+		g_string_append_printf(value, "%s %s%s timeout_ms=%u to",
+				       kinds[route->kind], route->host,
+				       route->prefix, route->timeout_ms);
+		for (at = 0; at < route->targets_nr; at++)
+			g_string_append_printf(value, " %s=%u",
+					       route->targets[at].service,
+					       route->targets[at].weight);
+		add_text(row, "key", key);
+		add_text(row, "value", value->str);
+		add_number(row, "revision", gateway->config->version);
+		json_object_array_add(rows, row);
+		g_string_free(value, TRUE);
+		g_free(key);
+	}
+}
+
+/* Counts of a job's items by their state. */
+struct job_counts {
+	unsigned running;
+	unsigned done;
+	unsigned dead;
+};
+
+static struct job_counts count_items(const struct job *job)
+{
+	struct job_counts counts = { 0 };
+	size_t i;
+
+	for (i = 0; i < job->items_nr; i++) {
+		const struct job_item *item = &job->items[i];
+
+		counts.done += item->state == JOB_ITEM_DONE;
+		counts.dead += item->state == JOB_ITEM_DEAD;
+		counts.running += item->state == JOB_ITEM_OPEN && item->run;
+	}
+	return counts;
+}
+
+static void job_rows(struct gateway *gateway, struct json_object *rows)
+{
+	struct list *pos;
+
+	list_for_each (pos, job_log_jobs(job_store_log(gateway->job_store))) {
+		const struct job *job = list_entry(pos, struct job, link);
+		struct job_counts counts = count_items(job);
+		struct json_object *row = json_object_new_object();
+
+		add_text(row, "id", job->id);
+		add_text(row, "route", job->route);
+		add_text(row, "state",
+			 job->ended ? "ended" :
+				      (job->open_nr ? "open" : "done"));
+		add_number(row, "items", job->items_nr);
+		add_number(row, "waiting",
+			   job->ended ? 0 : job->open_nr - counts.running);
+		add_number(row, "running", counts.running);
+		add_number(row, "done", counts.done);
+		add_number(row, "failed", counts.dead);
+		add_time(row, "due", job->due_ms);
+		add_text(row, "node", job->node);
+		json_object_array_add(rows, row);
+	}
+}
+
+static void add_self(struct gateway *gateway, struct json_object *rows)
+{
+	struct json_object *row = json_object_new_object();
+
+	add_text(row, "node", gateway->identity);
+	add_text(row, "role", "gateway");
+	add_text(row, "state", gateway->stopping ? "leaving" : "up");
+	add_text(row, "data_centre", gateway->settings->data_centre);
+	add_text(row, "region", gateway->settings->region);
+	add_text(row, "address", peers_address(gateway->peers));
+	add_number(row, "config_revision",
+		   gateway->config ? gateway->config->version : 0);
+	add_bool(row, "reaches_store",
+		 store_route_direct(gateway->store_route));
+	json_object_array_add(rows, row);
+}
+
+static void node_rows(struct gateway *gateway, struct json_object *rows)
+{
+	uint64_t now = uv_now(gateway->loop);
+	struct list *pos;
+
+	add_self(gateway, rows);
+	list_for_each (pos, peers_list(gateway->peers)) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+		struct sockaddr_in addr = address_unpack(peer->address);
+		struct json_object *row = json_object_new_object();
+		char *address = address_text(&addr);
+
+		add_text(row, "node", peer->identity);
+		add_text(row, "role", "gateway");
+		add_text(row, "state",
+			 !peer->alive ? "down" :
+					(peer->leaving ? "leaving" : "up"));
+		add_text(row, "region", peer->same_region ? "own" : "other");
+		add_text(row, "address", address);
+		add_number(row, "age_ms", now - peer->heard_ms);
+		add_bool(row, "reaches_store", peer->reaches_store);
+		json_object_array_add(rows, row);
+		g_free(address);
+	}
+}
+
+static void add_refusal(void *ctx, const struct refusal *refusal)
+{
+	struct json_object *row = json_object_new_object();
+
+	add_time(row, "time", refusal->wall_ms);
+	add_text(row, "id", refusal->id);
+	add_text(row, "service", refusal->service);
+	add_number(row, "http_status", (uint64_t)refusal->status);
+	add_text(row, "reason", refusal->reason);
+	json_object_array_add(ctx, row);
+}
+
+static void refusal_rows(struct gateway *gateway, struct json_object *rows)
+{
+	refusals_each(gateway->refusals, add_refusal, rows);
+}
+
+static void add_request(void *ctx, const struct online_view *view)
+{
+	struct json_object *row = json_object_new_object();
+
+	add_text(row, "id", view->id);
+	add_text(row, "route", view->route);
+	add_text(row, "service", view->service);
+	add_text(row, "state", view->streaming ? "streaming" : "sent");
+	add_text(row, "server", view->server);
+	add_number(row, "age_ms", view->age_ms);
+	json_object_array_add(ctx, row);
+}
+
+static void request_rows(struct gateway *gateway, struct json_object *rows)
+{
+	online_requests_each(gateway, add_request, rows);
+}
+
+static void server_rows(struct gateway *gateway, struct json_object *rows)
+{
+	uint64_t now = uv_now(gateway->loop);
+	struct list *pos;
+
+	list_for_each (pos, fleet_servers(gateway->fleet)) {
+		const struct server *server =
+			list_entry(pos, struct server, link);
+		struct json_object *row = json_object_new_object();
+
+		add_text(row, "server", server->id);
+		add_text(row, "service", server->service);
+		add_text(row, "state",
+			 !server->listed ?
+				 "unlisted" :
+				 (server->avoid_until_ms > now ? "avoided" :
+								 "up"));
+		add_bool(row, "drained", server->draining);
+		add_number(row, "slots", server->slots);
+		add_number(row, "running_online",
+			   server->own[WORK_ONLINE] +
+				   server->others[WORK_ONLINE]);
+		add_number(row, "running_batch",
+			   server->own[WORK_BATCH] +
+				   server->others[WORK_BATCH]);
+		add_text(row, "data_centre", server->data_centre);
+		add_text(row, "address", server->address);
+		json_object_array_add(rows, row);
+	}
+}
+
+static void service_rows(struct gateway *gateway, struct json_object *rows)
+{
+	guint i;
+
+	for (i = 0; gateway->config && i < gateway->config->services->len;
+	     i++) {
+		const struct service *service =
+			g_ptr_array_index(gateway->config->services, i);
+		struct json_object *row = json_object_new_object();
+		unsigned known = 0;
+		struct list *pos;
+
+		list_for_each (pos, fleet_servers(gateway->fleet))
+			known += !strcmp(
+				list_entry(pos, struct server, link)->service,
+				service->name);
+		add_text(row, "service", service->name);
+		add_number(row, "servers", known);
+		add_number(row, "servers_usable",
+			   fleet_usable(gateway->fleet, service->name,
+					uv_now(gateway->loop)));
+		json_object_array_add(rows, row);
+	}
+}
+
+/* What can be shown, sorted. */
+static const struct {
+	const char *name;
+	void (*rows)(struct gateway *gateway, struct json_object *rows);
+} kinds[] = {
+	{ "config", config_rows },    { "jobs", job_rows },
+	{ "nodes", node_rows },	      { "refusals", refusal_rows },
+	{ "requests", request_rows }, { "servers", server_rows },
+	{ "services", service_rows },
+};
+
+static void answer(struct web_request *web, const char *status,
+		   const char *message, struct json_object *rows)
+{
+	struct json_object *root = json_object_new_object();
+	const char *text;
+
+	add_text(root, "status", status);
+	add_text(root, "message", message);
+	json_object_object_add(root, "rows", rows);
+	text = json_object_to_json_string_ext(
+		root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+	web_answer(web, 200, "application/json", text, strlen(text));
+	json_object_put(root);
+}
+
+static void show(struct gateway *gateway, struct web_request *web,
+		 const struct command *command)
+{
+	struct json_object *all = json_object_new_array();
+	struct json_object *rows = json_object_new_array();
+	char *message;
+	size_t i, nr, matching = 0;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (!strcmp(kinds[i].name, command->subject))
+			kinds[i].rows(gateway, all);
+	}
+	nr = json_object_array_length(all);
+	for (i = 0; i < nr; i++) {
+		struct json_object *row = json_object_array_get_idx(all, i);
+
+		if (rows_match(command, row) && matching++ < ROWS_MAX)
+			json_object_array_add(rows, json_object_get(row));
+	}
+	json_object_put(all);
+	message = g_strdup_printf("%zu rows%s, as %s knows", matching,
+				  matching > ROWS_MAX ? ", not all shown" : "",
+				  gateway->identity);
+	answer(web, "done", message, rows);
+	g_free(message);
+}
+
+static void run(struct gateway *gateway, struct web_request *web,
+		const char *text)
+{
+	unsigned column;
+	struct command *command = command_parse(text, &column);
+
+	if (!command) {
+		web_problem(web, 400, "Not understood", "%s", error_last());
+		return;
+	}
+	if (command->kind == COMMAND_SHOW)
+		show(gateway, web, command);
+	else
+		web_problem(web, 409, "Refused",
+			    "a gateway only shows: configuration is written to "
+			    "the platform's store, and jobs are ended there by "
+			    "their callers");
+	command_free(command);
+}
+
+void operator_request(void *ctx, struct web_request *web)
+{
+	struct gateway *gateway = ctx;
+	const char *body;
+	char *text;
+	size_t len;
+
+	if (strcmp(web_method(web), "POST") != 0) {
+		web_problem(web, 405, "Not allowed", "commands are POSTed");
+		return;
+	}
+	body = web_body(web, &len);
+	text = g_strndup(body ? body : "", len);
+	log_event("operator", LOG_LEVEL_INFO, "command=\"%.*s\"",
+		  (int)strcspn(text, "\r\n\""), text);
+	run(gateway, web, text);
+	g_free(text);
+}
