Split the directory's pages and the room for batch into files of their own

directory.c followed the store and served other entries; fleet.c chose servers for requests and divided slots among items. Each has one job now. No decision changed; the tests are as before.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -3,17 +3,12 @@
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/log.h"
-#include "core/change_list.h"
-#include "directory.h"
-#include "directory_share.h"
+#include "directory_private.h"
 #include "peers.h"
 #include "platform/codec.h"
 
 /* Period of asking another entry for what changed, in ms. */
 #define ASK_MS 500
-/* Age up to which the servers of another entry are taken, in ms: its own pause
- * between two reads, and one that failed. */
-#define SHARED_AGE_MS 2500
 /* Pause after a read that failed, in ms; it grows with each that fails in a row
  * up to some times that, and by half at random, so that hundreds of nodes that
  * start together don't all come back at once. */
@@ -29,46 +24,8 @@
 /* Period of the look at all servers, in ms. */
 #define SWEEP_MS 100
 
-struct topic {
-	struct directory *directory;
-	const char *name;
-	/* The last answer of the store came in time, in loop ms. */
-	uint64_t answered_ms;
-	uint64_t next_offset;
-	uint64_t snapshot_offset;
-	/* Reads that failed in a row. */
-	unsigned failures;
-	/* The newest values were read; the records behind them follow. */
-	bool following;
-	char *page_key;
-	uv_timer_t timer;
-	void (*take)(struct directory *directory,
-		     const struct store_record *record);
-};
-
-enum { TOPIC_CONFIG, TOPIC_SERVERS, TOPICS };
-
-struct directory {
-	struct gateway *gateway;
-	struct topic topics[TOPICS];
-	/* Servers of the page set that is being read: id to nothing. */
-	GHashTable *seen;
-	/* Servers whose entry vanished in trouble: id to uint64_t * time. */
-	GHashTable *lapsed;
-	uint64_t trouble_ms;
-	/* Newest entries of servers, for other entries. */
-	struct change_list *changes;
-	/* The configuration as the platform wrote it. */
-	GBytes *config;
-	uint64_t config_offset;
-	struct directory_share *share;
-	uv_timer_t ask_timer;
-	uv_timer_t sweep_timer;
-	int handles;
-};
-
-static void take_config(struct directory *directory,
-			const struct store_record *record)
+void directory_take_config(struct directory *directory,
+			   const struct store_record *record)
 {
 	struct gateway *gateway = directory->gateway;
 	struct route_table *table;
@@ -115,7 +72,7 @@
 	change_list_put(directory->changes, id, NULL, 0, servers->next_offset);
 }
 
-static void server_vanished(struct directory *directory, const char *id)
+void directory_server_vanished(struct directory *directory, const char *id)
 {
 	struct gateway *gateway = directory->gateway;
 	uint64_t now = uv_now(gateway->loop), *since;
@@ -150,8 +107,8 @@
 	       !strcmp(server->data_centre, facts->data_centre);
 }
 
-static void take_server(struct directory *directory,
-			const struct store_record *record)
+void directory_take_server(struct directory *directory,
+			   const struct store_record *record)
 {
 	struct gateway *gateway = directory->gateway;
 	struct server_facts facts = { 0 };
@@ -161,7 +118,7 @@
 	if (directory->seen)
 		g_hash_table_add(directory->seen, g_strdup(record->key));
 	if (!record->len) {
-		server_vanished(directory, record->key);
+		directory_server_vanished(directory, record->key);
 		return;
 	}
 	if (!platform_server_decode(record->key, record->data, record->len,
@@ -255,8 +212,10 @@
 /* Reads the same page or records once more, later. */
 static void topic_retry(struct topic *topic)
 {
-	double pause = RETRY_MS * MIN(++topic->failures, RETRY_GROWTH_MAX);
+	double pause;
 
+	topic->failures++;
+	pause = RETRY_MS * MIN(topic->failures, RETRY_GROWTH_MAX);
 	topic_next(topic, (uint64_t)(pause * (0.75 + g_random_double() / 2)));
 }
 
@@ -276,7 +235,7 @@
 		struct server *server = list_entry(pos, struct server, link);
 
 		if (!g_hash_table_contains(directory->seen, server->id))
-			server_vanished(directory, server->id);
+			directory_server_vanished(directory, server->id);
 	}
 	g_hash_table_destroy(directory->seen);
 	directory->seen = NULL;
@@ -364,145 +323,6 @@
 	topic_next(topic, pause_of(topic));
 }
 
-/* Other entries. */
-
-/* A page for another entry while it is made. */
-struct page_maker {
-	GPtrArray *servers;
-	GArray *live;
-	/* What it knows: all up to here, or nothing. */
-	uint64_t known;
-	bool knows_any;
-};
-
-static void add_change(void *ctx, const struct change *change)
-{
-	struct page_maker *maker = ctx;
-	uint64_t hash = hash_string(change->key, 0);
-	DirectoryServer *server;
-	gsize len = 0;
-	const void *data =
-		change->value ? g_bytes_get_data(change->value, &len) : NULL;
-
-	if (change->value)
-		g_array_append_val(maker->live, hash);
-	if (maker->knows_any && change->offset <= maker->known)
-		return;
-	server = g_new(DirectoryServer, 1);
-	directory_server__init(server);
-	server->id = g_strdup(change->key);
-	server->offset = change->offset;
-	server->value.data = len ? g_memdup2(data, len) : NULL;
-	server->value.len = len;
-	g_ptr_array_add(maker->servers, server);
-}
-
-static void fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
-		      uint64_t config_offset)
-{
-	struct directory *directory = ctx;
-	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
-	struct page_maker maker = {
-		.servers = g_ptr_array_new(),
-		.live = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
-		.known = servers_from ? servers_from - 1 : 0,
-		.knows_any = servers_from != 0,
-	};
-	gsize len;
-	const void *data;
-
-	change_list_each(directory->changes, add_change, &maker);
-	page->n_servers = maker.servers->len;
-	page->servers =
-		(DirectoryServer **)g_ptr_array_free(maker.servers, FALSE);
-	page->servers_offset = servers->next_offset;
-	page->whole =
-		!maker.knows_any ||
-		!change_list_complete_since(directory->changes, maker.known);
-	if (page->whole)
-		page->n_live = maker.live->len;
-	page->live = (uint64_t *)g_array_free(maker.live, FALSE);
-	page->config_offset = directory->config_offset;
-	if (directory->config && (directory->config_offset > config_offset)) {
-		data = g_bytes_get_data(directory->config, &len);
-		page->config.data = g_memdup2(data, len);
-		page->config.len = len;
-	}
-	page->age_ms = directory_loaded(directory) ?
-			       (uint32_t)MIN(uv_now(directory->gateway->loop) -
-						     servers->answered_ms,
-					     UINT32_MAX) :
-			       UINT32_MAX;
-}
-
-/* Servers that a page's hashes don't name are gone. */
-static void unlist_others(struct directory *directory,
-			  const DirectoryPage *page)
-{
-	GHashTable *live = g_hash_table_new(g_int64_hash, g_int64_equal);
-	struct list *pos;
-	size_t i;
-
-	for (i = 0; i < page->n_live; i++)
-		g_hash_table_add(live, &page->live[i]);
-	list_for_each (pos, fleet_servers(directory->gateway->fleet)) {
-		struct server *server = list_entry(pos, struct server, link);
-
-		if (!g_hash_table_contains(live, &server->hash))
-			server_vanished(directory, server->id);
-	}
-	g_hash_table_destroy(live);
-}
-
-static void take_shared_servers(struct directory *directory,
-				const DirectoryPage *page)
-{
-	struct topic *servers = &directory->topics[TOPIC_SERVERS];
-	size_t i;
-
-	if (page->whole)
-		change_list_forget_removed(directory->changes,
-					   page->servers_offset);
-	for (i = 0; i < page->n_servers; i++) {
-		const DirectoryServer *server = page->servers[i];
-		struct store_record record = {
-			.key = server->id,
-			.data = (const char *)server->value.data,
-			.len = server->value.len,
-			.offset = server->offset,
-		};
-
-		take_server(directory, &record);
-	}
-	servers->next_offset = MAX(servers->next_offset, page->servers_offset);
-	if (page->whole)
-		unlist_others(directory, page);
-}
-
-static bool take_page(void *ctx, const DirectoryPage *page)
-{
-	struct directory *directory = ctx;
-	struct topic *config = &directory->topics[TOPIC_CONFIG];
-	struct topic *servers = &directory->topics[TOPIC_SERVERS];
-	struct store_record record = {
-		.key = store_key_config,
-		.data = (const char *)page->config.data,
-		.len = page->config.len,
-		.offset = page->config_offset,
-	};
-
-	if (page->age_ms > SHARED_AGE_MS)
-		return false;
-	servers->answered_ms = uv_now(directory->gateway->loop) - page->age_ms;
-	if (record.len)
-		take_config(directory, &record);
-	config->next_offset = MAX(config->next_offset, page->config_offset + 1);
-	/* This node may have read further itself. */
-	if (page->servers_offset >= servers->next_offset)
-		take_shared_servers(directory, page);
-	return true;
-}
-
 static void on_ask(uv_timer_t *timer)
 {
 	struct directory *directory = timer->data;
@@ -540,8 +360,8 @@
 	struct topic *config = &directory->topics[TOPIC_CONFIG];
 	struct topic *servers = &directory->topics[TOPIC_SERVERS];
 	struct directory_share_hooks hooks = {
-		.fill = fill_page,
-		.take = take_page,
+		.fill = directory_fill_page,
+		.take = directory_take_page,
 		.ctx = directory,
 	};
 	int i;
@@ -556,9 +376,9 @@
 	directory->lapsed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	config->name = store_topic_operator;
-	config->take = take_config;
+	config->take = directory_take_config;
 	servers->name = store_topic_servers;
-	servers->take = take_server;
+	servers->take = directory_take_server;
 	for (i = 0; i < TOPICS; i++) {
 		struct topic *topic = &directory->topics[i];
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "common/hash.h"
-#include "core/fleet.h"
+#include "fleet_private.h"
 
 /* Time to the first byte that a server's distance adds, in ms: a round trip
  * within a data centre, between data centres, between regions. */
@@ -29,50 +29,10 @@
 #define REFUSED_MS 120
 /* Time over which unexplained load in a report fades, in ms. */
 #define REPORT_FADE_MS 400.0
-/* Time over which a peak of online load fades, in ms. Bursts of seconds must
- * not let batch items in between two arrivals. */
-#define PEAK_FADE_MS 700.0
-/* Time over which the slots that batch gets are averaged, in ms: longer than
- * the bursts of seconds and the lulls between them. */
-#define BATCH_SLOTS_MS 5000.0
-/* Share of the slots kept free of batch for the next arrivals. */
-#define RESERVE_SHARE 0.06
-/* Further share kept free in other regions, whose load is known late. */
-#define FAR_RESERVE_SHARE 0.15
-
-struct peer {
-	struct peer_load *loads;
-	size_t nr;
-};
-
-struct peak {
-	double value;
-	uint64_t at_ms;
-};
-
-struct mean {
-	double value;
-	uint64_t at_ms;
-};
-
-struct fleet {
-	struct fleet_options options;
-	char *data_centre;
-	char *region;
-	struct list servers;
-	/* Server hash to struct server *. */
-	GHashTable *by_hash;
-	/* Peer to struct peer *. */
-	GHashTable *peers;
-	/* Service name to struct peak * of its online load. */
-	GHashTable *peaks;
-	/* Service name to struct mean * of the slots that batch gets. */
-	GHashTable *batch_slots;
-};
 
 static void peer_free(gpointer data)
 {
-	struct peer *peer = data;
+	struct fleet_peer *peer = data;
 
 	g_free(peer->loads);
 	g_free(peer);
@@ -171,7 +131,7 @@
 	/* Peers may have spoken of it already. */
 	g_hash_table_iter_init(&iter, fleet->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct peer *peer = value;
+		struct fleet_peer *peer = value;
 
 		for (i = 0; i < peer->nr; i++) {
 			if (peer->loads[i].server_hash != server->hash)
@@ -258,7 +218,7 @@
 	return &fleet->servers;
 }
 
-static double unexplained_now(const struct server *server, uint64_t now_ms)
+double server_unexplained(const struct server *server, uint64_t now_ms)
 {
 	double age = (double)(now_ms - server->reported_ms);
 
@@ -267,26 +227,26 @@
 	return server->unexplained * (1 - age / REPORT_FADE_MS);
 }
 
-static double load_of(const struct server *server, enum work_class class)
+double server_load(const struct server *server, enum work_class class)
 {
 	return server->own[class] + server->others[class];
 }
 
-static bool serves(const struct server *server, const char *service)
+bool server_serves(const struct server *server, const char *service)
 {
 	return server->listed && !server->draining &&
 	       !strcmp(server->service, service);
 }
 
-static bool usable(const struct server *server, uint64_t now_ms)
+bool server_usable(const struct server *server, uint64_t now_ms)
 {
 	return server->avoid_until_ms <= now_ms && !is_silent(server, now_ms);
 }
 
 static double wait_for_slot(const struct server *server, uint64_t now_ms)
 {
-	double ahead = load_of(server, WORK_ONLINE) +
-		       unexplained_now(server, now_ms) + 1 - server->slots;
+	double ahead = server_load(server, WORK_ONLINE) +
+		       server_unexplained(server, now_ms) + 1 - server->slots;
 
 	return ahead <= 0 ? 0 : ahead * server->hold_ms / server->slots;
 }
@@ -306,8 +266,8 @@
 static double score(const struct server *server,
 		    const struct fleet_query *query)
 {
-	double online = load_of(server, WORK_ONLINE);
-	double total = online + load_of(server, WORK_BATCH);
+	double online = server_load(server, WORK_ONLINE);
+	double total = online + server_load(server, WORK_BATCH);
 	double ms = wait_for_slot(server, query->now_ms);
 
 	ms += distance_ms[server->distance] + server->first_ms;
@@ -341,8 +301,9 @@
 		struct server *server = list_entry(pos, struct server, link);
 		double ms;
 
-		if (!serves(server, query->service) ||
-		    !usable(server, query->now_ms) || was_tried(query, server))
+		if (!server_serves(server, query->service) ||
+		    !server_usable(server, query->now_ms) ||
+		    was_tried(query, server))
 			continue;
 		ms = score(server, query);
 		if (ms >= best)
@@ -366,7 +327,8 @@
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
 
-		nr += serves(server, service) && usable(server, now_ms);
+		nr += server_serves(server, service) &&
+		      server_usable(server, now_ms);
 	}
 	return nr;
 }
@@ -426,8 +388,8 @@
 void fleet_reported(struct server *server, unsigned running, unsigned waiting,
 		    uint64_t now_ms)
 {
-	double known =
-		load_of(server, WORK_ONLINE) + load_of(server, WORK_BATCH);
+	double known = server_load(server, WORK_ONLINE) +
+		       server_load(server, WORK_BATCH);
 	double seen = (double)running + waiting;
 
 	/* Reports of other entries are on the way for a few ms: one request
@@ -437,7 +399,8 @@
 	server->reported_ms = now_ms;
 }
 
-static void add_peer(struct fleet *fleet, const struct peer *peer, int sign)
+static void add_peer(struct fleet *fleet, const struct fleet_peer *peer,
+		     int sign)
 {
 	size_t i;
 	int class;
@@ -455,7 +418,7 @@
 void fleet_peer(struct fleet *fleet, uint64_t id, const struct peer_load *loads,
 		size_t nr)
 {
-	struct peer *peer = g_hash_table_lookup(fleet->peers, &id);
+	struct fleet_peer *peer = g_hash_table_lookup(fleet->peers, &id);
 	uint64_t *key;
 
 	if (peer)
@@ -465,7 +428,7 @@
 		return;
 	}
 	if (!peer) {
-		peer = g_new0(struct peer, 1);
+		peer = g_new0(struct fleet_peer, 1);
 		key = g_new(uint64_t, 1);
 		*key = id;
 		g_hash_table_insert(fleet->peers, key, peer);
@@ -475,160 +438,3 @@
 	peer->nr = nr;
 	add_peer(fleet, peer, 1);
 }
-
-/* The highest online load of late, which fades in a straight line. */
-static double online_peak(struct fleet *fleet, const struct batch_query *query,
-			  double online, double slots)
-{
-	char *key = g_strdup_printf("%s/%d", query->service, query->far);
-	struct peak *peak = g_hash_table_lookup(fleet->peaks, key);
-	double faded;
-
-	if (!peak) {
-		peak = g_new0(struct peak, 1);
-		g_hash_table_insert(fleet->peaks, g_strdup(key), peak);
-	}
-	g_free(key);
-	faded = peak->value -
-		slots * (double)(query->now_ms - peak->at_ms) / PEAK_FADE_MS;
-	peak->value = MAX(online, faded);
-	peak->at_ms = query->now_ms;
-	return peak->value;
-}
-
-static bool takes_batch(const struct server *server,
-			const struct batch_query *query)
-{
-	bool far = server->distance == SERVER_OTHER_REGION;
-
-	return serves(server, query->service) && far == query->far &&
-	       usable(server, query->now_ms);
-}
-
-double fleet_batch_room(struct fleet *fleet, const struct batch_query *query)
-{
-	double slots = 0, online = 0, batch = 0;
-	struct list *pos;
-
-	list_for_each (pos, &fleet->servers) {
-		struct server *server = list_entry(pos, struct server, link);
-
-		if (!takes_batch(server, query))
-			continue;
-		slots += server->slots;
-		online += load_of(server, WORK_ONLINE) +
-			  unexplained_now(server, query->now_ms);
-		batch += load_of(server, WORK_BATCH);
-	}
-	online = online_peak(fleet, query, online, slots);
-	return slots * (1 - RESERVE_SHARE) - online - batch -
-	       (query->far ? slots * FAR_RESERVE_SHARE : 0);
-}
-
-double fleet_batch_slots(struct fleet *fleet, const char *service,
-			 uint64_t now_ms)
-{
-	struct mean *mean = g_hash_table_lookup(fleet->batch_slots, service);
-	double free = 0, age;
-	struct list *pos;
-
-	list_for_each (pos, &fleet->servers) {
-		struct server *server = list_entry(pos, struct server, link);
-
-		if (serves(server, service) && usable(server, now_ms))
-			free += MAX(server->slots * (1 - RESERVE_SHARE) -
-					    load_of(server, WORK_ONLINE),
-				    0);
-	}
-	if (!mean) {
-		mean = g_new0(struct mean, 1);
-		mean->value = free;
-		g_hash_table_insert(fleet->batch_slots, g_strdup(service),
-				    mean);
-	} else {
-		age = (double)(now_ms - mean->at_ms);
-		mean->value +=
-			(free - mean->value) * MIN(age / BATCH_SLOTS_MS, 1);
-	}
-	mean->at_ms = now_ms;
-	return mean->value;
-}
-
-static double batch_slots_free(const struct server *server,
-			       const struct batch_query *query)
-{
-	double free = server->slots - load_of(server, WORK_ONLINE) -
-		      load_of(server, WORK_BATCH) -
-		      unexplained_now(server, query->now_ms);
-
-	if (free < (query->far ? 2 : 1))
-		return 0;
-	return free * (1 - MIN(server->failures, 0.95));
-}
-
-/*
- * Nodes that look at the same time see the same free slots. A random choice by
- * their number keeps them from all taking the same one.
- */
-struct server *fleet_choose_batch(struct fleet *fleet,
-				  const struct batch_query *query)
-{
-	double sum = 0, at;
-	struct list *pos;
-
-	list_for_each (pos, &fleet->servers) {
-		struct server *server = list_entry(pos, struct server, link);
-
-		if (takes_batch(server, query))
-			sum += batch_slots_free(server, query);
-	}
-	at = sum * (double)(query->random >> 11) / (double)(1ULL << 53);
-	list_for_each (pos, &fleet->servers) {
-		struct server *server = list_entry(pos, struct server, link);
-		double free = 0;
-
-		if (takes_batch(server, query))
-			free = batch_slots_free(server, query);
-		if (free > 0 && at < free)
-			return server;
-		at -= free;
-	}
-	return NULL;
-}
-
-/* A node's turn to yield on a server: the lowest goes first. */
-static uint64_t turn(uint64_t node, const struct server *server)
-{
-	return hash_mix(node, server->hash);
-}
-
-unsigned fleet_yield(struct fleet *fleet, const struct server *server,
-		     uint64_t self)
-{
-	double online = load_of(server, WORK_ONLINE);
-	int excess = (int)(online + load_of(server, WORK_BATCH)) -
-		     (int)server->slots;
-	uint64_t own_turn = turn(self, server);
-	GHashTableIter iter;
-	gpointer key, value;
-	size_t i;
-
-	/* Load beyond the slots that isn't batch's doing can't be yielded. */
-	if (excess <= 0 || !server->own[WORK_BATCH])
-		return 0;
-	g_hash_table_iter_init(&iter, fleet->peers);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		struct peer *peer = value;
-
-		if (turn(*(uint64_t *)key, server) >= own_turn)
-			continue;
-		for (i = 0; i < peer->nr; i++) {
-			if (peer->loads[i].server_hash == server->hash)
-				excess -=
-					(int)peer->loads[i].counts[WORK_BATCH];
-		}
-	}
-	if (excess <= 0)
-		return 0;
-	return MIN((unsigned)excess, server->own[WORK_BATCH]);
-}
