Plan items by the service that runs them

Cause: found in the read of the change. The plan took the slots of the first item's service for all items of a node; with batch routes to two services it would have given up items of the one for lack of slots of the other.

Change: items are planned by service.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -3,7 +3,6 @@
 #include "batch.h"
 #include "batch_run.h"
 #include "batch_save.h"
-#include "common/hash.h"
 #include "common/log.h"
 #include "peers.h"
 
@@ -64,8 +63,7 @@
 
 		if (run->late != late || !run_prepare(run, query.now_ms))
 			continue;
-		wanted = route_pick_service(run_route(run),
-					    hash_string(run->item->id, 0));
+		wanted = run_service(run);
 		if (!wanted)
 			continue;
 		if (!query.service || strcmp(query.service, wanted) != 0) {
@@ -116,59 +114,105 @@
 	yield_some(batch, server, nr, false);
 }
 
-/* Plans which items of this node are given up as late. */
-static void plan_items(struct batch *batch)
+/* The items of this node that one service runs, by their due time. */
+struct plan_group {
+	GArray *items;
+	/* Of struct run *. */
+	GPtrArray *runs;
+};
+
+static void plan_group_free(gpointer data)
 {
-	struct gateway *gateway = batch->gateway;
-	struct job_log *log = job_store_log(gateway->job_store);
-	GArray *items =
+	struct plan_group *group = data;
+
+	g_array_free(group->items, TRUE);
+	g_ptr_array_free(group->runs, TRUE);
+	g_free(group);
+}
+
+static struct plan_group *plan_group_of(GHashTable *groups, const char *service)
+{
+	struct plan_group *group = g_hash_table_lookup(groups, service);
+
+	if (group)
+		return group;
+	group = g_new0(struct plan_group, 1);
+	group->items =
 		g_array_new(FALSE, FALSE, sizeof(struct batch_plan_item));
-	struct batch_plan_item *item;
-	const char *service = NULL;
-	struct list *pos;
-	double slots;
+	group->runs = g_ptr_array_new();
+	g_hash_table_insert(groups, (char *)service, group);
+	return group;
+}
 
-	list_for_each (pos, &batch->runs) {
-		struct run *run = list_entry(pos, struct run, link);
-		const struct item_length *length =
-			batch_length(batch, run->job);
-		uint64_t done =
-			(uint64_t)(MAX(run->last_event, run->saved_event) + 1);
-		struct batch_plan_item added = {
-			.due_ms = run->job->due_ms,
-			.done_ms = (double)done * length->event_ms,
-			.left_ms = item_length_left_ms(length, done),
-		};
-
-		if (run->state == RUN_ENDING)
-			added.left_ms = 0;
-		else if (!service && run_route(run))
-			service = route_pick_service(
-				run_route(run), hash_string(run->item->id, 0));
-		g_array_append_val(items, added);
-	}
-	if (!service) {
-		g_array_free(items, TRUE);
+static void plan_add(struct batch *batch, GHashTable *groups, struct run *run)
+{
+	const struct item_length *length = batch_length(batch, run->job);
+	const char *service = run_service(run);
+	uint64_t done = (uint64_t)(MAX(run->last_event, run->saved_event) + 1);
+	struct batch_plan_item item = {
+		.due_ms = run->job->due_ms,
+		.done_ms = (double)done * length->event_ms,
+		.left_ms = item_length_left_ms(length, done),
+	};
+	struct plan_group *group;
+
+	/* Without a route it is given up, and what ends needs no slot. */
+	if (!service || run->state == RUN_ENDING)
 		return;
+	group = plan_group_of(groups, service);
+	g_array_append_val(group->items, item);
+	g_ptr_array_add(group->runs, run);
+}
+
+static void plan_group_apply(const struct plan_group *group, double slots)
+{
+	const struct batch_plan_item *items =
+		(const struct batch_plan_item *)group->items->data;
+	guint i;
+
+	for (i = 0; i < group->runs->len; i++) {
+		struct run *run = g_ptr_array_index(group->runs, i);
+
+		if (run->late == items[i].late)
+			continue;
+		log_event("item", LOG_LEVEL_INFO,
+			  "job=%s item=%s planned %s due_in_ms=%" PRId64
+			  " left_ms=%.0f items=%u slots=%.1f",
+			  run->job->id, run->item->id,
+			  items[i].late ? "late" : "in time",
+			  (int64_t)(items[i].due_ms - gateway_wall_ms()),
+			  items[i].left_ms, group->items->len, slots);
+		run_set_late(run, items[i].late);
 	}
-	slots = fleet_batch_slots(gateway->fleet, service, now_ms(batch)) *
-		items->len / MAX(job_log_open_items(log), items->len);
-	item = (struct batch_plan_item *)items->data;
-	batch_plan(item, items->len, slots, gateway_wall_ms());
-	list_for_each (pos, &batch->runs) {
-		struct run *run = list_entry(pos, struct run, link);
+}
+
+/* Plans which items of this node are given up as late. */
+static void plan_items(struct batch *batch)
+{
+	struct gateway *gateway = batch->gateway;
+	GHashTable *groups = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, plan_group_free);
+	size_t open = job_log_open_items(job_store_log(gateway->job_store));
+	GHashTableIter iter;
+	gpointer service, value;
+	struct list *pos;
 
-		if (run->late != item->late)
-			log_event("item", LOG_LEVEL_INFO,
-				  "job=%s item=%s planned %s due_in_ms=%" PRId64
-				  " left_ms=%.0f items=%u slots=%.1f",
-				  run->job->id, run->item->id,
-				  item->late ? "late" : "in time",
-				  (int64_t)(item->due_ms - gateway_wall_ms()),
-				  item->left_ms, items->len, slots);
-		run_set_late(run, (item++)->late);
+	list_for_each (pos, &batch->runs)
+		plan_add(batch, groups, list_entry(pos, struct run, link));
+	g_hash_table_iter_init(&iter, groups);
+	while (g_hash_table_iter_next(&iter, &service, &value)) {
+		struct plan_group *group = value;
+		/* This node's part of what all entries have to do. */
+		double part = (double)group->items->len /
+			      (double)MAX(open, group->items->len);
+		double slots = part * fleet_batch_slots(gateway->fleet, service,
+							now_ms(batch));
+
+		batch_plan((struct batch_plan_item *)group->items->data,
+			   group->items->len, slots, gateway_wall_ms());
+		plan_group_apply(group, slots);
 	}
-	g_array_free(items, TRUE);
+	g_hash_table_destroy(groups);
 }
 
 void batch_load_changed(struct batch *batch)
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -287,6 +287,15 @@
 	return run->route;
 }
 
+const char *run_service(struct run *run)
+{
+	const struct route *route = run_route(run);
+
+	return route ? route_pick_service(route,
+					  hash_string(run->item->id, 0)) :
+		       NULL;
+}
+
 void run_start_at(struct run *run, struct server *server)
 {
 	struct batch *batch = run->batch;
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -87,6 +87,9 @@
 /** The route that the job's submission has now, or NULL. */
 const struct route *run_route(struct run *run);
 
+/** The service that runs the item, or NULL without a route. */
+const char *run_service(struct run *run);
+
 /** Plans an item to be late or in time. */
 void run_set_late(struct run *run, bool late);
 
