Fill the template's new field in the test of the deploy file

process_deploy_build failed in the whole script, plain and sanitized: the template has store.reads_per_s now, which the test didn't fill. The test fills it and checks as before.

--- a/tests/process/deploy_build.sh
+++ b/tests/process/deploy_build.sh
@@ -25,6 +25,7 @@
 	-e 's/{{Listen.Ready|json}}/"10.0.0.1:81"/; s/{{Ip}}/10.0.0.1/' \
 	-e 's/{{Provider.Address|json}}/"10.0.9.1:80"/' \
 	-e 's/{{Provider.parts}}/12/; s/{{Provider.RecordBytes}}/262144/' \
+	-e 's/{{Provider.ReadsPerS}}/2000/' \
 	-e 's/{{Provider.CallBytes}}/2097152/; s/{{Provider.RetentionS}}/300/' \
 	-e 's/{{Bounds.GraceS}}/8/; s/{{Bounds.StatusS}}/120/' \
 	deploy/gateway.json >"$dir/settings.json"
