--- a/briarplankd/entry/commands/show.c
+++ b/briarplankd/entry/commands/show.c
@@ -14,32 +14,14 @@
 	void (*after)(struct operator_call *call);
 };
 
-static void add_text(struct json_object *row, const char *name,
-		     const char *value)
-{
-	json_object_object_add(row, name, json_object_new_string(value));
-}
-
-static void add_number(struct json_object *row, const char *name,
-		       uint64_t value)
-{
-	json_object_object_add(row, name,
-			       json_object_new_int64((int64_t)value));
-}
-
-static void add_bool(struct json_object *row, const char *name, bool value)
-{
-	json_object_object_add(row, name, json_object_new_boolean(value));
-}
-
 static void add_config_row(void *ctx, const struct config_entry *entry)
 {
 	struct json_object *row = json_object_new_object();
 
-	add_text(row, "key", entry->key);
+	row_add_text(row, "key", entry->key);
 	json_object_object_add(row, "value", json_tokener_parse(entry->value));
-	add_number(row, "revision", entry->revision);
-	add_text(row, "command_id", entry->command_id);
+	row_add_number(row, "revision", entry->revision);
+	row_add_text(row, "command_id", entry->command_id);
 	json_object_array_add(ctx, row);
 }
 
@@ -64,14 +46,14 @@
 	struct node *node = call->task->super.node;
 	struct json_object *row = json_object_new_object();
 
-	add_text(row, "node", node->settings->name);
-	add_text(row, "role", "entry");
-	add_text(row, "state", node->stopping ? "leaving" : "up");
-	add_text(row, "data_centre", node->settings->data_centre);
-	add_text(row, "region", node->settings->region);
-	add_text(row, "address", bus_address(node->bus));
-	add_number(row, "config_revision", config_revision(node));
-	add_number(row, "round_trip_us", 0);
+	row_add_text(row, "node", node->settings->name);
+	row_add_text(row, "role", "entry");
+	row_add_text(row, "state", node->stopping ? "leaving" : "up");
+	row_add_text(row, "data_centre", node->settings->data_centre);
+	row_add_text(row, "region", node->settings->region);
+	row_add_text(row, "address", bus_address(node->bus));
+	row_add_number(row, "config_revision", config_revision(node));
+	row_add_number(row, "round_trip_us", 0);
 	json_object_array_add(rows, row);
 }
 
@@ -85,15 +67,15 @@
 		struct member *member = list_entry(pos, struct member, link);
 		struct json_object *row = json_object_new_object();
 
-		add_text(row, "node", member->name);
-		add_text(row, "role",
-			 member->role == MEMBER_AGENT ? "agent" : "entry");
-		add_text(row, "state", state_text(member));
-		add_text(row, "data_centre", member->data_centre);
-		add_text(row, "region", member->region);
-		add_text(row, "address", member->address);
-		add_number(row, "config_revision", member->config_revision);
-		add_number(row, "round_trip_us", member->round_trip_us);
+		row_add_text(row, "node", member->name);
+		row_add_text(row, "role",
+			     member->role == MEMBER_AGENT ? "agent" : "entry");
+		row_add_text(row, "state", state_text(member));
+		row_add_text(row, "data_centre", member->data_centre);
+		row_add_text(row, "region", member->region);
+		row_add_text(row, "address", member->address);
+		row_add_number(row, "config_revision", member->config_revision);
+		row_add_number(row, "round_trip_us", member->round_trip_us);
 		json_object_array_add(rows, row);
 	}
 }
@@ -166,15 +148,16 @@
 
 	config_service(node, service, &policy);
 	count_agents(node, service, &known, &usable);
-	add_text(row, "service", service);
-	add_number(row, "servers", known);
-	add_number(row, "servers_usable", usable);
-	add_bool(row, "idempotent", policy.idempotent);
-	add_number(row, "timeout_ms", policy.timeout_ms);
-	add_number(row, "batch_weight", policy.batch_weight);
-	add_number(row, "first_byte_target_ms", policy.first_byte_target_ms);
-	add_number(row, "token_gap_target_ms", policy.token_gap_target_ms);
-	add_number(row, "item_attempts", policy.item_attempts);
+	row_add_text(row, "service", service);
+	row_add_number(row, "servers", known);
+	row_add_number(row, "servers_usable", usable);
+	row_add_bool(row, "idempotent", policy.idempotent);
+	row_add_number(row, "timeout_ms", policy.timeout_ms);
+	row_add_number(row, "batch_weight", policy.batch_weight);
+	row_add_number(row, "first_byte_target_ms",
+		       policy.first_byte_target_ms);
+	row_add_number(row, "token_gap_target_ms", policy.token_gap_target_ms);
+	row_add_number(row, "item_attempts", policy.item_attempts);
 	json_object_array_add(rows, row);
 }
 
@@ -207,10 +190,13 @@
 				NULL;
 		if (!member || !member->load.sequence)
 			continue;
-		add_number(row, "running_online", member->load.running_online);
-		add_number(row, "running_batch", member->load.running_batch);
-		add_number(row, "queued_online", member->load.queued_online);
-		add_bool(row, "ready", member->load.ready);
+		row_add_number(row, "running_online",
+			       member->load.running_online);
+		row_add_number(row, "running_batch",
+			       member->load.running_batch);
+		row_add_number(row, "queued_online",
+			       member->load.queued_online);
+		row_add_bool(row, "ready", member->load.ready);
 	}
 }
 
@@ -226,11 +212,12 @@
 		struct member *member = members_find(node_members(node), name);
 		struct json_object *row = json_object_new_object();
 
-		add_text(row, "server", name);
-		add_text(row, "service", member ? member->service : "");
-		add_text(row, "data_centre", member ? member->data_centre : "");
-		add_text(row, "state", "silent");
-		add_bool(row, "drained", config_server_drained(node, name));
+		row_add_text(row, "server", name);
+		row_add_text(row, "service", member ? member->service : "");
+		row_add_text(row, "data_centre",
+			     member ? member->data_centre : "");
+		row_add_text(row, "state", "silent");
+		row_add_bool(row, "drained", config_server_drained(node, name));
 		if (rows_match(call->command, row))
 			json_object_array_add(call->result.rows, row);
 		else
--- a/briarplankd/entry/operator_rows.c
+++ b/briarplankd/entry/operator_rows.c
@@ -12,42 +12,18 @@
 
 #define US_PER_MS 1000
 
-static void add_text(struct json_object *row, const char *name,
-		     const char *value)
-{
-	json_object_object_add(row, name,
-			       json_object_new_string(value ? value : ""));
-}
-
-static void add_number(struct json_object *row, const char *name,
-		       uint64_t value)
-{
-	json_object_object_add(row, name, json_object_new_uint64(value));
-}
-
-static void add_time(struct json_object *row, const char *name, uint64_t ms)
-{
-	GDateTime *time = g_date_time_new_from_unix_utc((gint64)(ms / 1000));
-	char *text = ms && time ? g_date_time_format_iso8601(time) : NULL;
-
-	add_text(row, name, text);
-	g_free(text);
-	if (time)
-		g_date_time_unref(time);
-}
-
 static void add_request(void *ctx, const struct online_request *request)
 {
 	struct json_object *row = json_object_new_object();
 
-	add_text(row, "id", request->id);
-	add_text(row, "caller", request->caller);
-	add_text(row, "service", request->service);
-	add_text(row, "state", outcome_state_text(request->outcome.state));
-	add_text(row, "server", request->agent);
-	add_number(row, "attempt", request->outcome.attempt);
-	add_number(row, "age_ms",
-		   (node_now_us() - request->arrived_us) / US_PER_MS);
+	row_add_text(row, "id", request->id);
+	row_add_text(row, "caller", request->caller);
+	row_add_text(row, "service", request->service);
+	row_add_text(row, "state", outcome_state_text(request->outcome.state));
+	row_add_text(row, "server", request->agent);
+	row_add_number(row, "attempt", request->outcome.attempt);
+	row_add_number(row, "age_ms",
+		       (node_now_us() - request->arrived_us) / US_PER_MS);
 	json_object_array_add(ctx, row);
 }
 
@@ -60,13 +36,14 @@
 {
 	struct json_object *row = json_object_new_object();
 
-	add_time(row, "time", refusal->wall_ms);
-	add_text(row, "id", refusal->id);
-	add_text(row, "caller", refusal->caller);
-	add_text(row, "service", refusal->service);
-	add_number(row, "http_status", refusal->status);
-	add_text(row, "outcome", outcome_statement_text(refusal->statement));
-	add_text(row, "reason", refusal->reason);
+	row_add_time(row, "time", refusal->wall_ms);
+	row_add_text(row, "id", refusal->id);
+	row_add_text(row, "caller", refusal->caller);
+	row_add_text(row, "service", refusal->service);
+	row_add_number(row, "http_status", refusal->status);
+	row_add_text(row, "outcome",
+		     outcome_statement_text(refusal->statement));
+	row_add_text(row, "reason", refusal->reason);
 	json_object_array_add(ctx, row);
 }
 
@@ -88,22 +65,22 @@
 	char id[2 * HASH128_BYTES + 1];
 
 	hash_to_hex(state->job_id.data, HASH128_BYTES, id);
-	add_text(row, "id", id);
-	add_text(row, "name", state->name);
-	add_text(row, "caller", state->caller);
-	add_text(row, "service", state->service);
-	add_text(row, "state", job_state(state));
-	add_number(row, "items", state->items);
-	add_number(row, "waiting", state->waiting);
-	add_number(row, "running", state->running);
-	add_number(row, "done", state->done);
-	add_number(row, "failed", state->failed);
-	add_number(row, "cancelled", state->cancelled);
-	add_number(row, "outcome_unknown", state->outcome_unknown);
-	add_time(row, "due", state->due_ms);
-	add_time(row, "expected_end", state->expected_end_ms);
-	add_number(row, "shard", state->shard);
-	add_number(row, "as_of_offset", state->as_of_offset);
+	row_add_text(row, "id", id);
+	row_add_text(row, "name", state->name);
+	row_add_text(row, "caller", state->caller);
+	row_add_text(row, "service", state->service);
+	row_add_text(row, "state", job_state(state));
+	row_add_number(row, "items", state->items);
+	row_add_number(row, "waiting", state->waiting);
+	row_add_number(row, "running", state->running);
+	row_add_number(row, "done", state->done);
+	row_add_number(row, "failed", state->failed);
+	row_add_number(row, "cancelled", state->cancelled);
+	row_add_number(row, "outcome_unknown", state->outcome_unknown);
+	row_add_time(row, "due", state->due_ms);
+	row_add_time(row, "expected_end", state->expected_end_ms);
+	row_add_number(row, "shard", state->shard);
+	row_add_number(row, "as_of_offset", state->as_of_offset);
 	return row;
 }
 
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -16,35 +16,6 @@
 /* Rows of one answer; the message says when some were left out. */
 #define ROWS_MAX 5000
 
-static void add_text(struct json_object *row, const char *name,
-		     const char *value)
-{
-	json_object_object_add(row, name,
-			       json_object_new_string(value ? value : ""));
-}
-
-static void add_number(struct json_object *row, const char *name,
-		       uint64_t value)
-{
-	json_object_object_add(row, name, json_object_new_uint64(value));
-}
-
-static void add_bool(struct json_object *row, const char *name, bool value)
-{
-	json_object_object_add(row, name, json_object_new_boolean(value));
-}
-
-static void add_time(struct json_object *row, const char *name, uint64_t ms)
-{
-	GDateTime *time = g_date_time_new_from_unix_utc((gint64)(ms / 1000));
-	char *text = time ? g_date_time_format_iso8601(time) : NULL;
-
-	add_text(row, name, text);
-	g_free(text);
-	if (time)
-		g_date_time_unref(time);
-}
-
 static void config_rows(struct gateway *gateway, struct json_object *rows)
 {
 	static const char *const kinds[] = {
@@ -70,9 +41,9 @@
 			g_string_append_printf(value, " %s=%u",
 					       route->targets[at].service,
 					       route->targets[at].weight);
-		add_text(row, "key", key);
-		add_text(row, "value", value->str);
-		add_number(row, "revision", gateway->config->version);
+		row_add_text(row, "key", key);
+		row_add_text(row, "value", value->str);
+		row_add_number(row, "revision", gateway->config->version);
 		json_object_array_add(rows, row);
 		g_string_free(value, TRUE);
 		g_free(key);
@@ -110,19 +81,19 @@
 		struct job_counts counts = count_items(job);
 		struct json_object *row = json_object_new_object();
 
-		add_text(row, "id", job->id);
-		add_text(row, "route", job->route);
-		add_text(row, "state",
-			 job->ended ? "ended" :
-				      (job->open_nr ? "open" : "done"));
-		add_number(row, "items", job->items_nr);
-		add_number(row, "waiting",
-			   job->ended ? 0 : job->open_nr - counts.running);
-		add_number(row, "running", counts.running);
-		add_number(row, "done", counts.done);
-		add_number(row, "failed", counts.dead);
-		add_time(row, "due", job->due_ms);
-		add_text(row, "node", job->node);
+		row_add_text(row, "id", job->id);
+		row_add_text(row, "route", job->route);
+		row_add_text(row, "state",
+			     job->ended ? "ended" :
+					  (job->open_nr ? "open" : "done"));
+		row_add_number(row, "items", job->items_nr);
+		row_add_number(row, "waiting",
+			       job->ended ? 0 : job->open_nr - counts.running);
+		row_add_number(row, "running", counts.running);
+		row_add_number(row, "done", counts.done);
+		row_add_number(row, "failed", counts.dead);
+		row_add_time(row, "due", job->due_ms);
+		row_add_text(row, "node", job->node);
 		json_object_array_add(rows, row);
 	}
 }
@@ -131,16 +102,16 @@
 {
 	struct json_object *row = json_object_new_object();
 
-	add_text(row, "node", gateway->identity);
-	add_text(row, "role", "gateway");
-	add_text(row, "state", gateway->stopping ? "leaving" : "up");
-	add_text(row, "data_centre", gateway->settings->data_centre);
-	add_text(row, "region", gateway->settings->region);
-	add_text(row, "address", peers_address(gateway->peers));
-	add_number(row, "config_revision",
-		   gateway->config ? gateway->config->version : 0);
-	add_bool(row, "reaches_store",
-		 store_route_direct(gateway->store_route));
+	row_add_text(row, "node", gateway->identity);
+	row_add_text(row, "role", "gateway");
+	row_add_text(row, "state", gateway->stopping ? "leaving" : "up");
+	row_add_text(row, "data_centre", gateway->settings->data_centre);
+	row_add_text(row, "region", gateway->settings->region);
+	row_add_text(row, "address", peers_address(gateway->peers));
+	row_add_number(row, "config_revision",
+		       gateway->config ? gateway->config->version : 0);
+	row_add_bool(row, "reaches_store",
+		     store_route_direct(gateway->store_route));
 	json_object_array_add(rows, row);
 }
 
@@ -156,15 +127,16 @@
 		struct json_object *row = json_object_new_object();
 		char *address = address_text(&addr);
 
-		add_text(row, "node", peer->identity);
-		add_text(row, "role", "gateway");
-		add_text(row, "state",
-			 !peer->alive ? "down" :
-					(peer->leaving ? "leaving" : "up"));
-		add_text(row, "region", peer->same_region ? "own" : "other");
-		add_text(row, "address", address);
-		add_number(row, "age_ms", now - peer->heard_ms);
-		add_bool(row, "reaches_store", peer->reaches_store);
+		row_add_text(row, "node", peer->identity);
+		row_add_text(row, "role", "gateway");
+		row_add_text(row, "state",
+			     !peer->alive ? "down" :
+					    (peer->leaving ? "leaving" : "up"));
+		row_add_text(row, "region",
+			     peer->same_region ? "own" : "other");
+		row_add_text(row, "address", address);
+		row_add_number(row, "age_ms", now - peer->heard_ms);
+		row_add_bool(row, "reaches_store", peer->reaches_store);
 		json_object_array_add(rows, row);
 		g_free(address);
 	}
@@ -174,11 +146,11 @@
 {
 	struct json_object *row = json_object_new_object();
 
-	add_time(row, "time", refusal->wall_ms);
-	add_text(row, "id", refusal->id);
-	add_text(row, "service", refusal->service);
-	add_number(row, "http_status", (uint64_t)refusal->status);
-	add_text(row, "reason", refusal->reason);
+	row_add_time(row, "time", refusal->wall_ms);
+	row_add_text(row, "id", refusal->id);
+	row_add_text(row, "service", refusal->service);
+	row_add_number(row, "http_status", (uint64_t)refusal->status);
+	row_add_text(row, "reason", refusal->reason);
 	json_object_array_add(ctx, row);
 }
 
@@ -191,12 +163,12 @@
 {
 	struct json_object *row = json_object_new_object();
 
-	add_text(row, "id", view->id);
-	add_text(row, "route", view->route);
-	add_text(row, "service", view->service);
-	add_text(row, "state", view->streaming ? "streaming" : "sent");
-	add_text(row, "server", view->server);
-	add_number(row, "age_ms", view->age_ms);
+	row_add_text(row, "id", view->id);
+	row_add_text(row, "route", view->route);
+	row_add_text(row, "service", view->service);
+	row_add_text(row, "state", view->streaming ? "streaming" : "sent");
+	row_add_text(row, "server", view->server);
+	row_add_number(row, "age_ms", view->age_ms);
 	json_object_array_add(ctx, row);
 }
 
@@ -215,23 +187,23 @@
 			list_entry(pos, struct server, link);
 		struct json_object *row = json_object_new_object();
 
-		add_text(row, "server", server->id);
-		add_text(row, "service", server->service);
-		add_text(row, "state",
-			 !server->listed ?
-				 "unlisted" :
-				 (server->avoid_until_ms > now ? "avoided" :
-								 "up"));
-		add_bool(row, "drained", server->draining);
-		add_number(row, "slots", server->slots);
-		add_number(row, "running_online",
-			   server->own[WORK_ONLINE] +
-				   server->others[WORK_ONLINE]);
-		add_number(row, "running_batch",
-			   server->own[WORK_BATCH] +
-				   server->others[WORK_BATCH]);
-		add_text(row, "data_centre", server->data_centre);
-		add_text(row, "address", server->address);
+		row_add_text(row, "server", server->id);
+		row_add_text(row, "service", server->service);
+		row_add_text(row, "state",
+			     !server->listed ?
+				     "unlisted" :
+				     (server->avoid_until_ms > now ? "avoided" :
+								     "up"));
+		row_add_bool(row, "drained", server->draining);
+		row_add_number(row, "slots", server->slots);
+		row_add_number(row, "running_online",
+			       server->own[WORK_ONLINE] +
+				       server->others[WORK_ONLINE]);
+		row_add_number(row, "running_batch",
+			       server->own[WORK_BATCH] +
+				       server->others[WORK_BATCH]);
+		row_add_text(row, "data_centre", server->data_centre);
+		row_add_text(row, "address", server->address);
 		json_object_array_add(rows, row);
 	}
 }
@@ -252,11 +224,11 @@
 			known += !strcmp(
 				list_entry(pos, struct server, link)->service,
 				service->name);
-		add_text(row, "service", service->name);
-		add_number(row, "servers", known);
-		add_number(row, "servers_usable",
-			   fleet_usable(gateway->fleet, service->name,
-					uv_now(gateway->loop)));
+		row_add_text(row, "service", service->name);
+		row_add_number(row, "servers", known);
+		row_add_number(row, "servers_usable",
+			       fleet_usable(gateway->fleet, service->name,
+					    uv_now(gateway->loop)));
 		json_object_array_add(rows, row);
 	}
 }
@@ -278,8 +250,8 @@
 	struct json_object *root = json_object_new_object();
 	const char *text;
 
-	add_text(root, "status", status);
-	add_text(root, "message", message);
+	row_add_text(root, "status", status);
+	row_add_text(root, "message", message);
 	json_object_object_add(root, "rows", rows);
 	text = json_object_to_json_string_ext(
 		root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
--- a/briarplankd/rows_task.c
+++ b/briarplankd/rows_task.c
@@ -22,6 +22,33 @@
 	struct task super;
 };
 
+void row_add_text(struct json_object *row, const char *name, const char *value)
+{
+	json_object_object_add(row, name,
+			       json_object_new_string(value ? value : ""));
+}
+
+void row_add_number(struct json_object *row, const char *name, uint64_t value)
+{
+	json_object_object_add(row, name, json_object_new_uint64(value));
+}
+
+void row_add_bool(struct json_object *row, const char *name, bool value)
+{
+	json_object_object_add(row, name, json_object_new_boolean(value));
+}
+
+void row_add_time(struct json_object *row, const char *name, uint64_t ms)
+{
+	GDateTime *time = g_date_time_new_from_unix_utc((gint64)(ms / 1000));
+	char *text = ms && time ? g_date_time_format_iso8601(time) : NULL;
+
+	row_add_text(row, name, text);
+	g_free(text);
+	if (time)
+		g_date_time_unref(time);
+}
+
 void rows_register(struct node *node, const char *kind, rows_fn fn, void *ctx)
 {
 	struct source *source = g_new0(struct source, 1);
--- a/include/briarplankd/rows.h
+++ b/include/briarplankd/rows.h
@@ -12,6 +12,13 @@
 #include "briarplankd/node.h"
 #include "core/command.h"
 
+/** Add a field to a row; a NULL text is an empty one, and so is time 0. */
+void row_add_text(struct json_object *row, const char *name, const char *value);
+void row_add_number(struct json_object *row, const char *name, uint64_t value);
+void row_add_bool(struct json_object *row, const char *name, bool value);
+/** Unix time in ms, as ISO 8601. */
+void row_add_time(struct json_object *row, const char *name, uint64_t ms);
+
 /** Appends the rows that a task knows. */
 typedef void (*rows_fn)(void *ctx, struct json_object *rows);
 
