Close idle connections of callers before a stopping entry ends

Cause: after SIGTERM an entry closes each caller's connection after its next answer, but connections that were idle at SIGTERM stayed open and took one more request each until the process ended at 7.5 s of its 8 s of grace. Ruled out: the listener (closed at 3.2 s as planned), a restart of the killed process (the same process took the requests), the store's rebalance. Change: 3.5 s after SIGTERM, connections on which nothing is in progress and nothing has begun to arrive are closed. A request that crosses the close was not read, so its caller may repeat it.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -28,6 +28,10 @@
  * platform checks readiness once a second, and stops sending to a node after
  * two failed checks. */
 #define DRAIN_ACCEPT_MS 3200
+/* Time after SIGTERM at which idle connections of callers are closed, in ms, as
+ * a request on them might not end within the grace period. Connections accepted
+ * last have sent their request by then. */
+#define DRAIN_IDLE_MS 3500
 /* Time before the end of the grace period at which the process exits, in ms. */
 #define GRACE_SLACK_MS 500
 /* Interval at which a stopping process checks whether all requests ended, in
@@ -188,6 +192,8 @@
 			  web_running_requests(gateway->front));
 		web_stop_listening(gateway->front);
 	}
+	if (elapsed >= DRAIN_IDLE_MS)
+		web_close_idle(gateway->front);
 	if ((elapsed >= DRAIN_ACCEPT_MS &&
 	     !web_running_requests(gateway->front)) ||
 	    elapsed + GRACE_SLACK_MS >= grace_ms)
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -326,6 +326,38 @@
 	web_drain(web);
 }
 
+/* Tells whether bytes of a request have arrived, read or not. */
+static bool has_input(const struct connection *conn)
+{
+	struct pollfd fd = { .events = POLLIN };
+	uv_os_fd_t handle;
+
+	if (conn->sock->input->size)
+		return true;
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &handle))
+		return false;
+	fd.fd = handle;
+	return poll(&fd, 1, 0) > 0;
+}
+
+void web_close_idle(struct web *web)
+{
+	struct list *pos;
+	uv_os_fd_t fd;
+
+	list_for_each (pos, &web->connections) {
+		struct connection *conn =
+			list_entry(pos, struct connection, link);
+
+		if (uv_is_closing((const uv_handle_t *)&conn->tcp) ||
+		    has_input(conn) ||
+		    uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
+			continue;
+		/* h2o frees the connection when it reads the end. */
+		shutdown(fd, SHUT_RDWR);
+	}
+}
+
 void web_set_idle_timeout(struct web *web, uint32_t ms)
 {
 	web->context.http1.req_timeout.timeout = ms;
--- a/tests/test_web.c
+++ b/tests/test_web.c
@@ -413,14 +413,42 @@
 			       web_running_requests(state->web));
 }
 
+/* state CLIENT: prints whether the connection has ended, without waiting */
+static void cmd_state(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	(void)argc;
+	g_string_append(state->out,
+			raw_client_ended(client_find(state, argv[1])) ?
+				"ended\n" :
+				"open\n");
+}
+
+/* close-idle: closes the connections without a request */
+static void cmd_close_idle(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	(void)argc;
+	(void)argv;
+	web_close_idle(state->web);
+}
+
 static const struct script_command commands[] = {
-	{ "answer", cmd_answer },   { "close", cmd_close },
-	{ "ended", cmd_ended },	    { "events", cmd_events },
-	{ "fill", cmd_fill },	    { "half-close", cmd_half_close },
-	{ "post", cmd_post },	    { "queued", cmd_queued },
-	{ "read", cmd_read },	    { "receive", cmd_receive },
-	{ "running", cmd_running }, { "send", cmd_send },
+	{ "answer", cmd_answer },
+	{ "close", cmd_close },
+	{ "close-idle", cmd_close_idle },
+	{ "ended", cmd_ended },
+	{ "events", cmd_events },
+	{ "fill", cmd_fill },
+	{ "half-close", cmd_half_close },
+	{ "post", cmd_post },
+	{ "queued", cmd_queued },
+	{ "read", cmd_read },
+	{ "receive", cmd_receive },
+	{ "running", cmd_running },
+	{ "send", cmd_send },
 	{ "sleep", cmd_sleep },
+	{ "state", cmd_state },
 };
 
 static void command(void *data, int argc, char **argv, GString *out)
