--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -92,6 +92,7 @@
 	run->batch = batch;
 	run->job = job;
 	run->item = item;
+	run->failures = item->failures;
 	run->output = g_string_new(NULL);
 	run->last_event = -1;
 	run->saved_event = item->saved_event;
@@ -188,9 +189,11 @@
 	struct batch *batch = run->batch;
 	size_t index = (size_t)(run->item - run->job->items);
 
+	/* The job log may not hold this run's earlier failures yet. */
+	run->failures = MAX(run->failures, run->item->failures) + 1;
 	log_event("item", LOG_LEVEL_WARN,
 		  "job=%s item=%s status=%d failures=%u of %u", run->job->id,
-		  run->item->id, run->status, run->item->failures + 1,
+		  run->item->id, run->status, run->failures,
 		  run->job->attempts_max);
 	job_store_append(
 		batch->gateway->job_store,
@@ -199,7 +202,7 @@
 	run->last_event = -1;
 	run->saved_event = -1;
 	g_string_truncate(run->output, 0);
-	if (run->item->failures + 1 >= run->job->attempts_max)
+	if (run->failures >= run->job->attempts_max)
 		set_state(run, RUN_ENDING);
 	else
 		requeue(run, FAILURE_BACKOFF_MS);
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -32,6 +32,8 @@
 	struct batch *batch;
 	struct job *job;
 	struct job_item *item;
+	/* Number of failed attempts, as far as this node knows. */
+	unsigned failures;
 	enum run_state state;
 	/* The item can't meet its due time; items that can are started
 	 * first. */
--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -2,17 +2,27 @@
  * Reads the configuration and the list of servers from the platform's store:
  * first a snapshot of the newest values, then the records after it.
  */
+#include <arpa/inet.h>
 #include <string.h>
 
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/log.h"
 #include "directory_private.h"
+#include "net/address.h"
 #include "peers.h"
 #include "platform/codec.h"
 
-/* Interval at which changes are fetched from another entry, in ms. */
+/* Interval at which changes are fetched from another entry, in ms, and the same
+ * while this node has not loaded the directory yet. */
 #define FETCH_INTERVAL_MS 500
+#define FETCH_COLD_INTERVAL_MS 100
+/* Interval at which a starting node checks which other entries there are, in
+ * ms. */
+#define SETTLE_CHECK_MS 20
+/* Time after the start for which a node waits for a reader to load the
+ * directory, in ms. */
+#define COLD_WAIT_MS 3000
 /* Backoff after a failed read, in ms. It grows linearly with consecutive
  * failures up to RETRY_GROWTH_MAX times that, with random jitter of 25% either
  * way, so that hundreds of nodes that start together don't retry at once. */
@@ -183,6 +193,23 @@
 		       0;
 }
 
+/* Tells whether a reader provides the directory, so that the store isn't
+ * read. */
+static bool fetches_pages(const struct directory *directory)
+{
+	uint64_t uptime_ms =
+		uv_now(directory->gateway->loop) - directory->started_ms;
+
+	return directory_share_has_reader(directory->share) &&
+	       (directory_loaded(directory) || uptime_ms <= COLD_WAIT_MS);
+}
+
+static uint64_t fetch_interval(const struct directory *directory)
+{
+	return directory_loaded(directory) ? FETCH_INTERVAL_MS :
+					     FETCH_COLD_INTERVAL_MS;
+}
+
 static void topic_read(struct topic *topic)
 {
 	struct directory *directory = topic->directory;
@@ -197,8 +224,12 @@
 		.ctx = topic,
 	};
 
-	if (topic->following && directory_share_has_reader(directory->share)) {
-		topic_schedule(topic, FETCH_INTERVAL_MS);
+	if (fetches_pages(directory)) {
+		topic_schedule(topic, fetch_interval(directory));
+		return;
+	}
+	if (!topic->following && !peers_settled(directory->gateway->peers)) {
+		topic_schedule(topic, SETTLE_CHECK_MS);
 		return;
 	}
 	if (topic->following) {
@@ -339,12 +370,18 @@
 static void on_fetch_timer(uv_timer_t *timer)
 {
 	struct directory *directory = timer->data;
+	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
 
-	if (directory_loaded(directory))
-		directory_share_fetch(
-			directory->share,
-			directory->topics[TOPIC_SERVERS].next_offset,
-			directory->config_offset);
+	if (!directory_loaded(directory) &&
+	    !peers_settled(directory->gateway->peers)) {
+		uv_timer_start(timer, on_fetch_timer, SETTLE_CHECK_MS, 0);
+		return;
+	}
+	/* Without a complete list of servers, the whole list is fetched. */
+	directory_share_fetch(
+		directory->share, servers->following ? servers->next_offset : 0,
+		directory->config ? directory->config_offset + 1 : 0);
+	uv_timer_start(timer, on_fetch_timer, fetch_interval(directory), 0);
 }
 
 static void on_sweep(uv_timer_t *timer)
@@ -382,10 +419,7 @@
 
 	directory->gateway = gateway;
 	directory->share = directory_share_create(gateway, &hooks);
-	if (!directory->share) {
-		g_free(directory);
-		return NULL;
-	}
+	directory->started_ms = uv_now(gateway->loop);
 	directory->changes = change_list_create();
 	directory->unlist_pending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -393,6 +427,9 @@
 	config->apply = directory_apply_config;
 	servers->name = store_topic_servers;
 	servers->apply = directory_apply_server;
+	uv_timer_init(gateway->loop, &directory->fetch_timer);
+	directory->fetch_timer.data = directory;
+	uv_timer_start(&directory->fetch_timer, on_fetch_timer, 0, 0);
 	for (i = 0; i < TOPICS; i++) {
 		struct topic *topic = &directory->topics[i];
 
@@ -401,10 +438,6 @@
 		topic->timer.data = topic;
 		topic_schedule(topic, 0);
 	}
-	uv_timer_init(gateway->loop, &directory->fetch_timer);
-	directory->fetch_timer.data = directory;
-	uv_timer_start(&directory->fetch_timer, on_fetch_timer,
-		       FETCH_INTERVAL_MS, FETCH_INTERVAL_MS);
 	uv_timer_init(gateway->loop, &directory->sweep_timer);
 	directory->sweep_timer.data = directory;
 	uv_timer_start(&directory->sweep_timer, on_sweep, SWEEP_INTERVAL_MS,
@@ -451,9 +484,13 @@
 	g_hash_table_destroy(directory->unlist_pending);
 }
 
-unsigned directory_port(const struct directory *directory)
+unsigned directory_port(const struct gateway *gateway)
 {
-	return directory_share_port(directory->share);
+	struct sockaddr_in addr;
+
+	return address_parse(web_address(gateway->node_web), &addr) ?
+		       ntohs(addr.sin_port) :
+		       0;
 }
 
 bool directory_loaded(const struct directory *directory)
--- a/briarplankd/gateway/directory.h
+++ b/briarplankd/gateway/directory.h
@@ -7,17 +7,13 @@
 
 #include "gateway.h"
 
-/**
- * Creates a directory; returns NULL with error_last() set if it can't listen
- * for other entries.
- */
 struct directory *directory_create(struct gateway *gateway);
 void directory_destroy(struct directory *directory);
 
 /** Tells whether a configuration and a complete list of servers are known. */
 bool directory_loaded(const struct directory *directory);
 
-/** Returns the port on which other entries fetch the directory. */
-unsigned directory_port(const struct directory *directory);
+/** Returns the port on which other entries fetch what this one has read. */
+unsigned directory_port(const struct gateway *gateway);
 
 #endif
--- a/briarplankd/gateway/directory_pages.c
+++ b/briarplankd/gateway/directory_pages.c
@@ -44,7 +44,7 @@
 }
 
 void directory_fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
-			 uint64_t config_offset)
+			 uint64_t config_from)
 {
 	struct directory *directory = ctx;
 	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
@@ -69,7 +69,7 @@
 		page->n_live = builder.live->len;
 	page->live = (uint64_t *)g_array_free(builder.live, FALSE);
 	page->config_offset = directory->config_offset;
-	if (directory->config && (directory->config_offset > config_offset)) {
+	if (directory->config && directory->config_offset >= config_from) {
 		data = g_bytes_get_data(directory->config, &len);
 		page->config.data = g_memdup2(data, len);
 		page->config.len = len;
@@ -123,6 +123,7 @@
 	servers->next_offset = MAX(servers->next_offset, page->servers_offset);
 	if (page->whole)
 		unlist_missing(directory, page);
+	servers->following |= page->whole;
 }
 
 bool directory_apply_page(void *ctx, const DirectoryPage *page)
@@ -137,12 +138,16 @@
 		.offset = page->config_offset,
 	};
 
+	/* A starting node waits for a reader that is starting, too. */
+	if (page->age_ms == UINT32_MAX && !directory_loaded(directory))
+		return true;
 	if (page->age_ms > PAGE_AGE_MAX_MS)
 		return false;
 	servers->as_of_ms = uv_now(directory->gateway->loop) - page->age_ms;
 	if (record.len)
 		directory_apply_config(directory, &record);
 	config->next_offset = MAX(config->next_offset, page->config_offset + 1);
+	config->following = true;
 	/* The page may be older than the records that this node has read from
 	 * the store itself. */
 	if (page->servers_offset >= servers->next_offset)
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -34,6 +34,8 @@
 
 struct directory {
 	struct gateway *gateway;
+	/* Loop time at which this node started. */
+	uint64_t started_ms;
 	struct topic topics[TOPICS];
 	/* Set of server ids in the snapshot that is being read; NULL if none is
 	 * read. */
@@ -72,7 +74,7 @@
 
 /** Fills a page for another entry; see struct directory_share_hooks. */
 void directory_fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
-			 uint64_t config_offset);
+			 uint64_t config_from);
 
 /**
  * Applies a page of another entry; returns false if the page is too old to be
--- a/briarplankd/gateway/directory_share.h
+++ b/briarplankd/gateway/directory_share.h
@@ -16,11 +16,11 @@
 struct directory_share_hooks {
 	/**
 	 * Fills a page with all servers that changed since servers_from, and
-	 * the configuration if it is newer than the one at config_offset. The
+	 * the configuration if it was written at config_from or later. The
 	 * share frees the page's members.
 	 */
 	void (*fill_page)(void *ctx, DirectoryPage *page, uint64_t servers_from,
-			  uint64_t config_offset);
+			  uint64_t config_from);
 	/**
 	 * Applies a page from the reader; returns false if the page is too old
 	 * to be used.
@@ -29,17 +29,11 @@
 	void *ctx;
 };
 
-/**
- * Creates a share that listens for the fetches of other entries; returns NULL
- * with error_last() set on failure.
- */
+/** Creates a share that serves pages at gateway->node_web. */
 struct directory_share *directory_share_create(
 	struct gateway *gateway, const struct directory_share_hooks *hooks);
 void directory_share_destroy(struct directory_share *share);
 
-/** Returns the port on which other entries fetch pages. */
-unsigned directory_share_port(const struct directory_share *share);
-
 /** Tells whether pages are fetched from a reader instead of the store. */
 bool directory_share_has_reader(const struct directory_share *share);
 
@@ -48,6 +42,6 @@
  * these offsets. Does nothing while an earlier fetch is in progress.
  */
 void directory_share_fetch(struct directory_share *share, uint64_t servers_from,
-			   uint64_t config_offset);
+			   uint64_t config_from);
 
 #endif
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -42,6 +42,11 @@
 /* Idle timeout of callers' connections if no configuration sets one, in ms. */
 #define IDLE_TIMEOUT_MS 15000
 
+/* Maximum size of another entry's request, in bytes, and the time in which it
+ * must be received, in ms. */
+#define NODE_REQUEST_BYTES 4096
+#define NODE_REQUEST_TIMEOUT_MS 5000
+
 /* Maximum number of free ports to try, as a port that is free for TCP may be in
  * use for UDP. */
 #define FREE_PORT_TRIES 8
@@ -306,6 +311,25 @@
 	return gateway->peers != NULL;
 }
 
+/* Opens the HTTP server for other entries, at the port after the first one. */
+static bool open_node_web(struct gateway *gateway)
+{
+	int64_t port = gateway->settings->node_port;
+	char *address = g_strdup_printf("%s:%" PRId64, gateway->settings->ip,
+					port ? port + 1 : 0);
+	struct web_options options = {
+		.loop = gateway->loop,
+		.address = address,
+		.max_body_bytes = NODE_REQUEST_BYTES,
+		.request_timeout_ms = NODE_REQUEST_TIMEOUT_MS,
+		.metrics = gateway->metrics,
+	};
+
+	gateway->node_web = web_create(&options);
+	g_free(address);
+	return gateway->node_web != NULL;
+}
+
 static bool gateway_open(struct gateway *gateway)
 {
 	const struct gateway_settings *settings = gateway->settings;
@@ -320,7 +344,7 @@
 		},
 	};
 
-	if (!open_node_port(gateway))
+	if (!open_node_port(gateway) || !open_node_web(gateway))
 		return false;
 	gateway->front = open_web(gateway, settings->front_address, on_front);
 	gateway->ready =
@@ -337,8 +361,6 @@
 		  gateway);
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
-	if (!gateway->directory)
-		return false;
 	peers_announce(gateway->peers);
 	return true;
 }
@@ -369,6 +391,8 @@
 		web_destroy(gateway->ready);
 	if (gateway->metrics_web)
 		web_destroy(gateway->metrics_web);
+	if (gateway->node_web)
+		web_destroy(gateway->node_web);
 	batch_destroy(gateway->batch);
 	job_calls_destroy(gateway->job_calls);
 	store_destroy(gateway->store);
@@ -420,10 +444,9 @@
 		  gateway->identity, web_address(gateway->front),
 		  web_address(gateway->ready),
 		  web_address(gateway->metrics_web),
-		  peers_address(gateway->peers),
-		  directory_port(gateway->directory), settings->store_address,
-		  settings->data_centre, settings->region,
-		  settings->store_retention_ms);
+		  peers_address(gateway->peers), directory_port(gateway),
+		  settings->store_address, settings->data_centre,
+		  settings->region, settings->store_retention_ms);
 	/* Jobs must stay in the store's log while their results are kept. */
 	if (settings->results_kept_ms > settings->store_retention_ms)
 		log_event("start", LOG_LEVEL_WARN,
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -58,6 +58,8 @@
 	struct web *front;
 	/** HTTP server of the readiness check. */
 	struct web *ready;
+	/** HTTP server for the other entries. */
+	struct web *node_web;
 	/** HTTP server of metrics and operators' commands. */
 	struct web *metrics_web;
 	bool stopping;
--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -8,6 +8,25 @@
 
 /* Bytes of outputs in one page; escaped as JSON they may take a megabyte. */
 #define PAGE_BYTES 400000
+/* Maximum number of outputs of one page that are read from the store at once,
+ * as each takes a round trip, perhaps to another region. */
+#define OUTPUT_READS_MAX 24
+/* Time after which a page is answered with the outputs that were read so far,
+ * and time after which it is refused if there is none, in ms. */
+#define PAGE_TIME_MS 500
+#define PAGE_TIME_MAX_MS 1200
+
+/* An output of a page of results. */
+struct page_output {
+	struct job_read *read;
+	/* Location of the output, and its read from the store; the latter is
+	 * NULL once the output is there or its read has failed. */
+	struct job_blob location;
+	struct job_bulk_read *blob;
+	/* The output, or NULL for a dead-lettered item. */
+	GBytes *data;
+	bool ready;
+};
 
 struct job_read {
 	struct list link;
@@ -25,21 +44,32 @@
 	bool waiting;
 	uint64_t deadline_ms;
 	uv_timer_t timer;
-	/* Read of an output or a body from the store, or NULL, and the location
-	 * of the data. */
-	struct job_bulk_read *blob;
-	struct job_blob location;
-	/* Outputs of the page of results, in order; NULL for a dead-lettered
-	 * item. */
+	/* Read of a body from the store, or NULL. */
+	struct job_bulk_read *body;
+	/* Outputs of the page of results, in order (struct page_output), and
+	 * how many of them are being read from the store. */
 	GPtrArray *outputs;
+	unsigned output_reads;
 	size_t bytes;
+	/* Loop time at which the page was begun; 0 before. */
+	uint64_t page_began_ms;
 };
 
+static void page_output_free(gpointer data)
+{
+	struct page_output *output = data;
+
+	if (output->blob)
+		job_bulk_read_cancel(output->blob);
+	if (output->data)
+		g_bytes_unref(output->data);
+	g_free(output);
+}
+
 static void on_read_closed(uv_handle_t *handle)
 {
 	struct job_read *read = handle->data;
 
-	g_ptr_array_free(read->outputs, TRUE);
 	g_free(read->job);
 	g_free(read->item);
 	g_free(read);
@@ -48,8 +78,9 @@
 static void read_free(struct job_read *read)
 {
 	list_remove(&read->link);
-	if (read->blob)
-		job_bulk_read_cancel(read->blob);
+	if (read->body)
+		job_bulk_read_cancel(read->body);
+	g_ptr_array_free(read->outputs, TRUE);
 	uv_timer_stop(&read->timer);
 	uv_close((uv_handle_t *)&read->timer, on_read_closed);
 }
@@ -65,6 +96,8 @@
 		read_free(read);
 }
 
+static void on_read_timer(uv_timer_t *timer);
+
 static void read_refuse(struct job_read *read, int status, const char *reason)
 {
 	log_event("job_read", LOG_LEVEL_WARN,
@@ -95,26 +128,42 @@
 		read_refuse(read, 503, "the job log can't be followed now");
 }
 
-static void page_answer(struct job_read *read, const struct job *job)
+/* Returns how many outputs can be answered: those before the first one that is
+ * missing. */
+static guint ready_outputs(const struct job_read *read)
+{
+	guint nr = 0;
+
+	while (nr < read->outputs->len) {
+		const struct page_output *output =
+			g_ptr_array_index(read->outputs, nr);
+
+		if (!output->ready)
+			break;
+		nr++;
+	}
+	return nr;
+}
+
+static void page_answer(struct job_read *read, const struct job *job, guint nr)
 {
-	struct platform_result *results =
-		g_new0(struct platform_result, read->outputs->len);
+	struct platform_result *results = g_new0(struct platform_result, nr);
 	char *text;
 	guint i;
 
-	for (i = 0; i < read->outputs->len; i++) {
-		const GBytes *output = g_ptr_array_index(read->outputs, i);
+	for (i = 0; i < nr; i++) {
+		const struct page_output *output =
+			g_ptr_array_index(read->outputs, i);
 		const struct job_item *item =
 			&job->items[job->results[read->position + i]];
 
 		results[i].item = item->id;
-		if (output)
+		if (output->data)
 			results[i].output = g_bytes_get_data(
-				(GBytes *)output, &results[i].output_len);
+				output->data, &results[i].output_len);
 	}
-	text = platform_results_encode(job->items_nr,
-				       read->position + read->outputs->len,
-				       results, read->outputs->len);
+	text = platform_results_encode(job->items_nr, read->position + nr,
+				       results, nr);
 	web_answer(job_call_detach(&read->web), 200, "application/json", text,
 		   strlen(text));
 	g_free(text);
@@ -122,64 +171,96 @@
 	read_free(read);
 }
 
-static void page_fill(struct job_read *read);
+static void page_check(struct job_read *read);
 
-static void page_add(struct job_read *read, const char *data, size_t len)
+static void on_output_read(void *ctx, const char *data, size_t len)
 {
-	g_ptr_array_add(read->outputs, g_bytes_new(data, len));
-	read->bytes += len;
+	struct page_output *output = ctx;
+	struct job_read *read = output->read;
+
+	output->blob = NULL;
+	read->output_reads--;
+	if (data) {
+		job_outputs_put(read->gateway->job_calls, &output->location,
+				data, len);
+		output->data = g_bytes_new(data, len);
+		output->ready = true;
+	}
+	page_check(read);
 }
 
-static void on_output_read(void *ctx, const char *data, size_t len)
+/* Adds a result to the page, from the cache or by a read from the store. */
+static void page_add(struct job_read *read, const struct job_item *item)
 {
-	struct job_read *read = ctx;
-
-	read->blob = NULL;
-	if (!data) {
-		read_refuse(read, 503, "the store can't return the output now");
+	struct page_output *output = g_new0(struct page_output, 1);
+	const struct job_output *cached;
+
+	output->read = read;
+	output->location = item->output;
+	g_ptr_array_add(read->outputs, output);
+	if (item->state == JOB_ITEM_DEAD) {
+		output->ready = true;
 		return;
 	}
-	job_outputs_put(read->gateway->job_calls, &read->location, data, len);
-	page_add(read, data, len);
-	page_fill(read);
+	read->bytes += item->output.bytes;
+	cached = job_outputs_get(read->gateway->job_calls, &item->output);
+	if (cached) {
+		output->data = g_bytes_new(cached->data, cached->len);
+		output->ready = true;
+		return;
+	}
+	read->output_reads++;
+	output->blob = job_bulk_read(read->gateway->job_bulk, &item->output,
+				     on_output_read, output);
 }
 
-/* Adds outputs until the page is full or there are no more results; called
- * again after each output that is read from the store. */
+/* Answers once all outputs of the page were read or have failed, or its time is
+ * over. Results that are left out are requested again. */
+static void page_check(struct job_read *read)
+{
+	struct job_log *log = job_store_log(read->gateway->job_store);
+	const struct job *job = job_log_find(log, read->job);
+	uint64_t elapsed_ms = uv_now(read->gateway->loop) - read->page_began_ms;
+	guint nr = ready_outputs(read);
+
+	if (!job)
+		read_unknown(read, "no such job");
+	else if (nr && (!read->output_reads || elapsed_ms >= PAGE_TIME_MS))
+		page_answer(read, job, nr);
+	else if (read->output_reads && elapsed_ms < PAGE_TIME_MAX_MS)
+		uv_timer_start(&read->timer, on_read_timer,
+			       (elapsed_ms < PAGE_TIME_MS ? PAGE_TIME_MS :
+							    PAGE_TIME_MAX_MS) -
+				       elapsed_ms,
+			       0);
+	else if (read->outputs->len)
+		read_refuse(read, 503, "the store can't return the output now");
+	else
+		page_answer(read, job, 0);
+}
+
+/* Fills a page with the results after the caller's position. */
 static void page_fill(struct job_read *read)
 {
 	struct job_log *log = job_store_log(read->gateway->job_store);
 	const struct job *job = job_log_find(log, read->job);
+	uint64_t i;
 
 	if (!job) {
 		read_unknown(read, "no such job");
 		return;
 	}
-	while (read->position + read->outputs->len < job->results_nr) {
-		const struct job_item *item =
-			&job->items[job->results[read->position +
-						 read->outputs->len]];
-		const struct job_output *cached;
+	read->page_began_ms = uv_now(read->gateway->loop);
+	for (i = read->position; i < job->results_nr; i++) {
+		const struct job_item *item = &job->items[job->results[i]];
 
-		if (item->state == JOB_ITEM_DEAD) {
-			g_ptr_array_add(read->outputs, NULL);
-			continue;
-		}
-		if (read->outputs->len &&
-		    read->bytes + item->output.bytes > PAGE_BYTES)
+		if (read->output_reads >= OUTPUT_READS_MAX ||
+		    (read->outputs->len &&
+		     read->bytes + item->output.bytes > PAGE_BYTES))
 			break;
-		cached = job_outputs_get(read->gateway->job_calls,
-					 &item->output);
-		if (!cached) {
-			read->location = item->output;
-			read->blob = job_bulk_read(read->gateway->job_bulk,
-						   &item->output,
-						   on_output_read, read);
-			return;
-		}
-		page_add(read, cached->data, cached->len);
+		page_add(read, item);
 	}
-	page_answer(read, job);
+	page_check(read);
 }
 
 static void on_read_timer(uv_timer_t *timer)
@@ -199,7 +280,9 @@
 		return;
 	}
 	read->waiting = false;
-	if (job_store_is_current(read->gateway->job_store))
+	if (read->page_began_ms)
+		page_check(read);
+	else if (job_store_is_current(read->gateway->job_store))
 		page_fill(read);
 	else
 		read_refuse(read, 503, "the job log can't be followed now");
@@ -246,7 +329,7 @@
 	struct job_read *read = ctx;
 	struct job_request_item item = { 0 };
 
-	read->blob = NULL;
+	read->body = NULL;
 	if (!data || !job_request_item_decode(data, len, &item)) {
 		read_refuse(read, 503, "the store can't return the body now");
 		return;
@@ -267,7 +350,7 @@
 	     i++) {
 		if (strcmp(job->items[i].id, read->item) != 0)
 			continue;
-		read->blob =
+		read->body =
 			job_bulk_read(read->gateway->job_bulk,
 				      &job->items[i].body, on_body_read, read);
 		return;
@@ -322,8 +405,7 @@
 	read->job = g_strdup(call->job);
 	read->item = g_strdup(call->item);
 	read->position = call->position;
-	read->outputs =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	read->outputs = g_ptr_array_new_with_free_func(page_output_free);
 	read->deadline_ms = job_call_deadline(gateway, web);
 	list_append(&gateway->job_calls->reads, &read->link);
 	uv_timer_init(gateway->loop, &read->timer);
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/retry.h"
+#include "index_share.h"
 #include "job_store.h"
 #include "peers.h"
 
@@ -17,6 +18,16 @@
 #define CALL_TIMEOUT_MS 900
 /* Delay before a failed call is retried, in ms. */
 #define RETRY_DELAY_MS 120
+/* Pause between two fetches from a reader, and before a fetch is repeated from
+ * one that hasn't loaded the index yet, in ms. */
+#define FETCH_PAUSE_MS 150
+#define FETCH_COLD_PAUSE_MS 100
+/* Time after the start for which a node waits for a reader to load the index,
+ * in ms. */
+#define COLD_WAIT_MS 3000
+/* Interval at which a starting node checks which other entries there are, in
+ * ms. */
+#define SETTLE_CHECK_MS 20
 /* Age up to which the job log counts as current, in ms: results of other nodes
  * must be visible within a second. */
 #define CURRENT_AGE_MS 950
@@ -41,6 +52,10 @@
 struct job_store {
 	struct gateway *gateway;
 	struct job_log *log;
+	struct index_share *share;
+	uint64_t started_ms;
+	/* The reader no longer has the records that this node needs next. */
+	bool behind_reader;
 	/* Offset of the next record to read. */
 	uint64_t next_offset;
 	/* Offset after the last record appended by this node. */
@@ -124,16 +139,41 @@
 	       store->waiters;
 }
 
+/* While a caller waits for a record, the store is read: a reader would have the
+ * record later. */
 void job_store_count_waiter(struct job_store *store, bool waiting)
 {
 	store->waiters += waiting ? 1 : -1;
-	if (waiting && store->read_idle)
+	if (waiting && (store->read_idle || index_share_cancel(store->share)))
 		follow_next(store, 0);
 }
 
+static void apply_record(struct job_store *store, uint64_t offset,
+			 const void *data, size_t len)
+{
+	index_share_add(store->share, offset, data, len);
+	if (!job_log_apply(store->log, data, len))
+		log_event("job_index", LOG_LEVEL_ERROR,
+			  "offset=%" PRIu64 " malformed record", offset);
+}
+
+/* Notes that all records of the index up to next_offset were read, and that
+ * there was no other one at a boot time. */
+static void end_reached(struct job_store *store, uint64_t current_boot_ms)
+{
+	store->current_boot_ms = MAX(store->current_boot_ms, current_boot_ms);
+	if (store->loaded)
+		return;
+	store->loaded = true;
+	log_event("job_index", LOG_LEVEL_INFO, "loaded end=%" PRIu64,
+		  store->next_offset);
+	peers_load_changed(store->gateway->peers);
+}
+
 static void on_index(void *ctx, const struct store_read_result *result)
 {
 	struct job_store *store = ctx;
+	uint64_t current;
 	size_t i;
 
 	if (result->status == STORE_EXPIRED) {
@@ -153,24 +193,20 @@
 	for (i = 0; i < result->records_nr; i++) {
 		const struct store_record *record = &result->records[i];
 
-		if (!job_log_apply(store->log, record->data, record->len))
-			log_event("job_index", LOG_LEVEL_ERROR,
-				  "offset=%" PRIu64 " malformed record",
-				  record->offset);
+		apply_record(store, record->offset, record->data, record->len);
 	}
 	store->next_offset = result->next_offset;
+	store->behind_reader = false;
 	if (store->next_offset >= result->end_offset) {
 		/* This process may have been paused with the answer unread, so
 		 * the answer is taken to be as old as its request. An answer
 		 * without records is newer by the store's wait. */
-		store->current_boot_ms = store->sent_boot_ms;
+		current = store->sent_boot_ms;
 		if (!result->records_nr && store->loaded)
-			store->current_boot_ms += FOLLOW_WAIT_MS;
-		if (!store->loaded)
-			log_event("job_index", LOG_LEVEL_INFO,
-				  "loaded end=%" PRIu64, result->end_offset);
-		store->loaded = true;
+			current += FOLLOW_WAIT_MS;
+		end_reached(store, current);
 	}
+	index_share_flush(store->share);
 	follow_next(
 		store,
 		store->loaded && !records_awaited(store) ?
@@ -178,9 +214,64 @@
 			0);
 }
 
-static void on_follow_timer(uv_timer_t *timer)
+/* Handles a page of the reader; NULL if the fetch failed. */
+static bool on_index_page(void *ctx, const IndexPage *page)
+{
+	struct job_store *store = ctx;
+	uint64_t current;
+	size_t i;
+
+	if (!page) {
+		follow_next(store, RETRY_DELAY_MS);
+		return false;
+	}
+	if (page->age_ms == UINT32_MAX) {
+		follow_next(store, FETCH_COLD_PAUSE_MS);
+		return true;
+	}
+	if (page->first_offset > store->next_offset) {
+		store->behind_reader = true;
+		follow_next(store, 0);
+		return true;
+	}
+	for (i = 0; i < page->n_records; i++)
+		apply_record(store, store->next_offset++, page->records[i].data,
+			     page->records[i].len);
+	if (store->next_offset < page->end_offset) {
+		follow_next(store, 0);
+		return true;
+	}
+	/* As for answers of the store, the page is as old as its request, and
+	 * newer by the time for which the reader held it. */
+	current = store->sent_boot_ms - page->age_ms;
+	if (!page->n_records)
+		current += page->held_ms;
+	end_reached(store, current);
+	index_share_flush(store->share);
+	follow_next(store, FETCH_PAUSE_MS);
+	return true;
+}
+
+static uint64_t age_ms(void *ctx)
+{
+	const struct job_store *store = ctx;
+
+	return gateway_boot_ms() - store->current_boot_ms;
+}
+
+/* Tells whether the next records are fetched from a reader. */
+static bool follows_reader(struct job_store *store)
+{
+	uint64_t uptime_ms = uv_now(store->gateway->loop) - store->started_ms;
+
+	if (store->waiters || store->behind_reader ||
+	    (!store->loaded && uptime_ms > COLD_WAIT_MS))
+		return false;
+	return index_share_choose_reader(store->share);
+}
+
+static void read_store(struct job_store *store)
 {
-	struct job_store *store = timer->data;
 	struct store_read read = {
 		.topic = INDEX_TOPIC,
 		.partition = INDEX_PARTITION,
@@ -194,9 +285,24 @@
 		.ctx = store,
 	};
 
+	store_read(store->gateway->store, &read);
+}
+
+static void on_follow_timer(uv_timer_t *timer)
+{
+	struct job_store *store = timer->data;
+
+	if (!store->loaded && !peers_settled(store->gateway->peers)) {
+		follow_next(store, SETTLE_CHECK_MS);
+		return;
+	}
 	store->read_idle = false;
 	store->sent_boot_ms = gateway_boot_ms();
-	store_read(store->gateway->store, &read);
+	if (follows_reader(store))
+		index_share_fetch(store->share, store->next_offset,
+				  store->loaded ? FOLLOW_WAIT_MS : 0);
+	else
+		read_store(store);
 }
 
 static void on_probed(void *ctx, const struct store_read_result *result)
@@ -393,8 +499,16 @@
 struct job_store *job_store_create(const struct job_store_options *options)
 {
 	struct job_store *store = g_new0(struct job_store, 1);
+	struct index_share_options share = {
+		.gateway = options->gateway,
+		.age_ms = age_ms,
+		.on_page = on_index_page,
+		.ctx = store,
+	};
 
 	store->gateway = options->gateway;
+	store->share = index_share_create(&share);
+	store->started_ms = uv_now(options->gateway->loop);
 	store->log = job_log_create(&options->watcher);
 	list_init(&store->waiting);
 	list_init(&store->in_flight);
@@ -439,6 +553,7 @@
 {
 	free_records(&store->waiting);
 	free_records(&store->in_flight);
+	index_share_destroy(store->share);
 	job_log_destroy(store->log);
 	g_free(store->producer);
 	store->handles = 3;
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -12,6 +12,7 @@
 #include "core/peer_table.h"
 #include "directory.h"
 #include "job_store.h"
+#include "joblog.pb-c.h"
 #include "net/address.h"
 #include "nodeload.pb-c.h"
 #include "peers.h"
@@ -31,12 +32,32 @@
 #define CHECK_INTERVAL_MS 300
 /* Maximum size of a datagram, in bytes: below the MTU of common links. */
 #define REPORT_BYTES_MAX 1400
+/* Topic of the store with the newest announcement of each address. Unlike the
+ * job log it is short enough for each entry to read when it starts. */
+#define ENTRIES_TOPIC "keyed.entries"
+/* Timeout of a call for the list of entries, and pause before it is repeated,
+ * in ms. */
+#define ENTRIES_TIMEOUT_MS 900
+#define ENTRIES_RETRY_MS 300
+/* Time after the list of entries was read in which their reports arrive, in ms:
+ * two round trips between regions, and the pace of reports. */
+#define SETTLE_MS 400
+/* Time after the start for which the list of entries is waited for, in ms. */
+#define SETTLE_MAX_MS 1500
 
 struct peers {
 	struct gateway *gateway;
 	uv_udp_t udp;
 	uv_timer_t report_timer;
 	uv_timer_t check_timer;
+	uv_timer_t entries_timer;
+	uint64_t started_ms;
+	/* Loop time at which the list of entries was read; 0 before. */
+	uint64_t entries_read_ms;
+	/* This node's announcement is in the list of entries. */
+	bool listed;
+	/* Key of the last entry of the page that was read last, or NULL. */
+	char *entries_page;
 	/* Number of handles that are still to be closed. */
 	int open_handles;
 	struct peer_table *table;
@@ -59,8 +80,11 @@
 
 static void on_alive(void *ctx, const struct peer *peer)
 {
-	(void)ctx;
+	struct peers *peers = ctx;
+
 	log_event("peer", LOG_LEVEL_INFO, "entry=%s alive", peer->identity);
+	/* The entry may have started and wait for reports. */
+	peers_load_changed(peers);
 }
 
 static void on_lost(void *ctx, const struct peer *peer, const char *reason)
@@ -80,16 +104,22 @@
 	peers->must_announce = true;
 }
 
-void peers_add_announced(struct peers *peers, const char *identity,
-			 const char *address, const char *data_centre)
+static bool is_same_region(const struct peers *peers, const char *data_centre)
 {
-	struct gateway *gateway = peers->gateway;
+	const struct gateway *gateway = peers->gateway;
 	const char *region = g_hash_table_lookup(gateway->regions, data_centre);
+
+	return region && !strcmp(region, gateway->settings->region);
+}
+
+static void add_entry(struct peers *peers, const char *identity,
+		      const char *address, const char *data_centre,
+		      bool replayed)
+{
 	struct peer_announcement announcement = {
 		.identity = identity,
-		.same_region =
-			region && !strcmp(region, gateway->settings->region),
-		.replayed = !job_store_loaded(gateway->job_store),
+		.same_region = is_same_region(peers, data_centre),
+		.replayed = replayed,
 	};
 	struct sockaddr_in addr;
 
@@ -101,11 +131,18 @@
 	}
 	announcement.address = address_pack(&addr);
 	peer_table_note_announcement(peers->table, &announcement,
-				     uv_now(gateway->loop));
+				     uv_now(peers->gateway->loop));
 	peers->unreported = true;
 	peers->unreported_far = true;
 }
 
+void peers_add_announced(struct peers *peers, const char *identity,
+			 const char *address, const char *data_centre)
+{
+	add_entry(peers, identity, address, data_centre,
+		  !job_store_loaded(peers->gateway->job_store));
+}
+
 static void apply_load(struct peers *peers, struct peer *peer,
 		       const NodeLoad *load)
 {
@@ -119,6 +156,10 @@
 	}
 	fleet_set_peer_load(peers->gateway->fleet, peer->hash, loads, nr);
 	g_free(loads);
+	if (*load->data_centre)
+		peer->same_region = is_same_region(peers, load->data_centre);
+	peer->loaded = load->loaded;
+	peer->capacity = load->capacity;
 	peer->leaving = load->leaving;
 	peer->index_offset = load->index_offset;
 	peer->backlog.in_time = load->backlog;
@@ -165,6 +206,12 @@
 	*buf = uv_buf_init(bytes, sizeof(bytes));
 }
 
+static bool is_loaded(const struct gateway *gateway)
+{
+	return directory_loaded(gateway->directory) &&
+	       job_store_loaded(gateway->job_store);
+}
+
 /* Returns this node's encoded load report; the caller frees it. */
 static uint8_t *report_encode(struct peers *peers, size_t *len)
 {
@@ -193,7 +240,10 @@
 	load.backlog_late = backlog.late;
 	load.reaches_store = store_route_is_direct(gateway->store_route);
 	load.index_offset = job_store_appended_offset(gateway->job_store);
-	load.directory_port = directory_port(gateway->directory);
+	load.directory_port = directory_port(gateway);
+	load.data_centre = gateway->settings->data_centre;
+	load.capacity = (uint32_t)gateway->settings->cpu_permille;
+	load.loaded = is_loaded(gateway);
 	load.servers = (uint64_t *)servers->data;
 	load.n_servers = servers->len;
 	load.online = (uint32_t *)online->data;
@@ -261,11 +311,144 @@
 			    now - peers->sent_far_ms >= far_interval);
 }
 
+/* Functions that keep the list of entries. */
+
+static void entries_write(struct peers *peers);
+static void entries_read(struct peers *peers);
+
+static void on_entries_timer(uv_timer_t *timer)
+{
+	struct peers *peers = timer->data;
+
+	if (peers->listed)
+		entries_read(peers);
+	else
+		entries_write(peers);
+}
+
+static void entries_retry(struct peers *peers)
+{
+	uv_timer_start(&peers->entries_timer, on_entries_timer,
+		       ENTRIES_RETRY_MS, 0);
+}
+
+static void on_entries_written(void *ctx,
+			       const struct store_append_result *result)
+{
+	struct peers *peers = ctx;
+
+	if (result->status != STORE_OK) {
+		entries_retry(peers);
+		return;
+	}
+	/* Of two entries that start together, the later one in the list finds
+	 * the other by this read. */
+	peers->listed = true;
+	entries_read(peers);
+}
+
+/* Writes this node's announcement; its key is the address, so that it replaces
+ * that of an earlier process. */
+static void entries_write(struct peers *peers)
+{
+	const struct gateway *gateway = peers->gateway;
+	JobNode node = JOB_NODE__INIT;
+	struct store_append append = {
+		.topic = ENTRIES_TOPIC,
+		.records = g_string_new(NULL),
+		.timeout_ms = ENTRIES_TIMEOUT_MS,
+		.done = on_entries_written,
+		.ctx = peers,
+	};
+	size_t len;
+	uint8_t *bytes;
+
+	node.name = gateway->identity;
+	node.address = peers->address;
+	node.data_centre = gateway->settings->data_centre;
+	len = job_node__get_packed_size(&node);
+	bytes = g_malloc(len);
+	job_node__pack(&node, bytes);
+	store_add_keyed_record(append.records, peers->address, bytes, len);
+	g_free(bytes);
+	store_append(gateway->store, &append);
+}
+
+static void on_entries_read(void *ctx, const struct store_read_result *result)
+{
+	struct peers *peers = ctx;
+	size_t i;
+
+	if (result->status != STORE_OK) {
+		entries_retry(peers);
+		return;
+	}
+	for (i = 0; i < result->records_nr; i++) {
+		const struct store_record *record = &result->records[i];
+		JobNode *node = job_node__unpack(NULL, record->len,
+						 (const uint8_t *)record->data);
+
+		if (!node) {
+			log_event("peer", LOG_LEVEL_WARN,
+				  "address=%s malformed announcement",
+				  record->key);
+			continue;
+		}
+		add_entry(peers, node->name, node->address, node->data_centre,
+			  true);
+		job_node__free_unpacked(node, NULL);
+	}
+	g_free(peers->entries_page);
+	peers->entries_page = NULL;
+	if (result->more && result->records_nr) {
+		peers->entries_page =
+			g_strdup(result->records[result->records_nr - 1].key);
+		entries_read(peers);
+		return;
+	}
+	log_event("peer", LOG_LEVEL_INFO, "list of entries read entries=%u",
+		  peer_table_entries(peers->table));
+	if (!peers->entries_read_ms)
+		peers->entries_read_ms = uv_now(peers->gateway->loop);
+	report_send(peers, true, true);
+}
+
+static void entries_read(struct peers *peers)
+{
+	struct store_read read = {
+		.topic = ENTRIES_TOPIC,
+		.timeout_ms = ENTRIES_TIMEOUT_MS,
+		.after_key = peers->entries_page,
+		.done = on_entries_read,
+		.ctx = peers,
+	};
+
+	store_read_newest(peers->gateway->store, &read);
+}
+
+bool peers_settled(const struct peers *peers)
+{
+	const struct gateway *gateway = peers->gateway;
+	uint64_t now = uv_now(gateway->loop);
+
+	if (peer_table_has_loaded(peers->table) ||
+	    now - peers->started_ms >= SETTLE_MAX_MS)
+		return true;
+	if (!peers->entries_read_ms)
+		return false;
+	return peer_table_region_entries(peers->table) <
+		       (unsigned)gateway->settings->readers_from ||
+	       now - peers->entries_read_ms >= SETTLE_MS;
+}
+
 void peers_announce(struct peers *peers)
 {
 	const struct gateway *gateway = peers->gateway;
 
 	peers->must_announce = false;
+	if (!peers->entries_read_ms)
+		entries_read(peers);
+	entries_write(peers);
 	job_store_append(gateway->job_store,
 			 job_log_encode_node(gateway->identity, peers->address,
 					     gateway->settings->data_centre),
@@ -334,10 +517,19 @@
 	return peer_table_owns(peers->table, &query);
 }
 
-uint64_t peers_choose_reader(const struct peers *peers,
-			     const struct peer_reader_query *query)
+uint64_t peers_choose_reader(const struct peers *peers, uint64_t avoided)
 {
-	return peer_table_reader(peers->table, query);
+	const struct gateway *gateway = peers->gateway;
+	struct peer_reader_query query = {
+		.self_reaches_store =
+			store_route_is_direct(gateway->store_route),
+		.self_loaded = is_loaded(gateway),
+		.readers_from = (unsigned)gateway->settings->readers_from,
+		.avoided = avoided,
+	};
+	const struct peer *reader = peer_table_reader(peers->table, &query);
+
+	return reader ? reader->directory : 0;
 }
 
 struct poll_pace peers_poll_pace(const struct peers *peers)
@@ -393,6 +585,7 @@
 	struct peer_table_options table = {
 		.self = gateway->identity,
 		.now_ms = uv_now(gateway->loop),
+		.capacity = (unsigned)gateway->settings->cpu_permille,
 		.on_alive = on_alive,
 		.on_lost = on_lost,
 		.on_removed = on_removed,
@@ -402,11 +595,14 @@
 	int rc;
 
 	peers->gateway = gateway;
+	peers->started_ms = uv_now(gateway->loop);
 	peers->table = peer_table_create(&table);
 	uv_timer_init(gateway->loop, &peers->report_timer);
 	peers->report_timer.data = peers;
 	uv_timer_init(gateway->loop, &peers->check_timer);
 	peers->check_timer.data = peers;
+	uv_timer_init(gateway->loop, &peers->entries_timer);
+	peers->entries_timer.data = peers;
 	uv_udp_init(gateway->loop, &peers->udp);
 	peers->udp.data = peers;
 	uv_ip4_addr(gateway->settings->ip, port, &addr);
@@ -437,7 +633,9 @@
 {
 	peer_table_destroy(peers->table);
 	g_free(peers->address);
-	peers->open_handles = 3;
+	g_free(peers->entries_page);
+	peers->open_handles = 4;
+	uv_close((uv_handle_t *)&peers->entries_timer, on_closed);
 	uv_close((uv_handle_t *)&peers->report_timer, on_closed);
 	uv_close((uv_handle_t *)&peers->check_timer, on_closed);
 	uv_close((uv_handle_t *)&peers->udp, on_closed);
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -28,7 +28,10 @@
 void peers_add_announced(struct peers *peers, const char *identity,
 			 const char *address, const char *data_centre);
 
-/** Announces this entry's address to the others through the job log. */
+/**
+ * Announces this entry's address to the others through the job log and the list
+ * of entries, and reads that list.
+ */
 void peers_announce(struct peers *peers);
 
 /** Schedules a report after a change of this node's load. */
@@ -47,11 +50,17 @@
 bool peers_has_address(struct peers *peers, const struct in_addr *ip);
 
 /**
- * Returns the directory address of the reader to ask, or 0 for the store; see
- * peer_table_reader().
+ * Tells whether enough is known of the other entries to choose a reader. A node
+ * that has just started waits for it, so that the entries of a region that
+ * start together don't all read the store.
+ */
+bool peers_settled(const struct peers *peers);
+
+/**
+ * Returns the packed address of the reader to ask, or 0 when the store must be
+ * read; see peer_table_reader(). "avoided" is a reader to leave out, or 0.
  */
-uint64_t peers_choose_reader(const struct peers *peers,
-			     const struct peer_reader_query *query);
+uint64_t peers_choose_reader(const struct peers *peers, uint64_t avoided);
 
 /** Returns how often this entry may read the store. */
 struct poll_pace peers_poll_pace(const struct peers *peers);
--- a/briarplankd/gateway_settings.c
+++ b/briarplankd/gateway_settings.c
@@ -34,6 +34,10 @@
 	  .required = true, .help = "data centre of this VM" },
 	{ "node.region", SETTING_STRING, GATEWAY(region), .required = true,
 	  .help = "region of this VM" },
+	{ "node.cpu_share", SETTING_NUMBER, GATEWAY(cpu_permille), .min = 1,
+	  .max = 1000000, .default_value = "1", .unit = "cores",
+	  .help = "processor time of this VM; entries with more of it read "
+		  "the store on behalf of the others" },
 	{ "data_centres", SETTING_LIST, GATEWAY(data_centres), .required = true,
 	  .item_specs = data_centre_specs,
 	  .item_size = sizeof(struct data_centre_settings),
--- a/common/settings.c
+++ b/common/settings.c
@@ -136,26 +136,30 @@
 	*slot = nr;
 }
 
-static void load_seconds(struct loader *load, const struct setting_spec *spec,
-			 const char *path, struct json_object *value,
-			 int64_t *slot)
+/* Loads a number that is kept in thousandths: a duration, or without a unit. */
+static void load_thousandths(struct loader *load,
+			     const struct setting_spec *spec, const char *path,
+			     struct json_object *value, int64_t *slot)
 {
-	double ms;
+	bool seconds = spec->type == SETTING_SECONDS;
+	double thousandths;
 
 	if (!json_object_is_type(value, json_type_int) &&
 	    !json_object_is_type(value, json_type_double)) {
-		path_error(load, path, "%s must be a number of seconds", path);
+		path_error(load, path, "%s must be a number%s", path,
+			   seconds ? " of seconds" : "");
 		return;
 	}
-	ms = json_object_get_double(value) * 1000;
-	if (!(ms >= (double)spec->min && ms <= (double)spec->max)) {
+	thousandths = json_object_get_double(value) * 1000;
+	if (!(thousandths >= (double)spec->min &&
+	      thousandths <= (double)spec->max)) {
 		path_error(load, path,
-			   "%s must lie between %g and %g s, not %g", path,
+			   "%s must lie between %g and %g%s, not %g", path,
 			   (double)spec->min / 1000, (double)spec->max / 1000,
-			   ms / 1000);
+			   seconds ? " s" : "", thousandths / 1000);
 		return;
 	}
-	*slot = (int64_t)ms;
+	*slot = (int64_t)thousandths;
 }
 
 static void load_choice(struct loader *load, const struct setting_spec *spec,
@@ -214,7 +218,8 @@
 		load_int(load, spec, path, value, slot);
 		break;
 	case SETTING_SECONDS:
-		load_seconds(load, spec, path, value, slot);
+	case SETTING_NUMBER:
+		load_thousandths(load, spec, path, value, slot);
 		break;
 	case SETTING_BOOL:
 		if (json_object_is_type(value, json_type_boolean))
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -31,8 +31,10 @@
 /* Time without a heartbeat after which an entry is removed, in ms. */
 #define REMOVE_MS 60000
 
-/* Number of entries of a region that read the directory from the store. */
-#define READERS 3
+/* Minimum number of entries of a region that read the store on behalf of the
+ * others, and number of entries that each of them serves at least. */
+#define READERS_MIN 3
+#define ENTRIES_PER_READER 24
 #define READER_SEED 0x6469726563746f72ULL
 
 struct peer_table {
@@ -289,13 +291,36 @@
 	return 1 + g_hash_table_size(table->by_identity);
 }
 
+/* An entry of this region that may read the store on behalf of the others. */
+struct candidate {
+	bool loaded;
+	unsigned capacity;
+	uint64_t hash;
+};
+
+static struct candidate candidate_of(const struct peer *peer)
+{
+	struct candidate candidate = {
+		.loaded = peer->loaded,
+		.capacity = peer->capacity,
+		.hash = hash_combine(peer->hash, READER_SEED),
+	};
+
+	return candidate;
+}
+
 /*
- * Returns the rank of an entry among those that may read the directory from the
- * store. The entries of the lowest ranks read it.
+ * Tells whether one entry is preferred to another as a reader. Entries that
+ * have loaded the store's data can serve it at once, and entries with more
+ * processor time can serve more of the others.
  */
-static uint64_t reader_rank(uint64_t hash)
+static bool is_preferred(const struct candidate *a, const struct candidate *b)
 {
-	return hash_combine(hash, READER_SEED);
+	if (a->loaded != b->loaded)
+		return a->loaded;
+	if (a->capacity != b->capacity)
+		return a->capacity > b->capacity;
+	return a->hash < b->hash;
 }
 
 static bool is_eligible_reader(const struct peer *peer)
@@ -304,53 +329,85 @@
 	       peer->reaches_store && peer->directory;
 }
 
-/*
- * Returns the number of entries in this region that may read the directory from
- * the store and have a lower rank.
- */
-static unsigned count_readers_below(const struct peer_table *table,
-				    uint64_t rank)
+/* Tells whether fewer than readers_nr entries are preferred to a candidate. */
+static bool is_reader(const struct peer_table *table,
+		      const struct candidate *candidate, unsigned readers_nr)
 {
-	unsigned nr = 0;
+	unsigned preferred = 0;
 	struct list *pos;
 
 	list_for_each (pos, &table->peers) {
 		const struct peer *peer = list_entry(pos, struct peer, link);
+		struct candidate other = candidate_of(peer);
 
-		nr += is_eligible_reader(peer) &&
-		      reader_rank(peer->hash) < rank;
+		preferred += is_eligible_reader(peer) &&
+			     is_preferred(&other, candidate);
+		if (preferred >= readers_nr)
+			return false;
 	}
-	return nr;
+	return true;
 }
 
-uint64_t peer_table_reader(const struct peer_table *table,
-			   const struct peer_reader_query *query)
+const struct peer *peer_table_reader(const struct peer_table *table,
+				     const struct peer_reader_query *query)
 {
-	unsigned entries = 1, readers = 0, at;
-	const struct peer *found[READERS];
+	struct candidate self = {
+		.loaded = query->self_loaded,
+		.capacity = table->options.capacity,
+		.hash = hash_combine(table->self_hash, READER_SEED),
+	};
+	unsigned entries = 1, readers_nr;
+	const struct peer *found = NULL;
+	uint64_t found_rank = 0;
 	struct list *pos;
 
 	list_for_each (pos, &table->peers) {
 		const struct peer *peer = list_entry(pos, struct peer, link);
 
 		entries += peer->same_region && peer->alive;
-		if (is_eligible_reader(peer) &&
-		    peer->directory != query->avoided && readers < READERS &&
-		    count_readers_below(table, reader_rank(peer->hash)) <
-			    READERS)
-			found[readers++] = peer;
 	}
-	if (entries < query->readers_from || !readers)
-		return 0;
-	if (query->self_reaches_store &&
-	    count_readers_below(table, reader_rank(table->self_hash)) < READERS)
-		return 0;
-	/*
-	 * Spreads the other entries evenly over those that read the directory
-	 * from the store.
-	 */
-	at = (unsigned)(table->self_hash % readers);
-	return found[at]->directory;
+	readers_nr = MAX(READERS_MIN, entries / ENTRIES_PER_READER);
+	if (entries < query->readers_from ||
+	    (query->self_reaches_store && is_reader(table, &self, readers_nr)))
+		return NULL;
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+		struct candidate candidate = candidate_of(peer);
+		/* Spreads the other entries evenly over the readers. */
+		uint64_t rank = hash_combine(table->self_hash, peer->hash);
+
+		if (!is_eligible_reader(peer) ||
+		    peer->directory == query->avoided ||
+		    (found && rank < found_rank) ||
+		    !is_reader(table, &candidate, readers_nr))
+			continue;
+		found = peer;
+		found_rank = rank;
+	}
+	return found;
+}
+
+unsigned peer_table_region_entries(const struct peer_table *table)
+{
+	unsigned entries = 1;
+	struct list *pos;
+
+	list_for_each (pos, &table->peers)
+		entries += list_entry(pos, struct peer, link)->same_region;
+	return entries;
+}
+
+bool peer_table_has_loaded(const struct peer_table *table)
+{
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (is_eligible_reader(peer) && peer->loaded)
+			return true;
+	}
+	return false;
 }
 
 struct list *peer_table_peers(struct peer_table *table)
--- a/include/briarplankd/gateway_settings.h
+++ b/include/briarplankd/gateway_settings.h
@@ -20,6 +20,9 @@
 	struct setting_array data_centres;
 	int log_level;
 
+	/** Share of a processor core that this VM has, in thousandths. */
+	int64_t cpu_permille;
+
 	char *front_address;
 	char *ready_address;
 	char *metrics_address;
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -23,6 +23,11 @@
 	 * without a fraction; min and max are in ms.
 	 */
 	SETTING_SECONDS,
+	/**
+	 * A number: int64_t in thousandths, written in the file with or without
+	 * a fraction; min and max are in thousandths.
+	 */
+	SETTING_NUMBER,
 	/** A boolean: bool. */
 	SETTING_BOOL,
 	/** An address: char * of the form IP:PORT with a numeric IP. */
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -42,6 +42,10 @@
 	uint64_t directory;
 	/** The entry can reach the store itself, as last reported. */
 	bool reaches_store;
+	/** The entry has read the directory and the job index. */
+	bool loaded;
+	/** Share of a processor core that it has, in thousandths. */
+	unsigned capacity;
 	struct batch_backlog backlog;
 };
 
@@ -50,6 +54,8 @@
 	const char *self;
 	/** Time at which this node started. */
 	uint64_t now_ms;
+	/** Share of a processor core that it has, in thousandths. */
+	unsigned capacity;
 	/** Callbacks for state changes; each may be NULL. */
 	void (*on_alive)(void *ctx, const struct peer *peer);
 	void (*on_lost)(void *ctx, const struct peer *peer, const char *why);
@@ -138,9 +144,11 @@
 struct peer_reader_query {
 	/** This entry can reach the store itself. */
 	bool self_reaches_store;
+	/** This entry has read the directory and the job index. */
+	bool self_loaded;
 	/**
 	 * Minimum number of entries in a region at which only a few of them
-	 * read the directory from the store.
+	 * read the store.
 	 */
 	unsigned readers_from;
 	/** Directory address of an entry to exclude; 0 for none. */
@@ -148,15 +156,24 @@
 };
 
 /**
- * Returns the directory address of the entry to request the directory from, or
- * 0 when this entry must read the store itself.
+ * Returns the entry to request the store's data from, or NULL when this entry
+ * must read the store itself.
  */
-uint64_t peer_table_reader(const struct peer_table *table,
-			   const struct peer_reader_query *query);
+const struct peer *peer_table_reader(const struct peer_table *table,
+				     const struct peer_reader_query *query);
 
 /** Returns the number of known entries, alive or not, including this node. */
 unsigned peer_table_entries(const struct peer_table *table);
 
+/** Returns the same for this region. */
+unsigned peer_table_region_entries(const struct peer_table *table);
+
+/**
+ * Tells whether a live entry of this region has loaded the store's data and
+ * passes it on.
+ */
+bool peer_table_has_loaded(const struct peer_table *table);
+
 /**
  * Returns the list of entries that reports are sent to: struct peer, linked by
  * its member link.
--- a/tests/process/gateway_online.sh
+++ b/tests/process/gateway_online.sh
@@ -61,14 +61,10 @@
 # A resumable stream continues on another server when its connection breaks.
 gateway_server server-3 model --events 30
 wait_until gateway_knows g1 server-3
-gateway_call g1 r1 /stream/x -d p >"$FLEET_DIR/r1" &
+# The server holds the stream after its fifth event, until it is killed.
+gateway_call g1 r1 /stream/x -N -d 'hold 5' >"$FLEET_DIR/r1" &
 caller=$!
-has_run () {
-	test "$(gateway_runs "$1")" = 1
-}
-
-wait_until has_run r1
-sleep 0.2
+wait_until grep -q '^data: r1-5' "$FLEET_DIR/r1"
 server=server-1
 curl -s "http://$(fleet_address server-1)/runs" | grep -q '"r1"' ||
 	server=server-3
@@ -83,12 +79,11 @@
 # A stream that can't be resumed ends with an error and is run only once.
 status=0
 (
-	gateway_call g1 o1 /once/x -d p >"$FLEET_DIR/o1"
+	gateway_call g1 o1 /once/x -N -d 'hold 5' >"$FLEET_DIR/o1"
 	echo $? >"$FLEET_DIR/o1.status"
 ) &
 caller=$!
-wait_until has_run o1
-sleep 0.2
+wait_until grep -q '^data: o1-5' "$FLEET_DIR/o1"
 fleet_fault server-1 kind=kill_streams
 fleet_fault server-3 kind=kill_streams
 wait $caller
@@ -110,11 +105,11 @@
 # not spin on the stall timer: it serves other requests, and the stream ends
 # with an error at its deadline.
 (
-	gateway_call g1 w1 /stream/x -d p >"$FLEET_DIR/w1"
+	gateway_call g1 w1 /stream/x -N -d 'hold 5' >"$FLEET_DIR/w1"
 	echo $? >"$FLEET_DIR/w1.status"
 ) &
 caller=$!
-wait_until has_run w1
+wait_until grep -q '^data: w1-5' "$FLEET_DIR/w1"
 fleet_fault server-1 kind=stall
 fleet_fault server-3 kind=stall
 sleep 4
--- a/tests/reference.c
+++ b/tests/reference.c
@@ -35,6 +35,10 @@
 	case SETTING_SECONDS:
 		return g_strdup_printf("%g to %g s", (double)spec->min / 1000,
 				       (double)spec->max / 1000);
+	case SETTING_NUMBER:
+		return g_strdup_printf("%g to %g %s", (double)spec->min / 1000,
+				       (double)spec->max / 1000,
+				       spec->unit ? spec->unit : "");
 	case SETTING_BOOL:
 		return g_strdup("true or false");
 	case SETTING_ADDRESS:
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -4,7 +4,8 @@
  * streams.
  *
  * GET /runs returns the number of runs of each request id. A body of "fail "
- * and a status is answered with that status.
+ * and a status is answered with that status. With a body of "hold " and an
+ * event, a stream stops after that event, unless it is resumed.
  */
 #include <string.h>
 
@@ -12,6 +13,7 @@
 #include "standin.h"
 
 #define FAIL "fail "
+#define HOLD "hold "
 
 struct worker_settings {
 	int64_t slots;
@@ -37,6 +39,8 @@
 	struct web_request *request;
 	char *id;
 	int64_t event;
+	/* Event after which the stream sends nothing more; 0 for none. */
+	int64_t hold_after;
 	bool started;
 	uv_timer_t timer;
 };
@@ -98,7 +102,8 @@
 	struct web_request *request = run->request;
 	char *text;
 
-	if (standin_fault_active(state->standin, FAULT_STALL))
+	if (standin_fault_active(state->standin, FAULT_STALL) ||
+	    (run->hold_after && run->event >= run->hold_after))
 		return;
 	run->event++;
 	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "\n\n",
@@ -189,6 +194,24 @@
 	run_end(run);
 }
 
+/* Returns the event after which a request with the body "hold EVENT" is held, or
+ * 0 for other requests and for those that resume a stream. */
+static int64_t hold_after(const struct web_request *request)
+{
+	size_t len;
+	const char *body = web_body(request, &len);
+	int64_t event = 0;
+	char *text;
+
+	if (len <= strlen(HOLD) || memcmp(body, HOLD, strlen(HOLD)) != 0 ||
+	    web_header(request, "last-event-id"))
+		return 0;
+	text = g_strndup(body + strlen(HOLD), len - strlen(HOLD));
+	event = g_ascii_strtoll(text, NULL, 10);
+	g_free(text);
+	return event;
+}
+
 static void on_request(void *ctx, struct web_request *request)
 {
 	struct worker_state *state = ctx;
@@ -208,6 +231,7 @@
 	run->request = request;
 	run->id = g_strdup(id);
 	run->event = last ? g_ascii_strtoll(last, NULL, 10) : 0;
+	run->hold_after = hold_after(request);
 	uv_timer_init(standin_loop(state->standin), &run->timer);
 	run->timer.data = run;
 	list_append(&state->waiting, &run->link);
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -88,7 +88,10 @@
 	peer_table_note_announcement(table, &announcement, state->now_ms);
 }
 
-/* report AT IDENTITY address=N sequence=N [leaving=1] [waits=N] [late=N] */
+/*
+ * report AT IDENTITY address=N sequence=N [leaving=1] [waits=N] [late=N]
+ * [far=1] [loaded=1] [capacity=N]
+ */
 static void report(struct state *state, struct peer_table *table, int argc,
 		   char **argv)
 {
@@ -105,6 +108,10 @@
 	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
 	peer->index_offset = (uint64_t)script_arg_int(argc, argv, "wrote", 0);
 	peer->reaches_store = script_arg_int(argc, argv, "reaches", 1);
+	peer->loaded = script_arg_int(argc, argv, "loaded", 0);
+	peer->capacity = (unsigned)script_arg_int(argc, argv, "capacity", 0);
+	if (script_arg(argc, argv, "far", NULL))
+		peer->same_region = !script_arg_int(argc, argv, "far", 0);
 	peer->directory =
 		(uint64_t)script_arg_int(argc, argv, "address", 0) + 1000;
 	peer->backlog.in_time =
@@ -149,7 +156,7 @@
 }
 
 /*
- * reader AT [from=N] [avoid=ADDRESS] [lost=1]: the directory address that the
+ * reader AT [from=N] [avoid=ADDRESS] [lost=1] [loaded=1]: the directory address that the
  * node asks, or 0 when it reads the store
  */
 static void reader(struct state *state, struct peer_table *table, int argc,
@@ -157,12 +164,15 @@
 {
 	struct peer_reader_query query = {
 		.self_reaches_store = !script_arg_int(argc, argv, "lost", 0),
+		.self_loaded = script_arg_int(argc, argv, "loaded", 0),
 		.readers_from = (unsigned)script_arg_int(argc, argv, "from", 4),
 		.avoided = (uint64_t)script_arg_int(argc, argv, "avoid", 0),
 	};
 
+	const struct peer *peer = peer_table_reader(table, &query);
+
 	g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
-			       peer_table_reader(table, &query));
+			       peer ? peer->directory : 0);
 }
 
 /* start-all NR: starts nodes n1, n2, ... with a report of each at all others */
@@ -211,12 +221,13 @@
 			.readers_from =
 				(unsigned)script_arg_int(argc, argv, "from", 4),
 		};
-		uint64_t at = peer_table_reader(
+		const struct peer *peer = peer_table_reader(
 			g_hash_table_lookup(state->tables, name), &query);
 
-		reading += !at;
-		if (at)
-			g_hash_table_add(asked, GSIZE_TO_POINTER(at));
+		reading += !peer;
+		if (peer)
+			g_hash_table_add(asked,
+					 GSIZE_TO_POINTER(peer->directory));
 		g_free(name);
 	}
 	g_string_append_printf(state->events, "read=%u asked=%u\n", reading,
--- a/wire/directory.pb-c.c
+++ b/wire/directory.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &directory_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   index_page__init
+                     (IndexPage         *message)
+{
+  static const IndexPage init_value = INDEX_PAGE__INIT;
+  *message = init_value;
+}
+size_t index_page__get_packed_size
+                     (const IndexPage *message)
+{
+  assert(message->base.descriptor == &index_page__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t index_page__pack
+                     (const IndexPage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &index_page__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t index_page__pack_to_buffer
+                     (const IndexPage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &index_page__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+IndexPage *
+       index_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (IndexPage *)
+     protobuf_c_message_unpack (&index_page__descriptor,
+                                allocator, len, data);
+}
+void   index_page__free_unpacked
+                     (IndexPage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &index_page__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor directory_server__field_descriptors[3] =
 {
   {
@@ -277,3 +322,93 @@
   (ProtobufCMessageInit) directory_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor index_page__field_descriptors[5] =
+{
+  {
+    "first_offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(IndexPage, first_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(IndexPage, n_records),
+    offsetof(IndexPage, records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end_offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(IndexPage, end_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(IndexPage, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(IndexPage, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned index_page__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = end_offset */
+  0,   /* field[0] = first_offset */
+  4,   /* field[4] = held_ms */
+  1,   /* field[1] = records */
+};
+static const ProtobufCIntRange index_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor index_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "IndexPage",
+  "IndexPage",
+  "IndexPage",
+  "",
+  sizeof(IndexPage),
+  5,
+  index_page__field_descriptors,
+  index_page__field_indices_by_name,
+  1,  index_page__number_ranges,
+  (ProtobufCMessageInit) index_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire/directory.pb-c.h
+++ b/wire/directory.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct DirectoryServer DirectoryServer;
 typedef struct DirectoryPage DirectoryPage;
+typedef struct IndexPage IndexPage;
 
 
 /* --- enums --- */
@@ -43,8 +44,9 @@
 {
   ProtobufCMessage base;
   /*
-   * The requester may have missed removals that the sender no longer knows: all
-   * its servers that are not in live are gone.
+   * Set if the requester sent no offset or the sender no longer has all
+   * removals since that offset. The requester then removes all servers that
+   * are not in live.
    */
   protobuf_c_boolean whole;
   /*
@@ -76,6 +78,36 @@
     , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0,NULL }
 
 
+/*
+ * Consecutive records of the job index.
+ */
+struct  IndexPage
+{
+  ProtobufCMessage base;
+  /*
+   * Offset of the first record.
+   */
+  uint64_t first_offset;
+  size_t n_records;
+  ProtobufCBinaryData *records;
+  /*
+   * Offset up to which the sender has read the index.
+   */
+  uint64_t end_offset;
+  /*
+   * Time since the sender's last response from the store, in ms.
+   */
+  uint32_t age_ms;
+  /*
+   * Time for which the sender held the request until records came, in ms.
+   */
+  uint32_t held_ms;
+};
+#define INDEX_PAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&index_page__descriptor) \
+    , 0, 0,NULL, 0, 0, 0 }
+
+
 /* DirectoryServer methods */
 void   directory_server__init
                      (DirectoryServer         *message);
@@ -114,6 +146,25 @@
 void   directory_page__free_unpacked
                      (DirectoryPage *message,
                       ProtobufCAllocator *allocator);
+/* IndexPage methods */
+void   index_page__init
+                     (IndexPage         *message);
+size_t index_page__get_packed_size
+                     (const IndexPage   *message);
+size_t index_page__pack
+                     (const IndexPage   *message,
+                      uint8_t             *out);
+size_t index_page__pack_to_buffer
+                     (const IndexPage   *message,
+                      ProtobufCBuffer     *buffer);
+IndexPage *
+       index_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   index_page__free_unpacked
+                     (IndexPage *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*DirectoryServer_Closure)
@@ -122,6 +173,9 @@
 typedef void (*DirectoryPage_Closure)
                  (const DirectoryPage *message,
                   void *closure_data);
+typedef void (*IndexPage_Closure)
+                 (const IndexPage *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -130,6 +184,7 @@
 
 extern const ProtobufCMessageDescriptor directory_server__descriptor;
 extern const ProtobufCMessageDescriptor directory_page__descriptor;
+extern const ProtobufCMessageDescriptor index_page__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[11] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[14] =
 {
   {
     "node",
@@ -186,14 +186,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NodeLoad, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
   7,   /* field[7] = backlog_late */
   6,   /* field[6] = batch */
+  12,   /* field[12] = capacity */
+  11,   /* field[11] = data_centre */
   9,   /* field[9] = directory_port */
   10,   /* field[10] = index_offset */
   2,   /* field[2] = leaving */
+  13,   /* field[13] = loaded */
   0,   /* field[0] = node */
   5,   /* field[5] = online */
   8,   /* field[8] = reaches_store */
@@ -203,7 +242,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -213,7 +252,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  11,
+  14,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -31,7 +31,7 @@
    */
   char *node;
   /*
-   * Later reports replace earlier ones.
+   * A report with a higher sequence number replaces earlier ones.
    */
   uint64_t sequence;
   /*
@@ -68,10 +68,22 @@
    * read up to it before it takes over the sender's items.
    */
   uint64_t index_offset;
+  /*
+   * Data centre of the sender.
+   */
+  char *data_centre;
+  /*
+   * Share of a processor core that the sender has, in thousandths.
+   */
+  uint32_t capacity;
+  /*
+   * The sender has read the directory and the job index.
+   */
+  protobuf_c_boolean loaded;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /* NodeLoad methods */
