Let the readers of a starting region begin before reports arrive

Change: announcements carry the entry's share of a core, and readers of equal rank are chosen by address, which a restart keeps. So an entry knows from the list of announcements that it is to read, and starts at once.

--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -114,11 +114,12 @@
 
 static void add_entry(struct peers *peers, const char *identity,
 		      const char *address, const char *data_centre,
-		      bool replayed)
+		      unsigned capacity, bool replayed)
 {
 	struct peer_announcement announcement = {
 		.identity = identity,
 		.same_region = is_same_region(peers, data_centre),
+		.capacity = capacity,
 		.replayed = replayed,
 	};
 	struct sockaddr_in addr;
@@ -139,7 +140,7 @@
 void peers_add_announced(struct peers *peers, const char *identity,
 			 const char *address, const char *data_centre)
 {
-	add_entry(peers, identity, address, data_centre,
+	add_entry(peers, identity, address, data_centre, 0,
 		  !job_store_loaded(peers->gateway->job_store));
 }
 
@@ -366,6 +367,7 @@
 	node.name = gateway->identity;
 	node.address = peers->address;
 	node.data_centre = gateway->settings->data_centre;
+	node.capacity = (uint32_t)gateway->settings->cpu_permille;
 	len = job_node__get_packed_size(&node);
 	bytes = g_malloc(len);
 	job_node__pack(&node, bytes);
@@ -395,7 +397,7 @@
 			continue;
 		}
 		add_entry(peers, node->name, node->address, node->data_centre,
-			  true);
+			  node->capacity, true);
 		job_node__free_unpacked(node, NULL);
 	}
 	g_free(peers->entries_page);
@@ -438,6 +440,7 @@
 		return false;
 	return peer_table_region_entries(peers->table) <
 		       (unsigned)gateway->settings->readers_from ||
+	       peer_table_is_designated(peers->table) ||
 	       now - peers->entries_read_ms >= SETTLE_MS;
 }
 
@@ -596,7 +599,6 @@
 
 	peers->gateway = gateway;
 	peers->started_ms = uv_now(gateway->loop);
-	peers->table = peer_table_create(&table);
 	uv_timer_init(gateway->loop, &peers->report_timer);
 	peers->report_timer.data = peers;
 	uv_timer_init(gateway->loop, &peers->check_timer);
@@ -606,6 +608,8 @@
 	uv_udp_init(gateway->loop, &peers->udp);
 	peers->udp.data = peers;
 	uv_ip4_addr(gateway->settings->ip, port, &addr);
+	table.address = address_pack(&addr);
+	peers->table = peer_table_create(&table);
 	rc = uv_udp_bind(&peers->udp, (struct sockaddr *)&addr, 0);
 	if (!rc)
 		rc = uv_udp_recv_start(&peers->udp, on_alloc, on_report);
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -140,6 +140,8 @@
 		return;
 	if (peer) {
 		peer->same_region = announcement->same_region;
+		if (announcement->capacity)
+			peer->capacity = announcement->capacity;
 		return;
 	}
 	/*
@@ -148,8 +150,9 @@
 	 */
 	if (announcement->replayed && current && current->alive)
 		return;
-	add(table, announcement->identity, announcement->address,
-	    announcement->same_region, now_ms);
+	peer = add(table, announcement->identity, announcement->address,
+		   announcement->same_region, now_ms);
+	peer->capacity = announcement->capacity;
 }
 
 struct peer *peer_table_note_report(struct peer_table *table,
@@ -303,7 +306,19 @@
 	struct candidate candidate = {
 		.loaded = peer->loaded,
 		.capacity = peer->capacity,
-		.hash = hash_combine(peer->hash, READER_SEED),
+		.hash = hash_combine(peer->address, READER_SEED),
+	};
+
+	return candidate;
+}
+
+static struct candidate candidate_self(const struct peer_table *table,
+				       bool loaded)
+{
+	struct candidate candidate = {
+		.loaded = loaded,
+		.capacity = table->options.capacity,
+		.hash = hash_combine(table->options.address, READER_SEED),
 	};
 
 	return candidate;
@@ -323,6 +338,12 @@
 	return a->hash < b->hash;
 }
 
+/* Returns the number of readers of a region. */
+static unsigned readers_of(unsigned entries)
+{
+	return MAX(READERS_MIN, entries / ENTRIES_PER_READER);
+}
+
 static bool is_eligible_reader(const struct peer *peer)
 {
 	return peer->same_region && accepts_items(peer) &&
@@ -351,11 +372,7 @@
 const struct peer *peer_table_reader(const struct peer_table *table,
 				     const struct peer_reader_query *query)
 {
-	struct candidate self = {
-		.loaded = query->self_loaded,
-		.capacity = table->options.capacity,
-		.hash = hash_combine(table->self_hash, READER_SEED),
-	};
+	struct candidate self = candidate_self(table, query->self_loaded);
 	unsigned entries = 1, readers_nr;
 	const struct peer *found = NULL;
 	uint64_t found_rank = 0;
@@ -366,7 +383,7 @@
 
 		entries += peer->same_region && peer->alive;
 	}
-	readers_nr = MAX(READERS_MIN, entries / ENTRIES_PER_READER);
+	readers_nr = readers_of(entries);
 	if (entries < query->readers_from ||
 	    (query->self_reaches_store && is_reader(table, &self, readers_nr)))
 		return NULL;
@@ -397,6 +414,21 @@
 	return entries;
 }
 
+bool peer_table_is_designated(const struct peer_table *table)
+{
+	struct candidate self = candidate_self(table, false);
+	unsigned preferred = 0;
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+		struct candidate other = candidate_of(peer);
+
+		preferred += peer->same_region && is_preferred(&other, &self);
+	}
+	return preferred < readers_of(peer_table_region_entries(table));
+}
+
 bool peer_table_has_loaded(const struct peer_table *table)
 {
 	struct list *pos;
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -52,6 +52,8 @@
 struct peer_table_options {
 	/** Identity of this node. */
 	const char *self;
+	/** Address that this node receives load reports at, packed. */
+	uint64_t address;
 	/** Time at which this node started. */
 	uint64_t now_ms;
 	/** Share of a processor core that it has, in thousandths. */
@@ -78,6 +80,8 @@
 	const char *identity;
 	uint64_t address;
 	bool same_region;
+	/** Share of a processor core in thousandths; 0 if unknown. */
+	unsigned capacity;
 	/**
 	 * The announcement was read from older records, so the entry may have
 	 * been replaced since.
@@ -168,6 +172,13 @@
 /** Returns the same for this region. */
 unsigned peer_table_region_entries(const struct peer_table *table);
 
+/**
+ * Tells whether this node is to read the store on behalf of its region while
+ * none of the announced entries is known to be alive. As the choice depends on
+ * addresses, all entries that start together make the same one.
+ */
+bool peer_table_is_designated(const struct peer_table *table);
+
 /**
  * Tells whether a live entry of this region has loaded the store's data and
  * passes it on.
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -59,10 +59,13 @@
 	g_string_append_printf(state->events, "%s removed\n", peer->identity);
 }
 
-static void start(struct state *state, const char *name)
+static void start(struct state *state, const char *name, uint64_t address,
+		  unsigned capacity)
 {
 	struct peer_table_options options = {
 		.self = name,
+		.address = address,
+		.capacity = capacity,
 		.now_ms = state->now_ms,
 		.on_alive = on_alive,
 		.on_lost = on_lost,
@@ -74,7 +77,7 @@
 			    peer_table_create(&options));
 }
 
-/* announced AT IDENTITY address=N [far=1] [old=1] */
+/* announced AT IDENTITY address=N [far=1] [old=1] [capacity=N] */
 static void announced(struct state *state, struct peer_table *table, int argc,
 		      char **argv)
 {
@@ -82,6 +85,7 @@
 		.identity = argv[2],
 		.address = (uint64_t)script_arg_int(argc, argv, "address", 0),
 		.same_region = !script_arg_int(argc, argv, "far", 0),
+		.capacity = (unsigned)script_arg_int(argc, argv, "capacity", 0),
 		.replayed = script_arg_int(argc, argv, "old", 0),
 	};
 
@@ -184,7 +188,7 @@
 	for (i = 1; i <= nr; i++) {
 		char *name = g_strdup_printf("n%u", i);
 
-		start(state, name);
+		start(state, name, i, 0);
 		g_free(name);
 	}
 	for (i = 1; i <= nr * nr; i++) {
@@ -242,7 +246,9 @@
 		argc > 1 ? g_hash_table_lookup(state->tables, argv[1]) : NULL;
 
 	if (!strcmp(argv[0], "start"))
-		start(state, argv[1]);
+		start(state, argv[1],
+		      (uint64_t)script_arg_int(argc, argv, "address", 0),
+		      (unsigned)script_arg_int(argc, argv, "capacity", 0));
 	else if (!strcmp(argv[0], "announced"))
 		announced(state, table, argc, argv);
 	else if (!strcmp(argv[0], "report"))
@@ -262,6 +268,10 @@
 				       peer_table_heartbeat_ms(table));
 	else if (!strcmp(argv[0], "reader"))
 		reader(state, table, argc, argv);
+	else if (!strcmp(argv[0], "designated"))
+		g_string_append(state->events, peer_table_is_designated(table) ?
+						       "yes\n" :
+						       "no\n");
 	else if (!strcmp(argv[0], "start-all"))
 		start_all(state, argc, argv);
 	else if (!strcmp(argv[0], "readers"))
--- a/wire/joblog.pb-c.c
+++ b/wire/joblog.pb-c.c
@@ -1093,7 +1093,7 @@
   (ProtobufCMessageInit) job_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job_node__field_descriptors[3] =
+static const ProtobufCFieldDescriptor job_node__field_descriptors[4] =
 {
   {
     "name",
@@ -1131,16 +1131,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(JobNode, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned job_node__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  3,   /* field[3] = capacity */
   2,   /* field[2] = data_centre */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange job_node__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor job_node__descriptor =
 {
@@ -1150,7 +1163,7 @@
   "JobNode",
   "",
   sizeof(JobNode),
-  3,
+  4,
   job_node__field_descriptors,
   job_node__field_indices_by_name,
   1,  job_node__number_ranges,
--- a/wire/joblog.pb-c.h
+++ b/wire/joblog.pb-c.h
@@ -171,21 +171,25 @@
 
 
 /*
- * An entry started.
+ * Announces that an entry started.
  */
 struct  JobNode
 {
   ProtobufCMessage base;
   char *name;
   /*
-   * IP:PORT at which it receives load reports.
+   * IP:PORT at which the entry receives load reports.
    */
   char *address;
   char *data_centre;
+  /*
+   * Share of a processor core that the entry has, in thousandths.
+   */
+  uint32_t capacity;
 };
 #define JOB_NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&job_node__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
