Count the round trip of a new connection when a server is chosen

Change: a server without an idle connection costs a round trip and its accept time more; batch items weigh connected servers eight times.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -176,6 +176,12 @@
 	peers_add_announced(gateway->peers, name, address, data_centre);
 }
 
+static bool has_connection(void *ctx, const struct server *server)
+{
+	(void)ctx;
+	return server_connection_idle(server);
+}
+
 static void on_server_forgotten(void *ctx, struct server *server)
 {
 	(void)ctx;
@@ -271,6 +277,7 @@
 		.region = settings->region,
 		.regions = gateway->regions,
 		.on_forget = on_server_forgotten,
+		.has_connection = has_connection,
 	};
 	struct store_options store = {
 		.loop = gateway->loop,
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -114,6 +114,11 @@
 	return server->connections;
 }
 
+bool server_connection_idle(const struct server *server)
+{
+	return server->connections && http_pool_idle(server->connections);
+}
+
 void server_connections_close(struct server *server)
 {
 	struct http_pool *pool = server->connections;
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -83,6 +83,9 @@
  */
 bool server_call_forwards_field(const char *name);
 
+/** Tells whether an open connection to the server is idle. */
+bool server_connection_idle(const struct server *server);
+
 /** Closes the pooled connections to a server; the fleet's on_forget. */
 void server_connections_close(struct server *server);
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -8,6 +8,10 @@
  * within a data centre, between data centres, between regions. */
 static const double distance_ms[SERVER_DISTANCES] = { 0.5, 3, 62 };
 
+/* Time that a server takes to accept a connection, in ms, in addition to a round
+ * trip. */
+#define ACCEPT_MS 1
+
 /* Initial estimates before a server has answered, in ms. */
 #define FIRST_MS_GUESS 40
 #define HOLD_MS_GUESS 500
@@ -256,6 +260,15 @@
 	return ahead <= 0 ? 0 : ahead * server->hold_ms / server->slots;
 }
 
+bool server_has_connection(const struct fleet *fleet,
+			   const struct server *server)
+{
+	const struct fleet_options *options = &fleet->options;
+
+	return !options->has_connection ||
+	       options->has_connection(options->ctx, server);
+}
+
 static bool was_tried(const struct fleet_query *query,
 		      const struct server *server)
 {
@@ -268,7 +281,8 @@
 	return false;
 }
 
-static double expected_ms(const struct server *server,
+static double expected_ms(const struct fleet *fleet,
+			  const struct server *server,
 			  const struct fleet_query *query)
 {
 	double online = server_load(server, WORK_ONLINE);
@@ -276,6 +290,8 @@
 	double ms = wait_for_slot(server, query->now_ms);
 
 	ms += distance_ms[server->distance] + server->first_ms;
+	if (!server_has_connection(fleet, server))
+		ms += distance_ms[server->distance] + ACCEPT_MS;
 	ms += FAILURE_MS * server->failures;
 	/* A server with unanswered requests may have failed, so its silence
 	 * adds to its expected time. */
@@ -311,7 +327,7 @@
 		    !server_usable(server, query->now_ms) ||
 		    was_tried(query, server))
 			continue;
-		ms = expected_ms(server, query);
+		ms = expected_ms(fleet, server, query);
 		if (ms >= best)
 			continue;
 		best = ms;
--- a/core/fleet_batch.c
+++ b/core/fleet_batch.c
@@ -7,6 +7,8 @@
 /* Averaging period of the slots available to batch, in ms: longer than bursts
  * of a few seconds and the pauses between them. */
 #define BATCH_SLOTS_MS 5000.0
+/* Weight of a free slot that needs no new connection against one that does. */
+#define CONNECTED_WEIGHT 8
 /* Share of the slots reserved for the next online requests. */
 #define RESERVE_SHARE 0.06
 /* Additional reserve in other regions, whose load is known with more delay. */
@@ -95,8 +97,11 @@
 	return mean->value;
 }
 
-static double batch_slots_free(const struct server *server,
-			       const struct batch_query *query)
+/* Returns the weight of a server in the choice for a batch item; 0 if it has no
+ * free slot. */
+static double batch_weight(const struct fleet *fleet,
+			   const struct server *server,
+			   const struct batch_query *query)
 {
 	double free = server->slots - server_load(server, WORK_ONLINE) -
 		      server_load(server, WORK_BATCH) -
@@ -104,6 +109,8 @@
 
 	if (free < (query->other_region ? 2 : 1))
 		return 0;
+	if (server_has_connection(fleet, server))
+		free *= CONNECTED_WEIGHT;
 	return free * (1 - MIN(server->failures, 0.95));
 }
 
@@ -121,18 +128,18 @@
 		struct server *server = list_entry(pos, struct server, link);
 
 		if (accepts_batch(server, query))
-			sum += batch_slots_free(server, query);
+			sum += batch_weight(fleet, server, query);
 	}
 	at = sum * (double)(query->random >> 11) / (double)(1ULL << 53);
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
-		double free = 0;
+		double weight = 0;
 
 		if (accepts_batch(server, query))
-			free = batch_slots_free(server, query);
-		if (free > 0 && at < free)
+			weight = batch_weight(fleet, server, query);
+		if (weight > 0 && at < weight)
 			return server;
-		at -= free;
+		at -= weight;
 	}
 	return NULL;
 }
--- a/core/fleet_private.h
+++ b/core/fleet_private.h
@@ -49,6 +49,10 @@
  * requests account for, decayed by the age of the report. */
 double server_unattributed(const struct server *server, uint64_t now_ms);
 
+/** Tells whether a request to the server needs no new connection. */
+bool server_has_connection(const struct fleet *fleet,
+			   const struct server *server);
+
 /** Tells whether the server accepts new requests of a service. */
 bool server_serves(const struct server *server, const char *service);
 
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -101,6 +101,9 @@
 	/** Called before a server is freed or its address or incarnation
 	 * changes; may be NULL. */
 	void (*on_forget)(void *ctx, struct server *server);
+	/** Tells whether an open connection to the server is idle; may be
+	 * NULL, then connections are not considered. */
+	bool (*has_connection)(void *ctx, const struct server *server);
 	void *ctx;
 };
 
--- a/include/net/http_pool.h
+++ b/include/net/http_pool.h
@@ -49,6 +49,9 @@
  */
 struct http_link *http_pool_acquire(struct http_pool *pool, uint64_t limit_ms);
 
+/** Tells whether the pool has an idle connection that may be reused. */
+bool http_pool_idle(const struct http_pool *pool);
+
 /**
  * Gives back a connection after its exchange; closes it if it can't be kept.
  */
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -125,6 +125,20 @@
 	return http_link_open(&options);
 }
 
+bool http_pool_idle(const struct http_pool *pool)
+{
+	const struct idle_link *newest;
+
+	if (list_empty(&pool->idle))
+		return false;
+	newest = list_entry(pool->idle.next, struct idle_link, link);
+	return http_link_reusable(newest->http) &&
+	       uv_now(pool->options.loop) -
+			       http_link_idle_since_ms(newest->http) <
+		       reuse_limit_for(newest->http,
+				       pool->options.reuse_limit_ms);
+}
+
 void http_pool_release(struct http_pool *pool, struct http_link *http)
 {
 	struct idle_link *entry;
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -11,16 +11,29 @@
 struct state {
 	struct fleet *fleet;
 	GHashTable *regions;
+	/* Set of the ids of servers to which a connection is idle; NULL if
+	 * connections are not considered. */
+	GHashTable *connected;
 	uint64_t now_ms;
 	uint64_t random;
 };
 
+static bool has_connection(void *ctx, const struct server *server)
+{
+	const struct state *state = ctx;
+
+	return !state->connected ||
+	       g_hash_table_contains(state->connected, server->id);
+}
+
 static void *state_create(void)
 {
 	struct state *state = g_new0(struct state, 1);
 	struct fleet_options options = {
 		.data_centre = "a1",
 		.region = "a",
+		.has_connection = has_connection,
+		.ctx = state,
 	};
 
 	state->regions = g_hash_table_new(g_str_hash, g_str_equal);
@@ -39,6 +52,8 @@
 
 	fleet_destroy(state->fleet);
 	g_hash_table_destroy(state->regions);
+	if (state->connected)
+		g_hash_table_destroy(state->connected);
 	g_free(state);
 }
 
@@ -57,6 +72,19 @@
 	fleet_update_server(state->fleet, &facts);
 }
 
+/* connected [SERVER...]: the servers to which a connection is idle */
+static void connected(struct state *state, int argc, char **argv)
+{
+	int i;
+
+	if (!state->connected)
+		state->connected = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_remove_all(state->connected);
+	for (i = 1; i < argc; i++)
+		g_hash_table_add(state->connected, g_strdup(argv[i]));
+}
+
 static enum work_class class_of(int argc, char **argv)
 {
 	return script_arg_int(argc, argv, "batch", 0) ? WORK_BATCH :
@@ -201,6 +229,8 @@
 
 	if (!strcmp(argv[0], "server"))
 		learn(state, argc, argv);
+	else if (!strcmp(argv[0], "connected"))
+		connected(state, argc, argv);
 	else if (!strcmp(argv[0], "unlist"))
 		fleet_mark_unlisted(state->fleet, argv[1]);
 	else if (!strcmp(argv[0], "pass"))
