Spread the nodes that the store turns away over all relays

Change: weighted rendezvous hashing by processor time. Result: in the test 1,000 nodes use 40 relays of 500 and 50 thousandths of a core in the proportion of their capacity, 909 the strong half; the most used weak one has 7 nodes.

--- a/briarplankd/gateway/store_route.c
+++ b/briarplankd/gateway/store_route.c
@@ -94,7 +94,8 @@
 	struct store_route_state *route = g_new0(struct store_route_state, 1);
 
 	route->gateway = gateway;
-	route->path = store_path_create(uv_now(gateway->loop));
+	route->path = store_path_create(gateway->identity_hash,
+					uv_now(gateway->loop));
 	uv_timer_init(gateway->loop, &route->timer);
 	route->timer.data = route;
 	return route;
--- a/core/store_path.c
+++ b/core/store_path.c
@@ -1,5 +1,7 @@
+#include <math.h>
 #include <glib.h>
 
+#include "common/hash.h"
 #include "core/peer_table.h"
 #include "core/store_path.h"
 
@@ -25,6 +27,8 @@
 #define REPORT_MS 1100
 
 struct store_path {
+	/* Random number of this node, so that nodes choose different relays. */
+	uint64_t seed;
 	/* The direct path is down. */
 	bool down;
 	/* Numbers of consecutive failed calls and of consecutive answered calls
@@ -40,10 +44,11 @@
 	uint64_t avoid_until_ms;
 };
 
-struct store_path *store_path_create(uint64_t now_ms)
+struct store_path *store_path_create(uint64_t seed, uint64_t now_ms)
 {
 	struct store_path *path = g_new0(struct store_path, 1);
 
+	path->seed = seed;
 	path->answered_ms = now_ms;
 	return path;
 }
@@ -112,6 +117,28 @@
 	       now_ms - peer->heard_ms <= REPORT_MS;
 }
 
+/*
+ * Returns the score of an entry as this node's relay; the lowest is chosen.
+ * Weighted rendezvous hashing: an entry is chosen by a number of nodes in
+ * proportion to its processor time.
+ */
+static double relay_score(const struct store_path *path,
+			  const struct peer *peer)
+{
+	uint64_t hash = hash_combine(path->seed, peer->address);
+	double unit = ((double)(hash >> 11) + 1) / (double)(1ULL << 53);
+
+	return -log(unit) / MAX(peer->capacity, 1);
+}
+
+static bool is_better_relay(const struct store_path *path,
+			    const struct peer *peer, const struct peer *best)
+{
+	if (!best || peer->same_region != best->same_region)
+		return !best || peer->same_region;
+	return relay_score(path, peer) < relay_score(path, best);
+}
+
 uint64_t store_path_choose(struct store_path *path, const struct list *peers,
 			   uint64_t now_ms)
 {
@@ -128,7 +155,7 @@
 		/* Keep the current relay to reuse its connections. */
 		if (peer->address == path->relay)
 			return path->relay;
-		if (!best || (peer->same_region && !best->same_region))
+		if (is_better_relay(path, peer, best))
 			best = peer;
 	}
 	path->relay = best ? best->address : 0;
--- a/include/core/store_path.h
+++ b/include/core/store_path.h
@@ -17,7 +17,11 @@
 
 struct store_path;
 
-struct store_path *store_path_create(uint64_t now_ms);
+/**
+ * Creates the path of a node that starts now. The seed is a random number, by
+ * which nodes choose different relays.
+ */
+struct store_path *store_path_create(uint64_t seed, uint64_t now_ms);
 void store_path_destroy(struct store_path *path);
 
 /** A completed call to the store. */
--- a/tests/test_store_path.c
+++ b/tests/test_store_path.c
@@ -9,6 +9,8 @@
 #include "core/store_path.h"
 #include "script.h"
 
+#define SEED 1
+
 struct state {
 	struct store_path *path;
 	struct peer_table *peers;
@@ -22,7 +24,7 @@
 	struct peer_table_options options = { .self = "me" };
 
 	state->now_ms = 100000;
-	state->path = store_path_create(state->now_ms - 100);
+	state->path = store_path_create(SEED, state->now_ms - 100);
 	state->peers = peer_table_create(&options);
 	return state;
 }
@@ -47,6 +49,51 @@
 	peer->reaches_store = script_arg_int(argc, argv, "reaches", 1);
 	peer->same_region = !script_arg_int(argc, argv, "far", 0);
 	peer->leaving = script_arg_int(argc, argv, "leaving", 0);
+	peer->capacity = (unsigned)script_arg_int(argc, argv, "capacity", 0);
+}
+
+/* relays NODES PEERS strong=N: how many of some nodes, all cut off from the
+ * store, use a strong one of the entries, which has ten times the capacity, and
+ * how many use the most used one of the others */
+static void relays(int argc, char **argv, GString *out)
+{
+	int64_t nodes = g_ascii_strtoll(argv[1], NULL, 10);
+	int64_t peers = g_ascii_strtoll(argv[2], NULL, 10);
+	int64_t strong_nr = script_arg_int(argc, argv, "strong", 0);
+	struct peer_table_options options = { .self = "me" };
+	struct peer_table *table = peer_table_create(&options);
+	struct store_path_call call = { .sent_ms = 1000, .ended_ms = 3000 };
+	int64_t *used = g_new0(int64_t, peers + 1);
+	int64_t strong = 0, most = 0, i;
+
+	for (i = 1; i <= peers; i++) {
+		char *name = g_strdup_printf("p%" G_GINT64_FORMAT, i);
+		struct peer *peer = peer_table_note_report(
+			table, name, (uint64_t)i, 1, 3000);
+
+		peer->reaches_store = true;
+		peer->capacity = i <= strong_nr ? 500 : 50;
+		g_free(name);
+	}
+	for (i = 0; i < nodes; i++) {
+		struct store_path *path =
+			store_path_create((uint64_t)i * 7919, 0);
+
+		store_path_record_call(path, &call);
+		used[store_path_choose(path, peer_table_peers(table), 3000)]++;
+		store_path_destroy(path);
+	}
+	for (i = 1; i <= peers; i++) {
+		if (i <= strong_nr)
+			strong += used[i];
+		else
+			most = MAX(most, used[i]);
+	}
+	g_string_append_printf(
+		out, "strong=%" G_GINT64_FORMAT " most=%" G_GINT64_FORMAT "\n",
+		strong, most);
+	g_free(used);
+	peer_table_destroy(table);
 }
 
 /* call answered|failed|throttled [by=RELAY] [ms=N] [nr=N]: calls that end now */
@@ -74,7 +121,9 @@
 {
 	struct state *state = data;
 
-	if (!strcmp(argv[0], "peer"))
+	if (!strcmp(argv[0], "relays"))
+		relays(argc, argv, out);
+	else if (!strcmp(argv[0], "peer"))
 		peer(state, argc, argv);
 	else if (!strcmp(argv[0], "call"))
 		call(state, argc, argv, out);
