Leave a reader whose index is out of date

Cause: a follower had no bound on the age of a reader's records, so that a reader that lost the store, or froze, made its followers refuse reads of jobs. Change: pages older than 0.7 s and answers that don't begin within 1 s make the follower choose another reader.

--- a/briarplankd/gateway/index_share.c
+++ b/briarplankd/gateway/index_share.c
@@ -10,8 +10,9 @@
 #define PAGE_BYTES 262144
 /* Maximum time for which a request waits for a record, in ms. */
 #define WAIT_MAX_MS 1000
-/* Timeout of a fetch, in ms: the wait, and a page over a slow link. */
-#define FETCH_TIMEOUT_MS 2000
+/* Timeout of a fetch until its answer begins, in ms: the wait of a node that
+ * follows the index, and a busy reader. */
+#define FETCH_TIMEOUT_MS 1000
 /* Interval of the check for requests that waited long enough, in ms. */
 #define CHECK_INTERVAL_MS 50
 
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -22,6 +22,9 @@
  * one that hasn't loaded the index yet, in ms. */
 #define FETCH_PAUSE_MS 150
 #define FETCH_COLD_PAUSE_MS 100
+/* Maximum age of a reader's records, in ms. It is less than CURRENT_AGE_MS, as
+ * this node is up to date only as of its last fetch. */
+#define PAGE_AGE_MAX_MS 700
 /* Time after the start for which a node waits for a reader to load the index,
  * in ms. */
 #define COLD_WAIT_MS 3000
@@ -229,6 +232,10 @@
 		follow_next(store, FETCH_COLD_PAUSE_MS);
 		return true;
 	}
+	if (page->age_ms > PAGE_AGE_MAX_MS) {
+		follow_next(store, 0);
+		return false;
+	}
 	if (page->first_offset > store->next_offset) {
 		store->behind_reader = true;
 		follow_next(store, 0);
--- a/briarplankd/gateway/reader_client.h
+++ b/briarplankd/gateway/reader_client.h
@@ -12,7 +12,7 @@
 	struct gateway *gateway;
 	/** What is fetched, for the log. */
 	const char *name;
-	/** Timeout of a fetch, in ms. */
+	/** Time for which an answer may send nothing, in ms. */
 	uint32_t timeout_ms;
 	/**
 	 * Called with the body of each answer, or with NULL when a fetch
