Give items up some seconds after their job's expiry

Cause: an item was dead-lettered as soon as this node's clock passed the job's expiry. Found by reading each use of the time of day; the others order items of one node among themselves, or only log. Change: the time by which clocks may be wrong is added, in core/job_log.c.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -425,7 +425,7 @@
 
 	if (run->state != RUN_WAITING || run->not_before_ms > now)
 		return false;
-	if (gateway_wall_ms() >= run->job->expires_ms) {
+	if (job_may_be_given_up(run->job, gateway_wall_ms())) {
 		dead_letter(run, "its job expired");
 		return false;
 	}
--- a/core/job_log.c
+++ b/core/job_log.c
@@ -3,6 +3,9 @@
 #include "core/job_log.h"
 #include "joblog.pb-c.h"
 
+/* Time by which clocks of VMs may be wrong, in ms. */
+#define CLOCK_TOLERANCE_MS 10000
+
 struct job_log {
 	struct job_log_watcher watcher;
 	struct list jobs;
@@ -292,6 +295,11 @@
 	return true;
 }
 
+bool job_may_be_given_up(const struct job *job, uint64_t wall_ms)
+{
+	return wall_ms >= job->expires_ms + CLOCK_TOLERANCE_MS;
+}
+
 void job_log_expire(struct job_log *log, uint64_t accepted_before_ms)
 {
 	struct list *pos, *tmp;
--- a/include/core/job_log.h
+++ b/include/core/job_log.h
@@ -109,6 +109,13 @@
 /** Returns the number of open items of all jobs that haven't ended. */
 size_t job_log_open_items(const struct job_log *log);
 
+/**
+ * Tells whether a job's open items may be given up at a Unix time in ms by this
+ * VM's clock. As clocks may differ and jump by seconds, it does so some seconds
+ * after the job's expiry.
+ */
+bool job_may_be_given_up(const struct job *job, uint64_t wall_ms);
+
 /** Removes jobs accepted before a time that ended or have no open items. */
 void job_log_expire(struct job_log *log, uint64_t accepted_before_ms);
 
--- a/tests/test_job_log.c
+++ b/tests/test_job_log.c
@@ -203,6 +203,16 @@
 	state->silent = false;
 }
 
+/* given-up JOB at=WALL_MS: whether the job's open items may be given up */
+static void given_up(struct state *state, int argc, char **argv)
+{
+	const struct job *job = job_log_find(state->log, argv[1]);
+	uint64_t at = (uint64_t)script_arg_int(argc, argv, "at", 0);
+
+	g_string_append(state->out,
+			job_may_be_given_up(job, at) ? "yes\n" : "no\n");
+}
+
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
@@ -216,6 +226,8 @@
 	} else if (!strcmp(argv[0], "expire")) {
 		job_log_expire(state->log, (uint64_t)script_arg_int(
 						   argc, argv, "before", 0));
+	} else if (!strcmp(argv[0], "given-up")) {
+		given_up(state, argc, argv);
 	} else if (!strcmp(argv[0], "garbage")) {
 		if (!job_log_apply(state->log, argv[1], strlen(argv[1])))
 			g_string_append(out, "unreadable\n");
