--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -132,6 +132,7 @@
 	struct server_info facts = { 0 };
 	struct server *server;
 	void *decoded;
+	bool changed;
 
 	if (directory->seen)
 		g_hash_table_add(directory->seen, g_strdup(record->key));
@@ -149,9 +150,12 @@
 		return;
 	}
 	server = fleet_find(gateway->fleet, record->key);
-	if (!server || !is_heartbeat(server, &facts)) {
+	changed = !server || !is_heartbeat(server, &facts);
+	/* After a snapshot began, the list lacks servers that did not change. */
+	if (changed || !change_list_has(directory->changes, record->key))
 		change_list_put(directory->changes, record->key, record->data,
 				record->len, record->offset);
+	if (changed)
 		log_event("server", LOG_LEVEL_INFO,
 			  "id=%s service=%s address=%s data_centre=%s slots=%u "
 			  "%s offset=%" PRIu64,
@@ -159,7 +163,6 @@
 			  facts.data_centre, facts.slots,
 			  facts.draining ? "draining" : "ready",
 			  record->offset);
-	}
 	fleet_update_server(gateway->fleet, &facts);
 	g_hash_table_remove(directory->unlist_pending, record->key);
 	platform_server_free(decoded);
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -9,6 +9,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/event_stream.h"
+#include "directory.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "refusals.h"
@@ -19,6 +20,9 @@
 #define SERVERS_TRIED_MAX 4
 /* Retry-After while no server is usable, in s: about one heartbeat. */
 #define NO_SERVER_RETRY_AFTER_S 0.6
+/* Retry-After while this node has just started and reads the configuration and
+ * the servers, in s. */
+#define STARTING_RETRY_AFTER_S 0.2
 /* Bounds of Retry-After under overload, in s. */
 #define RETRY_AFTER_MIN_S 0.15
 #define RETRY_AFTER_MAX_S 1.5
@@ -526,7 +530,10 @@
 		if (request->runs)
 			fail(request, 502, "no further server could run it");
 		else
-			refuse(request, 503, NO_SERVER_RETRY_AFTER_S,
+			refuse(request, 503,
+			       directory_loaded(request->gateway->directory) ?
+				       NO_SERVER_RETRY_AFTER_S :
+				       STARTING_RETRY_AFTER_S,
 			       "no server can run it");
 		return;
 	}
@@ -670,7 +677,11 @@
 	const char *id = web_header(web, platform_fields.request_id);
 
 	if (!gateway->config) {
-		gateway_refuse(web, 503, NO_SERVER_RETRY_AFTER_S,
+		log_event("request_failed", LOG_LEVEL_WARN,
+			  "request=%s status=503 no configuration has been "
+			  "read yet",
+			  id ? id : "-");
+		gateway_refuse(web, 503, STARTING_RETRY_AFTER_S,
 			       "no configuration has been read yet");
 		return;
 	}
--- a/core/change_list.c
+++ b/core/change_list.c
@@ -43,6 +43,13 @@
 	g_free(list);
 }
 
+bool change_list_has(const struct change_list *list, const char *key)
+{
+	const struct entry *entry = g_hash_table_lookup(list->entries, key);
+
+	return entry && entry->value;
+}
+
 void change_list_reset(struct change_list *list, uint64_t offset)
 {
 	g_hash_table_remove_all(list->entries);
--- a/include/core/change_list.h
+++ b/include/core/change_list.h
@@ -25,6 +25,9 @@
 struct change_list *change_list_create(void);
 void change_list_destroy(struct change_list *list);
 
+/** Tells whether a key has a value. */
+bool change_list_has(const struct change_list *list, const char *key);
+
 /** Removes all keys. Removals up to the offset are unknown from now on. */
 void change_list_reset(struct change_list *list, uint64_t offset);
 
--- a/tests/process/gateway_directory.sh
+++ b/tests/process/gateway_directory.sh
@@ -52,6 +52,24 @@
 wait_until all_logged "event=server id=$(fleet_address server-2) unlisted"
 echo "changes: reached all entries"
 
+# The store drops the history of the servers, so that the readers read all of
+# them again. The servers that did not change stay listed at all entries.
+history_is_read_again () {
+	gateway_list server-1 model
+	curl -sf -X POST \
+		"http://$(fleet_address store)/drop?Topic=keyed.servers" ||
+		fleet_fail "the store did not drop its records"
+	grep -q 'topic=keyed.servers records are no longer kept' \
+		"$FLEET_DIR"/g?.log
+}
+
+wait_until history_is_read_again
+gateway_server server-3 model --events 10
+wait_until all_logged "event=server id=$(fleet_address server-3) .* ready"
+grep -q "event=server id=$(fleet_address server-1) unlisted" \
+	"$FLEET_DIR"/g?.log && fleet_fail "an entry lost an unchanged server"
+echo "history dropped: all servers kept"
+
 # A reader is killed: its followers choose another reader, or read the store.
 follower=$(followers | head -n 1)
 asked=$(sed -n 's/.*follows the entry at //p' "$FLEET_DIR/$follower.log" |
