Note a server's removal at the offset of its record

Cause: a reader noted removals at the offset from which its read began, not at that of the record. Change: removals have the offset of their record; those without a record, and a change of the reader in general, are covered by fetching the whole list once. The process test checks that a follower fetches all servers after its reader was killed, and reads the log lines of the directory only, as others name readers, too.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -73,22 +73,24 @@
 	gateway_apply_config(gateway);
 }
 
-/*
- * Removes a server from the list. Some removals have no record in the store.
- * The change is therefore recorded at the next offset, so that other entries
- * that fetch from there receive it.
- */
+/* Removes a server from the list, and records that for other entries at the
+ * offset of the removal. */
 static void server_unlist(struct directory *directory, const char *id,
-			  const char *suffix)
+			  uint64_t offset, const char *suffix)
 {
-	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
-
-	log_event("server", LOG_LEVEL_INFO, "id=%s unlisted%s", id, suffix);
+	log_event("server", LOG_LEVEL_INFO,
+		  "id=%s unlisted offset=%" PRIu64 "%s", id, offset, suffix);
 	fleet_mark_unlisted(directory->gateway->fleet, id);
-	change_list_put(directory->changes, id, NULL, 0, servers->next_offset);
+	change_list_put(directory->changes, id, NULL, 0, offset);
+}
+
+uint64_t directory_next_offset(const struct directory *directory)
+{
+	return directory->topics[TOPIC_SERVERS].next_offset;
 }
 
-void directory_server_removed(struct directory *directory, const char *id)
+void directory_server_removed(struct directory *directory, const char *id,
+			      uint64_t offset)
 {
 	struct gateway *gateway = directory->gateway;
 	uint64_t now = uv_now(gateway->loop), *grace_start;
@@ -99,7 +101,7 @@
 	if (!directory->store_failed_ms ||
 	    now - directory->store_failed_ms > STORE_FAILURE_RECENT_MS ||
 	    server->draining) {
-		server_unlist(directory, id, "");
+		server_unlist(directory, id, offset, "");
 		return;
 	}
 	if (g_hash_table_contains(directory->unlist_pending, id))
@@ -137,7 +139,8 @@
 	if (directory->seen)
 		g_hash_table_add(directory->seen, g_strdup(record->key));
 	if (!record->len) {
-		directory_server_removed(directory, record->key);
+		directory_server_removed(directory, record->key,
+					 record->offset);
 		return;
 	}
 	if (!platform_server_decode(record->key, record->data, record->len,
@@ -145,7 +148,7 @@
 		log_event("server", LOG_LEVEL_WARN,
 			  "id=%s malformed record: %s", record->key,
 			  error_last());
-		server_unlist(directory, record->key,
+		server_unlist(directory, record->key, record->offset,
 			      ", its record is malformed");
 		return;
 	}
@@ -282,7 +285,9 @@
 		struct server *server = list_entry(pos, struct server, link);
 
 		if (!g_hash_table_contains(directory->seen, server->id))
-			directory_server_removed(directory, server->id);
+			directory_server_removed(
+				directory, server->id,
+				directory_next_offset(directory));
 	}
 	g_hash_table_destroy(directory->seen);
 	directory->seen = NULL;
@@ -401,7 +406,7 @@
 			*(uint64_t *)grace_start = now;
 		if (now - *(uint64_t *)grace_start < UNLIST_GRACE_MS)
 			continue;
-		server_unlist(directory, id,
+		server_unlist(directory, id, directory_next_offset(directory),
 			      ", its record was not written again");
 		g_hash_table_iter_remove(&iter);
 	}
--- a/briarplankd/gateway/directory_pages.c
+++ b/briarplankd/gateway/directory_pages.c
@@ -95,7 +95,9 @@
 		struct server *server = list_entry(pos, struct server, link);
 
 		if (!g_hash_table_contains(live, &server->hash))
-			directory_server_removed(directory, server->id);
+			directory_server_removed(
+				directory, server->id,
+				directory_next_offset(directory));
 	}
 	g_hash_table_destroy(live);
 }
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -67,10 +67,18 @@
 			    const struct store_record *record);
 
 /**
- * Handles a server that the store no longer holds: unlists it, or starts a
- * grace period if the store failed shortly before.
+ * Returns the offset up to which the servers were read. A removal without a
+ * record of its own is noted there, so that entries that fetch from it on
+ * receive it.
  */
-void directory_server_removed(struct directory *directory, const char *id);
+uint64_t directory_next_offset(const struct directory *directory);
+
+/**
+ * Handles a server that the store no longer holds as of an offset: unlists it,
+ * or starts a grace period if the store failed shortly before.
+ */
+void directory_server_removed(struct directory *directory, const char *id,
+			      uint64_t offset);
 
 /** Fills a page for another entry; see struct directory_share_hooks. */
 void directory_fill_page(void *ctx, DirectoryPage *page, uint64_t servers_from,
--- a/briarplankd/gateway/directory_share.c
+++ b/briarplankd/gateway/directory_share.c
@@ -2,6 +2,7 @@
  * Serves directory pages to other entries over HTTP, and fetches them from a
  * reader.
  */
+#include "common/log.h"
 #include "directory_share.h"
 #include "reader_client.h"
 
@@ -14,6 +15,11 @@
 	struct gateway *gateway;
 	struct directory_share_hooks hooks;
 	struct reader_client *client;
+	/* Packed address of the reader of the last page that was applied; 0
+	 * after the store was read. */
+	uint64_t page_reader;
+	/* Offset up to which this node had the servers at the last fetch. */
+	uint64_t servers_from;
 };
 
 /* Functions that serve directory pages to other entries. */
@@ -61,12 +67,14 @@
 
 	if (page)
 		directory_page__free_unpacked(page, NULL);
+	if (success && page->servers_offset >= share->servers_from)
+		share->page_reader = reader_client_reader(share->client);
 	return success;
 }
 
 bool directory_share_has_reader(const struct directory_share *share)
 {
-	return reader_client_has_reader(share->client);
+	return reader_client_reader(share->client) != 0;
 }
 
 void directory_share_fetch(struct directory_share *share, uint64_t servers_from,
@@ -74,9 +82,21 @@
 {
 	char *target;
 
-	if (reader_client_busy(share->client) ||
-	    !reader_client_choose(share->client))
+	if (reader_client_busy(share->client))
 		return;
+	if (!reader_client_choose(share->client)) {
+		share->page_reader = 0;
+		return;
+	}
+	/* Removals without a record have different offsets at different
+	 * readers, so the changes since an offset of another one may lack
+	 * some. */
+	share->servers_from = servers_from;
+	if (share->page_reader != reader_client_reader(share->client)) {
+		log_event("directory", LOG_LEVEL_INFO,
+			  "fetches all servers from=%" PRIu64, servers_from);
+		servers_from = 0;
+	}
 	target = g_strdup_printf(PAGE_PATH "?servers=%" PRIu64
 					   "&config=%" PRIu64,
 				 servers_from, config_from);
--- a/briarplankd/gateway/reader_client.c
+++ b/briarplankd/gateway/reader_client.c
@@ -152,9 +152,9 @@
 	return reader != 0;
 }
 
-bool reader_client_has_reader(const struct reader_client *client)
+uint64_t reader_client_reader(const struct reader_client *client)
 {
-	return client->reader != 0;
+	return client->reader;
 }
 
 bool reader_client_busy(const struct reader_client *client)
--- a/briarplankd/gateway/reader_client.h
+++ b/briarplankd/gateway/reader_client.h
@@ -32,8 +32,8 @@
 /** Chooses the reader to ask; returns false when the store must be read. */
 bool reader_client_choose(struct reader_client *client);
 
-/** Tells whether a reader was chosen. */
-bool reader_client_has_reader(const struct reader_client *client);
+/** Returns the packed address of the chosen reader, or 0 for none. */
+uint64_t reader_client_reader(const struct reader_client *client);
 
 /** Tells whether a fetch is in progress. */
 bool reader_client_busy(const struct reader_client *client);
--- a/tests/process/gateway_directory.sh
+++ b/tests/process/gateway_directory.sh
@@ -21,7 +21,7 @@
 followers () {
 	for log in "$FLEET_DIR"/g?.log
 	do
-		grep 'event=directory' "$log" | tail -n 1 |
+		grep 'event=directory directory follows' "$log" | tail -n 1 |
 			grep -q 'follows the entry' && basename "$log" .log
 	done
 }
@@ -72,7 +72,7 @@
 
 # A reader is killed: its followers choose another reader, or read the store.
 follower=$(followers | head -n 1)
-asked=$(sed -n 's/.*follows the entry at //p' "$FLEET_DIR/$follower.log" |
+asked=$(sed -n 's/.*directory follows the entry at //p' "$FLEET_DIR/$follower.log" |
 	tail -n 1)
 for node in g1 g2 g3 g4 g5 g6
 do
@@ -81,7 +81,16 @@
 	test "127.0.0.1:$port" = "$asked" && victim=$node
 done
 fleet_signal "$victim" KILL
+fetches_of_all () {
+	grep -c 'event=directory fetches all servers' "$FLEET_DIR/$follower.log"
+}
+
+fetched=$(fetches_of_all)
 gateway_config 3
+fetched_again () {
+	test "$(fetches_of_all)" -gt "$fetched"
+}
+
 all_but_victim () {
 	for node in g1 g2 g3 g4 g5 g6
 	do
@@ -92,6 +101,8 @@
 }
 
 wait_until all_but_victim
+# Changes since an offset of one reader may be incomplete at another.
+wait_until fetched_again
 gateway_call "$follower" o1 /stream/x -d p | grep -q '^data: ' ||
 	fleet_fail "an online request failed"
 echo "a reader was killed: the others continue"
