Free a page of the directory after its last use

Cause: on_page() read the page's offset after it was freed, so that whether the next fetch was of all servers depended on what the memory held. Change: the page is freed last.

--- a/briarplankd/gateway/directory_share.c
+++ b/briarplankd/gateway/directory_share.c
@@ -65,10 +65,10 @@
 		body ? directory_page__unpack(NULL, len, body) : NULL;
 	bool success = page && share->hooks.apply_page(share->hooks.ctx, page);
 
-	if (page)
-		directory_page__free_unpacked(page, NULL);
 	if (success && page->servers_offset >= share->servers_from)
 		share->page_reader = reader_client_reader(share->client);
+	if (page)
+		directory_page__free_unpacked(page, NULL);
 	return success;
 }
 
