--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -327,17 +327,11 @@
 }
 
 /* Tells whether bytes of a request have arrived, read or not. */
-static bool has_input(const struct connection *conn)
+static bool has_input(const struct connection *conn, uv_os_fd_t fd)
 {
-	struct pollfd fd = { .events = POLLIN };
-	uv_os_fd_t handle;
+	struct pollfd pollfd = { .fd = fd, .events = POLLIN };
 
-	if (conn->sock->input->size)
-		return true;
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &handle))
-		return false;
-	fd.fd = handle;
-	return poll(&fd, 1, 0) > 0;
+	return conn->sock->input->size || poll(&pollfd, 1, 0) > 0;
 }
 
 void web_close_idle(struct web *web)
@@ -350,8 +344,8 @@
 			list_entry(pos, struct connection, link);
 
 		if (uv_is_closing((const uv_handle_t *)&conn->tcp) ||
-		    has_input(conn) ||
-		    uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
+		    uv_fileno((const uv_handle_t *)&conn->tcp, &fd) ||
+		    has_input(conn, fd))
 			continue;
 		/* h2o frees the connection when it reads the end. */
 		shutdown(fd, SHUT_RDWR);
