Keep the rule for starting entries and the node port in one place each

Cause: the directory and the job index each had a copy of the start time, of the time for which an entry waits for a reader, and of the interval of its checks; and the port for other entries was parsed from an address for each load report, up to some ten times a second. Ruled out: a setting or flag for it, as both copies follow the same start. Change: peers_may_wait() and PEERS_SETTLE_CHECK_MS replace the copies; the port is read once when the server for other entries opens.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -2,14 +2,12 @@
  * Reads the configuration and the list of servers from the platform's store:
  * first a snapshot of the newest values, then the records after it.
  */
-#include <arpa/inet.h>
 #include <string.h>
 
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/log.h"
 #include "directory_private.h"
-#include "net/address.h"
 #include "peers.h"
 #include "platform/codec.h"
 
@@ -17,12 +15,6 @@
  * while this node has not loaded the directory yet. */
 #define FETCH_INTERVAL_MS 500
 #define FETCH_COLD_INTERVAL_MS 100
-/* Interval at which a starting node checks which other entries there are, in
- * ms. */
-#define SETTLE_CHECK_MS 20
-/* Time after the start for which a node waits for a reader to load the
- * directory, in ms. */
-#define COLD_WAIT_MS 3000
 /* Backoff after a failed read, in ms. It grows linearly with consecutive
  * failures up to RETRY_GROWTH_MAX times that, with random jitter of 25% either
  * way, so that hundreds of nodes that start together don't retry at once. */
@@ -203,11 +195,9 @@
  * read. */
 static bool fetches_pages(const struct directory *directory)
 {
-	uint64_t uptime_ms =
-		uv_now(directory->gateway->loop) - directory->started_ms;
-
 	return directory_share_has_reader(directory->share) &&
-	       (directory_loaded(directory) || uptime_ms <= COLD_WAIT_MS);
+	       (directory_loaded(directory) ||
+		peers_may_wait(directory->gateway->peers));
 }
 
 static uint64_t fetch_interval(const struct directory *directory)
@@ -235,7 +225,7 @@
 		return;
 	}
 	if (!topic->following && !peers_settled(directory->gateway->peers)) {
-		topic_schedule(topic, SETTLE_CHECK_MS);
+		topic_schedule(topic, PEERS_SETTLE_CHECK_MS);
 		return;
 	}
 	if (topic->following) {
@@ -382,7 +372,7 @@
 
 	if (!directory_loaded(directory) &&
 	    !peers_settled(directory->gateway->peers)) {
-		uv_timer_start(timer, on_fetch_timer, SETTLE_CHECK_MS, 0);
+		uv_timer_start(timer, on_fetch_timer, PEERS_SETTLE_CHECK_MS, 0);
 		return;
 	}
 	/* Without a complete list of servers, the whole list is fetched. */
@@ -427,7 +417,6 @@
 
 	directory->gateway = gateway;
 	directory->share = directory_share_create(gateway, &hooks);
-	directory->started_ms = uv_now(gateway->loop);
 	directory->changes = change_list_create();
 	directory->unlist_pending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -492,15 +481,6 @@
 	g_hash_table_destroy(directory->unlist_pending);
 }
 
-unsigned directory_port(const struct gateway *gateway)
-{
-	struct sockaddr_in addr;
-
-	return address_parse(web_address(gateway->node_web), &addr) ?
-		       ntohs(addr.sin_port) :
-		       0;
-}
-
 bool directory_loaded(const struct directory *directory)
 {
 	return directory->gateway->config &&
--- a/briarplankd/gateway/directory.h
+++ b/briarplankd/gateway/directory.h
@@ -13,7 +13,4 @@
 /** Tells whether a configuration and a complete list of servers are known. */
 bool directory_loaded(const struct directory *directory);
 
-/** Returns the port on which other entries fetch what this one has read. */
-unsigned directory_port(const struct gateway *gateway);
-
 #endif
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -34,8 +34,6 @@
 
 struct directory {
 	struct gateway *gateway;
-	/* Loop time at which this node started. */
-	uint64_t started_ms;
 	struct topic topics[TOPICS];
 	/* Set of server ids in the snapshot that is being read; NULL if none is
 	 * read. */
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -1,6 +1,7 @@
 /*
  * Starts and stops the gateway process, and connects its parts.
  */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
@@ -16,6 +17,7 @@
 #include "job_bulk.h"
 #include "job_calls.h"
 #include "job_store.h"
+#include "net/address.h"
 #include "operator.h"
 #include "peers.h"
 #include "platform/codec.h"
@@ -331,10 +333,15 @@
 		.request_timeout_ms = NODE_REQUEST_TIMEOUT_MS,
 		.metrics = gateway->metrics,
 	};
+	struct sockaddr_in addr;
 
 	gateway->node_web = web_create(&options);
 	g_free(address);
-	return gateway->node_web != NULL;
+	if (!gateway->node_web ||
+	    !address_parse(web_address(gateway->node_web), &addr))
+		return false;
+	gateway->node_web_port = ntohs(addr.sin_port);
+	return true;
 }
 
 static bool gateway_open(struct gateway *gateway)
@@ -451,7 +458,7 @@
 		  gateway->identity, web_address(gateway->front),
 		  web_address(gateway->ready),
 		  web_address(gateway->metrics_web),
-		  peers_address(gateway->peers), directory_port(gateway),
+		  peers_address(gateway->peers), gateway->node_web_port,
 		  settings->store_address, settings->data_centre,
 		  settings->region, settings->store_retention_ms);
 	/* Jobs must stay in the store's log while their results are kept. */
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -60,6 +60,7 @@
 	struct web *ready;
 	/** HTTP server for the other entries. */
 	struct web *node_web;
+	unsigned node_web_port;
 	/** HTTP server of metrics and operators' commands. */
 	struct web *metrics_web;
 	bool stopping;
--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -25,12 +25,6 @@
 /* Maximum age of a reader's records, in ms. It is less than CURRENT_AGE_MS, as
  * this node is up to date only as of its last fetch. */
 #define PAGE_AGE_MAX_MS 700
-/* Time after the start for which a node waits for a reader to load the index,
- * in ms. */
-#define COLD_WAIT_MS 3000
-/* Interval at which a starting node checks which other entries there are, in
- * ms. */
-#define SETTLE_CHECK_MS 20
 /* Age up to which the job log counts as current, in ms: results of other nodes
  * must be visible within a second. */
 #define CURRENT_AGE_MS 950
@@ -56,7 +50,6 @@
 	struct gateway *gateway;
 	struct job_log *log;
 	struct index_share *share;
-	uint64_t started_ms;
 	/* The reader no longer has the records that this node needs next. */
 	bool behind_reader;
 	/* Offset of the next record to read. */
@@ -269,10 +262,8 @@
 /* Tells whether the next records are fetched from a reader. */
 static bool follows_reader(struct job_store *store)
 {
-	uint64_t uptime_ms = uv_now(store->gateway->loop) - store->started_ms;
-
 	if (store->waiters || store->behind_reader ||
-	    (!store->loaded && uptime_ms > COLD_WAIT_MS))
+	    (!store->loaded && !peers_may_wait(store->gateway->peers)))
 		return false;
 	return index_share_choose_reader(store->share);
 }
@@ -300,7 +291,7 @@
 	struct job_store *store = timer->data;
 
 	if (!store->loaded && !peers_settled(store->gateway->peers)) {
-		follow_next(store, SETTLE_CHECK_MS);
+		follow_next(store, PEERS_SETTLE_CHECK_MS);
 		return;
 	}
 	store->read_idle = false;
@@ -515,7 +506,6 @@
 
 	store->gateway = options->gateway;
 	store->share = index_share_create(&share);
-	store->started_ms = uv_now(options->gateway->loop);
 	store->log = job_log_create(&options->watcher);
 	list_init(&store->waiting);
 	list_init(&store->in_flight);
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -44,6 +44,9 @@
 #define SETTLE_MS 400
 /* Time after the start for which the list of entries is waited for, in ms. */
 #define SETTLE_MAX_MS 1500
+/* Time after the start for which a node waits for a reader to load the store's
+ * data, in ms. */
+#define COLD_WAIT_MS 3000
 
 struct peers {
 	struct gateway *gateway;
@@ -241,7 +244,7 @@
 	load.backlog_late = backlog.late;
 	load.reaches_store = store_route_is_direct(gateway->store_route);
 	load.index_offset = job_store_appended_offset(gateway->job_store);
-	load.directory_port = directory_port(gateway);
+	load.directory_port = gateway->node_web_port;
 	load.data_centre = gateway->settings->data_centre;
 	load.capacity = (uint32_t)gateway->settings->cpu_permille;
 	load.loaded = is_loaded(gateway);
@@ -444,6 +447,11 @@
 	       now - peers->entries_read_ms >= SETTLE_MS;
 }
 
+bool peers_may_wait(const struct peers *peers)
+{
+	return uv_now(peers->gateway->loop) - peers->started_ms <= COLD_WAIT_MS;
+}
+
 void peers_announce(struct peers *peers)
 {
 	const struct gateway *gateway = peers->gateway;
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -56,6 +56,15 @@
  */
 bool peers_settled(const struct peers *peers);
 
+/** Interval at which a starting node asks peers_settled() again, in ms. */
+#define PEERS_SETTLE_CHECK_MS 20
+
+/**
+ * Tells whether a node that has not loaded the store's data may still wait for a
+ * reader to load it. Later it reads the store itself.
+ */
+bool peers_may_wait(const struct peers *peers);
+
 /**
  * Returns the packed address of the reader to ask, or 0 when the store must be
  * read; see peer_table_reader(). "avoided" is a reader to leave out, or 0.
