Log how a server's response was framed and what was left of an event

The lines of requests could not tell the three remaining hypotheses of the incident apart. The lines request, request_failed and server_call now hold the framing of the response, requests also the bytes of an incomplete event at the end; an item whose response can't be used as a whole gets a line, and briarplank_server_calls_failed_total counts calls by end and framing. No decision changes. http_link, event_stream, process_gateway_online and process_gateway_jobs pass.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -233,6 +233,7 @@
 
 	run->last_receive_ms = now_ms(run->batch);
 	run->status = answer->status;
+	run->framing = answer->head->framing;
 	if (answer->status == 200 && !answer->is_signed)
 		run->broken = true;
 }
@@ -257,6 +258,19 @@
 			(double)(run->last_receive_ms - run->started_ms));
 }
 
+/* Requeues an item whose response can't be used as a whole. */
+static void run_broken_off(struct run *run, enum server_call_end end,
+			   size_t rest)
+{
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s broken off end=%s status=%d framing=%s "
+		  "last_event=%" PRId64 " rest=%zu spoiled=%d",
+		  run->job->id, run->item->id, server_call_end_name(end),
+		  run->status, http_link_framing_name(run->framing),
+		  run->last_event, rest, run->broken);
+	requeue(run, FAILURE_BACKOFF_MS);
+}
+
 static void on_end(void *ctx, enum server_call_end end)
 {
 	struct run *run = ctx;
@@ -274,7 +288,7 @@
 	else if (end == SERVER_CALL_COMPLETE && run->status == 500)
 		run_failed(run);
 	else
-		requeue(run, FAILURE_BACKOFF_MS);
+		run_broken_off(run, end, rest);
 }
 
 const struct route *run_route(struct run *run)
@@ -328,6 +342,7 @@
 
 	set_state(run, RUN_RUNNING);
 	run->status = 0;
+	run->framing = HTTP_LINK_UNFRAMED;
 	run->server = server;
 	run->first_event = run->last_event;
 	run->started_ms = now_ms(batch);
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -60,8 +60,9 @@
 	struct event_stream *events;
 	/* The response is unsigned or has a gap in its event ids. */
 	bool broken;
-	/* HTTP status of the response, or 0. */
+	/* HTTP status of the response, or 0, and its framing. */
 	int status;
+	enum http_link_framing framing;
 	/* Loop times in ms: end of the backoff, last data received, start of
 	 * the server call. */
 	uint64_t not_before_ms;
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -85,8 +85,9 @@
 	uv_timer_t timer;
 	/* Time of the last data from the server. */
 	uint64_t last_data_ms;
-	/* Status of the current response. */
+	/* Status and framing of the current response. */
 	int status;
+	enum http_link_framing framing;
 	/* The response is relayed as it arrives, not buffered. */
 	bool streaming;
 	/* The response is unusable: unsigned, incomplete, with a gap in its
@@ -151,6 +152,9 @@
 	uint64_t now = now_ms(request);
 	char text[INPUTS_TEXT_BYTES];
 	bool success = is_success(request);
+	size_t rest;
+
+	event_stream_rest(request->events, &rest);
 
 	snprintf(text, sizeof(text),
 		 "expected_ms=%.0f wait_ms=%.0f online=%u+%u batch=%u+%u "
@@ -164,7 +168,7 @@
 		  "request=%s route=%s version=%" PRIu64
 		  " outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
 		  "first_ms=%" PRIu64 " ms=%" PRIu64 " left_ms=%" PRId64
-		  " last_event=%" PRId64 " %s",
+		  " last_event=%" PRId64 " framing=%s rest=%zu %s",
 		  request->id, request->route, request->config_version, outcome,
 		  request->status, request->tried_nr, request->runs,
 		  inputs->server ? inputs->server : "-",
@@ -172,7 +176,7 @@
 				      0,
 		  now - request->arrived_ms,
 		  (int64_t)(request->deadline_ms - now), request->last_event,
-		  text);
+		  http_link_framing_name(request->framing), rest, text);
 }
 
 static void count_outcome(const struct online_request *request,
@@ -331,6 +335,7 @@
 	bool success = answer->status >= 200 && answer->status < 300;
 
 	request->last_data_ms = now_ms(request);
+	request->framing = answer->head->framing;
 	/* The caller of a resumed stream already has the head of the first
 	 * response. */
 	if (web_answer_started(request->web)) {
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -41,6 +41,7 @@
 	/* The server states that it did not run the request. */
 	bool not_run;
 	int status;
+	enum http_link_framing framing;
 };
 
 static const char *const end_names[] = {
@@ -159,6 +160,7 @@
 	}
 	call->head_received = true;
 	call->status = head->status;
+	call->framing = head->framing;
 	call->not_run = http_link_head_field(head, platform_fields.not_run) ||
 			head->status == 421;
 	read_load(call, head);
@@ -213,6 +215,20 @@
 	g_free(call);
 }
 
+static void count_failure(const struct server_call *call,
+			  enum server_call_end end)
+{
+	char *labels =
+		g_strdup_printf("end=\"%s\",framing=\"%s\"", end_names[end],
+				http_link_framing_name(call->framing));
+
+	counter_add(metrics_counter(call->options.gateway->metrics,
+				    "briarplank_server_calls_failed_total",
+				    labels),
+		    1);
+	g_free(labels);
+}
+
 static void on_end(void *ctx, enum http_link_end link_end)
 {
 	struct server_call *call = ctx;
@@ -223,13 +239,15 @@
 		http_pool_release(call->pool, call->http);
 	else
 		http_link_close(call->http);
-	if (end != SERVER_CALL_COMPLETE)
+	if (end != SERVER_CALL_COMPLETE) {
+		count_failure(call, end);
 		log_event("server_call", LOG_LEVEL_WARN,
-			  "request=%s server=%s status=%d end=%s link=%d "
-			  "ms=%" PRIu64,
+			  "request=%s server=%s status=%d framing=%s end=%s "
+			  "link=%d ms=%" PRIu64,
 			  call->options.request_id, call->server->id,
-			  call->status, end_names[end], link_end,
-			  now - call->started_ms);
+			  call->status, http_link_framing_name(call->framing),
+			  end_names[end], link_end, now - call->started_ms);
+	}
 	fleet_request_ended(call->server, call->options.class,
 			    fleet_result_of(call, link_end, end),
 			    (double)(now - call->started_ms), now);
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -30,6 +30,17 @@
 	HTTP_LINK_MALFORMED,
 };
 
+/** What marks the end of an answer's body. */
+enum http_link_framing {
+	/** No head was received. */
+	HTTP_LINK_UNFRAMED,
+	/** The end of the connection. */
+	HTTP_LINK_UNTIL_CLOSE,
+	/** Content-Length. */
+	HTTP_LINK_LENGTH,
+	HTTP_LINK_CHUNKED,
+};
+
 /** One header field. */
 struct http_link_field {
 	char *name;
@@ -41,9 +52,7 @@
 	int status;
 	const struct http_link_field *fields;
 	size_t fields_nr;
-	/** The body has a Content-Length or is chunked; else it ends with the
-	 * connection. */
-	bool framed;
+	enum http_link_framing framing;
 	/** Content-Length, or -1 without one and for a chunked body. */
 	int64_t length;
 };
@@ -97,6 +106,9 @@
 /** Returns the loop time at which the last exchange ended, in ms. */
 uint64_t http_link_idle_since_ms(const struct http_link *link);
 
+/** Returns the name under which a framing is logged. */
+const char *http_link_framing_name(enum http_link_framing framing);
+
 /** Returns a field's value, or NULL; the name is case-insensitive. */
 const char *http_link_head_field(const struct http_link_head *head,
 				 const char *name);
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -164,6 +164,14 @@
 			g_ascii_strtoull(at + strlen("timeout="), NULL, 10);
 }
 
+static enum http_link_framing body_framing(const http_parser *parser)
+{
+	if (parser->flags & F_CHUNKED)
+		return HTTP_LINK_CHUNKED;
+	return parser->content_length == ULLONG_MAX ? HTTP_LINK_UNTIL_CLOSE :
+						      HTTP_LINK_LENGTH;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_link *link = parser->data;
@@ -178,12 +186,10 @@
 	head.status = (int)parser->status_code;
 	head.fields = (const struct http_link_field *)link->fields->data;
 	head.fields_nr = link->fields->len;
-	head.framed = (parser->flags & F_CHUNKED) ||
-		      parser->content_length != ULLONG_MAX;
-	head.length = parser->content_length == ULLONG_MAX ||
-				      (parser->flags & F_CHUNKED) ?
-			      -1 :
-			      (int64_t)parser->content_length;
+	head.framing = body_framing(parser);
+	head.length = head.framing == HTTP_LINK_LENGTH ?
+			      (int64_t)parser->content_length :
+			      -1;
 	link->keep_alive = http_should_keep_alive(parser);
 	parse_keep_alive(link, http_link_head_field(&head, "keep-alive"));
 	link->skipping = !link->handlers.on_head(link->ctx, &head);
@@ -433,3 +439,15 @@
 	}
 	return NULL;
 }
+
+const char *http_link_framing_name(enum http_link_framing framing)
+{
+	static const char *const names[] = {
+		[HTTP_LINK_UNFRAMED] = "-",
+		[HTTP_LINK_UNTIL_CLOSE] = "close",
+		[HTTP_LINK_LENGTH] = "length",
+		[HTTP_LINK_CHUNKED] = "chunks",
+	};
+
+	return names[framing];
+}
--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -57,7 +57,9 @@
 		return false;
 	}
 	g_string_append_printf(state->events, "head %d%s\n", head->status,
-			       head->framed ? "" : " without a length");
+			       head->framing == HTTP_LINK_UNTIL_CLOSE ?
+				       " without a length" :
+				       "");
 	return true;
 }
 
