--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -23,9 +23,32 @@
 	\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}"
 }
 
+# gateway_list_address ADDRESS SERVICE STATE ID: lists a server at an address.
+gateway_list_address () {
+	gateway_put keyed.servers "$4" "{\"Service\":\"$2\",\"Address\":\"$1\",\"Zone\":\"${GATEWAY_ZONE:-dc1}\",\"Version\":\"v1\",\"Capacity\":4,\"State\":\"$3\",\"WarmupMs\":0,\"Sequence\":1,\"born\":${GATEWAY_BORN:-1}}"
+}
+
 # gateway_list NAME SERVICE [STATE] [ID]: lists a server, or changes its state.
 gateway_list () {
-	gateway_put keyed.servers "${4:-$(fleet_address "$1")}" "{\"Service\":\"$2\",\"Address\":\"$(fleet_address "$1")\",\"Zone\":\"dc1\",\"Version\":\"v1\",\"Capacity\":4,\"State\":\"${3:-ready}\",\"WarmupMs\":0,\"Sequence\":1,\"born\":1}"
+	gateway_list_address "$(fleet_address "$1")" "$2" "${3:-ready}" \
+		"${4:-$(fleet_address "$1")}"
+}
+
+# gateway_raw_server ID SERVICE THEN BYTES: lists a server that answers each
+# connection with these bytes, in which printf's escapes are expanded, and then
+# does what THEN says: open, close, reset or repeat.
+gateway_raw_server () {
+	printf '%b' "$4" | curl -sf --data-binary @- \
+		"http://$(fleet_address raw)/peer?then=$3" >"$FLEET_DIR/$1.raw" ||
+		fleet_fail "opening the peer $1 failed"
+	gateway_list_address "$(cat "$FLEET_DIR/$1.raw")" "$2" ready "$1"
+}
+
+# gateway_raw_count ID accepted|open: prints the number of connections of a raw
+# server.
+gateway_raw_count () {
+	curl -sf "http://$(fleet_address raw)/peer?address=$(cat "$FLEET_DIR/$1.raw")" |
+		sed -n "s/.*$2=\([0-9]*\).*/\1/p"
 }
 
 # gateway_server NAME SERVICE [STANDIN ARGS]: starts and lists a server.
@@ -69,6 +92,13 @@
 		"$FLEET_DIR/$1.log"
 }
 
+# gateway_knows_raw NAME ID: tells whether a gateway lists a raw server as ready
+# at its newest address.
+gateway_knows_raw () {
+	grep -q "event=server id=$2 .* address=$(cat "$FLEET_DIR/$2.raw") .* ready" \
+		"$FLEET_DIR/$1.log"
+}
+
 # gateway_ready NAME: tells whether the readiness check succeeds.
 gateway_ready () {
 	curl -sf -o /dev/null "http://$(gateway_address "$1" ready)/ready"
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -5,6 +5,8 @@
 #include "raw_peer.h"
 
 #define READ_BYTES 65536
+/* Length of one write of a server that repeats its last line. */
+#define REPEAT_BYTES 16384
 
 /* A connection of the server; freed when it is closed. */
 struct raw_conn {
@@ -21,6 +23,7 @@
 	char *bytes;
 	enum raw_close_mode then;
 	GString *received;
+	unsigned accepted;
 	struct list conns;
 };
 
@@ -76,6 +79,35 @@
 		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+static void conn_repeat(struct raw_conn *conn);
+
+static void on_repeated(uv_write_t *write, int status)
+{
+	struct raw_conn *conn = write->handle->data;
+
+	g_free(write->data);
+	g_free(write);
+	if (status == 0)
+		conn_repeat(conn);
+}
+
+static void conn_repeat(struct raw_conn *conn)
+{
+	const char *bytes = conn->server->bytes;
+	size_t len = strlen(bytes);
+	GString *out = g_string_new(NULL);
+	uv_write_t *write = g_new0(uv_write_t, 1);
+	uv_buf_t buf;
+
+	while (len > 1 && bytes[len - 2] != '\n')
+		len--;
+	while (out->len < REPEAT_BYTES)
+		g_string_append(out, bytes + len - 1);
+	buf = uv_buf_init(out->str, (unsigned)out->len);
+	write->data = g_string_free(out, FALSE);
+	uv_write(write, (uv_stream_t *)&conn->tcp, &buf, 1, on_repeated);
+}
+
 static void on_conn_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
 {
 	struct raw_conn *conn = stream->data;
@@ -93,7 +125,9 @@
 	conn->answered = true;
 	if (*server->bytes)
 		write_copy(&conn->tcp, server->bytes, strlen(server->bytes));
-	if (server->then != RAW_KEEP_OPEN)
+	if (server->then == RAW_REPEAT)
+		conn_repeat(conn);
+	else if (server->then != RAW_KEEP_OPEN)
 		conn_close(conn, server->then == RAW_RESET);
 }
 
@@ -106,6 +140,7 @@
 		return;
 	conn = g_new0(struct raw_conn, 1);
 	conn->server = server;
+	server->accepted++;
 	list_append(&server->conns, &conn->link);
 	uv_tcp_init(server->loop, &conn->tcp);
 	conn->tcp.data = conn;
@@ -145,6 +180,21 @@
 	return server->received;
 }
 
+unsigned raw_server_accepted(const struct raw_server *server)
+{
+	return server->accepted;
+}
+
+unsigned raw_server_open(const struct raw_server *server)
+{
+	const struct list *pos;
+	unsigned nr = 0;
+
+	list_for_each (pos, &server->conns)
+		nr++;
+	return nr;
+}
+
 void raw_server_destroy(struct raw_server *server)
 {
 	struct list *pos, *tmp;
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -13,6 +13,9 @@
 	RAW_KEEP_OPEN,
 	RAW_CLOSE,
 	RAW_RESET,
+	/** Sends the last line of its bytes again and again until the peer
+	 * closes. */
+	RAW_REPEAT,
 };
 
 struct raw_server;
@@ -24,6 +27,10 @@
 const char *raw_server_address(const struct raw_server *server);
 /** Returns all bytes received over all connections. */
 const GString *raw_server_received(const struct raw_server *server);
+/** Returns the number of connections that were open at least once, and of those
+ * that are open now. */
+unsigned raw_server_accepted(const struct raw_server *server);
+unsigned raw_server_open(const struct raw_server *server);
 void raw_server_destroy(struct raw_server *server);
 
 /** Connects to IP:PORT; bytes sent before the connection is up are queued. */
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -40,8 +40,8 @@
 
 	if (argc < 2) {
 		fprintf(stderr,
-			"usage: standin engine|log|plain|proxy|store|vms|"
-			"weights|worker\n");
+			"usage: standin engine|log|plain|proxy|raw|store|"
+			"vms|weights|worker\n");
 		return EXIT_USAGE;
 	}
 	log_open(LOG_LEVEL_WARN);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -91,6 +91,7 @@
 extern const struct standin_command log_command;
 extern const struct standin_command plain_command;
 extern const struct standin_command proxy_command;
+extern const struct standin_command raw_command;
 extern const struct standin_command store_command;
 extern const struct standin_command vms_command;
 extern const struct standin_command weights_command;
