Break off a stream whose server's response ended inside an event

Callers got a part of a stream framed as complete: a 200 with the server's signature, a half event at its end, and a proper end of the body.

Cause: a response without length or chunks ends with its connection. The connection's orderly close was the only sign that such a response is complete, and complete_response() forwarded the bytes of an incomplete event as its last piece. A server that crashes closes its connections in order as well.

A stream that ends inside an event has been broken off, however the response was framed. It now takes the path of every other response that broke off: it resumes on another server after the last complete event where the route permits it, else the caller's connection is broken. Line ends alone after the last event are no event.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -33,6 +33,9 @@
  * in ms. */
 #define STREAM_STALL_MS 1200
 
+/* Outcome of a request whose response ended before it was complete. */
+#define BROKE_OFF "the answer broke off"
+
 /* State on which the last choice of a server was based, for the log. */
 struct choice_inputs {
 	char *server;
@@ -436,6 +439,9 @@
 	case SERVER_CALL_COMPLETE:
 		if (request->broken)
 			retry_elsewhere(request, "the answer was spoiled");
+		else if (request->streaming &&
+			 event_stream_inside_event(request->events))
+			retry_elsewhere(request, BROKE_OFF);
 		else if (!success && request->status >= 500 &&
 			 can_retry(request))
 			retry_elsewhere(request, "the server failed");
@@ -444,7 +450,7 @@
 		return;
 	default:
 		retry_elsewhere(request, end == SERVER_CALL_TRUNCATED ?
-						 "the answer broke off" :
+						 BROKE_OFF :
 						 "no answer came");
 		return;
 	}
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -120,3 +120,8 @@
 	*len = stream->buffer->len;
 	return stream->buffer->str;
 }
+
+bool event_stream_inside_event(const struct event_stream *stream)
+{
+	return strspn(stream->buffer->str, "\r\n") < stream->buffer->len;
+}
--- a/include/core/event_stream.h
+++ b/include/core/event_stream.h
@@ -41,4 +41,8 @@
 /** Returns the bytes of an event that isn't complete yet. */
 const char *event_stream_rest(const struct event_stream *stream, size_t *len);
 
+/** Tells whether the bytes so far end inside an event. Line ends alone after
+ * the last event are not part of another one. */
+bool event_stream_inside_event(const struct event_stream *stream);
+
 #endif
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -58,7 +58,11 @@
 		g_free(bytes);
 	} else if (!strcmp(argv[0], "rest")) {
 		event_stream_rest(state->stream, &len);
-		g_string_append_printf(out, "%zu bytes\n", len);
+		g_string_append_printf(
+			out, "%zu bytes%s\n", len,
+			event_stream_inside_event(state->stream) ?
+				", inside an event" :
+				"");
 	} else if (!strcmp(argv[0], "reset")) {
 		event_stream_reset(state->stream);
 	}
