Break off a stream whose response without a length has no event

What callers would see: a 200 without any event framed as complete, and a batch item listed as completed with the first part of its output only.

Such a response of an online stream has broken off. For an item, the response may also be true: the item is resumed once more, and after a second such response in a row it starts over, as only its whole output tells. Responses with a length or chunks are taken as before. The rule is one function of core/event_stream, shared by both.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -184,6 +184,14 @@
 	write_output(run);
 }
 
+/* Makes the item start over at its first event. */
+static void discard_output(struct run *run)
+{
+	run->last_event = -1;
+	run->saved_event = -1;
+	g_string_truncate(run->output, 0);
+}
+
 static void run_failed(struct run *run)
 {
 	struct batch *batch = run->batch;
@@ -199,9 +207,7 @@
 		batch->gateway->job_store,
 		job_log_encode_failure(run->job->id, index, run->status), false,
 		NULL, NULL);
-	run->last_event = -1;
-	run->saved_event = -1;
-	g_string_truncate(run->output, 0);
+	discard_output(run);
 	if (run->failures >= run->job->attempts_max)
 		set_state(run, RUN_ENDING);
 	else
@@ -271,18 +277,46 @@
 	requeue(run, FAILURE_BACKOFF_MS);
 }
 
+/*
+ * Handles a response without length and events, which may be the end of a
+ * resumed item or have broken off. After the second one in a row the item
+ * starts over, as its whole output tells.
+ */
+static void run_ended_unsure(struct run *run)
+{
+	bool again = run->ended_unsure;
+
+	log_event(
+		"item", LOG_LEVEL_INFO,
+		"job=%s item=%s no events without a length after_event=%" PRId64
+		", %s",
+		run->job->id, run->item->id, run->last_event,
+		again ? "starts over" : "resumes again");
+	if (again)
+		discard_output(run);
+	run->ended_unsure = !again;
+	requeue(run, FAILURE_BACKOFF_MS);
+}
+
 static void on_end(void *ctx, enum server_call_end end)
 {
 	struct run *run = ctx;
+	bool until_close = run->framing == HTTP_LINK_UNTIL_CLOSE;
 	size_t rest;
 
 	run->call = NULL;
 	run->server = NULL;
 	record_event_time(run);
 	event_stream_rest(run->events, &rest);
+	if (run->last_event > run->first_event)
+		run->ended_unsure = false;
 	if (end == SERVER_CALL_COMPLETE && run->status == 200 && !run->broken &&
-	    !rest && run->last_event >= 0)
+	    !event_stream_broke_off(run->events, until_close) &&
+	    run->last_event >= 0)
 		run_done(run);
+	else if (end == SERVER_CALL_COMPLETE && run->status == 200 &&
+		 !run->broken && !rest && run->last_event >= 0)
+		run_ended_unsure(run);
 	else if (end == SERVER_CALL_COMPLETE && run->status == 422)
 		dead_letter(run, "a server rejected it with status 422");
 	else if (end == SERVER_CALL_COMPLETE && run->status == 500)
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -440,7 +440,9 @@
 		if (request->broken)
 			retry_elsewhere(request, "the answer was spoiled");
 		else if (request->streaming &&
-			 event_stream_inside_event(request->events))
+			 event_stream_broke_off(request->events,
+						request->framing ==
+							HTTP_LINK_UNTIL_CLOSE))
 			retry_elsewhere(request, BROKE_OFF);
 		else if (!success && request->status >= 500 &&
 			 can_retry(request))
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -8,6 +8,8 @@
 struct event_stream {
 	GString *buffer;
 	GString *data;
+	/* An event was parsed since the last reset. */
+	bool has_event;
 };
 
 struct event_stream *event_stream_create(void)
@@ -31,6 +33,7 @@
 void event_stream_reset(struct event_stream *stream)
 {
 	g_string_truncate(stream->buffer, 0);
+	stream->has_event = false;
 }
 
 /* Returns the length of the first complete event, or 0. */
@@ -107,6 +110,7 @@
 	g_string_append_len(stream->buffer, bytes, (gssize)len);
 	while ((event_len = event_length(stream->buffer))) {
 		read_event(stream, event_len, &event);
+		stream->has_event = true;
 		fn(ctx, &event);
 		/* The callback may have reset the stream. */
 		if (stream->buffer->len < event_len)
@@ -121,7 +125,8 @@
 	return stream->buffer->str;
 }
 
-bool event_stream_inside_event(const struct event_stream *stream)
+bool event_stream_broke_off(const struct event_stream *stream, bool until_close)
 {
-	return strspn(stream->buffer->str, "\r\n") < stream->buffer->len;
+	return strspn(stream->buffer->str, "\r\n") < stream->buffer->len ||
+	       (until_close && !stream->has_event);
 }
--- a/include/core/event_stream.h
+++ b/include/core/event_stream.h
@@ -41,8 +41,13 @@
 /** Returns the bytes of an event that isn't complete yet. */
 const char *event_stream_rest(const struct event_stream *stream, size_t *len);
 
-/** Tells whether the bytes so far end inside an event. Line ends alone after
- * the last event are not part of another one. */
-bool event_stream_inside_event(const struct event_stream *stream);
+/**
+ * Tells whether a response that ended after the bytes so far broke off. That is
+ * so inside an event; line ends alone after the last event don't begin another
+ * one. until_close is set for a response that has neither a length nor chunks:
+ * it also broke off if it has no event at all.
+ */
+bool event_stream_broke_off(const struct event_stream *stream,
+			    bool until_close);
 
 #endif
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -60,8 +60,10 @@
 		event_stream_rest(state->stream, &len);
 		g_string_append_printf(
 			out, "%zu bytes%s\n", len,
-			event_stream_inside_event(state->stream) ?
-				", inside an event" :
+			event_stream_broke_off(state->stream, false) ?
+				", broke off" :
+			event_stream_broke_off(state->stream, true) ?
+				", broke off without a length" :
 				"");
 	} else if (!strcmp(argv[0], "reset")) {
 		event_stream_reset(state->stream);
