Close a server's connection when its response has no end

What callers would see: a request held until its deadline, or the loss of a whole entry and all that it serves, as its memory limit ends the process.

Cause: nothing limited what is read of one response but the request's deadline: bodies of plain and error responses were buffered, an event without an end grew the stream's buffer, a response to another request was skipped, and bytes of a spoiled response were read and dropped, all without a limit. Only the head had one, in the parser.

A response that can't be used is now ended when that is known instead of at its end: unsigned, with a gap in its events, without a numbered event in 256 KiB, or, where it isn't a stream, longer than 8 MiB or with all unfinished ones of the node longer than 32 MiB. A link counts what comes before the head of the answer. A refusal with an endless body still counts as not run. A caller that leaves more than 4 MiB of a stream unread loses it.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -233,26 +233,6 @@
 	run->last_event = (int64_t)event->id;
 }
 
-static void on_head(void *ctx, const struct server_response *answer)
-{
-	struct run *run = ctx;
-
-	run->last_receive_ms = now_ms(run->batch);
-	run->status = answer->status;
-	run->framing = answer->head->framing;
-	if (answer->status == 200 && !answer->is_signed)
-		run->broken = true;
-}
-
-static void on_body(void *ctx, const char *data, size_t len)
-{
-	struct run *run = ctx;
-
-	run->last_receive_ms = now_ms(run->batch);
-	if (run->status == 200 && !run->broken)
-		event_stream_feed(run->events, data, len, on_event, run);
-}
-
 /* Adds the run's time for its events to the statistics of its route. */
 static void record_event_time(const struct run *run)
 {
@@ -265,18 +245,55 @@
 }
 
 /* Requeues an item whose response can't be used as a whole. */
-static void run_broken_off(struct run *run, enum server_call_end end,
-			   size_t rest)
+static void run_broken_off(struct run *run, const char *end)
 {
+	size_t rest;
+
+	event_stream_rest(run->events, &rest);
 	log_event("item", LOG_LEVEL_INFO,
 		  "job=%s item=%s broken off end=%s status=%d framing=%s "
-		  "last_event=%" PRId64 " rest=%zu spoiled=%d",
-		  run->job->id, run->item->id, server_call_end_name(end),
-		  run->status, http_link_framing_name(run->framing),
-		  run->last_event, rest, run->broken);
+		  "last_event=%" PRId64 " rest=%zu",
+		  run->job->id, run->item->id, end, run->status,
+		  http_link_framing_name(run->framing), run->last_event, rest);
 	requeue(run, FAILURE_BACKOFF_MS);
 }
 
+/* Ends the server call at once, as nothing that follows can be used. */
+static void reject_response(struct run *run, const char *reason)
+{
+	server_call_reject(run->call, reason);
+	run->call = NULL;
+	run->server = NULL;
+	record_event_time(run);
+	run_broken_off(run, "rejected");
+}
+
+static void on_head(void *ctx, const struct server_response *answer)
+{
+	struct run *run = ctx;
+
+	run->last_receive_ms = now_ms(run->batch);
+	run->status = answer->status;
+	run->framing = answer->head->framing;
+	if (answer->status / 100 == 2 &&
+	    (answer->status != 200 || !answer->is_signed))
+		reject_response(run, "not a signed response with status 200");
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct run *run = ctx;
+
+	run->last_receive_ms = now_ms(run->batch);
+	if (run->status != 200)
+		return;
+	event_stream_feed(run->events, data, len, on_event, run);
+	if (run->broken)
+		reject_response(run, "a gap in the events");
+	else if (event_stream_overlong(run->events))
+		reject_response(run, "bytes but no events");
+}
+
 /*
  * Handles a response without length and events, which may be the end of a
  * resumed item or have broken off. After the second one in a row the item
@@ -310,19 +327,19 @@
 	event_stream_rest(run->events, &rest);
 	if (run->last_event > run->first_event)
 		run->ended_unsure = false;
-	if (end == SERVER_CALL_COMPLETE && run->status == 200 && !run->broken &&
+	if (end == SERVER_CALL_COMPLETE && run->status == 200 &&
 	    !event_stream_broke_off(run->events, until_close) &&
 	    run->last_event >= 0)
 		run_done(run);
-	else if (end == SERVER_CALL_COMPLETE && run->status == 200 &&
-		 !run->broken && !rest && run->last_event >= 0)
+	else if (end == SERVER_CALL_COMPLETE && run->status == 200 && !rest &&
+		 run->last_event >= 0)
 		run_ended_unsure(run);
 	else if (end == SERVER_CALL_COMPLETE && run->status == 422)
 		dead_letter(run, "a server rejected it with status 422");
 	else if (end == SERVER_CALL_COMPLETE && run->status == 500)
 		run_failed(run);
 	else
-		run_broken_off(run, end, rest);
+		run_broken_off(run, server_call_end_name(end));
 }
 
 const struct route *run_route(struct run *run)
@@ -368,6 +385,7 @@
 				       run->job->expires_ms - wall :
 				       1,
 		.last_event = run->last_event,
+		.stream = true,
 		.on_head = on_head,
 		.on_body = on_body,
 		.on_end = on_end,
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -58,7 +58,7 @@
 	/* Id of the last event whose output is saved or being saved, or -1. */
 	int64_t saved_event;
 	struct event_stream *events;
-	/* The response is unsigned or has a gap in its event ids. */
+	/* The response has a gap in its event ids. */
 	bool broken;
 	/* The last response resumed the item, had no length and no event: the
 	 * item may be whole, or the response broke off. */
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -54,6 +54,8 @@
 	struct refusals *refusals;
 	/** Online requests in progress (struct online_request). */
 	struct list requests;
+	/** Bytes of unfinished responses of servers, without streams. */
+	size_t response_bytes;
 	/** HTTP server for callers. */
 	struct web *front;
 	/** HTTP server of the readiness check. */
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -33,8 +33,12 @@
  * in ms. */
 #define STREAM_STALL_MS 1200
 
-/* Outcome of a request whose response ended before it was complete. */
+/* Outcomes of a request whose response ended before it was complete, and of one
+ * whose response is unsigned or has a gap in its events. */
 #define BROKE_OFF "the answer broke off"
+#define SPOILED "the answer was spoiled"
+/* Number of bytes of a stream that may wait for the caller to read. */
+#define STREAM_QUEUE_MAX (4 << 20)
 
 /* State on which the last choice of a server was based, for the log. */
 struct choice_inputs {
@@ -93,8 +97,8 @@
 	enum http_link_framing framing;
 	/* The response is relayed as it arrives, not buffered. */
 	bool streaming;
-	/* The response is unusable: unsigned, incomplete, with a gap in its
-	 * events, or, for a resumed stream, a status other than success. */
+	/* The stream has a gap in its events, or was broken off towards the
+	 * caller. */
 	bool broken;
 	bool ended;
 	/* Alternating names and values, sent with the complete response. */
@@ -332,6 +336,26 @@
 			g_ptr_array_index(request->response_fields, i + 1));
 }
 
+static void retry_elsewhere(struct online_request *request, const char *reason)
+{
+	if (!can_retry(request)) {
+		fail(request, 502, reason);
+		return;
+	}
+	event_stream_reset(request->events);
+	g_string_truncate(request->buffer, 0);
+	request->broken = false;
+	dispatch(request);
+}
+
+/* Ends the server call at once, as nothing that follows can be used. */
+static void reject_response(struct online_request *request, const char *reason)
+{
+	server_call_reject(request->call, reason);
+	request->call = NULL;
+	retry_elsewhere(request, reason);
+}
+
 static void on_head(void *ctx, const struct server_response *answer)
 {
 	struct online_request *request = ctx;
@@ -342,13 +366,16 @@
 	/* The caller of a resumed stream already has the head of the first
 	 * response. */
 	if (web_answer_started(request->web)) {
-		request->broken = !success || !answer->is_signed;
+		if (!success || !answer->is_signed)
+			reject_response(request, SPOILED);
 		return;
 	}
 	request->status = answer->status;
-	request->broken = success && !answer->is_signed;
-	if (request->broken ||
-	    (!success && answer->status >= 500 && can_retry(request)))
+	if (success && !answer->is_signed) {
+		reject_response(request, SPOILED);
+		return;
+	}
+	if (!success && answer->status >= 500 && can_retry(request))
 		return;
 	save_response_fields(request, answer->head);
 	if (!success || request->kind != ROUTE_STREAM)
@@ -383,11 +410,19 @@
 	struct online_request *request = ctx;
 
 	request->last_data_ms = now_ms(request);
-	if (request->streaming)
-		event_stream_feed(request->events, data, len, on_event,
-				  request);
-	else
+	if (!request->streaming) {
 		g_string_append_len(request->buffer, data, (gssize)len);
+		return;
+	}
+	event_stream_feed(request->events, data, len, on_event, request);
+	if (request->ended)
+		return;
+	if (request->broken)
+		reject_response(request, SPOILED);
+	else if (event_stream_overlong(request->events))
+		reject_response(request, "the answer has bytes but no events");
+	else if (web_stream_queued(request->web) > STREAM_QUEUE_MAX)
+		fail(request, 502, "the caller reads too slowly");
 }
 
 static void complete_response(struct online_request *request)
@@ -413,18 +448,6 @@
 	finish(request, "completed");
 }
 
-static void retry_elsewhere(struct online_request *request, const char *reason)
-{
-	if (!can_retry(request)) {
-		fail(request, 502, reason);
-		return;
-	}
-	event_stream_reset(request->events);
-	g_string_truncate(request->buffer, 0);
-	request->broken = false;
-	dispatch(request);
-}
-
 static void on_end(void *ctx, enum server_call_end end)
 {
 	struct online_request *request = ctx;
@@ -437,12 +460,10 @@
 		dispatch(request);
 		return;
 	case SERVER_CALL_COMPLETE:
-		if (request->broken)
-			retry_elsewhere(request, "the answer was spoiled");
-		else if (request->streaming &&
-			 event_stream_broke_off(request->events,
-						request->framing ==
-							HTTP_LINK_UNTIL_CLOSE))
+		if (request->streaming &&
+		    event_stream_broke_off(request->events,
+					   request->framing ==
+						   HTTP_LINK_UNTIL_CLOSE))
 			retry_elsewhere(request, BROKE_OFF);
 		else if (!success && request->status >= 500 &&
 			 can_retry(request))
@@ -480,6 +501,7 @@
 		.deadline_ms = request->deadline_ms - now,
 		.last_event = request->last_event,
 		.recent_connection_only = !request->repeatable,
+		.stream = request->kind == ROUTE_STREAM,
 		.on_head = on_head,
 		.on_body = on_body,
 		.on_end = on_end,
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -26,6 +26,11 @@
 #define REUSE_LIMIT_MS 6000
 #define REUSE_LIMIT_UNREPEATABLE_MS 3000
 
+/* Maximum size of one response that isn't a stream, and of all unfinished ones
+ * of the node together, in bytes. */
+#define RESPONSE_BYTES_MAX (8 << 20)
+#define RESPONSES_BYTES_MAX (32 << 20)
+
 struct server_call {
 	struct server_call_options options;
 	struct http_pool *pool;
@@ -42,6 +47,8 @@
 	bool not_run;
 	int status;
 	enum http_link_framing framing;
+	/* Bytes of the body so far, unless it is a stream. */
+	size_t body_bytes;
 };
 
 static const char *const end_names[] = {
@@ -175,11 +182,42 @@
 	return true;
 }
 
+static bool is_stream(const struct server_call *call)
+{
+	return call->options.stream && call->status >= 200 &&
+	       call->status < 300;
+}
+
+/* Counts bytes of a body; returns false if the response is too long. */
+static bool count_body(struct server_call *call, size_t len)
+{
+	struct gateway *gateway = call->options.gateway;
+
+	if (is_stream(call))
+		return true;
+	call->body_bytes += len;
+	gateway->response_bytes += len;
+	return call->body_bytes <= RESPONSE_BYTES_MAX &&
+	       gateway->response_bytes <= RESPONSES_BYTES_MAX;
+}
+
+static void on_end(void *ctx, enum http_link_end link_end);
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct server_call *call = ctx;
 
 	fleet_data_received(call->server, uv_now(call->options.gateway->loop));
+	if (!count_body(call, len)) {
+		log_event("server_answer", LOG_LEVEL_WARN,
+			  "server=%s request=%s response is too long bytes=%zu "
+			  "of all=%zu",
+			  call->server->id, call->options.request_id,
+			  call->body_bytes,
+			  call->options.gateway->response_bytes);
+		on_end(call, HTTP_LINK_TRUNCATED);
+		return;
+	}
 	if (!call->not_run)
 		call->options.on_body(call->options.ctx, data, len);
 }
@@ -210,17 +248,16 @@
 
 static void call_free(struct server_call *call)
 {
+	call->options.gateway->response_bytes -= call->body_bytes;
 	http_pool_unref(call->pool);
 	g_free((char *)call->options.request_id);
 	g_free(call);
 }
 
-static void count_failure(const struct server_call *call,
-			  enum server_call_end end)
+static void count_failure(const struct server_call *call, const char *end)
 {
-	char *labels =
-		g_strdup_printf("end=\"%s\",framing=\"%s\"", end_names[end],
-				http_link_framing_name(call->framing));
+	char *labels = g_strdup_printf("end=\"%s\",framing=\"%s\"", end,
+				       http_link_framing_name(call->framing));
 
 	counter_add(metrics_counter(call->options.gateway->metrics,
 				    "briarplank_server_calls_failed_total",
@@ -240,7 +277,7 @@
 	else
 		http_link_close(call->http);
 	if (end != SERVER_CALL_COMPLETE) {
-		count_failure(call, end);
+		count_failure(call, end_names[end]);
 		log_event("server_call", LOG_LEVEL_WARN,
 			  "request=%s server=%s status=%d framing=%s end=%s "
 			  "link=%d ms=%" PRIu64,
@@ -310,13 +347,31 @@
 	return call;
 }
 
-void server_call_cancel(struct server_call *call)
+/* Ends a call without on_end and closes its connection. */
+static void call_drop(struct server_call *call, enum fleet_result result)
 {
 	uint64_t now = uv_now(call->options.gateway->loop);
 
 	http_link_close(call->http);
-	fleet_request_ended(call->server, call->options.class, FLEET_CANCELLED,
+	fleet_request_ended(call->server, call->options.class, result,
 			    (double)(now - call->started_ms), now);
 	peers_load_changed(call->options.gateway->peers);
 	call_free(call);
 }
+
+void server_call_cancel(struct server_call *call)
+{
+	call_drop(call, FLEET_CANCELLED);
+}
+
+void server_call_reject(struct server_call *call, const char *reason)
+{
+	log_event("server_call", LOG_LEVEL_WARN,
+		  "request=%s server=%s status=%d framing=%s end=rejected "
+		  "reason=\"%s\" ms=%" PRIu64,
+		  call->options.request_id, call->server->id, call->status,
+		  http_link_framing_name(call->framing), reason,
+		  uv_now(call->options.gateway->loop) - call->started_ms);
+	count_failure(call, "rejected");
+	call_drop(call, FLEET_FAILED);
+}
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -59,6 +59,12 @@
 	 * can't have closed it yet; for requests that can't be repeated.
 	 */
 	bool recent_connection_only;
+	/**
+	 * A successful response is a stream of events, whose length the caller
+	 * of this function limits. Other responses end as truncated when they
+	 * get too long.
+	 */
+	bool stream;
 	void (*on_head)(void *ctx, const struct server_response *answer);
 	void (*on_body)(void *ctx, const char *data, size_t len);
 	/** Called once, as the last callback, unless the call was cancelled. */
@@ -70,6 +76,10 @@
 struct server_call *server_call_start(
 	const struct server_call_options *options);
 
+/** Ends a call whose response can't be used, without on_end: closes its
+ * connection and counts the call as failed. */
+void server_call_reject(struct server_call *call, const char *reason);
+
 /** Ends a call without on_end and closes its connection, so that the server
  * drops the request. */
 void server_call_cancel(struct server_call *call);
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -10,6 +10,9 @@
 	GString *data;
 	/* An event was parsed since the last reset. */
 	bool has_event;
+	/* Bytes of complete events without a number since the last one with
+	 * a number. */
+	size_t unnumbered_bytes;
 };
 
 struct event_stream *event_stream_create(void)
@@ -34,6 +37,7 @@
 {
 	g_string_truncate(stream->buffer, 0);
 	stream->has_event = false;
+	stream->unnumbered_bytes = 0;
 }
 
 /* Returns the length of the first complete event, or 0. */
@@ -111,6 +115,8 @@
 	while ((event_len = event_length(stream->buffer))) {
 		read_event(stream, event_len, &event);
 		stream->has_event = true;
+		stream->unnumbered_bytes =
+			event.has_id ? 0 : stream->unnumbered_bytes + event_len;
 		fn(ctx, &event);
 		/* The callback may have reset the stream. */
 		if (stream->buffer->len < event_len)
@@ -125,6 +131,12 @@
 	return stream->buffer->str;
 }
 
+bool event_stream_overlong(const struct event_stream *stream)
+{
+	return stream->unnumbered_bytes + stream->buffer->len >
+	       EVENT_STREAM_BYTES_MAX;
+}
+
 bool event_stream_broke_off(const struct event_stream *stream, bool until_close)
 {
 	return strspn(stream->buffer->str, "\r\n") < stream->buffer->len ||
--- a/include/core/event_stream.h
+++ b/include/core/event_stream.h
@@ -29,6 +29,12 @@
 struct event_stream *event_stream_create(void);
 void event_stream_destroy(struct event_stream *stream);
 
+/**
+ * Maximum number of bytes of a response from one numbered event to the end of
+ * the next.
+ */
+#define EVENT_STREAM_BYTES_MAX (256 << 10)
+
 /** Discards an incomplete event, before the bytes of another attempt. */
 void event_stream_reset(struct event_stream *stream);
 
@@ -41,6 +47,12 @@
 /** Returns the bytes of an event that isn't complete yet. */
 const char *event_stream_rest(const struct event_stream *stream, size_t *len);
 
+/**
+ * Tells whether more than EVENT_STREAM_BYTES_MAX bytes came without completing
+ * a numbered event, so that they are no stream of events.
+ */
+bool event_stream_overlong(const struct event_stream *stream);
+
 /**
  * Tells whether a response that ended after the bytes so far broke off. That is
  * so inside an event; line ends alone after the last event don't begin another
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -11,6 +11,9 @@
 
 /* Size of the read buffer, which all connections share. */
 #define READ_BUFFER_BYTES 65536
+/* Maximum number of bytes before the answer's head is complete, with interim
+ * answers and late answers to other requests. */
+#define PREAMBLE_BYTES_MAX (1 << 20)
 
 struct http_link {
 	uv_loop_t *loop;
@@ -34,6 +37,8 @@
 	http_parser parser;
 	bool head_done;
 	bool message_done;
+	/* Bytes received in this exchange before head_done. */
+	size_t preamble_bytes;
 	/* The answer being parsed is skipped, as it is interim or belongs to
 	 * another request. */
 	bool skipping;
@@ -107,8 +112,10 @@
 
 	if (link->closing)
 		return;
-	if (end != HTTP_LINK_COMPLETE)
+	if (end != HTTP_LINK_COMPLETE) {
 		link->unusable = true;
+		uv_read_stop((uv_stream_t *)&link->tcp);
+	}
 	link->idle_since_ms = uv_now(link->loop);
 	if (!link->busy) {
 		if (link->options.on_idle_close)
@@ -240,9 +247,15 @@
 		exchange_end(link, HTTP_LINK_MALFORMED);
 		return;
 	}
+	if (!link->head_done)
+		link->preamble_bytes += len;
 	used = http_parser_execute(&link->parser, &parser_settings, data, len);
 	if (link->closing)
 		return;
+	if (!link->head_done && link->preamble_bytes > PREAMBLE_BYTES_MAX) {
+		exchange_end(link, HTTP_LINK_MALFORMED);
+		return;
+	}
 	error = HTTP_PARSER_ERRNO(&link->parser);
 	if (link->message_done)
 		finish_message(link, used < len);
@@ -401,6 +414,7 @@
 	link->request = request;
 	link->head_done = false;
 	link->message_done = false;
+	link->preamble_bytes = 0;
 	link->skipping = false;
 	link->in_value = false;
 	g_array_set_size(link->fields, 0);
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -44,8 +44,8 @@
 	gateway_list_address "$(cat "$FLEET_DIR/$1.raw")" "$2" ready "$1"
 }
 
-# gateway_raw_count ID accepted|open: prints the number of connections of a raw
-# server.
+# gateway_raw_count ID accepted|open|repeated: prints the number of connections of
+# a raw server, of those that are open, or of the bytes of its repetitions.
 gateway_raw_count () {
 	curl -sf "http://$(fleet_address raw)/peer?address=$(cat "$FLEET_DIR/$1.raw")" |
 		sed -n "s/.*$2=\([0-9]*\).*/\1/p"
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -24,6 +24,7 @@
 	enum raw_close_mode then;
 	GString *received;
 	unsigned accepted;
+	uint64_t repeated;
 	struct list conns;
 };
 
@@ -87,8 +88,10 @@
 
 	g_free(write->data);
 	g_free(write);
-	if (status == 0)
-		conn_repeat(conn);
+	if (status != 0)
+		return;
+	conn->server->repeated += REPEAT_BYTES;
+	conn_repeat(conn);
 }
 
 static void conn_repeat(struct raw_conn *conn)
@@ -195,6 +198,11 @@
 	return nr;
 }
 
+uint64_t raw_server_repeated(const struct raw_server *server)
+{
+	return server->repeated;
+}
+
 void raw_server_destroy(struct raw_server *server)
 {
 	struct list *pos, *tmp;
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -5,6 +5,7 @@
 #define BRIARPLANK_TESTS_RAW_PEER_H
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <glib.h>
 #include <uv.h>
 
@@ -31,6 +32,8 @@
  * that are open now. */
 unsigned raw_server_accepted(const struct raw_server *server);
 unsigned raw_server_open(const struct raw_server *server);
+/** Returns the number of bytes that the server's repetitions wrote. */
+uint64_t raw_server_repeated(const struct raw_server *server);
 void raw_server_destroy(struct raw_server *server);
 
 /** Connects to IP:PORT; bytes sent before the connection is up are queued. */
--- a/tests/standin/raw.c
+++ b/tests/standin/raw.c
@@ -3,9 +3,10 @@
  *
  * POST /peer?then=open|close|reset|repeat opens a port whose connections answer
  * with the call's body and then do what "then" says; it returns the address.
- * GET /peer?address=IP:PORT returns how many connections the port had and how
- * many are open.
+ * GET /peer?address=IP:PORT returns how many connections the port had, how many
+ * are open, and how many bytes its repetitions wrote.
  */
+#include <inttypes.h>
 #include <string.h>
 
 #include "raw_peer.h"
@@ -58,9 +59,10 @@
 	char *text;
 
 	if (peer) {
-		text = g_strdup_printf("accepted=%u open=%u\n",
-				       raw_server_accepted(peer),
-				       raw_server_open(peer));
+		text = g_strdup_printf(
+			"accepted=%u open=%u repeated=%" PRIu64 "\n",
+			raw_server_accepted(peer), raw_server_open(peer),
+			raw_server_repeated(peer));
 		web_answer(request, 200, "text/plain", text, strlen(text));
 		g_free(text);
 	} else {
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -41,8 +41,15 @@
 	g_free(data);
 }
 
+static void ignore_event(void *ctx, const struct stream_event *event)
+{
+	(void)ctx;
+	(void)event;
+}
+
 /*
- * Runs a command: "feed BYTES", where \n and \r are escapes, "rest" or "reset".
+ * Runs a command: "feed BYTES", where \n and \r are escapes, "repeat TIMES
+ * BYTES", "rest" or "reset".
  */
 static void command(void *data, int argc, char **argv, GString *out)
 {
@@ -56,6 +63,17 @@
 		event_stream_feed(state->stream, bytes, strlen(bytes), on_event,
 				  state);
 		g_free(bytes);
+	} else if (!strcmp(argv[0], "repeat")) {
+		char *bytes = g_strcompress(argv[2]);
+		int64_t left = g_ascii_strtoll(argv[1], NULL, 10);
+
+		for (; left > 0; left--)
+			event_stream_feed(state->stream, bytes, strlen(bytes),
+					  ignore_event, NULL);
+		g_string_append(out, event_stream_overlong(state->stream) ?
+					     "overlong\n" :
+					     "ok\n");
+		g_free(bytes);
 	} else if (!strcmp(argv[0], "rest")) {
 		event_stream_rest(state->stream, &len);
 		g_string_append_printf(
--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -124,6 +124,8 @@
 {
 	if (!strcmp(text, "close"))
 		return RAW_CLOSE;
+	if (!strcmp(text, "repeat"))
+		return RAW_REPEAT;
 	return strcmp(text, "reset") ? RAW_KEEP_OPEN : RAW_RESET;
 }
 
@@ -138,7 +140,7 @@
 	g_free(bytes);
 }
 
-/* Commands: serve BYTES then=hold|close|reset, no_listener, send id=ID,
+/* Commands: serve BYTES then=hold|close|reset|repeat, no_listener, send id=ID,
  * await_close, idle_limit. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
