Send nothing more to a server that has said that it leaves

What callers would see: requests that run into a server's planned shutdown.

Cause: an entry learned of a shutdown from the store alone, which it may not reach for long, which lists some servers as ready until they are gone, and whose older state may come back through another entry's page.

The server is marked when the head of any response arrives, but for a 421, which comes from another server at its address. The mark holds for the server's lifetime, is kept after the server is unlisted, and ends when the server is listed with a later start.

--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -198,7 +198,8 @@
 				     "unlisted" :
 				     (server->avoid_until_ms > now ? "avoided" :
 								     "up"));
-		row_add_bool(row, "drained", server->draining);
+		row_add_bool(row, "drained",
+			     server->draining || server->leaving);
 		row_add_number(row, "slots", server->slots);
 		row_add_number(row, "running_online",
 			       server->own[WORK_ONLINE] +
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -149,6 +149,23 @@
 				    uv_now(call->options.gateway->loop));
 }
 
+/* Notes that the server shuts down soon. A status of 421 comes from another
+ * server, which has got the address since. */
+static void read_leaving(struct server_call *call,
+			 const struct http_link_head *head)
+{
+	const char *leaving =
+		http_link_head_field(head, platform_fields.leaving);
+
+	if (!leaving || !strcmp(leaving, "0") || head->status == 421 ||
+	    call->server->leaving)
+		return;
+	log_event("server", LOG_LEVEL_INFO,
+		  "id=%s says that it leaves, request=%s", call->server->id,
+		  call->options.request_id);
+	fleet_mark_leaving(call->options.gateway->fleet, call->server);
+}
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
@@ -159,6 +176,7 @@
 					  .head = head };
 
 	fleet_data_received(call->server, now);
+	read_leaving(call, head);
 	if (echo && strcmp(echo, call->options.request_id) != 0) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s skipped the response to %s",
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -38,6 +38,10 @@
 /* Time over which unattributed load from a report decays to 0, in ms. */
 #define REPORT_DECAY_MS 400.0
 
+/* Maximum number of leaving servers that are remembered; far more than leave
+ * while a node runs. */
+#define LEAVING_MAX 20000
+
 static void peer_free(gpointer data)
 {
 	struct peer_report *peer = data;
@@ -55,6 +59,9 @@
 	fleet->region = g_strdup(options->region);
 	list_init(&fleet->servers);
 	fleet->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->leaving = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, g_free);
+	g_queue_init(&fleet->leaving_order);
 	fleet->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, peer_free);
 	fleet->peaks =
@@ -84,6 +91,8 @@
 	list_for_each_safe (pos, tmp, &fleet->servers)
 		server_remove(fleet, list_entry(pos, struct server, link));
 	g_hash_table_destroy(fleet->by_hash);
+	g_queue_clear(&fleet->leaving_order);
+	g_hash_table_destroy(fleet->leaving);
 	g_hash_table_destroy(fleet->peers);
 	g_hash_table_destroy(fleet->peaks);
 	g_hash_table_destroy(fleet->batch_slots);
@@ -168,6 +177,32 @@
 	*field = g_strdup(text);
 }
 
+void fleet_mark_leaving(struct fleet *fleet, struct server *server)
+{
+	uint64_t *hash, *started_ms;
+
+	if (server->leaving)
+		return;
+	server->leaving = true;
+	hash = g_memdup2(&server->hash, sizeof(*hash));
+	started_ms = g_memdup2(&server->started_ms, sizeof(*started_ms));
+	/* A server that leaves again after a restart has its hash in the table
+	 * already, and the table frees the new copy of it. */
+	if (g_hash_table_insert(fleet->leaving, hash, started_ms))
+		g_queue_push_tail(&fleet->leaving_order, hash);
+	if (g_hash_table_size(fleet->leaving) > LEAVING_MAX)
+		g_hash_table_remove(fleet->leaving,
+				    g_queue_pop_head(&fleet->leaving_order));
+}
+
+static bool is_leaving(const struct fleet *fleet, const struct server *server)
+{
+	const uint64_t *started_ms =
+		g_hash_table_lookup(fleet->leaving, &server->hash);
+
+	return started_ms && server->started_ms <= *started_ms;
+}
+
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts)
 {
 	struct server *server = fleet_find(fleet, facts->id);
@@ -187,6 +222,7 @@
 	server->slots = MAX(facts->slots, 1);
 	server->draining = facts->draining;
 	server->started_ms = facts->started_ms;
+	server->leaving = is_leaving(fleet, server);
 	server->listed = true;
 }
 
@@ -243,7 +279,7 @@
 
 bool server_serves(const struct server *server, const char *service)
 {
-	return server->listed && !server->draining &&
+	return server->listed && !server->draining && !server->leaving &&
 	       !strcmp(server->service, service);
 }
 
--- a/core/fleet_private.h
+++ b/core/fleet_private.h
@@ -31,6 +31,10 @@
 	struct list servers;
 	/* Maps a server hash to a struct server *. */
 	GHashTable *by_hash;
+	/* Maps the hash of a server that has said that it leaves to its
+	 * started_ms, and the hashes in the order in which they were added. */
+	GHashTable *leaving;
+	GQueue leaving_order;
 	/* Maps a peer id to a struct peer_report *. */
 	GHashTable *peers;
 	/* Maps "SERVICE/0" (own region) and "SERVICE/1" (other regions) to the
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -59,6 +59,8 @@
 	uint64_t started_ms;
 	unsigned slots;
 	bool draining;
+	/** The server itself has said that it shuts down soon. */
+	bool leaving;
 	/** The platform lists the server; one that is no longer listed finishes
 	 * its requests and gets no new ones. */
 	bool listed;
@@ -113,6 +115,13 @@
 /** Adds a server or updates its description. */
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts);
 
+/**
+ * Records that a server has said that it shuts down soon. It gets no new
+ * requests until it is listed with a later start; this is kept when the server
+ * is no longer listed.
+ */
+void fleet_mark_leaving(struct fleet *fleet, struct server *server);
+
 /** Marks a server as no longer listed by the platform. */
 void fleet_mark_unlisted(struct fleet *fleet, const char *id);
 
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -36,6 +36,8 @@
 	 * Field that a response carries if the server did not run the request.
 	 */
 	const char *not_run;
+	/** Field of all responses of a server that shuts down soon. */
+	const char *leaving;
 	/** Field with the parts of the prompt, as ID:TOKENS. */
 	const char *prompt_prefix;
 	/** Field with the id of the event after which a stream resumes. */
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -99,6 +99,12 @@
 		"$FLEET_DIR/$1.log"
 }
 
+# gateway_listed NAME ID STATE COUNT: tells whether a gateway has logged this
+# state of a server this many times.
+gateway_listed () {
+	test "$(grep -c "event=server id=$2 .* $3" "$FLEET_DIR/$1.log")" = "$4"
+}
+
 # gateway_ready NAME: tells whether the readiness check succeeds.
 gateway_ready () {
 	curl -sf -o /dev/null "http://$(gateway_address "$1" ready)/ready"
--- a/tests/process/gateway_cut_before_event.sh
+++ b/tests/process/gateway_cut_before_event.sh
@@ -24,7 +24,7 @@
 gateway_server server-1 model --events 30
 gateway_list_address "$(cat "$FLEET_DIR/cut.raw")" model draining cut
 wait_until gateway_knows g1 server-1
-wait_until grep -q 'id=cut .* draining' "$FLEET_DIR/g1.log"
+wait_until gateway_listed g1 cut draining 1
 (
 	gateway_call g1 r1 /stream/x -N -d 'hold 5' >"$FLEET_DIR/r1"
 	echo $? >"$FLEET_DIR/r1.status"
@@ -33,8 +33,8 @@
 wait_until grep -q '^data: r1-5' "$FLEET_DIR/r1"
 gateway_list server-1 model draining
 gateway_list_address "$(cat "$FLEET_DIR/cut.raw")" model ready cut
-wait_until grep -q "id=$(fleet_address server-1) .* draining" "$FLEET_DIR/g1.log"
-wait_until test "$(grep -c 'id=cut .* ready' "$FLEET_DIR/g1.log")" = 2
+wait_until gateway_listed g1 "$(fleet_address server-1)" draining 1
+wait_until gateway_listed g1 cut ready 2
 fleet_fault server-1 kind=kill_streams
 wait $caller
 test "$(cat "$FLEET_DIR/r1.status")" -ne 0 ||
@@ -42,16 +42,10 @@
 echo "resumed: broken off"
 
 # A batch item that was resumed there is continued until it is whole.
-cut_ready () {
-	test "$(grep -c 'id=cut .* ready' "$FLEET_DIR/g1.log")" = "$1"
-}
-server_lines () {
-	test "$(grep -c "id=$(fleet_address server-1) .* $1" "$FLEET_DIR/g1.log")" = "$2"
-}
 gateway_list_address "$(cat "$FLEET_DIR/cut.raw")" model draining cut
 gateway_list server-1 model ready
-wait_until server_lines ready 2
-wait_until test "$(grep -c 'id=cut .* draining' "$FLEET_DIR/g1.log")" = 2
+wait_until gateway_listed g1 "$(fleet_address server-1)" ready 2
+wait_until gateway_listed g1 cut draining 2
 test "$(gateway_status g1 job-1 /batch/x -H 'Content-Type: application/json' \
 	-d "$(gateway_job 1 'hold 5')")" = 202 ||
 	fleet_fail "the job was not accepted"
@@ -59,8 +53,8 @@
 sleep 0.5
 gateway_list server-1 model draining
 gateway_list_address "$(cat "$FLEET_DIR/cut.raw")" model ready cut
-wait_until server_lines draining 2
-wait_until cut_ready 3
+wait_until gateway_listed g1 "$(fleet_address server-1)" draining 2
+wait_until gateway_listed g1 cut ready 3
 fleet_fault server-1 kind=kill_streams
 # Two responses in a row have no event: the second one makes the item start over.
 wait_until grep -q 'item=item-1 .* starts over' "$FLEET_DIR/g1.log"
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -231,6 +231,9 @@
 		learn(state, argc, argv);
 	else if (!strcmp(argv[0], "connected"))
 		connected(state, argc, argv);
+	else if (!strcmp(argv[0], "leaving"))
+		fleet_mark_leaving(state->fleet,
+				   fleet_find(state->fleet, argv[1]));
 	else if (!strcmp(argv[0], "unlist"))
 		fleet_mark_unlisted(state->fleet, argv[1]);
 	else if (!strcmp(argv[0], "pass"))
