Tell a reset from a close in the stand-alone daemon's HTTP client

What callers would see: a response without length or chunks whose connection was reset, framed as complete; for batch, a part of an output as the result.

The state of the TCP connection tells them apart, as libuv has consumed the socket's error.

--- a/standalone/http_client.c
+++ b/standalone/http_client.c
@@ -1,5 +1,7 @@
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 #include <h2o.h>
@@ -46,7 +48,10 @@
 	uv_timer_t timer;
 	bool sent;
 	bool head_method;
+	/* Framing of the response's body; with neither, it ends with the
+	 * connection. */
 	bool chunked;
+	bool has_length;
 	/* Set while one of h2o's callbacks runs. */
 	bool in_callback;
 	bool paused;
@@ -140,14 +145,31 @@
 	h2o_socket_read_stop(sock);
 }
 
+/*
+ * Tells whether the server closed the connection without a reset, which h2o does
+ * not distinguish. The socket's error can't be asked for, as libuv has read it.
+ */
+static bool is_orderly_close(h2o_socket_t *sock)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	return !getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO,
+			   &info, &len) &&
+	       info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 /*
  * h2o treats a close between two chunks as the end of the body. The body is
  * complete only if the last chunk arrived with this read.
  */
 static bool is_complete(const struct http_call *call, const char *errstr)
 {
-	return errstr == h2o_http1client_error_is_eos &&
-	       (!call->chunked || call->h2o->sock->bytes_read);
+	if (errstr != h2o_http1client_error_is_eos)
+		return false;
+	if (call->chunked)
+		return call->h2o->sock->bytes_read;
+	return call->has_length || is_orderly_close(call->h2o->sock);
 }
 
 static int on_h2o_body(h2o_http1client_t *h2o, const char *errstr)
@@ -201,12 +223,13 @@
 	}
 }
 
-static bool is_chunked(const h2o_header_t *headers, size_t nr)
+static bool has_header(const h2o_header_t *headers, size_t nr,
+		       const h2o_token_t *name)
 {
 	size_t i;
 
 	for (i = 0; i < nr; i++) {
-		if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+		if (headers[i].name == &name->buf)
 			return true;
 	}
 	return false;
@@ -227,7 +250,8 @@
 		call_end(call, HTTP_NO_ANSWER);
 		return NULL;
 	}
-	call->chunked = is_chunked(headers, nr);
+	call->chunked = has_header(headers, nr, H2O_TOKEN_TRANSFER_ENCODING);
+	call->has_length = has_header(headers, nr, H2O_TOKEN_CONTENT_LENGTH);
 	call->in_callback = true;
 	report_head(call, status, headers, nr);
 	call->in_callback = false;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,6 +1,7 @@
 /*
- * Destroys an HTTP client with calls in every state. Each call must be freed
- * exactly once, no other callback may run, and no handle may stay on the loop.
+ * Tests how calls of an HTTP client end, and destroys the client with calls in
+ * every state: each call must be freed exactly once, no other callback may run,
+ * and no handle may stay on the loop.
  */
 #include <string.h>
 
@@ -122,7 +123,15 @@
 	state->call = http_call_start(state->http, &options);
 }
 
-/* peer BYTES [then=hold|close]: starts a server that replies with the bytes */
+static enum raw_close_mode parse_then(const char *text)
+{
+	if (!strcmp(text, "close"))
+		return RAW_CLOSE;
+	return strcmp(text, "reset") ? RAW_KEEP_OPEN : RAW_RESET;
+}
+
+/* peer BYTES [then=hold|close|reset]: starts a server that replies with the
+ * bytes */
 static void cmd_peer(void *data, int argc, char **argv)
 {
 	struct state *state = data;
@@ -130,9 +139,7 @@
 
 	state->peer = raw_server_create(
 		&state->loop, bytes,
-		strcmp(script_arg(argc, argv, "then", "hold"), "close") ?
-			RAW_KEEP_OPEN :
-			RAW_CLOSE);
+		parse_then(script_arg(argc, argv, "then", "hold")));
 	g_free(bytes);
 }
 
@@ -194,6 +201,17 @@
 		g_string_append(state->out, "timed out\n");
 }
 
+/* seen: prints the callbacks so far */
+static void cmd_seen(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+
+	(void)argc;
+	(void)argv;
+	g_string_append_printf(state->out, "%s\n",
+			       g_strchomp(state->seen->str));
+}
+
 static void cmd_cancel(void *data, int argc, char **argv)
 {
 	struct state *state = data;
@@ -236,7 +254,7 @@
 	{ "call", cmd_call },	    { "cancel", cmd_cancel },
 	{ "destroy", cmd_destroy }, { "late_start", cmd_late_start },
 	{ "peer", cmd_peer },	    { "iterate", cmd_iterate },
-	{ "wait", cmd_wait },
+	{ "seen", cmd_seen },	    { "wait", cmd_wait },
 };
 
 static void command(void *data, int argc, char **argv, GString *out)
