Break off streams whose server closed inside an event, in the agent too

What callers would see: a part of a stream framed as complete through the stand-alone daemon, and a batch request that asks for a stream with a part of it as its result.

The agent took the close of the server's connection for the end of the stream; only streams that it had asked for itself, to assemble one response, were checked for the engine's last line.

Online attempts and batch requests keep the last bytes of a stream. One that ends inside an event, or for an engine without its last line, ends like a connection that was lost: the entry breaks its caller's connection, and a batch request counts as lost.

--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -323,6 +323,8 @@
 	else
 		record_token_gap(attempt, data, len);
 	attempt->last_token_us = node_now_us();
+	if (attempt->is_stream)
+		stream_tail_add(&attempt->tail, data, len);
 	answer_buffer_push(attempt->buffer, data, len);
 	attempt_send_pending(attempt);
 	if (first)
@@ -346,6 +348,13 @@
 
 	gate_detect_freeze(gate);
 	attempt->call = NULL;
+	if (end == HTTP_COMPLETE && attempt->is_stream &&
+	    attempt->head->status == 200 &&
+	    gate_stream_broke_off(gate, &attempt->tail)) {
+		log_info(PART, "%s: the server's stream broke off",
+			 attempt->key);
+		end = HTTP_TRUNCATED;
+	}
 	if (end == HTTP_NOT_SENT) {
 		attempt_refuse(attempt,
 			       BRIARPLANK__REFUSED__REASON__CONNECT_FAILED, 0);
--- a/briarplankd/agent/attempt.h
+++ b/briarplankd/agent/attempt.h
@@ -47,6 +47,7 @@
 	Briarplank__AnswerHead *head;
 	bool head_sent;
 	bool is_stream;
+	struct stream_tail tail;
 	bool paused;
 	/* The entry has acknowledged the whole response. */
 	bool confirmed;
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -138,6 +138,25 @@
 uint64_t gate_record_tokens(struct gate *gate, uint64_t last_us,
 			    unsigned tokens);
 
+/** Maximum number of bytes of a stream's end that are kept. */
+#define STREAM_TAIL_BYTES 64
+
+/** The last bytes of a stream, which tell whether it broke off. */
+struct stream_tail {
+	char bytes[STREAM_TAIL_BYTES];
+	size_t len;
+};
+
+/** Adds the next bytes of a stream. */
+void stream_tail_add(struct stream_tail *tail, const char *data, size_t len);
+
+/**
+ * Tells whether a stream that ended after these bytes broke off: inside an
+ * event, or without the server's last line.
+ */
+bool gate_stream_broke_off(const struct gate *gate,
+			   const struct stream_tail *tail);
+
 /** Returns whether a response's headers announce an event stream. */
 bool gate_is_stream(const struct http_field *fields, size_t nr);
 
--- a/briarplankd/agent/work.c
+++ b/briarplankd/agent/work.c
@@ -32,6 +32,7 @@
 	bool sent;
 	bool resumed;
 	bool is_stream;
+	struct stream_tail tail;
 	/* The gate turned the request into a streaming one. */
 	bool stream_forced;
 	int status;
@@ -85,6 +86,35 @@
 	return false;
 }
 
+void stream_tail_add(struct stream_tail *tail, const char *data, size_t len)
+{
+	size_t kept = len < STREAM_TAIL_BYTES ?
+			      MIN(tail->len, STREAM_TAIL_BYTES - len) :
+			      0;
+
+	memmove(tail->bytes, tail->bytes + tail->len - kept, kept);
+	if (len > STREAM_TAIL_BYTES) {
+		data += len - STREAM_TAIL_BYTES;
+		len = STREAM_TAIL_BYTES;
+	}
+	memcpy(tail->bytes + kept, data, len);
+	tail->len = kept + len;
+}
+
+bool gate_stream_broke_off(const struct gate *gate,
+			   const struct stream_tail *tail)
+{
+	char *text = g_strndup(tail->bytes, tail->len);
+	bool at_end = g_str_has_suffix(text, "\n\n") ||
+		      g_str_has_suffix(text, "\n\r\n");
+	const char *last = gate->backend->ops->stream_end;
+	bool broke_off =
+		!at_end || (last && !g_str_has_suffix(g_strchomp(text), last));
+
+	g_free(text);
+	return broke_off;
+}
+
 unsigned gate_count_tokens(const char *data, size_t len)
 {
 	static const char mark[] = "data: ";
@@ -135,6 +165,8 @@
 		gate_record_tokens(gate, request->last_token_us,
 				   gate_count_tokens(data, len));
 	request->last_token_us = node_now_us();
+	if (request->is_stream)
+		stream_tail_add(&request->tail, data, len);
 	if (request->response_body->len + len <= RESPONSE_BODY_MAX)
 		g_string_append_len(request->response_body, data, (gssize)len);
 	if (first)
@@ -195,6 +227,13 @@
 	request->call = NULL;
 	gate->running_batch--;
 	gate_streams_changed(gate);
+	if (end == HTTP_COMPLETE && request->is_stream &&
+	    request->status == 200 &&
+	    gate_stream_broke_off(gate, &request->tail)) {
+		log_info(PART, "batch request %s: its stream broke off",
+			 request->id);
+		end = HTTP_TRUNCATED;
+	}
 	if (end == HTTP_COMPLETE && request->resumed && request->status != 200)
 		request_restart(request);
 	else if (end == HTTP_COMPLETE)
--- a/include/standalone/backend.h
+++ b/include/standalone/backend.h
@@ -114,6 +114,9 @@
 	 * NULL when the stream is incomplete. Set if make_stream_request is set.
 	 */
 	char *(*assemble_response)(const char *call_id, const char *events);
+	/** Last line of each complete stream, or NULL if there is no such
+	 * line. */
+	const char *stream_end;
 };
 
 /** Base of all adapters for backend servers. */
--- a/standalone/engine_http.c
+++ b/standalone/engine_http.c
@@ -201,6 +201,7 @@
 	.destroy = backend_http_destroy,
 	.make_stream_request = engine_stream_request,
 	.assemble_response = engine_stream_assemble,
+	.stream_end = engine_stream_end,
 };
 
 struct backend *engine_http_create(struct http_client *http,
--- a/standalone/engine_stream.c
+++ b/standalone/engine_stream.c
@@ -10,6 +10,8 @@
 static const char event_prefix[] = "data: ";
 static const char end_marker[] = "[DONE]";
 
+const char engine_stream_end[] = "data: [DONE]";
+
 char *engine_stream_request(const char *body, size_t len)
 {
 	char *text = g_strndup(body, len);
--- a/standalone/engine_stream.h
+++ b/standalone/engine_stream.h
@@ -16,4 +16,7 @@
 /** Returns the response for a call's events, or NULL if they are incomplete. */
 char *engine_stream_assemble(const char *call_id, const char *events);
 
+/** Last line of each complete stream of an engine. */
+extern const char engine_stream_end[];
+
 #endif
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -96,6 +96,15 @@
 	fleet_word "$1" "listens:"
 }
 
+# fleet_raw_peer THEN BYTES: prints the address of a peer of the stand-in "raw",
+# which answers each connection with these bytes, in which printf's escapes are
+# expanded, and then does what THEN says: open, close, reset or repeat.
+fleet_raw_peer () {
+	printf '%b' "$2" | curl -sf --data-binary @- \
+		"http://$(fleet_address raw)/peer?then=$1" ||
+		fleet_fail "opening a raw peer failed"
+}
+
 # Starts the log service as "log" and the VM list as "vms".
 fleet_platform () {
 	fleet_standin log log "$@"
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -34,13 +34,10 @@
 		"${4:-$(fleet_address "$1")}"
 }
 
-# gateway_raw_server ID SERVICE THEN BYTES: lists a server that answers each
-# connection with these bytes, in which printf's escapes are expanded, and then
-# does what THEN says: open, close, reset or repeat.
+# gateway_raw_server ID SERVICE THEN BYTES: lists a raw peer as a server; see
+# fleet_raw_peer.
 gateway_raw_server () {
-	printf '%b' "$4" | curl -sf --data-binary @- \
-		"http://$(fleet_address raw)/peer?then=$3" >"$FLEET_DIR/$1.raw" ||
-		fleet_fail "opening the peer $1 failed"
+	fleet_raw_peer "$3" "$4" >"$FLEET_DIR/$1.raw"
 	gateway_list_address "$(cat "$FLEET_DIR/$1.raw")" "$2" ready "$1"
 }
 
