End a batch request in the agent when its response is too long

What callers would see: the first 8 MiB of a longer response listed as the item's whole result, and an item that never ends while its server sends without end, together with its slot.

Queries to servers and platform services (http_fetch) reported a response beyond their limit as truncated, but read it to its end.

Both now close the connection at the limit. The request counts as lost, so that an item that may run again does, and another one is listed with an unknown outcome.

--- a/briarplankd/agent/work.c
+++ b/briarplankd/agent/work.c
@@ -153,26 +153,6 @@
 	request->is_stream = gate_is_stream(fields, nr);
 }
 
-static void on_body(void *ctx, const char *data, size_t len)
-{
-	struct batch_request *request = ctx;
-	struct gate *gate = request->gate;
-	bool first = !request->last_token_us;
-
-	if (request->is_stream && first)
-		gate_record_first_token(gate, request->started_us);
-	else if (request->is_stream)
-		gate_record_tokens(gate, request->last_token_us,
-				   gate_count_tokens(data, len));
-	request->last_token_us = node_now_us();
-	if (request->is_stream)
-		stream_tail_add(&request->tail, data, len);
-	if (request->response_body->len + len <= RESPONSE_BODY_MAX)
-		g_string_append_len(request->response_body, data, (gssize)len);
-	if (first)
-		gate_schedule(gate);
-}
-
 /*
  * Converts a stream back into the single response that the caller asked for.
  * Returns false if that fails.
@@ -211,6 +191,42 @@
 	request_free(request);
 }
 
+/* Ends a request whose response is longer than an output may be. */
+static void request_too_long(struct batch_request *request)
+{
+	struct gate *gate = request->gate;
+
+	log_info(PART, "batch request %s: response of more than %d bytes",
+		 request->id, RESPONSE_BODY_MAX);
+	request_stop_call(request);
+	g_string_truncate(request->response_body, 0);
+	request_end(request, BATCH_REQUEST_LOST);
+	gate_schedule(gate);
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct batch_request *request = ctx;
+	struct gate *gate = request->gate;
+	bool first = !request->last_token_us;
+
+	if (request->is_stream && first)
+		gate_record_first_token(gate, request->started_us);
+	else if (request->is_stream)
+		gate_record_tokens(gate, request->last_token_us,
+				   gate_count_tokens(data, len));
+	request->last_token_us = node_now_us();
+	if (request->is_stream)
+		stream_tail_add(&request->tail, data, len);
+	if (request->response_body->len + len > RESPONSE_BODY_MAX) {
+		request_too_long(request);
+		return;
+	}
+	g_string_append_len(request->response_body, data, (gssize)len);
+	if (first)
+		gate_schedule(gate);
+}
+
 /* Discards the tokens of a stream that the server could not resume. */
 static void request_restart(struct batch_request *request)
 {
--- a/standalone/http_fetch.c
+++ b/standalone/http_fetch.c
@@ -7,7 +7,7 @@
 	void *ctx;
 	void (*free_ctx)(void *ctx);
 	int status;
-	bool too_long;
+	struct http_call *call;
 	GByteArray *body;
 };
 
@@ -21,17 +21,6 @@
 	fetch->status = status;
 }
 
-static void on_body(void *ctx, const char *data, size_t len)
-{
-	struct fetch *fetch = ctx;
-
-	if (fetch->body->len + len > HTTP_FETCH_MAX_BYTES)
-		fetch->too_long = true;
-	else
-		g_byte_array_append(fetch->body, (const guint8 *)data,
-				    (guint)len);
-}
-
 static void on_end(void *ctx, enum http_result end)
 {
 	struct fetch *fetch = ctx;
@@ -42,11 +31,22 @@
 		.len = fetch->body->len,
 	};
 
-	if (end == HTTP_COMPLETE && fetch->too_long)
-		answer.end = HTTP_TRUNCATED;
 	fetch->done(fetch->ctx, &answer);
 }
 
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct fetch *fetch = ctx;
+
+	if (fetch->body->len + len <= HTTP_FETCH_MAX_BYTES) {
+		g_byte_array_append(fetch->body, (const guint8 *)data,
+				    (guint)len);
+		return;
+	}
+	on_end(fetch, HTTP_TRUNCATED);
+	http_call_cancel(fetch->call);
+}
+
 static void on_free(void *ctx)
 {
 	struct fetch *fetch = ctx;
@@ -74,7 +74,7 @@
 	own.on_end = on_end;
 	own.on_free = on_free;
 	own.ctx = fetch;
-	http_call_start(client, &own);
+	fetch->call = http_call_start(client, &own);
 }
 
 bool http_answer_refused(const struct http_answer *answer)
