Take an entry's page only with its whole length

What callers would see: servers or results missing at an entry that follows another one, as a page that broke off between two fields still decodes.

Entries send all answers with a length, so that only another program at a former entry's address, or a later change, would have shown it.

Evidence: found by looking for the cause elsewhere. The transcript in http_link/faults.txt printed complete before the check and prints truncated. process_gateway_index, _directory and _relay pass.

Connections to readers only take answers with a length or chunks.

--- a/briarplankd/gateway/reader_client.c
+++ b/briarplankd/gateway/reader_client.c
@@ -134,6 +134,7 @@
 		.address = text,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.unacked_timeout_ms = UNACKED_TIMEOUT_MS,
+		.framed_only = true,
 		.idle_max = 1,
 		.reuse_limit_ms = REUSE_LIMIT_MS,
 	};
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -79,6 +79,9 @@
 	/** TCP_USER_TIMEOUT: time in which sent bytes must be acknowledged, in
 	 * ms; 0 for the system's default. */
 	uint32_t unacked_timeout_ms;
+	/** The server sends all answers with a length or in chunks; one that
+	 * ends with the connection is truncated. */
+	bool framed_only;
 	/** Called when the connection ends without an exchange; may be NULL. */
 	void (*on_idle_close)(void *ctx, struct http_link *link);
 	void *ctx;
--- a/include/net/http_pool.h
+++ b/include/net/http_pool.h
@@ -14,9 +14,10 @@
 	uv_loop_t *loop;
 	/** Address of the server, as numeric IP:PORT; copied. */
 	const char *address;
-	/** Timeouts of connections as in struct http_link_options, in ms. */
+	/** As in struct http_link_options. */
 	uint32_t connect_timeout_ms;
 	uint32_t unacked_timeout_ms;
+	bool framed_only;
 	/** Maximum number of idle connections that the pool keeps. */
 	unsigned idle_max;
 	/** Idle time after which a connection isn't reused, in ms. */
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -265,7 +265,7 @@
 
 static void on_eof(struct http_link *link, bool orderly)
 {
-	if (link->busy && orderly) {
+	if (link->busy && orderly && !link->options.framed_only) {
 		http_parser_execute(&link->parser, &parser_settings, NULL, 0);
 		if (link->closing)
 			return;
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -95,6 +95,7 @@
 		.address = pool->address,
 		.connect_timeout_ms = pool->options.connect_timeout_ms,
 		.unacked_timeout_ms = pool->options.unacked_timeout_ms,
+		.framed_only = pool->options.framed_only,
 		.on_idle_close = on_idle_close,
 		.ctx = pool,
 	};
--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -107,12 +107,14 @@
 	return ((struct state *)ctx)->closed;
 }
 
-static void open_link(struct state *state, const char *address)
+static void open_link(struct state *state, const char *address,
+		      bool framed_only)
 {
 	struct http_link_options options = {
 		.loop = &state->loop,
 		.address = address,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.framed_only = framed_only,
 		.on_idle_close = on_idle_close,
 		.ctx = state,
 	};
@@ -136,11 +138,13 @@
 	state->peer = raw_server_create(
 		&state->loop, bytes,
 		parse_then(script_arg(argc, argv, "then", "hold")));
-	open_link(state, raw_server_address(state->peer));
+	open_link(state, raw_server_address(state->peer),
+		  script_arg_int(argc, argv, "framed_only", 0));
 	g_free(bytes);
 }
 
-/* Commands: serve BYTES then=hold|close|reset|repeat, no_listener, send id=ID,
+/* Commands: serve BYTES then=hold|close|reset|repeat
+ * framed_only=0|1, no_listener, send id=ID,
  * await_close, idle_limit. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
@@ -150,7 +154,7 @@
 		serve(state, argc, argv);
 	} else if (!strcmp(argv[0], "no_listener")) {
 		/* Port 1 of the loopback has no listener. */
-		open_link(state, "127.0.0.1:1");
+		open_link(state, "127.0.0.1:1", false);
 	} else if (!strcmp(argv[0], "send")) {
 		g_free(state->id);
 		state->id = g_strdup(script_arg(argc, argv, "id", NULL));
