Keep a server's removal when another entry's page still lists it

What callers would see: requests sent to a server that had been removed seconds before.

Cause: an entry whose store fails keeps a vanished server listed for a grace period. An entry that changes to it as its reader fetches all servers, discarded the removals that it knew before it applied the page, and listed the server as ready again, from a record older than the removal.

A page's value older than a known removal is now left out, and the next fetch asks for all servers again until the pages agree. A whole page holds the offset of each server's newest record, heartbeats included, so that a server that is alive after all is listed again.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -145,11 +145,15 @@
 		return;
 	}
 	server = fleet_find(gateway->fleet, record->key);
-	changed = !server || !is_heartbeat(server, &facts);
+	changed = !server || !is_heartbeat(server, &facts) ||
+		  g_hash_table_contains(directory->unlist_pending, record->key);
 	/* After a snapshot began, the list lacks servers that did not change. */
 	if (changed || !change_list_has(directory->changes, record->key))
 		change_list_put(directory->changes, record->key, record->data,
 				record->len, record->offset);
+	else
+		change_list_repeat(directory->changes, record->key,
+				   record->offset);
 	if (changed)
 		log_event("server", LOG_LEVEL_INFO,
 			  "id=%s service=%s address=%s data_centre=%s slots=%u "
@@ -377,7 +381,10 @@
 	}
 	/* Without a complete list of servers, the whole list is fetched. */
 	directory_share_fetch(
-		directory->share, servers->following ? servers->next_offset : 0,
+		directory->share,
+		servers->following && !directory->page_had_removed ?
+			servers->next_offset :
+			0,
 		directory->config ? directory->config_offset + 1 : 0);
 	uv_timer_start(timer, on_fetch_timer, fetch_interval(directory), 0);
 }
--- a/briarplankd/gateway/directory_pages.c
+++ b/briarplankd/gateway/directory_pages.c
@@ -3,6 +3,7 @@
  * and the servers that changed since an offset.
  */
 #include "common/hash.h"
+#include "common/log.h"
 #include "directory_private.h"
 
 /* Maximum age of another entry's list of servers that is accepted, in ms. It
@@ -37,7 +38,10 @@
 	server = g_new(DirectoryServer, 1);
 	directory_server__init(server);
 	server->id = g_strdup(change->key);
-	server->offset = change->offset;
+	/* In a whole page a record that only repeats a value counts, as it shows
+	 * a node that noted a removal that the server is back. */
+	server->offset = builder->has_known_offset ? change->offset :
+						     change->seen_offset;
 	server->value.data = len ? g_memdup2(data, len) : NULL;
 	server->value.len = len;
 	g_ptr_array_add(builder->servers, server);
@@ -109,8 +113,9 @@
 	size_t i;
 
 	if (page->whole)
-		change_list_discard_removed(directory->changes,
-					    page->servers_offset);
+		change_list_incomplete_until(directory->changes,
+					     page->servers_offset);
+	directory->page_had_removed = false;
 	for (i = 0; i < page->n_servers; i++) {
 		const DirectoryServer *server = page->servers[i];
 		struct store_record record = {
@@ -120,6 +125,18 @@
 			.offset = server->offset,
 		};
 
+		/* The other entry may keep a server listed for a while after
+		 * its removal; see directory_server_removed(). */
+		if (record.len &&
+		    change_list_removed_after(directory->changes, record.key,
+					      record.offset)) {
+			log_event("server", LOG_LEVEL_INFO,
+				  "id=%s listed by another entry, but removed "
+				  "after offset=%" PRIu64,
+				  record.key, record.offset);
+			directory->page_had_removed = true;
+			continue;
+		}
 		directory_apply_server(directory, &record);
 	}
 	servers->next_offset = MAX(servers->next_offset, page->servers_offset);
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -48,6 +48,8 @@
 	/* The encoded configuration as the platform wrote it. */
 	GBytes *config;
 	uint64_t config_offset;
+	/* The last page listed a server that this node knows to be removed. */
+	bool page_had_removed;
 	struct directory_share *share;
 	uv_timer_t fetch_timer;
 	uv_timer_t sweep_timer;
--- a/core/change_list.c
+++ b/core/change_list.c
@@ -9,6 +9,7 @@
 struct entry {
 	GBytes *value;
 	uint64_t offset;
+	uint64_t seen_offset;
 };
 
 struct change_list {
@@ -64,7 +65,29 @@
 	return !((struct entry *)value)->value;
 }
 
-void change_list_discard_removed(struct change_list *list, uint64_t offset)
+void change_list_repeat(struct change_list *list, const char *key,
+			uint64_t offset)
+{
+	struct entry *entry = g_hash_table_lookup(list->entries, key);
+
+	if (entry && entry->value)
+		entry->seen_offset = MAX(entry->seen_offset, offset);
+}
+
+bool change_list_removed_after(const struct change_list *list, const char *key,
+			       uint64_t offset)
+{
+	const struct entry *entry = g_hash_table_lookup(list->entries, key);
+
+	return entry && !entry->value && entry->offset > offset;
+}
+
+void change_list_incomplete_until(struct change_list *list, uint64_t offset)
+{
+	list->since = offset;
+}
+
+static void discard_removed(struct change_list *list, uint64_t offset)
 {
 	g_hash_table_foreach_remove(list->entries, is_removed, NULL);
 	list->removed_nr = 0;
@@ -84,10 +107,11 @@
 	else
 		list->removed_nr++;
 	entry->offset = offset;
+	entry->seen_offset = offset;
 	g_hash_table_insert(list->entries, g_strdup(key), entry);
 	if (list->removed_nr <= REMOVED_MAX)
 		return;
-	change_list_discard_removed(list, offset);
+	discard_removed(list, offset);
 }
 
 bool change_list_complete_since(const struct change_list *list, uint64_t offset)
@@ -109,6 +133,7 @@
 			.key = key,
 			.value = entry->value,
 			.offset = entry->offset,
+			.seen_offset = entry->seen_offset,
 		};
 
 		fn(ctx, &change);
--- a/include/core/change_list.h
+++ b/include/core/change_list.h
@@ -20,6 +20,8 @@
 	/** Value of the key; NULL when the key was removed. */
 	GBytes *value;
 	uint64_t offset;
+	/** Offset of the newest record, which may repeat the value. */
+	uint64_t seen_offset;
 };
 
 struct change_list *change_list_create(void);
@@ -35,8 +37,16 @@
 void change_list_put(struct change_list *list, const char *key,
 		     const void *value, size_t len, uint64_t offset);
 
-/** Discards the removed keys; removals up to the offset become unknown. */
-void change_list_discard_removed(struct change_list *list, uint64_t offset);
+/** Notes a record that repeats a key's value. */
+void change_list_repeat(struct change_list *list, const char *key,
+			uint64_t offset);
+
+/** Tells whether a key was removed after the offset. */
+bool change_list_removed_after(const struct change_list *list, const char *key,
+			       uint64_t offset);
+
+/** Removals up to the offset may be missing from now on. */
+void change_list_incomplete_until(struct change_list *list, uint64_t offset);
 
 /**
  * Tells whether the list has all changes after an offset. If not, removals are
--- a/tests/test_change_list.c
+++ b/tests/test_change_list.c
@@ -35,7 +35,8 @@
 			g_strdup_printf("%s=%.*s@%" G_GUINT64_FORMAT,
 					change->key,
 					change->value ? (int)len : 1, value,
-					change->offset));
+					collection->full ? change->seen_offset :
+							   change->offset));
 }
 
 static gint compare(gconstpointer a, gconstpointer b)
@@ -61,8 +62,9 @@
 }
 
 /*
- * Runs a command: "put KEY VALUE at=N", "remove KEY at=N", "reset at=N", "since
- * at=N" or "remove-many NR at=N".
+ * Runs a command: "put KEY VALUE at=N", "remove KEY at=N", "repeat KEY at=N",
+ * "removed KEY at=N", "incomplete at=N", "reset at=N", "since at=N" or
+ * "remove-many NR at=N".
  */
 static void command(void *state, int argc, char **argv, GString *out)
 {
@@ -74,6 +76,15 @@
 		change_list_put(list, argv[1], argv[2], strlen(argv[2]), at);
 	} else if (!strcmp(argv[0], "remove")) {
 		change_list_put(list, argv[1], NULL, 0, at);
+	} else if (!strcmp(argv[0], "repeat")) {
+		change_list_repeat(list, argv[1], at);
+	} else if (!strcmp(argv[0], "incomplete")) {
+		change_list_incomplete_until(list, at);
+	} else if (!strcmp(argv[0], "removed")) {
+		g_string_append(out,
+				change_list_removed_after(list, argv[1], at) ?
+					"yes\n" :
+					"no\n");
 	} else if (!strcmp(argv[0], "reset")) {
 		change_list_reset(list, at);
 	} else if (!strcmp(argv[0], "since")) {
