Don't wait for the body of a server's refusal

What callers would see: 504 at the end of their time for a request that no server has run, where another server could have run it at once.

Cause: a response with the field that says that the request was not run ended the call only when its body was complete. A server that never ends it held the request until its deadline, when it counted as one that may have run.

The refusal counts from its head on. The connection is kept if the rest of the answer comes soon: a pool reads at most 16 KiB of it, on at most four connections, and closes the oldest beyond that.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -166,6 +166,8 @@
 	fleet_mark_leaving(call->options.gateway->fleet, call->server);
 }
 
+static void call_finish(struct server_call *call, enum http_link_end link_end);
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
@@ -189,8 +191,11 @@
 	call->not_run = http_link_head_field(head, platform_fields.not_run) ||
 			head->status == 421;
 	read_load(call, head);
-	if (call->not_run)
+	if (call->not_run) {
+		http_pool_discard(call->pool, call->http);
+		call_finish(call, HTTP_LINK_COMPLETE);
 		return true;
+	}
 	fleet_first_byte_received(
 		call->server,
 		call->queued ? -1 : (double)(now - call->started_ms));
@@ -236,8 +241,7 @@
 		on_end(call, HTTP_LINK_TRUNCATED);
 		return;
 	}
-	if (!call->not_run)
-		call->options.on_body(call->options.ctx, data, len);
+	call->options.on_body(call->options.ctx, data, len);
 }
 
 static enum server_call_end call_end_of(const struct server_call *call,
@@ -284,16 +288,12 @@
 	g_free(labels);
 }
 
-static void on_end(void *ctx, enum http_link_end link_end)
+/* Reports how a call ended whose connection was given back or closed. */
+static void call_finish(struct server_call *call, enum http_link_end link_end)
 {
-	struct server_call *call = ctx;
 	enum server_call_end end = call_end_of(call, link_end);
 	uint64_t now = uv_now(call->options.gateway->loop);
 
-	if (link_end == HTTP_LINK_COMPLETE)
-		http_pool_release(call->pool, call->http);
-	else
-		http_link_close(call->http);
 	if (end != SERVER_CALL_COMPLETE) {
 		count_failure(call, end_names[end]);
 		log_event("server_call", LOG_LEVEL_WARN,
@@ -311,6 +311,17 @@
 	call_free(call);
 }
 
+static void on_end(void *ctx, enum http_link_end link_end)
+{
+	struct server_call *call = ctx;
+
+	if (link_end == HTTP_LINK_COMPLETE)
+		http_pool_release(call->pool, call->http);
+	else
+		http_link_close(call->http);
+	call_finish(call, link_end);
+}
+
 static const struct http_link_handlers handlers = {
 	.on_head = on_head,
 	.on_body = on_body,
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -100,6 +100,10 @@
 void http_link_send(struct http_link *link, GString *request,
 		    const struct http_link_handlers *handlers, void *ctx);
 
+/** Replaces the callbacks of the exchange in progress. */
+void http_link_hand_over(struct http_link *link,
+			 const struct http_link_handlers *handlers, void *ctx);
+
 /** Tells whether the connection can carry another exchange. */
 bool http_link_reusable(const struct http_link *link);
 
--- a/include/net/http_pool.h
+++ b/include/net/http_pool.h
@@ -58,4 +58,10 @@
  */
 void http_pool_release(struct http_pool *pool, struct http_link *http);
 
+/**
+ * Gives back a connection in the body of an answer that nobody needs. It is kept
+ * if that answer ends soon.
+ */
+void http_pool_discard(struct http_pool *pool, struct http_link *http);
+
 #endif
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -426,6 +426,13 @@
 		send_request(link);
 }
 
+void http_link_hand_over(struct http_link *link,
+			 const struct http_link_handlers *handlers, void *ctx)
+{
+	link->handlers = *handlers;
+	link->ctx = ctx;
+}
+
 bool http_link_reusable(const struct http_link *link)
 {
 	return link->connected && !link->busy && !link->unusable &&
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -1,6 +1,19 @@
 #include "common/list.h"
 #include "net/http_pool.h"
 
+/* Maximum number of connections that wait for the end of an answer that nobody
+ * needs, and maximum number of bytes read of such an answer. */
+#define DISCARDED_MAX 4
+#define DISCARDED_BYTES_MAX 16384
+
+/* A connection that waits for the end of an answer that nobody needs. */
+struct discarded_link {
+	struct list link;
+	struct http_pool *pool;
+	struct http_link *http;
+	size_t bytes;
+};
+
 /* An idle connection. */
 struct idle_link {
 	struct list link;
@@ -15,6 +28,9 @@
 	/* List of idle connections, the most recently used first. */
 	struct list idle;
 	unsigned idle_nr;
+	/* Connections in an answer that nobody needs, oldest first. */
+	struct list discarded;
+	unsigned discarded_nr;
 };
 
 struct http_pool *http_pool_create(const struct http_pool_options *options)
@@ -25,6 +41,7 @@
 	pool->address = g_strdup(options->address);
 	pool->refs = 1;
 	list_init(&pool->idle);
+	list_init(&pool->discarded);
 	return pool;
 }
 
@@ -35,6 +52,13 @@
 	g_free(entry);
 }
 
+static void discarded_link_free(struct discarded_link *entry)
+{
+	list_remove(&entry->link);
+	entry->pool->discarded_nr--;
+	g_free(entry);
+}
+
 struct http_pool *http_pool_ref(struct http_pool *pool)
 {
 	pool->refs++;
@@ -54,6 +78,13 @@
 		http_link_close(entry->http);
 		idle_link_free(pool, entry);
 	}
+	list_for_each_safe (pos, tmp, &pool->discarded) {
+		struct discarded_link *entry =
+			list_entry(pos, struct discarded_link, link);
+
+		http_link_close(entry->http);
+		discarded_link_free(entry);
+	}
 }
 
 void http_pool_unref(struct http_pool *pool)
@@ -154,3 +185,61 @@
 	list_insert(&pool->idle, &entry->link);
 	pool->idle_nr++;
 }
+
+static bool on_discarded_head(void *ctx, const struct http_link_head *head)
+{
+	(void)ctx;
+	(void)head;
+	return true;
+}
+
+static void on_discarded_body(void *ctx, const char *data, size_t len)
+{
+	struct discarded_link *entry = ctx;
+
+	(void)data;
+	entry->bytes += len;
+	if (entry->bytes <= DISCARDED_BYTES_MAX)
+		return;
+	http_link_close(entry->http);
+	discarded_link_free(entry);
+}
+
+static void on_discarded_end(void *ctx, enum http_link_end end)
+{
+	struct discarded_link *entry = ctx;
+
+	if (end == HTTP_LINK_COMPLETE)
+		http_pool_release(entry->pool, entry->http);
+	else
+		http_link_close(entry->http);
+	discarded_link_free(entry);
+}
+
+static const struct http_link_handlers discarded_handlers = {
+	.on_head = on_discarded_head,
+	.on_body = on_discarded_body,
+	.on_end = on_discarded_end,
+};
+
+void http_pool_discard(struct http_pool *pool, struct http_link *http)
+{
+	struct discarded_link *entry;
+
+	if (pool->closed) {
+		http_link_close(http);
+		return;
+	}
+	if (pool->discarded_nr == DISCARDED_MAX) {
+		entry = list_entry(pool->discarded.next, struct discarded_link,
+				   link);
+		http_link_close(entry->http);
+		discarded_link_free(entry);
+	}
+	entry = g_new0(struct discarded_link, 1);
+	entry->pool = pool;
+	entry->http = http;
+	list_append(&pool->discarded, &entry->link);
+	pool->discarded_nr++;
+	http_link_hand_over(http, &discarded_handlers, entry);
+}
--- a/tests/process/gateway_endless_responses.sh
+++ b/tests/process/gateway_endless_responses.sh
@@ -69,3 +69,17 @@
 gateway_call g1 read "/lots/job-1?After=0" | grep -q 'item-1-30' ||
 	fleet_fail "the item's output is not whole"
 echo "item: runs elsewhere"
+
+# A refusal whose body never comes is a refusal all the same.
+gateway_list server-1 model draining
+gateway_raw_server hanging desk open \
+	'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 9\r\n\r\n'
+wait_until gateway_knows_raw g1 hanging
+expect hanging-1 503 /plain/x
+for i in $(seq 2 30)
+do
+	gateway_status g1 "hanging-$i" /plain/x -d p -m 2 >/dev/null
+done
+test "$(gateway_raw_count hanging open)" -le 9 ||
+	fleet_fail "$(gateway_raw_count hanging open) connections wait for a body"
+echo "hanging refusal: not held"
