Run the items of an accepted job with the bodies that were submitted

What callers would see: items that start late, or not while the part of the store that holds their bodies is away, although the entry that runs them had the bodies a moment before.

Cause: job_bulk_write() ended with g_ptr_array_free(), which empties an array that others still hold. The submission kept a reference to hand the bodies to the batch scheduler, and handed over none: the items were found by the next scan, and each body was read back from the store.

--- a/briarplankd/gateway/job_bulk.c
+++ b/briarplankd/gateway/job_bulk.c
@@ -54,7 +54,7 @@
 {
 	struct job_bulk_write *write = handle->data;
 
-	g_ptr_array_free(write->blobs, TRUE);
+	g_ptr_array_unref(write->blobs);
 	g_free(write->locations);
 	g_free(write);
 }
