--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -33,6 +33,10 @@
 	uint64_t deadline_ms;
 	uint64_t arrived_ms;
 	uint64_t arrived_wall_ms;
+	/* Loop times at which the bodies were written and the record was
+	 * appended; 0 before. */
+	uint64_t written_ms;
+	uint64_t appended_ms;
 	/* Encoded items of the job; elements are GByteArray. */
 	GPtrArray *items;
 	struct job_bulk_write *write;
@@ -65,15 +69,24 @@
 	uv_close((uv_handle_t *)&submission->timer, on_submission_closed);
 }
 
+/* Returns the time from one step to another in ms, or -1 before the second. */
+static int64_t step_ms(uint64_t from_ms, uint64_t to_ms)
+{
+	return to_ms ? (int64_t)(to_ms - from_ms) : -1;
+}
+
 static void log_submission(const struct submission *submission, int status,
 			   const char *reason)
 {
 	log_event("job", status == 202 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
 		  "job=%s route=%s items=%zu status=%d ms=%" PRIu64
+		  " bodies_ms=%" PRId64 " append_ms=%" PRId64
 		  " waiting_tokens=%" PRIu64 " limit=%" PRIu64 " %s",
 		  submission->job, submission->route,
 		  submission->request->items_nr, status,
 		  uv_now(submission->gateway->loop) - submission->arrived_ms,
+		  step_ms(submission->arrived_ms, submission->written_ms),
+		  step_ms(submission->written_ms, submission->appended_ms),
 		  job_log_waiting_tokens(
 			  job_store_log(submission->gateway->job_store),
 			  submission->route),
@@ -137,8 +150,10 @@
 
 	/* The submission is answered by job_calls_submission_decided() when the
 	 * record is read from the job log. */
-	if (result == JOB_APPEND_DONE)
+	if (result == JOB_APPEND_DONE) {
+		submission->appended_ms = uv_now(submission->gateway->loop);
 		return;
+	}
 	submission_refuse(submission, 503, store_retry_s(submission),
 			  "the store refuses writes");
 	submission_free(submission);
@@ -165,6 +180,7 @@
 	size_t i;
 
 	submission->write = NULL;
+	submission->written_ms = uv_now(submission->gateway->loop);
 	if (!locations || !submission->web) {
 		submission_refuse(submission, 503, store_retry_s(submission),
 				  locations ? "the caller left" :
