Don't touch a submission after its record was read

The record can be read from the job log before that answer arrives, and the submission is freed there, so that the note was written to freed memory.

The time of the append is no longer noted. The line keeps the time for the bodies, which with the time in all tells the two parts apart.

--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -33,10 +33,8 @@
 	uint64_t deadline_ms;
 	uint64_t arrived_ms;
 	uint64_t arrived_wall_ms;
-	/* Loop times at which the bodies were written and the record was
-	 * appended; 0 before. */
+	/* Loop time at which the bodies were written; 0 before. */
 	uint64_t written_ms;
-	uint64_t appended_ms;
 	/* Encoded items of the job; elements are GByteArray. */
 	GPtrArray *items;
 	struct job_bulk_write *write;
@@ -69,24 +67,19 @@
 	uv_close((uv_handle_t *)&submission->timer, on_submission_closed);
 }
 
-/* Returns the time from one step to another in ms, or -1 before the second. */
-static int64_t step_ms(uint64_t from_ms, uint64_t to_ms)
-{
-	return to_ms ? (int64_t)(to_ms - from_ms) : -1;
-}
-
 static void log_submission(const struct submission *submission, int status,
 			   const char *reason)
 {
 	log_event("job", status == 202 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
 		  "job=%s route=%s items=%zu status=%d ms=%" PRIu64
-		  " bodies_ms=%" PRId64 " append_ms=%" PRId64
-		  " waiting_tokens=%" PRIu64 " limit=%" PRIu64 " %s",
+		  " bodies_ms=%" PRId64 " waiting_tokens=%" PRIu64
+		  " limit=%" PRIu64 " %s",
 		  submission->job, submission->route,
 		  submission->request->items_nr, status,
 		  uv_now(submission->gateway->loop) - submission->arrived_ms,
-		  step_ms(submission->arrived_ms, submission->written_ms),
-		  step_ms(submission->written_ms, submission->appended_ms),
+		  submission->written_ms ? (int64_t)(submission->written_ms -
+						     submission->arrived_ms) :
+					   -1,
 		  job_log_waiting_tokens(
 			  job_store_log(submission->gateway->job_store),
 			  submission->route),
@@ -149,11 +142,10 @@
 	struct submission *submission = ctx;
 
 	/* The submission is answered by job_calls_submission_decided() when the
-	 * record is read from the job log. */
-	if (result == JOB_APPEND_DONE) {
-		submission->appended_ms = uv_now(submission->gateway->loop);
+	 * record is read from the job log. It may have been freed there, as the
+	 * record can be read before the answer to its append arrives. */
+	if (result == JOB_APPEND_DONE)
 		return;
-	}
 	submission_refuse(submission, 503, store_retry_s(submission),
 			  "the store refuses writes");
 	submission_free(submission);
