Read the job index again when a caller's record is overdue

Cause: a long poll of the job index that reaches the store while the append of the record is carried out is at times not woken by it, and returns at the end of its wait of 400 ms, or with the next record.

Ruled out: refused or repeated appends, lost connections, and the pause between reads, none of which is in the logs.

If a record that a caller waits for was appended and is not read 40 ms and half the append's time later, the read is cancelled, unless its answer has begun to arrive, and made again. process_gateway_overdue_read, with a store that wakes no long poll, failed with the daemon of the commit before and passes.

--- a/briarplankd/gateway/job_store.c
+++ b/briarplankd/gateway/job_store.c
@@ -18,6 +18,10 @@
 #define CALL_TIMEOUT_MS 900
 /* Delay before a failed call is retried, in ms. */
 #define RETRY_DELAY_MS 120
+/* Time after the answer to an append, in addition to half the time that the
+ * append took, in which its record must be read while a caller waits for it, in
+ * ms. A long poll that the store doesn't wake would end at its wait. */
+#define READ_OVERDUE_MS 40
 /* Pause between two fetches from a reader, and before a fetch is repeated from
  * one that hasn't loaded the index yet, in ms. */
 #define FETCH_PAUSE_MS 150
@@ -64,6 +68,9 @@
 	uv_timer_t follow_timer;
 	uv_timer_t append_timer;
 	uv_timer_t expire_timer;
+	uv_timer_t overdue_timer;
+	/* Loop time at which the append in flight was sent. */
+	uint64_t append_sent_ms;
 	int handles;
 	/* Number of callers that wait until a record was read from the
 	 * index. */
@@ -303,6 +310,32 @@
 		read_store(store);
 }
 
+/* Reads again if the record that a caller waits for was appended, but the read
+ * in flight has not returned it. */
+static void on_overdue_timer(uv_timer_t *timer)
+{
+	struct job_store *store = timer->data;
+
+	if (!store->waiters || store->read_idle ||
+	    store->next_offset >= store->written_offset ||
+	    !store_cancel_reads(store->gateway->store, store))
+		return;
+	log_event("job_index", LOG_LEVEL_INFO,
+		  "read is overdue next=%" PRIu64 " appended=%" PRIu64
+		  ", reading again",
+		  store->next_offset, store->written_offset);
+	follow_next(store, 0);
+}
+
+static void await_own_records(struct job_store *store)
+{
+	uint64_t took_ms = uv_now(store->gateway->loop) - store->append_sent_ms;
+
+	if (store->waiters && store->next_offset < store->written_offset)
+		uv_timer_start(&store->overdue_timer, on_overdue_timer,
+			       READ_OVERDUE_MS + took_ms / 2, 0);
+}
+
 static void on_probed(void *ctx, const struct store_read_result *result)
 {
 	(void)ctx;
@@ -392,6 +425,7 @@
 	switch (result->status) {
 	case STORE_OK:
 		store->written_offset = result->end_offset;
+		await_own_records(store);
 		append_done(store);
 		return;
 	case STORE_REFUSED:
@@ -464,6 +498,7 @@
 				 pending->record->len);
 	}
 	store->appending = true;
+	store->append_sent_ms = uv_now(store->gateway->loop);
 	store_append(store->gateway->store, &append);
 }
 
@@ -514,6 +549,8 @@
 	store->follow_timer.data = store;
 	uv_timer_init(store->gateway->loop, &store->append_timer);
 	store->append_timer.data = store;
+	uv_timer_init(store->gateway->loop, &store->overdue_timer);
+	store->overdue_timer.data = store;
 	uv_timer_init(store->gateway->loop, &store->expire_timer);
 	store->expire_timer.data = store;
 	uv_timer_start(&store->expire_timer, on_expire, EXPIRE_INTERVAL_MS,
@@ -553,8 +590,9 @@
 	index_share_destroy(store->share);
 	job_log_destroy(store->log);
 	g_free(store->producer);
-	store->handles = 3;
+	store->handles = 4;
 	uv_close((uv_handle_t *)&store->follow_timer, on_closed);
 	uv_close((uv_handle_t *)&store->append_timer, on_closed);
 	uv_close((uv_handle_t *)&store->expire_timer, on_closed);
+	uv_close((uv_handle_t *)&store->overdue_timer, on_closed);
 }
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -84,6 +84,12 @@
  */
 void store_destroy(struct store *store);
 
+/**
+ * Cancels the reads with this ctx whose answers have not begun to arrive; their
+ * callbacks are not called. Returns whether there were any.
+ */
+bool store_cancel_reads(struct store *store, void *ctx);
+
 /** Tells whether the store answered the last call that ended. */
 bool store_reachable(const struct store *store);
 
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -241,12 +241,18 @@
 	waiter_free(ctx);
 }
 
+/* Answers the long polls of a partition. With FAULT_STALL they are not woken and
+ * wait for their time limit. */
 static void wake_waiters(struct partition *partition)
 {
 	struct list *pos, *tmp;
 
-	list_for_each_safe (pos, tmp, &partition->waiters)
-		waiter_answer(list_entry(pos, struct waiter, link));
+	list_for_each_safe (pos, tmp, &partition->waiters) {
+		struct waiter *waiter = list_entry(pos, struct waiter, link);
+
+		if (!standin_fault_active(waiter->state->standin, FAULT_STALL))
+			waiter_answer(waiter);
+	}
 }
 
 static void on_read(void *ctx, struct web_request *request)
