--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -295,20 +295,19 @@
 }
 
 /*
- * Handles a response without length and events, which may be the end of a
- * resumed item or have broken off. After the second one in a row the item
- * starts over, as its whole output tells.
+ * Handles a response that ended with its connection before its first event. It
+ * may be the end of a resumed item, or have broken off. After the second one in
+ * a row the item starts over, as only its whole output tells.
  */
 static void run_ended_unsure(struct run *run)
 {
 	bool again = run->ended_unsure;
 
-	log_event(
-		"item", LOG_LEVEL_INFO,
-		"job=%s item=%s no events without a length after_event=%" PRId64
-		", %s",
-		run->job->id, run->item->id, run->last_event,
-		again ? "starts over" : "resumes again");
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s closed before its first event "
+		  "after_event=%" PRId64 ", %s",
+		  run->job->id, run->item->id, run->last_event,
+		  again ? "starts over" : "resumes again");
 	if (again)
 		discard_output(run);
 	run->ended_unsure = !again;
@@ -394,7 +393,7 @@
 
 	set_state(run, RUN_RUNNING);
 	run->status = 0;
-	run->framing = HTTP_LINK_UNFRAMED;
+	run->framing = HTTP_LINK_FRAMING_UNKNOWN;
 	run->server = server;
 	run->first_event = run->last_event;
 	run->started_ms = now_ms(batch);
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -60,8 +60,8 @@
 	struct event_stream *events;
 	/* The response has a gap in its event ids. */
 	bool broken;
-	/* The last response resumed the item, had no length and no event: the
-	 * item may be whole, or the response broke off. */
+	/* The last response ended with its connection before its first event:
+	 * the item may be whole, or the response broke off. */
 	bool ended_unsure;
 	/* HTTP status of the response, or 0, and its framing. */
 	int status;
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -33,7 +33,7 @@
 /** What marks the end of an answer's body. */
 enum http_link_framing {
 	/** No head was received. */
-	HTTP_LINK_UNFRAMED,
+	HTTP_LINK_FRAMING_UNKNOWN,
 	/** The end of the connection. */
 	HTTP_LINK_UNTIL_CLOSE,
 	/** Content-Length. */
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -464,7 +464,7 @@
 const char *http_link_framing_name(enum http_link_framing framing)
 {
 	static const char *const names[] = {
-		[HTTP_LINK_UNFRAMED] = "-",
+		[HTTP_LINK_FRAMING_UNKNOWN] = "-",
 		[HTTP_LINK_UNTIL_CLOSE] = "close",
 		[HTTP_LINK_LENGTH] = "length",
 		[HTTP_LINK_CHUNKED] = "chunks",
