--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -108,7 +108,10 @@
 		g_string_append(out, bytes + len - 1);
 	buf = uv_buf_init(out->str, (unsigned)out->len);
 	write->data = g_string_free(out, FALSE);
-	uv_write(write, (uv_stream_t *)&conn->tcp, &buf, 1, on_repeated);
+	if (uv_write(write, (uv_stream_t *)&conn->tcp, &buf, 1, on_repeated)) {
+		g_free(write->data);
+		g_free(write);
+	}
 }
 
 static void on_conn_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
