Check streams that broke off once in the agent; share the start of tests

The check of a stream's end and its log line stood twice, for online attempts and for batch requests: gate_stream_end() serves both. Its line begins with the id in both cases; "batch request" in front of the second is gone, and no test or page names it.

Ruled out: a change of what is checked; the tests keep their assertions.

--- a/briarplankd/agent/attempt.c
+++ b/briarplankd/agent/attempt.c
@@ -348,13 +348,8 @@
 
 	gate_detect_freeze(gate);
 	attempt->call = NULL;
-	if (end == HTTP_COMPLETE && attempt->is_stream &&
-	    attempt->head->status == 200 &&
-	    gate_stream_broke_off(gate, &attempt->tail)) {
-		log_info(PART, "%s: the server's stream broke off",
-			 attempt->key);
-		end = HTTP_TRUNCATED;
-	}
+	if (attempt->is_stream && attempt->head->status == 200)
+		end = gate_stream_end(gate, attempt->key, &attempt->tail, end);
 	if (end == HTTP_NOT_SENT) {
 		attempt_refuse(attempt,
 			       BRIARPLANK__REFUSED__REASON__CONNECT_FAILED, 0);
--- a/briarplankd/agent/gate.h
+++ b/briarplankd/agent/gate.h
@@ -151,11 +151,13 @@
 void stream_tail_add(struct stream_tail *tail, const char *data, size_t len);
 
 /**
- * Tells whether a stream that ended after these bytes broke off: inside an
- * event, or without the server's last line.
+ * Returns how a call of an event stream with status 200 ended: a complete
+ * response becomes HTTP_TRUNCATED if the stream broke off inside an event or
+ * without the server's last line. id is for the log.
  */
-bool gate_stream_broke_off(const struct gate *gate,
-			   const struct stream_tail *tail);
+enum http_result gate_stream_end(const struct gate *gate, const char *id,
+				 const struct stream_tail *tail,
+				 enum http_result end);
 
 /** Returns whether a response's headers announce an event stream. */
 bool gate_is_stream(const struct http_field *fields, size_t nr);
--- a/briarplankd/agent/work.c
+++ b/briarplankd/agent/work.c
@@ -101,8 +101,8 @@
 	tail->len = kept + len;
 }
 
-bool gate_stream_broke_off(const struct gate *gate,
-			   const struct stream_tail *tail)
+static bool stream_broke_off(const struct gate *gate,
+			     const struct stream_tail *tail)
 {
 	char *text = g_strndup(tail->bytes, tail->len);
 	bool at_end = g_str_has_suffix(text, "\n\n") ||
@@ -115,6 +115,16 @@
 	return broke_off;
 }
 
+enum http_result gate_stream_end(const struct gate *gate, const char *id,
+				 const struct stream_tail *tail,
+				 enum http_result end)
+{
+	if (end != HTTP_COMPLETE || !stream_broke_off(gate, tail))
+		return end;
+	log_info(PART, "%s: the server's stream broke off", id);
+	return HTTP_TRUNCATED;
+}
+
 unsigned gate_count_tokens(const char *data, size_t len)
 {
 	static const char mark[] = "data: ";
@@ -243,13 +253,8 @@
 	request->call = NULL;
 	gate->running_batch--;
 	gate_streams_changed(gate);
-	if (end == HTTP_COMPLETE && request->is_stream &&
-	    request->status == 200 &&
-	    gate_stream_broke_off(gate, &request->tail)) {
-		log_info(PART, "batch request %s: its stream broke off",
-			 request->id);
-		end = HTTP_TRUNCATED;
-	}
+	if (request->is_stream && request->status == 200)
+		end = gate_stream_end(gate, request->id, &request->tail, end);
 	if (end == HTTP_COMPLETE && request->resumed && request->status != 200)
 		request_restart(request);
 	else if (end == HTTP_COMPLETE)
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -161,3 +161,17 @@
 			sum += $2
 		} END { print sum + 0 }'
 }
+
+# gateway_alone: starts a store and the gateway g1, with a configuration.
+gateway_alone () {
+	fleet_standin store store
+	gateway_start g1
+	gateway_config 1
+	wait_until gateway_ready g1
+}
+
+# gateway_holds NAME ID: tells whether a server holds a request with the body
+# "hold EVENT" at that event.
+gateway_holds () {
+	curl -sf "http://$(fleet_address "$1")/held" | grep -q "\"$2\""
+}
--- a/tests/process/gateway_cut_before_event.sh
+++ b/tests/process/gateway_cut_before_event.sh
@@ -6,11 +6,8 @@
 
 HEAD='HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: s\r\n\r\n'
 
-fleet_standin store store
 fleet_standin raw raw
-gateway_start g1
-gateway_config 1
-wait_until gateway_ready g1
+gateway_alone
 gateway_raw_server cut model close "$HEAD"
 wait_until gateway_knows_raw g1 cut
 
@@ -50,7 +47,7 @@
 	-d "$(gateway_job 1 'hold 5')")" = 202 ||
 	fleet_fail "the job was not accepted"
 wait_until grep -q 'item=item-1 server=.* after_event=-1' "$FLEET_DIR/g1.log"
-sleep 0.5
+wait_until gateway_holds server-1 item-1
 gateway_list server-1 model draining
 gateway_list_address "$(cat "$FLEET_DIR/cut.raw")" model ready cut
 wait_until gateway_listed g1 "$(fleet_address server-1)" draining 2
--- a/tests/process/gateway_cut_inside_event.sh
+++ b/tests/process/gateway_cut_inside_event.sh
@@ -7,11 +7,8 @@
 HEAD='HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: s\r\n\r\n'
 EVENTS='id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 
-fleet_standin store store
 fleet_standin raw raw
-gateway_start g1
-gateway_config 1
-wait_until gateway_ready g1
+gateway_alone
 
 # A stream that can't be resumed is broken off towards the caller, who gets
 # only the complete events.
--- a/tests/process/gateway_endless_responses.sh
+++ b/tests/process/gateway_endless_responses.sh
@@ -9,11 +9,8 @@
 # socket buffers.
 READ_MAX=33554432
 
-fleet_standin store store
 fleet_standin raw raw
-gateway_start g1
-gateway_config 1
-wait_until gateway_ready g1
+gateway_alone
 
 # expect NAME STATUS PATH: sends a request; it must be answered within two
 # seconds with this status, 000 for a broken connection.
--- a/tests/process/gateway_leaving_server.sh
+++ b/tests/process/gateway_leaving_server.sh
@@ -6,11 +6,8 @@
 
 LEAVING='Server-Leaving: 1\r\nX-Server-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok'
 
-fleet_standin store store
 fleet_standin raw raw
-gateway_start g1
-gateway_config 1
-wait_until gateway_ready g1
+gateway_alone
 
 # relist ID SERVICE: writes the server's record as ready once more, as after a
 # removal that the store carried out on its own, and waits for the gateway.
--- a/tests/process/gateway_overdue_read.sh
+++ b/tests/process/gateway_overdue_read.sh
@@ -4,11 +4,8 @@
 . tests/fleet/gateway.sh
 fleet_begin
 
-fleet_standin store store
-gateway_start g1
-gateway_config 1
+gateway_alone
 gateway_server server-1 model --events 3
-wait_until gateway_ready g1
 wait_until gateway_knows g1 server-1
 
 fleet_fault store kind=stall
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -3,9 +3,10 @@
  * above its slots, refuses requests meant for another server, and resumes
  * streams.
  *
- * GET /runs returns the number of runs of each request id. A body of "fail "
- * and a status is answered with that status. With a body of "hold " and an
- * event, a stream stops after that event, unless it is resumed.
+ * GET /runs returns the number of runs of each request id, and GET /held the ids
+ * of the requests that are held. A body of "fail " and a status is answered with
+ * that status. With a body of "hold " and an event, a stream is held after that
+ * event, unless it is resumed.
  */
 #include <string.h>
 
@@ -255,6 +256,23 @@
 	standin_answer_json(state->standin, request, 200, root);
 }
 
+static void on_held(void *ctx, struct web_request *request)
+{
+	struct worker_state *state = ctx;
+	struct json_object *root = json_object_new_object();
+	struct list *pos;
+
+	list_for_each (pos, &state->running) {
+		const struct run *run = list_entry(pos, struct run, link);
+
+		if (run->hold_after && run->event >= run->hold_after)
+			json_object_object_add(
+				root, run->id,
+				json_object_new_int64(run->event));
+	}
+	standin_answer_json(state->standin, request, 200, root);
+}
+
 static void worker_on_fault(void *data, const struct fault *fault)
 {
 	struct worker_state *state = data;
@@ -285,6 +303,7 @@
 	list_init(&state->waiting);
 	standin_route(standin, "/", on_request, state);
 	web_route(standin_web(standin), "/runs", on_runs, state);
+	web_route(standin_web(standin), "/held", on_held, state);
 	return state;
 }
 
