Log the prompt's parts and the answer's progress of a failed call

A failed call's line now has the shared parts of its prompt and the time since the first byte of the body, which is -1 if none came. The prompt is parsed once, in platform/, for online requests and for items. The choice of a server is unchanged: it uses the hash of the same text.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -78,6 +78,7 @@
 		g_byte_array_unref(run->payload);
 	job_request_item_clear(&run->request);
 	g_free(run->fields);
+	prompt_clear(&run->prompt);
 	g_string_free(run->output, TRUE);
 	event_stream_destroy(run->events);
 	g_free(run);
@@ -376,6 +377,7 @@
 		.target = run->request.path,
 		.host = run->job->host,
 		.request_id = run->item->id,
+		.prompt = &run->prompt,
 		.fields = run->fields,
 		.body = (const char *)run->request.body,
 		.body_len = run->request.body_len,
@@ -420,10 +422,16 @@
 		return false;
 	fields = g_string_new(NULL);
 	for (i = 0; i < run->request.fields_nr; i++) {
-		if (server_call_forwards_field(run->request.fields[i].name))
+		const struct job_request_field *field = &run->request.fields[i];
+
+		if (server_call_forwards_field(field->name))
 			g_string_append_printf(fields, "%s: %s\r\n",
-					       run->request.fields[i].name,
-					       run->request.fields[i].value);
+					       field->name, field->value);
+		if (!g_ascii_strcasecmp(field->name,
+					platform_fields.prompt_prefix)) {
+			prompt_clear(&run->prompt);
+			platform_prompt_parse(field->value, &run->prompt);
+		}
 	}
 	run->fields = g_string_free(fields, FALSE);
 	/* The encoded request isn't needed once it is decoded. */
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -46,6 +46,7 @@
 	struct job_request_item request;
 	/* Header fields to send, as lines; NULL until the body is decoded. */
 	char *fields;
+	struct prompt prompt;
 	struct server_call *call;
 	struct server *server;
 	struct job_bulk_read *read;
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -67,8 +67,7 @@
 	bool repeatable;
 	uint32_t objective_ms;
 	unsigned runs_max;
-	/* Hash of the shared part of the prompt; 0 if there is none. */
-	uint64_t prefix_hash;
+	struct prompt prompt;
 	char *id;
 	char *method;
 	char *target;
@@ -130,6 +129,7 @@
 	g_free(request->target);
 	g_free(request->host);
 	g_free(request->fields);
+	prompt_clear(&request->prompt);
 	g_ptr_array_free(request->response_fields, TRUE);
 	g_string_free(request->buffer, TRUE);
 	event_stream_destroy(request->events);
@@ -493,6 +493,7 @@
 		.target = request->target,
 		.host = request->host,
 		.request_id = request->id,
+		.prompt = &request->prompt,
 		.fields = request->fields,
 		.body = request->body,
 		.body_len = request->body_len,
@@ -549,7 +550,7 @@
 	struct fleet_query query = {
 		.service = request->service,
 		.now_ms = now_ms(request),
-		.prefix_hash = request->prefix_hash,
+		.prefix_hash = prompt_hash(&request->prompt),
 		.tried = request->tried,
 		.tried_nr = request->tried_nr,
 	};
@@ -614,15 +615,6 @@
 	return g_string_free(out, FALSE);
 }
 
-/* Returns a hash of the parts of the prompt that requests may share, which are
- * all but the last. */
-static uint64_t prefix_hash(const char *prefix)
-{
-	const char *last = prefix ? strrchr(prefix, ',') : NULL;
-
-	return last ? hash_bytes(prefix, (size_t)(last - prefix), 0) : 0;
-}
-
 static void read_deadline(struct online_request *request,
 			  const struct route *route)
 {
@@ -661,8 +653,8 @@
 	request->repeatable = route_repeatable(route);
 	request->objective_ms = route->objective_ms;
 	request->runs_max = route->attempts_max;
-	request->prefix_hash =
-		prefix_hash(web_header(web, platform_fields.prompt_prefix));
+	platform_prompt_parse(web_header(web, platform_fields.prompt_prefix),
+			      &request->prompt);
 	request->method = g_strdup(web_method(web));
 	request->target = g_strdup(web_target(web));
 	request->host = g_strdup(web_header(web, "host"));
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -31,6 +31,9 @@
 #define RESPONSE_BYTES_MAX (8 << 20)
 #define RESPONSES_BYTES_MAX (32 << 20)
 
+/* Bytes of the prompt's parts that a line shows. */
+#define LOGGED_PARTS_BYTES 200
+
 struct server_call {
 	struct server_call_options options;
 	struct http_pool *pool;
@@ -49,6 +52,8 @@
 	enum http_link_framing framing;
 	/* Bytes of the body so far, unless it is a stream. */
 	size_t body_bytes;
+	/* Time at which the first byte of the body arrived; 0 before it. */
+	uint64_t begun_ms;
 };
 
 static const char *const end_names[] = {
@@ -230,7 +235,11 @@
 {
 	struct server_call *call = ctx;
 
-	fleet_data_received(call->server, uv_now(call->options.gateway->loop));
+	uint64_t now = uv_now(call->options.gateway->loop);
+
+	fleet_data_received(call->server, now);
+	if (!call->begun_ms)
+		call->begun_ms = now;
 	if (!count_body(call, len)) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s response is too long bytes=%zu "
@@ -288,6 +297,14 @@
 	g_free(labels);
 }
 
+/* Time since the first byte of the body, in ms; -1 before it. */
+static int64_t begun_for_ms(const struct server_call *call)
+{
+	uint64_t now = uv_now(call->options.gateway->loop);
+
+	return call->begun_ms ? (int64_t)(now - call->begun_ms) : -1;
+}
+
 /* Reports how a call ended whose connection was given back or closed. */
 static void call_finish(struct server_call *call, enum http_link_end link_end)
 {
@@ -298,10 +315,15 @@
 		count_failure(call, end_names[end]);
 		log_event("server_call", LOG_LEVEL_WARN,
 			  "request=%s server=%s status=%d framing=%s end=%s "
-			  "link=%d ms=%" PRIu64,
+			  "link=%d ms=%" PRIu64 " begun_ms=%" PRId64
+			  " parts=\"%.*s\"",
 			  call->options.request_id, call->server->id,
 			  call->status, http_link_framing_name(call->framing),
-			  end_names[end], link_end, now - call->started_ms);
+			  end_names[end], link_end, now - call->started_ms,
+			  begun_for_ms(call), LOGGED_PARTS_BYTES,
+			  call->options.prompt->text ?
+				  call->options.prompt->text :
+				  "");
 	}
 	fleet_request_ended(call->server, call->options.class,
 			    fleet_result_of(call, link_end, end),
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -7,6 +7,7 @@
 #ifndef BRIARPLANKD_GATEWAY_SERVER_CALL_H
 #define BRIARPLANKD_GATEWAY_SERVER_CALL_H
 
+#include "core/prompt.h"
 #include "gateway.h"
 #include "net/http_link.h"
 
@@ -45,6 +46,8 @@
 	const char *host;
 	/** Id of the request; a response that echoes another id is skipped. */
 	const char *request_id;
+	/** Shared parts of the prompt; must stay valid until the call ends. */
+	const struct prompt *prompt;
 	/** Further header fields, each line ending with CRLF. */
 	const char *fields;
 	const char *body;
--- /dev/null
+++ b/include/core/prompt.h
@@ -0,0 +1,28 @@
+/**
+ * The parts of a request's prompt that other requests may share.
+ */
+#ifndef BRIARPLANK_CORE_PROMPT_H
+#define BRIARPLANK_CORE_PROMPT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** The shared parts of a prompt; empty without any. */
+struct prompt {
+	/** Hashes of the parts' ids, in order. */
+	uint64_t *parts;
+	size_t parts_nr;
+	/** The parts as the caller sent them, for logs; NULL without any. */
+	char *text;
+};
+
+/** Adds a part by its id. */
+void prompt_add(struct prompt *prompt, const char *id);
+
+/** Returns a hash of all shared parts together, or 0 without any. */
+uint64_t prompt_hash(const struct prompt *prompt);
+
+/** Frees the contents and makes the prompt empty. */
+void prompt_clear(struct prompt *prompt);
+
+#endif
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -12,6 +12,7 @@
 #include "core/fleet.h"
 #include "core/job_log.h"
 #include "core/job_request.h"
+#include "core/prompt.h"
 #include "core/route_table.h"
 
 /** Names of header fields, in lower case. */
@@ -52,6 +53,12 @@
 bool platform_load_parse(const char *text, unsigned *running,
 			 unsigned *waiting);
 
+/**
+ * Parses the field with the parts of a prompt, NULL for none. The last part
+ * belongs to the request itself and is left out.
+ */
+void platform_prompt_parse(const char *text, struct prompt *prompt);
+
 /** Kinds of calls that callers and the platform make. */
 enum platform_call_kind {
 	/** A request to a route, which may submit a job. */
