Add a failing test of requests that crash server after server

Two entries send twelve requests, no two alike, which share one part of their prompts, to stand-in servers that end as they begin to answer such a request.

--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -6,15 +6,18 @@
  * GET /runs returns the number of runs of each request id, and GET /held the ids
  * of the requests that are held. A body of "fail " and a status is answered with
  * that status. With a body of "hold " and an event, a stream is held after that
- * event, unless it is resumed.
+ * event, unless it is resumed. A request whose prompt has the part "badbad" ends
+ * the process as it begins to answer.
  */
 #include <string.h>
+#include <unistd.h>
 
 #include "common/list.h"
 #include "standin.h"
 
 #define FAIL "fail "
 #define HOLD "hold "
+#define CRASH_PART "badbad"
 
 struct worker_settings {
 	int64_t slots;
@@ -96,6 +99,15 @@
 	start_next(state);
 }
 
+/* Ends the process if the prompt has the part that crashes this server. */
+static void crash_by_part(const struct run *run)
+{
+	const char *prompt = web_header(run->request, "x-prompt-prefix");
+
+	if (prompt && strstr(prompt, CRASH_PART))
+		_exit(1);
+}
+
 static void on_event_timer(uv_timer_t *timer)
 {
 	struct run *run = timer->data;
@@ -106,6 +118,7 @@
 	if (standin_fault_active(state->standin, FAULT_STALL) ||
 	    (run->hold_after && run->event >= run->hold_after))
 		return;
+	crash_by_part(run);
 	run->event++;
 	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "\n\n",
 			       run->event, run->id, run->event);
