--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -164,8 +164,9 @@
 	struct plan_group *group;
 
 	/* Items that need no slot are left out: one without a route is
-	 * dead-lettered later, and one in RUN_ENDING needs no further run. */
-	if (!service || run->state == RUN_ENDING)
+	 * dead-lettered later, one in RUN_ENDING needs no further run, and one in
+	 * RUN_HELD may not run. */
+	if (!service || run->state == RUN_ENDING || run->state == RUN_HELD)
 		return;
 	group = plan_group_get(groups, service);
 	g_array_append_val(group->items, item);
@@ -307,6 +308,14 @@
 	}
 }
 
+static void check_held(struct batch *batch, uint64_t now)
+{
+	struct list *pos;
+
+	list_for_each (pos, &batch->runs)
+		run_check_held(list_entry(pos, struct run, link), now);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct batch *batch = timer->data;
@@ -328,6 +337,7 @@
 	if (now - batch->scanned_ms >= SCAN_INTERVAL_MS) {
 		batch->scanned_ms = now;
 		end_stalled(batch);
+		check_held(batch, now);
 		scan_jobs(batch);
 		plan_items(batch);
 	}
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -3,10 +3,13 @@
 #include "batch_run.h"
 #include "common/hash.h"
 #include "common/log.h"
+#include "evidence.h"
 #include "platform/codec.h"
 
 /* Backoff of an item after a failed run, in ms. */
 #define FAILURE_BACKOFF_MS 250
+/* Interval at which an item with a quarantined part is checked again, in ms. */
+#define QUARANTINED_BACKOFF_MS 1000
 /* Deadline of one write of an output to the store, in ms. A write that misses
  * it is started again. */
 #define WRITE_TIMEOUT_MS 20000
@@ -493,6 +496,34 @@
 				  &run->item->saved, on_saved_output_read, run);
 }
 
+/* Holds an item whose prompt has a quarantined part: it is neither run nor
+ * counted as waiting. Returns whether it has one. */
+static bool run_quarantined(struct run *run, uint64_t now)
+{
+	struct quarantine_verdict verdict;
+
+	if (evidence_allows(run->batch->gateway->evidence, &run->prompt,
+			    &verdict)) {
+		run->quarantined = false;
+		return false;
+	}
+	if (!run->quarantined)
+		log_event("quarantine", LOG_LEVEL_WARN,
+			  "job=%s item=%s part=%016" PRIx64 " crashes=%u",
+			  run->job->id, run->item->id, verdict.part,
+			  verdict.crashes);
+	run->quarantined = true;
+	run->not_before_ms = now + QUARANTINED_BACKOFF_MS;
+	set_state(run, RUN_HELD);
+	return true;
+}
+
+void run_check_held(struct run *run, uint64_t now)
+{
+	if (run->state == RUN_HELD && run->not_before_ms <= now)
+		set_state(run, RUN_WAITING);
+}
+
 bool run_prepare(struct run *run, uint64_t now)
 {
 	const struct route *route;
@@ -518,7 +549,7 @@
 		fetch_saved_output(run);
 		return false;
 	}
-	return true;
+	return !run_quarantined(run, now);
 }
 
 void run_interrupt(struct run *run, const char *reason, uint64_t backoff_ms)
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -19,6 +19,8 @@
 enum run_state {
 	/** Waits for a slot, or for its backoff to pass. */
 	RUN_WAITING,
+	/** Its prompt has a quarantined part; not_before_ms is the next check. */
+	RUN_HELD,
 	/** Its body or its saved output is being read from the store. */
 	RUN_FETCHING,
 	/** A server runs the item. */
@@ -47,6 +49,8 @@
 	/* Header fields to send, as lines; NULL until the body is decoded. */
 	char *fields;
 	struct prompt prompt;
+	/* The prompt had a quarantined part when it was checked last. */
+	bool quarantined;
 	struct server_call *call;
 	struct server *server;
 	struct job_bulk_read *read;
@@ -122,6 +126,9 @@
  */
 bool run_prepare(struct run *run, uint64_t now);
 
+/** Makes an item that is held wait for a slot when its check is due. */
+void run_check_held(struct run *run, uint64_t now);
+
 /** Starts a prepared item on a server. */
 void run_start_at(struct run *run, struct server *server);
 
--- /dev/null
+++ b/briarplankd/gateway/evidence.c
@@ -0,0 +1,442 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "evidence.h"
+#include "peers.h"
+
+#define EVIDENCE_TOPIC "keyed.evidence"
+/* Timeout of a call for the topic, and pause before it is repeated, in ms. */
+#define CALL_TIMEOUT_MS 900
+#define RETRY_MS 300
+/* Time for which the store may hold a read until evidence comes, in ms. */
+#define READ_WAIT_MS 20000
+#define READ_MAX_KB 256
+/* Interval at which changes are stored and old evidence is forgotten, in ms. */
+#define SAVE_INTERVAL_MS 100
+#define SWEEP_INTERVAL_MS 1000
+/* Time after the start after which requests are sent although the topic could
+ * not be read, in ms: the other entries have reported their evidence by then. */
+#define LOAD_WAIT_MS 2000
+/* Retry-After before that, in ms. */
+#define LOAD_RETRY_MS 200
+/* Time for which a change is part of each load report, in ms, and number of
+ * suspects in a report. A report has room for about five. */
+#define REPORT_MS 1500
+#define REPORT_SUSPECTS_MAX 4
+/* Interval at which one quarantined part is reported in turn, in ms. */
+#define TURN_INTERVAL_MS 300
+
+struct evidence_share {
+	struct gateway *gateway;
+	struct quarantine *quarantine;
+	uv_timer_t read_timer;
+	uv_timer_t save_timer;
+	int open_handles;
+	uint64_t started_ms;
+	uint64_t swept_ms;
+	/* The newest values were read, and records from next_offset follow. */
+	bool loaded;
+	uint64_t next_offset;
+	uint64_t snapshot_offset;
+	/* Key of the last value of the page that was read last, or NULL. */
+	char *page_key;
+	/* Records that are being stored, or NULL. */
+	GString *records;
+	bool saving;
+	/* Time before which nothing is stored after a failure. */
+	uint64_t retry_ms;
+	/* Keys whose values must be removed from the store. */
+	GPtrArray *removals;
+	uint64_t turn_ms;
+	unsigned turn;
+};
+
+static void read_topic(struct evidence_share *share);
+
+static bool owns(void *ctx, uint64_t part)
+{
+	struct evidence_share *share = ctx;
+
+	return peers_owns_hash(share->gateway->peers, part);
+}
+
+static char *key_of(uint64_t part)
+{
+	return g_strdup_printf("%016" PRIx64, part);
+}
+
+static void count_change(struct evidence_share *share, const char *change)
+{
+	char *labels = g_strdup_printf("change=\"%s\"", change);
+
+	counter_add(metrics_counter(share->gateway->metrics,
+				    "briarplank_quarantine_changes_total",
+				    labels),
+		    1);
+	g_free(labels);
+}
+
+static void on_change(void *ctx, const struct suspect *suspect)
+{
+	struct evidence_share *share = ctx;
+	const char *change = suspect->quarantined ? "quarantined" : "released";
+
+	log_event("quarantine", LOG_LEVEL_WARN,
+		  "part=%016" PRIx64 " %s crashes=%u of %u",
+		  suspect->evidence.part, change,
+		  evidence_crashes(&suspect->evidence),
+		  suspect->evidence.crashes_nr);
+	count_change(share, change);
+}
+
+/* The owner removes the value from the store, once for all entries. */
+static void on_forget(void *ctx, const struct suspect *suspect)
+{
+	struct evidence_share *share = ctx;
+
+	if (suspect->quarantined) {
+		log_event("quarantine", LOG_LEVEL_WARN,
+			  "part=%016" PRIx64 " forgotten crashes=%u",
+			  suspect->evidence.part,
+			  evidence_crashes(&suspect->evidence));
+		count_change(share, "forgotten");
+	}
+	if (suspect->evidence.crashes_nr > 1 &&
+	    owns(share, suspect->evidence.part))
+		g_ptr_array_add(share->removals,
+				key_of(suspect->evidence.part));
+}
+
+struct quarantine *evidence_share_quarantine(struct evidence_share *share)
+{
+	return share->quarantine;
+}
+
+bool evidence_allows(struct evidence_share *share, const struct prompt *prompt,
+		     struct quarantine_verdict *verdict)
+{
+	uint64_t now = uv_now(share->gateway->loop);
+
+	*verdict = quarantine_check(share->quarantine, prompt, now,
+				    gateway_wall_ms());
+	if (!share->loaded && prompt->parts_nr && !verdict->refused &&
+	    now - share->started_ms < LOAD_WAIT_MS) {
+		verdict->refused = true;
+		verdict->retry_after_ms = LOAD_RETRY_MS;
+	}
+	return !verdict->refused;
+}
+
+/* Functions that convert evidence to messages and back. */
+
+static void fill_message(PartEvidence *message, const struct evidence *evidence)
+{
+	part_evidence__init(message);
+	message->part = evidence->part;
+	message->crashes = (uint64_t *)evidence->crashes;
+	message->n_crashes = evidence->crashes_nr;
+	message->refuted = evidence->refuted;
+	message->crashed_ms = evidence->crashed_ms;
+}
+
+static struct quarantine_merged merge_message(struct evidence_share *share,
+					      const PartEvidence *message)
+{
+	struct quarantine_merged merged = { 0 };
+	struct evidence evidence = {
+		.part = message->part,
+		.crashes_nr =
+			(unsigned)MIN(message->n_crashes, EVIDENCE_CRASHES_MAX),
+		.refuted = message->refuted,
+		.crashed_ms = message->crashed_ms,
+	};
+
+	if (evidence.crashes_nr)
+		memcpy(evidence.crashes, message->crashes,
+		       evidence.crashes_nr * sizeof(evidence.crashes[0]));
+	if (!evidence_expired(&evidence, gateway_wall_ms()))
+		merged = quarantine_merge(share->quarantine, &evidence,
+					  uv_now(share->gateway->loop));
+	return merged;
+}
+
+void evidence_add_to_report(struct evidence_share *share, NodeLoad *load)
+{
+	uint64_t now = uv_now(share->gateway->loop);
+	bool turn = now - share->turn_ms >= TURN_INTERVAL_MS;
+	struct suspect *in_turn = NULL;
+	unsigned quarantined = 0;
+	struct list *pos;
+
+	load->evidence = g_new0(PartEvidence *, REPORT_SUSPECTS_MAX + 1);
+	list_for_each (pos, quarantine_suspects(share->quarantine)) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+
+		if (suspect->quarantined && quarantined++ == share->turn)
+			in_turn = suspect;
+		if (now - suspect->changed_ms >= REPORT_MS ||
+		    load->n_evidence == REPORT_SUSPECTS_MAX)
+			continue;
+		load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
+		fill_message(load->evidence[load->n_evidence++],
+			     &suspect->evidence);
+	}
+	if (!turn)
+		return;
+	share->turn_ms = now;
+	share->turn = quarantined ? (share->turn + 1) % quarantined : 0;
+	if (!in_turn)
+		return;
+	load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
+	fill_message(load->evidence[load->n_evidence++], &in_turn->evidence);
+}
+
+void evidence_free_report(NodeLoad *load)
+{
+	size_t i;
+
+	for (i = 0; i < load->n_evidence; i++)
+		g_free(load->evidence[i]);
+	g_free(load->evidence);
+}
+
+void evidence_apply_report(struct evidence_share *share, const NodeLoad *load)
+{
+	size_t i;
+
+	for (i = 0; i < load->n_evidence; i++) {
+		uint64_t part = load->evidence[i]->part;
+
+		/* The sender may end, or lose the store, before it is stored. */
+		if (merge_message(share, load->evidence[i]).is_new &&
+		    owns(share, part))
+			quarantine_save(share->quarantine, part);
+	}
+}
+
+/* Functions that read the topic. */
+
+static void apply_record(struct evidence_share *share,
+			 const struct store_record *record)
+{
+	PartEvidence *message;
+
+	if (!record->len)
+		return;
+	message = part_evidence__unpack(NULL, record->len,
+					(const uint8_t *)record->data);
+	if (!message) {
+		log_event("quarantine", LOG_LEVEL_WARN,
+			  "key=%s malformed evidence", record->key);
+		return;
+	}
+	/* Of entries that store evidence at the same time, the last one replaces
+	 * what the others have written. */
+	if (merge_message(share, message).lacks && owns(share, message->part))
+		quarantine_save(share->quarantine, message->part);
+	part_evidence__free_unpacked(message, NULL);
+}
+
+static void on_read_timer(uv_timer_t *timer)
+{
+	read_topic(timer->data);
+}
+
+static void read_later(struct evidence_share *share, uint64_t ms)
+{
+	uv_timer_start(&share->read_timer, on_read_timer, ms, 0);
+}
+
+static void on_newest(void *ctx, const struct store_read_result *result)
+{
+	struct evidence_share *share = ctx;
+	size_t i;
+
+	if (result->status != STORE_OK) {
+		read_later(share, RETRY_MS);
+		return;
+	}
+	/* Pages aren't read atomically, so that records are read again from the
+	 * end offset of the first page on. */
+	if (!share->page_key)
+		share->snapshot_offset = result->end_offset;
+	for (i = 0; i < result->records_nr; i++)
+		apply_record(share, &result->records[i]);
+	g_free(share->page_key);
+	share->page_key = NULL;
+	if (result->more && result->records_nr) {
+		share->page_key =
+			g_strdup(result->records[result->records_nr - 1].key);
+	} else {
+		if (!share->loaded)
+			log_event("quarantine", LOG_LEVEL_INFO,
+				  "evidence read end=%" PRIu64,
+				  share->snapshot_offset);
+		share->loaded = true;
+		share->next_offset = share->snapshot_offset;
+	}
+	read_later(share, 0);
+}
+
+static void on_records(void *ctx, const struct store_read_result *result)
+{
+	struct evidence_share *share = ctx;
+	size_t i;
+
+	if (result->status == STORE_EXPIRED) {
+		log_event("quarantine", LOG_LEVEL_WARN,
+			  "evidence is no longer kept from=%" PRIu64
+			  "; reading the newest values",
+			  share->next_offset);
+		share->loaded = false;
+		read_later(share, 0);
+		return;
+	}
+	if (result->status != STORE_OK) {
+		read_later(share, RETRY_MS);
+		return;
+	}
+	for (i = 0; i < result->records_nr; i++)
+		apply_record(share, &result->records[i]);
+	share->next_offset = result->next_offset;
+	read_later(share, 0);
+}
+
+static void read_topic(struct evidence_share *share)
+{
+	struct store_read read = {
+		.topic = EVIDENCE_TOPIC,
+		.from = share->next_offset,
+		.max_kb = READ_MAX_KB,
+		.wait_ms = READ_WAIT_MS,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.after_key = share->page_key,
+		.done = on_records,
+		.ctx = share,
+	};
+
+	if (share->loaded) {
+		store_read(share->gateway->store, &read);
+		return;
+	}
+	read.wait_ms = 0;
+	read.done = on_newest;
+	store_read_newest(share->gateway->store, &read);
+}
+
+/* Functions that store changes. */
+
+static void on_saved(void *ctx, const struct store_append_result *result)
+{
+	struct evidence_share *share = ctx;
+
+	share->saving = false;
+	if (result->status == STORE_OK || result->status == STORE_INVALID) {
+		g_string_truncate(share->records, 0);
+		return;
+	}
+	log_event("quarantine", LOG_LEVEL_WARN, "evidence not stored: %s",
+		  store_status_name(result->status));
+	share->retry_ms = uv_now(share->gateway->loop) + RETRY_MS;
+}
+
+static void add_changes(struct evidence_share *share)
+{
+	struct list *pos;
+	guint i;
+
+	list_for_each (pos, quarantine_suspects(share->quarantine)) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+		PartEvidence message;
+		uint8_t *bytes;
+		size_t len;
+		char *key;
+
+		if (!suspect->unsaved)
+			continue;
+		suspect->unsaved = false;
+		fill_message(&message, &suspect->evidence);
+		len = part_evidence__get_packed_size(&message);
+		bytes = g_malloc(len);
+		part_evidence__pack(&message, bytes);
+		key = key_of(suspect->evidence.part);
+		store_add_keyed_record(share->records, key, bytes, len);
+		g_free(key);
+		g_free(bytes);
+	}
+	for (i = 0; i < share->removals->len; i++)
+		store_add_keyed_record(share->records,
+				       g_ptr_array_index(share->removals, i),
+				       NULL, 0);
+	g_ptr_array_set_size(share->removals, 0);
+}
+
+static void on_save_timer(uv_timer_t *timer)
+{
+	struct evidence_share *share = timer->data;
+	uint64_t now = uv_now(share->gateway->loop);
+	struct store_append append = {
+		.topic = EVIDENCE_TOPIC,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.done = on_saved,
+		.ctx = share,
+	};
+
+	if (now - share->swept_ms >= SWEEP_INTERVAL_MS) {
+		share->swept_ms = now;
+		quarantine_sweep(share->quarantine, gateway_wall_ms());
+	}
+	if (share->saving || now < share->retry_ms)
+		return;
+	add_changes(share);
+	if (!share->records->len)
+		return;
+	share->saving = true;
+	append.records = g_string_new_len(share->records->str,
+					  (gssize)share->records->len);
+	store_append(share->gateway->store, &append);
+}
+
+struct evidence_share *evidence_share_create(struct gateway *gateway)
+{
+	struct evidence_share *share = g_new0(struct evidence_share, 1);
+	struct quarantine_options options = {
+		.owns = owns,
+		.on_change = on_change,
+		.on_forget = on_forget,
+		.ctx = share,
+	};
+
+	share->gateway = gateway;
+	share->quarantine = quarantine_create(&options);
+	share->records = g_string_new(NULL);
+	share->removals = g_ptr_array_new_with_free_func(g_free);
+	share->started_ms = uv_now(gateway->loop);
+	uv_timer_init(gateway->loop, &share->read_timer);
+	share->read_timer.data = share;
+	read_later(share, 0);
+	uv_timer_init(gateway->loop, &share->save_timer);
+	share->save_timer.data = share;
+	uv_timer_start(&share->save_timer, on_save_timer, SAVE_INTERVAL_MS,
+		       SAVE_INTERVAL_MS);
+	return share;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct evidence_share *share = handle->data;
+
+	if (--share->open_handles == 0)
+		g_free(share);
+}
+
+void evidence_share_destroy(struct evidence_share *share)
+{
+	quarantine_destroy(share->quarantine);
+	g_string_free(share->records, TRUE);
+	g_ptr_array_free(share->removals, TRUE);
+	g_free(share->page_key);
+	share->open_handles = 2;
+	uv_close((uv_handle_t *)&share->read_timer, on_closed);
+	uv_close((uv_handle_t *)&share->save_timer, on_closed);
+}
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -13,6 +13,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "directory.h"
+#include "evidence.h"
 #include "gateway.h"
 #include "job_bulk.h"
 #include "job_calls.h"
@@ -375,6 +376,7 @@
 		  gateway);
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
+	gateway->evidence = evidence_share_create(gateway);
 	peers_announce(gateway->peers);
 	return true;
 }
@@ -418,6 +420,8 @@
 		job_store_destroy(gateway->job_store);
 	if (gateway->directory)
 		directory_destroy(gateway->directory);
+	if (gateway->evidence)
+		evidence_share_destroy(gateway->evidence);
 	if (gateway->peers)
 		peers_destroy(gateway->peers);
 	refusals_destroy(gateway->refusals);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "platform/store.h"
 
 struct directory;
+struct evidence_share;
 struct job_store;
 struct job_bulk;
 struct batch;
@@ -51,6 +52,7 @@
 	struct batch *batch;
 	struct job_calls *job_calls;
 	struct peers *peers;
+	struct evidence_share *evidence;
 	struct refusals *refusals;
 	/** Online requests in progress (struct online_request). */
 	struct list requests;
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "core/event_stream.h"
 #include "directory.h"
+#include "evidence.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "refusals.h"
@@ -545,8 +546,27 @@
 	memcpy(inputs->others, choice->server->others, sizeof(inputs->others));
 }
 
+/* Ends a request whose prompt has a quarantined part. */
+static void end_quarantined(struct online_request *request,
+			    const struct quarantine_verdict *verdict)
+{
+	bool loaded = verdict->crashes > 0;
+
+	log_event("quarantine", LOG_LEVEL_WARN,
+		  "request=%s part=%016" PRIx64 " crashes=%u parts=\"%s\"",
+		  request->id, verdict->part, verdict->crashes,
+		  request->prompt.text);
+	if (request->runs)
+		fail(request, 502, "a part of its prompt crashes servers");
+	else
+		refuse(request, 503, (double)verdict->retry_after_ms / 1000,
+		       loaded ? "a part of its prompt crashes servers" :
+				"the quarantined parts are not known yet");
+}
+
 static void dispatch(struct online_request *request)
 {
+	struct quarantine_verdict verdict;
 	struct fleet_query query = {
 		.service = request->service,
 		.now_ms = now_ms(request),
@@ -559,6 +579,11 @@
 		request->deadline_ms > query.now_ms + SEND_TIME_LEFT_MIN_MS;
 	double waited_ms = (double)(query.now_ms - request->arrived_ms);
 
+	if (!evidence_allows(request->gateway->evidence, &request->prompt,
+			     &verdict)) {
+		end_quarantined(request, &verdict);
+		return;
+	}
 	if (has_time && request->tried_nr < SERVERS_TRIED_MAX)
 		choice = fleet_choose(request->gateway->fleet, &query);
 	record_choice_inputs(request, &choice, query.now_ms);
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -11,6 +11,7 @@
 #include "common/log.h"
 #include "core/peer_table.h"
 #include "directory.h"
+#include "evidence.h"
 #include "job_store.h"
 #include "joblog.pb-c.h"
 #include "net/address.h"
@@ -174,6 +175,7 @@
 			address_with_port(peer->address, load->directory_port) :
 			0;
 	batch_load_changed(peers->gateway->batch);
+	evidence_apply_report(peers->gateway->evidence, load);
 }
 
 static void on_report(uv_udp_t *udp, ssize_t nread, const uv_buf_t *buf,
@@ -254,9 +256,11 @@
 	load.n_online = online->len;
 	load.batch = (uint32_t *)batch->data;
 	load.n_batch = batch->len;
+	evidence_add_to_report(gateway->evidence, &load);
 	*len = node_load__get_packed_size(&load);
 	out = g_malloc(*len);
 	node_load__pack(&load, out);
+	evidence_free_report(&load);
 	g_array_free(servers, TRUE);
 	g_array_free(online, TRUE);
 	g_array_free(batch, TRUE);
@@ -528,6 +532,11 @@
 	return peer_table_owns(peers->table, &query);
 }
 
+bool peers_owns_hash(const struct peers *peers, uint64_t hash)
+{
+	return peer_table_owns_hash(peers->table, hash);
+}
+
 uint64_t peers_choose_reader(const struct peers *peers, uint64_t avoided)
 {
 	const struct gateway *gateway = peers->gateway;
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -43,6 +43,10 @@
 /** Tells whether this node runs the items of a job; see peer_table_owns(). */
 bool peers_owns_job(const struct peers *peers, const struct job *job);
 
+/** Tells whether this node is responsible for a key; see
+ * peer_table_owns_hash(). */
+bool peers_owns_hash(const struct peers *peers, uint64_t hash);
+
 /** Returns the list of the other entries (struct peer). */
 struct list *peers_list(struct peers *peers);
 
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -4,7 +4,9 @@
  */
 #include <string.h>
 
+#include "common/hash.h"
 #include "common/log.h"
+#include "evidence.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "net/http_pool.h"
@@ -34,6 +36,10 @@
 /* Bytes of the prompt's parts that a line shows. */
 #define LOGGED_PARTS_BYTES 200
 
+/* Time since the first byte of a body after which the server has begun the
+ * answer without harm, in ms. */
+#define BEGINNING_MS 250
+
 struct server_call {
 	struct server_call_options options;
 	struct http_pool *pool;
@@ -54,6 +60,10 @@
 	size_t body_bytes;
 	/* Time at which the first byte of the body arrived; 0 before it. */
 	uint64_t begun_ms;
+	/* The last two bytes of the body. */
+	char tail[2];
+	/* The answer went on after its beginning. */
+	bool went_on;
 };
 
 static const char *const end_names[] = {
@@ -231,6 +241,33 @@
 
 static void on_end(void *ctx, enum http_link_end link_end);
 
+static void note_answer(struct server_call *call, uint64_t now)
+{
+	struct gateway *gateway = call->options.gateway;
+
+	call->went_on = true;
+	quarantine_note_answer(evidence_share_quarantine(gateway->evidence),
+			       call->options.prompt, now);
+}
+
+static void note_progress(struct server_call *call, uint64_t now)
+{
+	if (!call->begun_ms)
+		call->begun_ms = now;
+	if (!call->went_on && now - call->begun_ms >= BEGINNING_MS)
+		note_answer(call, now);
+}
+
+static void note_tail(struct server_call *call, const char *data, size_t len)
+{
+	if (len > 1)
+		call->tail[0] = data[len - 2];
+	else if (len)
+		call->tail[0] = call->tail[1];
+	if (len)
+		call->tail[1] = data[len - 1];
+}
+
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct server_call *call = ctx;
@@ -238,8 +275,8 @@
 	uint64_t now = uv_now(call->options.gateway->loop);
 
 	fleet_data_received(call->server, now);
-	if (!call->begun_ms)
-		call->begun_ms = now;
+	note_progress(call, now);
+	note_tail(call, data, len);
 	if (!count_body(call, len)) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s response is too long bytes=%zu "
@@ -305,6 +342,40 @@
 	return call->begun_ms ? (int64_t)(now - call->begun_ms) : -1;
 }
 
+/* Tells whether a connection that ended in order left a stream without any
+ * event, or inside one. */
+static bool closed_early(const struct server_call *call)
+{
+	return call->framing == HTTP_LINK_UNTIL_CLOSE && is_stream(call) &&
+	       (!call->begun_ms || memcmp(call->tail, "\n\n", 2) != 0);
+}
+
+/* Notes what the end of a call says about the parts of its prompt. */
+static void note_end(struct server_call *call, enum http_link_end link_end,
+		     uint64_t now)
+{
+	struct quarantine *quarantine =
+		evidence_share_quarantine(call->options.gateway->evidence);
+	struct quarantine_crash crash = {
+		.server = hash_combine(call->server->hash,
+				       call->server->started_ms),
+		.now_ms = now,
+		.wall_ms = gateway_wall_ms(),
+	};
+	bool complete = link_end == HTTP_LINK_COMPLETE;
+	bool broke_off = link_end == HTTP_LINK_NO_HEAD ||
+			 link_end == HTTP_LINK_TRUNCATED ||
+			 (complete && closed_early(call));
+
+	if (call->went_on || call->not_run)
+		return;
+	if (broke_off && !http_link_timed_out(call->http))
+		quarantine_note_crash(quarantine, call->options.prompt, &crash);
+	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE &&
+		 call->status >= 200 && call->status < 300)
+		note_answer(call, now);
+}
+
 /* Reports how a call ended whose connection was given back or closed. */
 static void call_finish(struct server_call *call, enum http_link_end link_end)
 {
@@ -341,6 +412,7 @@
 		http_pool_release(call->pool, call->http);
 	else
 		http_link_close(call->http);
+	note_end(call, link_end, uv_now(call->options.gateway->loop));
 	call_finish(call, link_end);
 }
 
@@ -387,6 +459,9 @@
 			       server->others[WORK_BATCH] >=
 		       server->slots;
 	fleet_request_sent(server, options->class, call->started_ms);
+	quarantine_note_sent(
+		evidence_share_quarantine(options->gateway->evidence),
+		options->prompt, call->started_ms);
 	peers_load_changed(options->gateway->peers);
 	call->pool = http_pool_ref(server_pool(options));
 	call->http = http_pool_acquire(call->pool,
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -225,12 +225,25 @@
 	return peer->alive && !peer->leaving;
 }
 
+bool peer_table_owns_hash(const struct peer_table *table, uint64_t hash)
+{
+	uint64_t own_rank = hash_combine(hash, table->self_hash);
+	struct list *pos;
+
+	list_for_each (pos, &table->peers) {
+		struct peer *peer = list_entry(pos, struct peer, link);
+
+		if (accepts_items(peer) &&
+		    hash_combine(hash, peer->hash) > own_rank)
+			return false;
+	}
+	return true;
+}
+
 bool peer_table_owns(const struct peer_table *table,
 		     const struct peer_owner_query *query)
 {
 	const struct peer *owner;
-	uint64_t job_hash, own_rank;
-	struct list *pos;
 
 	if (table->handed_over)
 		return false;
@@ -245,16 +258,7 @@
 	if (query->now_ms - table->options.now_ms <
 	    ms_or_heartbeats(table, SETTLE_MS, SETTLE_HEARTBEATS))
 		return false;
-	job_hash = hash_string(query->job, 0);
-	own_rank = hash_combine(job_hash, table->self_hash);
-	list_for_each (pos, &table->peers) {
-		struct peer *peer = list_entry(pos, struct peer, link);
-
-		if (accepts_items(peer) &&
-		    hash_combine(job_hash, peer->hash) > own_rank)
-			return false;
-	}
-	return true;
+	return peer_table_owns_hash(table, hash_string(query->job, 0));
 }
 
 uint64_t peer_table_oldest_report_ms(const struct peer_table *table,
--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,395 @@
+#include <string.h>
+#include <glib.h>
+
+#include "core/quarantine.h"
+
+/* An answer speaks for its parts for one to two of these periods, in ms. */
+#define ANSWERED_PERIOD_MS 2000
+/* Maximum number of parts that are remembered as answered in one period. */
+#define ANSWERED_MAX 20000
+/* Maximum number of suspects. */
+#define SUSPECTS_MAX 1024
+/* Time after the last crash after which evidence is forgotten, in ms. */
+#define EVIDENCE_MS (15 * 60 * 1000)
+/* Time from the quarantine to the first trial, in ms. Each trial that crashes a
+ * server multiplies it by TRIAL_GROWTH. */
+#define TRIAL_MS 10000
+#define TRIAL_GROWTH 4
+/* Number of crashes from which there are no further trials. */
+#define TRIAL_CRASHES_MAX 8
+
+struct quarantine {
+	struct quarantine_options options;
+	/* Sets of the parts that were answered well in this period and in the
+	 * one before. */
+	GHashTable *answered;
+	GHashTable *answered_before;
+	uint64_t period_ms;
+	struct list suspects;
+	unsigned suspects_nr;
+	/* Maps a part to its struct suspect *. */
+	GHashTable *by_part;
+};
+
+static GHashTable *part_set_create(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+struct quarantine *quarantine_create(const struct quarantine_options *options)
+{
+	struct quarantine *quarantine = g_new0(struct quarantine, 1);
+
+	quarantine->options = *options;
+	quarantine->answered = part_set_create();
+	quarantine->answered_before = part_set_create();
+	list_init(&quarantine->suspects);
+	quarantine->by_part = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return quarantine;
+}
+
+static void suspect_free(struct quarantine *quarantine, struct suspect *suspect)
+{
+	g_hash_table_remove(quarantine->by_part, &suspect->evidence.part);
+	list_remove(&suspect->link);
+	quarantine->suspects_nr--;
+	g_free(suspect);
+}
+
+void quarantine_destroy(struct quarantine *quarantine)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &quarantine->suspects)
+		suspect_free(quarantine, list_entry(pos, struct suspect, link));
+	g_hash_table_destroy(quarantine->by_part);
+	g_hash_table_destroy(quarantine->answered);
+	g_hash_table_destroy(quarantine->answered_before);
+	g_free(quarantine);
+}
+
+unsigned evidence_crashes(const struct evidence *evidence)
+{
+	return evidence->crashes_nr -
+	       (unsigned)__builtin_popcount(evidence->refuted);
+}
+
+bool evidence_expired(const struct evidence *evidence, uint64_t wall_ms)
+{
+	return evidence->crashed_ms + EVIDENCE_MS <= wall_ms;
+}
+
+struct list *quarantine_suspects(struct quarantine *quarantine)
+{
+	return &quarantine->suspects;
+}
+
+static struct suspect *find(const struct quarantine *quarantine, uint64_t part)
+{
+	return g_hash_table_lookup(quarantine->by_part, &part);
+}
+
+static void forget(struct quarantine *quarantine, struct suspect *suspect)
+{
+	if (quarantine->options.on_forget)
+		quarantine->options.on_forget(quarantine->options.ctx, suspect);
+	suspect_free(quarantine, suspect);
+}
+
+/* Forgets the suspect that matters least: the oldest one that is not
+ * quarantined, or else the oldest one. */
+static void forget_one(struct quarantine *quarantine)
+{
+	struct list *pos, *oldest = quarantine->suspects.next;
+
+	list_for_each (pos, &quarantine->suspects) {
+		if (list_entry(pos, struct suspect, link)->quarantined)
+			continue;
+		oldest = pos;
+		break;
+	}
+	forget(quarantine, list_entry(oldest, struct suspect, link));
+}
+
+static struct suspect *get(struct quarantine *quarantine, uint64_t part)
+{
+	struct suspect *suspect = find(quarantine, part);
+
+	if (suspect)
+		return suspect;
+	if (quarantine->suspects_nr >= SUSPECTS_MAX)
+		forget_one(quarantine);
+	suspect = g_new0(struct suspect, 1);
+	suspect->evidence.part = part;
+	list_append(&quarantine->suspects, &suspect->link);
+	quarantine->suspects_nr++;
+	g_hash_table_insert(quarantine->by_part, &suspect->evidence.part,
+			    suspect);
+	return suspect;
+}
+
+static void start_period(struct quarantine *quarantine, uint64_t now_ms)
+{
+	uint64_t age = now_ms - quarantine->period_ms;
+	GHashTable *old = quarantine->answered_before;
+
+	if (age < ANSWERED_PERIOD_MS)
+		return;
+	quarantine->period_ms = now_ms;
+	quarantine->answered_before = quarantine->answered;
+	quarantine->answered = old;
+	g_hash_table_remove_all(quarantine->answered);
+	if (age >= 2 * ANSWERED_PERIOD_MS)
+		g_hash_table_remove_all(quarantine->answered_before);
+}
+
+static bool answered_lately(struct quarantine *quarantine, uint64_t part,
+			    uint64_t now_ms)
+{
+	start_period(quarantine, now_ms);
+	return g_hash_table_contains(quarantine->answered, &part) ||
+	       g_hash_table_contains(quarantine->answered_before, &part);
+}
+
+static void set_trial(struct suspect *suspect, uint64_t now_ms)
+{
+	unsigned failed =
+		evidence_crashes(&suspect->evidence) - QUARANTINE_CRASHES;
+	uint64_t ms = TRIAL_MS;
+
+	while (failed--)
+		ms *= TRIAL_GROWTH;
+	suspect->trial_ms = now_ms + ms;
+}
+
+/* Handles a change of a suspect's evidence. */
+static void changed(struct quarantine *quarantine, struct suspect *suspect,
+		    uint64_t now_ms)
+{
+	unsigned crashes = evidence_crashes(&suspect->evidence);
+	bool quarantined = crashes >= QUARANTINE_CRASHES;
+
+	suspect->changed_ms = now_ms;
+	if (quarantined)
+		set_trial(suspect, now_ms);
+	if (quarantined == suspect->quarantined)
+		return;
+	suspect->quarantined = quarantined;
+	if (quarantine->options.on_change)
+		quarantine->options.on_change(quarantine->options.ctx, suspect);
+}
+
+/* Refutes all crashes; tells whether any was not. */
+static bool refute(struct suspect *suspect)
+{
+	struct evidence *evidence = &suspect->evidence;
+
+	if (!evidence_crashes(evidence))
+		return false;
+	evidence->refuted = (1U << evidence->crashes_nr) - 1;
+	return true;
+}
+
+void quarantine_note_answer(struct quarantine *quarantine,
+			    const struct prompt *prompt, uint64_t now_ms)
+{
+	size_t i;
+
+	start_period(quarantine, now_ms);
+	for (i = 0; i < prompt->parts_nr; i++) {
+		uint64_t part = prompt->parts[i];
+		struct suspect *suspect = find(quarantine, part);
+
+		if (g_hash_table_size(quarantine->answered) < ANSWERED_MAX)
+			g_hash_table_add(quarantine->answered,
+					 g_memdup2(&part, sizeof(part)));
+		if (!suspect || !refute(suspect))
+			continue;
+		/* A single crash quarantines nothing elsewhere, so that its
+		 * refutation need not be known there. */
+		if (suspect->evidence.crashes_nr > 1)
+			suspect->unsaved = true;
+		changed(quarantine, suspect, now_ms);
+	}
+}
+
+/* Returns the index of a crash, or -1. */
+static int find_crash(const struct evidence *evidence, uint64_t server)
+{
+	unsigned i;
+
+	for (i = 0; i < evidence->crashes_nr; i++) {
+		if (evidence->crashes[i] == server)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Removes the first refuted crash to make room; tells whether there was one. */
+static bool drop_refuted(struct evidence *evidence)
+{
+	unsigned i;
+	uint32_t below;
+
+	if (!evidence->refuted)
+		return false;
+	i = (unsigned)__builtin_ctz(evidence->refuted);
+	below = (1U << i) - 1;
+	evidence->crashes_nr--;
+	memmove(&evidence->crashes[i], &evidence->crashes[i + 1],
+		(evidence->crashes_nr - i) * sizeof(evidence->crashes[0]));
+	evidence->refuted =
+		(evidence->refuted & below) | (evidence->refuted >> 1 & ~below);
+	return true;
+}
+
+/* Adds a crash; tells whether it is new and there was room for it. */
+static bool add_crash(struct evidence *evidence, uint64_t server, bool refuted)
+{
+	if (find_crash(evidence, server) >= 0)
+		return false;
+	if (evidence->crashes_nr == EVIDENCE_CRASHES_MAX &&
+	    !drop_refuted(evidence))
+		return false;
+	if (refuted)
+		evidence->refuted |= 1U << evidence->crashes_nr;
+	evidence->crashes[evidence->crashes_nr++] = server;
+	return true;
+}
+
+void quarantine_note_crash(struct quarantine *quarantine,
+			   const struct prompt *prompt,
+			   const struct quarantine_crash *crash)
+{
+	size_t i;
+
+	for (i = 0; i < prompt->parts_nr; i++) {
+		uint64_t part = prompt->parts[i];
+		struct suspect *suspect;
+
+		if (answered_lately(quarantine, part, crash->now_ms))
+			continue;
+		suspect = get(quarantine, part);
+		if (!add_crash(&suspect->evidence, crash->server, false))
+			continue;
+		suspect->evidence.crashed_ms = crash->wall_ms;
+		suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
+		changed(quarantine, suspect, crash->now_ms);
+	}
+}
+
+/* Adds one crash of another entry's evidence. */
+static void merge_crash(struct evidence *own, uint64_t server, bool refuted,
+			struct quarantine_merged *merged)
+{
+	int at = find_crash(own, server);
+	uint32_t bit;
+
+	if (at < 0) {
+		merged->is_new |= add_crash(own, server, refuted);
+		return;
+	}
+	bit = 1U << at;
+	merged->is_new |= refuted && !(own->refuted & bit);
+	merged->lacks |= !refuted && (own->refuted & bit);
+	if (refuted)
+		own->refuted |= bit;
+}
+
+struct quarantine_merged quarantine_merge(struct quarantine *quarantine,
+					  const struct evidence *evidence,
+					  uint64_t now_ms)
+{
+	struct suspect *suspect = get(quarantine, evidence->part);
+	struct evidence *own = &suspect->evidence;
+	struct quarantine_merged merged = {
+		.lacks = own->crashes_nr > evidence->crashes_nr,
+	};
+	unsigned i;
+
+	for (i = 0; i < evidence->crashes_nr; i++)
+		merge_crash(own, evidence->crashes[i],
+			    evidence->refuted >> i & 1, &merged);
+	own->crashed_ms = MAX(own->crashed_ms, evidence->crashed_ms);
+	if (!merged.is_new)
+		return merged;
+	/* The other entries must learn that this one answers the part well. */
+	if (answered_lately(quarantine, own->part, now_ms) && refute(suspect))
+		suspect->unsaved = own->crashes_nr > 1;
+	changed(quarantine, suspect, now_ms);
+	return merged;
+}
+
+void quarantine_save(struct quarantine *quarantine, uint64_t part)
+{
+	struct suspect *suspect = find(quarantine, part);
+
+	if (suspect && suspect->evidence.crashes_nr > 1)
+		suspect->unsaved = true;
+}
+
+/* Tells whether a request with a quarantined part may be sent as a trial. */
+static bool may_try(const struct quarantine *quarantine,
+		    const struct suspect *suspect, uint64_t now_ms)
+{
+	const struct evidence *evidence = &suspect->evidence;
+
+	return now_ms >= suspect->trial_ms &&
+	       evidence_crashes(evidence) < TRIAL_CRASHES_MAX &&
+	       quarantine->options.owns(quarantine->options.ctx,
+					evidence->part);
+}
+
+struct quarantine_verdict quarantine_check(struct quarantine *quarantine,
+					   const struct prompt *prompt,
+					   uint64_t now_ms, uint64_t wall_ms)
+{
+	struct quarantine_verdict verdict = { 0 };
+	unsigned found = 0;
+	size_t i;
+
+	for (i = 0; i < prompt->parts_nr; i++) {
+		const struct suspect *suspect =
+			find(quarantine, prompt->parts[i]);
+		const struct evidence *evidence;
+
+		if (!suspect || !suspect->quarantined)
+			continue;
+		evidence = &suspect->evidence;
+		verdict.refused |=
+			found++ || !may_try(quarantine, suspect, now_ms);
+		verdict.part = evidence->part;
+		verdict.crashes = evidence_crashes(evidence);
+		/* No trial is certain to succeed, so that the evidence holds
+		 * until it is forgotten. */
+		if (evidence->crashed_ms + EVIDENCE_MS > wall_ms)
+			verdict.retry_after_ms =
+				evidence->crashed_ms + EVIDENCE_MS - wall_ms;
+	}
+	return verdict;
+}
+
+void quarantine_note_sent(struct quarantine *quarantine,
+			  const struct prompt *prompt, uint64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < prompt->parts_nr; i++) {
+		struct suspect *suspect = find(quarantine, prompt->parts[i]);
+
+		if (suspect && suspect->quarantined)
+			set_trial(suspect, now_ms);
+	}
+}
+
+void quarantine_sweep(struct quarantine *quarantine, uint64_t wall_ms)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &quarantine->suspects) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+
+		if (evidence_expired(&suspect->evidence, wall_ms))
+			forget(quarantine, suspect);
+	}
+}
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -133,6 +133,12 @@
 bool peer_table_owns(const struct peer_table *table,
 		     const struct peer_owner_query *query);
 
+/**
+ * Tells whether this node is the live entry with the highest rendezvous hash for
+ * a key.
+ */
+bool peer_table_owns_hash(const struct peer_table *table, uint64_t hash);
+
 /** Returns the age of the oldest last report of a live entry, in ms. */
 uint64_t peer_table_oldest_report_ms(const struct peer_table *table,
 				     uint64_t now_ms);
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -107,6 +107,9 @@
 /** Tells whether the connection can carry another exchange. */
 bool http_link_reusable(const struct http_link *link);
 
+/** Tells whether the connection ended because the server was silent. */
+bool http_link_timed_out(const struct http_link *link);
+
 /** Returns the server's announced idle timeout in ms, or 0 without one. */
 uint64_t http_link_idle_timeout_ms(const struct http_link *link);
 
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -26,6 +26,8 @@
 	bool connected;
 	bool closing;
 	bool busy;
+	/* The connection ended as the server acknowledged nothing. */
+	bool timed_out;
 	/* The connection's state is bad or unknown: it must not be reused. */
 	bool unusable;
 	/* Request of the exchange; kept here until the connection is
@@ -314,6 +316,7 @@
 		return;
 	}
 	uv_read_stop(stream);
+	link->timed_out = nread == UV_ETIMEDOUT;
 	on_eof(link, nread == UV_EOF && is_orderly_close(link));
 }
 
@@ -439,6 +442,11 @@
 	       !link->closing;
 }
 
+bool http_link_timed_out(const struct http_link *link)
+{
+	return link->timed_out;
+}
+
 uint64_t http_link_idle_timeout_ms(const struct http_link *link)
 {
 	return link->idle_limit_ms;
--- /dev/null
+++ b/tests/quarantine_load.c
@@ -0,0 +1,316 @@
+#include "common/hash.h"
+#include "core/quarantine.h"
+#include "quarantine_load.h"
+#include "script.h"
+
+/* Times of a call: its first byte, the crash that it causes, the end of its
+ * beginning, and its end, in ms. */
+#define FIRST_MS 40
+#define CRASH_MS 60
+#define WENT_ON_MS 290
+#define CALL_MS 750
+/* Time for which a server that crashed is down, in ms. */
+#define DOWN_MS 6000
+/* Time between two exchanges of evidence, and the share of lost ones. */
+#define EXCHANGE_MS 90
+#define LOST_SHARE 0.3
+/* Bound of the requests that are sent after the fifth crash is known, and the
+ * time in which it gets known, in ms. */
+#define KNOWN_MS 4000
+#define LATE_MAX 3
+#define SESSIONS 40
+
+struct call {
+	struct list link;
+	unsigned entry;
+	unsigned server;
+	uint64_t sent_ms;
+	bool bad;
+	bool went_on;
+	struct prompt prompt;
+};
+
+struct server {
+	uint64_t incarnation;
+	uint64_t up_ms;
+};
+
+struct load {
+	unsigned entries_nr;
+	unsigned servers_nr;
+	struct quarantine **entries;
+	struct server *servers;
+	struct list calls;
+	/* Evidence in the store (struct evidence), by part. */
+	GHashTable *stored;
+	GRand *random;
+	uint64_t now_ms;
+	unsigned crashes_bad;
+	uint64_t fifth_ms;
+	unsigned bad_late;
+	unsigned sound;
+	unsigned sound_refused;
+};
+
+/* A request with one entry in the role of the owner is enough: its number is the
+ * part modulo the number of entries. */
+struct owner {
+	unsigned entry;
+	unsigned entries_nr;
+};
+
+static bool owns(void *ctx, uint64_t part)
+{
+	const struct owner *owner = ctx;
+
+	return part % owner->entries_nr == owner->entry;
+}
+
+static struct quarantine *entry_create(struct owner *owner)
+{
+	struct quarantine_options options = { .owns = owns, .ctx = owner };
+
+	return quarantine_create(&options);
+}
+
+static struct prompt make_prompt(struct load *load, bool bad)
+{
+	struct prompt prompt = { .text = g_strdup("") };
+	char *session = g_strdup_printf(
+		"s%d", g_rand_int_range(load->random, 0, SESSIONS));
+
+	prompt_add(&prompt, "root");
+	prompt_add(&prompt, bad ? "bad" : session);
+	g_free(session);
+	return prompt;
+}
+
+static void call_free(struct call *call)
+{
+	list_remove(&call->link);
+	prompt_clear(&call->prompt);
+	g_free(call);
+}
+
+/* Returns the number of a server that is up, or -1. */
+static int choose_server(struct load *load)
+{
+	unsigned i, first = (unsigned)g_rand_int_range(
+			    load->random, 0, (gint32)load->servers_nr);
+
+	for (i = 0; i < load->servers_nr; i++) {
+		unsigned at = (first + i) % load->servers_nr;
+
+		if (load->servers[at].up_ms <= load->now_ms)
+			return (int)at;
+	}
+	return -1;
+}
+
+static void request(struct load *load, bool bad)
+{
+	unsigned entry = (unsigned)g_rand_int_range(load->random, 0,
+						    (gint32)load->entries_nr);
+	struct prompt prompt = make_prompt(load, bad);
+	struct quarantine_verdict verdict = quarantine_check(
+		load->entries[entry], &prompt, load->now_ms, load->now_ms);
+	int server = choose_server(load);
+	struct call *call;
+
+	load->sound += !bad;
+	load->sound_refused += !bad && verdict.refused;
+	if (verdict.refused || server < 0) {
+		prompt_clear(&prompt);
+		return;
+	}
+	load->bad_late += bad && load->fifth_ms &&
+			  load->now_ms > load->fifth_ms + KNOWN_MS;
+	quarantine_note_sent(load->entries[entry], &prompt, load->now_ms);
+	call = g_new0(struct call, 1);
+	call->entry = entry;
+	call->server = (unsigned)server;
+	call->sent_ms = load->now_ms;
+	call->bad = bad;
+	call->prompt = prompt;
+	list_append(&load->calls, &call->link);
+}
+
+static void crash_server(struct load *load, unsigned at)
+{
+	struct server *server = &load->servers[at];
+	struct quarantine_crash crash = {
+		.server = hash_combine(at, server->incarnation),
+		.now_ms = load->now_ms,
+		.wall_ms = load->now_ms,
+	};
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &load->calls) {
+		struct call *call = list_entry(pos, struct call, link);
+
+		if (call->server != at)
+			continue;
+		if (!call->went_on)
+			quarantine_note_crash(load->entries[call->entry],
+					      &call->prompt, &crash);
+		call_free(call);
+	}
+	server->incarnation++;
+	server->up_ms = load->now_ms + DOWN_MS;
+}
+
+static void advance_calls(struct load *load)
+{
+	struct list *pos, *tmp;
+	int crashed = -1;
+
+	list_for_each_safe (pos, tmp, &load->calls) {
+		struct call *call = list_entry(pos, struct call, link);
+		uint64_t age = load->now_ms - call->sent_ms;
+
+		if (call->bad && age >= CRASH_MS) {
+			crashed = (int)call->server;
+			break;
+		}
+		if (!call->went_on && age >= WENT_ON_MS) {
+			call->went_on = true;
+			quarantine_note_answer(load->entries[call->entry],
+					       &call->prompt, load->now_ms);
+		}
+		if (age >= CALL_MS)
+			call_free(call);
+	}
+	if (crashed < 0)
+		return;
+	crash_server(load, (unsigned)crashed);
+	if (++load->crashes_bad == 5)
+		load->fifth_ms = load->now_ms;
+	advance_calls(load);
+}
+
+/* Sends the evidence of each entry to the others and to the store. */
+static void exchange(struct load *load)
+{
+	unsigned i, j;
+	struct list *pos;
+
+	for (i = 0; i < load->entries_nr; i++) {
+		list_for_each (pos, quarantine_suspects(load->entries[i])) {
+			struct suspect *suspect =
+				list_entry(pos, struct suspect, link);
+			struct evidence *copy;
+
+			if (load->now_ms - suspect->changed_ms > 1500)
+				continue;
+			for (j = 0; j < load->entries_nr; j++) {
+				if (j != i &&
+				    g_rand_double(load->random) >= LOST_SHARE)
+					quarantine_merge(load->entries[j],
+							 &suspect->evidence,
+							 load->now_ms);
+			}
+			if (!suspect->unsaved)
+				continue;
+			suspect->unsaved = false;
+			copy = g_memdup2(&suspect->evidence, sizeof(*copy));
+			g_hash_table_replace(load->stored, &copy->part, copy);
+		}
+	}
+}
+
+static void restart_entries(struct load *load, struct owner *owners)
+{
+	GHashTableIter iter;
+	gpointer evidence;
+	unsigned i;
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &load->calls)
+		call_free(list_entry(pos, struct call, link));
+	for (i = 0; i < load->entries_nr; i++) {
+		quarantine_destroy(load->entries[i]);
+		load->entries[i] = entry_create(&owners[i]);
+		g_hash_table_iter_init(&iter, load->stored);
+		while (g_hash_table_iter_next(&iter, NULL, &evidence))
+			quarantine_merge(load->entries[i], evidence,
+					 load->now_ms);
+	}
+}
+
+static void play(struct load *load, struct owner *owners, int argc, char **argv)
+{
+	uint64_t seconds = (uint64_t)script_arg_int(argc, argv, "seconds", 40);
+	uint64_t restart = (uint64_t)script_arg_int(argc, argv, "restart", 0);
+	double sound = (double)script_arg_int(argc, argv, "sound", 50);
+	double bad = (double)script_arg_int(argc, argv, "bad", 0);
+	unsigned crashes = (unsigned)script_arg_int(argc, argv, "crashes", 0);
+	uint64_t start_ms = load->now_ms;
+	unsigned i;
+
+	while (load->now_ms < start_ms + seconds * 1000) {
+		uint64_t ms = load->now_ms - start_ms;
+
+		if (g_rand_double(load->random) < sound / 200)
+			request(load, false);
+		if (ms > 2000 && g_rand_double(load->random) < bad / 200)
+			request(load, true);
+		if (ms % 2000 == 1000) {
+			for (i = 0; i < MIN(crashes, load->servers_nr); i++)
+				crash_server(load, i);
+		}
+		if (restart && ms == restart * 1000)
+			restart_entries(load, owners);
+		advance_calls(load);
+		if (ms % EXCHANGE_MS == 0)
+			exchange(load);
+		load->now_ms += 5;
+	}
+}
+
+void quarantine_load(int argc, char **argv, GString *out)
+{
+	struct load load = {
+		.entries_nr =
+			(unsigned)script_arg_int(argc, argv, "entries", 8),
+		.servers_nr =
+			(unsigned)script_arg_int(argc, argv, "servers", 9),
+		.now_ms = 100000,
+	};
+	struct owner *owners = g_new0(struct owner, load.entries_nr);
+	struct list *pos, *tmp;
+	unsigned i;
+
+	load.entries = g_new0(struct quarantine *, load.entries_nr);
+	load.servers = g_new0(struct server, load.servers_nr);
+	load.stored = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    g_free);
+	load.random = g_rand_new_with_seed(
+		(guint32)script_arg_int(argc, argv, "seed", 1));
+	list_init(&load.calls);
+	for (i = 0; i < load.entries_nr; i++) {
+		owners[i].entry = i;
+		owners[i].entries_nr = load.entries_nr;
+		load.entries[i] = entry_create(&owners[i]);
+	}
+	play(&load, owners, argc, argv);
+	g_string_append_printf(out, "late %s, sound refused %s\n",
+			       load.bad_late <= LATE_MAX ? "within the bound" :
+							   "over the bound",
+			       load.sound_refused * 100 <= load.sound ?
+				       "under 1 in 100" :
+				       "over 1 in 100");
+	if (script_arg_int(argc, argv, "figures", 0))
+		g_string_append_printf(out,
+				       "crashes=%u late=%u refused=%u/%u\n",
+				       load.crashes_bad, load.bad_late,
+				       load.sound_refused, load.sound);
+	list_for_each_safe (pos, tmp, &load.calls)
+		call_free(list_entry(pos, struct call, link));
+	for (i = 0; i < load.entries_nr; i++)
+		quarantine_destroy(load.entries[i]);
+	g_hash_table_destroy(load.stored);
+	g_rand_free(load.random);
+	g_free(load.entries);
+	g_free(load.servers);
+	g_free(owners);
+}
--- /dev/null
+++ b/tests/quarantine_load.h
@@ -0,0 +1,19 @@
+/**
+ * A fleet under load, without network: sound requests, requests with a part that
+ * crashes servers, and servers that crash by themselves.
+ */
+#ifndef BRIARPLANK_TESTS_QUARANTINE_LOAD_H
+#define BRIARPLANK_TESTS_QUARANTINE_LOAD_H
+
+#include <glib.h>
+
+/**
+ * load entries=N servers=N sound=N bad=N crashes=N seconds=N restart=N seed=N:
+ * plays a day and prints whether it kept its bounds. "sound" and "bad" are
+ * requests a second, "crashes" the number of servers that crash together every
+ * second second, and "restart" the second in which all entries restart with only
+ * what the store holds.
+ */
+void quarantine_load(int argc, char **argv, GString *out);
+
+#endif
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,211 @@
+/*
+ * Tests of the quarantine of prompt parts: evidence from one entry, its exchange
+ * between entries, and a fleet under load with one part that crashes servers.
+ */
+#include <string.h>
+
+#include "common/hash.h"
+#include "core/quarantine.h"
+#include "quarantine_load.h"
+#include "script.h"
+
+#define ENTRIES_MAX 4
+#define WALL_MS 1000000
+
+struct entry {
+	struct quarantine *quarantine;
+	/* This entry makes the trials. */
+	bool owner;
+};
+
+struct state {
+	struct entry entries[ENTRIES_MAX];
+	GString *changes;
+	uint64_t now_ms;
+};
+
+static bool owns(void *ctx, uint64_t part)
+{
+	const struct entry *entry = ctx;
+
+	(void)part;
+	return entry->owner;
+}
+
+static void *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+	size_t i;
+
+	state->now_ms = 5000;
+	for (i = 0; i < ENTRIES_MAX; i++) {
+		struct entry *entry = &state->entries[i];
+		struct quarantine_options options = { .owns = owns,
+						      .ctx = entry };
+
+		entry->quarantine = quarantine_create(&options);
+	}
+	return state;
+}
+
+static void state_destroy(void *data)
+{
+	struct state *state = data;
+	size_t i;
+
+	for (i = 0; i < ENTRIES_MAX; i++)
+		quarantine_destroy(state->entries[i].quarantine);
+	g_free(state);
+}
+
+static struct entry *entry_arg(struct state *state, const char *name)
+{
+	return &state->entries[(name[0] - 'a') % ENTRIES_MAX];
+}
+
+/* Parses the parts of a prompt: ID,ID... */
+static struct prompt prompt_arg(const char *text)
+{
+	struct prompt prompt = { .text = g_strdup(text) };
+	char **ids = g_strsplit(text, ",", -1), **id;
+
+	for (id = ids; *id; id++)
+		prompt_add(&prompt, *id);
+	g_strfreev(ids);
+	return prompt;
+}
+
+/* crash ENTRY PARTS SERVER */
+static void crash(struct state *state, char **argv)
+{
+	struct prompt prompt = prompt_arg(argv[2]);
+	struct quarantine_crash crash = {
+		.server = hash_string(argv[3], 0),
+		.now_ms = state->now_ms,
+		.wall_ms = WALL_MS + state->now_ms,
+	};
+
+	quarantine_note_crash(entry_arg(state, argv[1])->quarantine, &prompt,
+			      &crash);
+	prompt_clear(&prompt);
+}
+
+/* answer ENTRY PARTS */
+static void answer(struct state *state, char **argv)
+{
+	struct prompt prompt = prompt_arg(argv[2]);
+
+	quarantine_note_answer(entry_arg(state, argv[1])->quarantine, &prompt,
+			       state->now_ms);
+	prompt_clear(&prompt);
+}
+
+/* tell FROM TO: merges all evidence of one entry into another */
+static void tell(struct state *state, char **argv)
+{
+	struct quarantine *from = entry_arg(state, argv[1])->quarantine;
+	struct list *pos;
+
+	list_for_each (pos, quarantine_suspects(from))
+		quarantine_merge(
+			entry_arg(state, argv[2])->quarantine,
+			&list_entry(pos, struct suspect, link)->evidence,
+			state->now_ms);
+}
+
+/* check ENTRY PARTS [send]: the verdict; with "send" the request is sent */
+static void check(struct state *state, int argc, char **argv, GString *out)
+{
+	struct quarantine *quarantine = entry_arg(state, argv[1])->quarantine;
+	struct prompt prompt = prompt_arg(argv[2]);
+	struct quarantine_verdict verdict = quarantine_check(
+		quarantine, &prompt, state->now_ms, WALL_MS + state->now_ms);
+
+	if (verdict.refused)
+		g_string_append_printf(out,
+				       "refused crashes=%u "
+				       "retry_after_s=%" G_GUINT64_FORMAT "\n",
+				       verdict.crashes,
+				       verdict.retry_after_ms / 1000);
+	else
+		g_string_append_printf(out, "%s\n",
+				       verdict.crashes ? "trial" : "allowed");
+	if (argc > 3)
+		quarantine_note_sent(quarantine, &prompt, state->now_ms);
+	prompt_clear(&prompt);
+}
+
+/* suspects ENTRY: number of suspects, quarantined and to be stored */
+static void suspects(struct state *state, char **argv, GString *out)
+{
+	unsigned all = 0, quarantined = 0, unsaved = 0;
+	struct list *pos;
+
+	list_for_each (pos, quarantine_suspects(
+				    entry_arg(state, argv[1])->quarantine)) {
+		const struct suspect *suspect =
+			list_entry(pos, struct suspect, link);
+
+		all++;
+		quarantined += suspect->quarantined;
+		unsaved += suspect->unsaved;
+	}
+	g_string_append_printf(out, "all=%u quarantined=%u unsaved=%u\n", all,
+			       quarantined, unsaved);
+}
+
+/* flood ENTRY NR: crashes of one server under NR different parts */
+static void flood(struct state *state, char **argv)
+{
+	int64_t i, nr = g_ascii_strtoll(argv[2], NULL, 10);
+
+	for (i = 0; i < nr; i++) {
+		char *id = g_strdup_printf("f%" G_GINT64_FORMAT, i);
+		char *args[] = { "crash", argv[1], id, "flood" };
+
+		crash(state, args);
+		g_free(id);
+	}
+}
+
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	struct state *state = data;
+	const char *name = argv[0];
+
+	if (!strcmp(name, "crash"))
+		crash(state, argv);
+	else if (!strcmp(name, "answer"))
+		answer(state, argv);
+	else if (!strcmp(name, "tell"))
+		tell(state, argv);
+	else if (!strcmp(name, "check"))
+		check(state, argc, argv, out);
+	else if (!strcmp(name, "suspects"))
+		suspects(state, argv, out);
+	else if (!strcmp(name, "flood"))
+		flood(state, argv);
+	else if (!strcmp(name, "owner"))
+		entry_arg(state, argv[1])->owner = true;
+	else if (!strcmp(name, "wait"))
+		state->now_ms += g_ascii_strtoull(argv[1], NULL, 10);
+	else if (!strcmp(name, "sweep"))
+		quarantine_sweep(entry_arg(state, argv[1])->quarantine,
+				 WALL_MS + state->now_ms);
+	else if (!strcmp(name, "load"))
+		quarantine_load(argc, argv, out);
+	else
+		g_string_append_printf(out, "unknown command %s\n", name);
+}
+
+static const struct script_driver driver = {
+	.name = "quarantine",
+	.create = state_create,
+	.destroy = state_destroy,
+	.command = command,
+};
+
+int main(int argc, char **argv)
+{
+	return script_main(&driver, argc, argv);
+}
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[14] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[15] =
 {
   {
     "node",
@@ -222,6 +222,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NodeLoad, n_evidence),
+    offsetof(NodeLoad, evidence),
+    &part_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
@@ -230,6 +242,7 @@
   12,   /* field[12] = capacity */
   11,   /* field[11] = data_centre */
   9,   /* field[9] = directory_port */
+  14,   /* field[14] = evidence */
   10,   /* field[10] = index_offset */
   2,   /* field[2] = leaving */
   13,   /* field[13] = loaded */
@@ -242,7 +255,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -252,7 +265,7 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  14,
+  15,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
