Test how the parts of a prompt are parsed

The quarantine of parts rests on it: the last part is left out, and an id counts in either case, so that a crashing part can't come back under another spelling.

--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -137,6 +137,21 @@
 	g_free(text);
 }
 
+/* Prints how many parts are shared, and whether the first equals "bad". */
+static void prompt(const char *text, GString *out)
+{
+	struct prompt prompt, other = { 0 };
+
+	platform_prompt_parse(text, &prompt);
+	prompt_add(&other, "bad");
+	g_string_append_printf(
+		out, "shared=%zu%s\n", prompt.parts_nr,
+		prompt.parts_nr && prompt.parts[0] == other.parts[0] ? " bad" :
+								       "");
+	prompt_clear(&prompt);
+	prompt_clear(&other);
+}
+
 static void command(void *state, int argc, char **argv, GString *out)
 {
 	unsigned running = 0, waiting = 0;
@@ -154,6 +169,8 @@
 		call(argv, out);
 	else if (!strcmp(argv[0], "results"))
 		results(out);
+	else if (!strcmp(argv[0], "prompt"))
+		prompt(argv[1], out);
 	else if (platform_load_parse(argv[1], &running, &waiting))
 		g_string_append_printf(out, "running=%u waiting=%u\n", running,
 				       waiting);
