--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -181,6 +181,26 @@
 	fleet_mark_leaving(call->options.gateway->fleet, call->server);
 }
 
+/* Notes the limit that the server names, or that it names none any more. */
+static void read_rate_limit(struct server_call *call,
+			    const struct http_link_head *head)
+{
+	struct server *server = call->server;
+	double rate = platform_rate_limit_parse(
+		http_link_head_field(head, platform_fields.rate_limit));
+
+	if (head->status == 421)
+		return;
+	if ((rate > 0) != (server->rate_limit > 0))
+		log_event("server", LOG_LEVEL_INFO,
+			  "id=%s %s rate_limit=%.2f before=%.2f request=%s",
+			  server->id,
+			  rate > 0 ? "names a limit" :
+				     "names no limit any more",
+			  rate, server->rate_limit, call->options.request_id);
+	server->rate_limit = rate;
+}
+
 static void call_finish(struct server_call *call, enum http_link_end link_end);
 
 static bool on_head(void *ctx, const struct http_link_head *head)
@@ -194,6 +214,7 @@
 
 	fleet_data_received(call->server, now);
 	read_leaving(call, head);
+	read_rate_limit(call, head);
 	if (echo && strcmp(echo, call->options.request_id) != 0) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s skipped the response to %s",
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -132,6 +132,7 @@
 	server->avoid_until_ms = 0;
 	server->backoffs = 0;
 	server->unattributed = 0;
+	server->rate_limit = 0;
 }
 
 static struct server *server_add(struct fleet *fleet, const char *id)
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -61,6 +61,9 @@
 	bool draining;
 	/** The server itself has said that it shuts down soon. */
 	bool leaving;
+	/** Requests a second that it takes from all entries together, as it has
+	 * said last; 0 for no limit. */
+	double rate_limit;
 	/** The platform lists the server; one that is no longer listed finishes
 	 * its requests and gets no new ones. */
 	bool listed;
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -39,6 +39,9 @@
 	const char *not_run;
 	/** Field of all responses of a server that shuts down soon. */
 	const char *leaving;
+	/** Field with the requests a second that a server takes from all entries
+	 * together, as a decimal number. */
+	const char *rate_limit;
 	/** Field with the parts of the prompt, as ID:TOKENS. */
 	const char *prompt_prefix;
 	/** Field with the id of the event after which a stream resumes. */
@@ -53,6 +56,12 @@
 bool platform_load_parse(const char *text, unsigned *running,
 			 unsigned *waiting);
 
+/**
+ * Parses the field with a server's limit, NULL for none. Returns the requests a
+ * second, or 0 for no limit; a malformed or negative number is no limit.
+ */
+double platform_rate_limit_parse(const char *text);
+
 /**
  * Parses the field with the parts of a prompt, NULL for none. The last part
  * belongs to the request itself and is left out.
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -171,6 +171,9 @@
 		results(out);
 	else if (!strcmp(argv[0], "prompt"))
 		prompt(argv[1], out);
+	else if (!strcmp(argv[0], "limit"))
+		g_string_append_printf(out, "%.2f\n",
+				       platform_rate_limit_parse(argv[1]));
 	else if (platform_load_parse(argv[1], &running, &waiting))
 		g_string_append_printf(out, "running=%u waiting=%u\n", running,
 				       waiting);
