Add a failing test of a server that names a limit

Two entries send about 25 requests a second to a stand-in server that names a limit of 3 in its answers.

--- /dev/null
+++ b/tests/process/gateway_server_limit.sh
@@ -0,0 +1,69 @@
+# Guards against a server that gets more requests from all entries together than the
+# limit that it names in its answers.
+. tests/fleet/fleet.sh
+. tests/fleet/gateway.sh
+fleet_begin
+
+LIMIT=3
+
+# runs NAME: prints the number of requests that a server has run.
+runs () {
+	curl -s "http://$(fleet_address "$1")/runs" | grep -o ': *[0-9]*' |
+		tr -d ': ' | awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# Sends requests to both entries until the file "done" exists, about 20 a second.
+load () {
+	i=0
+	while test -d "$FLEET_DIR" && ! test -e "$FLEET_DIR/done"
+	do
+		i=$((i + 1))
+		gateway_status "g$((i % 2 + 1))" "o$i" /once/x -d p \
+			>>"$FLEET_DIR/statuses" &
+		echo >>"$FLEET_DIR/statuses"
+		sleep 0.04
+	done
+	wait
+}
+
+fleet_standin store store
+gateway_start g1
+gateway_start g2
+gateway_config 1
+wait_until gateway_ready g1
+wait_until gateway_ready g2
+gateway_server server-1 model --events 2 --limit $LIMIT
+wait_until gateway_knows g1 server-1
+wait_until gateway_knows g2 server-1
+
+# The server is the only one, so that all other requests must be refused.
+load >"$FLEET_DIR/load.out" 2>&1 &
+FLEET_PIDS="$FLEET_PIDS $!"
+sleep 4
+for second in 1 2 3
+do
+	before=$(runs server-1)
+	sleep 4
+	sent=$(($(runs server-1) - before))
+	# One and a half times the limit and five, in four seconds.
+	test "$sent" -le $((LIMIT * 6 + 5)) ||
+		fleet_fail "$sent requests in 4 s at a limit of $LIMIT a second"
+	test "$sent" -ge $((LIMIT * 2)) ||
+		fleet_fail "only $sent requests in 4 s at a limit of $LIMIT a second"
+done
+echo "alone: within the limit"
+
+# Another server without a limit takes the rest.
+gateway_server server-2 model --events 2
+wait_until gateway_knows g1 server-2
+wait_until gateway_knows g2 server-2
+: >"$FLEET_DIR/statuses"
+before=$(runs server-1)
+sleep 4
+sent=$(($(runs server-1) - before))
+test "$sent" -le $((LIMIT * 6 + 5)) ||
+	fleet_fail "$sent requests in 4 s beside a server without a limit"
+refused=$(grep -c 503 "$FLEET_DIR/statuses" || true)
+test "$refused" -le 3 || fleet_fail "$refused requests refused beside a free server"
+touch "$FLEET_DIR/done"
+echo "beside another: the rest served there"
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -24,6 +24,7 @@
 	int64_t events;
 	int64_t event_ms;
 	bool plain;
+	int64_t limit;
 };
 
 struct worker_state {
@@ -89,6 +90,13 @@
 	web_add_header(run->request, "X-Server-Signature", server_name(state));
 	web_add_header(run->request, "X-Server-Load", load);
 	g_free(load);
+	if (state->settings.limit) {
+		char *limit =
+			g_strdup_printf("%" PRId64, state->settings.limit);
+
+		web_add_header(run->request, "Server-Limit", limit);
+		g_free(limit);
+	}
 }
 
 static void run_end(struct run *run)
@@ -340,6 +348,8 @@
 	  .help = "events in a stream" },
 	{ "event-ms", offsetof(struct worker_settings, event_ms), 20,
 	  .help = "time per event or per plain answer, in ms" },
+	{ "limit", offsetof(struct worker_settings, limit), 0,
+	  .help = "limit that all answers name, in requests a second" },
 	{ "plain", offsetof(struct worker_settings, plain), 0, .on_off = true,
 	  .help = "on: answer with the body instead of a stream" },
 	{ 0 },
