Let batch items use permits that online requests left for 0.1 s

Ruled out: preferring servers with limits for items (no gain), 0.8 s and 1 s (less), permits valid for 2 s (no gain).

--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -12,7 +12,7 @@
 #define PERMIT_MS 1500
 /* Age of the permits that batch items may use, in ms: online requests come
  * first. */
-#define BATCH_PERMIT_AGE_MS 400
+#define BATCH_PERMIT_AGE_MS 100
 /* Time for which a silent entry keeps its share, in ms, as it may go on behind a
  * network partition; and the same for one that was leaving. */
 #define SHARER_MS 10000
