Show the quarantined parts to operators

An operator could find a refused request's part only in the lines of the entry that refused it. show quarantine lists what a gateway knows of each part: its state, the crashes against it, and how many were refuted. The stand-alone daemon, which quarantines nothing, lists no rows. The process test of a crashing part looks for the row.

--- a/briarplankctl/completions/briarplankctl.bash
+++ b/briarplankctl/completions/briarplankctl.bash
@@ -11,7 +11,7 @@
 		;;
 	-o | --output) words="table json" ;;
 	-e | --entry | --id) return ;;
-	show) words="config jobs nodes refusals requests servers services" ;;
+	show) words="config jobs nodes quarantine refusals requests servers services" ;;
 	create) words="service" ;;
 	drain | undrain) words="server" ;;
 	submit | cancel) words="job" ;;
--- a/briarplankctl/main.c
+++ b/briarplankctl/main.c
@@ -57,7 +57,7 @@
 };
 
 static const char help_text[] =
-	"show config|jobs|nodes|refusals|requests|servers|services\n"
+	"show config|jobs|nodes|quarantine|refusals|requests|servers|services\n"
 	"     [where FIELD = VALUE [and ...]]\n"
 	"set KEY VALUE [if revision N]      unset KEY [if revision N]\n"
 	"create service NAME [KEY VALUE ...]\n"
--- a/briarplankctl/table.c
+++ b/briarplankctl/table.c
@@ -9,8 +9,8 @@
 
 /* Kinds of rows that have a format, in alphabetical order. */
 static const struct table_format *const formats[] = {
-	&config_table,	 &jobs_table,	 &nodes_table,	  &refusals_table,
-	&requests_table, &servers_table, &services_table,
+	&config_table,	 &jobs_table,	  &nodes_table,	  &quarantine_table,
+	&refusals_table, &requests_table, &servers_table, &services_table,
 };
 
 static const struct table_format *find_format(const char *kind)
--- a/briarplankctl/table.h
+++ b/briarplankctl/table.h
@@ -19,6 +19,7 @@
 extern const struct table_format config_table;
 extern const struct table_format jobs_table;
 extern const struct table_format nodes_table;
+extern const struct table_format quarantine_table;
 extern const struct table_format refusals_table;
 extern const struct table_format requests_table;
 extern const struct table_format servers_table;
--- a/briarplankd/entry/commands/show.c
+++ b/briarplankd/entry/commands/show.c
@@ -300,10 +300,18 @@
 	result->is_complete = !json_object_array_length(result->shards_missing);
 }
 
+/* Only gateways quarantine parts of prompts. */
+static void no_rows(struct operator_call *call, struct json_object *rows)
+{
+	(void)call;
+	(void)rows;
+}
+
 static const struct show_kind kinds[] = {
 	{ "config", .list_local = config_rows },
 	{ "jobs", .role = MEMBER_ENTRY, .complete_rows = complete_jobs },
 	{ "nodes", .list_local = node_rows },
+	{ "quarantine", .list_local = no_rows },
 	{ "refusals", .role = MEMBER_ENTRY },
 	{ "requests", .role = MEMBER_ENTRY },
 	{ "servers", .role = MEMBER_AGENT, .complete_rows = complete_servers },
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -9,6 +9,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "core/peer_table.h"
+#include "evidence.h"
 #include "job_store.h"
 #include "net/address.h"
 #include "operator.h"
@@ -146,6 +147,33 @@
 	}
 }
 
+static void quarantine_rows(struct gateway *gateway, struct json_object *rows)
+{
+	struct quarantine *quarantine =
+		evidence_share_quarantine(gateway->evidence);
+	struct list *pos;
+
+	list_for_each (pos, quarantine_suspects(quarantine)) {
+		const struct suspect *suspect =
+			list_entry(pos, struct suspect, link);
+		const struct evidence *evidence = &suspect->evidence;
+		unsigned crashes = evidence_crashes(evidence);
+		struct json_object *row = json_object_new_object();
+		char *part = g_strdup_printf("%016" PRIx64, evidence->part);
+
+		row_add_text(row, "part", part);
+		row_add_text(row, "state",
+			     suspect->quarantined ?
+				     "quarantined" :
+				     (crashes ? "suspected" : "cleared"));
+		row_add_number(row, "crashes", crashes);
+		row_add_number(row, "refuted", evidence->crashes_nr - crashes);
+		row_add_time(row, "last_crash", evidence->crashed_ms);
+		json_object_array_add(rows, row);
+		g_free(part);
+	}
+}
+
 static void add_refusal(void *ctx, const struct refusal *refusal)
 {
 	struct json_object *row = json_object_new_object();
@@ -258,9 +286,9 @@
 	void (*rows)(struct gateway *gateway, struct json_object *rows);
 } subjects[] = {
 	{ "config", config_rows },    { "jobs", job_rows },
-	{ "nodes", node_rows },	      { "refusals", refusal_rows },
-	{ "requests", request_rows }, { "servers", server_rows },
-	{ "services", service_rows },
+	{ "nodes", node_rows },	      { "quarantine", quarantine_rows },
+	{ "refusals", refusal_rows }, { "requests", request_rows },
+	{ "servers", server_rows },   { "services", service_rows },
 };
 
 static void send_response(struct web_request *web, const char *status,
--- a/core/command.c
+++ b/core/command.c
@@ -20,7 +20,7 @@
 };
 
 const char *const command_show_kinds[] = {
-	"config",   "jobs",    "nodes",	   "refusals",
+	"config",   "jobs",    "nodes",	   "quarantine", "refusals",
 	"requests", "servers", "services", NULL,
 };
 
--- a/tests/process/gateway_crashing_part.sh
+++ b/tests/process/gateway_crashing_part.sh
@@ -58,6 +58,9 @@
 test "$status" = 503 || fleet_fail "such a request got $status instead of 503"
 status=$(call g2 bad-resumed /stream/x "$ROOT,0b0b0b:7,$BAD" -H 'Last-Event-Id: 2')
 test "$status" = 503 || fleet_fail "a resumed stream got $status instead of 503"
+"$BUILD/briarplankctl/briarplankctl" -e "http://$(gateway_address g1 metrics)" \
+	'show quarantine' | grep -q ' quarantined *3 ' ||
+	fleet_fail "the operator is not shown the part"
 echo "refused at both entries"
 
 # An item with the part waits, and its job's other items are completed.
