Tell requests refused by limits to come back as there is room

Under limits most refused requests came back after 0.2 s, into the same burst, and were refused once more. Cause: the Retry-After was the excess over the objective at the best server, or the time to the next permit, the same for all that are refused together. Now each gets a time behind that of the one before, at the pace of the room beyond the entry's mean demand, and at most 1.5 s, the maximum that held before.

Ruled out: 1 s, 2 s and 3 s.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -27,8 +27,6 @@
 /* Bounds of Retry-After under overload, in s. */
 #define RETRY_AFTER_MIN_S 0.15
 #define RETRY_AFTER_MAX_S 1.5
-/* Maximum of Retry-After while servers are closed by their limits, in s. */
-#define RETRY_AFTER_LIMIT_MAX_S 5
 /* A request is neither sent nor retried with less time than this left until its
  * deadline, in ms. */
 #define SEND_TIME_LEFT_MIN_MS 30
@@ -525,7 +523,11 @@
 			  const struct fleet_choice *choice)
 {
 	double excess_ms = choice->first_ms - request->objective_ms / 2.0;
+	double limited_ms = fleet_retry_after_ms(
+		request->gateway->fleet, request->service, now_ms(request));
 
+	if (limited_ms > 0)
+		return MAX(limited_ms / 1000, RETRY_AFTER_MIN_S);
 	return CLAMP(excess_ms / 1000, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
 }
 
@@ -566,22 +568,18 @@
 				"the quarantined parts are not known yet");
 }
 
-/* Ends a request for which no server can be chosen. */
-static void end_without_server(struct online_request *request)
+/* Refuses a request for which no server can be chosen. */
+static void refuse_without_server(struct online_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	double permit_ms = fleet_permit_wait_ms(
+	double limited_ms = fleet_retry_after_ms(
 		gateway->fleet, request->service, now_ms(request));
 
-	if (request->runs)
-		fail(request, 502, "no further server could run it");
-	else if (!directory_loaded(gateway->directory))
+	if (!directory_loaded(gateway->directory))
 		refuse(request, 503, STARTING_RETRY_AFTER_S,
 		       "no server can run it");
-	else if (permit_ms > 0)
-		refuse(request, 503,
-		       CLAMP(permit_ms / 1000, RETRY_AFTER_MIN_S,
-			     RETRY_AFTER_LIMIT_MAX_S),
+	else if (limited_ms > 0)
+		refuse(request, 503, MAX(limited_ms / 1000, RETRY_AFTER_MIN_S),
 		       "the servers have reached their limits");
 	else
 		refuse(request, 503, NO_SERVER_RETRY_AFTER_S,
@@ -612,7 +610,10 @@
 		choice = fleet_choose(request->gateway->fleet, &query);
 	record_choice_inputs(request, &choice, query.now_ms);
 	if (!choice.server) {
-		end_without_server(request);
+		if (request->runs)
+			fail(request, 502, "no further server could run it");
+		else
+			refuse_without_server(request);
 		return;
 	}
 	/* A response after the objective is of little use to the caller, who
--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -26,9 +26,16 @@
 /* Weight of the demand of entries in another region than the server. */
 #define FAR_WEIGHT 0.2
 
+/* Least share of the capacity that requests find when they come back, and the
+ * longest time until then, in ms. */
+#define RETRY_ROOM_MIN 0.2
+#define RETRY_MAX_MS 1500
+
 struct demand_meter {
 	double rate;
 	uint64_t at_ms;
+	/* Time for which the next refused request is told to come back. */
+	double retry_ms;
 };
 
 struct sharer {
@@ -337,21 +344,47 @@
 		permits_drop(&server->permits, 1);
 }
 
-double fleet_permit_wait_ms(struct fleet *fleet, const char *service,
-			    uint64_t now_ms)
+/* Returns the requests a second of a service that this node may send; sets
+ * *limited if any of its servers has a limit. */
+static double own_capacity(struct fleet *fleet, const char *service,
+			   uint64_t now_ms, bool *limited)
 {
 	double rate = 0;
 	struct list *pos;
 
+	*limited = false;
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
 		struct share share;
 
 		if (!server_serves(server, service) ||
-		    !server_usable(server, now_ms) || server->rate_limit <= 0)
+		    !server_usable(server, now_ms))
 			continue;
 		share = own_share(fleet, server, now_ms);
-		rate += server->rate_limit * (share.end - share.begin);
+		if (server->rate_limit > 0) {
+			*limited = true;
+			rate += server->rate_limit * (share.end - share.begin);
+		} else {
+			rate += server->slots * 1000 / server->hold_ms *
+				(share.end - share.begin);
+		}
 	}
-	return rate > 0 ? 1000 / rate : 0;
+	return rate;
+}
+
+double fleet_retry_after_ms(struct fleet *fleet, const char *service,
+			    uint64_t now_ms)
+{
+	uint64_t hash = hash_string(service, 0);
+	struct demand_meter *meter = g_hash_table_lookup(fleet->demands, &hash);
+	bool limited;
+	double rate = own_capacity(fleet, service, now_ms, &limited);
+	double room;
+
+	if (!limited || !meter || rate <= 0)
+		return 0;
+	room = MAX(rate - demand_at(meter, now_ms), rate * RETRY_ROOM_MIN);
+	meter->retry_ms = MAX(meter->retry_ms, (double)now_ms) + 1000 / room;
+	meter->retry_ms = MIN(meter->retry_ms, (double)now_ms + RETRY_MAX_MS);
+	return meter->retry_ms - (double)now_ms;
 }
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -289,10 +289,11 @@
 #define PERMIT_INTERVAL_MS 20
 
 /**
- * Returns the time until this node's next permit for any server of a service, in
- * ms, or 0 if the service has no server that is only closed by its limit.
+ * Returns the time after which a request that is refused now can be served, in ms,
+ * or 0 if no server of the service has a limit. Requests that are refused one after
+ * the other get times in the same order, as the service has room for them.
  */
-double fleet_permit_wait_ms(struct fleet *fleet, const char *service,
+double fleet_retry_after_ms(struct fleet *fleet, const char *service,
 			    uint64_t now_ms);
 
 /** A batch item that needs a slot. */
--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -73,7 +73,7 @@
 	return g_strdup_printf("s%u", at);
 }
 
-static void entry_start(struct day *day, unsigned at, uint64_t now_ms)
+static void entry_start(struct day *day, unsigned at)
 {
 	struct entry *entry = &day->entries[at];
 	struct fleet_options options = {
@@ -102,7 +102,6 @@
 		fleet_update_server(entry->fleet, &facts);
 		g_free(id);
 	}
-	(void)now_ms;
 }
 
 static struct server *server_of(struct entry *entry, unsigned at)
@@ -290,7 +289,7 @@
 			i = (unsigned)(now_ms / (restart_s * 1000)) %
 			    day->entries_nr;
 			day->entries[i].down_until_ms = now_ms + 800;
-			entry_start(day, i, now_ms);
+			entry_start(day, i);
 		}
 		day->entries[0].cut = cut_s && now_ms / 1000 >= cut_s &&
 				      now_ms / 1000 < cut_s + 6;
@@ -299,7 +298,34 @@
 	}
 }
 
-static void command(void *state, int argc, char **argv, GString *out)
+/* refuse rate=N nr=N: the Retry-After of requests that are refused one after the
+ * other, while one server names a limit; rate 0 for none */
+static void refuse_some(int argc, char **argv, GString *out)
+{
+	struct day day = { .servers_nr = 1, .entries_nr = 1 };
+	double rate = (double)script_arg_int(argc, argv, "rate", 2);
+	int64_t nr = script_arg_int(argc, argv, "nr", 4);
+	struct entry entry = { .data_centre = "a1" };
+
+	day.entries = &entry;
+	day.regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(day.regions, "a1", "a");
+	entry.calls = g_array_new(FALSE, FALSE, sizeof(struct call));
+	entry_start(&day, 0);
+	fleet_note_demand(entry.fleet, "s", 1000);
+	if (rate > 0)
+		fleet_limit_named(entry.fleet, server_of(&entry, 0), rate,
+				  61000);
+	while (nr-- > 0)
+		g_string_append_printf(
+			out, "%.0f\n",
+			fleet_retry_after_ms(entry.fleet, "s", 61000));
+	fleet_destroy(entry.fleet);
+	g_array_free(entry.calls, TRUE);
+	g_hash_table_destroy(day.regions);
+}
+
+static void play_day(int argc, char **argv, GString *out)
 {
 	struct day day = {
 		.entries_nr =
@@ -316,7 +342,6 @@
 	double possible;
 	unsigned i, most, limited_sent = 0;
 
-	(void)state;
 	day.random = g_rand_new_with_seed(
 		(guint32)script_arg_int(argc, argv, "seed", 1));
 	day.regions = g_hash_table_new(g_str_hash, g_str_equal);
@@ -338,7 +363,7 @@
 		entry->clock_ms =
 			script_arg_int(argc, argv, "clocks", 0) * (i % 5) / 5;
 		entry->calls = g_array_new(FALSE, FALSE, sizeof(struct call));
-		entry_start(&day, i, 0);
+		entry_start(&day, i);
 	}
 	play(&day, argc, argv);
 	most = busiest_window(&day);
@@ -368,6 +393,15 @@
 	g_rand_free(day.random);
 }
 
+static void command(void *state, int argc, char **argv, GString *out)
+{
+	(void)state;
+	if (!strcmp(argv[0], "refuse"))
+		refuse_some(argc, argv, out);
+	else
+		play_day(argc, argv, out);
+}
+
 static const struct script_driver driver = {
 	.name = "fleet_limits",
 	.create = state_create,
