--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -3,7 +3,7 @@
 #include "batch_run.h"
 #include "common/hash.h"
 #include "common/log.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "platform/codec.h"
 
 /* Backoff of an item after a failed run, in ms. */
@@ -502,8 +502,8 @@
 {
 	struct quarantine_verdict verdict;
 
-	if (evidence_allows(run->batch->gateway->evidence, &run->prompt,
-			    &verdict)) {
+	if (evidence_share_allows(run->batch->gateway->evidence, &run->prompt,
+				  &verdict)) {
 		run->quarantined = false;
 		return false;
 	}
--- a/briarplankd/gateway/evidence.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "common/log.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "peers.h"
 
 #define EVIDENCE_TOPIC "keyed.evidence"
@@ -112,8 +112,9 @@
 	return share->quarantine;
 }
 
-bool evidence_allows(struct evidence_share *share, const struct prompt *prompt,
-		     struct quarantine_verdict *verdict)
+bool evidence_share_allows(struct evidence_share *share,
+			   const struct prompt *prompt,
+			   struct quarantine_verdict *verdict)
 {
 	uint64_t now = uv_now(share->gateway->loop);
 
@@ -160,7 +161,7 @@
 	return merged;
 }
 
-void evidence_add_to_report(struct evidence_share *share, NodeLoad *load)
+void evidence_share_add_to_report(struct evidence_share *share, NodeLoad *load)
 {
 	uint64_t now = uv_now(share->gateway->loop);
 	bool turn = now - share->turn_ms >= TURN_INTERVAL_MS;
@@ -191,7 +192,7 @@
 	fill_message(load->evidence[load->n_evidence++], &in_turn->evidence);
 }
 
-void evidence_free_report(NodeLoad *load)
+void evidence_share_free_report(NodeLoad *load)
 {
 	size_t i;
 
@@ -200,7 +201,8 @@
 	g_free(load->evidence);
 }
 
-void evidence_apply_report(struct evidence_share *share, const NodeLoad *load)
+void evidence_share_apply_report(struct evidence_share *share,
+				 const NodeLoad *load)
 {
 	size_t i;
 
--- a/briarplankd/gateway/evidence.h
+++ b/briarplankd/gateway/evidence_share.h
@@ -2,8 +2,8 @@
  * Shares the evidence against parts of prompts between entries: in their load
  * reports, and in a topic of the store that an entry reads when it starts.
  */
-#ifndef BRIARPLANKD_GATEWAY_EVIDENCE_H
-#define BRIARPLANKD_GATEWAY_EVIDENCE_H
+#ifndef BRIARPLANKD_GATEWAY_EVIDENCE_SHARE_H
+#define BRIARPLANKD_GATEWAY_EVIDENCE_SHARE_H
 
 #include "core/quarantine.h"
 #include "gateway.h"
@@ -21,16 +21,18 @@
  * cases. While a starting entry does not know the evidence yet, only requests
  * without shared parts may be sent.
  */
-bool evidence_allows(struct evidence_share *share, const struct prompt *prompt,
-		     struct quarantine_verdict *verdict);
+bool evidence_share_allows(struct evidence_share *share,
+			   const struct prompt *prompt,
+			   struct quarantine_verdict *verdict);
 
 /** Adds evidence that the other entries may lack to a load report. */
-void evidence_add_to_report(struct evidence_share *share, NodeLoad *load);
+void evidence_share_add_to_report(struct evidence_share *share, NodeLoad *load);
 
-/** Frees what evidence_add_to_report() added. */
-void evidence_free_report(NodeLoad *load);
+/** Frees what evidence_share_add_to_report() added. */
+void evidence_share_free_report(NodeLoad *load);
 
 /** Merges the evidence of another entry's load report. */
-void evidence_apply_report(struct evidence_share *share, const NodeLoad *load);
+void evidence_share_apply_report(struct evidence_share *share,
+				 const NodeLoad *load);
 
 #endif
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -13,7 +13,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "directory.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "gateway.h"
 #include "job_bulk.h"
 #include "job_calls.h"
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -10,7 +10,7 @@
 #include "common/log.h"
 #include "core/event_stream.h"
 #include "directory.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "refusals.h"
@@ -601,8 +601,8 @@
 		request->deadline_ms > query.now_ms + SEND_TIME_LEFT_MIN_MS;
 	double waited_ms = (double)(query.now_ms - request->arrived_ms);
 
-	if (!evidence_allows(request->gateway->evidence, &request->prompt,
-			     &verdict)) {
+	if (!evidence_share_allows(request->gateway->evidence, &request->prompt,
+				   &verdict)) {
 		end_quarantined(request, &verdict);
 		return;
 	}
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -9,7 +9,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "core/peer_table.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "job_store.h"
 #include "net/address.h"
 #include "operator.h"
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -11,7 +11,7 @@
 #include "common/log.h"
 #include "core/peer_table.h"
 #include "directory.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "job_store.h"
 #include "joblog.pb-c.h"
 #include "limits.h"
@@ -176,7 +176,7 @@
 			address_with_port(peer->address, load->directory_port) :
 			0;
 	batch_load_changed(peers->gateway->batch);
-	evidence_apply_report(peers->gateway->evidence, load);
+	evidence_share_apply_report(peers->gateway->evidence, load);
 	limits_apply_report(peers->gateway->limits, peer, load);
 }
 
@@ -258,12 +258,12 @@
 	load.n_online = online->len;
 	load.batch = (uint32_t *)batch->data;
 	load.n_batch = batch->len;
-	evidence_add_to_report(gateway->evidence, &load);
+	evidence_share_add_to_report(gateway->evidence, &load);
 	limits_add_to_report(gateway->limits, &load);
 	*len = node_load__get_packed_size(&load);
 	out = g_malloc(*len);
 	node_load__pack(&load, out);
-	evidence_free_report(&load);
+	evidence_share_free_report(&load);
 	limits_free_report(&load);
 	g_array_free(servers, TRUE);
 	g_array_free(online, TRUE);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -6,7 +6,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
-#include "evidence.h"
+#include "evidence_share.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "net/http_pool.h"
