Log limits that an entry hears from other entries

The begin of a limit was logged only by the entry whose answer named it. An entry that had it from a load report refused requests without a line that told why. All changes of a server's limit now pass one function, which logs the answer or entry that told it and counts begins and ends.

--- a/briarplankd/gateway/limits.c
+++ b/briarplankd/gateway/limits.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/log.h"
 #include "limits.h"
 
 /* Maximum number of limits in one load report, and the age up to which they are
@@ -14,6 +15,29 @@
 	unsigned turn;
 };
 
+void limits_note(struct limits *limits, struct server *server, double rate,
+		 uint64_t heard_ms, const char *source)
+{
+	struct gateway *gateway = limits->gateway;
+	double before = server->rate_limit;
+	bool limited;
+	char *labels;
+
+	fleet_limit_named(gateway->fleet, server, rate, heard_ms);
+	limited = server->rate_limit > 0;
+	if (limited == (before > 0))
+		return;
+	log_event("server", LOG_LEVEL_INFO,
+		  "id=%s %s rate_limit=%.2f before=%.2f %s", server->id,
+		  limited ? "names a limit" : "names no limit any more",
+		  server->rate_limit, before, source);
+	labels = g_strdup_printf("change=\"%s\"", limited ? "begins" : "ends");
+	counter_add(metrics_counter(gateway->metrics,
+				    "briarplank_limit_changes_total", labels),
+		    1);
+	g_free(labels);
+}
+
 static void add_demand(void *ctx, const struct service_demand *demand)
 {
 	NodeLoad *load = ctx;
@@ -82,8 +106,10 @@
 	g_free(load->limits);
 }
 
-static void apply_limits(struct limits *limits, const NodeLoad *load)
+static void apply_limits(struct limits *limits, const struct peer *peer,
+			 const NodeLoad *load)
 {
+	char *source = g_strdup_printf("entry=%s", peer->identity);
 	struct fleet *fleet = limits->gateway->fleet;
 	uint64_t now = uv_now(limits->gateway->loop);
 	size_t i;
@@ -94,9 +120,10 @@
 		double rate = limit->rate >= 0 ? limit->rate : 0;
 
 		if (server && limit->age_ms <= now)
-			fleet_limit_named(fleet, server, rate,
-					  now - limit->age_ms);
+			limits_note(limits, server, rate, now - limit->age_ms,
+				    source);
 	}
+	g_free(source);
 }
 
 void limits_apply_report(struct limits *limits, const struct peer *peer,
@@ -124,7 +151,7 @@
 	}
 	fleet_set_sharer(gateway->fleet, &sharer, uv_now(gateway->loop));
 	g_free(demands);
-	apply_limits(limits, load);
+	apply_limits(limits, peer, load);
 }
 
 static void on_timer(uv_timer_t *timer)
--- a/briarplankd/gateway/limits.h
+++ b/briarplankd/gateway/limits.h
@@ -14,6 +14,13 @@
 struct limits *limits_create(struct gateway *gateway);
 void limits_destroy(struct limits *limits);
 
+/**
+ * Records the limit that a server named at heard_ms, in requests a second; 0 for
+ * none. "source" tells for the log who said so, and in which answer.
+ */
+void limits_note(struct limits *limits, struct server *server, double rate,
+		 uint64_t heard_ms, const char *source);
+
 /** Adds this node's demand, and limits in turn, to a load report. */
 void limits_add_to_report(struct limits *limits, NodeLoad *load);
 
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -7,6 +7,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "evidence_share.h"
+#include "limits.h"
 #include "peers.h"
 #include "platform/codec.h"
 #include "net/http_pool.h"
@@ -185,21 +186,18 @@
 static void read_rate_limit(struct server_call *call,
 			    const struct http_link_head *head)
 {
-	struct server *server = call->server;
-	double rate = platform_rate_limit_parse(
-		http_link_head_field(head, platform_fields.rate_limit));
+	struct gateway *gateway = call->options.gateway;
+	const char *text =
+		http_link_head_field(head, platform_fields.rate_limit);
+	char *source;
 
-	if (head->status == 421)
+	if (head->status == 421 || (!text && !call->server->rate_heard_ms))
 		return;
-	if ((rate > 0) != (server->rate_limit > 0))
-		log_event("server", LOG_LEVEL_INFO,
-			  "id=%s %s rate_limit=%.2f before=%.2f request=%s",
-			  server->id,
-			  rate > 0 ? "names a limit" :
-				     "names no limit any more",
-			  rate, server->rate_limit, call->options.request_id);
-	fleet_limit_named(call->options.gateway->fleet, server, rate,
-			  uv_now(call->options.gateway->loop));
+	source = g_strdup_printf("request=%s", call->options.request_id);
+	limits_note(gateway->limits, call->server,
+		    platform_rate_limit_parse(text), uv_now(gateway->loop),
+		    source);
+	g_free(source);
 }
 
 static void call_finish(struct server_call *call, enum http_link_end link_end);
