Count permits by slot instead of keeping each

A server that named a very large limit made an entry issue millions of permits a second, one by one, and an entry kept 128 permits for a server at most.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -139,7 +139,7 @@
 	server->unattributed = 0;
 	server->rate_limit = 0;
 	server->rate_heard_ms = 0;
-	server->permits.nr = 0;
+	memset(&server->permits, 0, sizeof(server->permits));
 }
 
 static struct server *server_add(struct fleet *fleet, const char *id)
--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -4,15 +4,9 @@
 #include "common/hash.h"
 #include "fleet_private.h"
 
-/* Length of a slot of the time of day whose permits belong to one entry each, in
- * ms. */
-#define SLOT_MS 50
-/* Time for which a permit is valid, in ms. Requests that arrive in a burst may
- * use the permits of the time before. */
-#define PERMIT_MS 1500
-/* Age of the permits that batch items may use, in ms: online requests come
+/* Age of the permits that batch items may use, in slots: online requests come
  * first. */
-#define BATCH_PERMIT_AGE_MS 100
+#define BATCH_PERMIT_AGE_SLOTS 2
 /* Time for which a silent entry keeps its share, in ms, as it may go on behind a
  * network partition; and the same for one that was leaving. */
 #define SHARER_MS 10000
@@ -92,7 +86,7 @@
 	server->rate_limit = rate;
 	server->rate_heard_ms = heard_ms;
 	if (rate <= 0)
-		server->permits.nr = 0;
+		memset(&server->permits, 0, sizeof(server->permits));
 }
 
 void fleet_set_sharer(struct fleet *fleet, const struct fleet_sharer *sharer,
@@ -260,35 +254,56 @@
 	return place - floor(place);
 }
 
-static void permit_add(struct permits *permits, uint64_t now_ms)
+static uint64_t slot_of(uint64_t ms)
 {
-	if (permits->nr == PERMITS_MAX)
-		return;
-	permits->issued_ms[permits->nr++] = now_ms;
+	return ms / PERMIT_SLOT_MS;
 }
 
-static void permits_drop(struct permits *permits, unsigned nr)
+/* Drops the permits that have expired by a time. */
+static void permits_advance(struct permits *permits, uint64_t now_ms)
 {
-	permits->nr -= nr;
-	memmove(permits->issued_ms, permits->issued_ms + nr,
-		permits->nr * sizeof(permits->issued_ms[0]));
+	uint64_t slot = slot_of(now_ms);
+	uint64_t steps = MIN(slot - permits->newest, PERMIT_SLOTS);
+
+	while (steps--) {
+		uint16_t *nr = &permits->by_slot[(slot - steps) % PERMIT_SLOTS];
+
+		permits->nr -= *nr;
+		*nr = 0;
+	}
+	permits->newest = slot;
 }
 
-static void drop_expired(struct permits *permits, uint64_t now_ms)
+/* Returns the slot of the oldest valid permit, or UINT64_MAX without any. */
+static uint64_t oldest_permit(const struct permits *permits, uint64_t now_ms)
 {
-	unsigned nr = 0;
+	uint64_t now_slot = slot_of(now_ms);
+	uint64_t slot =
+		now_slot >= PERMIT_SLOTS ? now_slot - PERMIT_SLOTS + 1 : 0;
+
+	for (; permits->nr && slot <= permits->newest; slot++) {
+		if (permits->by_slot[slot % PERMIT_SLOTS] &&
+		    slot + PERMIT_SLOTS > permits->newest)
+			return slot;
+	}
+	return UINT64_MAX;
+}
 
-	while (nr < permits->nr && permits->issued_ms[nr] + PERMIT_MS <= now_ms)
-		nr++;
-	if (nr)
-		permits_drop(permits, nr);
+static void permit_add(struct permits *permits)
+{
+	uint16_t *nr = &permits->by_slot[permits->newest % PERMIT_SLOTS];
+
+	if (*nr == UINT16_MAX)
+		return;
+	(*nr)++;
+	permits->nr++;
 }
 
 /* Issues the permits of the slots from "from" up to "to". */
 static void issue(const struct fleet *fleet, struct server *server,
 		  uint64_t from, uint64_t to, uint64_t now_ms)
 {
-	double per_slot = server->rate_limit * SLOT_MS / 1000;
+	double per_slot = server->rate_limit * PERMIT_SLOT_MS / 1000;
 	uint64_t number = (uint64_t)floor((double)from * per_slot);
 	uint64_t end = (uint64_t)floor((double)to * per_slot);
 	struct share share;
@@ -300,20 +315,20 @@
 		double place = permit_place(server, number);
 
 		if (place >= share.begin && place < share.end)
-			permit_add(&server->permits, now_ms);
+			permit_add(&server->permits);
 	}
 }
 
 void fleet_issue_permits(struct fleet *fleet, uint64_t now_ms, uint64_t wall_ms)
 {
-	uint64_t slot = wall_ms / SLOT_MS;
+	uint64_t slot = slot_of(wall_ms);
 	uint64_t from = fleet->permit_slot;
 	struct list *pos;
 
 	/* After a step of the clock nothing is issued twice, or late. */
-	if (slot <= from && from - slot < PERMIT_MS / SLOT_MS)
+	if (slot <= from && from - slot < PERMIT_SLOTS)
 		return;
-	if (from > slot || slot - from > PERMIT_MS / SLOT_MS)
+	if (from > slot || slot - from > PERMIT_SLOTS)
 		from = slot - 1;
 	fleet->permit_slot = slot;
 	g_hash_table_remove_all(fleet->shares);
@@ -322,7 +337,7 @@
 
 		if (server->rate_limit <= 0)
 			continue;
-		drop_expired(&server->permits, now_ms);
+		permits_advance(&server->permits, now_ms);
 		issue(fleet, server, from, slot, now_ms);
 	}
 }
@@ -330,18 +345,24 @@
 bool server_permits(const struct server *server, enum work_class class,
 		    uint64_t now_ms)
 {
-	const struct permits *permits = &server->permits;
-	uint64_t age_ms = class == WORK_BATCH ? BATCH_PERMIT_AGE_MS : 0;
+	uint64_t age = class == WORK_BATCH ? BATCH_PERMIT_AGE_SLOTS : 0;
+	uint64_t oldest;
 
-	return server->rate_limit <= 0 ||
-	       (permits->nr && permits->issued_ms[0] + age_ms <= now_ms);
+	if (server->rate_limit <= 0)
+		return true;
+	oldest = oldest_permit(&server->permits, now_ms);
+	return oldest != UINT64_MAX && oldest + age <= slot_of(now_ms);
 }
 
 void server_use_permit(struct server *server, uint64_t now_ms)
 {
-	drop_expired(&server->permits, now_ms);
-	if (server->permits.nr)
-		permits_drop(&server->permits, 1);
+	struct permits *permits = &server->permits;
+	uint64_t oldest = oldest_permit(permits, now_ms);
+
+	if (oldest == UINT64_MAX)
+		return;
+	permits->by_slot[oldest % PERMIT_SLOTS]--;
+	permits->nr--;
 }
 
 /* Returns the requests a second of a service that this node may send; sets
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -49,12 +49,18 @@
 	uint64_t started_ms;
 };
 
-/** Maximum number of permits that a node keeps for a server. */
-#define PERMITS_MAX 128
+/** Length of the slots by which permits are issued, in ms, and number of slots
+ * for which they are valid. */
+#define PERMIT_SLOT_MS 50
+#define PERMIT_SLOTS 30
 
-/** Permits for a server with a limit, by the loop time of their issue, in ms. */
+/** Permits for a server with a limit, by the slot of their issue. */
 struct permits {
-	uint64_t issued_ms[PERMITS_MAX];
+	/** Numbers of permits, by slot modulo PERMIT_SLOTS. */
+	uint16_t by_slot[PERMIT_SLOTS];
+	/** Newest slot: a loop time in ms divided by PERMIT_SLOT_MS. */
+	uint64_t newest;
+	/** Sum of the numbers. */
 	unsigned nr;
 };
 
@@ -78,7 +84,7 @@
 	double rate_limit;
 	/** Loop time at which it said so, in ms. */
 	uint64_t rate_heard_ms;
-	/** This node's permits to send it a request, oldest first. */
+	/** This node's permits to send it a request. */
 	struct permits permits;
 	/** The platform lists the server; one that is no longer listed finishes
 	 * its requests and gets no new ones. */
