--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -170,6 +170,13 @@
 	wait_until gateway_ready g1
 }
 
+# gateway_pair: starts a store and the gateways g1 and g2, with a configuration.
+gateway_pair () {
+	gateway_alone
+	gateway_start g2
+	wait_until gateway_ready g2
+}
+
 # gateway_holds NAME ID: tells whether a server holds a request with the body
 # "hold EVENT" at that event.
 gateway_holds () {
--- a/tests/process/gateway_crashing_part.sh
+++ b/tests/process/gateway_crashing_part.sh
@@ -30,12 +30,7 @@
 		fleet_fail "$2: a sound request was not served"
 }
 
-fleet_standin store store
-gateway_start g1
-gateway_start g2
-gateway_config 1
-wait_until gateway_ready g1
-wait_until gateway_ready g2
+gateway_pair
 for i in 1 2 3 4 5 6 7 8 9 10
 do
 	gateway_server "server-$i" model --events 4
--- a/tests/process/gateway_server_limit.sh
+++ b/tests/process/gateway_server_limit.sh
@@ -26,12 +26,7 @@
 	wait
 }
 
-fleet_standin store store
-gateway_start g1
-gateway_start g2
-gateway_config 1
-wait_until gateway_ready g1
-wait_until gateway_ready g2
+gateway_pair
 gateway_server server-1 model --events 2 --limit $LIMIT
 wait_until gateway_knows g1 server-1
 wait_until gateway_knows g2 server-1
