--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -287,7 +287,7 @@
 		}
 		if (restart_s && now_ms % (restart_s * 1000) == 0) {
 			i = (unsigned)(now_ms / (restart_s * 1000)) %
-			    day->entries_nr;
+			    MAX(day->entries_nr, 1);
 			day->entries[i].down_until_ms = now_ms + 800;
 			entry_start(day, i);
 		}
