Don't blame parts of prompts for connections that broke while servers went on

Cause: at 25 s many connections ended without a response; each counted as the crash of its server against the parts of its prompt. Parts that few requests share were quarantined at all entries with nothing that speaks for them, and their items held.

A server that answers a request sent after its supposed crash, within 1.5 s, had not ended: the crash is refuted for all parts and entries. Later it may have started again under its id.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -200,6 +200,11 @@
 	g_free(source);
 }
 
+static uint64_t incarnation_of(const struct server *server)
+{
+	return hash_combine(server->hash, server->started_ms);
+}
+
 static void call_finish(struct server_call *call, enum http_link_end link_end);
 
 static bool on_head(void *ctx, const struct http_link_head *head)
@@ -220,6 +225,9 @@
 			  call->server->id, call->options.request_id, echo);
 		return false;
 	}
+	quarantine_note_alive(
+		evidence_share_quarantine(call->options.gateway->evidence),
+		incarnation_of(call->server), call->started_ms, now);
 	call->head_received = true;
 	call->status = head->status;
 	call->framing = head->framing;
@@ -377,8 +385,7 @@
 	struct quarantine *quarantine =
 		evidence_share_quarantine(call->options.gateway->evidence);
 	struct quarantine_crash crash = {
-		.server = hash_combine(call->server->hash,
-				       call->server->started_ms),
+		.server = incarnation_of(call->server),
 		.now_ms = now,
 		.wall_ms = gateway_wall_ms(),
 	};
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -7,6 +7,9 @@
 #define ANSWERED_PERIOD_MS 2000
 /* Maximum number of parts that are remembered as answered in one period. */
 #define ANSWERED_MAX 20000
+/* Time after a crash in which an answer of the server shows that it had not ended,
+ * in ms. Later it may have started again under the same id. */
+#define ALIVE_MS 1500
 /* Maximum number of suspects. */
 #define SUSPECTS_MAX 1024
 /* Time after the last crash after which evidence is forgotten, in ms. */
@@ -29,6 +32,9 @@
 	unsigned suspects_nr;
 	/* Maps a part to its struct suspect *. */
 	GHashTable *by_part;
+	/* Maps a crashed server to the time at which this entry learnt of it, in
+	 * ms. */
+	GHashTable *crashed;
 };
 
 static GHashTable *part_set_create(void)
@@ -45,6 +51,8 @@
 	quarantine->answered_before = part_set_create();
 	list_init(&quarantine->suspects);
 	quarantine->by_part = g_hash_table_new(g_int64_hash, g_int64_equal);
+	quarantine->crashed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, g_free);
 	return quarantine;
 }
 
@@ -63,6 +71,7 @@
 	list_for_each_safe (pos, tmp, &quarantine->suspects)
 		suspect_free(quarantine, list_entry(pos, struct suspect, link));
 	g_hash_table_destroy(quarantine->by_part);
+	g_hash_table_destroy(quarantine->crashed);
 	g_hash_table_destroy(quarantine->answered);
 	g_hash_table_destroy(quarantine->answered_before);
 	g_free(quarantine);
@@ -257,6 +266,48 @@
 	return true;
 }
 
+/* Remembers when a server crashed, and forgets earlier ones that are too old. */
+static void note_crashed(struct quarantine *quarantine, uint64_t server,
+			 uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (g_hash_table_contains(quarantine->crashed, &server))
+		return;
+	g_hash_table_iter_init(&iter, quarantine->crashed);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (now_ms - *(uint64_t *)value > ALIVE_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_insert(quarantine->crashed,
+			    g_memdup2(&server, sizeof(server)),
+			    g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+void quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
+			   uint64_t sent_ms, uint64_t now_ms)
+{
+	const uint64_t *crashed_ms =
+		g_hash_table_lookup(quarantine->crashed, &server);
+	struct list *pos;
+
+	if (!crashed_ms || sent_ms <= *crashed_ms ||
+	    now_ms - *crashed_ms > ALIVE_MS)
+		return;
+	g_hash_table_remove(quarantine->crashed, &server);
+	list_for_each (pos, &quarantine->suspects) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+		int at = find_crash(&suspect->evidence, server);
+
+		if (at < 0 || suspect->evidence.refuted >> at & 1)
+			continue;
+		suspect->evidence.refuted |= 1U << at;
+		suspect->unsaved |= suspect->evidence.crashes_nr > 1;
+		changed(quarantine, suspect, now_ms);
+	}
+}
+
 void quarantine_note_crash(struct quarantine *quarantine,
 			   const struct prompt *prompt,
 			   const struct quarantine_crash *crash)
@@ -272,6 +323,7 @@
 		suspect = get(quarantine, part);
 		if (!add_crash(&suspect->evidence, crash->server, false))
 			continue;
+		note_crashed(quarantine, crash->server, crash->now_ms);
 		suspect->evidence.crashed_ms = crash->wall_ms;
 		suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
 		changed(quarantine, suspect, crash->now_ms);
@@ -307,9 +359,12 @@
 	};
 	unsigned i;
 
-	for (i = 0; i < evidence->crashes_nr; i++)
+	for (i = 0; i < evidence->crashes_nr; i++) {
+		if (find_crash(own, evidence->crashes[i]) < 0)
+			note_crashed(quarantine, evidence->crashes[i], now_ms);
 		merge_crash(own, evidence->crashes[i],
 			    evidence->refuted >> i & 1, &merged);
+	}
 	own->crashed_ms = MAX(own->crashed_ms, evidence->crashed_ms);
 	if (!merged.is_new)
 		return merged;
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -85,6 +85,14 @@
 			   const struct prompt *prompt,
 			   const struct quarantine_crash *crash);
 
+/**
+ * Records that a server, by its incarnation, answered a request that was sent at
+ * sent_ms. If that was after a crash of which it is suspected, there was none: the
+ * connection broke.
+ */
+void quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
+			   uint64_t sent_ms, uint64_t now_ms);
+
 /** Result of a merge. */
 struct quarantine_merged {
 	/** This entry has learnt something. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -90,6 +90,14 @@
 	prompt_clear(&prompt);
 }
 
+/* alive ENTRY SERVER: the server answers a request that is sent now */
+static void alive(struct state *state, char **argv)
+{
+	quarantine_note_alive(entry_arg(state, argv[1])->quarantine,
+			      hash_string(argv[2], 0), state->now_ms,
+			      state->now_ms + 20);
+}
+
 /* answer ENTRY PARTS */
 static void answer(struct state *state, char **argv)
 {
@@ -177,6 +185,8 @@
 		crash(state, argv);
 	else if (!strcmp(name, "answer"))
 		answer(state, argv);
+	else if (!strcmp(name, "alive"))
+		alive(state, argv);
 	else if (!strcmp(name, "tell"))
 		tell(state, argv);
 	else if (!strcmp(name, "check"))
