--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -107,13 +107,19 @@
 	start_next(state);
 }
 
-/* Ends the process if the prompt has the part that crashes this server. */
-static void crash_by_part(const struct run *run)
+/* Begins an answer and then ends the process if the prompt has the part that crashes
+ * this server; tells whether it has. */
+static bool crash_by_part(struct run *run)
 {
 	const char *prompt = web_header(run->request, "x-prompt-prefix");
 
-	if (prompt && strstr(prompt, CRASH_PART))
+	if (!prompt || !strstr(prompt, CRASH_PART))
+		return false;
+	/* The head leaves before the process ends. */
+	if (run->event++)
 		_exit(1);
+	web_stream_write(run->request, ": begun\n\n", 9);
+	return true;
 }
 
 static void on_event_timer(uv_timer_t *timer)
@@ -126,7 +132,8 @@
 	if (standin_fault_active(state->standin, FAULT_STALL) ||
 	    (run->hold_after && run->event >= run->hold_after))
 		return;
-	crash_by_part(run);
+	if (crash_by_part(run))
+		return;
 	run->event++;
 	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "\n\n",
 			       run->event, run->id, run->event);
