--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -51,8 +51,6 @@
 	uint64_t started_ms;
 	/* All slots were taken when the request was sent. */
 	bool queued;
-	/* The connection had carried other requests before. */
-	bool reused;
 	/* The head of the response arrived. */
 	bool head_received;
 	/* The server states that it did not run the request. */
@@ -392,10 +390,8 @@
 		.wall_ms = gateway_wall_ms(),
 	};
 	bool complete = link_end == HTTP_LINK_COMPLETE;
-	/* A reused connection may have been dead before the request was sent:
-	 * its server ended under another one. */
-	bool broke_off = (link_end == HTTP_LINK_NO_HEAD && !call->reused) ||
-			 link_end == HTTP_LINK_TRUNCATED ||
+	/* Without a head the server may have ended before the request came. */
+	bool broke_off = link_end == HTTP_LINK_TRUNCATED ||
 			 (complete && closed_early(call));
 
 	if (call->went_on || call->not_run)
@@ -499,7 +495,6 @@
 				       options->recent_connection_only ?
 					       REUSE_LIMIT_UNREPEATABLE_MS :
 					       REUSE_LIMIT_MS);
-	call->reused = http_link_idle_since_ms(call->http) != 0;
 	call->options.request_id = g_strdup(options->request_id);
 	http_link_send(call->http, write_request(options), &handlers, call);
 	return call;
