Drop an unused parameter of the function that records a limit

Found when reading the change again: fleet_limit_named() took a fleet only to ignore it. It changes a server alone and is named after it. A comment said that a buffer may be NULL, which it never is. No change of behaviour; fleet_limits passes.

--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -40,7 +40,7 @@
 	uint64_t snapshot_offset;
 	/* Key of the last value of the page that was read last, or NULL. */
 	char *page_key;
-	/* Records that are being stored, or NULL. */
+	/* Records that the store has not confirmed yet. */
 	GString *records;
 	bool saving;
 	/* Time before which nothing is stored after a failure. */
--- a/briarplankd/gateway/limits.c
+++ b/briarplankd/gateway/limits.c
@@ -23,7 +23,7 @@
 	bool limited;
 	char *labels;
 
-	fleet_limit_named(gateway->fleet, server, rate, heard_ms);
+	server_limit_named(server, rate, heard_ms);
 	limited = server->rate_limit > 0;
 	if (limited == (before > 0))
 		return;
--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -76,10 +76,8 @@
 	return hash_string(region, 0);
 }
 
-void fleet_limit_named(struct fleet *fleet, struct server *server, double rate,
-		       uint64_t heard_ms)
+void server_limit_named(struct server *server, double rate, uint64_t heard_ms)
 {
-	(void)fleet;
 	if (heard_ms < server->rate_heard_ms ||
 	    (rate <= 0 && !server->rate_heard_ms))
 		return;
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -245,8 +245,7 @@
 
 /** Records the limit that a server named at heard_ms, in requests a second; 0
  * for none. An older statement than the last one is ignored. */
-void fleet_limit_named(struct fleet *fleet, struct server *server, double rate,
-		       uint64_t heard_ms);
+void server_limit_named(struct server *server, double rate, uint64_t heard_ms);
 
 /** Requests that arrive for a service. */
 struct service_demand {
--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -132,8 +132,8 @@
 		    now_ms - server->rate_heard_ms > REPORTED_AGE_MS)
 			continue;
 		reported++;
-		fleet_limit_named(to->fleet, server_of(to, at),
-				  server->rate_limit, server->rate_heard_ms);
+		server_limit_named(server_of(to, at), server->rate_limit,
+				   server->rate_heard_ms);
 	}
 }
 
@@ -203,8 +203,7 @@
 	fleet_request_sent(choice.server, WORK_ONLINE, now_ms);
 	fleet_data_received(choice.server, now_ms);
 	if (call.server < day->limited_nr)
-		fleet_limit_named(entry->fleet, choice.server, day->rate,
-				  now_ms);
+		server_limit_named(choice.server, day->rate, now_ms);
 	g_array_append_val(entry->calls, call);
 	g_array_append_val(day->sent[call.server], now_ms);
 }
@@ -314,8 +313,7 @@
 	entry_start(&day, 0);
 	fleet_note_demand(entry.fleet, "s", 1000);
 	if (rate > 0)
-		fleet_limit_named(entry.fleet, server_of(&entry, 0), rate,
-				  61000);
+		server_limit_named(server_of(&entry, 0), rate, 61000);
 	while (nr-- > 0)
 		g_string_append_printf(
 			out, "%.0f\n",
