Ask the stream's parser whether an answer broke off

Cause: server_call.c kept the last two bytes of a body to tell whether a stream ended inside an event, beside event_stream_broke_off(), which its callers ask for the same stream. The copy knew no CRLF: three short whole streams with CRLF line ends and without length quarantined a part. It also took a chunked stream that ended inside an event as an answer that speaks for its parts.

Change: a call gets its caller's parser in place of a flag, and asks it. Two fields and two functions go.

process_gateway_crash_in_order failed before, at crlf (1 part quarantined, not 0), and passes; process_gateway_crashing_part passes.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -389,7 +389,7 @@
 				       run->job->expires_ms - wall :
 				       1,
 		.last_event = run->last_event,
-		.stream = true,
+		.events = run->events,
 		.on_head = on_head,
 		.on_body = on_body,
 		.on_end = on_end,
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -61,8 +61,6 @@
 	size_t body_bytes;
 	/* Time at which the first byte of the body arrived; 0 before it. */
 	uint64_t begun_ms;
-	/* The last two bytes of the body. */
-	char tail[2];
 	/* The answer went on after its beginning. */
 	bool went_on;
 };
@@ -250,7 +248,7 @@
 
 static bool is_stream(const struct server_call *call)
 {
-	return call->options.stream && call->status >= 200 &&
+	return call->options.events && call->status >= 200 &&
 	       call->status < 300;
 }
 
@@ -286,16 +284,6 @@
 		note_answer(call, now);
 }
 
-static void note_tail(struct server_call *call, const char *data, size_t len)
-{
-	if (len > 1)
-		call->tail[0] = data[len - 2];
-	else if (len)
-		call->tail[0] = call->tail[1];
-	if (len)
-		call->tail[1] = data[len - 1];
-}
-
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct server_call *call = ctx;
@@ -304,7 +292,6 @@
 
 	fleet_data_received(call->server, now);
 	note_progress(call, now);
-	note_tail(call, data, len);
 	if (!count_body(call, len)) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s response is too long bytes=%zu "
@@ -370,12 +357,12 @@
 	return call->begun_ms ? (int64_t)(now - call->begun_ms) : -1;
 }
 
-/* Tells whether a connection that ended in order left a stream without any
- * event, or inside one. */
-static bool closed_early(const struct server_call *call)
+/* Tells whether a stream that the connection completed lacks its end. */
+static bool stream_broke_off(const struct server_call *call)
 {
-	return call->framing == HTTP_LINK_UNTIL_CLOSE && is_stream(call) &&
-	       (!call->begun_ms || memcmp(call->tail, "\n\n", 2) != 0);
+	return is_stream(call) &&
+	       event_stream_broke_off(call->options.events,
+				      call->framing == HTTP_LINK_UNTIL_CLOSE);
 }
 
 /* Notes what the end of a call says about the parts of its prompt. */
@@ -392,7 +379,7 @@
 	bool complete = link_end == HTTP_LINK_COMPLETE;
 	/* Without a head the server may have ended before the request came. */
 	bool broke_off = link_end == HTTP_LINK_TRUNCATED ||
-			 (complete && closed_early(call));
+			 (complete && stream_broke_off(call));
 
 	if (call->went_on || call->not_run)
 		return;
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -7,6 +7,7 @@
 #ifndef BRIARPLANKD_GATEWAY_SERVER_CALL_H
 #define BRIARPLANKD_GATEWAY_SERVER_CALL_H
 
+#include "core/event_stream.h"
 #include "core/prompt.h"
 #include "gateway.h"
 #include "net/http_link.h"
@@ -63,11 +64,11 @@
 	 */
 	bool recent_connection_only;
 	/**
-	 * A successful response is a stream of events, whose length the caller
-	 * of this function limits. Other responses end as truncated when they
-	 * get too long.
+	 * Parser that on_body feeds, for a response that is a stream of events
+	 * if it succeeds; the caller of this function limits its length. NULL
+	 * for other responses, which end as truncated when they get too long.
 	 */
-	bool stream;
+	const struct event_stream *events;
 	void (*on_head)(void *ctx, const struct server_response *answer);
 	void (*on_body)(void *ctx, const char *data, size_t len);
 	/** Called once, as the last callback, unless the call was cancelled. */
