Build nothing for load reports while there is nothing to add

Both are made when the first entry is found. No change of behaviour; fleet_limits and process_gateway_crashing_part pass.

--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -169,6 +169,8 @@
 	unsigned quarantined = 0;
 	struct list *pos;
 
+	if (list_empty(quarantine_suspects(share->quarantine)))
+		return;
 	load->evidence = g_new0(PartEvidence *, REPORT_SUSPECTS_MAX + 1);
 	list_for_each (pos, quarantine_suspects(share->quarantine)) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -142,21 +142,25 @@
 				  const struct service_demand *demand),
 		       void *ctx)
 {
-	GHashTable *done = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *done = NULL;
 	struct list *pos;
 
 	list_for_each (pos, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
 		struct service_demand demand;
 
-		if (server->rate_limit <= 0 ||
-		    !g_hash_table_add(done, server->service))
+		if (server->rate_limit <= 0)
+			continue;
+		if (!done)
+			done = g_hash_table_new(g_str_hash, g_str_equal);
+		if (!g_hash_table_add(done, server->service))
 			continue;
 		demand.service_hash = server->service_hash;
 		demand.rate = own_demand(fleet, demand.service_hash, now_ms);
 		fn(ctx, &demand);
 	}
-	g_hash_table_destroy(done);
+	if (done)
+		g_hash_table_destroy(done);
 }
 
 /* This node's part of a limit: the numbers from "begin" up to "end" of those
