Wake up for permits only while a server has a limit

It starts when a first limit is heard, brings the slot up to now before, so that nothing is issued for the time before, and stops when no server has a limit. Permits are issued as before: fleet_limits and process_gateway_server_limit pass.

--- a/briarplankd/gateway/limits.c
+++ b/briarplankd/gateway/limits.c
@@ -15,6 +15,30 @@
 	unsigned turn;
 };
 
+static bool issue_permits(struct limits *limits)
+{
+	struct gateway *gateway = limits->gateway;
+
+	return fleet_issue_permits(gateway->fleet, uv_now(gateway->loop),
+				   gateway_wall_ms());
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	if (!issue_permits(timer->data))
+		uv_timer_stop(timer);
+}
+
+/* Starts to issue permits, from now on. */
+static void start_timer(struct limits *limits)
+{
+	if (uv_is_active((uv_handle_t *)&limits->timer))
+		return;
+	issue_permits(limits);
+	uv_timer_start(&limits->timer, on_timer, PERMIT_INTERVAL_MS,
+		       PERMIT_INTERVAL_MS);
+}
+
 void limits_note(struct limits *limits, struct server *server, double rate,
 		 uint64_t heard_ms, const char *source)
 {
@@ -23,6 +47,8 @@
 	bool limited;
 	char *labels;
 
+	if (rate > 0)
+		start_timer(limits);
 	server_limit_named(server, rate, heard_ms);
 	limited = server->rate_limit > 0;
 	if (limited == (before > 0))
@@ -154,15 +180,6 @@
 	apply_limits(limits, peer, load);
 }
 
-static void on_timer(uv_timer_t *timer)
-{
-	struct limits *limits = timer->data;
-	struct gateway *gateway = limits->gateway;
-
-	fleet_issue_permits(gateway->fleet, uv_now(gateway->loop),
-			    gateway_wall_ms());
-}
-
 struct limits *limits_create(struct gateway *gateway)
 {
 	struct limits *limits = g_new0(struct limits, 1);
@@ -171,8 +188,6 @@
 	limits->turn = (unsigned)gateway_random();
 	uv_timer_init(gateway->loop, &limits->timer);
 	limits->timer.data = limits;
-	uv_timer_start(&limits->timer, on_timer, PERMIT_INTERVAL_MS,
-		       PERMIT_INTERVAL_MS);
 	return limits;
 }
 
--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -321,15 +321,16 @@
 	}
 }
 
-void fleet_issue_permits(struct fleet *fleet, uint64_t now_ms, uint64_t wall_ms)
+bool fleet_issue_permits(struct fleet *fleet, uint64_t now_ms, uint64_t wall_ms)
 {
+	bool limited = false;
 	uint64_t slot = slot_of(wall_ms);
 	uint64_t from = fleet->permit_slot;
 	struct list *pos;
 
 	/* After a step of the clock nothing is issued twice, or late. */
 	if (slot <= from && from - slot < PERMIT_SLOTS)
-		return;
+		return true;
 	if (from > slot || slot - from > PERMIT_SLOTS)
 		from = slot - 1;
 	fleet->permit_slot = slot;
@@ -339,9 +340,11 @@
 
 		if (server->rate_limit <= 0)
 			continue;
+		limited = true;
 		permits_advance(&server->permits, now_ms);
 		issue(fleet, server, from, slot, now_ms);
 	}
+	return limited;
 }
 
 bool server_permits(const struct server *server, enum work_class class,
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -286,8 +286,11 @@
 				  const struct service_demand *demand),
 		       void *ctx);
 
-/** Issues this node's permits. Called each PERMIT_INTERVAL_MS or more often. */
-void fleet_issue_permits(struct fleet *fleet, uint64_t now_ms,
+/**
+ * Issues this node's permits; returns whether any server has a limit. Called each
+ * PERMIT_INTERVAL_MS while one has, and before the first one gets it.
+ */
+bool fleet_issue_permits(struct fleet *fleet, uint64_t now_ms,
 			 uint64_t wall_ms);
 
 /** Interval at which permits are issued, in ms. */
