Wait for the limit, not for a time, in the test of limits

The test slept 4 s before it measured, and had the same measurement twice. It waits until both entries have heard the limit, so that it measures earlier than before, and one function measures. All bounds are as they were; the one sleep left is the period of the rule.

--- a/tests/process/gateway_server_limit.sh
+++ b/tests/process/gateway_server_limit.sh
@@ -31,18 +31,24 @@
 wait_until gateway_knows g1 server-1
 wait_until gateway_knows g2 server-1
 
-# The server is the only one, so that all other requests must be refused.
-load >"$FLEET_DIR/load.out" 2>&1 &
-FLEET_PIDS="$FLEET_PIDS $!"
-sleep 4
-for second in 1 2 3
-do
+# window: counts the requests that server-1 runs in a period of the rule, which must
+# be at most one and a half times the limit and five.
+window () {
 	before=$(runs server-1)
 	sleep 4
 	sent=$(($(runs server-1) - before))
-	# One and a half times the limit and five, in four seconds.
 	test "$sent" -le $((LIMIT * 6 + 5)) ||
 		fleet_fail "$sent requests in 4 s at a limit of $LIMIT a second"
+}
+
+# The server is the only one, so that all other requests must be refused.
+load >"$FLEET_DIR/load.out" 2>&1 &
+FLEET_PIDS="$FLEET_PIDS $!"
+wait_until grep -q 'names a limit' "$FLEET_DIR/g1.log"
+wait_until grep -q 'names a limit' "$FLEET_DIR/g2.log"
+for i in 1 2 3
+do
+	window
 	test "$sent" -ge $((LIMIT * 2)) ||
 		fleet_fail "only $sent requests in 4 s at a limit of $LIMIT a second"
 done
@@ -53,11 +59,7 @@
 wait_until gateway_knows g1 server-2
 wait_until gateway_knows g2 server-2
 : >"$FLEET_DIR/statuses"
-before=$(runs server-1)
-sleep 4
-sent=$(($(runs server-1) - before))
-test "$sent" -le $((LIMIT * 6 + 5)) ||
-	fleet_fail "$sent requests in 4 s beside a server without a limit"
+window
 refused=$(grep -c 503 "$FLEET_DIR/statuses" || true)
 test "$refused" -le 3 || fleet_fail "$refused requests refused beside a free server"
 touch "$FLEET_DIR/done"
