Drop entries that have lost their share of the limits

An entry at another address replaces one that is gone, so that the table of entries that share limits only grew. One that has lost its share is dropped where the shares are computed; it returns with its next report.

--- a/core/fleet_limits.c
+++ b/core/fleet_limits.c
@@ -196,7 +196,8 @@
 	return age < (sharer->leaving ? SHARER_LEAVING_MS : SHARER_MS);
 }
 
-/* Entries are ordered by their keys, so that their parts don't overlap. */
+/* Entries are ordered by their keys, so that their parts don't overlap. Drops those
+ * that have lost their share. */
 static struct share compute_share(const struct fleet *fleet,
 				  const struct server *server, uint64_t now_ms)
 {
@@ -214,7 +215,11 @@
 		const struct sharer *sharer = value;
 		double weight;
 
-		if (!has_share(sharer, now_ms) || sharer->key == fleet->self)
+		if (!has_share(sharer, now_ms)) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (sharer->key == fleet->self)
 			continue;
 		weight = weight_of(sharer_demand(sharer, service),
 				   sharer->region, server);
