Compute the Retry-After under limits in one place

It stood twice in online.c, for requests without any server and for those behind a queue. No change of behaviour; process_gateway_server_limit passes.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -520,15 +520,24 @@
 	batch_load_changed(request->gateway->batch);
 }
 
+/* Returns the Retry-After under the limits of servers, in s, or 0 if the service
+ * has no server with a limit. */
+static double retry_after_limits(const struct online_request *request)
+{
+	double ms = fleet_retry_after_ms(request->gateway->fleet,
+					 request->service, now_ms(request));
+
+	return ms > 0 ? MAX(ms / 1000, RETRY_AFTER_MIN_S) : 0;
+}
+
 static double retry_after(const struct online_request *request,
 			  const struct fleet_choice *choice)
 {
 	double excess_ms = choice->first_ms - request->objective_ms / 2.0;
-	double limited_ms = fleet_retry_after_ms(
-		request->gateway->fleet, request->service, now_ms(request));
+	double limited_s = retry_after_limits(request);
 
-	if (limited_ms > 0)
-		return MAX(limited_ms / 1000, RETRY_AFTER_MIN_S);
+	if (limited_s > 0)
+		return limited_s;
 	return CLAMP(excess_ms / 1000, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
 }
 
@@ -573,14 +582,13 @@
 static void refuse_without_server(struct online_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	double limited_ms = fleet_retry_after_ms(
-		gateway->fleet, request->service, now_ms(request));
+	double limited_s = retry_after_limits(request);
 
 	if (!directory_loaded(gateway->directory))
 		refuse(request, 503, STARTING_RETRY_AFTER_S,
 		       "no server can run it");
-	else if (limited_ms > 0)
-		refuse(request, 503, MAX(limited_ms / 1000, RETRY_AFTER_MIN_S),
+	else if (limited_s > 0)
+		refuse(request, 503, limited_s,
 		       "the servers have reached their limits");
 	else
 		refuse(request, 503, NO_SERVER_RETRY_AFTER_S,
