Log a key by which a request that comes again is recognized

One bit separates these keys from those of parts of prompts, whose hash callers can aim at any value.

No decision uses the key.

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -9,6 +9,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "core/event_stream.h"
+#include "core/request_key.h"
 #include "directory.h"
 #include "evidence_share.h"
 #include "peers.h"
@@ -171,20 +172,21 @@
 		 inputs->others[WORK_ONLINE], inputs->own[WORK_BATCH],
 		 inputs->others[WORK_BATCH], inputs->usable,
 		 inputs->peers_age_ms);
-	log_event(success ? "request" : "request_failed",
-		  success ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-		  "request=%s route=%s version=%" PRIu64
-		  " outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
-		  "first_ms=%" PRIu64 " ms=%" PRIu64 " left_ms=%" PRId64
-		  " last_event=%" PRId64 " framing=%s rest=%zu %s",
-		  request->id, request->route, request->config_version, outcome,
-		  request->status, request->tried_nr, request->runs,
-		  inputs->server ? inputs->server : "-",
-		  request->first_ms ? request->first_ms - request->arrived_ms :
-				      0,
-		  now - request->arrived_ms,
-		  (int64_t)(request->deadline_ms - now), request->last_event,
-		  http_link_framing_name(request->framing), rest, text);
+	log_event(
+		success ? "request" : "request_failed",
+		success ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		"request=%s route=%s version=%" PRIu64
+		" outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
+		"key=%016" PRIx64 " first_ms=%" PRIu64 " ms=%" PRIu64
+		" left_ms=%" PRId64 " last_event=%" PRId64
+		" framing=%s rest=%zu %s",
+		request->id, request->route, request->config_version, outcome,
+		request->status, request->tried_nr, request->runs,
+		inputs->server ? inputs->server : "-", request->prompt.request,
+		request->first_ms ? request->first_ms - request->arrived_ms : 0,
+		now - request->arrived_ms,
+		(int64_t)(request->deadline_ms - now), request->last_event,
+		http_link_framing_name(request->framing), rest, text);
 }
 
 static void count_outcome(const struct online_request *request,
@@ -687,6 +689,20 @@
 		text ? (int64_t)g_ascii_strtoull(text, NULL, 10) : -1;
 }
 
+static void read_identity(struct online_request *request)
+{
+	struct request_identity identity = {
+		.method = request->method,
+		.host = request->host,
+		.target = request->target,
+		.account = web_header(request->web, platform_fields.account),
+		.body = request->body,
+		.body_len = request->body_len,
+	};
+
+	request->prompt.request = request_key(&identity);
+}
+
 static void online_request_begin(struct gateway *gateway,
 				 struct web_request *web,
 				 const struct route *route, const char *id)
@@ -712,6 +728,7 @@
 	request->host = g_strdup(web_header(web, "host"));
 	request->fields = forwarded_fields(web);
 	request->body = web_body(web, &request->body_len);
+	read_identity(request);
 	request->response_fields = g_ptr_array_new_with_free_func(g_free);
 	request->buffer = g_string_new(NULL);
 	request->events = event_stream_create();
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -401,11 +401,12 @@
 		log_event("server_call", LOG_LEVEL_WARN,
 			  "request=%s server=%s status=%d framing=%s end=%s "
 			  "link=%d ms=%" PRIu64 " begun_ms=%" PRId64
-			  " parts=\"%.*s\"",
+			  " key=%016" PRIx64 " parts=\"%.*s\"",
 			  call->options.request_id, call->server->id,
 			  call->status, http_link_framing_name(call->framing),
 			  end_names[end], link_end, now - call->started_ms,
-			  begun_for_ms(call), LOGGED_PARTS_BYTES,
+			  begun_for_ms(call), call->options.prompt->request,
+			  LOGGED_PARTS_BYTES,
 			  call->options.prompt->text ?
 				  call->options.prompt->text :
 				  "");
--- a/core/prompt.c
+++ b/core/prompt.c
@@ -3,13 +3,15 @@
 
 #include "common/hash.h"
 #include "core/prompt.h"
+#include "core/request_key.h"
 
 void prompt_add(struct prompt *prompt, const char *id)
 {
 	char *lower = g_ascii_strdown(id, -1);
 
 	prompt->parts = g_renew(uint64_t, prompt->parts, prompt->parts_nr + 1);
-	prompt->parts[prompt->parts_nr++] = hash_string(lower, 0);
+	prompt->parts[prompt->parts_nr++] =
+		prompt_part_key(hash_string(lower, 0));
 	g_free(lower);
 }
 
--- a/include/core/prompt.h
+++ b/include/core/prompt.h
@@ -1,5 +1,6 @@
 /**
- * The parts of a request's prompt that other requests may share.
+ * The parts of a request's prompt that other requests may share, and the key of the
+ * whole request.
  */
 #ifndef BRIARPLANK_CORE_PROMPT_H
 #define BRIARPLANK_CORE_PROMPT_H
@@ -7,11 +8,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** The shared parts of a prompt; empty without any. */
+/** What identifies the content of a request; empty without shared parts. */
 struct prompt {
-	/** Hashes of the parts' ids, in order. */
+	/** Keys of the parts, in order. */
 	uint64_t *parts;
 	size_t parts_nr;
+	/** Key of the whole request (request_key()); 0 for an item of a job. */
+	uint64_t request;
 	/** The parts as the caller sent them, for logs; NULL without any. */
 	char *text;
 };
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -48,6 +48,8 @@
 	const char *last_event;
 	/** Longest time for which a read of results may wait, in ms. */
 	const char *wait_ms;
+	/** Field with the credentials of the client account. */
+	const char *account;
 };
 
 extern const struct platform_fields platform_fields;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -6,6 +6,7 @@
 
 #include "common/hash.h"
 #include "core/quarantine.h"
+#include "core/request_key.h"
 #include "quarantine_load.h"
 #include "script.h"
 
@@ -176,6 +177,31 @@
 	}
 }
 
+/* same FIELD... - FIELD...: whether two requests, each of a method, host, target,
+ * account and body, have the same key; an account "none" is missing */
+static void same(char **argv, GString *out)
+{
+	uint64_t keys[2];
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		char **field = argv + 1 + 6 * i;
+		struct request_identity identity = {
+			.method = field[0],
+			.host = field[1],
+			.target = field[2],
+			.account = strcmp(field[3], "none") ? field[3] : NULL,
+			.body = field[4],
+			.body_len = strlen(field[4]),
+		};
+
+		keys[i] = request_key(&identity);
+		if (!is_request_key(keys[i]))
+			g_string_append(out, "not the key of a request\n");
+	}
+	g_string_append(out, keys[0] == keys[1] ? "same\n" : "different\n");
+}
+
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
@@ -195,6 +221,8 @@
 		suspects(state, argv, out);
 	else if (!strcmp(name, "flood"))
 		flood(state, argv);
+	else if (!strcmp(name, "same"))
+		same(argv, out);
 	else if (!strcmp(name, "owner"))
 		entry_arg(state, argv[1])->owner = true;
 	else if (!strcmp(name, "wait"))
