--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -162,6 +162,24 @@
 		} END { print sum + 0 }'
 }
 
+# gateway_crashed: prints the number of servers that have ended.
+gateway_crashed () {
+	gone=0
+	for pid in "$FLEET_DIR"/server-*.pid
+	do
+		kill -0 "$(cat "$pid")" 2>/dev/null || gone=$((gone + 1))
+	done
+	echo "$gone"
+}
+
+# gateway_quarantined NAME COUNT: tells whether operators are shown a quarantine for
+# which this many servers ended.
+gateway_quarantined () {
+	"$BUILD/briarplankctl/briarplankctl" \
+		-e "http://$(gateway_address "$1" metrics)" 'show quarantine' |
+		grep -q " quarantined *$2 "
+}
+
 # gateway_alone: starts a store and the gateway g1, with a configuration.
 gateway_alone () {
 	fleet_standin store store
--- a/tests/process/gateway_crashing_part.sh
+++ b/tests/process/gateway_crashing_part.sh
@@ -14,16 +14,6 @@
 		true
 }
 
-# crashed: prints the number of servers that have ended.
-crashed () {
-	gone=0
-	for pid in "$FLEET_DIR"/server-*.pid
-	do
-		kill -0 "$(cat "$pid")" 2>/dev/null || gone=$((gone + 1))
-	done
-	echo "$gone"
-}
-
 # sound NODE ID: a request with the first part of the others begins at once.
 sound () {
 	test "$(call "$1" "$2" /once/x "$ROOT,0a0a0a:50")" = 200 ||
@@ -44,8 +34,8 @@
 	node=g$((i % 2 + 1))
 	sound $node "sound-$i"
 	call $node "bad-$i" /once/x "$ROOT,$BAD" >/dev/null
-	test "$(crashed)" -le 3 ||
-		fleet_fail "$(crashed) servers ended under requests with one part"
+	test "$(gateway_crashed)" -le 3 ||
+		fleet_fail "$(gateway_crashed) servers ended under requests with one part"
 done
 echo "online: three servers at most"
 
@@ -53,8 +43,7 @@
 test "$status" = 503 || fleet_fail "such a request got $status instead of 503"
 status=$(call g2 bad-resumed /stream/x "$ROOT,0b0b0b:7,$BAD" -H 'Last-Event-Id: 2')
 test "$status" = 503 || fleet_fail "a resumed stream got $status instead of 503"
-"$BUILD/briarplankctl/briarplankctl" -e "http://$(gateway_address g1 metrics)" \
-	'show quarantine' | grep -q ' quarantined *3 ' ||
+gateway_quarantined g1 3 ||
 	fleet_fail "the operator is not shown the part"
 echo "refused at both entries"
 
@@ -81,5 +70,5 @@
 	fleet_fail "a restarted entry sent the request on"
 wait_until sound g1 sound-restart
 # Two trials may have been made meanwhile.
-test "$(crashed)" -le 5 || fleet_fail "$(crashed) servers ended"
+test "$(gateway_crashed)" -le 5 || fleet_fail "$(gateway_crashed) servers ended"
 echo "restarted: refused"
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -7,7 +7,7 @@
  * of the requests that are held. A body of "fail " and a status is answered with
  * that status. With a body of "hold " and an event, a stream is held after that
  * event, unless it is resumed. A request whose prompt has the part "badbad" ends
- * the process as it begins to answer.
+ * the process as it begins to answer, one with the body "crash" before it answers.
  */
 #include <string.h>
 #include <unistd.h>
@@ -17,6 +17,7 @@
 
 #define FAIL "fail "
 #define HOLD "hold "
+#define CRASH "crash"
 #define CRASH_PART "badbad"
 
 struct worker_settings {
@@ -145,6 +146,12 @@
 	web_stream_end(request, true);
 }
 
+static void on_crash_timer(uv_timer_t *timer)
+{
+	(void)timer;
+	_exit(1);
+}
+
 static void answer_plain(struct run *run, int status)
 {
 	struct web_request *request = run->request;
@@ -185,6 +192,10 @@
 		g_free(status);
 		return;
 	}
+	if (len == strlen(CRASH) && !memcmp(body, CRASH, len)) {
+		uv_timer_start(&run->timer, on_crash_timer, ms, 0);
+		return;
+	}
 	if (state->settings.plain) {
 		uv_timer_start(&run->timer, on_plain_timer, ms, 0);
 		return;
