Refuse a request that crashes servers when it comes again

Cause: one request that crashes each server that runs it. The entry sent it to a second server after the first crash, and nothing was kept for when it came again under another id or at another entry: the quarantine knew only parts of prompts, and only answers whose head had come.

The evidence of the quarantine now has a second kind of key, the request's own hash; exchange, storage, trials and views are shared. Any whole answer clears its request at all entries, so that equal sound requests aren't blamed for servers that crash by themselves. Items have no such key, and one whose part is quarantined is now tried at its own entry. Reports give each change its turn, as one crash now makes up to a server's slots of suspects.

process_gateway_crash_in_order sent equal requests with different prompts to its servers, which three crashes now quarantine as one request. Its requests get a body each; its checks are unchanged.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -510,7 +510,7 @@
 	if (!run->quarantined)
 		log_event("quarantine", LOG_LEVEL_WARN,
 			  "job=%s item=%s part=%016" PRIx64 " crashes=%u",
-			  run->job->id, run->item->id, verdict.part,
+			  run->job->id, run->item->id, verdict.key,
 			  verdict.crashes);
 	run->quarantined = true;
 	run->not_before_ms = now + QUARANTINED_BACKOFF_MS;
--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -23,7 +23,10 @@
  * suspects in a report. A report has room for about five. */
 #define REPORT_MS 1500
 #define REPORT_SUSPECTS_MAX 4
-/* Interval at which one quarantined part is reported in turn, in ms. */
+/* Range over which entries spread the trials of their items, in ms: the evidence of
+ * one reaches the others before the next. */
+#define ITEM_STAGGER_MS 8000
+/* Interval at which one quarantined key is reported in turn, in ms. */
 #define TURN_INTERVAL_MS 300
 
 struct evidence_share {
@@ -53,16 +56,16 @@
 
 static void read_topic(struct evidence_share *share);
 
-static bool owns(void *ctx, uint64_t part)
+static bool owns(void *ctx, uint64_t key)
 {
 	struct evidence_share *share = ctx;
 
-	return peers_owns_hash(share->gateway->peers, part);
+	return peers_owns_hash(share->gateway->peers, key);
 }
 
-static char *key_of(uint64_t part)
+static char *text_of(uint64_t key)
 {
-	return g_strdup_printf("%016" PRIx64, part);
+	return g_strdup_printf("%016" PRIx64, key);
 }
 
 static void count_change(struct evidence_share *share, const char *change)
@@ -82,8 +85,9 @@
 	const char *change = suspect->quarantined ? "quarantined" : "released";
 
 	log_event("quarantine", LOG_LEVEL_WARN,
-		  "part=%016" PRIx64 " %s crashes=%u of %u",
-		  suspect->evidence.part, change,
+		  "%s=%016" PRIx64 " %s crashes=%u of %u",
+		  quarantine_key_label(suspect->evidence.key),
+		  suspect->evidence.key, change,
 		  evidence_crashes(&suspect->evidence),
 		  suspect->evidence.crashes_nr);
 	count_change(share, change);
@@ -96,15 +100,16 @@
 
 	if (suspect->quarantined) {
 		log_event("quarantine", LOG_LEVEL_WARN,
-			  "part=%016" PRIx64 " forgotten crashes=%u",
-			  suspect->evidence.part,
+			  "%s=%016" PRIx64 " forgotten crashes=%u",
+			  quarantine_key_label(suspect->evidence.key),
+			  suspect->evidence.key,
 			  evidence_crashes(&suspect->evidence));
 		count_change(share, "forgotten");
 	}
 	if (suspect->evidence.crashes_nr > 1 &&
-	    owns(share, suspect->evidence.part))
+	    owns(share, suspect->evidence.key))
 		g_ptr_array_add(share->removals,
-				key_of(suspect->evidence.part));
+				text_of(suspect->evidence.key));
 }
 
 struct quarantine *evidence_share_quarantine(struct evidence_share *share)
@@ -133,7 +138,7 @@
 static void fill_message(PartEvidence *message, const struct evidence *evidence)
 {
 	part_evidence__init(message);
-	message->part = evidence->part;
+	message->part = evidence->key;
 	message->crashes = (uint64_t *)evidence->crashes;
 	message->n_crashes = evidence->crashes_nr;
 	message->refuted = evidence->refuted;
@@ -145,7 +150,7 @@
 {
 	struct quarantine_merged merged = { 0 };
 	struct evidence evidence = {
-		.part = message->part,
+		.key = message->part,
 		.crashes_nr =
 			(unsigned)MIN(message->n_crashes, EVIDENCE_CRASHES_MAX),
 		.refuted = message->refuted,
@@ -166,23 +171,26 @@
 	uint64_t now = uv_now(share->gateway->loop);
 	bool turn = now - share->turn_ms >= TURN_INTERVAL_MS;
 	struct suspect *in_turn = NULL;
-	unsigned quarantined = 0;
+	struct suspect *changes[REPORT_SUSPECTS_MAX];
+	unsigned quarantined = 0, changes_nr, i;
 	struct list *pos;
 
 	if (list_empty(quarantine_suspects(share->quarantine)))
 		return;
 	load->evidence = g_new0(PartEvidence *, REPORT_SUSPECTS_MAX + 1);
+	changes_nr = quarantine_changes(share->quarantine,
+					now > REPORT_MS ? now - REPORT_MS : 0,
+					now, changes, REPORT_SUSPECTS_MAX);
+	for (i = 0; i < changes_nr; i++) {
+		load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
+		fill_message(load->evidence[load->n_evidence++],
+			     &changes[i]->evidence);
+	}
 	list_for_each (pos, quarantine_suspects(share->quarantine)) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
 
 		if (suspect->quarantined && quarantined++ == share->turn)
 			in_turn = suspect;
-		if (now - suspect->changed_ms >= REPORT_MS ||
-		    load->n_evidence == REPORT_SUSPECTS_MAX)
-			continue;
-		load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
-		fill_message(load->evidence[load->n_evidence++],
-			     &suspect->evidence);
 	}
 	if (!turn)
 		return;
@@ -209,12 +217,12 @@
 	size_t i;
 
 	for (i = 0; i < load->n_evidence; i++) {
-		uint64_t part = load->evidence[i]->part;
+		uint64_t key = load->evidence[i]->part;
 
 		/* The sender may end, or lose the store, before it is stored. */
 		if (merge_message(share, load->evidence[i]).is_new &&
-		    owns(share, part))
-			quarantine_save(share->quarantine, part);
+		    owns(share, key))
+			quarantine_save(share->quarantine, key);
 	}
 }
 
@@ -363,7 +371,7 @@
 		len = part_evidence__get_packed_size(&message);
 		bytes = g_malloc(len);
 		part_evidence__pack(&message, bytes);
-		key = key_of(suspect->evidence.part);
+		key = text_of(suspect->evidence.key);
 		store_add_keyed_record(share->records, key, bytes, len);
 		g_free(key);
 		g_free(bytes);
@@ -406,6 +414,7 @@
 	struct evidence_share *share = g_new0(struct evidence_share, 1);
 	struct quarantine_options options = {
 		.owns = owns,
+		.item_stagger_ms = gateway->identity_hash % ITEM_STAGGER_MS,
 		.on_change = on_change,
 		.on_forget = on_forget,
 		.ctx = share,
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -562,22 +562,27 @@
 	memcpy(inputs->others, choice->server->others, sizeof(inputs->others));
 }
 
-/* Ends a request whose prompt has a quarantined part. */
+/* Ends a request that is quarantined, or whose prompt has a quarantined part. */
 static void end_quarantined(struct online_request *request,
 			    const struct quarantine_verdict *verdict)
 {
-	bool loaded = verdict->crashes > 0;
+	const char *reason = "the quarantined parts are not known yet";
+
+	if (verdict->crashes)
+		reason = is_request_key(verdict->key) ?
+				 "the request crashes servers" :
+				 "a part of its prompt crashes servers";
 
 	log_event("quarantine", LOG_LEVEL_WARN,
-		  "request=%s part=%016" PRIx64 " crashes=%u parts=\"%s\"",
-		  request->id, verdict->part, verdict->crashes,
-		  request->prompt.text);
+		  "request=%s %s=%016" PRIx64 " crashes=%u parts=\"%s\"",
+		  request->id, quarantine_key_label(verdict->key), verdict->key,
+		  verdict->crashes,
+		  request->prompt.text ? request->prompt.text : "");
 	if (request->runs)
-		fail(request, 502, "a part of its prompt crashes servers");
+		fail(request, 502, reason);
 	else
 		refuse(request, 503, (double)verdict->retry_after_ms / 1000,
-		       loaded ? "a part of its prompt crashes servers" :
-				"the quarantined parts are not known yet");
+		       reason);
 }
 
 /* Refuses a request for which no server can be chosen. */
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -159,9 +159,9 @@
 		const struct evidence *evidence = &suspect->evidence;
 		unsigned crashes = evidence_crashes(evidence);
 		struct json_object *row = json_object_new_object();
-		char *part = g_strdup_printf("%016" PRIx64, evidence->part);
+		char *key = g_strdup_printf("%016" PRIx64, evidence->key);
 
-		row_add_text(row, "part", part);
+		row_add_text(row, quarantine_key_label(evidence->key), key);
 		row_add_text(row, "state",
 			     suspect->quarantined ?
 				     "quarantined" :
@@ -170,7 +170,7 @@
 		row_add_number(row, "refuted", evidence->crashes_nr - crashes);
 		row_add_time(row, "last_crash", evidence->crashed_ms);
 		json_object_array_add(rows, row);
-		g_free(part);
+		g_free(key);
 	}
 }
 
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -365,7 +365,7 @@
 				      call->framing == HTTP_LINK_UNTIL_CLOSE);
 }
 
-/* Notes what the end of a call says about the parts of its prompt. */
+/* Notes what the end of a call says about its request and the parts of its prompt. */
 static void note_end(struct server_call *call, enum http_link_end link_end,
 		     uint64_t now)
 {
@@ -375,10 +375,15 @@
 		.server = incarnation_of(call->server),
 		.now_ms = now,
 		.wall_ms = gateway_wall_ms(),
+		.sent_ms = MAX(call->started_ms,
+			       http_link_connected_ms(call->http)),
+		.round_trip_ms = http_link_round_trip_ms(call->http),
+		.data_ms = call->server->data_ms,
+		.answer_begun = call->head_received,
 	};
 	bool complete = link_end == HTTP_LINK_COMPLETE;
-	/* Without a head the server may have ended before the request came. */
-	bool broke_off = link_end == HTTP_LINK_TRUNCATED ||
+	bool broke_off = link_end == HTTP_LINK_NO_HEAD ||
+			 link_end == HTTP_LINK_TRUNCATED ||
 			 (complete && stream_broke_off(call));
 
 	if (call->went_on || call->not_run)
@@ -388,6 +393,8 @@
 	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE &&
 		 call->status >= 200 && call->status < 300)
 		note_answer(call, now);
+	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE)
+		quarantine_note_survived(quarantine, call->options.prompt, now);
 }
 
 /* Reports how a call ended whose connection was given back or closed. */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -419,6 +419,7 @@
 	server->unanswered = 0;
 	server->backoffs = 0;
 	server->unanswered_since_ms = now_ms;
+	server->data_ms = now_ms;
 }
 
 static void update_average(double *value, double sample)
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -2,14 +2,21 @@
 #include <glib.h>
 
 #include "core/quarantine.h"
+#include "core/request_key.h"
 
-/* An answer speaks for its parts for one to two of these periods, in ms. */
+/* An answer speaks for its keys for one to two of these periods, in ms. */
 #define ANSWERED_PERIOD_MS 2000
-/* Maximum number of parts that are remembered as answered in one period. */
+/* Maximum number of keys that are remembered as answered in one period. */
 #define ANSWERED_MAX 20000
 /* Time after a crash in which an answer of the server shows that it had not ended,
  * in ms. Later it may have started again under the same id. */
 #define ALIVE_MS 1500
+/* Time by which the end of a connection must come later than a round trip for the
+ * server to have ended after the request came, in ms. */
+#define REACHED_MARGIN_MS 5
+/* Time from the last data of a server within which it is taken to be alive when a
+ * request is sent, in ms. */
+#define DATA_MS 100
 /* Maximum number of suspects. */
 #define SUSPECTS_MAX 1024
 /* Time after the last crash after which evidence is forgotten, in ms. */
@@ -18,26 +25,28 @@
  * server multiplies it by TRIAL_GROWTH. */
 #define TRIAL_MS 10000
 #define TRIAL_GROWTH 4
-/* Number of crashes from which there are no further trials. */
+/* Number of crashes from which there are no further trials of a part, and of a
+ * request. */
 #define TRIAL_CRASHES_MAX 8
+#define REQUEST_TRIAL_CRASHES_MAX 5
 
 struct quarantine {
 	struct quarantine_options options;
-	/* Sets of the parts that were answered well in this period and in the
+	/* Sets of the keys that were answered well in this period and in the
 	 * one before. */
 	GHashTable *answered;
 	GHashTable *answered_before;
 	uint64_t period_ms;
 	struct list suspects;
 	unsigned suspects_nr;
-	/* Maps a part to its struct suspect *. */
-	GHashTable *by_part;
+	/* Maps a key to its struct suspect *. */
+	GHashTable *by_key;
 	/* Maps a crashed server to the time at which this entry learnt of it, in
 	 * ms. */
 	GHashTable *crashed;
 };
 
-static GHashTable *part_set_create(void)
+static GHashTable *key_set_create(void)
 {
 	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
@@ -47,10 +56,10 @@
 	struct quarantine *quarantine = g_new0(struct quarantine, 1);
 
 	quarantine->options = *options;
-	quarantine->answered = part_set_create();
-	quarantine->answered_before = part_set_create();
+	quarantine->answered = key_set_create();
+	quarantine->answered_before = key_set_create();
 	list_init(&quarantine->suspects);
-	quarantine->by_part = g_hash_table_new(g_int64_hash, g_int64_equal);
+	quarantine->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	quarantine->crashed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    g_free, g_free);
 	return quarantine;
@@ -58,7 +67,7 @@
 
 static void suspect_free(struct quarantine *quarantine, struct suspect *suspect)
 {
-	g_hash_table_remove(quarantine->by_part, &suspect->evidence.part);
+	g_hash_table_remove(quarantine->by_key, &suspect->evidence.key);
 	list_remove(&suspect->link);
 	quarantine->suspects_nr--;
 	g_free(suspect);
@@ -70,13 +79,18 @@
 
 	list_for_each_safe (pos, tmp, &quarantine->suspects)
 		suspect_free(quarantine, list_entry(pos, struct suspect, link));
-	g_hash_table_destroy(quarantine->by_part);
+	g_hash_table_destroy(quarantine->by_key);
 	g_hash_table_destroy(quarantine->crashed);
 	g_hash_table_destroy(quarantine->answered);
 	g_hash_table_destroy(quarantine->answered_before);
 	g_free(quarantine);
 }
 
+const char *quarantine_key_label(uint64_t key)
+{
+	return is_request_key(key) ? "key" : "part";
+}
+
 unsigned evidence_crashes(const struct evidence *evidence)
 {
 	return evidence->crashes_nr -
@@ -93,9 +107,20 @@
 	return &quarantine->suspects;
 }
 
-static struct suspect *find(const struct quarantine *quarantine, uint64_t part)
+static struct suspect *find(const struct quarantine *quarantine, uint64_t key)
+{
+	return g_hash_table_lookup(quarantine->by_key, &key);
+}
+
+static size_t keys_nr(const struct prompt *prompt)
 {
-	return g_hash_table_lookup(quarantine->by_part, &part);
+	return prompt->parts_nr + (prompt->request != 0);
+}
+
+/* Returns the key of a part, or of the request after the last part. */
+static uint64_t key_at(const struct prompt *prompt, size_t i)
+{
+	return i < prompt->parts_nr ? prompt->parts[i] : prompt->request;
 }
 
 static void forget(struct quarantine *quarantine, struct suspect *suspect)
@@ -120,19 +145,19 @@
 	forget(quarantine, list_entry(oldest, struct suspect, link));
 }
 
-static struct suspect *get(struct quarantine *quarantine, uint64_t part)
+static struct suspect *get(struct quarantine *quarantine, uint64_t key)
 {
-	struct suspect *suspect = find(quarantine, part);
+	struct suspect *suspect = find(quarantine, key);
 
 	if (suspect)
 		return suspect;
 	if (quarantine->suspects_nr >= SUSPECTS_MAX)
 		forget_one(quarantine);
 	suspect = g_new0(struct suspect, 1);
-	suspect->evidence.part = part;
+	suspect->evidence.key = key;
 	list_append(&quarantine->suspects, &suspect->link);
 	quarantine->suspects_nr++;
-	g_hash_table_insert(quarantine->by_part, &suspect->evidence.part,
+	g_hash_table_insert(quarantine->by_key, &suspect->evidence.key,
 			    suspect);
 	return suspect;
 }
@@ -152,12 +177,12 @@
 		g_hash_table_remove_all(quarantine->answered_before);
 }
 
-static bool answered_lately(struct quarantine *quarantine, uint64_t part,
+static bool answered_lately(struct quarantine *quarantine, uint64_t key,
 			    uint64_t now_ms)
 {
 	start_period(quarantine, now_ms);
-	return g_hash_table_contains(quarantine->answered, &part) ||
-	       g_hash_table_contains(quarantine->answered_before, &part);
+	return g_hash_table_contains(quarantine->answered, &key) ||
+	       g_hash_table_contains(quarantine->answered_before, &key);
 }
 
 static void set_trial(struct suspect *suspect, uint64_t now_ms)
@@ -179,6 +204,7 @@
 	bool quarantined = crashes >= QUARANTINE_CRASHES;
 
 	suspect->changed_ms = now_ms;
+	suspect->reported_ms = 0;
 	if (quarantined)
 		set_trial(suspect, now_ms);
 	if (quarantined == suspect->quarantined)
@@ -199,27 +225,38 @@
 	return true;
 }
 
+static void note_answered(struct quarantine *quarantine, uint64_t key,
+			  uint64_t now_ms)
+{
+	struct suspect *suspect = find(quarantine, key);
+
+	start_period(quarantine, now_ms);
+	if (g_hash_table_size(quarantine->answered) < ANSWERED_MAX)
+		g_hash_table_add(quarantine->answered,
+				 g_memdup2(&key, sizeof(key)));
+	if (!suspect || !refute(suspect))
+		return;
+	/* A single crash quarantines nothing elsewhere, so that its refutation need
+	 * not be known there. */
+	if (suspect->evidence.crashes_nr > 1)
+		suspect->unsaved = true;
+	changed(quarantine, suspect, now_ms);
+}
+
 void quarantine_note_answer(struct quarantine *quarantine,
 			    const struct prompt *prompt, uint64_t now_ms)
 {
 	size_t i;
 
-	start_period(quarantine, now_ms);
-	for (i = 0; i < prompt->parts_nr; i++) {
-		uint64_t part = prompt->parts[i];
-		struct suspect *suspect = find(quarantine, part);
-
-		if (g_hash_table_size(quarantine->answered) < ANSWERED_MAX)
-			g_hash_table_add(quarantine->answered,
-					 g_memdup2(&part, sizeof(part)));
-		if (!suspect || !refute(suspect))
-			continue;
-		/* A single crash quarantines nothing elsewhere, so that its
-		 * refutation need not be known there. */
-		if (suspect->evidence.crashes_nr > 1)
-			suspect->unsaved = true;
-		changed(quarantine, suspect, now_ms);
-	}
+	for (i = 0; i < keys_nr(prompt); i++)
+		note_answered(quarantine, key_at(prompt, i), now_ms);
+}
+
+void quarantine_note_survived(struct quarantine *quarantine,
+			      const struct prompt *prompt, uint64_t now_ms)
+{
+	if (prompt->request)
+		note_answered(quarantine, prompt->request, now_ms);
 }
 
 /* Returns the index of a crash, or -1. */
@@ -308,26 +345,53 @@
 	}
 }
 
+static void blame(struct quarantine *quarantine, uint64_t key,
+		  const struct quarantine_crash *crash)
+{
+	struct suspect *suspect;
+
+	if (answered_lately(quarantine, key, crash->now_ms))
+		return;
+	suspect = get(quarantine, key);
+	if (!add_crash(&suspect->evidence, crash->server, false))
+		return;
+	suspect->evidence.crashed_ms = crash->wall_ms;
+	suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
+	changed(quarantine, suspect, crash->now_ms);
+}
+
+/* Tells whether the server still ran when the request reached it. The kernel resets
+ * connections to one that had ended within a round trip. */
+static bool was_reached(const struct quarantine *quarantine,
+			const struct quarantine_crash *crash)
+{
+	const uint64_t *crashed_ms =
+		g_hash_table_lookup(quarantine->crashed, &crash->server);
+
+	if (crash->answer_begun)
+		return true;
+	if (crashed_ms && crash->sent_ms > *crashed_ms)
+		return false;
+	return crash->now_ms > crash->sent_ms + crash->round_trip_ms +
+				       REACHED_MARGIN_MS ||
+	       (crash->data_ms && crash->data_ms + DATA_MS >= crash->sent_ms);
+}
+
 void quarantine_note_crash(struct quarantine *quarantine,
 			   const struct prompt *prompt,
 			   const struct quarantine_crash *crash)
 {
 	size_t i;
 
-	for (i = 0; i < prompt->parts_nr; i++) {
-		uint64_t part = prompt->parts[i];
-		struct suspect *suspect;
-
-		if (answered_lately(quarantine, part, crash->now_ms))
-			continue;
-		suspect = get(quarantine, part);
-		if (!add_crash(&suspect->evidence, crash->server, false))
-			continue;
+	if (!was_reached(quarantine, crash) ||
+	    (!crash->answer_begun && !prompt->request))
+		return;
+	if (keys_nr(prompt))
 		note_crashed(quarantine, crash->server, crash->now_ms);
-		suspect->evidence.crashed_ms = crash->wall_ms;
-		suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
-		changed(quarantine, suspect, crash->now_ms);
-	}
+	for (i = 0; crash->answer_begun && i < prompt->parts_nr; i++)
+		blame(quarantine, prompt->parts[i], crash);
+	if (prompt->request)
+		blame(quarantine, prompt->request, crash);
 }
 
 /* Adds one crash of another entry's evidence. */
@@ -352,7 +416,7 @@
 					  const struct evidence *evidence,
 					  uint64_t now_ms)
 {
-	struct suspect *suspect = get(quarantine, evidence->part);
+	struct suspect *suspect = get(quarantine, evidence->key);
 	struct evidence *own = &suspect->evidence;
 	struct quarantine_merged merged = {
 		.lacks = own->crashes_nr > evidence->crashes_nr,
@@ -368,31 +432,37 @@
 	own->crashed_ms = MAX(own->crashed_ms, evidence->crashed_ms);
 	if (!merged.is_new)
 		return merged;
-	/* The other entries must learn that this one answers the part well. */
-	if (answered_lately(quarantine, own->part, now_ms) && refute(suspect))
+	/* The other entries must learn that this one answers it well. */
+	if (answered_lately(quarantine, own->key, now_ms) && refute(suspect))
 		suspect->unsaved = own->crashes_nr > 1;
 	changed(quarantine, suspect, now_ms);
 	return merged;
 }
 
-void quarantine_save(struct quarantine *quarantine, uint64_t part)
+void quarantine_save(struct quarantine *quarantine, uint64_t key)
 {
-	struct suspect *suspect = find(quarantine, part);
+	struct suspect *suspect = find(quarantine, key);
 
 	if (suspect && suspect->evidence.crashes_nr > 1)
 		suspect->unsaved = true;
 }
 
-/* Tells whether a request with a quarantined part may be sent as a trial. */
+/* Tells whether a request or an item with a quarantined key may be sent as a trial. An
+ * item is owed wherever it waits, so that each entry tries its own. */
 static bool may_try(const struct quarantine *quarantine,
-		    const struct suspect *suspect, uint64_t now_ms)
+		    const struct suspect *suspect, const struct prompt *prompt,
+		    uint64_t now_ms)
 {
+	const struct quarantine_options *options = &quarantine->options;
 	const struct evidence *evidence = &suspect->evidence;
-
-	return now_ms >= suspect->trial_ms &&
-	       evidence_crashes(evidence) < TRIAL_CRASHES_MAX &&
-	       quarantine->options.owns(quarantine->options.ctx,
-					evidence->part);
+	unsigned crashes_max = is_request_key(evidence->key) ?
+				       REQUEST_TRIAL_CRASHES_MAX :
+				       TRIAL_CRASHES_MAX;
+	uint64_t stagger_ms = prompt->request ? 0 : options->item_stagger_ms;
+
+	return now_ms >= suspect->trial_ms + stagger_ms &&
+	       evidence_crashes(evidence) < crashes_max &&
+	       (!prompt->request || options->owns(options->ctx, evidence->key));
 }
 
 struct quarantine_verdict quarantine_check(struct quarantine *quarantine,
@@ -403,17 +473,17 @@
 	unsigned found = 0;
 	size_t i;
 
-	for (i = 0; i < prompt->parts_nr; i++) {
+	for (i = 0; i < keys_nr(prompt); i++) {
 		const struct suspect *suspect =
-			find(quarantine, prompt->parts[i]);
+			find(quarantine, key_at(prompt, i));
 		const struct evidence *evidence;
 
 		if (!suspect || !suspect->quarantined)
 			continue;
 		evidence = &suspect->evidence;
-		verdict.refused |=
-			found++ || !may_try(quarantine, suspect, now_ms);
-		verdict.part = evidence->part;
+		verdict.refused |= found++ || !may_try(quarantine, suspect,
+						       prompt, now_ms);
+		verdict.key = evidence->key;
 		verdict.crashes = evidence_crashes(evidence);
 		/* No trial is certain to succeed, so that the evidence holds
 		 * until it is forgotten. */
@@ -429,14 +499,50 @@
 {
 	size_t i;
 
-	for (i = 0; i < prompt->parts_nr; i++) {
-		struct suspect *suspect = find(quarantine, prompt->parts[i]);
+	for (i = 0; i < keys_nr(prompt); i++) {
+		struct suspect *suspect = find(quarantine, key_at(prompt, i));
 
 		if (suspect && suspect->quarantined)
 			set_trial(suspect, now_ms);
 	}
 }
 
+/* Tells which of two changes is reported first: the one whose last report is longer
+ * ago, then the one with more crashes. */
+static bool comes_before(const struct suspect *a, const struct suspect *b)
+{
+	if (a->reported_ms != b->reported_ms)
+		return a->reported_ms < b->reported_ms;
+	return evidence_crashes(&a->evidence) > evidence_crashes(&b->evidence);
+}
+
+unsigned quarantine_changes(struct quarantine *quarantine, uint64_t since_ms,
+			    uint64_t now_ms, struct suspect **changes,
+			    unsigned changes_max)
+{
+	unsigned nr = 0, i;
+	struct list *pos;
+
+	list_for_each (pos, &quarantine->suspects) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+
+		if (suspect->changed_ms < since_ms)
+			continue;
+		/* Inserts it behind those that come before it. */
+		for (i = nr; i && comes_before(suspect, changes[i - 1]); i--) {
+			if (i < changes_max)
+				changes[i] = changes[i - 1];
+		}
+		if (i >= changes_max)
+			continue;
+		changes[i] = suspect;
+		nr = MIN(nr + 1, changes_max);
+	}
+	for (i = 0; i < nr; i++)
+		changes[i]->reported_ms = now_ms;
+	return nr;
+}
+
 void quarantine_sweep(struct quarantine *quarantine, uint64_t wall_ms)
 {
 	struct list *pos, *tmp;
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -109,6 +109,8 @@
 	/** Requests sent since the server last sent a byte. */
 	unsigned unanswered;
 	uint64_t unanswered_since_ms;
+	/** Loop time of the last data from the server, in ms; 0 before it. */
+	uint64_t data_ms;
 	/** End of the current backoff; no request is sent before. */
 	uint64_t avoid_until_ms;
 	/** Number of backoffs in a row. */
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -1,10 +1,14 @@
 /**
- * Parts of prompts that crash servers.
+ * Requests, and parts of prompts, that crash servers.
  *
- * A server that ends as it begins an answer is evidence against each shared part
- * of the prompt, and an answer that goes on is evidence for each of them. A part
- * is quarantined while QUARANTINE_CRASHES servers speak against it and nothing
- * speaks for it: requests with it are refused, but for a rare trial.
+ * Evidence is kept by key: of the request as a whole, which is the same when it comes
+ * again under another id, and of each shared part of its prompt. A server that ends
+ * while it has a request is evidence against the request, and against the parts once
+ * the answer has begun. An answer that goes on is evidence for all of them. A key is
+ * quarantined while QUARANTINE_CRASHES servers speak against it and nothing speaks for
+ * it: requests with it are refused, but for a rare trial.
+ *
+ * Items of jobs have no key of their own: they are owed, and are held only for a part.
  *
  * Entries exchange their evidence. Merging it is commutative and idempotent, so
  * that it may arrive in any order, repeatedly, and by several ways.
@@ -18,27 +22,27 @@
 #include "common/list.h"
 #include "core/prompt.h"
 
-/** Number of crashed servers from which a part is quarantined. */
+/** Number of crashed servers from which a key is quarantined. */
 #define QUARANTINE_CRASHES 3
-/** Maximum number of crashed servers that are remembered for a part. */
+/** Maximum number of crashed servers that are remembered for a key. */
 #define EVIDENCE_CRASHES_MAX 12
 
 struct quarantine;
 
-/** What is known of one part, from all entries. */
+/** What is known of one key, from all entries. */
 struct evidence {
-	/** Hash of the part's id. */
-	uint64_t part;
-	/** Servers, by incarnation, that ended as they began to answer. */
+	/** Key of a part (prompt_part_key()) or of a request (request_key()). */
+	uint64_t key;
+	/** Servers, by incarnation, that ended. */
 	uint64_t crashes[EVIDENCE_CRASHES_MAX];
 	unsigned crashes_nr;
-	/** Bit i is set if the part was answered well around crashes[i]. */
+	/** Bit i is set if the key was answered well around crashes[i]. */
 	uint32_t refuted;
 	/** Unix time of the last crash, in ms. */
 	uint64_t crashed_ms;
 };
 
-/** A part with evidence against it. */
+/** A key with evidence against it. */
 struct suspect {
 	struct list link;
 	struct evidence evidence;
@@ -47,14 +51,19 @@
 	uint64_t trial_ms;
 	/** Loop time of the last change that other entries need, in ms. */
 	uint64_t changed_ms;
+	/** Loop time at which quarantine_changes() returned the last change, in ms; 0
+	 * before that. */
+	uint64_t reported_ms;
 	/** The change must be stored. */
 	bool unsaved;
 };
 
 struct quarantine_options {
-	/** Tells whether this entry makes the trials of a part. */
-	bool (*owns)(void *ctx, uint64_t part);
-	/** Called when a part is quarantined or released; may be NULL. */
+	/** Tells whether this entry makes the trials of a key. */
+	bool (*owns)(void *ctx, uint64_t key);
+	/** Time by which this entry tries its items later than others, in ms. */
+	uint64_t item_stagger_ms;
+	/** Called when a key is quarantined or released; may be NULL. */
 	void (*on_change)(void *ctx, const struct suspect *suspect);
 	/** Called before a suspect is forgotten; may be NULL. */
 	void (*on_forget)(void *ctx, const struct suspect *suspect);
@@ -64,6 +73,9 @@
 struct quarantine *quarantine_create(const struct quarantine_options *options);
 void quarantine_destroy(struct quarantine *quarantine);
 
+/** Returns how logs and operators call a key: "part" or, for a request, "key". */
+const char *quarantine_key_label(uint64_t key);
+
 /** Returns the number of crashes that nothing refutes. */
 unsigned evidence_crashes(const struct evidence *evidence);
 
@@ -71,16 +83,28 @@
 void quarantine_note_answer(struct quarantine *quarantine,
 			    const struct prompt *prompt, uint64_t now_ms);
 
-/** A server that ended as it began an answer. */
+/** Records that a server answered a request as a whole, which may be a failure. */
+void quarantine_note_survived(struct quarantine *quarantine,
+			      const struct prompt *prompt, uint64_t now_ms);
+
+/** A server that ended while it had a request. */
 struct quarantine_crash {
 	/** Hash of the server's incarnation. */
 	uint64_t server;
 	uint64_t now_ms;
 	/** Unix time, in ms. */
 	uint64_t wall_ms;
+	/** Loop time at which the request was sent, in ms. */
+	uint64_t sent_ms;
+	/** Time of a round trip to the server, in ms. */
+	uint64_t round_trip_ms;
+	/** Loop time of the last data from the server, in ms; 0 without any. */
+	uint64_t data_ms;
+	/** The head of the answer came. */
+	bool answer_begun;
 };
 
-/** Records a crash as evidence against the shared parts of a prompt. */
+/** Records a crash as evidence against a request and the parts of its prompt. */
 void quarantine_note_crash(struct quarantine *quarantine,
 			   const struct prompt *prompt,
 			   const struct quarantine_crash *crash);
@@ -106,16 +130,16 @@
 					  const struct evidence *evidence,
 					  uint64_t now_ms);
 
-/** Marks the evidence about a part as not stored, unless it is a single crash. */
-void quarantine_save(struct quarantine *quarantine, uint64_t part);
+/** Marks the evidence about a key as not stored, unless it is a single crash. */
+void quarantine_save(struct quarantine *quarantine, uint64_t key);
 
 /** Whether a request may be sent. */
 struct quarantine_verdict {
 	bool refused;
-	/** The quarantined part, if any. */
-	uint64_t part;
+	/** The quarantined key, if any. */
+	uint64_t key;
 	unsigned crashes;
-	/** Time after which a request with the part may be served, in ms. */
+	/** Time after which a request with the key may be served, in ms. */
 	uint64_t retry_after_ms;
 };
 
@@ -128,6 +152,14 @@
 void quarantine_note_sent(struct quarantine *quarantine,
 			  const struct prompt *prompt, uint64_t now_ms);
 
+/**
+ * Returns up to changes_max suspects that have changed since a time, those that were
+ * returned longest ago first, then those with most crashes.
+ */
+unsigned quarantine_changes(struct quarantine *quarantine, uint64_t since_ms,
+			    uint64_t now_ms, struct suspect **changes,
+			    unsigned changes_max);
+
 /** Forgets old evidence. Called about once a second. */
 void quarantine_sweep(struct quarantine *quarantine, uint64_t wall_ms);
 
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -110,6 +110,12 @@
 /** Tells whether the connection ended because the server was silent. */
 bool http_link_timed_out(const struct http_link *link);
 
+/** Returns the loop time at which the connection was established, in ms, or 0. */
+uint64_t http_link_connected_ms(const struct http_link *link);
+
+/** Returns the time that it took to establish the connection, in ms. */
+uint64_t http_link_round_trip_ms(const struct http_link *link);
+
 /** Returns the server's announced idle timeout in ms, or 0 without one. */
 uint64_t http_link_idle_timeout_ms(const struct http_link *link);
 
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -24,6 +24,9 @@
 	/* Number of handles that must be closed before the link is freed. */
 	int handles;
 	bool connected;
+	/* Loop times at which the connection was opened and established, in ms. */
+	uint64_t opened_ms;
+	uint64_t connected_ms;
 	bool closing;
 	bool busy;
 	/* The connection ended as the server acknowledged nothing. */
@@ -364,6 +367,7 @@
 		return;
 	}
 	link->connected = true;
+	link->connected_ms = uv_now(link->loop);
 	uv_tcp_nodelay(&link->tcp, 1);
 	if (timeout && !uv_fileno((uv_handle_t *)&link->tcp, &fd))
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
@@ -387,6 +391,7 @@
 	link->loop = options->loop;
 	link->options = *options;
 	link->options.address = NULL;
+	link->opened_ms = uv_now(link->loop);
 	link->handles = 2;
 	uv_tcp_init(link->loop, &link->tcp);
 	link->tcp.data = link;
@@ -442,6 +447,16 @@
 	       !link->closing;
 }
 
+uint64_t http_link_connected_ms(const struct http_link *link)
+{
+	return link->connected_ms;
+}
+
+uint64_t http_link_round_trip_ms(const struct http_link *link)
+{
+	return link->connected ? link->connected_ms - link->opened_ms : 0;
+}
+
 bool http_link_timed_out(const struct http_link *link)
 {
 	return link->timed_out;
--- a/tests/process/gateway_crash_in_order.sh
+++ b/tests/process/gateway_crash_in_order.sh
@@ -11,14 +11,15 @@
 	grep -c 'event=quarantine part=.* quarantined' "$FLEET_DIR/g1.log" || true
 }
 
-# check NAME COUNT BYTES: sends a request with one part to each of three servers, which
-# answer with these bytes and close, and checks how many parts are quarantined then.
+# check NAME COUNT BYTES: sends a request with one part, and a body of its own, to each of
+# three servers, which answer with these bytes and close, and checks how many parts are
+# quarantined then.
 check () {
 	for i in 1 2 3
 	do
 		gateway_raw_server "$1-$i" model close "$3"
 		wait_until gateway_knows_raw g1 "$1-$i"
-		gateway_call g1 "$1-$i" /once/x -N -d p \
+		gateway_call g1 "$1-$i" /once/x -N -d "$1-$i" \
 			-H "X-Prompt-Prefix: $1:50,$i:9" >/dev/null || true
 		test "$(gateway_raw_count "$1-$i" accepted)" -ge 1 ||
 			fleet_fail "$1: server $i got no request"
--- a/tests/quarantine_load.c
+++ b/tests/quarantine_load.c
@@ -1,5 +1,6 @@
 #include "common/hash.h"
 #include "core/quarantine.h"
+#include "core/request_key.h"
 #include "quarantine_load.h"
 #include "script.h"
 
@@ -19,13 +20,30 @@
 #define KNOWN_MS 4000
 #define LATE_MAX 3
 #define SESSIONS 40
+/* Number of different requests of a plain service, and time of a call of one. */
+#define PLAIN_TARGETS 25
+#define PLAIN_CALL_MS 30
+/* Servers that one attempt of a request of a plain service is sent to. */
+#define PLAIN_SENDS 2
+
+enum load_kind {
+	/* A sound request with a prompt of its own. */
+	LOAD_SOUND,
+	/* A request with the part that crashes servers. */
+	LOAD_BAD_PART,
+	/* A sound request that others are equal to. */
+	LOAD_PLAIN,
+	/* The request that crashes servers, before its answer begins. */
+	LOAD_REPEATED,
+};
 
 struct call {
 	struct list link;
 	unsigned entry;
 	unsigned server;
 	uint64_t sent_ms;
-	bool bad;
+	enum load_kind kind;
+	unsigned sends;
 	bool went_on;
 	struct prompt prompt;
 };
@@ -41,13 +59,18 @@
 	struct quarantine **entries;
 	struct server *servers;
 	struct list calls;
-	/* Evidence in the store (struct evidence), by part. */
+	/* Evidence in the store (struct evidence), by key. */
 	GHashTable *stored;
 	GRand *random;
 	uint64_t now_ms;
+	/* Crashes by the part and by the repeated request, the times of the fifth and of
+	 * the third of them, and the sends later than KNOWN_MS after these. */
 	unsigned crashes_bad;
 	uint64_t fifth_ms;
 	unsigned bad_late;
+	unsigned crashes_repeated;
+	uint64_t third_ms;
+	unsigned repeated_late;
 	unsigned sound;
 	unsigned sound_refused;
 };
@@ -59,11 +82,11 @@
 	unsigned entries_nr;
 };
 
-static bool owns(void *ctx, uint64_t part)
+static bool owns(void *ctx, uint64_t key)
 {
 	const struct owner *owner = ctx;
 
-	return part % owner->entries_nr == owner->entry;
+	return key % owner->entries_nr == owner->entry;
 }
 
 static struct quarantine *entry_create(struct owner *owner)
@@ -73,18 +96,45 @@
 	return quarantine_create(&options);
 }
 
-static struct prompt make_prompt(struct load *load, bool bad)
+static uint64_t target_key(const char *prefix, gint32 nr)
 {
-	struct prompt prompt = { .text = g_strdup("") };
-	char *session = g_strdup_printf(
-		"s%d", g_rand_int_range(load->random, 0, SESSIONS));
+	char *target = g_strdup_printf("%s%d", prefix, nr);
+	struct request_identity identity = { .target = target };
+	uint64_t key = request_key(&identity);
+
+	g_free(target);
+	return key;
+}
 
+static struct prompt make_prompt(struct load *load, enum load_kind kind)
+{
+	struct prompt prompt = { .text = g_strdup("") };
+	char *session;
+
+	if (kind == LOAD_PLAIN || kind == LOAD_REPEATED) {
+		prompt.request =
+			kind == LOAD_REPEATED ?
+				target_key("crash", 0) :
+				target_key("plain",
+					   g_rand_int_range(load->random, 0,
+							    PLAIN_TARGETS));
+		return prompt;
+	}
+	session = g_strdup_printf("s%d",
+				  g_rand_int_range(load->random, 0, SESSIONS));
+	prompt.request =
+		target_key("unequal", (gint32)g_rand_int(load->random));
 	prompt_add(&prompt, "root");
-	prompt_add(&prompt, bad ? "bad" : session);
+	prompt_add(&prompt, kind == LOAD_BAD_PART ? "bad" : session);
 	g_free(session);
 	return prompt;
 }
 
+static bool is_sound(enum load_kind kind)
+{
+	return kind == LOAD_SOUND || kind == LOAD_PLAIN;
+}
+
 static void call_free(struct call *call)
 {
 	list_remove(&call->link);
@@ -107,32 +157,63 @@
 	return -1;
 }
 
-static void request(struct load *load, bool bad)
+/* Counts a request that is sent although the fleet must know that it crashes servers. */
+static void count_late(struct load *load, enum load_kind kind)
+{
+	load->bad_late += kind == LOAD_BAD_PART && load->fifth_ms &&
+			  load->now_ms > load->fifth_ms + KNOWN_MS;
+	load->repeated_late += kind == LOAD_REPEATED && load->third_ms &&
+			       load->now_ms > load->third_ms + KNOWN_MS;
+}
+
+/* Sends a call to a server, if the entry allows it; frees it otherwise. */
+static void send_call(struct load *load, struct call *call)
 {
-	unsigned entry = (unsigned)g_rand_int_range(load->random, 0,
-						    (gint32)load->entries_nr);
-	struct prompt prompt = make_prompt(load, bad);
+	struct quarantine *quarantine = load->entries[call->entry];
 	struct quarantine_verdict verdict = quarantine_check(
-		load->entries[entry], &prompt, load->now_ms, load->now_ms);
+		quarantine, &call->prompt, load->now_ms, load->now_ms);
 	int server = choose_server(load);
-	struct call *call;
 
-	load->sound += !bad;
-	load->sound_refused += !bad && verdict.refused;
+	load->sound_refused += is_sound(call->kind) && verdict.refused;
 	if (verdict.refused || server < 0) {
-		prompt_clear(&prompt);
+		call_free(call);
 		return;
 	}
-	load->bad_late += bad && load->fifth_ms &&
-			  load->now_ms > load->fifth_ms + KNOWN_MS;
-	quarantine_note_sent(load->entries[entry], &prompt, load->now_ms);
-	call = g_new0(struct call, 1);
-	call->entry = entry;
+	count_late(load, call->kind);
+	quarantine_note_sent(quarantine, &call->prompt, load->now_ms);
 	call->server = (unsigned)server;
 	call->sent_ms = load->now_ms;
-	call->bad = bad;
-	call->prompt = prompt;
+	call->sends++;
+}
+
+static void request(struct load *load, enum load_kind kind)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->entry = (unsigned)g_rand_int_range(load->random, 0,
+						 (gint32)load->entries_nr);
+	call->prompt = make_prompt(load, kind);
+	call->kind = kind;
 	list_append(&load->calls, &call->link);
+	load->sound += is_sound(kind);
+	send_call(load, call);
+}
+
+/* Handles the end of the server of a call. */
+static void call_crashed(struct load *load, struct call *call,
+			 struct quarantine_crash *crash)
+{
+	bool plain = call->kind == LOAD_PLAIN || call->kind == LOAD_REPEATED;
+
+	crash->answer_begun = !plain;
+	crash->sent_ms = call->sent_ms;
+	if (!call->went_on)
+		quarantine_note_crash(load->entries[call->entry], &call->prompt,
+				      crash);
+	if (plain && call->sends < PLAIN_SENDS)
+		send_call(load, call);
+	else
+		call_free(call);
 }
 
 static void crash_server(struct load *load, unsigned at)
@@ -145,47 +226,58 @@
 	};
 	struct list *pos, *tmp;
 
+	server->incarnation++;
+	server->up_ms = load->now_ms + DOWN_MS;
 	list_for_each_safe (pos, tmp, &load->calls) {
 		struct call *call = list_entry(pos, struct call, link);
 
-		if (call->server != at)
-			continue;
-		if (!call->went_on)
-			quarantine_note_crash(load->entries[call->entry],
-					      &call->prompt, &crash);
-		call_free(call);
+		if (call->server == at)
+			call_crashed(load, call, &crash);
 	}
-	server->incarnation++;
-	server->up_ms = load->now_ms + DOWN_MS;
+}
+
+/* Crashes the server of a call under which it ends. */
+static void crash_by_call(struct load *load, const struct call *call)
+{
+	bool repeated = call->kind == LOAD_REPEATED;
+
+	crash_server(load, call->server);
+	if (repeated && ++load->crashes_repeated == 3)
+		load->third_ms = load->now_ms;
+	if (!repeated && ++load->crashes_bad == 5)
+		load->fifth_ms = load->now_ms;
+}
+
+/* Lets a sound call answer; frees it at its end. */
+static void advance_call(struct load *load, struct call *call)
+{
+	bool plain = call->kind == LOAD_PLAIN;
+	uint64_t age = load->now_ms - call->sent_ms;
+
+	if (!call->went_on && age >= (plain ? PLAIN_CALL_MS : WENT_ON_MS)) {
+		call->went_on = true;
+		quarantine_note_answer(load->entries[call->entry],
+				       &call->prompt, load->now_ms);
+	}
+	if (age >= (plain ? PLAIN_CALL_MS : CALL_MS))
+		call_free(call);
 }
 
 static void advance_calls(struct load *load)
 {
 	struct list *pos, *tmp;
-	int crashed = -1;
 
 	list_for_each_safe (pos, tmp, &load->calls) {
 		struct call *call = list_entry(pos, struct call, link);
-		uint64_t age = load->now_ms - call->sent_ms;
 
-		if (call->bad && age >= CRASH_MS) {
-			crashed = (int)call->server;
-			break;
-		}
-		if (!call->went_on && age >= WENT_ON_MS) {
-			call->went_on = true;
-			quarantine_note_answer(load->entries[call->entry],
-					       &call->prompt, load->now_ms);
+		if (is_sound(call->kind)) {
+			advance_call(load, call);
+		} else if (load->now_ms - call->sent_ms >= CRASH_MS) {
+			crash_by_call(load, call);
+			advance_calls(load);
+			return;
 		}
-		if (age >= CALL_MS)
-			call_free(call);
 	}
-	if (crashed < 0)
-		return;
-	crash_server(load, (unsigned)crashed);
-	if (++load->crashes_bad == 5)
-		load->fifth_ms = load->now_ms;
-	advance_calls(load);
 }
 
 /* Sends the evidence of each entry to the others and to the store. */
@@ -213,7 +305,7 @@
 				continue;
 			suspect->unsaved = false;
 			copy = g_memdup2(&suspect->evidence, sizeof(*copy));
-			g_hash_table_replace(load->stored, &copy->part, copy);
+			g_hash_table_replace(load->stored, &copy->key, copy);
 		}
 	}
 }
@@ -243,6 +335,8 @@
 	uint64_t restart = (uint64_t)script_arg_int(argc, argv, "restart", 0);
 	double sound = (double)script_arg_int(argc, argv, "sound", 50);
 	double bad = (double)script_arg_int(argc, argv, "bad", 0);
+	double plain = (double)script_arg_int(argc, argv, "plain", 0);
+	double repeated = (double)script_arg_int(argc, argv, "repeated", 0);
 	unsigned crashes = (unsigned)script_arg_int(argc, argv, "crashes", 0);
 	uint64_t start_ms = load->now_ms;
 	unsigned i;
@@ -251,9 +345,13 @@
 		uint64_t ms = load->now_ms - start_ms;
 
 		if (g_rand_double(load->random) < sound / 200)
-			request(load, false);
+			request(load, LOAD_SOUND);
+		if (g_rand_double(load->random) < plain / 200)
+			request(load, LOAD_PLAIN);
 		if (ms > 2000 && g_rand_double(load->random) < bad / 200)
-			request(load, true);
+			request(load, LOAD_BAD_PART);
+		if (ms > 2000 && g_rand_double(load->random) < repeated / 200)
+			request(load, LOAD_REPEATED);
 		if (ms % 2000 == 1000) {
 			for (i = 0; i < MIN(crashes, load->servers_nr); i++)
 				crash_server(load, i);
@@ -293,17 +391,18 @@
 		load.entries[i] = entry_create(&owners[i]);
 	}
 	play(&load, owners, argc, argv);
-	g_string_append_printf(out, "late %s, sound refused %s\n",
-			       load.bad_late <= LATE_MAX ? "within the bound" :
-							   "over the bound",
-			       load.sound_refused * 100 <= load.sound ?
-				       "under 1 in 100" :
-				       "over 1 in 100");
+	g_string_append_printf(
+		out, "late %s, sound refused %s\n",
+		MAX(load.bad_late, load.repeated_late) <= LATE_MAX ?
+			"within the bound" :
+			"over the bound",
+		load.sound_refused * 100 <= load.sound ? "under 1 in 100" :
+							 "over 1 in 100");
 	if (script_arg_int(argc, argv, "figures", 0))
-		g_string_append_printf(out,
-				       "crashes=%u late=%u refused=%u/%u\n",
-				       load.crashes_bad, load.bad_late,
-				       load.sound_refused, load.sound);
+		g_string_append_printf(
+			out, "crashes=%u+%u late=%u+%u refused=%u/%u\n",
+			load.crashes_bad, load.crashes_repeated, load.bad_late,
+			load.repeated_late, load.sound_refused, load.sound);
 	list_for_each_safe (pos, tmp, &load.calls)
 		call_free(list_entry(pos, struct call, link));
 	for (i = 0; i < load.entries_nr; i++)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -25,11 +25,11 @@
 	uint64_t now_ms;
 };
 
-static bool owns(void *ctx, uint64_t part)
+static bool owns(void *ctx, uint64_t key)
 {
 	const struct entry *entry = ctx;
 
-	(void)part;
+	(void)key;
 	return entry->owner;
 }
 
@@ -64,28 +64,51 @@
 	return &state->entries[(name[0] - 'a') % ENTRIES_MAX];
 }
 
-/* Parses the parts of a prompt: ID,ID... */
+/* Parses the parts of a prompt and the target of the request: ID,ID...,@TARGET. Without
+ * a target it is an item. */
 static struct prompt prompt_arg(const char *text)
 {
 	struct prompt prompt = { .text = g_strdup(text) };
 	char **ids = g_strsplit(text, ",", -1), **id;
 
-	for (id = ids; *id; id++)
-		prompt_add(&prompt, *id);
+	for (id = ids; *id; id++) {
+		struct request_identity identity = {
+			.method = "GET",
+			.host = "desk.example",
+			.target = *id + 1,
+		};
+
+		if (**id == '@')
+			prompt.request = request_key(&identity);
+		else
+			prompt_add(&prompt, *id);
+	}
 	g_strfreev(ids);
 	return prompt;
 }
 
-/* crash ENTRY PARTS SERVER */
-static void crash(struct state *state, char **argv)
+/* crash ENTRY PROMPT SERVER: the server ends after the head of its answer */
+/* end ENTRY PROMPT SERVER [MS [ROUND_TRIP_MS [DATA_MS]]]: the server ends before the
+ * head of an answer to a request that was sent this long ago (40), after data that came
+ * so long before it was sent */
+static void crash(struct state *state, int argc, char **argv)
 {
 	struct prompt prompt = prompt_arg(argv[2]);
+	uint64_t ago_ms = argc > 4 ? g_ascii_strtoull(argv[4], NULL, 10) : 40;
 	struct quarantine_crash crash = {
 		.server = hash_string(argv[3], 0),
 		.now_ms = state->now_ms,
 		.wall_ms = WALL_MS + state->now_ms,
+		.sent_ms = state->now_ms - ago_ms,
+		.round_trip_ms =
+			argc > 5 ? g_ascii_strtoull(argv[5], NULL, 10) : 1,
+		.answer_begun = !strcmp(argv[0], "crash"),
 	};
 
+	if (argc > 6)
+		crash.data_ms =
+			crash.sent_ms - g_ascii_strtoull(argv[6], NULL, 10);
+
 	quarantine_note_crash(entry_arg(state, argv[1])->quarantine, &prompt,
 			      &crash);
 	prompt_clear(&prompt);
@@ -109,6 +132,32 @@
 	prompt_clear(&prompt);
 }
 
+/* survive ENTRY PROMPT: the server answers with a failure, as a whole */
+static void survive(struct state *state, char **argv)
+{
+	struct prompt prompt = prompt_arg(argv[2]);
+
+	quarantine_note_survived(entry_arg(state, argv[1])->quarantine, &prompt,
+				 state->now_ms);
+	prompt_clear(&prompt);
+}
+
+/* changes ENTRY MAX: crashes of the suspects that a report has room for */
+static void changes(struct state *state, char **argv, GString *out)
+{
+	unsigned max = (unsigned)g_ascii_strtoull(argv[2], NULL, 10), nr, i;
+	struct suspect **list = g_new(struct suspect *, max);
+
+	nr = quarantine_changes(entry_arg(state, argv[1])->quarantine,
+				state->now_ms - 1500, state->now_ms, list, max);
+	g_string_append(out, "crashes");
+	for (i = 0; i < nr; i++)
+		g_string_append_printf(out, " %u",
+				       evidence_crashes(&list[i]->evidence));
+	g_string_append(out, "\n");
+	g_free(list);
+}
+
 /* tell FROM TO: merges all evidence of one entry into another */
 static void tell(struct state *state, char **argv)
 {
@@ -122,14 +171,19 @@
 			state->now_ms);
 }
 
-/* check ENTRY PARTS [send]: the verdict; with "send" the request is sent */
+/* check ENTRY PROMPT [send|item]: the verdict; with "send" the request is sent. A prompt
+ * without a target is that of a request that no other is equal to, or of an item. */
 static void check(struct state *state, int argc, char **argv, GString *out)
 {
 	struct quarantine *quarantine = entry_arg(state, argv[1])->quarantine;
 	struct prompt prompt = prompt_arg(argv[2]);
-	struct quarantine_verdict verdict = quarantine_check(
-		quarantine, &prompt, state->now_ms, WALL_MS + state->now_ms);
+	struct request_identity unequal = { .target = "unequal" };
+	struct quarantine_verdict verdict;
 
+	if (!prompt.request && !(argc > 3 && !strcmp(argv[3], "item")))
+		prompt.request = request_key(&unequal);
+	verdict = quarantine_check(quarantine, &prompt, state->now_ms,
+				   WALL_MS + state->now_ms);
 	if (verdict.refused)
 		g_string_append_printf(out,
 				       "refused crashes=%u "
@@ -139,7 +193,7 @@
 	else
 		g_string_append_printf(out, "%s\n",
 				       verdict.crashes ? "trial" : "allowed");
-	if (argc > 3)
+	if (argc > 3 && !strcmp(argv[3], "send"))
 		quarantine_note_sent(quarantine, &prompt, state->now_ms);
 	prompt_clear(&prompt);
 }
@@ -172,7 +226,7 @@
 		char *id = g_strdup_printf("f%" G_GINT64_FORMAT, i);
 		char *args[] = { "crash", argv[1], id, "flood" };
 
-		crash(state, args);
+		crash(state, G_N_ELEMENTS(args), args);
 		g_free(id);
 	}
 }
@@ -207,8 +261,12 @@
 	struct state *state = data;
 	const char *name = argv[0];
 
-	if (!strcmp(name, "crash"))
-		crash(state, argv);
+	if (!strcmp(name, "crash") || !strcmp(name, "end"))
+		crash(state, argc, argv);
+	else if (!strcmp(name, "survive"))
+		survive(state, argv);
+	else if (!strcmp(name, "changes"))
+		changes(state, argv, out);
 	else if (!strcmp(name, "answer"))
 		answer(state, argv);
 	else if (!strcmp(name, "alive"))
