Split the handling of online requests by its steps

Reading and ending stay there; online_choice.c chooses and sends, online_answer.c relays; online_request.h has the state that they share. Code moves unchanged but for names: the struct is gateway_request, as the entry of the stand-alone daemon has functions online_request_*(). Tests: process_gateway_online, crashing_request, cut_inside_event.

--- /dev/null
+++ b/briarplankd/gateway/online_answer.c
@@ -0,0 +1,185 @@
+/*
+ * Relays the response of a server to the caller of an online request, and goes on at
+ * another server if it breaks off.
+ */
+#include "online_request.h"
+
+/* Outcomes of a request whose response ended before it was complete, and of one
+ * whose response is unsigned or has a gap in its events. */
+#define BROKE_OFF "the answer broke off"
+#define SPOILED "the answer was spoiled"
+/* Number of bytes of a stream that may wait for the caller to read. */
+#define STREAM_QUEUE_MAX (4 << 20)
+
+static void save_response_fields(struct gateway_request *request,
+				 const struct http_link_head *head)
+{
+	size_t i;
+
+	/* Drops the fields of an earlier, incomplete response. */
+	g_ptr_array_set_size(request->response_fields, 0);
+	for (i = 0; i < head->fields_nr; i++) {
+		if (server_call_hop_by_hop_field(head->fields[i].name))
+			continue;
+		g_ptr_array_add(request->response_fields,
+				g_strdup(head->fields[i].name));
+		g_ptr_array_add(request->response_fields,
+				g_strdup(head->fields[i].value));
+	}
+}
+
+static void add_response_fields(struct gateway_request *request)
+{
+	guint i;
+
+	for (i = 0; i + 1 < request->response_fields->len; i += 2)
+		web_add_header(
+			request->web,
+			g_ptr_array_index(request->response_fields, i),
+			g_ptr_array_index(request->response_fields, i + 1));
+}
+
+static void retry_elsewhere(struct gateway_request *request, const char *reason)
+{
+	if (!gateway_request_can_retry(request)) {
+		gateway_request_fail(request, 502, reason);
+		return;
+	}
+	event_stream_reset(request->events);
+	g_string_truncate(request->buffer, 0);
+	request->broken = false;
+	gateway_request_dispatch(request);
+}
+
+/* Ends the server call at once, as nothing that follows can be used. */
+static void reject_response(struct gateway_request *request, const char *reason)
+{
+	server_call_reject(request->call, reason);
+	request->call = NULL;
+	retry_elsewhere(request, reason);
+}
+
+void gateway_request_on_head(void *ctx, const struct server_response *answer)
+{
+	struct gateway_request *request = ctx;
+	bool success = answer->status >= 200 && answer->status < 300;
+
+	request->last_data_ms = gateway_request_now(request);
+	request->framing = answer->head->framing;
+	/* The caller of a resumed stream already has the head of the first
+	 * response. */
+	if (web_answer_started(request->web)) {
+		if (!success || !answer->is_signed)
+			reject_response(request, SPOILED);
+		return;
+	}
+	request->status = answer->status;
+	if (success && !answer->is_signed) {
+		reject_response(request, SPOILED);
+		return;
+	}
+	if (!success && answer->status >= 500 &&
+	    gateway_request_can_retry(request))
+		return;
+	save_response_fields(request, answer->head);
+	if (!success || request->kind != ROUTE_STREAM)
+		return;
+	request->streaming = true;
+	add_response_fields(request);
+	web_stream_begin(request->web, answer->status, NULL);
+	gateway_request_arm_timer(request);
+}
+
+static void on_event(void *ctx, const struct stream_event *event)
+{
+	struct gateway_request *request = ctx;
+
+	if (request->broken || request->ended)
+		return;
+	if (event->has_id) {
+		if (request->last_event >= 0 &&
+		    event->id != (uint64_t)request->last_event + 1) {
+			request->broken = true;
+			return;
+		}
+		request->last_event = (int64_t)event->id;
+	}
+	if (!request->first_ms)
+		request->first_ms = gateway_request_now(request);
+	web_stream_write(request->web, event->raw, event->raw_len);
+}
+
+void gateway_request_on_body(void *ctx, const char *data, size_t len)
+{
+	struct gateway_request *request = ctx;
+
+	request->last_data_ms = gateway_request_now(request);
+	if (!request->streaming) {
+		g_string_append_len(request->buffer, data, (gssize)len);
+		return;
+	}
+	event_stream_feed(request->events, data, len, on_event, request);
+	if (request->ended)
+		return;
+	if (request->broken)
+		reject_response(request, SPOILED);
+	else if (event_stream_overlong(request->events))
+		reject_response(request, "the answer has bytes but no events");
+	else if (web_stream_queued(request->web) > STREAM_QUEUE_MAX)
+		gateway_request_fail(request, 502,
+				     "the caller reads too slowly");
+}
+
+static void complete_response(struct gateway_request *request)
+{
+	const char *rest;
+	size_t rest_len;
+
+	if (!request->first_ms)
+		request->first_ms = gateway_request_now(request);
+	if (request->streaming) {
+		rest = event_stream_rest(request->events, &rest_len);
+		if (rest_len)
+			web_stream_write(request->web, rest, rest_len);
+		/* The write may have detected that the caller disconnected. */
+		if (request->ended)
+			return;
+		web_stream_end(request->web, true);
+	} else {
+		add_response_fields(request);
+		web_answer(request->web, request->status, NULL,
+			   request->buffer->str, request->buffer->len);
+	}
+	gateway_request_finish(request, "completed");
+}
+
+void gateway_request_on_end(void *ctx, enum server_call_end end)
+{
+	struct gateway_request *request = ctx;
+	bool success = request->status >= 200 && request->status < 300;
+
+	request->call = NULL;
+	switch (end) {
+	case SERVER_CALL_NOT_RUN:
+		request->runs--;
+		gateway_request_dispatch(request);
+		return;
+	case SERVER_CALL_COMPLETE:
+		if (request->streaming &&
+		    event_stream_broke_off(request->events,
+					   request->framing ==
+						   HTTP_LINK_UNTIL_CLOSE))
+			retry_elsewhere(request, BROKE_OFF);
+		else if (!success && request->status >= 500 &&
+			 gateway_request_can_retry(request))
+			retry_elsewhere(request, "the server failed");
+		else
+			complete_response(request);
+		return;
+	default:
+		retry_elsewhere(request, end == SERVER_CALL_TRUNCATED ?
+						 BROKE_OFF :
+						 "no answer came");
+		return;
+	}
+}
--- /dev/null
+++ b/briarplankd/gateway/online_request.h
@@ -0,0 +1,125 @@
+/**
+ * An online request of a caller: state shared by the files that handle it.
+ *
+ * online.c reads callers' requests and ends them, online_choice.c chooses servers, and
+ * online_answer.c relays the response.
+ */
+#ifndef BRIARPLANKD_GATEWAY_ONLINE_REQUEST_H
+#define BRIARPLANKD_GATEWAY_ONLINE_REQUEST_H
+
+#include "core/event_stream.h"
+#include "gateway.h"
+#include "server_call.h"
+
+/** Maximum number of servers that one request is sent to, including those that
+ * refuse it. */
+#define SERVERS_TRIED_MAX 4
+/** A request is neither sent nor retried with less time than this left until its
+ * deadline, in ms. */
+#define SEND_TIME_LEFT_MIN_MS 30
+/** Retry-After while no server is usable, in s: about one heartbeat. */
+#define NO_SERVER_RETRY_AFTER_S 0.6
+/** Retry-After while this node has just started and reads the configuration and
+ * the servers, in s. */
+#define STARTING_RETRY_AFTER_S 0.2
+
+/** State on which the last choice of a server was based, for the log. */
+struct choice_inputs {
+	char *server;
+	/* Expected wait for a slot, and time to the first byte, in ms. */
+	double wait_ms;
+	double first_ms;
+	/* Number of requests at the server from this node and from other
+	 * entries. */
+	unsigned own[WORK_CLASSES];
+	unsigned others[WORK_CLASSES];
+	/* Number of usable servers of the service. */
+	unsigned usable;
+	/* Age of the oldest load report of another entry, in ms. */
+	uint64_t peers_age_ms;
+};
+
+struct gateway_request {
+	struct list link;
+	struct gateway *gateway;
+	struct web_request *web;
+	/* Name of the route, copied when the request arrived. */
+	char *route;
+	char *service;
+	enum route_kind kind;
+	bool repeatable;
+	uint32_t objective_ms;
+	unsigned runs_max;
+	struct prompt prompt;
+	char *id;
+	char *method;
+	char *target;
+	char *host;
+	/* Header fields to forward, as text. */
+	char *fields;
+	const char *body;
+	size_t body_len;
+	uint64_t arrived_ms;
+	/* The earlier of the caller's deadline and the route's timeout. */
+	uint64_t deadline_ms;
+	/* Version of the configuration that holds the route. */
+	uint64_t config_version;
+	struct choice_inputs inputs;
+	/* Hashes of the servers that the request was sent to. */
+	uint64_t tried[SERVERS_TRIED_MAX];
+	size_t tried_nr;
+	/* Number of servers that may have run the request. */
+	unsigned runs;
+	struct server_call *call;
+	uv_timer_t timer;
+	/* Time of the last data from the server. */
+	uint64_t last_data_ms;
+	/* Status and framing of the current response. */
+	int status;
+	enum http_link_framing framing;
+	/* The response is relayed as it arrives, not buffered. */
+	bool streaming;
+	/* The stream has a gap in its events, or was broken off towards the
+	 * caller. */
+	bool broken;
+	bool ended;
+	/* Alternating names and values, sent with the complete response. */
+	GPtrArray *response_fields;
+	GString *buffer;
+	struct event_stream *events;
+	/* Id of the last event that the caller has; -1 for none. */
+	int64_t last_event;
+	/* Time at which the first byte of the body arrived; 0 before it. */
+	uint64_t first_ms;
+};
+
+/** Returns the loop time, in ms. */
+uint64_t gateway_request_now(const struct gateway_request *request);
+
+/** Logs the outcome and frees the request after it was answered. */
+void gateway_request_finish(struct gateway_request *request,
+			    const char *outcome);
+
+/** Ends a request that no server has run with a refusal. */
+void gateway_request_refuse(struct gateway_request *request, int status,
+			    double retry_s, const char *reason);
+
+/** Ends a request that a server may have run. */
+void gateway_request_fail(struct gateway_request *request, int status,
+			  const char *reason);
+
+/** Tells whether the request may be sent to another server. */
+bool gateway_request_can_retry(const struct gateway_request *request);
+
+/** Sets the timer to the deadline, or to the time at which the stream stalls. */
+void gateway_request_arm_timer(struct gateway_request *request);
+
+/** Chooses a server and sends it the request, or ends the request. */
+void gateway_request_dispatch(struct gateway_request *request);
+
+/** Callbacks that relay the response of a server; their ctx is the request. */
+void gateway_request_on_head(void *ctx, const struct server_response *answer);
+void gateway_request_on_body(void *ctx, const char *data, size_t len);
+void gateway_request_on_end(void *ctx, enum server_call_end end);
+
+#endif
