Log the software version of servers and the attempt that a request resumes

Both stand in the lines of requests, the version in those of servers. "Version" stays the word for the configuration's, "software" is that of a server; its weights have a third, which this code doesn't read. No decision uses them. Test: process_gateway_online.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -116,6 +116,7 @@
 	       server->slots == facts->slots &&
 	       !strcmp(server->service, facts->service) &&
 	       !strcmp(server->address, facts->address) &&
+	       !strcmp(server->software, facts->software) &&
 	       !strcmp(server->data_centre, facts->data_centre);
 }
 
@@ -156,10 +157,10 @@
 				   record->offset);
 	if (changed)
 		log_event("server", LOG_LEVEL_INFO,
-			  "id=%s service=%s address=%s data_centre=%s slots=%u "
-			  "%s offset=%" PRIu64,
+			  "id=%s service=%s address=%s data_centre=%s "
+			  "software=%s slots=%u %s offset=%" PRIu64,
 			  record->key, facts.service, facts.address,
-			  facts.data_centre, facts.slots,
+			  facts.data_centre, facts.software, facts.slots,
 			  facts.draining ? "draining" : "ready",
 			  record->offset);
 	fleet_update_server(gateway->fleet, &facts);
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -27,6 +27,8 @@
 	g_free(request->route);
 	g_free(request->service);
 	g_free(request->inputs.server);
+	g_free(request->inputs.software);
+	g_free(request->resumes);
 	g_free(request->id);
 	g_free(request->method);
 	g_free(request->target);
@@ -73,21 +75,25 @@
 		 inputs->others[WORK_ONLINE], inputs->own[WORK_BATCH],
 		 inputs->others[WORK_BATCH], inputs->usable,
 		 inputs->peers_age_ms);
-	log_event(
-		success ? "request" : "request_failed",
-		success ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-		"request=%s route=%s version=%" PRIu64
-		" outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
-		"key=%016" PRIx64 " first_ms=%" PRIu64 " ms=%" PRIu64
-		" left_ms=%" PRId64 " last_event=%" PRId64
-		" framing=%s rest=%zu %s",
-		request->id, request->route, request->config_version, outcome,
-		request->status, request->tried_nr, request->runs,
-		inputs->server ? inputs->server : "-", request->prompt.request,
-		request->first_ms ? request->first_ms - request->arrived_ms : 0,
-		now - request->arrived_ms,
-		(int64_t)(request->deadline_ms - now), request->last_event,
-		http_link_framing_name(request->framing), rest, text);
+	log_event(success ? "request" : "request_failed",
+		  success ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		  "request=%s route=%s version=%" PRIu64
+		  " outcome=\"%s\" status=%d offers=%zu runs=%u server=%s "
+		  "software=%s resumes=%s "
+		  "key=%016" PRIx64 " first_ms=%" PRIu64 " ms=%" PRIu64
+		  " left_ms=%" PRId64 " last_event=%" PRId64
+		  " framing=%s rest=%zu %s",
+		  request->id, request->route, request->config_version, outcome,
+		  request->status, request->tried_nr, request->runs,
+		  inputs->server ? inputs->server : "-",
+		  inputs->software ? inputs->software : "-",
+		  request->resumes ? request->resumes : "-",
+		  request->prompt.request,
+		  request->first_ms ? request->first_ms - request->arrived_ms :
+				      0,
+		  now - request->arrived_ms,
+		  (int64_t)(request->deadline_ms - now), request->last_event,
+		  http_link_framing_name(request->framing), rest, text);
 }
 
 static void count_outcome(const struct gateway_request *request,
@@ -262,6 +268,9 @@
 
 	request->last_event =
 		text ? (int64_t)g_ascii_strtoull(text, NULL, 10) : -1;
+	if (text)
+		request->resumes = g_strdup(
+			web_header(request->web, platform_fields.resumes));
 }
 
 static void read_identity(struct gateway_request *request)
--- a/briarplankd/gateway/online_choice.c
+++ b/briarplankd/gateway/online_choice.c
@@ -90,6 +90,8 @@
 		return;
 	g_free(inputs->server);
 	inputs->server = g_strdup(choice->server->id);
+	g_free(inputs->software);
+	inputs->software = g_strdup(choice->server->software);
 	memcpy(inputs->own, choice->server->own, sizeof(inputs->own));
 	memcpy(inputs->others, choice->server->others, sizeof(inputs->others));
 }
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -26,6 +26,8 @@
 /** State on which the last choice of a server was based, for the log. */
 struct choice_inputs {
 	char *server;
+	/* Version of the server's software. */
+	char *software;
 	/* Expected wait for a slot, and time to the first byte, in ms. */
 	double wait_ms;
 	double first_ms;
@@ -52,6 +54,9 @@
 	unsigned runs_max;
 	struct prompt prompt;
 	char *id;
+	/* Id of the attempt that brought the first event of the stream that this
+	 * request takes up; NULL if it takes up none, or doesn't say. */
+	char *resumes;
 	char *method;
 	char *target;
 	char *host;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -82,6 +82,7 @@
 	g_free(server->service);
 	g_free(server->address);
 	g_free(server->data_centre);
+	g_free(server->software);
 	g_free(server);
 }
 
@@ -211,6 +212,11 @@
 	return started_ms && server->started_ms <= *started_ms;
 }
 
+uint64_t fleet_software_hash(const char *software)
+{
+	return hash_string(software, 0) | 1;
+}
+
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts)
 {
 	struct server *server = fleet_find(fleet, facts->id);
@@ -228,6 +234,8 @@
 	server->service_hash = hash_string(facts->service, 0);
 	set_text(&server->address, facts->address);
 	set_text(&server->data_centre, facts->data_centre);
+	set_text(&server->software, facts->software ? facts->software : "");
+	server->software_hash = fleet_software_hash(server->software);
 	server->distance = distance_of(fleet, facts->data_centre);
 	region =
 		g_hash_table_lookup(fleet->options.regions, facts->data_centre);
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -40,6 +40,8 @@
 	const char *data_centre;
 	/** Number of requests that it runs concurrently. */
 	unsigned slots;
+	/** Version of its software, to be compared for equality only. */
+	const char *software;
 	/** The server shuts down soon and must get no new requests. */
 	bool draining;
 	/**
@@ -70,6 +72,9 @@
 	char *service;
 	char *address;
 	char *data_centre;
+	/** Version of its software, and the hash of it; never 0. */
+	char *software;
+	uint64_t software_hash;
 	uint64_t hash;
 	uint64_t started_ms;
 	unsigned slots;
@@ -139,6 +144,9 @@
 struct fleet *fleet_create(const struct fleet_options *options);
 void fleet_destroy(struct fleet *fleet);
 
+/** Returns the hash under which a version of software is compared; never 0. */
+uint64_t fleet_software_hash(const char *software);
+
 /** Adds a server or updates its description. */
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts);
 
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -46,6 +46,9 @@
 	const char *prompt_prefix;
 	/** Field with the id of the event after which a stream resumes. */
 	const char *last_event;
+	/** Field with the id of the attempt that brought the first event of the stream
+	 * that the request takes up. */
+	const char *resumes;
 	/** Longest time for which a read of results may wait, in ms. */
 	const char *wait_ms;
 	/** Field with the credentials of the client account. */
