Add a failing test of streams that go on at another software version

The test goes on to a caller's tries at other entries after the one that began the stream was killed, to streams of which no entry knows the version, to versions that are gone, and to items that another entry takes over.

--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -25,7 +25,7 @@
 
 # gateway_list_address ADDRESS SERVICE STATE ID: lists a server at an address.
 gateway_list_address () {
-	gateway_put keyed.servers "$4" "{\"Service\":\"$2\",\"Address\":\"$1\",\"Zone\":\"${GATEWAY_ZONE:-dc1}\",\"Version\":\"v1\",\"Capacity\":4,\"State\":\"$3\",\"WarmupMs\":0,\"Sequence\":1,\"born\":${GATEWAY_BORN:-1}}"
+	gateway_put keyed.servers "$4" "{\"Service\":\"$2\",\"Address\":\"$1\",\"Zone\":\"${GATEWAY_ZONE:-dc1}\",\"Version\":\"${GATEWAY_SOFTWARE:-v1}\",\"Capacity\":4,\"State\":\"$3\",\"WarmupMs\":0,\"Sequence\":1,\"born\":${GATEWAY_BORN:-1}}"
 }
 
 # gateway_list NAME SERVICE [STATE] [ID]: lists a server, or changes its state.
@@ -57,6 +57,16 @@
 	gateway_list "$name" "$service"
 }
 
+# gateway_software_server NAME VERSION [STANDIN ARGS]: starts and lists a server of the
+# service model whose events name the version of its software.
+gateway_software_server () {
+	name=$1
+	GATEWAY_SOFTWARE=v$2
+	shift
+	gateway_server "$name" model --software "$@"
+	GATEWAY_SOFTWARE=
+}
+
 # gateway_start NAME: starts or restarts a gateway.
 gateway_start () {
 	cat >"$FLEET_DIR/$1.json" <<END
--- /dev/null
+++ b/tests/process/gateway_software_versions.sh
@@ -0,0 +1,133 @@
+# Guards against streams and items that go on at another software version than the one
+# that began them: within an answer, over a caller's tries, and after a hand-over.
+. tests/fleet/fleet.sh
+. tests/fleet/gateway.sh
+fleet_begin
+
+# whole FILE VERSION: a text has events of this version and of no other.
+whole () {
+	grep -q -- "-v$2" "$1" || fleet_fail "$1 has no event of v$2: $(cat "$1")"
+	test "$(grep -o -- '-v[0-9]*' "$1" | sort -u)" = "-v$2" ||
+		fleet_fail "$1 has events of two versions: $(cat "$1")"
+}
+
+# begin NODE ID EVENT: begins a stream that is held after an event.
+begin () {
+	(
+		gateway_call "$1" "$2" /stream/x -N -d "hold $3" >"$FLEET_DIR/$2"
+		echo $? >"$FLEET_DIR/$2.status"
+	) &
+	wait_until grep -q "^data: $2-$3" "$FLEET_DIR/$2"
+}
+
+# resume NODE ID EVENT ATTEMPT: takes up the stream that an attempt began.
+resume () {
+	gateway_status "$1" "$2" /stream/x -d p -H "Last-Event-Id: $3" \
+		-H "Resumes: $4" || true
+}
+
+# leave NAME VERSION: lists a server as draining, and waits until all entries know.
+leave () {
+	GATEWAY_SOFTWARE=v$2
+	gateway_list "$1" model draining
+	GATEWAY_SOFTWARE=
+	for node in $NODES
+	do
+		wait_until gateway_listed "$node" "$(fleet_address "$1")" draining 1
+	done
+}
+
+# known NAME...: all entries know these servers.
+known () {
+	for server in "$@"
+	do
+		for node in $NODES
+		do
+			wait_until gateway_knows "$node" "$server"
+		done
+	done
+}
+
+NODES='g1 g2 g3'
+gateway_pair
+gateway_start g3
+wait_until gateway_ready g3
+gateway_software_server server-1 1 --events 30
+known server-1
+
+# Within one answer: the only server of v1 is there to begin it, then one more comes.
+begin g1 one 5
+for i in 2 3 4
+do
+	gateway_software_server "server-$i" 2 --events 30
+done
+gateway_software_server server-5 1 --events 30
+known server-2 server-3 server-4 server-5
+leave server-1 1
+fleet_fault server-1 kind=kill_streams
+wait_until test -s "$FLEET_DIR/one.status"
+whole "$FLEET_DIR/one" 1
+grep -q '^data: one-30-v1' "$FLEET_DIR/one" || fleet_fail "the stream did not go on"
+echo "one answer: went on at its version"
+
+# Over a caller's tries, at other entries, the one that began it being killed.
+for i in 1 2 3 4 5 6
+do
+	begin g1 "try-$i" 5
+done
+fleet_signal g1 KILL
+NODES='g2 g3'
+for i in 1 2 3 4 5 6
+do
+	version=$(grep -o -- '-v[0-9]*' "$FLEET_DIR/try-$i" | sort -u)
+	node=g$((i % 2 + 2))
+	status=$(resume $node "again-$i" 5 "try-$i")
+	test "$status" = 200 || fleet_fail "again-$i was not taken up: $status"
+	whole "$FLEET_DIR/body" "${version#-v}"
+done
+echo "tries: went on at their versions"
+
+# A stream of which no entry knows the version isn't taken up.
+status=$(resume g2 unknown 5 nobody)
+test "$status" = 503 || fleet_fail "an unknown stream got $status instead of 503"
+echo "unknown: refused"
+
+# A version that is gone: a clear end, at once.
+begin g2 old 5
+old=$(grep -o -- '-v[0-9]*' "$FLEET_DIR/old" | sort -u)
+case $old in
+-v1) leave server-5 1; fleet_fault server-5 kind=kill_streams ;;
+-v2) for i in 2 3 4; do leave "server-$i" 2; fleet_fault "server-$i" kind=kill_streams; done ;;
+esac
+wait_until test -s "$FLEET_DIR/old.status"
+test "$(cat "$FLEET_DIR/old.status")" -ne 0 ||
+	fleet_fail "a stream whose version is gone ended as complete"
+whole "$FLEET_DIR/old" "${old#-v}"
+status=$(resume g3 old-again 5 old)
+test "$status" = 503 || fleet_fail "a stream of a version that is gone got $status"
+echo "gone: ended"
+
+# An item whose entry is killed goes on at its version or starts over.
+gateway_software_server server-6 1 --events 40
+gateway_software_server server-7 2 --events 40
+known server-6 server-7
+test "$(gateway_status g2 job-1 /batch/x -H 'Content-Type: application/json' \
+	-d "$(gateway_job 4 'hold 20')")" = 202 || fleet_fail "the job was not accepted"
+for i in 1 2 3 4
+do
+	wait_until grep -q "item=item-$i saved after_event=20" "$FLEET_DIR/g2.log"
+done
+fleet_signal g2 KILL
+for i in 2 3 4 5 6 7
+do
+	fleet_fault "server-$i" kind=kill_streams
+done
+wait_until gateway_has_results g3 job-1 4
+for i in 1 2 3 4
+do
+	gateway_call g3 read "/lots/job-1?After=0" | grep -o '"Id":"item-'$i'"[^}]*' >"$FLEET_DIR/item-$i"
+	grep -q completed "$FLEET_DIR/item-$i" || fleet_fail "item-$i is not completed"
+	version=$(grep -o -- '-v[0-9]*' "$FLEET_DIR/item-$i" | sort -u)
+	whole "$FLEET_DIR/item-$i" "${version#-v}"
+done
+echo "items: each of one version"
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -26,12 +26,15 @@
 	int64_t event_ms;
 	bool plain;
 	int64_t limit;
+	int64_t software;
 };
 
 struct worker_state {
 	struct standin *standin;
 	struct worker_settings settings;
 	GHashTable *runs;
+	/* Text at the end of each event: the version of the software, if it has one. */
+	char *mark;
 	/* Lists of running requests and of requests that wait for a slot. */
 	struct list running;
 	struct list waiting;
@@ -136,8 +139,8 @@
 	if (crash_by_part(run))
 		return;
 	run->event++;
-	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "\n\n",
-			       run->event, run->id, run->event);
+	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "%s\n\n",
+			       run->event, run->id, run->event, state->mark);
 	web_stream_write(request, text, strlen(text));
 	g_free(text);
 	if (run->event < state->settings.events)
@@ -336,6 +339,10 @@
 
 	state->standin = standin;
 	state->settings = *(const struct worker_settings *)settings;
+	state->mark = state->settings.software ?
+			      g_strdup_printf("-v%" PRId64,
+					      state->settings.software) :
+			      g_strdup("");
 	state->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_init(&state->running);
@@ -356,6 +363,7 @@
 	list_for_each_safe (pos, tmp, &state->running)
 		run_free(list_entry(pos, struct run, link));
 	g_hash_table_destroy(state->runs);
+	g_free(state->mark);
 	g_free(state);
 }
 
@@ -368,6 +376,8 @@
 	  .help = "time per event or per plain answer, in ms" },
 	{ "limit", offsetof(struct worker_settings, limit), 0,
 	  .help = "limit that all answers name, in requests a second" },
+	{ "software", offsetof(struct worker_settings, software), 0,
+	  .help = "version that each event names; 0 for none" },
 	{ "plain", offsetof(struct worker_settings, plain), 0, .on_off = true,
 	  .help = "on: answer with the body instead of a stream" },
 	{ 0 },
