--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -75,11 +75,16 @@
 			starts = starts_allowed(batch, &query, late);
 		}
 		query.random = gateway_random();
-		if (starts <= 0)
+		if (starts <= 0 || run_lost_software(run, wanted))
 			continue;
+		query.software = run->software;
 		server = fleet_choose_batch(gateway->fleet, &query);
+		query.software = 0;
 		if (!server) {
-			starts = 0;
+			/* An item that has output waits for a server of one
+			 * version, others for any. */
+			if (!run->software)
+				starts = 0;
 			continue;
 		}
 		starts--;
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -193,6 +193,7 @@
 {
 	run->last_event = -1;
 	run->saved_event = -1;
+	run->software = 0;
 	g_string_truncate(run->output, 0);
 }
 
@@ -233,6 +234,8 @@
 	}
 	if (run->last_event >= 0)
 		g_string_append_c(run->output, '\n');
+	else
+		run->software = run->call_software;
 	g_string_append_len(run->output, event->data, (gssize)event->data_len);
 	run->last_event = (int64_t)event->id;
 }
@@ -368,6 +371,21 @@
 		       NULL;
 }
 
+bool run_lost_software(struct run *run, const char *service)
+{
+	struct fleet *fleet = run->batch->gateway->fleet;
+
+	if (run->last_event < 0 ||
+	    fleet_serving_software(fleet, service, run->software))
+		return false;
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s starts over after_event=%" PRId64
+		  ": no server has the software version of its output",
+		  run->job->id, run->item->id, run->last_event);
+	discard_output(run);
+	return true;
+}
+
 void run_start_at(struct run *run, struct server *server)
 {
 	struct batch *batch = run->batch;
@@ -400,16 +418,18 @@
 	run->status = 0;
 	run->framing = HTTP_LINK_FRAMING_UNKNOWN;
 	run->server = server;
+	run->call_software = server->software_hash;
 	run->first_event = run->last_event;
 	run->started_ms = now_ms(batch);
 	run->last_receive_ms = run->started_ms;
 	counter_add(batch->started, 1);
 	log_event("item", LOG_LEVEL_INFO,
-		  "job=%s item=%s server=%s after_event=%" PRId64
+		  "job=%s item=%s server=%s software=%s after_event=%" PRId64
 		  " online=%u+%u batch=%u+%u",
-		  run->job->id, run->item->id, server->id, run->last_event,
-		  server->own[WORK_ONLINE], server->others[WORK_ONLINE],
-		  server->own[WORK_BATCH], server->others[WORK_BATCH]);
+		  run->job->id, run->item->id, server->id, server->software,
+		  run->last_event, server->own[WORK_ONLINE],
+		  server->others[WORK_ONLINE], server->own[WORK_BATCH],
+		  server->others[WORK_BATCH]);
 	run->call = server_call_start(&options);
 }
 
@@ -481,6 +501,7 @@
 	if (data) {
 		g_string_append_len(run->output, data, (gssize)len);
 		run->last_event = run->saved_event;
+		run->software = run->saved_software;
 	} else {
 		run->saved_event = -1;
 	}
@@ -491,6 +512,7 @@
 static void fetch_saved_output(struct run *run)
 {
 	run->saved_event = run->item->saved_event;
+	run->saved_software = run->item->saved_software;
 	set_state(run, RUN_FETCHING);
 	run->read = job_bulk_read(run->batch->gateway->job_bulk,
 				  &run->item->saved, on_saved_output_read, run);
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -58,10 +58,17 @@
 	GString *output;
 	/* Id of the last event in output, or -1. */
 	int64_t last_event;
+	/* Hash of the service and software version that wrote output; 0 while it is
+	 * empty. */
+	uint64_t software;
+	/* That of the server of the current call. */
+	uint64_t call_software;
 	/* Value of last_event when the server call started. */
 	int64_t first_event;
 	/* Id of the last event whose output is saved or being saved, or -1. */
 	int64_t saved_event;
+	/* The version that wrote the saved output which is being read. */
+	uint64_t saved_software;
 	struct event_stream *events;
 	/* The response has a gap in its event ids. */
 	bool broken;
@@ -129,6 +136,12 @@
 /** Makes an item that is held wait for a slot when its check is due. */
 void run_check_held(struct run *run, uint64_t now);
 
+/**
+ * Makes a prepared item start over if no server has the software version that wrote its
+ * output so far; tells whether it does.
+ */
+bool run_lost_software(struct run *run, const char *service);
+
 /** Starts a prepared item on a server. */
 void run_start_at(struct run *run, struct server *server);
 
--- a/briarplankd/gateway/batch_save.c
+++ b/briarplankd/gateway/batch_save.c
@@ -16,9 +16,12 @@
 };
 
 struct save_entry {
+	struct batch_save *save;
 	char *job;
+	char *item_id;
 	size_t item;
 	uint64_t last_event;
+	uint64_t software;
 };
 
 static void save_entry_free(gpointer data)
@@ -26,6 +29,7 @@
 	struct save_entry *entry = data;
 
 	g_free(entry->job);
+	g_free(entry->item_id);
 	g_free(entry);
 }
 
@@ -44,9 +48,15 @@
 
 static void on_save_appended(void *ctx, enum job_append_result result)
 {
-	struct batch_save *save = ctx;
-
-	(void)result;
+	struct save_entry *entry = ctx;
+	struct batch_save *save = entry->save;
+
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s %s after_event=%" PRIu64
+		  " software=%016" PRIx64,
+		  entry->job, entry->item_id,
+		  result == JOB_APPEND_DONE ? "saved" : "not saved",
+		  entry->last_event, entry->software);
 	if (--save->pending_appends == 0)
 		save_end(save);
 }
@@ -65,11 +75,12 @@
 	for (i = 0; i < save->entries->len; i++) {
 		struct save_entry *entry = g_ptr_array_index(save->entries, i);
 
-		job_store_append(store,
-				 job_log_encode_progress(
-					 entry->job, entry->item,
-					 entry->last_event, &locations[i]),
-				 true, on_save_appended, save);
+		job_store_append(
+			store,
+			job_log_encode_progress(entry->job, entry->item,
+						entry->last_event,
+						entry->software, &locations[i]),
+			true, on_save_appended, entry);
 	}
 }
 
@@ -78,7 +89,10 @@
 	struct save_entry *entry = g_new0(struct save_entry, 1);
 	GByteArray *blob = g_byte_array_new();
 
+	entry->save = save;
 	entry->job = g_strdup(run->job->id);
+	entry->item_id = g_strdup(run->item->id);
+	entry->software = run->software;
 	entry->item = (size_t)(run->item - run->job->items);
 	entry->last_event = (uint64_t)run->last_event;
 	g_ptr_array_add(save->entries, entry);
--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -30,6 +30,8 @@
 #define UNLIST_GRACE_MS 2000
 /* Interval of the check of all servers, in ms. */
 #define SWEEP_INTERVAL_MS 100
+/* Age up to which the list of servers counts as up to date, in ms: a few reads. */
+#define SERVERS_AGE_MAX_MS 3000
 
 void directory_apply_config(struct directory *directory,
 			    const struct store_record *record)
@@ -390,6 +392,14 @@
 	uv_timer_start(timer, on_fetch_timer, fetch_interval(directory), 0);
 }
 
+static bool servers_up_to_date(const struct directory *directory, uint64_t now)
+{
+	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
+
+	return servers->following &&
+	       now - servers->as_of_ms <= SERVERS_AGE_MAX_MS;
+}
+
 static void on_sweep(uv_timer_t *timer)
 {
 	struct directory *directory = timer->data;
@@ -409,6 +419,19 @@
 		g_hash_table_iter_remove(&iter);
 	}
 	fleet_sweep(gateway->fleet, now);
+	if (!servers_up_to_date(directory, now))
+		directory->known_since_ms = 0;
+	else if (!directory->known_since_ms)
+		directory->known_since_ms = now;
+}
+
+uint64_t directory_known_for_ms(const struct directory *directory)
+{
+	uint64_t now = uv_now(directory->gateway->loop);
+
+	if (!directory->known_since_ms || !servers_up_to_date(directory, now))
+		return 0;
+	return now - directory->known_since_ms;
 }
 
 struct directory *directory_create(struct gateway *gateway)
--- a/briarplankd/gateway/directory.h
+++ b/briarplankd/gateway/directory.h
@@ -13,4 +13,10 @@
 /** Tells whether a configuration and a complete list of servers are known. */
 bool directory_loaded(const struct directory *directory);
 
+/**
+ * Returns for how long the list of servers has been kept up to date, in ms: no server
+ * that was listed in that time is unknown. 0 while it isn't up to date.
+ */
+uint64_t directory_known_for_ms(const struct directory *directory);
+
 #endif
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -43,6 +43,9 @@
 	GHashTable *unlist_pending;
 	/* Loop time of the last failed read; 0 for none. */
 	uint64_t store_failed_ms;
+	/* Loop time since which the list of servers has been kept up to date; 0 while
+	 * it isn't. */
+	uint64_t known_since_ms;
 	/* Newest records of servers, for pages to other entries. */
 	struct change_list *changes;
 	/* The encoded configuration as the platform wrote it. */
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "common/log.h"
 #include "directory.h"
 #include "evidence_share.h"
+#include "stream_share.h"
 #include "gateway.h"
 #include "job_bulk.h"
 #include "job_calls.h"
@@ -378,6 +379,7 @@
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
 	gateway->evidence = evidence_share_create(gateway);
+	gateway->streams = stream_share_create(gateway);
 	gateway->limits = limits_create(gateway);
 	peers_announce(gateway->peers);
 	return true;
@@ -426,6 +428,8 @@
 		limits_destroy(gateway->limits);
 	if (gateway->evidence)
 		evidence_share_destroy(gateway->evidence);
+	if (gateway->streams)
+		stream_share_destroy(gateway->streams);
 	if (gateway->peers)
 		peers_destroy(gateway->peers);
 	refusals_destroy(gateway->refusals);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -29,6 +29,7 @@
 struct peers;
 struct refusals;
 struct store_relay;
+struct stream_share;
 struct store_route_state;
 
 struct gateway {
@@ -55,6 +56,7 @@
 	struct peers *peers;
 	struct evidence_share *evidence;
 	struct limits *limits;
+	struct stream_share *streams;
 	struct refusals *refusals;
 	/** Online requests in progress (struct online_request). */
 	struct list requests;
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -41,6 +41,17 @@
 	g_free(request);
 }
 
+struct stream_name gateway_request_stream(const struct gateway_request *request)
+{
+	struct stream_name name = {
+		.attempt = request->taken_up ? request->resumes : request->id,
+		.service = request->service,
+		.timeout_ms = request->timeout_ms,
+	};
+
+	return name;
+}
+
 static void cancel_call(struct gateway_request *request)
 {
 	if (request->call)
@@ -122,6 +133,8 @@
 	log_outcome(request, outcome);
 	count_outcome(request, outcome);
 	cancel_call(request);
+	if (request->question)
+		stream_question_cancel(request->question);
 	if (request->web)
 		web_on_close(request->web, NULL, NULL);
 	list_remove(&request->link);
@@ -268,6 +281,7 @@
 
 	request->last_event =
 		text ? (int64_t)g_ascii_strtoull(text, NULL, 10) : -1;
+	request->taken_up = text;
 	if (text)
 		request->resumes = g_strdup(
 			web_header(request->web, platform_fields.resumes));
@@ -287,6 +301,49 @@
 	request->prompt.request = request_key(&identity);
 }
 
+static void count_taken_up(const struct gateway_request *request,
+			   const char *origin)
+{
+	char *labels = g_strdup_printf("origin=\"%s\"", origin);
+
+	counter_add(metrics_counter(request->gateway->metrics,
+				    "briarplank_streams_taken_up_total",
+				    labels),
+		    1);
+	g_free(labels);
+}
+
+static void on_software(void *ctx, uint64_t software)
+{
+	struct gateway_request *request = ctx;
+
+	request->question = NULL;
+	count_taken_up(request, software ? "asked" : "unknown");
+	request->software = software;
+	if (software)
+		gateway_request_dispatch(request);
+	else
+		gateway_request_refuse(request, 503, STREAM_LOST_RETRY_AFTER_S,
+				       "the software version that began the "
+				       "stream isn't known");
+}
+
+/* Takes up a stream for its caller, at the software version that began it. */
+static void take_up(struct gateway_request *request)
+{
+	struct stream_share *streams = request->gateway->streams;
+	struct stream_name name = gateway_request_stream(request);
+
+	request->software = stream_share_find(streams, &name);
+	if (!request->software) {
+		request->question =
+			stream_share_ask(streams, &name, on_software, request);
+		return;
+	}
+	count_taken_up(request, "known");
+	gateway_request_dispatch(request);
+}
+
 static void online_request_begin(struct gateway *gateway,
 				 struct web_request *web,
 				 const struct route *route, const char *id)
@@ -298,8 +355,12 @@
 	request->web = web;
 	request->route = g_strdup(route->name);
 	request->id = g_strdup(id);
-	request->service =
-		g_strdup(route_pick_service(route, hash_string(id, 0)));
+	request->timeout_ms = route->timeout_ms;
+	read_last_event(request);
+	/* A stream goes on at the service that began it. */
+	request->service = g_strdup(route_pick_service(
+		route,
+		hash_string(request->resumes ? request->resumes : id, 0)));
 	request->config_version = gateway->config->version;
 	request->kind = route->kind;
 	request->repeatable = route_repeatable(route);
@@ -318,14 +379,16 @@
 	request->events = event_stream_create();
 	request->arrived_ms = uv_now(gateway->loop);
 	read_deadline(request, route);
-	read_last_event(request);
 	uv_timer_init(gateway->loop, &request->timer);
 	request->timer.data = request;
 	web_on_close(web, on_caller_disconnect, request);
 	gateway_request_arm_timer(request);
 	fleet_note_demand(gateway->fleet, request->service,
 			  request->arrived_ms);
-	gateway_request_dispatch(request);
+	if (request->kind == ROUTE_STREAM && request->taken_up)
+		take_up(request);
+	else
+		gateway_request_dispatch(request);
 }
 
 void online_requests_each(struct gateway *gateway,
--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -90,6 +90,17 @@
 	gateway_request_arm_timer(request);
 }
 
+/* Binds the stream to the version of the server that sends its first event. */
+static void bind_to_software(struct gateway_request *request)
+{
+	struct stream_name name = gateway_request_stream(request);
+
+	request->software = request->call_software;
+	if (name.attempt)
+		stream_share_begun(request->gateway->streams, &name,
+				   request->software);
+}
+
 static void on_event(void *ctx, const struct stream_event *event)
 {
 	struct gateway_request *request = ctx;
@@ -104,6 +115,8 @@
 		}
 		request->last_event = (int64_t)event->id;
 	}
+	if (!request->software)
+		bind_to_software(request);
 	if (!request->first_ms)
 		request->first_ms = gateway_request_now(request);
 	web_stream_write(request->web, event->raw, event->raw_len);
--- a/briarplankd/gateway/online_choice.c
+++ b/briarplankd/gateway/online_choice.c
@@ -47,6 +47,7 @@
 	request->tried[request->tried_nr++] = server->hash;
 	request->runs++;
 	request->last_data_ms = now;
+	request->call_software = server->software_hash;
 	request->call = server_call_start(&options);
 	gateway_request_arm_timer(request);
 	/* Lets batch items yield to the request at once. */
@@ -137,6 +138,41 @@
 				       "no server can run it");
 }
 
+/* Tells whether no server is left that has the version that began the stream. */
+static bool software_is_gone(const struct gateway_request *request)
+{
+	return request->software &&
+	       !fleet_serving_software(request->gateway->fleet,
+				       request->service, request->software);
+}
+
+/* Ends a stream whose software version no longer serves. */
+static void end_lost_stream(struct gateway_request *request)
+{
+	static const char reason[] =
+		"no server has the software version that began the stream";
+
+	if (request->runs)
+		gateway_request_fail(request, 502, reason);
+	else
+		gateway_request_refuse(request, 503, STREAM_LOST_RETRY_AFTER_S,
+				       reason);
+}
+
+/* Returns the time after which the first byte comes too late, in ms: the objective, or
+ * all the time there is for a stream that can go on at only some of the servers, as these
+ * are no less busy later. */
+static double first_byte_limit_ms(const struct gateway_request *request)
+{
+	bool bound =
+		request->software &&
+		!fleet_sole_software(request->gateway->fleet, request->service,
+				     gateway_request_now(request));
+
+	return bound ? (double)(request->deadline_ms - request->arrived_ms) :
+		       request->objective_ms;
+}
+
 void gateway_request_dispatch(struct gateway_request *request)
 {
 	struct quarantine_verdict verdict;
@@ -144,6 +180,7 @@
 		.service = request->service,
 		.now_ms = gateway_request_now(request),
 		.prefix_hash = prompt_hash(&request->prompt),
+		.software = request->software,
 		.tried = request->tried,
 		.tried_nr = request->tried_nr,
 	};
@@ -160,6 +197,10 @@
 	if (has_time && request->tried_nr < SERVERS_TRIED_MAX)
 		choice = fleet_choose(request->gateway->fleet, &query);
 	record_choice_inputs(request, &choice, query.now_ms);
+	if (!choice.server && has_time && software_is_gone(request)) {
+		end_lost_stream(request);
+		return;
+	}
 	if (!choice.server) {
 		if (request->runs)
 			gateway_request_fail(request, 502,
@@ -171,7 +212,7 @@
 	/* A response after the objective is of little use to the caller, who
 	 * can retry earlier than that. */
 	if (!request->runs && choice.wait_ms > 0 &&
-	    waited_ms + choice.first_ms > request->objective_ms) {
+	    waited_ms + choice.first_ms > first_byte_limit_ms(request)) {
 		gateway_request_refuse(request, 503,
 				       retry_after(request, &choice),
 				       "all servers are busy");
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -10,6 +10,7 @@
 #include "core/event_stream.h"
 #include "gateway.h"
 #include "server_call.h"
+#include "stream_share.h"
 
 /** Maximum number of servers that one request is sent to, including those that
  * refuse it. */
@@ -54,9 +55,19 @@
 	unsigned runs_max;
 	struct prompt prompt;
 	char *id;
-	/* Id of the attempt that brought the first event of the stream that this
-	 * request takes up; NULL if it takes up none, or doesn't say. */
+	/* The caller takes up a stream, and the id of the attempt that brought its first
+	 * event; NULL if the caller doesn't say. */
+	bool taken_up;
 	char *resumes;
+	/* Hash of the service and software version that the stream is bound to, as it
+	 * has an event; 0 before. */
+	uint64_t software;
+	/* That of the server of the current call. */
+	uint64_t call_software;
+	/* Other entries are asked for the version; NULL otherwise. */
+	struct stream_question *question;
+	/* Timeout of the route, in ms. */
+	uint32_t timeout_ms;
 	char *method;
 	char *target;
 	char *host;
@@ -98,6 +109,10 @@
 	uint64_t first_ms;
 };
 
+/** Retry-After of a stream that can't go on, in s: longer than a caller takes it up
+ * again, as it must begin anew. */
+#define STREAM_LOST_RETRY_AFTER_S 60
+
 /** Returns the loop time, in ms. */
 uint64_t gateway_request_now(const struct gateway_request *request);
 
@@ -122,6 +137,10 @@
 /** Chooses a server and sends it the request, or ends the request. */
 void gateway_request_dispatch(struct gateway_request *request);
 
+/** Returns the name by which entries know the stream of the request. */
+struct stream_name gateway_request_stream(
+	const struct gateway_request *request);
+
 /** Callbacks that relay the response of a server; their ctx is the request. */
 void gateway_request_on_head(void *ctx, const struct server_response *answer);
 void gateway_request_on_body(void *ctx, const char *data, size_t len);
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -233,6 +233,7 @@
 
 		row_add_text(row, "server", server->id);
 		row_add_text(row, "service", server->service);
+		row_add_text(row, "software", server->software);
 		row_add_text(row, "state",
 			     !server->listed ?
 				     "unlisted" :
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -19,6 +19,7 @@
 #include "nodeload.pb-c.h"
 #include "peers.h"
 #include "store_route.h"
+#include "stream_share.h"
 
 /* Shortest time between two reports, in ms. Batch items yield to online
  * requests of other nodes within this time plus the network latency. Reports to
@@ -196,6 +197,13 @@
 			  "received a malformed load report");
 		return;
 	}
+	if (!load->sequence) {
+		stream_share_receive(
+			peers->gateway->streams, load,
+			address_pack((const struct sockaddr_in *)from));
+		node_load__free_unpacked(load, NULL);
+		return;
+	}
 	peer = peer_table_note_report(
 		peers->table, load->node,
 		address_pack((const struct sockaddr_in *)from), load->sequence,
@@ -271,6 +279,34 @@
 	return out;
 }
 
+void peers_send(struct peers *peers, uint64_t address, NodeLoad *message)
+{
+	struct sockaddr_in addr = address_unpack(address);
+	size_t len;
+	uint8_t *bytes;
+	uv_buf_t buf;
+	int rc;
+
+	message->node = peers->gateway->identity;
+	len = node_load__get_packed_size(message);
+	bytes = g_malloc(len);
+	node_load__pack(message, bytes);
+	buf = uv_buf_init((char *)bytes, (unsigned)len);
+	rc = uv_udp_try_send(&peers->udp, &buf, 1,
+			     (const struct sockaddr *)&addr);
+	if (rc < 0)
+		log_event("peer", LOG_LEVEL_WARN, "message not sent: %s",
+			  uv_strerror(rc));
+	g_free(bytes);
+}
+
+unsigned peers_choose(const struct peers *peers, uint64_t key, bool same_region,
+		      uint64_t *addresses, unsigned max)
+{
+	return peer_table_choose(peers->table, key, same_region, addresses,
+				 max);
+}
+
 static void report_send(struct peers *peers, bool near, bool far)
 {
 	uint64_t now = uv_now(peers->gateway->loop);
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -13,6 +13,7 @@
 #include "core/peer_table.h"
 #include "core/poll_pace.h"
 #include "gateway.h"
+#include "nodeload.pb-c.h"
 
 /**
  * Starts load reports; returns NULL with error_last() set if the port can't be
@@ -37,6 +38,13 @@
 /** Schedules a report after a change of this node's load. */
 void peers_load_changed(struct peers *peers);
 
+/** Sends a message, which may get lost, to an entry by its packed address. */
+void peers_send(struct peers *peers, uint64_t address, NodeLoad *message);
+
+/** Chooses entries by a key; see peer_table_choose(). */
+unsigned peers_choose(const struct peers *peers, uint64_t key, bool same_region,
+		      uint64_t *addresses, unsigned max);
+
 /** Hands the batch items of this node over to the others, and reports it. */
 void peers_hand_over(struct peers *peers);
 
--- /dev/null
+++ b/briarplankd/gateway/stream_share.c
@@ -0,0 +1,359 @@
+#include <string.h>
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "core/stream_origins.h"
+#include "directory.h"
+#include "peers.h"
+#include "stream_share.h"
+
+/* Number of entries in this region, and in others, that are told of a stream. */
+#define TOLD_NEAR 2
+#define TOLD_FAR 1
+/* Number of entries in this region, and in others, that are asked for one. It is larger,
+ * as entries may differ in whom they take to be alive. */
+#define ASKED_NEAR 8
+#define ASKED_FAR 8
+/* Time after which a question is sent again, and given up, in ms: a bit more than a round
+ * trip between regions each. */
+#define ASK_AGAIN_MS 80
+#define ASK_TIMEOUT_MS 200
+/* Interval at which services with one version are checked for a second one, in ms. */
+#define CHECK_INTERVAL_MS 200
+
+struct stream_share {
+	struct gateway *gateway;
+	struct stream_origins *origins;
+	uv_timer_t timer;
+	/* Names of services whose streams were not told to others, as they had one
+	 * version. */
+	GHashTable *untold;
+	struct list questions;
+};
+
+struct stream_question {
+	struct list link;
+	struct stream_share *share;
+	uint64_t id;
+	uint64_t stream;
+	char *attempt;
+	char *service;
+	uint64_t ttl_ms;
+	/* Addresses of the entries that have not answered. */
+	uint64_t asked[ASKED_NEAR + ASKED_FAR];
+	unsigned asked_nr;
+	bool asked_again;
+	uint64_t started_ms;
+	uv_timer_t timer;
+	void (*done)(void *ctx, uint64_t software);
+	void *ctx;
+};
+
+static uint64_t now_ms(const struct stream_share *share)
+{
+	return uv_now(share->gateway->loop);
+}
+
+/* Returns the only version that has served for as long as streams are remembered, or 0
+ * if there were several or this entry can't tell. */
+static uint64_t sole_software(const struct stream_share *share,
+			      const char *service, uint64_t ttl_ms)
+{
+	struct gateway *gateway = share->gateway;
+	uint64_t known_ms = directory_known_for_ms(gateway->directory);
+	uint64_t now = now_ms(share);
+
+	if (known_ms < ttl_ms)
+		return 0;
+	return fleet_sole_software(gateway->fleet, service,
+				   now > ttl_ms ? now - ttl_ms : 0);
+}
+
+static void send_origin(struct stream_share *share, uint64_t address,
+			StreamOrigin *origin)
+{
+	StreamOrigin *origins[] = { origin };
+	NodeLoad message = NODE_LOAD__INIT;
+
+	message.origins = origins;
+	message.n_origins = 1;
+	peers_send(share->gateway->peers, address, &message);
+}
+
+static void tell(void *ctx, const struct stream_origin *origin)
+{
+	struct stream_share *share = ctx;
+	uint64_t addresses[TOLD_NEAR + TOLD_FAR];
+	StreamOrigin message = STREAM_ORIGIN__INIT;
+	unsigned i, nr;
+
+	message.stream = origin->stream;
+	message.software = origin->software;
+	message.ttl_ms = (uint32_t)(origin->expires_ms - now_ms(share));
+	nr = peers_choose(share->gateway->peers, origin->stream, true,
+			  addresses, TOLD_NEAR);
+	nr += peers_choose(share->gateway->peers, origin->stream, false,
+			   addresses + nr, TOLD_FAR);
+	for (i = 0; i < nr; i++)
+		send_origin(share, addresses[i], &message);
+}
+
+void stream_share_begun(struct stream_share *share,
+			const struct stream_name *name, uint64_t software)
+{
+	uint64_t ttl_ms = stream_origin_ttl_ms(name->timeout_ms);
+	struct stream_origin origin = {
+		.stream = hash_string(name->attempt, 0),
+		.software = software,
+		.own = true,
+		.expires_ms = now_ms(share) + ttl_ms,
+	};
+
+	stream_origins_add(share->origins, &origin, now_ms(share));
+	if (sole_software(share, name->service, ttl_ms) == software)
+		g_hash_table_add(share->untold, g_strdup(name->service));
+	else
+		tell(share, &origin);
+}
+
+/* Tells the streams that this entry has begun once a service gets a second version. */
+static void on_check(uv_timer_t *timer)
+{
+	struct stream_share *share = timer->data;
+	GHashTableIter iter;
+	gpointer service;
+	bool several = false;
+
+	g_hash_table_iter_init(&iter, share->untold);
+	while (g_hash_table_iter_next(&iter, &service, NULL)) {
+		if (sole_software(share, service, STREAM_ORIGIN_MS))
+			continue;
+		log_event("stream", LOG_LEVEL_INFO,
+			  "service=%s has several software versions, or none "
+			  "is known; other entries are told of its streams",
+			  (const char *)service);
+		several = true;
+		g_hash_table_iter_remove(&iter);
+	}
+	if (several)
+		stream_origins_each_own(share->origins, now_ms(share), tell,
+					share);
+}
+
+uint64_t stream_share_find(struct stream_share *share,
+			   const struct stream_name *name)
+{
+	uint64_t software = 0;
+
+	if (name->attempt)
+		software = stream_origins_find(share->origins,
+					       hash_string(name->attempt, 0),
+					       now_ms(share));
+	return software ? software :
+			  sole_software(share, name->service,
+					stream_origin_ttl_ms(name->timeout_ms));
+}
+
+/* Functions that ask other entries. */
+
+static void on_question_closed(uv_handle_t *handle)
+{
+	struct stream_question *question = handle->data;
+
+	g_free(question->attempt);
+	g_free(question->service);
+	g_free(question);
+}
+
+void stream_question_cancel(struct stream_question *question)
+{
+	list_remove(&question->link);
+	uv_timer_stop(&question->timer);
+	uv_close((uv_handle_t *)&question->timer, on_question_closed);
+}
+
+static void question_end(struct stream_question *question, uint64_t software)
+{
+	void (*done)(void *ctx, uint64_t software) = question->done;
+	void *ctx = question->ctx;
+
+	log_event("stream", software ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		  "attempt=%s service=%s software=%016" PRIx64
+		  " %s unanswered=%u ms=%" PRIu64,
+		  question->attempt ? question->attempt : "-",
+		  question->service, software,
+		  software ? "known to another entry" : "unknown",
+		  question->asked_nr,
+		  now_ms(question->share) - question->started_ms);
+	stream_question_cancel(question);
+	done(ctx, software);
+}
+
+static void send_question(struct stream_question *question)
+{
+	StreamOrigin message = STREAM_ORIGIN__INIT;
+	unsigned i;
+
+	message.stream = question->stream;
+	message.question = question->id;
+	message.asked = true;
+	message.service = question->service;
+	message.ttl_ms = (uint32_t)question->ttl_ms;
+	for (i = 0; i < question->asked_nr; i++)
+		send_origin(question->share, question->asked[i], &message);
+}
+
+static void on_question_timer(uv_timer_t *timer)
+{
+	struct stream_question *question = timer->data;
+
+	if (question->asked_again || !question->asked_nr) {
+		question_end(question, 0);
+		return;
+	}
+	question->asked_again = true;
+	send_question(question);
+	uv_timer_start(timer, on_question_timer, ASK_TIMEOUT_MS - ASK_AGAIN_MS,
+		       0);
+}
+
+struct stream_question *stream_share_ask(
+	struct stream_share *share, const struct stream_name *name,
+	void (*done)(void *ctx, uint64_t software), void *ctx)
+{
+	struct stream_question *question = g_new0(struct stream_question, 1);
+	struct peers *peers = share->gateway->peers;
+
+	question->share = share;
+	question->id = gateway_random() | 1;
+	question->attempt = g_strdup(name->attempt);
+	question->service = g_strdup(name->service);
+	question->ttl_ms = stream_origin_ttl_ms(name->timeout_ms);
+	question->stream = name->attempt ? hash_string(name->attempt, 0) : 0;
+	question->started_ms = now_ms(share);
+	question->done = done;
+	question->ctx = ctx;
+	question->asked_nr = peers_choose(peers, question->stream, true,
+					  question->asked, ASKED_NEAR);
+	question->asked_nr +=
+		peers_choose(peers, question->stream, false,
+			     question->asked + question->asked_nr, ASKED_FAR);
+	list_append(&share->questions, &question->link);
+	uv_timer_init(share->gateway->loop, &question->timer);
+	question->timer.data = question;
+	uv_timer_start(&question->timer, on_question_timer,
+		       question->asked_nr ? ASK_AGAIN_MS : 0, 0);
+	send_question(question);
+	return question;
+}
+
+/* Functions that handle messages of other entries. */
+
+static void answer(struct stream_share *share, const StreamOrigin *asked,
+		   uint64_t from)
+{
+	StreamOrigin message = STREAM_ORIGIN__INIT;
+
+	message.stream = asked->stream;
+	message.question = asked->question;
+	message.software = stream_origins_find(share->origins, asked->stream,
+					       now_ms(share));
+	if (!message.software)
+		message.software =
+			sole_software(share, asked->service, asked->ttl_ms);
+	send_origin(share, from, &message);
+}
+
+/* Removes an entry from those that have not answered. */
+static void note_answered(struct stream_question *question, uint64_t from)
+{
+	unsigned i;
+
+	for (i = 0; i < question->asked_nr; i++) {
+		if (question->asked[i] == from) {
+			question->asked[i] =
+				question->asked[--question->asked_nr];
+			return;
+		}
+	}
+}
+
+static void apply_answer(struct stream_share *share,
+			 const StreamOrigin *message, uint64_t from)
+{
+	struct list *pos;
+
+	list_for_each (pos, &share->questions) {
+		struct stream_question *question =
+			list_entry(pos, struct stream_question, link);
+
+		if (question->id != message->question)
+			continue;
+		note_answered(question, from);
+		if (message->software || !question->asked_nr)
+			question_end(question, message->software);
+		return;
+	}
+}
+
+static void apply_told(struct stream_share *share, const StreamOrigin *message)
+{
+	struct stream_origin origin = {
+		.stream = message->stream,
+		.software = message->software,
+		.expires_ms = now_ms(share) + message->ttl_ms,
+	};
+
+	if (origin.stream && origin.software)
+		stream_origins_add(share->origins, &origin, now_ms(share));
+}
+
+void stream_share_receive(struct stream_share *share, const NodeLoad *message,
+			  uint64_t from)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_origins; i++) {
+		const StreamOrigin *origin = message->origins[i];
+
+		if (origin->asked)
+			answer(share, origin, from);
+		else if (origin->question)
+			apply_answer(share, origin, from);
+		else
+			apply_told(share, origin);
+	}
+}
+
+struct stream_share *stream_share_create(struct gateway *gateway)
+{
+	struct stream_share *share = g_new0(struct stream_share, 1);
+
+	share->gateway = gateway;
+	share->origins = stream_origins_create();
+	share->untold =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	list_init(&share->questions);
+	uv_timer_init(gateway->loop, &share->timer);
+	share->timer.data = share;
+	uv_timer_start(&share->timer, on_check, CHECK_INTERVAL_MS,
+		       CHECK_INTERVAL_MS);
+	return share;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void stream_share_destroy(struct stream_share *share)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &share->questions)
+		stream_question_cancel(
+			list_entry(pos, struct stream_question, link));
+	stream_origins_destroy(share->origins);
+	g_hash_table_destroy(share->untold);
+	uv_close((uv_handle_t *)&share->timer, on_closed);
+}
--- /dev/null
+++ b/briarplankd/gateway/stream_share.h
@@ -0,0 +1,56 @@
+/**
+ * Tells the other entries which software version began each stream, and asks them when a
+ * caller takes up a stream that another entry began.
+ *
+ * A stream is told to a few entries that its id selects, as soon as its first event
+ * arrives. Nothing is sent while a service has one version.
+ */
+#ifndef BRIARPLANKD_GATEWAY_STREAM_SHARE_H
+#define BRIARPLANKD_GATEWAY_STREAM_SHARE_H
+
+#include <netinet/in.h>
+
+#include "gateway.h"
+#include "nodeload.pb-c.h"
+
+struct stream_share *stream_share_create(struct gateway *gateway);
+void stream_share_destroy(struct stream_share *share);
+
+/** A stream, as the request that begins it or takes it up names it. */
+struct stream_name {
+	/** Id of the attempt that brought its first event; NULL if it isn't known. */
+	const char *attempt;
+	const char *service;
+	/** Timeout of its route, in ms. */
+	uint32_t timeout_ms;
+};
+
+/** Remembers the version that began a stream, and tells the other entries. */
+void stream_share_begun(struct stream_share *share,
+			const struct stream_name *name, uint64_t software);
+
+/**
+ * Returns the hash of the version that began a stream, or 0 if this entry doesn't know
+ * it. It is also known if only one version has served since the stream can have begun.
+ */
+uint64_t stream_share_find(struct stream_share *share,
+			   const struct stream_name *name);
+
+struct stream_question;
+
+/**
+ * Asks the other entries for the version that began a stream. done is called once, not
+ * from within this function, with 0 if no entry knows it.
+ */
+struct stream_question *stream_share_ask(
+	struct stream_share *share, const struct stream_name *name,
+	void (*done)(void *ctx, uint64_t software), void *ctx);
+
+/** Drops a question that was not answered yet. */
+void stream_question_cancel(struct stream_question *question);
+
+/** Handles what another entry tells, asks or answers; from is its packed address. */
+void stream_share_receive(struct stream_share *share, const NodeLoad *message,
+			  uint64_t from);
+
+#endif
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -69,6 +69,7 @@
 	fleet->batch_slots =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet_limits_init(fleet);
+	fleet_software_init(fleet);
 	return fleet;
 }
 
@@ -99,6 +100,7 @@
 	g_hash_table_destroy(fleet->peaks);
 	g_hash_table_destroy(fleet->batch_slots);
 	fleet_limits_clear(fleet);
+	fleet_software_clear(fleet);
 	g_free(fleet->data_centre);
 	g_free(fleet->region);
 	g_free(fleet);
@@ -212,11 +214,6 @@
 	return started_ms && server->started_ms <= *started_ms;
 }
 
-uint64_t fleet_software_hash(const char *software)
-{
-	return hash_string(software, 0) | 1;
-}
-
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts)
 {
 	struct server *server = fleet_find(fleet, facts->id);
@@ -235,7 +232,8 @@
 	set_text(&server->address, facts->address);
 	set_text(&server->data_centre, facts->data_centre);
 	set_text(&server->software, facts->software ? facts->software : "");
-	server->software_hash = fleet_software_hash(server->software);
+	server->software_hash =
+		fleet_software_hash(server->service, server->software);
 	server->distance = distance_of(fleet, facts->data_centre);
 	region =
 		g_hash_table_lookup(fleet->options.regions, facts->data_centre);
@@ -267,6 +265,7 @@
 {
 	struct list *pos, *tmp;
 
+	fleet_software_sweep(fleet, now_ms);
 	list_for_each_safe (pos, tmp, &fleet->servers) {
 		struct server *server = list_entry(pos, struct server, link);
 
@@ -338,6 +337,11 @@
 	return false;
 }
 
+bool server_has_software(const struct server *server, uint64_t software)
+{
+	return !software || server->software_hash == software;
+}
+
 static double expected_ms(const struct fleet *fleet,
 			  const struct server *server,
 			  const struct fleet_query *query)
@@ -381,6 +385,7 @@
 		double ms;
 
 		if (!server_serves(server, query->service) ||
+		    !server_has_software(server, query->software) ||
 		    !server_usable(server, query->now_ms) ||
 		    !server_permits(server, WORK_ONLINE, query->now_ms) ||
 		    was_tried(query, server))
--- a/core/fleet_batch.c
+++ b/core/fleet_batch.c
@@ -41,6 +41,7 @@
 	bool other_region = server->distance == SERVER_OTHER_REGION;
 
 	return server_serves(server, query->service) &&
+	       server_has_software(server, query->software) &&
 	       other_region == query->other_region &&
 	       server_usable(server, query->now_ms) &&
 	       server_permits(server, WORK_BATCH, query->now_ms);
--- a/core/fleet_private.h
+++ b/core/fleet_private.h
@@ -52,10 +52,19 @@
 	/* Maps the hash of a service and region to this node's struct share *
 	 * in this slot. */
 	GHashTable *shares;
+	/* Maps the hash of a service and software version to its struct software *. */
+	GHashTable *software;
 	/* Last slot of the time of day whose permits were issued. */
 	uint64_t permit_slot;
 };
 
+/** Creates and frees the memory of software versions. */
+void fleet_software_init(struct fleet *fleet);
+void fleet_software_clear(struct fleet *fleet);
+
+/** Notes which versions are listed. */
+void fleet_software_sweep(struct fleet *fleet, uint64_t now_ms);
+
 /** Creates and frees the state of limits. */
 void fleet_limits_init(struct fleet *fleet);
 void fleet_limits_clear(struct fleet *fleet);
@@ -82,6 +91,9 @@
 /** Tells whether the server accepts new requests of a service. */
 bool server_serves(const struct server *server, const char *service);
 
+/** Tells whether a server has a version of software; 0 for any. */
+bool server_has_software(const struct server *server, uint64_t software);
+
 /** Tells whether the server is neither in backoff nor silent. */
 bool server_usable(const struct server *server, uint64_t now_ms);
 
--- a/core/job_log.c
+++ b/core/job_log.c
@@ -234,10 +234,13 @@
 	struct job *job;
 	struct job_item *item = open_item(log, record->job, record->item, &job);
 
-	if (!item || (int64_t)record->last_event <= item->saved_event)
+	/* An item that starts over at another version has less at first. */
+	if (!item || (record->software == item->saved_software &&
+		      (int64_t)record->last_event <= item->saved_event))
 		return;
 	item->saved_event = (int64_t)record->last_event;
 	item->saved = blob_of(record->output);
+	item->saved_software = record->software;
 }
 
 static void apply_end(struct job_log *log, const JobEnd *record)
@@ -408,7 +411,7 @@
 }
 
 GByteArray *job_log_encode_progress(const char *job, size_t item,
-				    uint64_t last_event,
+				    uint64_t last_event, uint64_t software,
 				    const struct job_blob *output)
 {
 	JobLogRecord record = JOB_LOG_RECORD__INIT;
@@ -419,6 +422,7 @@
 	progress.job = (char *)job;
 	progress.item = (uint32_t)item;
 	progress.last_event = last_event;
+	progress.software = software;
 	progress.output = &blob;
 	record.record_case = JOB_LOG_RECORD__RECORD_PROGRESS;
 	record.progress = &progress;
--- a/core/peer_table.c
+++ b/core/peer_table.c
@@ -240,6 +240,33 @@
 	return true;
 }
 
+unsigned peer_table_choose(const struct peer_table *table, uint64_t key,
+			   bool same_region, uint64_t *addresses, unsigned max)
+{
+	const struct list *pos;
+	unsigned nr = 0, i;
+
+	list_for_each (pos, &table->peers) {
+		const struct peer *peer = list_entry(pos, struct peer, link);
+		uint64_t rank = hash_combine(key, peer->address);
+
+		if (!peer->alive || peer->leaving ||
+		    peer->same_region != same_region)
+			continue;
+		/* Inserts it behind those of higher rank. */
+		for (i = nr; i && hash_combine(key, addresses[i - 1]) < rank;
+		     i--) {
+			if (i < max)
+				addresses[i] = addresses[i - 1];
+		}
+		if (i >= max)
+			continue;
+		addresses[i] = peer->address;
+		nr = MIN(nr + 1, max);
+	}
+	return nr;
+}
+
 bool peer_table_owns(const struct peer_table *table,
 		     const struct peer_owner_query *query)
 {
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -72,7 +72,7 @@
 	char *service;
 	char *address;
 	char *data_centre;
-	/** Version of its software, and the hash of it; never 0. */
+	/** Version of its software, and the hash of it and of the service; never 0. */
 	char *software;
 	uint64_t software_hash;
 	uint64_t hash;
@@ -144,8 +144,20 @@
 struct fleet *fleet_create(const struct fleet_options *options);
 void fleet_destroy(struct fleet *fleet);
 
-/** Returns the hash under which a version of software is compared; never 0. */
-uint64_t fleet_software_hash(const char *software);
+/** Returns the hash under which a version of a service's software is compared;
+ * never 0. */
+uint64_t fleet_software_hash(const char *service, const char *software);
+
+/**
+ * Returns the hash of the only version that a service's servers have been listed with
+ * since a loop time, or 0 if there are none or several.
+ */
+uint64_t fleet_sole_software(struct fleet *fleet, const char *service,
+			     uint64_t since_ms);
+
+/** Returns the number of servers of a version that take new requests. */
+unsigned fleet_serving_software(struct fleet *fleet, const char *service,
+				uint64_t software_hash);
 
 /** Adds a server or updates its description. */
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts);
@@ -180,6 +192,8 @@
 	uint64_t now_ms;
 	/** Hash of the prompt's shared prefix; 0 if there is none. */
 	uint64_t prefix_hash;
+	/** Hash of the version that the server must have; 0 for any. */
+	uint64_t software;
 	/** Hashes of the servers that already got this request. */
 	const uint64_t *tried;
 	size_t tried_nr;
@@ -318,6 +332,8 @@
 struct batch_query {
 	const char *service;
 	uint64_t now_ms;
+	/** Hash of the version that the server must have; 0 for any. */
+	uint64_t software;
 	/** Selects only servers of other regions, whose load is known less
 	 * precisely. */
 	bool other_region;
--- a/include/core/job_log.h
+++ b/include/core/job_log.h
@@ -41,6 +41,8 @@
 	int64_t saved_event;
 	/** Saved partial output. */
 	struct job_blob saved;
+	/** Hash of the service and software version that wrote it; 0 if unknown. */
+	uint64_t saved_software;
 	/** Number of runs that a server answered with a failure. */
 	unsigned failures;
 	/** This node's run of the item; owned by the module that runs items. */
@@ -153,7 +155,7 @@
 				  const char *dead_reason);
 GByteArray *job_log_encode_failure(const char *job, size_t item, int status);
 GByteArray *job_log_encode_progress(const char *job, size_t item,
-				    uint64_t last_event,
+				    uint64_t last_event, uint64_t software,
 				    const struct job_blob *output);
 GByteArray *job_log_encode_end(const char *job);
 GByteArray *job_log_encode_node(const char *name, const char *address,
--- a/include/core/peer_table.h
+++ b/include/core/peer_table.h
@@ -139,6 +139,14 @@
  */
 bool peer_table_owns_hash(const struct peer_table *table, uint64_t hash);
 
+/**
+ * Chooses up to max live entries of this region, or of others, that a key selects:
+ * those of the highest rendezvous hash, by their addresses, so that an entry that
+ * restarts is chosen again. Returns their number.
+ */
+unsigned peer_table_choose(const struct peer_table *table, uint64_t key,
+			   bool same_region, uint64_t *addresses, unsigned max);
+
 /** Returns the age of the oldest last report of a live entry, in ms. */
 uint64_t peer_table_oldest_report_ms(const struct peer_table *table,
 				     uint64_t now_ms);
--- a/tests/process/gateway_software_versions.sh
+++ b/tests/process/gateway_software_versions.sh
@@ -95,10 +95,16 @@
 # A version that is gone: a clear end, at once.
 begin g2 old 5
 old=$(grep -o -- '-v[0-9]*' "$FLEET_DIR/old" | sort -u)
-case $old in
--v1) leave server-5 1; fleet_fault server-5 kind=kill_streams ;;
--v2) for i in 2 3 4; do leave "server-$i" 2; fleet_fault "server-$i" kind=kill_streams; done ;;
-esac
+servers='server-2 server-3 server-4'
+test "$old" = -v2 || servers=server-5
+for server in $servers
+do
+	leave "$server" "${old#-v}"
+done
+for server in $servers
+do
+	fleet_fault "$server" kind=kill_streams
+done
 wait_until test -s "$FLEET_DIR/old.status"
 test "$(cat "$FLEET_DIR/old.status")" -ne 0 ||
 	fleet_fail "a stream whose version is gone ended as complete"
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -67,6 +67,7 @@
 		.slots = (unsigned)script_arg_int(argc, argv, "slots", 8),
 		.draining = script_arg_int(argc, argv, "draining", 0),
 		.started_ms = (uint64_t)script_arg_int(argc, argv, "born", 1),
+		.software = script_arg(argc, argv, "software", "v1"),
 	};
 
 	fleet_update_server(state->fleet, &facts);
@@ -134,6 +135,32 @@
 			    argc > 2);
 }
 
+/* Returns the hash of the version in an argument, or 0 without one. */
+static uint64_t software_arg(int argc, char **argv)
+{
+	const char *software = script_arg(argc, argv, "software", NULL);
+
+	return software ? fleet_software_hash("s", software) : 0;
+}
+
+/* sole since=MS: the only version listed since that time, of v1, v2 and v3 */
+static void sole(struct state *state, int argc, char **argv, GString *out)
+{
+	static const char *const names[] = { "v1", "v2", "v3" };
+	uint64_t software = fleet_sole_software(
+		state->fleet, "s",
+		(uint64_t)script_arg_int(argc, argv, "since", 0));
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (software == fleet_software_hash("s", names[i])) {
+			g_string_append_printf(out, "%s\n", names[i]);
+			return;
+		}
+	}
+	g_string_append(out, software ? "unknown\n" : "none\n");
+}
+
 static void choose(struct state *state, int argc, char **argv, GString *out)
 {
 	struct fleet_query query = {
@@ -141,6 +168,7 @@
 		.now_ms = state->now_ms,
 		.prefix_hash =
 			(uint64_t)script_arg_int(argc, argv, "prefix", 0),
+		.software = software_arg(argc, argv),
 	};
 	uint64_t tried;
 	struct fleet_choice choice;
@@ -191,13 +219,16 @@
 		.now_ms = state->now_ms,
 		.other_region = script_arg_int(argc, argv, "far", 0),
 	};
+	uint64_t software = software_arg(argc, argv);
 	int started = 0;
 
 	while (fleet_batch_capacity(state->fleet, &query) >= 1) {
 		struct server *server;
 
 		query.random = hash_combine(state->random++, 1);
+		query.software = software;
 		server = fleet_choose_batch(state->fleet, &query);
+		query.software = 0;
 		if (!server)
 			break;
 		fleet_request_sent(server, WORK_BATCH, state->now_ms);
@@ -259,6 +290,14 @@
 			state->now_ms);
 	else if (!strcmp(argv[0], "peer"))
 		peer(state, argc, argv);
+	else if (!strcmp(argv[0], "sole"))
+		sole(state, argc, argv, out);
+	else if (!strcmp(argv[0], "serving"))
+		g_string_append_printf(
+			out, "%u\n",
+			fleet_serving_software(
+				state->fleet, "s",
+				fleet_software_hash("s", argv[1])));
 	else if (!strcmp(argv[0], "choose"))
 		choose(state, argc, argv, out);
 	else if (!strcmp(argv[0], "burst"))
--- a/tests/test_job_log.c
+++ b/tests/test_job_log.c
@@ -151,6 +151,7 @@
 		return job_log_encode_progress(
 			argv[1], item,
 			(uint64_t)script_arg_int(argc, argv, "event", 0),
+			(uint64_t)script_arg_int(argc, argv, "software", 1),
 			&output);
 	if (!strcmp(argv[0], "end"))
 		return job_log_encode_end(argv[1]);
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <glib.h>
 
+#include "common/hash.h"
 #include "core/peer_table.h"
 #include "script.h"
 
@@ -179,6 +180,64 @@
 			       peer ? peer->directory : 0);
 }
 
+/* chosen AT KEY MAX [far=1]: the addresses that a key selects */
+static void chosen(struct state *state, struct peer_table *table, int argc,
+		   char **argv)
+{
+	unsigned max = (unsigned)g_ascii_strtoull(argv[3], NULL, 10), nr, i;
+	uint64_t *addresses = g_new0(uint64_t, max);
+
+	nr = peer_table_choose(table, hash_string(argv[2], 0),
+			       !script_arg_int(argc, argv, "far", 0), addresses,
+			       max);
+	g_string_append_printf(state->events, "chosen");
+	for (i = 0; i < nr; i++)
+		g_string_append_printf(state->events, " %" G_GUINT64_FORMAT,
+				       addresses[i]);
+	g_string_append(state->events, "\n");
+	g_free(addresses);
+}
+
+static bool has_address(const uint64_t *addresses, unsigned nr, uint64_t wanted)
+{
+	unsigned i;
+
+	for (i = 0; i < nr; i++) {
+		if (addresses[i] == wanted)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * kept AT KEYS told=N asked=N killed=N: of so many keys, those that one of the nodes told
+ * and asked still has after nodes 2, 3, ... were killed
+ */
+static void kept(struct state *state, struct peer_table *table, int argc,
+		 char **argv)
+{
+	uint64_t keys = g_ascii_strtoull(argv[2], NULL, 10), key, found = 0;
+	unsigned told = (unsigned)script_arg_int(argc, argv, "told", 2);
+	unsigned asked = (unsigned)script_arg_int(argc, argv, "asked", 8);
+	uint64_t killed = (uint64_t)script_arg_int(argc, argv, "killed", 1);
+	uint64_t addresses[16];
+	unsigned i, nr;
+
+	for (key = 1; key <= keys; key++) {
+		bool has = false;
+
+		nr = peer_table_choose(table, key, true, addresses, asked);
+		for (i = 0; i < MIN(told, nr); i++)
+			has |= addresses[i] > killed + 1 &&
+			       has_address(addresses, nr, addresses[i]);
+		found += has;
+	}
+	g_string_append_printf(state->events, "%s\n",
+			       found * 10 >= keys * 9 ? "nine in ten or more" :
+			       found * 2 >= keys      ? "half or more" :
+							"under half");
+}
+
 /* start-all NR: starts nodes n1, n2, ... with a report of each at all others */
 static void start_all(struct state *state, int argc, char **argv)
 {
@@ -266,6 +325,10 @@
 	else if (!strcmp(argv[0], "heartbeat"))
 		g_string_append_printf(state->events, "%" G_GUINT64_FORMAT "\n",
 				       peer_table_heartbeat_ms(table));
+	else if (!strcmp(argv[0], "chosen"))
+		chosen(state, table, argc, argv);
+	else if (!strcmp(argv[0], "kept"))
+		kept(state, table, argc, argv);
 	else if (!strcmp(argv[0], "reader"))
 		reader(state, table, argc, argv);
 	else if (!strcmp(argv[0], "designated"))
--- a/wire/evidence.pb-c.h
+++ b/wire/evidence.pb-c.h
@@ -27,17 +27,16 @@
 {
   ProtobufCMessage base;
   /*
-   * Hash of the part's id.
+   * Key of the part or of the request.
    */
   uint64_t part;
   /*
-   * Servers, by incarnation, that ended as they began to answer a prompt with
-   * the part.
+   * Servers, by incarnation, that ended.
    */
   size_t n_crashes;
   uint64_t *crashes;
   /*
-   * Bit i is set if the part was answered well around crashes[i].
+   * Bit i is set if it was answered well around crashes[i].
    */
   uint32_t refuted;
   /*
--- a/wire/joblog.pb-c.c
+++ b/wire/joblog.pb-c.c
@@ -978,7 +978,7 @@
   (ProtobufCMessageInit) job_failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job_progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor job_progress__field_descriptors[5] =
 {
   {
     "job",
@@ -1028,17 +1028,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "software",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(JobProgress, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned job_progress__field_indices_by_name[] = {
   1,   /* field[1] = item */
   0,   /* field[0] = job */
   2,   /* field[2] = last_event */
   3,   /* field[3] = output */
+  4,   /* field[4] = software */
 };
 static const ProtobufCIntRange job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor job_progress__descriptor =
 {
@@ -1048,7 +1061,7 @@
   "JobProgress",
   "",
   sizeof(JobProgress),
-  4,
+  5,
   job_progress__field_descriptors,
   job_progress__field_indices_by_name,
   1,  job_progress__number_ranges,
--- a/wire/joblog.pb-c.h
+++ b/wire/joblog.pb-c.h
@@ -154,10 +154,14 @@
    */
   uint64_t last_event;
   JobBlob *output;
+  /*
+   * Hash of the service and software version that wrote it; 0 if unknown.
+   */
+  uint64_t software;
 };
 #define JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&job_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
 
 
 struct  JobEnd
--- a/wire/nodeload.pb-c.c
+++ b/wire/nodeload.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   stream_origin__init
+                     (StreamOrigin         *message)
+{
+  static const StreamOrigin init_value = STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t stream_origin__get_packed_size
+                     (const StreamOrigin *message)
+{
+  assert(message->base.descriptor == &stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t stream_origin__pack
+                     (const StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t stream_origin__pack_to_buffer
+                     (const StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+StreamOrigin *
+       stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (StreamOrigin *)
+     protobuf_c_message_unpack (&stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   stream_origin__free_unpacked
+                     (StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   server_limit__init
                      (ServerLimit         *message)
 {
@@ -142,7 +187,7 @@
   assert(message->base.descriptor == &service_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node_load__field_descriptors[17] =
+static const ProtobufCFieldDescriptor node_load__field_descriptors[18] =
 {
   {
     "node",
@@ -348,6 +393,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origins",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NodeLoad, n_origins),
+    offsetof(NodeLoad, origins),
+    &stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node_load__field_indices_by_name[] = {
   3,   /* field[3] = backlog */
@@ -364,6 +421,7 @@
   13,   /* field[13] = loaded */
   0,   /* field[0] = node */
   5,   /* field[5] = online */
+  17,   /* field[17] = origins */
   8,   /* field[8] = reaches_store */
   1,   /* field[1] = sequence */
   4,   /* field[4] = servers */
@@ -371,7 +429,7 @@
 static const ProtobufCIntRange node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor node_load__descriptor =
 {
@@ -381,13 +439,116 @@
   "NodeLoad",
   "",
   sizeof(NodeLoad),
-  17,
+  18,
   node_load__field_descriptors,
   node_load__field_indices_by_name,
   1,  node_load__number_ranges,
   (ProtobufCMessageInit) node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor stream_origin__field_descriptors[6] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "question",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, question),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigin, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned stream_origin__field_indices_by_name[] = {
+  4,   /* field[4] = asked */
+  3,   /* field[3] = question */
+  5,   /* field[5] = service */
+  1,   /* field[1] = software */
+  0,   /* field[0] = stream */
+  2,   /* field[2] = ttl_ms */
+};
+static const ProtobufCIntRange stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "StreamOrigin",
+  "StreamOrigin",
+  "StreamOrigin",
+  "",
+  sizeof(StreamOrigin),
+  6,
+  stream_origin__field_descriptors,
+  stream_origin__field_indices_by_name,
+  1,  stream_origin__number_ranges,
+  (ProtobufCMessageInit) stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor server_limit__field_descriptors[3] =
 {
   {
--- a/wire/nodeload.pb-c.h
+++ b/wire/nodeload.pb-c.h
@@ -17,6 +17,7 @@
 #include "evidence.pb-c.h"
 
 typedef struct NodeLoad NodeLoad;
+typedef struct StreamOrigin StreamOrigin;
 typedef struct ServerLimit ServerLimit;
 typedef struct ServiceDemand ServiceDemand;
 
@@ -84,8 +85,8 @@
    */
   protobuf_c_boolean loaded;
   /*
-   * Evidence against parts of prompts: recent changes, and quarantined parts in
-   * turn.
+   * Evidence against requests and parts of prompts: recent changes, and quarantined
+   * ones in turn.
    */
   size_t n_evidence;
   PartEvidence **evidence;
@@ -99,10 +100,52 @@
    */
   size_t n_demands;
   ServiceDemand **demands;
+  /*
+   * Software versions that began streams.
+   */
+  size_t n_origins;
+  StreamOrigin **origins;
 };
 #define NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * Tells, asks or answers which software version began a stream.
+ */
+struct  StreamOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the id of the attempt that brought the first event; 0 in a question for
+   * the only version that has served lately.
+   */
+  uint64_t stream;
+  /*
+   * Hash of the service and the version; 0 in a question and if it isn't known.
+   */
+  uint64_t software;
+  /*
+   * Time for which the stream is remembered, in ms.
+   */
+  uint32_t ttl_ms;
+  /*
+   * Number of a question, in it and in its answers; 0 for what is told unasked.
+   */
+  uint64_t question;
+  /*
+   * The sender asks.
+   */
+  protobuf_c_boolean asked;
+  /*
+   * Name of the service, in a question.
+   */
+  char *service;
+};
+#define STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&stream_origin__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  ServerLimit
@@ -162,6 +205,25 @@
 void   node_load__free_unpacked
                      (NodeLoad *message,
                       ProtobufCAllocator *allocator);
+/* StreamOrigin methods */
+void   stream_origin__init
+                     (StreamOrigin         *message);
+size_t stream_origin__get_packed_size
+                     (const StreamOrigin   *message);
+size_t stream_origin__pack
+                     (const StreamOrigin   *message,
+                      uint8_t             *out);
+size_t stream_origin__pack_to_buffer
+                     (const StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+StreamOrigin *
+       stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   stream_origin__free_unpacked
+                     (StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
 /* ServerLimit methods */
 void   server_limit__init
                      (ServerLimit         *message);
@@ -205,6 +267,9 @@
 typedef void (*NodeLoad_Closure)
                  (const NodeLoad *message,
                   void *closure_data);
+typedef void (*StreamOrigin_Closure)
+                 (const StreamOrigin *message,
+                  void *closure_data);
 typedef void (*ServerLimit_Closure)
                  (const ServerLimit *message,
                   void *closure_data);
@@ -218,6 +283,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor node_load__descriptor;
+extern const ProtobufCMessageDescriptor stream_origin__descriptor;
 extern const ProtobufCMessageDescriptor server_limit__descriptor;
 extern const ProtobufCMessageDescriptor service_demand__descriptor;
 
