Know the only software version of a service after all entries restarted

Since when there has been one is now kept in the store, one record a service, written when it changes, and read when an entry starts or has lost sight of the list of servers. What was ruled out: concluding it from the age of the servers, which is a guess when the last server of another version has just left.

process_gateway_software_history failed without it (a new entry refused until 30 s had passed); its last stage has a second version that comes and goes while an entry is away.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "common/log.h"
 #include "directory.h"
 #include "evidence_share.h"
+#include "software_history.h"
 #include "stream_share.h"
 #include "gateway.h"
 #include "job_bulk.h"
@@ -379,6 +380,7 @@
 	gateway->job_store = job_store_create(&jobs);
 	gateway->directory = directory_create(gateway);
 	gateway->evidence = evidence_share_create(gateway);
+	gateway->software_history = software_history_create(gateway);
 	gateway->streams = stream_share_create(gateway);
 	gateway->limits = limits_create(gateway);
 	peers_announce(gateway->peers);
@@ -430,6 +432,8 @@
 		evidence_share_destroy(gateway->evidence);
 	if (gateway->streams)
 		stream_share_destroy(gateway->streams);
+	if (gateway->software_history)
+		software_history_destroy(gateway->software_history);
 	if (gateway->peers)
 		peers_destroy(gateway->peers);
 	refusals_destroy(gateway->refusals);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -28,6 +28,7 @@
 struct limits;
 struct peers;
 struct refusals;
+struct software_history;
 struct store_relay;
 struct stream_share;
 struct store_route_state;
@@ -56,6 +57,7 @@
 	struct peers *peers;
 	struct evidence_share *evidence;
 	struct limits *limits;
+	struct software_history *software_history;
 	struct stream_share *streams;
 	struct refusals *refusals;
 	/** Online requests in progress (struct online_request). */
--- a/briarplankd/gateway/stream_share.c
+++ b/briarplankd/gateway/stream_share.c
@@ -5,6 +5,7 @@
 #include "core/stream_origins.h"
 #include "directory.h"
 #include "peers.h"
+#include "software_history.h"
 #include "stream_share.h"
 
 /* Number of entries in this region, and in others, that are told of a stream. */
@@ -63,8 +64,11 @@
 	uint64_t known_ms = directory_known_for_ms(gateway->directory);
 	uint64_t now = now_ms(share);
 
-	if (known_ms < ttl_ms)
+	if (!known_ms)
 		return 0;
+	if (known_ms < ttl_ms)
+		return software_history_sole(gateway->software_history, service,
+					     ttl_ms);
 	return fleet_sole_software(gateway->fleet, service,
 				   now > ttl_ms ? now - ttl_ms : 0);
 }
