Let only a whole answer speak for a request

That an answer goes on speaks for the parts of the prompt, which crash servers as they are read, but for the request as a whole only its end does. An answer that ends with its connection and has a body counts as survived, else a sound plain service without lengths could never clear its requests.

Tests: quarantine, process_gateway_crashing_request, crashing_part, dead_connections, crash_in_order, cut_inside_event.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -267,21 +267,22 @@
 
 static void on_end(void *ctx, enum http_link_end link_end);
 
-static void note_answer(struct server_call *call, uint64_t now)
+static void note_answer(struct server_call *call, enum quarantine_answer answer,
+			uint64_t now)
 {
-	struct gateway *gateway = call->options.gateway;
-
-	call->went_on = true;
-	quarantine_note_answer(evidence_share_quarantine(gateway->evidence),
-			       call->options.prompt, now);
+	quarantine_note_answer(
+		evidence_share_quarantine(call->options.gateway->evidence),
+		call->options.prompt, answer, now);
 }
 
 static void note_progress(struct server_call *call, uint64_t now)
 {
 	if (!call->begun_ms)
 		call->begun_ms = now;
-	if (!call->went_on && now - call->begun_ms >= BEGINNING_MS)
-		note_answer(call, now);
+	if (call->went_on || now - call->begun_ms < BEGINNING_MS)
+		return;
+	call->went_on = true;
+	note_answer(call, ANSWER_GOES_ON, now);
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
@@ -380,21 +381,23 @@
 		.round_trip_ms = http_link_round_trip_ms(call->http),
 		.data_ms = call->server->data_ms,
 		.answer_begun = call->head_received,
+		.answer_went_on = call->went_on,
 	};
 	bool complete = link_end == HTTP_LINK_COMPLETE;
 	bool broke_off = link_end == HTTP_LINK_NO_HEAD ||
 			 link_end == HTTP_LINK_TRUNCATED ||
 			 (complete && stream_broke_off(call));
 
-	if (call->went_on || call->not_run)
+	if (call->not_run)
 		return;
 	if (broke_off && !http_link_timed_out(call->http))
 		quarantine_note_crash(quarantine, call->options.prompt, &crash);
 	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE &&
 		 call->status >= 200 && call->status < 300)
-		note_answer(call, now);
-	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE)
-		quarantine_note_survived(quarantine, call->options.prompt, now);
+		note_answer(call, ANSWER_WHOLE, now);
+	else if (complete &&
+		 (call->framing != HTTP_LINK_UNTIL_CLOSE || call->begun_ms))
+		note_answer(call, ANSWER_FAILURE, now);
 }
 
 /* Reports how a call ended whose connection was given back or closed. */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -244,18 +244,14 @@
 }
 
 void quarantine_note_answer(struct quarantine *quarantine,
-			    const struct prompt *prompt, uint64_t now_ms)
+			    const struct prompt *prompt,
+			    enum quarantine_answer answer, uint64_t now_ms)
 {
 	size_t i;
 
-	for (i = 0; i < keys_nr(prompt); i++)
-		note_answered(quarantine, key_at(prompt, i), now_ms);
-}
-
-void quarantine_note_survived(struct quarantine *quarantine,
-			      const struct prompt *prompt, uint64_t now_ms)
-{
-	if (prompt->request)
+	for (i = 0; answer != ANSWER_FAILURE && i < prompt->parts_nr; i++)
+		note_answered(quarantine, prompt->parts[i], now_ms);
+	if (answer != ANSWER_GOES_ON && prompt->request)
 		note_answered(quarantine, prompt->request, now_ms);
 }
 
@@ -388,7 +384,9 @@
 		return;
 	if (keys_nr(prompt))
 		note_crashed(quarantine, crash->server, crash->now_ms);
-	for (i = 0; crash->answer_begun && i < prompt->parts_nr; i++)
+	for (i = 0; crash->answer_begun && !crash->answer_went_on &&
+		    i < prompt->parts_nr;
+	     i++)
 		blame(quarantine, prompt->parts[i], crash);
 	if (prompt->request)
 		blame(quarantine, prompt->request, crash);
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -3,9 +3,9 @@
  *
  * Evidence is kept by key: of the request as a whole, which is the same when it comes
  * again under another id, and of each shared part of its prompt. A server that ends
- * while it has a request is evidence against the request, and against the parts once
- * the answer has begun. An answer that goes on is evidence for all of them. A key is
- * quarantined while QUARANTINE_CRASHES servers speak against it and nothing speaks for
+ * while it has a request is evidence against the request, and against the parts as it
+ * begins the answer. An answer that goes on is evidence for the parts, a whole one also
+ * for the request. A key is quarantined while QUARANTINE_CRASHES servers speak against it and nothing speaks for
  * it: requests with it are refused, but for a rare trial.
  *
  * Items of jobs have no key of their own: they are owed, and are held only for a part.
@@ -79,13 +79,21 @@
 /** Returns the number of crashes that nothing refutes. */
 unsigned evidence_crashes(const struct evidence *evidence);
 
-/** Records that an answer to a prompt went on after its beginning. */
-void quarantine_note_answer(struct quarantine *quarantine,
-			    const struct prompt *prompt, uint64_t now_ms);
+/** How an answer went, and for what it speaks. */
+enum quarantine_answer {
+	/** It went on after its beginning: for the parts. */
+	ANSWER_GOES_ON,
+	/** It is whole: for the request and the parts. */
+	ANSWER_WHOLE,
+	/** It is whole, but a failure, or may be shorter than it should: for the
+	 * request, which the server survived. */
+	ANSWER_FAILURE,
+};
 
-/** Records that a server answered a request as a whole, which may be a failure. */
-void quarantine_note_survived(struct quarantine *quarantine,
-			      const struct prompt *prompt, uint64_t now_ms);
+/** Records an answer. */
+void quarantine_note_answer(struct quarantine *quarantine,
+			    const struct prompt *prompt,
+			    enum quarantine_answer answer, uint64_t now_ms);
 
 /** A server that ended while it had a request. */
 struct quarantine_crash {
@@ -100,8 +108,9 @@
 	uint64_t round_trip_ms;
 	/** Loop time of the last data from the server, in ms; 0 without any. */
 	uint64_t data_ms;
-	/** The head of the answer came. */
+	/** The head of the answer came, and the answer went on after its beginning. */
 	bool answer_begun;
+	bool answer_went_on;
 };
 
 /** Records a crash as evidence against a request and the parts of its prompt. */
--- a/tests/quarantine_load.c
+++ b/tests/quarantine_load.c
@@ -256,8 +256,9 @@
 
 	if (!call->went_on && age >= (plain ? PLAIN_CALL_MS : WENT_ON_MS)) {
 		call->went_on = true;
-		quarantine_note_answer(load->entries[call->entry],
-				       &call->prompt, load->now_ms);
+		quarantine_note_answer(
+			load->entries[call->entry], &call->prompt,
+			plain ? ANSWER_WHOLE : ANSWER_GOES_ON, load->now_ms);
 	}
 	if (age >= (plain ? PLAIN_CALL_MS : CALL_MS))
 		call_free(call);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -88,6 +88,7 @@
 }
 
 /* crash ENTRY PROMPT SERVER: the server ends after the head of its answer */
+/* break ENTRY PROMPT SERVER: the server ends after its answer went on */
 /* end ENTRY PROMPT SERVER [MS [ROUND_TRIP_MS [DATA_MS]]]: the server ends before the
  * head of an answer to a request that was sent this long ago (40), after data that came
  * so long before it was sent */
@@ -102,7 +103,8 @@
 		.sent_ms = state->now_ms - ago_ms,
 		.round_trip_ms =
 			argc > 5 ? g_ascii_strtoull(argv[5], NULL, 10) : 1,
-		.answer_begun = !strcmp(argv[0], "crash"),
+		.answer_begun = strcmp(argv[0], "end") != 0,
+		.answer_went_on = !strcmp(argv[0], "break"),
 	};
 
 	if (argc > 6)
@@ -122,12 +124,15 @@
 			      state->now_ms + 20);
 }
 
-/* answer ENTRY PARTS */
+/* answer ENTRY PROMPT: a whole answer */
+/* goes-on ENTRY PROMPT: an answer goes on */
 static void answer(struct state *state, char **argv)
 {
 	struct prompt prompt = prompt_arg(argv[2]);
 
 	quarantine_note_answer(entry_arg(state, argv[1])->quarantine, &prompt,
+			       !strcmp(argv[0], "answer") ? ANSWER_WHOLE :
+							    ANSWER_GOES_ON,
 			       state->now_ms);
 	prompt_clear(&prompt);
 }
@@ -137,8 +142,8 @@
 {
 	struct prompt prompt = prompt_arg(argv[2]);
 
-	quarantine_note_survived(entry_arg(state, argv[1])->quarantine, &prompt,
-				 state->now_ms);
+	quarantine_note_answer(entry_arg(state, argv[1])->quarantine, &prompt,
+			       ANSWER_FAILURE, state->now_ms);
 	prompt_clear(&prompt);
 }
 
@@ -261,13 +266,14 @@
 	struct state *state = data;
 	const char *name = argv[0];
 
-	if (!strcmp(name, "crash") || !strcmp(name, "end"))
+	if (!strcmp(name, "crash") || !strcmp(name, "end") ||
+	    !strcmp(name, "break"))
 		crash(state, argc, argv);
 	else if (!strcmp(name, "survive"))
 		survive(state, argv);
 	else if (!strcmp(name, "changes"))
 		changes(state, argv, out);
-	else if (!strcmp(name, "answer"))
+	else if (!strcmp(name, "answer") || !strcmp(name, "goes-on"))
 		answer(state, argv);
 	else if (!strcmp(name, "alive"))
 		alive(state, argv);
