Let an item start over when it waits for its software version in vain

After 3 s it now starts over at any server. A version counts as gone, for items and streams, only while servers of another one serve: when all are down for some seconds, output is kept and callers get the short Retry-After as before.

--- a/briarplankd/gateway/batch.c
+++ b/briarplankd/gateway/batch.c
@@ -50,6 +50,15 @@
 	return slots <= 0 ? 0 : (int)(slots + g_random_double());
 }
 
+/* Tells whether an item can go on at some of the servers only, as several software
+ * versions serve. */
+static bool is_bound(const struct run *run, const struct batch_query *query)
+{
+	return run->software &&
+	       !fleet_sole_software(run->batch->gateway->fleet, query->service,
+				    query->now_ms);
+}
+
 /* Starts items by due time, on servers of this region or, with other_region, of
  * the other regions. */
 static void start_waiting(struct batch *batch, bool other_region, bool late)
@@ -81,9 +90,10 @@
 		server = fleet_choose_batch(gateway->fleet, &query);
 		query.software = 0;
 		if (!server) {
-			/* An item that has output waits for a server of one
-			 * version, others for any. */
-			if (!run->software)
+			/* Servers of other versions may be free for others. */
+			if (is_bound(run, &query))
+				run_found_no_server(run, query.now_ms);
+			else
 				starts = 0;
 			continue;
 		}
--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -10,6 +10,9 @@
 #define FAILURE_BACKOFF_MS 250
 /* Interval at which an item with a quarantined part is checked again, in ms. */
 #define QUARANTINED_BACKOFF_MS 1000
+/* Time for which an item waits for a server of the software version that wrote its output
+ * so far while others are free, before it starts over, in ms. */
+#define BOUND_WAIT_MS 3000
 /* Deadline of one write of an output to the store, in ms. A write that misses
  * it is started again. */
 #define WRITE_TIMEOUT_MS 20000
@@ -194,6 +197,7 @@
 	run->last_event = -1;
 	run->saved_event = -1;
 	run->software = 0;
+	run->bound_since_ms = 0;
 	g_string_truncate(run->output, 0);
 }
 
@@ -371,21 +375,35 @@
 		       NULL;
 }
 
-bool run_lost_software(struct run *run, const char *service)
+/* Makes an item start over whose output so far no server can go on with. */
+static void start_over(struct run *run, const char *reason)
 {
-	struct fleet *fleet = run->batch->gateway->fleet;
+	log_event("item", LOG_LEVEL_INFO,
+		  "job=%s item=%s starts over after_event=%" PRId64 ": %s",
+		  run->job->id, run->item->id, run->last_event, reason);
+	discard_output(run);
+}
 
+bool run_lost_software(struct run *run, const char *service)
+{
 	if (run->last_event < 0 ||
-	    fleet_serving_software(fleet, service, run->software))
+	    !fleet_software_gone(run->batch->gateway->fleet, service,
+				 run->software))
 		return false;
-	log_event("item", LOG_LEVEL_INFO,
-		  "job=%s item=%s starts over after_event=%" PRId64
-		  ": no server has the software version of its output",
-		  run->job->id, run->item->id, run->last_event);
-	discard_output(run);
+	start_over(run,
+		   "no server has the software version that wrote its output");
 	return true;
 }
 
+void run_found_no_server(struct run *run, uint64_t now)
+{
+	if (!run->bound_since_ms)
+		run->bound_since_ms = now;
+	if (now - run->bound_since_ms >= BOUND_WAIT_MS)
+		start_over(run, "the servers of the software version that "
+				"wrote its output have no free slot");
+}
+
 void run_start_at(struct run *run, struct server *server)
 {
 	struct batch *batch = run->batch;
@@ -419,6 +437,7 @@
 	run->framing = HTTP_LINK_FRAMING_UNKNOWN;
 	run->server = server;
 	run->call_software = server->software_hash;
+	run->bound_since_ms = 0;
 	run->first_event = run->last_event;
 	run->started_ms = now_ms(batch);
 	run->last_receive_ms = run->started_ms;
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -63,6 +63,9 @@
 	uint64_t software;
 	/* That of the server of the current call. */
 	uint64_t call_software;
+	/* Loop time since which it has waited for a server of that version while others
+	 * had room, in ms; 0 while it doesn't. */
+	uint64_t bound_since_ms;
 	/* Value of last_event when the server call started. */
 	int64_t first_event;
 	/* Id of the last event whose output is saved or being saved, or -1. */
@@ -142,6 +145,10 @@
  */
 bool run_lost_software(struct run *run, const char *service);
 
+/** Notes that a prepared item that has output found no server of its version; after a
+ * while it starts over. */
+void run_found_no_server(struct run *run, uint64_t now);
+
 /** Starts a prepared item on a server. */
 void run_start_at(struct run *run, struct server *server);
 
--- a/briarplankd/gateway/online_choice.c
+++ b/briarplankd/gateway/online_choice.c
@@ -142,8 +142,8 @@
 static bool software_is_gone(const struct gateway_request *request)
 {
 	return request->software &&
-	       !fleet_serving_software(request->gateway->fleet,
-				       request->service, request->software);
+	       fleet_software_gone(request->gateway->fleet, request->service,
+				   request->software);
 }
 
 /* Ends a stream whose software version no longer serves. */
--- a/core/fleet_software.c
+++ b/core/fleet_software.c
@@ -97,18 +97,21 @@
 	return found == SEVERAL ? 0 : found;
 }
 
-unsigned fleet_serving_software(struct fleet *fleet, const char *service,
-				uint64_t software_hash)
+bool fleet_software_gone(struct fleet *fleet, const char *service,
+			 uint64_t software_hash)
 {
-	unsigned nr = 0;
+	bool others = false;
 	struct list *pos;
 
 	list_for_each (pos, &fleet->servers) {
 		const struct server *server =
 			list_entry(pos, struct server, link);
 
-		nr += server_serves(server, service) &&
-		      server->software_hash == software_hash;
+		if (!server_serves(server, service))
+			continue;
+		if (server->software_hash == software_hash)
+			return false;
+		others = true;
 	}
-	return nr;
+	return others;
 }
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -155,9 +155,12 @@
 uint64_t fleet_sole_software(struct fleet *fleet, const char *service,
 			     uint64_t since_ms);
 
-/** Returns the number of servers of a version that take new requests. */
-unsigned fleet_serving_software(struct fleet *fleet, const char *service,
-				uint64_t software_hash);
+/**
+ * Tells whether servers of other versions take new requests of a service, and none of
+ * this one.
+ */
+bool fleet_software_gone(struct fleet *fleet, const char *service,
+			 uint64_t software_hash);
 
 /** Adds a server or updates its description. */
 void fleet_update_server(struct fleet *fleet, const struct server_info *facts);
--- a/tests/process/gateway_software_versions.sh
+++ b/tests/process/gateway_software_versions.sh
@@ -137,3 +137,25 @@
 	whole "$FLEET_DIR/item-$i" "${version#-v}"
 done
 echo "items: each of one version"
+
+# An item whose version has only a server that can't be reached, while one of another
+# version is free, starts over there.
+NODES=g3
+leave server-5 1
+for i in 2 3 4 7
+do
+	leave "server-$i" 2
+done
+test "$(gateway_status g3 job-2 /batch/x -H 'Content-Type: application/json' \
+	-d "$(gateway_job 1 'hold 20' bound)")" = 202 || fleet_fail "the job was not accepted"
+wait_until grep -q "item=bound-1 saved after_event=20" "$FLEET_DIR/g3.log"
+GATEWAY_SOFTWARE=v2
+gateway_list server-7 model ready
+GATEWAY_SOFTWARE=
+wait_until gateway_listed g3 "$(fleet_address server-7)" ready 2
+fleet_signal server-6 KILL
+wait_until gateway_has_results g3 job-2 1
+gateway_call g3 read "/lots/job-2?After=0" >"$FLEET_DIR/bound"
+grep -q completed "$FLEET_DIR/bound" || fleet_fail "the item is not completed"
+whole "$FLEET_DIR/bound" 2
+echo "unreachable: the item started over"
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -292,12 +292,13 @@
 		peer(state, argc, argv);
 	else if (!strcmp(argv[0], "sole"))
 		sole(state, argc, argv, out);
-	else if (!strcmp(argv[0], "serving"))
+	else if (!strcmp(argv[0], "gone"))
 		g_string_append_printf(
-			out, "%u\n",
-			fleet_serving_software(
-				state->fleet, "s",
-				fleet_software_hash("s", argv[1])));
+			out, "%s\n",
+			fleet_software_gone(state->fleet, "s",
+					    fleet_software_hash("s", argv[1])) ?
+				"gone" :
+				"not gone");
 	else if (!strcmp(argv[0], "choose"))
 		choose(state, argc, argv, out);
 	else if (!strcmp(argv[0], "burst"))
