--- a/tests/quarantine_load.c
+++ b/tests/quarantine_load.c
@@ -166,8 +166,8 @@
 			       load->now_ms > load->third_ms + KNOWN_MS;
 }
 
-/* Sends a call to a server, if the entry allows it; frees it otherwise. */
-static void send_call(struct load *load, struct call *call)
+/* Sends a call to a server, if the entry allows it; returns whether it does. */
+static bool send_call(struct load *load, struct call *call)
 {
 	struct quarantine *quarantine = load->entries[call->entry];
 	struct quarantine_verdict verdict = quarantine_check(
@@ -175,15 +175,14 @@
 	int server = choose_server(load);
 
 	load->sound_refused += is_sound(call->kind) && verdict.refused;
-	if (verdict.refused || server < 0) {
-		call_free(call);
-		return;
-	}
+	if (verdict.refused || server < 0)
+		return false;
 	count_late(load, call->kind);
 	quarantine_note_sent(quarantine, &call->prompt, load->now_ms);
 	call->server = (unsigned)server;
 	call->sent_ms = load->now_ms;
 	call->sends++;
+	return true;
 }
 
 static void request(struct load *load, enum load_kind kind)
@@ -194,9 +193,12 @@
 						 (gint32)load->entries_nr);
 	call->prompt = make_prompt(load, kind);
 	call->kind = kind;
-	list_append(&load->calls, &call->link);
+	list_init(&call->link);
 	load->sound += is_sound(kind);
-	send_call(load, call);
+	if (send_call(load, call))
+		list_append(&load->calls, &call->link);
+	else
+		call_free(call);
 }
 
 /* Handles the end of the server of a call. */
@@ -210,9 +212,7 @@
 	if (!call->went_on)
 		quarantine_note_crash(load->entries[call->entry], &call->prompt,
 				      crash);
-	if (plain && call->sends < PLAIN_SENDS)
-		send_call(load, call);
-	else
+	if (!plain || call->sends >= PLAIN_SENDS || !send_call(load, call))
 		call_free(call);
 }
 
