review: case 1 reaches the memory limit sooner

Events of 4,000 bytes instead of 1,000, so that slower machines exceed the limit before the first answers of the sound server, too.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -27,7 +27,7 @@
 /* Events of the item when the server is not in trouble. */
 #define ITEM_EVENTS 20
 /* Length of the data of one event that the server in trouble sends. */
-#define ENDLESS_BYTES 1000
+#define ENDLESS_BYTES 4000
 
 static const char config[] =
 	"{\"Version\":1,\"Routes\":[{\"Name\":\"stream\",\"Host\":"
