review: no message while a process starts

The log of a process that is just being started may not exist yet; the script waited for it already, but printed grep's message.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -40,7 +40,7 @@
 # word NAME TEXT: prints the address behind TEXT in the log of a process.
 word () {
 	tries=0
-	until grep -q "$2[0-9]" "$WORK/$1.log"
+	until grep -q "$2[0-9]" "$WORK/$1.log" 2>/dev/null
 	do
 		tries=$((tries + 1))
 		test "$tries" -lt 200 || cannot_run "$1 does not start"
