Limit the output of an item and of a stream by its tokens

Cause: the output of an item is kept until it is stored, and nothing limited it. The limit on responses leaves streams out, and event_stream_overlong() counts the bytes since the last numbered event only.

Ruled out: a queue towards a caller, which an item doesn't have.

An output with more events than its tokens allow, or more bytes than a call to the store takes, starts over, and its saved part is discarded by a failure record with status 0, which doesn't count. All outputs of a node have a limit together, and so have the bytes that wait for all slow callers. Streams end after as many events as their tokens allow.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -17,11 +17,22 @@
  * it is started again. */
 #define WRITE_TIMEOUT_MS 20000
 
+/* Maximum size of the outputs of all runs together, in bytes. */
+#define OUTPUTS_BYTES_MAX (32 << 20)
+
 static uint64_t now_ms(const struct batch *batch)
 {
 	return uv_now(batch->gateway->loop);
 }
 
+size_t batch_output_max(const struct batch *batch)
+{
+	size_t call = (size_t)batch->gateway->settings->store_call_bytes;
+
+	/* A sixteenth is more than enough for the lengths of the records. */
+	return call - call / 16;
+}
+
 static void count_waiting(const struct run *run, int change)
 {
 	struct batch_backlog *waiting = &run->batch->waiting;
@@ -85,6 +96,7 @@
 	job_request_item_clear(&run->request);
 	g_free(run->fields);
 	prompt_clear(&run->prompt);
+	run->batch->output_bytes -= run->output->len;
 	g_string_free(run->output, TRUE);
 	event_stream_destroy(run->events);
 	g_free(run);
@@ -198,6 +210,9 @@
 	run->saved_event = -1;
 	run->software = 0;
 	run->bound_since_ms = 0;
+	run->events_nr = 0;
+	run->output_number++;
+	run->batch->output_bytes -= run->output->len;
 	g_string_truncate(run->output, 0);
 }
 
@@ -225,6 +240,12 @@
 
 /* Functions that run an item by a call to a server. */
 
+static void output_append(struct run *run, const char *data, size_t len)
+{
+	g_string_append_len(run->output, data, (gssize)len);
+	run->batch->output_bytes += len;
+}
+
 static void on_event(void *ctx, const struct stream_event *event)
 {
 	struct run *run = ctx;
@@ -237,10 +258,11 @@
 		return;
 	}
 	if (run->last_event >= 0)
-		g_string_append_c(run->output, '\n');
+		output_append(run, "\n", 1);
 	else
 		run->software = run->call_software;
-	g_string_append_len(run->output, event->data, (gssize)event->data_len);
+	output_append(run, event->data, event->data_len);
+	run->events_nr++;
 	run->last_event = (int64_t)event->id;
 	/* Bytes without an event are no sign that the output goes on. */
 	run->last_receive_ms = now_ms(run->batch);
@@ -281,6 +303,51 @@
 	run_broken_off(run, "rejected");
 }
 
+static bool output_overlong(const struct run *run)
+{
+	return (run->events_max && run->events_nr > run->events_max) ||
+	       run->output->len > batch_output_max(run->batch);
+}
+
+/* Makes an item start over whose output can't be its own. The saved part of that
+ * output is discarded too, so that no other node goes on with it. */
+static void reject_output(struct run *run, const char *reason)
+{
+	size_t index = (size_t)(run->item - run->job->items);
+
+	log_event("item", LOG_LEVEL_WARN,
+		  "job=%s item=%s output rejected: %s events=%" PRIu64
+		  " of %" PRIu64 " bytes=%zu of all=%zu",
+		  run->job->id, run->item->id, reason, run->events_nr,
+		  run->events_max, run->output->len, run->batch->output_bytes);
+	if (run->saved_event >= 0)
+		job_store_append(run->batch->gateway->job_store,
+				 job_log_encode_discard(run->job->id, index),
+				 false, NULL, NULL);
+	if (run->call)
+		reject_response(run, reason);
+	discard_output(run);
+}
+
+/* Keeps the outputs of all runs within their limit: rejects the longest. */
+static void limit_outputs(struct batch *batch)
+{
+	struct run *longest = NULL;
+	struct list *pos;
+
+	if (batch->output_bytes <= OUTPUTS_BYTES_MAX)
+		return;
+	list_for_each (pos, &batch->runs) {
+		struct run *run = list_entry(pos, struct run, link);
+
+		if ((run->state == RUN_RUNNING || run->state == RUN_WAITING) &&
+		    (!longest || run->output->len > longest->output->len))
+			longest = run;
+	}
+	if (longest)
+		reject_output(longest, "the outputs of all items are too long");
+}
+
 static void on_head(void *ctx, const struct server_response *answer)
 {
 	struct run *run = ctx;
@@ -304,6 +371,10 @@
 		reject_response(run, "a gap in the events");
 	else if (event_stream_overlong(run->events))
 		reject_response(run, "bytes but no events");
+	else if (output_overlong(run))
+		reject_output(run, "it is longer than the item allows");
+	else
+		limit_outputs(run->batch);
 }
 
 /*
@@ -477,6 +548,11 @@
 			prompt_clear(&run->prompt);
 			platform_prompt_parse(field->value, &run->prompt);
 		}
+		/* An event holds a token or more. */
+		if (!g_ascii_strcasecmp(field->name,
+					platform_fields.token_count))
+			run->events_max =
+				platform_tokens_parse(field->value).output_max;
 	}
 	run->fields = g_string_free(fields, FALSE);
 	/* The encoded request isn't needed once it is decoded. */
@@ -514,6 +590,20 @@
 				  &run->item->body, on_payload_read, run);
 }
 
+/* Returns the number of events of a saved output. Their ids begin at 0 or 1, so that it
+ * may be one less; at other ids, the lines are counted. */
+static uint64_t saved_events(const struct run *run)
+{
+	const char *at = run->output->str;
+	uint64_t lines = 1;
+
+	while ((at = strchr(at, '\n'))) {
+		lines++;
+		at++;
+	}
+	return MIN(lines, (uint64_t)run->saved_event);
+}
+
 static void on_saved_output_read(void *ctx, const char *data, size_t len)
 {
 	struct run *run = ctx;
@@ -521,13 +611,19 @@
 	run->read = NULL;
 	/* If the saved output can't be read, the item starts over. */
 	if (data) {
-		g_string_append_len(run->output, data, (gssize)len);
+		output_append(run, data, len);
 		run->last_event = run->saved_event;
+		run->events_nr = saved_events(run);
 		run->software = run->saved_software;
 	} else {
 		run->saved_event = -1;
 	}
 	requeue(run, 0);
+	if (output_overlong(run))
+		reject_output(run, "the saved part is longer than the item "
+				   "allows");
+	else
+		limit_outputs(run->batch);
 }
 
 /* Reads the output saved by another node or by an earlier process here. */
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -56,6 +56,12 @@
 	struct job_bulk_read *read;
 	struct job_bulk_write *write;
 	GString *output;
+	/* Number of events in output, and the maximum by the item's tokens; 0 if
+	 * its job doesn't say. */
+	uint64_t events_nr;
+	uint64_t events_max;
+	/* Increases each time output is discarded. */
+	unsigned output_number;
 	/* Id of the last event in output, or -1. */
 	int64_t last_event;
 	/* Hash of the service and software version that wrote output; 0 while it is
@@ -95,6 +101,8 @@
 	struct batch_backlog waiting;
 	/* Maps a route name to its struct item_length *. */
 	GHashTable *lengths;
+	/* Bytes of the outputs of all runs. */
+	size_t output_bytes;
 	uv_timer_t timer;
 	uint64_t scanned_ms;
 	uint64_t saved_ms;
@@ -109,6 +117,10 @@
 	struct counter *failed;
 };
 
+/** Returns the maximum size of one output, in bytes: that of a call which writes it to
+ * the store. */
+size_t batch_output_max(const struct batch *batch);
+
 /** Creates the run of an item and queues it by its job's due time. */
 struct run *run_create(struct batch *batch, struct job *job,
 		       struct job_item *item);
--- a/briarplankd/gateway/batch_save.c
+++ b/briarplankd/gateway/batch_save.c
@@ -22,6 +22,8 @@
 	size_t item;
 	uint64_t last_event;
 	uint64_t software;
+	/* That of the run when its output was copied. */
+	unsigned output_number;
 };
 
 static void save_entry_free(gpointer data)
@@ -61,20 +63,33 @@
 		save_end(save);
 }
 
+/* Tells whether the output has been discarded here since it was copied. */
+static bool was_discarded(const struct save_entry *entry)
+{
+	struct gateway *gateway = entry->save->batch->gateway;
+	const struct job *job =
+		job_log_find(job_store_log(gateway->job_store), entry->job);
+	const struct run *run = job && entry->item < job->items_nr ?
+					job->items[entry->item].run :
+					NULL;
+
+	return run && run->output_number != entry->output_number;
+}
+
 static void on_save_written(void *ctx, const struct job_blob *locations)
 {
 	struct batch_save *save = ctx;
 	struct job_store *store = save->batch->gateway->job_store;
 	guint i;
 
-	if (!locations) {
-		save_end(save);
-		return;
-	}
-	save->pending_appends = save->entries->len;
-	for (i = 0; i < save->entries->len; i++) {
+	/* One more, as an append may end at once. */
+	save->pending_appends = 1;
+	for (i = 0; locations && i < save->entries->len; i++) {
 		struct save_entry *entry = g_ptr_array_index(save->entries, i);
 
+		if (was_discarded(entry))
+			continue;
+		save->pending_appends++;
 		job_store_append(
 			store,
 			job_log_encode_progress(entry->job, entry->item,
@@ -82,6 +97,8 @@
 						entry->software, &locations[i]),
 			true, on_save_appended, entry);
 	}
+	if (--save->pending_appends == 0)
+		save_end(save);
 }
 
 static void save_add(struct batch_save *save, struct run *run, GPtrArray *blobs)
@@ -95,6 +112,7 @@
 	entry->software = run->software;
 	entry->item = (size_t)(run->item - run->job->items);
 	entry->last_event = (uint64_t)run->last_event;
+	entry->output_number = run->output_number;
 	g_ptr_array_add(save->entries, entry);
 	g_byte_array_append(blob, (const guint8 *)run->output->str,
 			    (guint)run->output->len);
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -308,14 +308,15 @@
 #define ACCOUNT_RANKS 10000
 #define ROUTE_RANKS 100
 
-/* Sets how a request waits where callers compete. */
-static void read_competition(struct gateway_request *request,
-			     const struct route *route,
-			     const struct account *account)
+/* Sets how long the response may be, and how the request waits where callers compete. */
+static void read_size(struct gateway_request *request,
+		      const struct route *route, const struct account *account)
 {
 	struct platform_tokens tokens = platform_tokens_parse(
 		web_header(request->web, platform_fields.token_count));
 
+	/* An event holds a token or more. */
+	request->events_max = tokens.output_max;
 	request->competes = request->gateway->config->accounts != NULL;
 	request->rank = MIN(route->priority, ROUTE_RANKS - 1);
 	if (account)
@@ -434,7 +435,7 @@
 	request->buffer = g_string_new(NULL);
 	request->events = event_stream_create();
 	request->arrived_ms = arrived_ms;
-	read_competition(request, route, account);
+	read_size(request, route, account);
 	read_deadline(request, route);
 	uv_timer_init(gateway->loop, &request->timer);
 	request->timer.data = request;
--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -8,8 +8,12 @@
  * whose response is unsigned or has a gap in its events. */
 #define BROKE_OFF "the answer broke off"
 #define SPOILED "the answer was spoiled"
-/* Number of bytes of a stream that may wait for the caller to read. */
+#define OVERLONG "the answer is longer than the request allows"
+/* Number of bytes of a stream that may wait for the caller to read, and number of bytes
+ * that may wait for all callers of the node if this one's are more than a few. */
 #define STREAM_QUEUE_MAX (4 << 20)
+#define QUEUES_MAX (48 << 20)
+#define QUEUE_FEW_BYTES (64 << 10)
 
 static void save_response_fields(struct gateway_request *request,
 				 const struct http_link_head *head)
@@ -116,7 +120,10 @@
 			return;
 		}
 		request->last_event = (int64_t)event->id;
+		request->events_nr++;
 	}
+	if (request->events_max && request->events_nr > request->events_max)
+		return;
 	if (!request->software)
 		bind_to_software(request);
 	if (!request->first_ms)
@@ -124,6 +131,25 @@
 	web_stream_write(request->web, event->raw, event->raw_len);
 }
 
+/* Ends a stream that has more events than it may have. What was relayed can't be the
+ * answer, so that no other server can go on with it. */
+static void end_overlong(struct gateway_request *request)
+{
+	server_call_reject(request->call, OVERLONG);
+	gateway_request_call_ended(request);
+	gateway_request_fail(request, 502, OVERLONG);
+}
+
+/* Tells whether more bytes wait for the caller, or for all callers, than may. */
+static bool caller_too_slow(const struct gateway_request *request)
+{
+	size_t queued = web_stream_queued(request->web);
+
+	return queued > STREAM_QUEUE_MAX ||
+	       (queued > QUEUE_FEW_BYTES &&
+		web_queued(request->gateway->front) > QUEUES_MAX);
+}
+
 void gateway_request_on_body(void *ctx, const char *data, size_t len)
 {
 	struct gateway_request *request = ctx;
@@ -138,9 +164,12 @@
 		return;
 	if (request->broken)
 		reject_response(request, SPOILED);
+	else if (request->events_max &&
+		 request->events_nr > request->events_max)
+		end_overlong(request);
 	else if (event_stream_overlong(request->events))
 		reject_response(request, "the answer has bytes but no events");
-	else if (web_stream_queued(request->web) > STREAM_QUEUE_MAX)
+	else if (caller_too_slow(request))
 		gateway_request_fail(request, 502,
 				     "the caller reads too slowly");
 }
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -118,6 +118,10 @@
 	GPtrArray *response_fields;
 	GString *buffer;
 	struct event_stream *events;
+	/* Number of events that were relayed, and the maximum by the caller's tokens; 0
+	 * if the caller doesn't say. */
+	uint64_t events_nr;
+	uint64_t events_max;
 	/* Id of the last event that the caller has; -1 for none. */
 	int64_t last_event;
 	/* Time at which the first byte of the body arrived; 0 before it. */
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -312,6 +312,17 @@
 	return request->queue->len + request->in_flight->len;
 }
 
+size_t web_queued(const struct web *web)
+{
+	size_t queued = 0;
+	struct list *pos;
+
+	list_for_each (pos, &web->requests)
+		queued += web_stream_queued(
+			list_entry(pos, struct web_request, link));
+	return queued;
+}
+
 /*
  * Makes an HTTP/1.0 connection end with a reset. Its body is ended by closing
  * the connection, so only a reset tells a broken body from a complete one.
--- a/core/job_log.c
+++ b/core/job_log.c
@@ -238,9 +238,11 @@
 
 	if (!item)
 		return;
-	item->failures++;
 	/* A failed item starts over, so its saved output is discarded. */
 	item->saved_event = -1;
+	if (!record->status)
+		return;
+	item->failures++;
 	if (item->failures >= job->attempts_max)
 		item_end(log, job, record->item, JOB_ITEM_DEAD, NULL);
 }
@@ -428,6 +430,11 @@
 	return encode(&record);
 }
 
+GByteArray *job_log_encode_discard(const char *job, size_t item)
+{
+	return job_log_encode_failure(job, item, 0);
+}
+
 GByteArray *job_log_encode_progress(const char *job, size_t item,
 				    uint64_t last_event, uint64_t software,
 				    const struct job_blob *output)
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -112,6 +112,9 @@
 /** Returns the bytes queued that the connection has not yet accepted. */
 size_t web_stream_queued(const struct web_request *request);
 
+/** Returns that of all streams, also of those that have ended. */
+size_t web_queued(const struct web *web);
+
 /**
  * Sets a function called each time the connection has accepted all queued
  * bytes.
--- a/include/core/job_log.h
+++ b/include/core/job_log.h
@@ -161,6 +161,8 @@
 				  const struct job_blob *output,
 				  const char *dead_reason);
 GByteArray *job_log_encode_failure(const char *job, size_t item, int status);
+/** Discards the saved output of an item; this doesn't count as a failure. */
+GByteArray *job_log_encode_discard(const char *job, size_t item);
 GByteArray *job_log_encode_progress(const char *job, size_t item,
 				    uint64_t last_event, uint64_t software,
 				    const struct job_blob *output);
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -28,6 +28,8 @@
 	bool plain;
 	int64_t limit;
 	int64_t software;
+	int64_t event_bytes;
+	int64_t burst;
 };
 
 struct worker_state {
@@ -38,6 +40,8 @@
 	GHashTable *fields;
 	/* Text at the end of each event: the version of the software, if it has one. */
 	char *mark;
+	/* Text that makes each event longer. */
+	char *padding;
 	/* Lists of running requests and of requests that wait for a slot. */
 	struct list running;
 	struct list waiting;
@@ -129,23 +133,39 @@
 	return true;
 }
 
+/* Bytes of a stream that may wait for the reader. */
+#define QUEUE_BYTES (1 << 20)
+
+static void send_event(struct run *run)
+{
+	struct worker_state *state = run->state;
+	char *text;
+
+	run->event++;
+	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "%s%s\n\n",
+			       run->event, run->id, run->event, state->mark,
+			       state->padding);
+	web_stream_write(run->request, text, strlen(text));
+	g_free(text);
+}
+
 static void on_event_timer(uv_timer_t *timer)
 {
 	struct run *run = timer->data;
 	struct worker_state *state = run->state;
 	struct web_request *request = run->request;
-	char *text;
+	int64_t i;
 
 	if (standin_fault_active(state->standin, FAULT_STALL) ||
 	    (run->hold_after && run->event >= run->hold_after))
 		return;
 	if (crash_by_part(run))
 		return;
-	run->event++;
-	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "%s\n\n",
-			       run->event, run->id, run->event, state->mark);
-	web_stream_write(request, text, strlen(text));
-	g_free(text);
+	for (i = 0;
+	     i < state->settings.burst && run->event < state->settings.events &&
+	     web_stream_queued(request) < QUEUE_BYTES;
+	     i++)
+		send_event(run);
 	if (run->event < state->settings.events)
 		return;
 	run_end(run);
@@ -372,6 +392,7 @@
 			      g_strdup_printf("-v%" PRId64,
 					      state->settings.software) :
 			      g_strdup("");
+	state->padding = g_strnfill((gsize)state->settings.event_bytes, '.');
 	state->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	state->fields =
@@ -397,6 +418,7 @@
 	g_hash_table_destroy(state->runs);
 	g_hash_table_destroy(state->fields);
 	g_free(state->mark);
+	g_free(state->padding);
 	g_free(state);
 }
 
@@ -411,6 +433,10 @@
 	  .help = "limit that all answers name, in requests a second" },
 	{ "software", offsetof(struct worker_settings, software), 0,
 	  .help = "version that each event names; 0 for none" },
+	{ "event-bytes", offsetof(struct worker_settings, event_bytes), 0,
+	  .help = "bytes that make each event longer" },
+	{ "burst", offsetof(struct worker_settings, burst), 1,
+	  .help = "events sent at a time" },
 	{ "plain", offsetof(struct worker_settings, plain), 0, .on_off = true,
 	  .help = "on: answer with the body instead of a stream" },
 	{ 0 },
--- a/tests/test_job_log.c
+++ b/tests/test_job_log.c
@@ -147,6 +147,8 @@
 		return job_log_encode_result(argv[1], item, NULL, "why");
 	if (!strcmp(argv[0], "failed"))
 		return job_log_encode_failure(argv[1], item, 500);
+	if (!strcmp(argv[0], "discarded"))
+		return job_log_encode_discard(argv[1], item);
 	if (!strcmp(argv[0], "saved"))
 		return job_log_encode_progress(
 			argv[1], item,
