Refuse requests that may outlast a stopping gateway

Cause: requests were taken on kept connections until 3.5 s after SIGTERM whatever their time limit, and the process ended at 7.5 s whatever was running.

Ruled out: the server and the deadlines; the server was at event 195 to 207 of 213, and callers had 0.6 to 0.9 s left.

From 2.9 s on, a request that may last longer than the process is refused with 503 at once, and idle connections are closed, unless they are young. Requests that are in progress when the grace period ends get the best true answer: 503 if no server has got them, 502 or 504 otherwise. Job calls and requests kept during a start follow the same rules.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -37,12 +37,17 @@
  * platform checks readiness once a second, and stops sending to a node after
  * two failed checks. */
 #define DRAIN_ACCEPT_MS 3200
-/* Time after SIGTERM at which idle connections of callers are closed, in ms, as
- * a request on them might not end within the grace period. Connections accepted
- * last have sent their request by then. */
-#define DRAIN_IDLE_MS 3500
-/* Time before the end of the grace period at which the process exits, in ms. */
-#define GRACE_SLACK_MS 500
+/* Time after SIGTERM from which a request isn't taken that may last longer than the
+ * process, in ms, and at which idle connections of callers are closed. The platform
+ * expects each request to end that was sent more than 3 s after SIGTERM and taken. */
+#define DRAIN_TAKE_MS 2900
+/* Time since which a connection must exist to be closed as idle, in ms: a request may be
+ * on its way on a younger one. */
+#define IDLE_AGE_MS 500
+/* Times before the end of the grace period at which requests in progress are ended, and
+ * at which the process exits even if callers haven't read their answers, in ms. */
+#define GRACE_SLACK_MS 300
+#define EXIT_SLACK_MS 100
 /* Interval at which a stopping process checks whether all requests ended, in
  * ms. */
 #define STOP_CHECK_MS 50
@@ -65,8 +70,8 @@
 	uv_signal_t sigterm;
 	uv_signal_t sighup;
 	uv_timer_t stop_timer;
-	/* Loop time at which SIGTERM arrived, in ms. */
-	uint64_t stop_ms;
+	/* The requests that were in progress have been ended. */
+	bool requests_ended;
 	struct counter *config_version;
 };
 
@@ -104,6 +109,13 @@
 	g_free(detail);
 }
 
+bool gateway_stops_before(const struct gateway *gateway, uint64_t deadline_ms)
+{
+	return gateway->stopping &&
+	       uv_now(gateway->loop) - gateway->stop_ms >= DRAIN_TAKE_MS &&
+	       deadline_ms > gateway->stop_end_ms;
+}
+
 void gateway_apply_config(struct gateway *gateway)
 {
 	uint32_t idle_ms = gateway->config->limits.idle_timeout_ms;
@@ -201,11 +213,25 @@
 
 /* Functions that stop the process after SIGTERM. */
 
+/* Answers the callers whose requests are still in progress as well as it can. */
+static void end_requests(struct process *process)
+{
+	struct gateway *gateway = &process->gateway;
+
+	log_event("stop", LOG_LEVEL_WARN, "the grace period ends running=%u",
+		  web_running_requests(gateway->front));
+	process->requests_ended = true;
+	start_queue_stop(gateway->start_queue);
+	online_requests_stop(gateway);
+	job_calls_stop(gateway->job_calls);
+}
+
 static void on_stop_check(uv_timer_t *timer)
 {
 	struct process *process = timer->data;
 	struct gateway *gateway = &process->gateway;
-	uint64_t elapsed = uv_now(gateway->loop) - process->stop_ms;
+	uint64_t now = uv_now(gateway->loop);
+	uint64_t elapsed = now - gateway->stop_ms;
 	uint64_t grace_ms = (uint64_t)gateway->settings->stop_grace_ms;
 
 	if (elapsed >= DRAIN_ACCEPT_MS && web_listening(gateway->front)) {
@@ -214,11 +240,13 @@
 			  web_running_requests(gateway->front));
 		web_stop_listening(gateway->front);
 	}
-	if (elapsed >= DRAIN_IDLE_MS)
-		web_close_idle(gateway->front);
-	if ((elapsed >= DRAIN_ACCEPT_MS &&
+	if (elapsed >= DRAIN_TAKE_MS)
+		web_close_idle(gateway->front, IDLE_AGE_MS);
+	if (now >= gateway->stop_end_ms && !process->requests_ended)
+		end_requests(process);
+	if (((elapsed >= DRAIN_ACCEPT_MS || process->requests_ended) &&
 	     !web_running_requests(gateway->front)) ||
-	    elapsed + GRACE_SLACK_MS >= grace_ms)
+	    elapsed + EXIT_SLACK_MS >= grace_ms)
 		uv_stop(gateway->loop);
 }
 
@@ -233,7 +261,11 @@
 	log_event("stop", LOG_LEVEL_INFO, "SIGTERM running=%u",
 		  web_running_requests(gateway->front));
 	gateway->stopping = true;
-	process->stop_ms = uv_now(gateway->loop);
+	gateway->stop_ms = uv_now(gateway->loop);
+	gateway->stop_end_ms =
+		gateway->stop_ms +
+		(uint64_t)MAX(gateway->settings->stop_grace_ms - GRACE_SLACK_MS,
+			      0);
 	web_drain(gateway->front);
 	batch_stop(gateway->batch);
 	peers_load_changed(gateway->peers);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -80,6 +80,10 @@
 	/** HTTP server of metrics and operators' commands. */
 	struct web *metrics_web;
 	bool stopping;
+	/** Loop times at which a stop began, and at which it ends the requests that are
+	 * still in progress, in ms; 0 while the process isn't stopping. */
+	uint64_t stop_ms;
+	uint64_t stop_end_ms;
 	/**
 	 * True once the other entries run the batch items of this node, which
 	 * is stopping.
@@ -100,6 +104,16 @@
 /** Returns a random number of 64 bits. */
 uint64_t gateway_random(void);
 
+/**
+ * Tells whether a request that may last until a loop time in ms comes too late to be
+ * taken: the callers know by now that this process stops, which it would do before.
+ */
+bool gateway_stops_before(const struct gateway *gateway, uint64_t deadline_ms);
+
+/** Reason of refusals in that case; another entry can serve the request at once. */
+#define STOPPING_REASON "the node stops"
+#define STOPPING_RETRY_AFTER_S 0
+
 /** Applies the limits of a new configuration. */
 void gateway_apply_config(struct gateway *gateway);
 
@@ -110,6 +124,9 @@
 void online_request_start(struct gateway *gateway, struct web_request *web,
 			  const char *path, uint64_t arrived_ms);
 
+/** Ends all online requests: refuses those that no server has got (online.c). */
+void online_requests_stop(struct gateway *gateway);
+
 /** An online request in progress, as shown to operators. */
 struct online_request_info {
 	const char *id;
--- a/briarplankd/gateway/job_calls.c
+++ b/briarplankd/gateway/job_calls.c
@@ -36,6 +36,12 @@
 	return calls;
 }
 
+void job_calls_stop(struct job_calls *calls)
+{
+	job_submissions_stop(calls);
+	job_reads_stop(calls);
+}
+
 void job_calls_destroy(struct job_calls *calls)
 {
 	job_submissions_free(calls);
--- a/briarplankd/gateway/job_calls.h
+++ b/briarplankd/gateway/job_calls.h
@@ -10,6 +10,9 @@
 struct job_calls *job_calls_create(struct gateway *gateway);
 void job_calls_destroy(struct job_calls *calls);
 
+/** Answers the calls in progress when the process stops. */
+void job_calls_stop(struct job_calls *calls);
+
 /**
  * Answers the submission with this number when the job log has decided it. Does
  * nothing for a submission of another node.
--- a/briarplankd/gateway/job_calls_private.h
+++ b/briarplankd/gateway/job_calls_private.h
@@ -33,6 +33,10 @@
  */
 uint64_t job_call_deadline(struct gateway *gateway, struct web_request *web);
 
+/** Answer the calls in progress when the process stops. */
+void job_submissions_stop(struct job_calls *calls);
+void job_reads_stop(struct job_calls *calls);
+
 /** Free the calls in progress, after the web server was destroyed. */
 void job_submissions_free(struct job_calls *calls);
 void job_reads_free(struct job_calls *calls);
--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -264,20 +264,25 @@
 	page_check(read);
 }
 
+/* Answers the call that ends a job. The record of the end may still be appended, so the
+ * call's state is kept until the append ends. */
+static void end_unknown(struct job_read *read)
+{
+	log_event("job_read", LOG_LEVEL_WARN,
+		  "job=%s end status=504 the log has not answered yet",
+		  read->job);
+	if (read->web)
+		web_problem(job_call_detach(&read->web), 504,
+			    "The outcome is not known yet",
+			    "the log has not answered yet");
+}
+
 static void on_read_timer(uv_timer_t *timer)
 {
 	struct job_read *read = timer->data;
 
 	if (read->ending) {
-		/* The record that ends the job may still be appended, so the
-		 * call's state is kept until the append ends. */
-		log_event("job_read", LOG_LEVEL_WARN,
-			  "job=%s end status=504 the log has not answered yet",
-			  read->job);
-		if (read->web)
-			web_problem(job_call_detach(&read->web), 504,
-				    "The outcome is not known yet",
-				    "the log has not answered yet");
+		end_unknown(read);
 		return;
 	}
 	read->waiting = false;
@@ -445,7 +450,10 @@
 	uv_timer_init(gateway->loop, &read->timer);
 	read->timer.data = read;
 	web_on_close(web, on_reader_closed, read);
-	if (!job_store_loaded(gateway->job_store))
+	if (call->kind == PLATFORM_JOB_END &&
+	    gateway_stops_before(gateway, read->deadline_ms))
+		read_refuse(read, 503, STOPPING_REASON);
+	else if (!job_store_loaded(gateway->job_store))
 		read_refuse(read, 503, "the job log isn't loaded yet");
 	else if (call->kind == PLATFORM_JOB_RESULTS)
 		results_start(read);
@@ -455,6 +463,20 @@
 		end_start(read);
 }
 
+void job_reads_stop(struct job_calls *calls)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &calls->reads) {
+		struct job_read *read = list_entry(pos, struct job_read, link);
+
+		if (read->ending)
+			end_unknown(read);
+		else
+			read_refuse(read, 503, STOPPING_REASON);
+	}
+}
+
 void job_reads_free(struct job_calls *calls)
 {
 	struct list *pos, *tmp;
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -123,11 +123,8 @@
 
 /* Answers at the deadline: 503 when nothing was appended, and 504 when the
  * record may still be appended, so that the outcome is unknown. */
-static void on_submission_timer(uv_timer_t *timer)
+static void submission_time_over(struct submission *submission)
 {
-	struct submission *submission = timer->data;
-	struct web_request *web = submission->web;
-
 	if (!submission->appending) {
 		submission_refuse(submission, 503, store_retry_s(submission),
 				  "the store can't be reached");
@@ -135,12 +132,17 @@
 		return;
 	}
 	log_submission(submission, 504, "the log has not answered yet");
-	if (web)
+	if (submission->web)
 		web_problem(job_call_detach(&submission->web), 504,
 			    "The outcome is not known yet",
 			    "the log has not answered yet");
 }
 
+static void on_submission_timer(uv_timer_t *timer)
+{
+	submission_time_over(timer->data);
+}
+
 static void on_appended(void *ctx, enum job_append_result result)
 {
 	struct submission *submission = ctx;
@@ -216,6 +218,12 @@
 	struct job_store *store = submission->gateway->job_store;
 	struct job_log *log = job_store_log(store);
 
+	if (gateway_stops_before(submission->gateway,
+				 submission->deadline_ms)) {
+		submission_refuse(submission, 503, STOPPING_RETRY_AFTER_S,
+				  STOPPING_REASON);
+		return true;
+	}
 	if (!job_store_loaded(store)) {
 		submission_refuse(submission, 503, store_retry_s(submission),
 				  "the job log isn't loaded yet");
@@ -335,6 +343,14 @@
 	}
 }
 
+void job_submissions_stop(struct job_calls *calls)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &calls->submissions)
+		submission_time_over(list_entry(pos, struct submission, link));
+}
+
 void job_submissions_free(struct job_calls *calls)
 {
 	struct list *pos, *tmp;
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -441,6 +441,11 @@
 	request->timer.data = request;
 	web_on_close(web, on_caller_disconnect, request);
 	gateway_request_arm_timer(request);
+	if (gateway_stops_before(gateway, request->deadline_ms)) {
+		gateway_request_refuse(request, 503, STOPPING_RETRY_AFTER_S,
+				       STOPPING_REASON);
+		return;
+	}
 	fleet_note_demand(gateway->fleet, request->service,
 			  request->arrived_ms);
 	if (request->kind == ROUTE_STREAM && request->taken_up)
@@ -449,6 +454,23 @@
 		gateway_request_dispatch(request);
 }
 
+void online_requests_stop(struct gateway *gateway)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &gateway->requests) {
+		struct gateway_request *request =
+			list_entry(pos, struct gateway_request, link);
+
+		if (request->runs)
+			gateway_request_fail(request, 502, STOPPING_REASON);
+		else
+			gateway_request_refuse(request, 503,
+					       STOPPING_RETRY_AFTER_S,
+					       STOPPING_REASON);
+	}
+}
+
 void online_requests_each(struct gateway *gateway,
 			  void (*fn)(void *ctx,
 				     const struct online_request_info *info),
--- a/briarplankd/gateway/start_queue.c
+++ b/briarplankd/gateway/start_queue.c
@@ -46,6 +46,22 @@
 	online_request_start(gateway, web, web_path(web), arrived_ms);
 }
 
+void start_queue_stop(struct start_queue *queue)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &queue->kept) {
+		struct kept_request *kept =
+			list_entry(pos, struct kept_request, link);
+		struct web_request *web = kept->web;
+
+		web_on_close(web, NULL, NULL);
+		kept_free(kept);
+		gateway_refuse(web, 503, STOPPING_RETRY_AFTER_S,
+			       STOPPING_REASON);
+	}
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct start_queue *queue = timer->data;
--- a/briarplankd/gateway/start_queue.h
+++ b/briarplankd/gateway/start_queue.h
@@ -12,6 +12,9 @@
 struct start_queue *start_queue_create(struct gateway *gateway);
 void start_queue_destroy(struct start_queue *queue);
 
+/** Refuses the requests that are kept when the process stops. */
+void start_queue_stop(struct start_queue *queue);
+
 /**
  * Keeps a request until the directory is loaded or its time here is over, and starts it
  * then. Returns false if the settings don't allow that, or too many are kept.
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -48,6 +48,8 @@
 	struct list link;
 	uv_tcp_t tcp;
 	h2o_socket_t *sock;
+	/* Loop time at which it was accepted, in ms. */
+	uint64_t accepted_ms;
 	/* Number of checks in a row that found the connection stale. */
 	unsigned stale_checks;
 };
@@ -151,6 +153,7 @@
 	if (status != 0)
 		return;
 	conn = g_new0(struct connection, 1);
+	conn->accepted_ms = uv_now(web->loop);
 	list_append(&web->connections, &conn->link);
 	uv_tcp_init(web->loop, &conn->tcp);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
@@ -334,7 +337,7 @@
 	return conn->sock->input->size || poll(&pollfd, 1, 0) > 0;
 }
 
-void web_close_idle(struct web *web)
+void web_close_idle(struct web *web, uint64_t age_ms)
 {
 	struct list *pos;
 	uv_os_fd_t fd;
@@ -343,7 +346,8 @@
 		struct connection *conn =
 			list_entry(pos, struct connection, link);
 
-		if (uv_is_closing((const uv_handle_t *)&conn->tcp) ||
+		if (uv_now(web->loop) - conn->accepted_ms < age_ms ||
+		    uv_is_closing((const uv_handle_t *)&conn->tcp) ||
 		    uv_fileno((const uv_handle_t *)&conn->tcp, &fd) ||
 		    has_input(conn, fd))
 			continue;
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -42,11 +42,11 @@
 void web_drain(struct web *web);
 
 /**
- * Closes the connections of plain HTTP on which no request is in progress or
- * has begun to arrive. Callers may repeat a request that crosses the close, as
- * it was not read.
+ * Closes the connections of plain HTTP that were accepted age_ms ago or earlier and
+ * on which no request is in progress or has begun to arrive. Callers may repeat a
+ * request that crosses the close, as it was not read.
  */
-void web_close_idle(struct web *web);
+void web_close_idle(struct web *web, uint64_t age_ms);
 
 /** Sets the idle timeout of connections, in ms. */
 void web_set_idle_timeout(struct web *web, uint32_t ms);
--- a/tests/test_web.c
+++ b/tests/test_web.c
@@ -424,13 +424,13 @@
 				"open\n");
 }
 
-/* close-idle: closes the connections without a request */
+/* close-idle [age=MS]: closes the connections without a request that are as old */
 static void cmd_close_idle(void *data, int argc, char **argv)
 {
 	struct state *state = data;
-	(void)argc;
-	(void)argv;
-	web_close_idle(state->web);
+
+	web_close_idle(state->web,
+		       (uint64_t)script_arg_int(argc, argv, "age", 0));
 }
 
 static const struct script_command commands[] = {
