Run an item again on a connection that it hasn't had

Cause: all runs of an item have the same id. The second run got the kept connection of the first, and a late copy of the 500 came there with that id.

Ruled out: a second failure; the server's record has one.

A connection keeps the keys of the items that it carried, and a run doesn't get one that has its key. A 500 to an item that has failed before counts once the server has sent nothing else for as long as the item would wait for its next run; an answer that follows is used instead.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -6,6 +6,8 @@
 #include "evidence_share.h"
 #include "platform/codec.h"
 
+/* Status of an answer that counts as a failed attempt of an item. */
+#define ITEM_FAILED_STATUS 500
 /* Backoff of an item after a failed run, in ms. */
 #define FAILURE_BACKOFF_MS 250
 /* Interval at which an item with a quarantined part is checked again, in ms. */
@@ -418,7 +420,8 @@
 		run_ended_unsure(run);
 	else if (end == SERVER_CALL_COMPLETE && run->status == 422)
 		dead_letter(run, "a server rejected it with status 422");
-	else if (end == SERVER_CALL_COMPLETE && run->status == 500)
+	else if (end == SERVER_CALL_COMPLETE &&
+		 run->status == ITEM_FAILED_STATUS)
 		run_failed(run);
 	else
 		run_broken_off(run, server_call_end_name(end));
@@ -488,6 +491,7 @@
 		.target = run->request.path,
 		.host = run->job->host,
 		.request_id = run->item->id,
+		.earlier_status = run->failures ? ITEM_FAILED_STATUS : 0,
 		.account = run->job->account,
 		.prompt = &run->prompt,
 		.fields = run->fields,
--- a/briarplankd/gateway/reader_client.c
+++ b/briarplankd/gateway/reader_client.c
@@ -172,7 +172,7 @@
 	client->status = 0;
 	client->sent_ms = uv_now(client->options.gateway->loop);
 	g_byte_array_set_size(client->body, 0);
-	client->http = http_pool_acquire(client->pool, REUSE_LIMIT_MS);
+	client->http = http_pool_acquire(client->pool, REUSE_LIMIT_MS, 0);
 	uv_timer_start(&client->timer, on_timeout, client->options.timeout_ms,
 		       0);
 	http_link_send(client->http, request, &handlers, client);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -37,6 +37,10 @@
 /* Bytes of the prompt's parts that a line shows. */
 #define LOGGED_PARTS_BYTES 200
 
+/* Time for which a server may send the answer to a request after an answer that may be a
+ * late copy of an earlier one, in ms. */
+#define COPY_WAIT_MS 250
+
 /* Time since the first byte of a body after which the server has begun the
  * answer without harm, in ms. */
 #define BEGINNING_MS 250
@@ -56,6 +60,10 @@
 	/* The server states that it did not run the request. */
 	bool not_run;
 	int status;
+	/* Status of an answer that may be a late copy, and the timer that ends the wait
+	 * for another answer; 0 and NULL without one. */
+	int held_status;
+	uv_timer_t *copy_timer;
 	enum http_link_framing framing;
 	/* Bytes of the body so far, unless it is a stream. */
 	size_t body_bytes;
@@ -219,24 +227,94 @@
 
 static void call_finish(struct server_call *call, enum http_link_end link_end);
 
+static void on_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void stop_copy_timer(struct server_call *call)
+{
+	if (!call->copy_timer)
+		return;
+	uv_close((uv_handle_t *)call->copy_timer, on_timer_closed);
+	call->copy_timer = NULL;
+}
+
+/* Tells whether an answer belongs to the request of the call. */
+static bool is_own_answer(const struct server_call *call,
+			  const struct http_link_head *head)
+{
+	const char *echo =
+		http_link_head_field(head, platform_fields.request_id);
+
+	if (!echo || !strcmp(echo, call->options.request_id))
+		return true;
+	log_event("server_answer", LOG_LEVEL_WARN,
+		  "server=%s request=%s skipped the response to %s status=%d",
+		  call->server->id, call->options.request_id, echo ? echo : "-",
+		  head->status);
+	return false;
+}
+
+static void note_end(struct server_call *call, enum http_link_end link_end,
+		     uint64_t now);
+
+/* Ends a call whose answer was held: no other one came. */
+static void end_held(struct server_call *call)
+{
+	struct http_link_head head = {
+		.status = call->held_status,
+		.framing = HTTP_LINK_LENGTH,
+	};
+	struct server_response answer = { .status = head.status,
+					  .head = &head };
+
+	http_link_close(call->http);
+	call->head_received = true;
+	call->status = head.status;
+	call->framing = head.framing;
+	call->options.on_head(call->options.ctx, &answer);
+	note_end(call, HTTP_LINK_COMPLETE, uv_now(call->options.gateway->loop));
+	call_finish(call, HTTP_LINK_COMPLETE);
+}
+
+static void on_copy_timer(uv_timer_t *timer)
+{
+	end_held(timer->data);
+}
+
+/* Holds an answer that may be a late copy of an earlier one to the same request; returns
+ * whether it does. */
+static bool hold_copy(struct server_call *call,
+		      const struct http_link_head *head)
+{
+	if (call->held_status || !call->options.earlier_status ||
+	    head->status != call->options.earlier_status)
+		return false;
+	log_event("server_answer", LOG_LEVEL_INFO,
+		  "server=%s request=%s status=%d may be a late copy",
+		  call->server->id, call->options.request_id, head->status);
+	call->held_status = head->status;
+	call->copy_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(call->options.gateway->loop, call->copy_timer);
+	call->copy_timer->data = call;
+	uv_timer_start(call->copy_timer, on_copy_timer, COPY_WAIT_MS, 0);
+	return true;
+}
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
 	uint64_t now = uv_now(call->options.gateway->loop);
-	const char *echo =
-		http_link_head_field(head, platform_fields.request_id);
 	struct server_response answer = { .status = head->status,
 					  .head = head };
 
 	fleet_data_received(call->server, now);
+	if (!is_own_answer(call, head) || hold_copy(call, head))
+		return false;
+	stop_copy_timer(call);
 	read_leaving(call, head);
 	read_rate_limit(call, head);
-	if (echo && strcmp(echo, call->options.request_id) != 0) {
-		log_event("server_answer", LOG_LEVEL_WARN,
-			  "server=%s request=%s skipped the response to %s",
-			  call->server->id, call->options.request_id, echo);
-		return false;
-	}
 	quarantine_note_alive(
 		evidence_share_quarantine(call->options.gateway->evidence),
 		incarnation_of(call->server), call->started_ms, now);
@@ -347,6 +425,7 @@
 static void call_free(struct server_call *call)
 {
 	call->options.gateway->response_bytes -= call->body_bytes;
+	stop_copy_timer(call);
 	http_pool_unref(call->pool);
 	g_free((char *)call->options.request_id);
 	g_free(call);
@@ -447,6 +526,10 @@
 {
 	struct server_call *call = ctx;
 
+	if (call->held_status && !call->head_received) {
+		end_held(call);
+		return;
+	}
 	if (link_end == HTTP_LINK_COMPLETE)
 		http_pool_release(call->pool, call->http);
 	else
@@ -493,7 +576,11 @@
 {
 	struct server_call *call = g_new0(struct server_call, 1);
 	struct server *server = options->server;
+	uint64_t key = 0;
 
+	/* All runs of an item have the same id. */
+	if (options->class == WORK_BATCH)
+		key = hash_string(options->request_id, 0);
 	call->options = *options;
 	call->server = server;
 	call->started_ms = uv_now(options->gateway->loop);
@@ -510,7 +597,10 @@
 	call->http = http_pool_acquire(call->pool,
 				       options->recent_connection_only ?
 					       REUSE_LIMIT_UNREPEATABLE_MS :
-					       REUSE_LIMIT_MS);
+					       REUSE_LIMIT_MS,
+				       key);
+	if (key)
+		http_link_add_key(call->http, key);
 	call->options.request_id = g_strdup(options->request_id);
 	http_link_send(call->http, write_request(options), &handlers, call);
 	return call;
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -47,6 +47,9 @@
 	const char *host;
 	/** Id of the request; a response that echoes another id is skipped. */
 	const char *request_id;
+	/** Status of an earlier answer to a request with the same id, or 0. An answer with
+	 * this status counts only if no other one follows soon. */
+	int earlier_status;
 	/** Name of the client account; NULL for none. */
 	const char *account;
 	/** Shared parts of the prompt; must stay valid until the call ends. */
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -107,6 +107,15 @@
 /** Tells whether the connection can carry another exchange. */
 bool http_link_reusable(const struct http_link *link);
 
+/**
+ * Records the key of the request in progress. Late answers to it may arrive on this
+ * connection as long as it is open. The connection isn't reused after some hundred keys.
+ */
+void http_link_add_key(struct http_link *link, uint64_t key);
+
+/** Tells whether a request with this key was sent on the connection. */
+bool http_link_has_key(const struct http_link *link, uint64_t key);
+
 /** Tells whether the connection ended because the server was silent. */
 bool http_link_timed_out(const struct http_link *link);
 
--- a/include/net/http_pool.h
+++ b/include/net/http_pool.h
@@ -46,9 +46,11 @@
  * Returns the most recently used idle connection, or opens a new one.
  * Connections that were idle for limit_ms, or for half of the server's
  * announced idle timeout, aren't reused, because the server may close them
- * while the request is sent.
+ * while the request is sent, nor are those that carried a request with the same key,
+ * as an answer to it may come late; key is 0 for a request without one.
  */
-struct http_link *http_pool_acquire(struct http_pool *pool, uint64_t limit_ms);
+struct http_link *http_pool_acquire(struct http_pool *pool, uint64_t limit_ms,
+				    uint64_t key);
 
 /** Tells whether the pool has an idle connection that may be reused. */
 bool http_pool_idle(const struct http_pool *pool);
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -14,6 +14,8 @@
 /* Maximum number of bytes before the answer's head is complete, with interim
  * answers and late answers to other requests. */
 #define PREAMBLE_BYTES_MAX (1 << 20)
+/* Number of requests whose keys are kept, after which the connection isn't reused. */
+#define KEYS_MAX 256
 
 struct http_link {
 	uv_loop_t *loop;
@@ -37,6 +39,8 @@
 	 * established. */
 	GString *request;
 	unsigned writes_pending;
+	/* Keys of the requests that were sent, as far as they have one. */
+	GArray *keys;
 	struct http_link_handlers handlers;
 	void *ctx;
 	http_parser parser;
@@ -95,6 +99,7 @@
 	if (link->request)
 		g_string_free(link->request, TRUE);
 	g_array_free(link->fields, TRUE);
+	g_array_free(link->keys, TRUE);
 	g_string_free(link->name, TRUE);
 	g_string_free(link->value, TRUE);
 	g_free(link);
@@ -401,6 +406,7 @@
 	link->fields =
 		g_array_new(FALSE, FALSE, sizeof(struct http_link_field));
 	g_array_set_clear_func(link->fields, field_clear);
+	link->keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	link->name = g_string_new(NULL);
 	link->value = g_string_new(NULL);
 	if (address_parse(options->address, &addr))
@@ -444,7 +450,23 @@
 bool http_link_reusable(const struct http_link *link)
 {
 	return link->connected && !link->busy && !link->unusable &&
-	       !link->closing;
+	       !link->closing && link->keys->len < KEYS_MAX;
+}
+
+void http_link_add_key(struct http_link *link, uint64_t key)
+{
+	g_array_append_val(link->keys, key);
+}
+
+bool http_link_has_key(const struct http_link *link, uint64_t key)
+{
+	guint i;
+
+	for (i = 0; i < link->keys->len; i++) {
+		if (g_array_index(link->keys, uint64_t, i) == key)
+			return true;
+	}
+	return false;
 }
 
 uint64_t http_link_connected_ms(const struct http_link *link)
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -119,7 +119,8 @@
 	return announced_ms ? MIN(limit_ms, announced_ms / 2) : limit_ms;
 }
 
-struct http_link *http_pool_acquire(struct http_pool *pool, uint64_t limit_ms)
+struct http_link *http_pool_acquire(struct http_pool *pool, uint64_t limit_ms,
+				    uint64_t key)
 {
 	struct http_link_options options = {
 		.loop = pool->options.loop,
@@ -148,6 +149,9 @@
 		    age >= reuse_limit_for(http, limit_ms) &&
 		    age < reuse_limit_for(http, reuse_ms))
 			break;
+		if (http_link_reusable(http) && key &&
+		    http_link_has_key(http, key))
+			continue;
 		idle_link_free(pool, entry);
 		if (http_link_reusable(http) &&
 		    age < reuse_limit_for(http, limit_ms))
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -98,7 +98,8 @@
 
 # fleet_raw_peer THEN BYTES: prints the address of a peer of the stand-in "raw",
 # which answers each connection with these bytes, in which printf's escapes are
-# expanded, and then does what THEN says: open, close, reset, repeat or trickle.
+# expanded, and then does what THEN says: open, close, reset, repeat or trickle. With
+# "replies", each request gets the next of several answers; see tests/raw_peer.h.
 fleet_raw_peer () {
 	printf '%b' "$2" | curl -sf --data-binary @- \
 		"http://$(fleet_address raw)/peer?then=$1" ||
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -42,8 +42,9 @@
 	gateway_list_address "$(cat "$FLEET_DIR/$1.raw")" "$2" ready "$1"
 }
 
-# gateway_raw_count ID accepted|open|repeated: prints the number of connections of
-# a raw server, of those that are open, or of the bytes of its repetitions.
+# gateway_raw_count ID accepted|open|repeated|replies: prints the number of connections
+# of a raw server, of those that are open, of the bytes of its repetitions, or of the
+# requests that got a reply.
 gateway_raw_count () {
 	curl -sf "http://$(fleet_address raw)/peer?address=$(cat "$FLEET_DIR/$1.raw")" |
 		sed -n "s/.*$2=\([0-9]*\).*/\1/p"
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -18,6 +18,14 @@
 	bool answered;
 };
 
+/* The late part of a reply. */
+struct late_reply {
+	struct list link;
+	struct raw_conn *conn;
+	uv_timer_t timer;
+	char *bytes;
+};
+
 struct raw_server {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
@@ -29,6 +37,8 @@
 	unsigned accepted;
 	uint64_t repeated;
 	struct list conns;
+	unsigned replies;
+	struct list late;
 };
 
 struct raw_client {
@@ -74,8 +84,39 @@
 	g_free(handle->data);
 }
 
+static void on_late_closed(uv_handle_t *handle)
+{
+	struct late_reply *late = handle->data;
+
+	g_free(late->bytes);
+	g_free(late);
+}
+
+static void late_free(struct late_reply *late)
+{
+	list_remove(&late->link);
+	uv_close((uv_handle_t *)&late->timer, on_late_closed);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+	struct late_reply *late = timer->data;
+
+	write_copy(&late->conn->tcp, late->bytes, strlen(late->bytes));
+	late_free(late);
+}
+
 static void conn_close(struct raw_conn *conn, bool reset)
 {
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &conn->server->late) {
+		struct late_reply *late =
+			list_entry(pos, struct late_reply, link);
+
+		if (late->conn == conn)
+			late_free(late);
+	}
 	list_remove(&conn->link);
 	if (reset)
 		uv_tcp_close_reset(&conn->tcp, on_conn_closed);
@@ -130,6 +171,31 @@
 	}
 }
 
+/* Sends the next reply of a server with RAW_REPLIES. */
+static void conn_reply(struct raw_conn *conn)
+{
+	struct raw_server *server = conn->server;
+	char **replies = g_strsplit(server->bytes, "\f", -1);
+	unsigned at = MIN(server->replies, g_strv_length(replies) - 1);
+	char **parts = g_strsplit(replies[at], "\v", 2);
+	struct late_reply *late;
+
+	server->replies++;
+	if (*parts[0])
+		write_copy(&conn->tcp, parts[0], strlen(parts[0]));
+	if (parts[1]) {
+		late = g_new0(struct late_reply, 1);
+		late->conn = conn;
+		late->bytes = g_strdup(parts[1]);
+		list_append(&server->late, &late->link);
+		uv_timer_init(server->loop, &late->timer);
+		late->timer.data = late;
+		uv_timer_start(&late->timer, on_late, RAW_LATE_MS, 0);
+	}
+	g_strfreev(parts);
+	g_strfreev(replies);
+}
+
 static void on_conn_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
 {
 	struct raw_conn *conn = stream->data;
@@ -142,6 +208,10 @@
 		conn_close(conn, false);
 		return;
 	}
+	if (nr > 0 && server->then == RAW_REPLIES) {
+		conn_reply(conn);
+		return;
+	}
 	if (conn->answered || nr == 0)
 		return;
 	conn->answered = true;
@@ -182,6 +252,7 @@
 	server->then = then;
 	server->received = g_string_new(NULL);
 	list_init(&server->conns);
+	list_init(&server->late);
 	uv_tcp_init(loop, &server->listener);
 	server->listener.data = server;
 	uv_timer_init(loop, &server->trickle);
@@ -222,6 +293,11 @@
 	return nr;
 }
 
+unsigned raw_server_replies(const struct raw_server *server)
+{
+	return server->replies;
+}
+
 uint64_t raw_server_repeated(const struct raw_server *server)
 {
 	return server->repeated;
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -19,8 +19,14 @@
 	RAW_REPEAT,
 	/** Sends a byte now and then until the peer closes. */
 	RAW_TRICKLE,
+	/** Answers each request, over all connections, with the next of the replies into
+	 * which form feeds divide its bytes; the last one is repeated. What follows a
+	 * vertical tab in a reply is sent RAW_LATE_MS later. */
+	RAW_REPLIES,
 };
 
+#define RAW_LATE_MS 400
+
 struct raw_server;
 struct raw_client;
 
@@ -34,6 +40,8 @@
  * that are open now. */
 unsigned raw_server_accepted(const struct raw_server *server);
 unsigned raw_server_open(const struct raw_server *server);
+/** Returns the number of requests that got a reply of RAW_REPLIES. */
+unsigned raw_server_replies(const struct raw_server *server);
 /** Returns the number of bytes that the server's repetitions wrote. */
 uint64_t raw_server_repeated(const struct raw_server *server);
 void raw_server_destroy(struct raw_server *server);
--- a/tests/standin/raw.c
+++ b/tests/standin/raw.c
@@ -1,10 +1,10 @@
 /*
  * Simulated servers that send given bytes, valid HTTP or not.
  *
- * POST /peer?then=open|close|reset|repeat opens a port whose connections answer
+ * POST /peer?then=open|close|reset|repeat|trickle|replies opens a port whose connections answer
  * with the call's body and then do what "then" says; it returns the address.
  * GET /peer?address=IP:PORT returns how many connections the port had, how many
- * are open, and how many bytes its repetitions wrote.
+ * are open, how many bytes its repetitions wrote, and how many requests got a reply.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -23,7 +23,7 @@
 	static const char *const names[] = {
 		[RAW_KEEP_OPEN] = "open",  [RAW_CLOSE] = "close",
 		[RAW_RESET] = "reset",	   [RAW_REPEAT] = "repeat",
-		[RAW_TRICKLE] = "trickle",
+		[RAW_TRICKLE] = "trickle", [RAW_REPLIES] = "replies",
 	};
 	size_t i;
 
@@ -59,9 +59,9 @@
 
 	if (peer) {
 		text = g_strdup_printf(
-			"accepted=%u open=%u repeated=%" PRIu64 "\n",
+			"accepted=%u open=%u repeated=%" PRIu64 " replies=%u\n",
 			raw_server_accepted(peer), raw_server_open(peer),
-			raw_server_repeated(peer));
+			raw_server_repeated(peer), raw_server_replies(peer));
 		web_answer(request, 200, "text/plain", text, strlen(text));
 		g_free(text);
 	} else {
