Keep the server of a silent stream until another one has it

Cause: on_timer() in online.c cancelled the call to the silent server before it looked for another one; the other one was full.

The stream is offered to another server while the first call is kept but not read, for 0.25 s at most. The first call is cancelled once the other server begins to answer, and read on if that one refuses or fails. If it does neither, a server that has sent anything since keeps the stream.

Before: process_gateway_silent_server failed on with "full was broken off".

--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -13,8 +13,8 @@
 #include "refusals.h"
 #include "waiting_room.h"
 
-/* Time without data after which a repeatable stream resumes on another server,
- * in ms. */
+/* Time without data after which another server is looked for that can go on with a
+ * repeatable stream, in ms. */
 #define STREAM_STALL_MS 1200
 
 uint64_t gateway_request_now(const struct gateway_request *request)
@@ -69,6 +69,9 @@
 		return;
 	server_call_cancel(request->call);
 	gateway_request_call_ended(request);
+	if (request->offer)
+		server_call_cancel(request->offer);
+	request->offer = NULL;
 }
 
 /* Size of the buffer for the inputs of a choice as text, in bytes. */
@@ -210,6 +213,12 @@
 
 static void on_timer(uv_timer_t *timer);
 
+/* Returns the loop time at which another server is looked for, in ms. */
+static uint64_t stall_ms(const struct gateway_request *request)
+{
+	return MAX(request->last_data_ms + STREAM_STALL_MS, request->look_ms);
+}
+
 void gateway_request_arm_timer(struct gateway_request *request)
 {
 	uint64_t now = gateway_request_now(request);
@@ -217,9 +226,10 @@
 
 	/* Watches for a stall only if the request can be retried: otherwise the
 	 * timer would expire repeatedly without delay. */
-	if (request->streaming && gateway_request_can_retry(request))
-		expires_ms = MIN(expires_ms,
-				 request->last_data_ms + STREAM_STALL_MS);
+	if (request->offer)
+		expires_ms = MIN(expires_ms, request->offer_until_ms);
+	else if (request->streaming && gateway_request_can_retry(request))
+		expires_ms = MIN(expires_ms, stall_ms(request));
 	uv_timer_start(&request->timer, on_timer,
 		       expires_ms > now ? expires_ms - now : 0, 0);
 }
@@ -239,15 +249,13 @@
 					     "the time to run it is over");
 		return;
 	}
-	if (request->streaming &&
-	    now - request->last_data_ms >= STREAM_STALL_MS &&
-	    gateway_request_can_retry(request)) {
-		cancel_call(request);
-		event_stream_reset(request->events);
-		gateway_request_dispatch(request);
-		return;
-	}
-	gateway_request_arm_timer(request);
+	if (request->offer && now >= request->offer_until_ms)
+		gateway_request_offer_over(request);
+	else if (!request->offer && request->streaming &&
+		 now >= stall_ms(request) && gateway_request_can_retry(request))
+		gateway_request_look_elsewhere(request);
+	else
+		gateway_request_arm_timer(request);
 }
 
 /* Functions that read the requests of callers. */
--- a/briarplankd/gateway/online_choice.c
+++ b/briarplankd/gateway/online_choice.c
@@ -17,10 +17,9 @@
 #define RETRY_AFTER_MIN_S 0.15
 #define RETRY_AFTER_MAX_S 1.5
 
-static void send_to_server(struct gateway_request *request,
-			   struct server *server)
+struct server_call_options gateway_request_options(
+	struct gateway_request *request, struct server *server)
 {
-	uint64_t now = gateway_request_now(request);
 	struct server_call_options options = {
 		.gateway = request->gateway,
 		.server = server,
@@ -36,7 +35,8 @@
 		.body_len = request->body_len,
 		.has_body = request->body_len ||
 			    strcmp(request->method, "GET") != 0,
-		.deadline_ms = request->deadline_ms - now,
+		.deadline_ms =
+			request->deadline_ms - gateway_request_now(request),
 		.last_event = request->last_event,
 		.recent_connection_only = !request->repeatable,
 		.events =
@@ -47,8 +47,25 @@
 		.ctx = request,
 	};
 
+	return options;
+}
+
+void gateway_request_note_try(struct gateway_request *request,
+			      const struct server *server)
+{
 	request->tried[request->tried_nr++] = server->hash;
 	request->runs++;
+}
+
+static void send_to_server(struct gateway_request *request,
+			   struct server *server)
+{
+	uint64_t now = gateway_request_now(request);
+	struct server_call_options options =
+		gateway_request_options(request, server);
+
+	gateway_request_note_try(request, server);
+	request->server = server->hash;
 	request->last_data_ms = now;
 	request->sent_ms = now;
 	if (request->competes)
@@ -219,9 +236,22 @@
 	}
 }
 
-void gateway_request_dispatch(struct gateway_request *request)
+bool gateway_request_allowed(const struct gateway_request *request)
 {
 	struct quarantine_verdict verdict;
+
+	return evidence_share_allows(request->gateway->evidence,
+				     &request->prompt, &verdict);
+}
+
+static bool has_time_to_send(const struct gateway_request *request)
+{
+	return request->deadline_ms >
+	       gateway_request_now(request) + SEND_TIME_LEFT_MIN_MS;
+}
+
+struct fleet_choice gateway_request_choose(struct gateway_request *request)
+{
 	struct fleet_query query = {
 		.service = request->service,
 		.now_ms = gateway_request_now(request),
@@ -231,18 +261,27 @@
 		.tried_nr = request->tried_nr,
 	};
 	struct fleet_choice choice = { 0 };
-	bool has_time =
-		request->deadline_ms > query.now_ms + SEND_TIME_LEFT_MIN_MS;
-	double waited_ms = (double)(query.now_ms - request->arrived_ms);
+
+	if (has_time_to_send(request) && request->tried_nr < SERVERS_TRIED_MAX)
+		choice = fleet_choose(request->gateway->fleet, &query);
+	record_choice_inputs(request, &choice, query.now_ms);
+	return choice;
+}
+
+void gateway_request_dispatch(struct gateway_request *request)
+{
+	struct quarantine_verdict verdict;
+	struct fleet_choice choice;
+	bool has_time = has_time_to_send(request);
+	double waited_ms =
+		(double)(gateway_request_now(request) - request->arrived_ms);
 
 	if (!evidence_share_allows(request->gateway->evidence, &request->prompt,
 				   &verdict)) {
 		end_quarantined(request, &verdict);
 		return;
 	}
-	if (has_time && request->tried_nr < SERVERS_TRIED_MAX)
-		choice = fleet_choose(request->gateway->fleet, &query);
-	record_choice_inputs(request, &choice, query.now_ms);
+	choice = gateway_request_choose(request);
 	if (!choice.server && has_time && software_is_gone(request)) {
 		end_lost_stream(request);
 		return;
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -1,8 +1,9 @@
 /**
  * An online request of a caller: state shared by the files that handle it.
  *
- * online.c reads callers' requests and ends them, online_choice.c chooses servers, and
- * online_answer.c relays the response.
+ * online.c reads callers' requests and ends them, online_choice.c chooses servers,
+ * online_answer.c relays the response, and online_stall.c looks for another server when
+ * one is silent.
  */
 #ifndef BRIARPLANKD_GATEWAY_ONLINE_REQUEST_H
 #define BRIARPLANKD_GATEWAY_ONLINE_REQUEST_H
@@ -101,6 +102,17 @@
 	/* Number of servers that may have run the request. */
 	unsigned runs;
 	struct server_call *call;
+	/* Hash of the server of the call. */
+	uint64_t server;
+	/* Call that offers the stream of a silent server to another one, the loop time in
+	 * ms by which that one has to take it, its hash and that of its software; NULL
+	 * without one. */
+	struct server_call *offer;
+	uint64_t offer_until_ms;
+	uint64_t offered_server;
+	uint64_t offered_software;
+	/* Loop time before which no other server is looked for, in ms. */
+	uint64_t look_ms;
 	uv_timer_t timer;
 	/* Time of the last data from the server, of a stream that of the last whole
 	 * event. */
@@ -150,12 +162,33 @@
 /** Tells whether the request may be sent to another server. */
 bool gateway_request_can_retry(const struct gateway_request *request);
 
-/** Sets the timer to the deadline, or to the time at which the stream stalls. */
+/** Sets the timer to the deadline, or to the time at which the stream stalls or another
+ * server has to take it. */
 void gateway_request_arm_timer(struct gateway_request *request);
 
 /** Chooses a server and sends it the request, or ends the request. */
 void gateway_request_dispatch(struct gateway_request *request);
 
+/** Tells whether the request, or a part of its prompt, isn't quarantined. */
+bool gateway_request_allowed(const struct gateway_request *request);
+
+/** Chooses a server that the request wasn't sent to; it is NULL if there is none. */
+struct fleet_choice gateway_request_choose(struct gateway_request *request);
+
+/** Returns the options of a call that sends the request to a server. */
+struct server_call_options gateway_request_options(
+	struct gateway_request *request, struct server *server);
+
+/** Notes that the request is sent to a server. */
+void gateway_request_note_try(struct gateway_request *request,
+			      const struct server *server);
+
+/** Offers the stream of a silent server to another one, if there is any. */
+void gateway_request_look_elsewhere(struct gateway_request *request);
+
+/** Decides between the servers when the time of an offer is over. */
+void gateway_request_offer_over(struct gateway_request *request);
+
 /** Returns the name by which entries know the stream of the request. */
 struct stream_name gateway_request_stream(
 	const struct gateway_request *request);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -618,6 +618,21 @@
 	call_free(call);
 }
 
+void server_call_pause(struct server_call *call)
+{
+	http_link_pause(call->http, true);
+}
+
+void server_call_resume(struct server_call *call)
+{
+	http_link_pause(call->http, false);
+}
+
+bool server_call_sent(const struct server_call *call)
+{
+	return http_link_connected_ms(call->http) != 0;
+}
+
 void server_call_cancel(struct server_call *call)
 {
 	call_drop(call, FLEET_CANCELLED);
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -89,6 +89,13 @@
  * connection and counts the call as failed. */
 void server_call_reject(struct server_call *call, const char *reason);
 
+/** Stops reading the response, so that no callback is called, and goes on with it. */
+void server_call_pause(struct server_call *call);
+void server_call_resume(struct server_call *call);
+
+/** Tells whether the request may have reached the server. */
+bool server_call_sent(const struct server_call *call);
+
 /** Ends a call without on_end and closes its connection, so that the server
  * drops the request. */
 void server_call_cancel(struct server_call *call);
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -100,6 +100,9 @@
 void http_link_send(struct http_link *link, GString *request,
 		    const struct http_link_handlers *handlers, void *ctx);
 
+/** Stops or resumes reading from an established connection. */
+void http_link_pause(struct http_link *link, bool paused);
+
 /** Replaces the callbacks of the exchange in progress. */
 void http_link_hand_over(struct http_link *link,
 			 const struct http_link_handlers *handlers, void *ctx);
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -440,6 +440,16 @@
 		send_request(link);
 }
 
+void http_link_pause(struct http_link *link, bool paused)
+{
+	if (link->closing || !link->connected)
+		return;
+	if (paused)
+		uv_read_stop((uv_stream_t *)&link->tcp);
+	else
+		uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+}
+
 void http_link_hand_over(struct http_link *link,
 			 const struct http_link_handlers *handlers, void *ctx)
 {
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -7,7 +7,8 @@
  * fields with which a request was run last, and GET /held the ids
  * of the requests that are held. A body of "fail " and a status is answered with
  * that status. With a body of "hold " and an event, a stream is held after that
- * event, unless it is resumed. A request whose prompt has the part "badbad" ends
+ * event, unless it is resumed; with "pause ", an event and a time in ms, it goes on after
+ * that time. A request whose prompt has the part "badbad" ends
  * the process as it begins to answer, one with the body "crash" before it answers.
  */
 #include <string.h>
@@ -18,6 +19,7 @@
 
 #define FAIL "fail "
 #define HOLD "hold "
+#define PAUSE "pause "
 #define CRASH "crash"
 #define CRASH_PART "badbad"
 
@@ -57,6 +59,9 @@
 	int64_t event;
 	/* Event after which the stream sends nothing more; 0 for none. */
 	int64_t hold_after;
+	/* Event after which the stream pauses, 0 for none, and for how long, in ms. */
+	int64_t pause_after;
+	int64_t pause_ms;
 	bool started;
 	uv_timer_t timer;
 };
@@ -161,6 +166,13 @@
 		return;
 	if (crash_by_part(run))
 		return;
+	if (run->pause_after && run->event >= run->pause_after) {
+		run->pause_after = 0;
+		uv_timer_start(&run->timer, on_event_timer,
+			       (uint64_t)run->pause_ms,
+			       (uint64_t)state->settings.event_ms);
+		return;
+	}
 	for (i = 0;
 	     i < state->settings.burst && run->event < state->settings.events &&
 	     web_stream_queued(request) < QUEUE_BYTES;
@@ -293,6 +305,20 @@
 	return event;
 }
 
+static void read_pause(struct run *run)
+{
+	size_t len;
+	const char *body = web_body(run->request, &len);
+	char *text, *end;
+
+	if (len <= strlen(PAUSE) || memcmp(body, PAUSE, strlen(PAUSE)) != 0)
+		return;
+	text = g_strndup(body + strlen(PAUSE), len - strlen(PAUSE));
+	run->pause_after = g_ascii_strtoll(text, &end, 10);
+	run->pause_ms = g_ascii_strtoll(end, NULL, 10);
+	g_free(text);
+}
+
 static void on_request(void *ctx, struct web_request *request)
 {
 	struct worker_state *state = ctx;
@@ -313,6 +339,7 @@
 	run->id = g_strdup(id);
 	run->event = last ? g_ascii_strtoll(last, NULL, 10) : 0;
 	run->hold_after = hold_after(request);
+	read_pause(run);
 	uv_timer_init(standin_loop(state->standin), &run->timer);
 	run->timer.data = run;
 	list_append(&state->waiting, &run->link);
