Skip answers without an id on connections that are in use again

Cause: an answer that names no request was taken for the answer to the newest request on its connection, so that a refusal that came late and without an id counted for the next one.

Ruled out: late answers with an id, which were skipped before; a request is never offered again to a server that refused it.

An answer without an id counts only on a connection that has carried no other request.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -240,14 +240,16 @@
 	call->copy_timer = NULL;
 }
 
-/* Tells whether an answer belongs to the request of the call. */
+/* Tells whether an answer belongs to the request of the call. Servers name the request in
+ * all of their answers; bytes that name none may have come late for an earlier request. */
 static bool is_own_answer(const struct server_call *call,
 			  const struct http_link_head *head)
 {
 	const char *echo =
 		http_link_head_field(head, platform_fields.request_id);
 
-	if (!echo || !strcmp(echo, call->options.request_id))
+	if (echo ? !strcmp(echo, call->options.request_id) :
+		   !http_link_used_before(call->http))
 		return true;
 	log_event("server_answer", LOG_LEVEL_WARN,
 		  "server=%s request=%s skipped the response to %s status=%d",
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -45,7 +45,8 @@
 	/** Path and query. */
 	const char *target;
 	const char *host;
-	/** Id of the request; a response that echoes another id is skipped. */
+	/** Id of the request; a response that echoes another id is skipped, and so is one
+	 * without an id on a connection that carried other requests. */
 	const char *request_id;
 	/** Status of an earlier answer to a request with the same id, or 0. An answer with
 	 * this status counts only if no other one follows soon. */
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -100,6 +100,9 @@
 void http_link_send(struct http_link *link, GString *request,
 		    const struct http_link_handlers *handlers, void *ctx);
 
+/** Tells whether the connection carried another exchange before the current one. */
+bool http_link_used_before(const struct http_link *link);
+
 /** Stops or resumes reading from an established connection. */
 void http_link_pause(struct http_link *link, bool paused);
 
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -39,6 +39,8 @@
 	 * established. */
 	GString *request;
 	unsigned writes_pending;
+	/* Number of exchanges, with the current one. */
+	unsigned exchanges;
 	/* Keys of the requests that were sent, as far as they have one. */
 	GArray *keys;
 	struct http_link_handlers handlers;
@@ -425,6 +427,7 @@
 	link->handlers = *handlers;
 	link->ctx = ctx;
 	link->busy = true;
+	link->exchanges++;
 	link->request = request;
 	link->head_done = false;
 	link->message_done = false;
@@ -440,6 +443,11 @@
 		send_request(link);
 }
 
+bool http_link_used_before(const struct http_link *link)
+{
+	return link->exchanges > 1;
+}
+
 void http_link_pause(struct http_link *link, bool paused)
 {
 	if (link->closing || !link->connected)
