Believe in one software version only by a new list of servers

Cause: the list of servers counted as up to date until it was 3 s old, so that an entry took the version that it knew for the only one; entries that are asked answered from such lists too.

Ruled out: the datagrams that tell of streams; those reach the entry when it wakes, but only for the streams that select it.

A take-up now reads the list at once, and believes in one version only by a list that was read after it. Entries answer only what they were told. A version counts as gone by such a list only.

Before: process_gateway_out_of_step failed on with "try-2 of -v2 was taken up: 200 -v1". After: passes, 38 s; process_gateway_software_versions and process_gateway_software_history pass.

--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -233,7 +233,7 @@
 		.ctx = topic,
 	};
 
-	if (fetches_pages(directory)) {
+	if (fetches_pages(directory) && !topic->refresh) {
 		topic_schedule(topic, fetch_interval(directory));
 		return;
 	}
@@ -241,6 +241,8 @@
 		topic_schedule(topic, PEERS_SETTLE_CHECK_MS);
 		return;
 	}
+	topic->reading = true;
+	topic->refresh = false;
 	if (topic->following) {
 		read.done = on_records;
 		store_read(store, &read);
@@ -258,7 +260,8 @@
 
 static void topic_schedule(struct topic *topic, uint64_t pause_ms)
 {
-	uv_timer_start(&topic->timer, on_topic_timer, pause_ms, 0);
+	uv_timer_start(&topic->timer, on_topic_timer,
+		       topic->refresh ? 0 : pause_ms, 0);
 }
 
 /* Retries the same read after a backoff. */
@@ -275,6 +278,8 @@
 static void topic_restart(struct topic *topic)
 {
 	topic->following = false;
+	/* Servers that were listed only meanwhile stay unknown. */
+	topic->directory->known_since_ms = 0;
 	g_free(topic->page_key);
 	topic->page_key = NULL;
 }
@@ -313,6 +318,7 @@
 	bool servers = topic == &directory->topics[TOPIC_SERVERS];
 	size_t i;
 
+	topic->reading = false;
 	if (result->status != STORE_OK) {
 		directory->store_failed_ms = uv_now(directory->gateway->loop);
 		topic_retry(topic);
@@ -351,6 +357,7 @@
 	struct directory *directory = topic->directory;
 	size_t i;
 
+	topic->reading = false;
 	if (result->status == STORE_EXPIRED) {
 		log_event("store", LOG_LEVEL_WARN,
 			  "topic=%s records are no longer kept from=%" PRIu64
@@ -367,9 +374,12 @@
 		return;
 	}
 	topic->failures = 0;
-	for (i = 0; i < result->records_nr; i++)
-		topic->apply(directory, &result->records[i]);
-	topic->next_offset = result->next_offset;
+	/* A page of another entry may have been applied since the read was sent. */
+	for (i = 0; i < result->records_nr; i++) {
+		if (result->records[i].offset >= topic->next_offset)
+			topic->apply(directory, &result->records[i]);
+	}
+	topic->next_offset = MAX(topic->next_offset, result->next_offset);
 	if (topic->next_offset < result->end_offset) {
 		topic_schedule(topic, 0);
 		return;
@@ -537,6 +547,25 @@
 		       read_wait_ms(topic) + CONFIG_AGE_MAX_MS;
 }
 
+uint64_t directory_servers_as_of_ms(const struct directory *directory)
+{
+	const struct topic *servers = &directory->topics[TOPIC_SERVERS];
+
+	return servers->following ? servers->as_of_ms : 0;
+}
+
+void directory_refresh_servers(struct directory *directory)
+{
+	struct topic *servers = &directory->topics[TOPIC_SERVERS];
+
+	/* After a failed read, the backoff holds. */
+	if (!servers->following || servers->refresh || servers->failures)
+		return;
+	servers->refresh = true;
+	if (!servers->reading)
+		topic_schedule(servers, 0);
+}
+
 bool directory_loaded(const struct directory *directory)
 {
 	return directory->gateway->config &&
--- a/briarplankd/gateway/directory.h
+++ b/briarplankd/gateway/directory.h
@@ -28,4 +28,11 @@
  */
 uint64_t directory_known_for_ms(const struct directory *directory);
 
+/** Returns the loop time as of which the list of servers is complete, in ms. */
+uint64_t directory_servers_as_of_ms(const struct directory *directory);
+
+/** Reads the changes of the list of servers from the store at once, or as soon as the
+ * read in flight has ended. */
+void directory_refresh_servers(struct directory *directory);
+
 #endif
--- a/briarplankd/gateway/directory_private.h
+++ b/briarplankd/gateway/directory_private.h
@@ -21,6 +21,9 @@
 	uint64_t snapshot_offset;
 	/* Number of consecutive reads that failed. */
 	unsigned failures;
+	/* A read is in flight, and another one is wanted without a pause. */
+	bool reading;
+	bool refresh;
 	/* The snapshot was read; reads now return the records after it. */
 	bool following;
 	/* Last key of the previous page of the snapshot, or NULL. */
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -397,9 +397,12 @@
 	struct stream_name name = gateway_request_stream(request);
 
 	request->software = stream_share_find(streams, &name);
-	if (!request->software) {
+	if (!request->software ||
+	    fleet_software_gone(request->gateway->fleet, request->service,
+				request->software)) {
 		request->question =
-			stream_share_ask(streams, &name, on_software, request);
+			stream_share_ask(streams, &name, request->software,
+					 on_software, request);
 		return;
 	}
 	count_taken_up(request, "known");
--- a/briarplankd/gateway/online_choice.c
+++ b/briarplankd/gateway/online_choice.c
@@ -161,10 +161,13 @@
 				       "no server can run it");
 }
 
-/* Tells whether no server is left that has the version that began the stream. */
+/* Tells whether no server is left that has the version that began the stream, by a list
+ * of servers that is newer than the request. */
 static bool software_is_gone(const struct gateway_request *request)
 {
 	return request->software &&
+	       directory_servers_as_of_ms(request->gateway->directory) >=
+		       request->arrived_ms &&
 	       fleet_software_gone(request->gateway->fleet, request->service,
 				   request->software);
 }
--- a/briarplankd/gateway/stream_share.c
+++ b/briarplankd/gateway/stream_share.c
@@ -19,6 +19,10 @@
  * trip between regions each. */
 #define ASK_AGAIN_MS 80
 #define ASK_TIMEOUT_MS 200
+/* Time after which the list of servers isn't awaited any longer, and interval at which it
+ * is checked, in ms. */
+#define LIST_TIMEOUT_MS 600
+#define QUESTION_CHECK_MS 10
 /* Interval at which services with one version are checked for a second one, in ms. */
 #define CHECK_INTERVAL_MS 200
 
@@ -40,6 +44,8 @@
 	char *attempt;
 	char *service;
 	uint64_t ttl_ms;
+	/* The version that began the stream; 0 until it is known. */
+	uint64_t software;
 	/* Addresses of the entries that have not answered. */
 	uint64_t asked[ASKED_NEAR + ASKED_FAR];
 	unsigned asked_nr;
@@ -147,15 +153,10 @@
 uint64_t stream_share_find(struct stream_share *share,
 			   const struct stream_name *name)
 {
-	uint64_t software = 0;
-
-	if (name->attempt)
-		software = stream_origins_find(share->origins,
-					       hash_string(name->attempt, 0),
-					       now_ms(share));
-	return software ? software :
-			  sole_software(share, name->service,
-					stream_origin_ttl_ms(name->timeout_ms));
+	if (!name->attempt)
+		return 0;
+	return stream_origins_find(
+		share->origins, hash_string(name->attempt, 0), now_ms(share));
 }
 
 /* Functions that ask other entries. */
@@ -176,19 +177,21 @@
 	uv_close((uv_handle_t *)&question->timer, on_question_closed);
 }
 
-static void question_end(struct stream_question *question, uint64_t software)
+static void question_end(struct stream_question *question, const char *reason)
 {
 	void (*done)(void *ctx, uint64_t software) = question->done;
+	uint64_t software = question->software;
+	uint64_t now = now_ms(question->share);
 	void *ctx = question->ctx;
 
 	log_event("stream", software ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
 		  "attempt=%s service=%s software=%016" PRIx64
-		  " %s unanswered=%u ms=%" PRIu64,
+		  " %s unanswered=%u list_age_ms=%" PRIu64 " ms=%" PRIu64,
 		  question->attempt ? question->attempt : "-",
-		  question->service, software,
-		  software ? "known to another entry" : "unknown",
-		  question->asked_nr,
-		  now_ms(question->share) - question->started_ms);
+		  question->service, software, reason, question->asked_nr,
+		  now - directory_servers_as_of_ms(
+				question->share->gateway->directory),
+		  now - question->started_ms);
 	stream_question_cancel(question);
 	done(ctx, software);
 }
@@ -207,23 +210,64 @@
 		send_origin(question->share, question->asked[i], &message);
 }
 
+/* Tells whether the list of servers shows all that were listed when the question was
+ * asked: the stream can't have begun at any other. */
+static bool list_is_new(const struct stream_question *question)
+{
+	const struct directory *directory = question->share->gateway->directory;
+
+	return directory_servers_as_of_ms(directory) >= question->started_ms &&
+	       directory_known_for_ms(directory);
+}
+
+/* Tells whether the list has a server at which the stream can go on. */
+static bool has_server(const struct stream_question *question)
+{
+	return !fleet_software_gone(question->share->gateway->fleet,
+				    question->service, question->software);
+}
+
+static void question_check(struct stream_question *question)
+{
+	struct stream_share *share = question->share;
+	uint64_t elapsed = now_ms(share) - question->started_ms;
+	bool asked = !question->asked_nr || elapsed >= ASK_TIMEOUT_MS;
+	bool listed = list_is_new(question);
+
+	if (!listed && elapsed < LIST_TIMEOUT_MS)
+		directory_refresh_servers(share->gateway->directory);
+	if (!question->software && listed) {
+		question->software = sole_software(share, question->service,
+						   question->ttl_ms);
+		if (question->software) {
+			question_end(question, "only one version serves");
+			return;
+		}
+	}
+	if (question->software && (listed || has_server(question)))
+		question_end(question, "known");
+	else if ((listed || elapsed >= LIST_TIMEOUT_MS) &&
+		 (question->software || asked))
+		question_end(question, question->software ?
+					       "known, but to no server here" :
+					       "unknown");
+}
+
 static void on_question_timer(uv_timer_t *timer)
 {
 	struct stream_question *question = timer->data;
 
-	if (question->asked_again || !question->asked_nr) {
-		question_end(question, 0);
-		return;
+	if (!question->asked_again && question->asked_nr &&
+	    now_ms(question->share) - question->started_ms >= ASK_AGAIN_MS) {
+		question->asked_again = true;
+		send_question(question);
 	}
-	question->asked_again = true;
-	send_question(question);
-	uv_timer_start(timer, on_question_timer, ASK_TIMEOUT_MS - ASK_AGAIN_MS,
-		       0);
+	question_check(question);
 }
 
 struct stream_question *stream_share_ask(
 	struct stream_share *share, const struct stream_name *name,
-	void (*done)(void *ctx, uint64_t software), void *ctx)
+	uint64_t known, void (*done)(void *ctx, uint64_t software), void *ctx)
 {
 	struct stream_question *question = g_new0(struct stream_question, 1);
 	struct peers *peers = share->gateway->peers;
@@ -237,16 +281,19 @@
 	question->started_ms = now_ms(share);
 	question->done = done;
 	question->ctx = ctx;
-	question->asked_nr = peers_choose(peers, question->stream, true,
-					  question->asked, ASKED_NEAR);
-	question->asked_nr +=
-		peers_choose(peers, question->stream, false,
-			     question->asked + question->asked_nr, ASKED_FAR);
+	question->software = known;
+	if (!known) {
+		question->asked_nr = peers_choose(peers, question->stream, true,
+						  question->asked, ASKED_NEAR);
+		question->asked_nr += peers_choose(
+			peers, question->stream, false,
+			question->asked + question->asked_nr, ASKED_FAR);
+	}
 	list_append(&share->questions, &question->link);
 	uv_timer_init(share->gateway->loop, &question->timer);
 	question->timer.data = question;
-	uv_timer_start(&question->timer, on_question_timer,
-		       question->asked_nr ? ASK_AGAIN_MS : 0, 0);
+	uv_timer_start(&question->timer, on_question_timer, 0,
+		       QUESTION_CHECK_MS);
 	send_question(question);
 	return question;
 }
@@ -262,9 +309,6 @@
 	message.question = asked->question;
 	message.software = stream_origins_find(share->origins, asked->stream,
 					       now_ms(share));
-	if (!message.software)
-		message.software =
-			sole_software(share, asked->service, asked->ttl_ms);
 	send_origin(share, from, &message);
 }
 
@@ -294,8 +338,9 @@
 		if (question->id != message->question)
 			continue;
 		note_answered(question, from);
-		if (message->software || !question->asked_nr)
-			question_end(question, message->software);
+		if (message->software)
+			question->software = message->software;
+		question_check(question);
 		return;
 	}
 }
--- a/briarplankd/gateway/stream_share.h
+++ b/briarplankd/gateway/stream_share.h
@@ -29,22 +29,23 @@
 void stream_share_begun(struct stream_share *share,
 			const struct stream_name *name, uint64_t software);
 
-/**
- * Returns the hash of the version that began a stream, or 0 if this entry doesn't know
- * it. It is also known if only one version has served since the stream can have begun.
- */
+/** Returns the hash of the version that began a stream, or 0 if this entry has neither
+ * begun it nor been told of it. */
 uint64_t stream_share_find(struct stream_share *share,
 			   const struct stream_name *name);
 
 struct stream_question;
 
 /**
- * Asks the other entries for the version that began a stream. done is called once, not
- * from within this function, with 0 if no entry knows it.
+ * Finds the version that began a stream, and a list of servers that is as new as the
+ * question: asks the other entries unless known is the version, and reads the list. The
+ * version is also known if that list shows that only one has served since the stream can
+ * have begun. done is called once, not from within this function, with 0 if the version
+ * stays unknown.
  */
 struct stream_question *stream_share_ask(
 	struct stream_share *share, const struct stream_name *name,
-	void (*done)(void *ctx, uint64_t software), void *ctx);
+	uint64_t known, void (*done)(void *ctx, uint64_t software), void *ctx);
 
 /** Drops a question that was not answered yet. */
 void stream_question_cancel(struct stream_question *question);
