Check the ranges of servers' entries and of other numbers read

No process ends here, but a port out of range or a negative number of slots was listed as a ready server, and with several of them requests got 503 though a sound server was listed.

Cause: the decoder checked the types of the fields, not their ranges; a port was first looked at when a connection was opened.

Ruled out: deep nesting and numbers of any length, which the parser refuses.

--- a/include/net/address.h
+++ b/include/net/address.h
@@ -12,6 +12,9 @@
 /** Parses numeric IP:PORT; returns false for any other text. */
 bool address_parse(const char *text, struct sockaddr_in *addr);
 
+/** Tells whether a text is numeric IP:PORT to which one can connect. */
+bool address_is_destination(const char *text);
+
 /** Returns IP:PORT, which the caller frees. */
 char *address_format(const struct sockaddr_in *addr);
 
--- a/net/address.c
+++ b/net/address.c
@@ -5,6 +5,18 @@
 
 #include "net/address.h"
 
+bool address_is_destination(const char *text)
+{
+	struct sockaddr_in addr;
+	uint32_t host;
+
+	if (!address_parse(text, &addr) || !addr.sin_port)
+		return false;
+	host = ntohl(addr.sin_addr.s_addr);
+	return host != INADDR_ANY && host != INADDR_BROADCAST &&
+	       !IN_MULTICAST(host);
+}
+
 bool address_parse(const char *text, struct sockaddr_in *addr)
 {
 	const char *colon = strrchr(text, ':');
@@ -12,7 +24,9 @@
 	char *end;
 	guint64 port;
 
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
+	/* g_ascii_strtoull() would skip spaces and take a sign. */
+	if (!colon || (size_t)(colon - text) >= sizeof(host) ||
+	    !g_ascii_isdigit(colon[1]))
 		return false;
 	memcpy(host, text, colon - text);
 	host[colon - text] = '\0';
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -52,12 +52,14 @@
 	route_table_destroy(table);
 }
 
-static void server(const char *text, GString *out)
+/* server ENTRY [KEY] */
+static void server(int argc, char **argv, GString *out)
 {
 	struct server_info facts = { 0 };
+	const char *text = argv[1], *id = argc > 2 ? argv[2] : "i-1";
 	void *hold;
 
-	if (!platform_server_decode("i-1", text, strlen(text), &facts, &hold)) {
+	if (!platform_server_decode(id, text, strlen(text), &facts, &hold)) {
 		g_string_append_printf(out, "refused: %s\n", error_last());
 		return;
 	}
@@ -167,13 +169,21 @@
 	g_string_append_c(out, '\n');
 }
 
+static void tokens(const char *text, GString *out)
+{
+	struct platform_tokens tokens = platform_tokens_parse(text);
+
+	g_string_append_printf(out, "prompt=%u output=%u\n", tokens.prompt,
+			       tokens.output_max);
+}
+
 static void command(void *state, int argc, char **argv, GString *out)
 {
 	(void)state;
 	if (!strcmp(argv[0], "config"))
 		config(argv[1], out);
 	else if (!strcmp(argv[0], "server"))
-		server(argv[1], out);
+		server(argc, argv, out);
 	else if (!strcmp(argv[0], "job"))
 		job(argv[1], out);
 	else if (!strcmp(argv[0], "many"))
@@ -184,6 +194,8 @@
 		results(out);
 	else if (!strcmp(argv[0], "prompt"))
 		prompt(argv[1], out);
+	else if (!strcmp(argv[0], "tokens"))
+		tokens(argv[1], out);
 	else if (!strcmp(argv[0], "limit"))
 		g_string_append_printf(out, "%.2f\n",
 				       platform_rate_limit_parse(argv[1]));
