Let a server read a long request slowly

Cause: TCP_USER_TIMEOUT also counts while the server's window is closed.

Ruled out: the gateway's own timers; the request had 4 s left.

A request of more than 16 KB has 8 s for its bytes to be acknowledged, on new and on kept connections. Short requests fit into the buffers of a server that doesn't read, so that 1.5 s without an acknowledgement still mean that it is gone.

--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -77,7 +77,8 @@
 	/** Timeout for establishing the connection, in ms. */
 	uint32_t connect_timeout_ms;
 	/** TCP_USER_TIMEOUT: time in which sent bytes must be acknowledged, in
-	 * ms; 0 for the system's default. */
+	 * ms; 0 for the system's default. It is some seconds for long requests, which a
+	 * sound server may read slowly. */
 	uint32_t unacked_timeout_ms;
 	/** The server sends all answers with a length or in chunks; one that
 	 * ends with the connection is truncated. */
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -14,6 +14,10 @@
 /* Maximum number of bytes before the answer's head is complete, with interim
  * answers and late answers to other requests. */
 #define PREAMBLE_BYTES_MAX (1 << 20)
+/* Size from which on a request may not fit into the buffers of a server that doesn't read,
+ * in bytes, and the time in which its bytes must be acknowledged, in ms. */
+#define LONG_REQUEST_BYTES 16384
+#define LONG_UNACKED_TIMEOUT_MS 8000
 /* Number of requests whose keys are kept, after which the connection isn't reused. */
 #define KEYS_MAX 256
 
@@ -33,6 +37,8 @@
 	bool busy;
 	/* The connection ended as the server acknowledged nothing. */
 	bool timed_out;
+	/* The time in which sent bytes must be acknowledged now, in ms. */
+	unsigned unacked_timeout_ms;
 	/* The connection's state is bad or unknown: it must not be reused. */
 	bool unusable;
 	/* Request of the exchange; kept here until the connection is
@@ -340,11 +346,30 @@
 	g_free(write);
 }
 
+/* Sets the time in which sent bytes must be acknowledged. It also counts while the server
+ * reads none of them, which it may do for a while when the request is long. */
+static void set_unacked_timeout(struct http_link *link, size_t len)
+{
+	unsigned timeout = link->options.unacked_timeout_ms;
+	uv_os_fd_t fd;
+
+	if (!timeout || uv_fileno((uv_handle_t *)&link->tcp, &fd))
+		return;
+	if (len > LONG_REQUEST_BYTES)
+		timeout = MAX(timeout, LONG_UNACKED_TIMEOUT_MS);
+	if (timeout == link->unacked_timeout_ms)
+		return;
+	link->unacked_timeout_ms = timeout;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+		   sizeof(timeout));
+}
+
 static void send_request(struct http_link *link)
 {
 	struct write *write = g_new0(struct write, 1);
 	uv_buf_t buf;
 
+	set_unacked_timeout(link, link->request->len);
 	write->link = link;
 	write->data = link->request;
 	link->request = NULL;
@@ -363,8 +388,6 @@
 static void on_connected(uv_connect_t *connect, int status)
 {
 	struct http_link *link = connect->data;
-	uv_os_fd_t fd;
-	unsigned timeout = link->options.unacked_timeout_ms;
 
 	if (link->closing)
 		return;
@@ -376,9 +399,6 @@
 	link->connected = true;
 	link->connected_ms = uv_now(link->loop);
 	uv_tcp_nodelay(&link->tcp, 1);
-	if (timeout && !uv_fileno((uv_handle_t *)&link->tcp, &fd))
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-			   sizeof(timeout));
 	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
 	if (link->request)
 		send_request(link);
