Answer 502 where a server refuses a request that may have run

To the caller, 503, 429 and 408 promise that the request has not run; a caller of a request that may run once sends it again.

Cause: statuses were relayed whatever the server says of the run.

Such an answer to a request that may run once becomes a 502 of the gateway, without the signature. Requests that may run again get what their server said.

Before: process_gateway_untrue_refusal failed on with "once, 503: 503, 1 run, not 502, 1 run". After: passes.

--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -63,6 +63,12 @@
 	retry_elsewhere(request, reason);
 }
 
+/* Tells whether a status promises a caller that its request has not run. */
+static bool promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void gateway_request_on_head(void *ctx, const struct server_response *answer)
 {
 	struct gateway_request *request = ctx;
@@ -85,6 +91,9 @@
 	if (!success && answer->status >= 500 &&
 	    gateway_request_can_retry(request))
 		return;
+	/* A server that has not run a request says so in a field of its own. */
+	request->untrue =
+		!request->repeatable && promises_not_run(answer->status);
 	save_response_fields(request, answer->head);
 	if (!success || request->kind != ROUTE_STREAM)
 		return;
@@ -179,6 +188,13 @@
 	const char *rest;
 	size_t rest_len;
 
+	if (request->untrue) {
+		gateway_request_fail(
+			request, 502,
+			"the server refused the request, which may "
+			"have run");
+		return;
+	}
 	if (!request->first_ms)
 		request->first_ms = gateway_request_now(request);
 	if (request->streaming) {
