Don't reject short outputs while finished ones wait for the store

From the read-through of the limit on outputs: with the store away, the outputs that wait to be written can fill the room of all, and then each running item would have been rejected in turn, however short its output.

process_gateway_overlong_output passes.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -21,6 +21,8 @@
 
 /* Maximum size of the outputs of all runs together, in bytes. */
 #define OUTPUTS_BYTES_MAX (32 << 20)
+/* Size up to which an output isn't rejected for that limit, in bytes. */
+#define SHORT_OUTPUT_BYTES (64 << 10)
 
 static uint64_t now_ms(const struct batch *batch)
 {
@@ -331,7 +333,8 @@
 	discard_output(run);
 }
 
-/* Keeps the outputs of all runs within their limit: rejects the longest. */
+/* Keeps the outputs of all runs within their limit: rejects the longest, unless it is short,
+ * as then the outputs that wait for the store fill their room. */
 static void limit_outputs(struct batch *batch)
 {
 	struct run *longest = NULL;
@@ -346,7 +349,7 @@
 		    (!longest || run->output->len > longest->output->len))
 			longest = run;
 	}
-	if (longest)
+	if (longest && longest->output->len > SHORT_OUTPUT_BYTES)
 		reject_output(longest, "the outputs of all items are too long");
 }
 
