Mend what a second reading of the change found

- A dropped history of the configuration's topic reset since when the list of servers is known, so that streams of one version could be refused for a while; now only that of the servers' topic does.
A refresh that is wanted when the servers' history is dropped no longer makes the restart poll without a pause while the peers settle.
- With a grace period under 2.9 s, a request that came after the requests in progress had been ended was taken and cut; it is refused.
- A submission that the end of a stop refuses was told that the store can't be reached; it is told that the node stops, and to come back at once.
- The flag of an untrue refusal is derived from the status; the check of a stream's length stands once; batch_output_max() is private.

Passed on this state: job_log, web, process_gateway_stop, _stop_late, _overlong_output, _untrue_refusal, _directory, _jobs, _store and _silent_server.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -29,7 +29,9 @@
 	return uv_now(batch->gateway->loop);
 }
 
-size_t batch_output_max(const struct batch *batch)
+/* Returns the maximum size of one output, in bytes: that of a call which writes it to the
+ * store. */
+static size_t batch_output_max(const struct batch *batch)
 {
 	size_t call = (size_t)batch->gateway->settings->store_call_bytes;
 
--- a/briarplankd/gateway/batch_run.h
+++ b/briarplankd/gateway/batch_run.h
@@ -117,10 +117,6 @@
 	struct counter *failed;
 };
 
-/** Returns the maximum size of one output, in bytes: that of a call which writes it to
- * the store. */
-size_t batch_output_max(const struct batch *batch);
-
 /** Creates the run of an item and queues it by its job's due time. */
 struct run *run_create(struct batch *batch, struct job *job,
 		       struct job_item *item);
--- a/briarplankd/gateway/directory.c
+++ b/briarplankd/gateway/directory.c
@@ -277,9 +277,13 @@
 
 static void topic_restart(struct topic *topic)
 {
+	struct directory *directory = topic->directory;
+
 	topic->following = false;
+	topic->refresh = false;
 	/* Servers that were listed only meanwhile stay unknown. */
-	topic->directory->known_since_ms = 0;
+	if (topic == &directory->topics[TOPIC_SERVERS])
+		directory->known_since_ms = 0;
 	g_free(topic->page_key);
 	topic->page_key = NULL;
 }
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -111,9 +111,11 @@
 
 bool gateway_stops_before(const struct gateway *gateway, uint64_t deadline_ms)
 {
-	return gateway->stopping &&
-	       uv_now(gateway->loop) - gateway->stop_ms >= DRAIN_TAKE_MS &&
-	       deadline_ms > gateway->stop_end_ms;
+	uint64_t now = uv_now(gateway->loop);
+
+	return gateway->stopping && deadline_ms > gateway->stop_end_ms &&
+	       (now - gateway->stop_ms >= DRAIN_TAKE_MS ||
+		now >= gateway->stop_end_ms);
 }
 
 void gateway_apply_config(struct gateway *gateway)
--- a/briarplankd/gateway/job_submit.c
+++ b/briarplankd/gateway/job_submit.c
@@ -121,13 +121,14 @@
 	submission->web = NULL;
 }
 
-/* Answers at the deadline: 503 when nothing was appended, and 504 when the
- * record may still be appended, so that the outcome is unknown. */
-static void submission_time_over(struct submission *submission)
+/* Answers a submission that can't be awaited any longer: 503 when nothing was
+ * appended, and 504 when the record may still be appended, so that the outcome is
+ * unknown. */
+static void submission_time_over(struct submission *submission, double retry_s,
+				 const char *reason)
 {
 	if (!submission->appending) {
-		submission_refuse(submission, 503, store_retry_s(submission),
-				  "the store can't be reached");
+		submission_refuse(submission, 503, retry_s, reason);
 		submission_free(submission);
 		return;
 	}
@@ -140,7 +141,10 @@
 
 static void on_submission_timer(uv_timer_t *timer)
 {
-	submission_time_over(timer->data);
+	struct submission *submission = timer->data;
+
+	submission_time_over(submission, store_retry_s(submission),
+			     "the store can't be reached");
 }
 
 static void on_appended(void *ctx, enum job_append_result result)
@@ -348,7 +352,8 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &calls->submissions)
-		submission_time_over(list_entry(pos, struct submission, link));
+		submission_time_over(list_entry(pos, struct submission, link),
+				     STOPPING_RETRY_AFTER_S, STOPPING_REASON);
 }
 
 void job_submissions_free(struct job_calls *calls)
--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -91,9 +91,6 @@
 	if (!success && answer->status >= 500 &&
 	    gateway_request_can_retry(request))
 		return;
-	/* A server that has not run a request says so in a field of its own. */
-	request->untrue =
-		!request->repeatable && promises_not_run(answer->status);
 	save_response_fields(request, answer->head);
 	if (!success || request->kind != ROUTE_STREAM)
 		return;
@@ -114,6 +111,11 @@
 				   request->software);
 }
 
+static bool is_overlong(const struct gateway_request *request)
+{
+	return request->events_max && request->events_nr > request->events_max;
+}
+
 static void on_event(void *ctx, const struct stream_event *event)
 {
 	struct gateway_request *request = ctx;
@@ -131,7 +133,7 @@
 		request->last_event = (int64_t)event->id;
 		request->events_nr++;
 	}
-	if (request->events_max && request->events_nr > request->events_max)
+	if (is_overlong(request))
 		return;
 	if (!request->software)
 		bind_to_software(request);
@@ -173,8 +175,7 @@
 		return;
 	if (request->broken)
 		reject_response(request, SPOILED);
-	else if (request->events_max &&
-		 request->events_nr > request->events_max)
+	else if (is_overlong(request))
 		end_overlong(request);
 	else if (event_stream_overlong(request->events))
 		reject_response(request, "the answer has bytes but no events");
@@ -188,7 +189,8 @@
 	const char *rest;
 	size_t rest_len;
 
-	if (request->untrue) {
+	/* A server that has not run a request says so in a field of its own. */
+	if (!request->repeatable && promises_not_run(request->status)) {
 		gateway_request_fail(
 			request, 502,
 			"the server refused the request, which may "
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -126,8 +126,6 @@
 	 * caller. */
 	bool broken;
 	bool ended;
-	/* The response says that a request has not run of which that isn't known. */
-	bool untrue;
 	/* Alternating names and values, sent with the complete response. */
 	GPtrArray *response_fields;
 	GString *buffer;
