--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -85,9 +85,10 @@
 	const char *change = suspect->quarantined ? "quarantined" : "released";
 
 	log_event("quarantine", LOG_LEVEL_WARN,
-		  "%s=%016" PRIx64 " %s crashes=%u of %u",
+		  "%s=%016" PRIx64 " %s by=%s crashes=%u of %u",
 		  quarantine_key_label(suspect->evidence.key),
 		  suspect->evidence.key, change,
+		  quarantine_cause_name(suspect->cause),
 		  evidence_crashes(&suspect->evidence),
 		  suspect->evidence.crashes_nr);
 	count_change(share, change);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -304,6 +304,21 @@
 	return true;
 }
 
+/* Notes that the server answered: it had not ended before the request came. */
+static void note_alive(struct server_call *call, int status, uint64_t now)
+{
+	unsigned refuted_nr = quarantine_note_alive(
+		evidence_share_quarantine(call->options.gateway->evidence),
+		incarnation_of(call->server), call->started_ms, now);
+
+	if (refuted_nr)
+		log_event("quarantine", LOG_LEVEL_INFO,
+			  "server=%s request=%s status=%d answered: its crash "
+			  "is refuted for keys=%u",
+			  call->server->id, call->options.request_id, status,
+			  refuted_nr);
+}
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
@@ -317,9 +332,7 @@
 	stop_copy_timer(call);
 	read_leaving(call, head);
 	read_rate_limit(call, head);
-	quarantine_note_alive(
-		evidence_share_quarantine(call->options.gateway->evidence),
-		incarnation_of(call->server), call->started_ms, now);
+	note_alive(call, head->status, now);
 	call->head_received = true;
 	call->status = head->status;
 	call->framing = head->framing;
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -91,6 +91,18 @@
 	return is_request_key(key) ? "key" : "part";
 }
 
+const char *quarantine_cause_name(enum quarantine_cause cause)
+{
+	static const char *const names[] = {
+		[CAUSE_CRASH] = "crash",
+		[CAUSE_ANSWER] = "answer",
+		[CAUSE_ALIVE] = "alive",
+		[CAUSE_TOLD] = "told",
+	};
+
+	return names[cause];
+}
+
 unsigned evidence_crashes(const struct evidence *evidence)
 {
 	return evidence->crashes_nr -
@@ -198,11 +210,12 @@
 
 /* Handles a change of a suspect's evidence. */
 static void changed(struct quarantine *quarantine, struct suspect *suspect,
-		    uint64_t now_ms)
+		    enum quarantine_cause cause, uint64_t now_ms)
 {
 	unsigned crashes = evidence_crashes(&suspect->evidence);
 	bool quarantined = crashes >= QUARANTINE_CRASHES;
 
+	suspect->cause = cause;
 	suspect->changed_ms = now_ms;
 	suspect->reported_ms = 0;
 	if (quarantined)
@@ -240,7 +253,7 @@
 	 * not be known there. */
 	if (suspect->evidence.crashes_nr > 1)
 		suspect->unsaved = true;
-	changed(quarantine, suspect, now_ms);
+	changed(quarantine, suspect, CAUSE_ANSWER, now_ms);
 }
 
 void quarantine_note_answer(struct quarantine *quarantine,
@@ -318,16 +331,17 @@
 			    g_memdup2(&now_ms, sizeof(now_ms)));
 }
 
-void quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
-			   uint64_t sent_ms, uint64_t now_ms)
+unsigned quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
+			       uint64_t sent_ms, uint64_t now_ms)
 {
 	const uint64_t *crashed_ms =
 		g_hash_table_lookup(quarantine->crashed, &server);
+	unsigned refuted_nr = 0;
 	struct list *pos;
 
 	if (!crashed_ms || sent_ms <= *crashed_ms ||
 	    now_ms - *crashed_ms > ALIVE_MS)
-		return;
+		return 0;
 	g_hash_table_remove(quarantine->crashed, &server);
 	list_for_each (pos, &quarantine->suspects) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
@@ -337,8 +351,10 @@
 			continue;
 		suspect->evidence.refuted |= 1U << at;
 		suspect->unsaved |= suspect->evidence.crashes_nr > 1;
-		changed(quarantine, suspect, now_ms);
+		changed(quarantine, suspect, CAUSE_ALIVE, now_ms);
+		refuted_nr++;
 	}
+	return refuted_nr;
 }
 
 static void blame(struct quarantine *quarantine, uint64_t key,
@@ -353,7 +369,7 @@
 		return;
 	suspect->evidence.crashed_ms = crash->wall_ms;
 	suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
-	changed(quarantine, suspect, crash->now_ms);
+	changed(quarantine, suspect, CAUSE_CRASH, crash->now_ms);
 }
 
 /* Tells whether the server still ran when the request reached it. The kernel resets
@@ -433,7 +449,7 @@
 	/* The other entries must learn that this one answers it well. */
 	if (answered_lately(quarantine, own->key, now_ms) && refute(suspect))
 		suspect->unsaved = own->crashes_nr > 1;
-	changed(quarantine, suspect, now_ms);
+	changed(quarantine, suspect, CAUSE_TOLD, now_ms);
 	return merged;
 }
 
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -42,11 +42,25 @@
 	uint64_t crashed_ms;
 };
 
+/** What changed the evidence about a key last. */
+enum quarantine_cause {
+	/** A server ended. */
+	CAUSE_CRASH,
+	/** It was answered well here. */
+	CAUSE_ANSWER,
+	/** A server that was taken to have ended answered. */
+	CAUSE_ALIVE,
+	/** Another entry, or the store, has told of it. */
+	CAUSE_TOLD,
+};
+
 /** A key with evidence against it. */
 struct suspect {
 	struct list link;
 	struct evidence evidence;
 	bool quarantined;
+	/** What changed the evidence last. */
+	enum quarantine_cause cause;
 	/** Loop time from which one request may be sent as a trial, in ms. */
 	uint64_t trial_ms;
 	/** Loop time of the last change that other entries need, in ms. */
@@ -76,6 +90,9 @@
 /** Returns how logs and operators call a key: "part" or, for a request, "key". */
 const char *quarantine_key_label(uint64_t key);
 
+/** Returns the name of a cause for logs and metrics. */
+const char *quarantine_cause_name(enum quarantine_cause cause);
+
 /** Returns the number of crashes that nothing refutes. */
 unsigned evidence_crashes(const struct evidence *evidence);
 
@@ -121,10 +138,10 @@
 /**
  * Records that a server, by its incarnation, answered a request that was sent at
  * sent_ms. If that was after a crash of which it is suspected, there was none: the
- * connection broke.
+ * connection broke. Returns the number of keys for which this refutes the crash.
  */
-void quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
-			   uint64_t sent_ms, uint64_t now_ms);
+unsigned quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
+			       uint64_t sent_ms, uint64_t now_ms);
 
 /** Result of a merge. */
 struct quarantine_merged {
