Don't take another server's 421 as a sign of life of a crashed one

Callers: servers went on ending, each with the requests of other callers, long after the part of a prompt that ends them was known (BUDGET).

Cause: a server that answers a request which was sent after its supposed crash had not ended, and that refutes the crash in the whole fleet, for good. An answer 421 was taken for that too, though it says that another server has the address now. Requests to a server that crashed get just that answer once another one has its address, until the list says so. An entry that learns of a crash late, after a cut, counts the time in which an answer refutes it from then on, so that all crashes of the other half were refuted within seconds.

The same answer no longer says anything about the old server's load.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -185,16 +185,14 @@
 	fleet_begin_pacing(gateway->fleet);
 }
 
-/* Notes that the server shuts down soon. A status of 421 comes from another
- * server, which has got the address since. */
+/* Notes that the server shuts down soon. */
 static void read_leaving(struct server_call *call,
 			 const struct http_link_head *head)
 {
 	const char *leaving =
 		http_link_head_field(head, platform_fields.leaving);
 
-	if (!leaving || !strcmp(leaving, "0") || head->status == 421 ||
-	    call->server->leaving)
+	if (!leaving || !strcmp(leaving, "0") || call->server->leaving)
 		return;
 	log_event("server", LOG_LEVEL_INFO,
 		  "id=%s says that it leaves, request=%s", call->server->id,
@@ -211,7 +209,7 @@
 		http_link_head_field(head, platform_fields.rate_limit);
 	char *source;
 
-	if (head->status == 421 || (!text && !call->server->rate_heard_ms))
+	if (!text && !call->server->rate_heard_ms)
 		return;
 	source = g_strdup_printf("request=%s", call->options.request_id);
 	limits_note(gateway->limits, call->server,
@@ -319,6 +317,19 @@
 			  refuted_nr);
 }
 
+/* Notes what the head of an answer says about the server. A status of 421 comes from
+ * another server, which has got the address since. */
+static void read_server_state(struct server_call *call,
+			      const struct http_link_head *head, uint64_t now)
+{
+	if (head->status == 421)
+		return;
+	read_leaving(call, head);
+	read_rate_limit(call, head);
+	read_load(call, head);
+	note_alive(call, head->status, now);
+}
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
@@ -330,15 +341,12 @@
 	if (!is_own_answer(call, head) || hold_copy(call, head))
 		return false;
 	stop_copy_timer(call);
-	read_leaving(call, head);
-	read_rate_limit(call, head);
-	note_alive(call, head->status, now);
+	read_server_state(call, head, now);
 	call->head_received = true;
 	call->status = head->status;
 	call->framing = head->framing;
 	call->not_run = http_link_head_field(head, platform_fields.not_run) ||
 			head->status == 421;
-	read_load(call, head);
 	if (call->not_run) {
 		http_pool_discard(call->pool, call->http);
 		call_finish(call, HTTP_LINK_COMPLETE);
