--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -23,10 +23,10 @@
  * suspects in a report. A report has room for about five. */
 #define REPORT_MS 1500
 #define REPORT_SUSPECTS_MAX 4
-/* Range over which entries spread the trials of their items, in ms: the evidence of
- * one reaches the others before the next. */
-#define ITEM_STAGGER_MS 8000
-/* Interval at which one quarantined key is reported in turn, in ms. */
+/* Range over which entries spread their claims of a trial, in ms: the claim of one reaches
+ * most of the others before theirs. */
+#define CLAIM_STAGGER_MS 1000
+/* Interval at which one key is reported in turn, in ms. */
 #define TURN_INTERVAL_MS 300
 
 struct evidence_share {
@@ -56,10 +56,9 @@
 
 static void read_topic(struct evidence_share *share);
 
-static bool owns(void *ctx, uint64_t key)
+/* Tells whether this entry stores what others have learnt of a key. */
+static bool owns(const struct evidence_share *share, uint64_t key)
 {
-	struct evidence_share *share = ctx;
-
 	return peers_owns_hash(share->gateway->peers, key);
 }
 
@@ -136,45 +135,108 @@
 
 /* Functions that convert evidence to messages and back. */
 
-static void fill_message(PartEvidence *message, const struct evidence *evidence)
+/* Returns a new message; the caller frees it with its lists. */
+static PartEvidence *message_create(const struct evidence *evidence)
 {
+	PartEvidence *message = g_new(PartEvidence, 1);
+	unsigned nr = evidence->crashes_nr, i;
+
 	part_evidence__init(message);
 	message->part = evidence->key;
-	message->crashes = (uint64_t *)evidence->crashes;
-	message->n_crashes = evidence->crashes_nr;
-	message->refuted = evidence->refuted;
-	message->crashed_ms = evidence->crashed_ms;
+	message->crashes = g_new(uint64_t, nr);
+	message->n_crashes = nr;
+	message->before_ms = g_new(uint32_t, nr);
+	message->n_before_ms = nr;
+	message->crashed_ms = evidence_crashed_ms(evidence);
+	message->trials = evidence->trials;
+	message->claimant = evidence->claimant;
+	message->cleared_trials = evidence->cleared_trials;
+	for (i = 0; i < nr; i++) {
+		const struct evidence_crash *crash = &evidence->crashes[i];
+
+		message->crashes[i] = crash->server;
+		message->before_ms[i] = (uint32_t)MIN(
+			message->crashed_ms - crash->wall_ms, UINT32_MAX);
+		message->refuted |= (uint32_t)crash->refuted << i;
+	}
+	return message;
+}
+
+static void message_free(PartEvidence *message)
+{
+	g_free(message->crashes);
+	g_free(message->before_ms);
+	g_free(message);
+}
+
+static void read_message(const PartEvidence *message, struct evidence *evidence)
+{
+	unsigned i;
+
+	evidence->key = message->part;
+	evidence->crashes_nr =
+		(unsigned)MIN(message->n_crashes, EVIDENCE_CRASHES_MAX);
+	evidence->trials = message->trials;
+	evidence->claimant = message->claimant;
+	evidence->cleared_trials = message->cleared_trials;
+	for (i = 0; i < evidence->crashes_nr; i++) {
+		struct evidence_crash *crash = &evidence->crashes[i];
+
+		crash->server = message->crashes[i];
+		crash->wall_ms = message->crashed_ms;
+		if (i < message->n_before_ms)
+			crash->wall_ms -=
+				MIN(message->before_ms[i], crash->wall_ms);
+		crash->refuted = message->refuted >> i & 1;
+	}
 }
 
 static struct quarantine_merged merge_message(struct evidence_share *share,
-					      const PartEvidence *message)
+					      const PartEvidence *message,
+					      enum quarantine_source source)
 {
 	struct quarantine_merged merged = { 0 };
-	struct evidence evidence = {
-		.key = message->part,
-		.crashes_nr =
-			(unsigned)MIN(message->n_crashes, EVIDENCE_CRASHES_MAX),
-		.refuted = message->refuted,
-		.crashed_ms = message->crashed_ms,
+	struct evidence evidence = { 0 };
+	struct quarantine_news news = {
+		.evidence = &evidence,
+		.source = source,
+		.now_ms = uv_now(share->gateway->loop),
+		.wall_ms = gateway_wall_ms(),
 	};
 
-	if (evidence.crashes_nr)
-		memcpy(evidence.crashes, message->crashes,
-		       evidence.crashes_nr * sizeof(evidence.crashes[0]));
-	if (!evidence_expired(&evidence, gateway_wall_ms()))
-		merged = quarantine_merge(share->quarantine, &evidence,
-					  uv_now(share->gateway->loop));
+	read_message(message, &evidence);
+	if (!evidence_expired(&evidence, news.wall_ms))
+		merged = quarantine_merge(share->quarantine, &news);
 	return merged;
 }
 
+/* Adds the next key in turn to a report. */
+static void add_in_turn(struct evidence_share *share, NodeLoad *load)
+{
+	uint64_t wall_ms = gateway_wall_ms();
+	const struct suspect *in_turn = NULL;
+	unsigned nr = 0;
+	struct list *pos;
+
+	list_for_each (pos, quarantine_suspects(share->quarantine)) {
+		const struct suspect *suspect =
+			list_entry(pos, struct suspect, link);
+
+		if (quarantine_told_in_turn(suspect, wall_ms) &&
+		    nr++ == share->turn)
+			in_turn = suspect;
+	}
+	share->turn = nr ? (share->turn + 1) % nr : 0;
+	if (in_turn)
+		load->evidence[load->n_evidence++] =
+			message_create(&in_turn->evidence);
+}
+
 void evidence_share_add_to_report(struct evidence_share *share, NodeLoad *load)
 {
 	uint64_t now = uv_now(share->gateway->loop);
-	bool turn = now - share->turn_ms >= TURN_INTERVAL_MS;
-	struct suspect *in_turn = NULL;
 	struct suspect *changes[REPORT_SUSPECTS_MAX];
-	unsigned quarantined = 0, changes_nr, i;
-	struct list *pos;
+	unsigned changes_nr, i;
 
 	if (list_empty(quarantine_suspects(share->quarantine)))
 		return;
@@ -182,25 +244,13 @@
 	changes_nr = quarantine_changes(share->quarantine,
 					now > REPORT_MS ? now - REPORT_MS : 0,
 					now, changes, REPORT_SUSPECTS_MAX);
-	for (i = 0; i < changes_nr; i++) {
-		load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
-		fill_message(load->evidence[load->n_evidence++],
-			     &changes[i]->evidence);
-	}
-	list_for_each (pos, quarantine_suspects(share->quarantine)) {
-		struct suspect *suspect = list_entry(pos, struct suspect, link);
-
-		if (suspect->quarantined && quarantined++ == share->turn)
-			in_turn = suspect;
-	}
-	if (!turn)
+	for (i = 0; i < changes_nr; i++)
+		load->evidence[load->n_evidence++] =
+			message_create(&changes[i]->evidence);
+	if (now - share->turn_ms < TURN_INTERVAL_MS)
 		return;
 	share->turn_ms = now;
-	share->turn = quarantined ? (share->turn + 1) % quarantined : 0;
-	if (!in_turn)
-		return;
-	load->evidence[load->n_evidence] = g_new(PartEvidence, 1);
-	fill_message(load->evidence[load->n_evidence++], &in_turn->evidence);
+	add_in_turn(share, load);
 }
 
 void evidence_share_free_report(NodeLoad *load)
@@ -208,7 +258,7 @@
 	size_t i;
 
 	for (i = 0; i < load->n_evidence; i++)
-		g_free(load->evidence[i]);
+		message_free(load->evidence[i]);
 	g_free(load->evidence);
 }
 
@@ -221,16 +271,23 @@
 		uint64_t key = load->evidence[i]->part;
 
 		/* The sender may end, or lose the store, before it is stored. */
-		if (merge_message(share, load->evidence[i]).is_new &&
+		if (merge_message(share, load->evidence[i], SOURCE_REPORT)
+			    .is_new &&
 		    owns(share, key))
 			quarantine_save(share->quarantine, key);
 	}
 }
 
+void evidence_share_peer_alive(struct evidence_share *share)
+{
+	quarantine_tell_again(share->quarantine, uv_now(share->gateway->loop));
+}
+
 /* Functions that read the topic. */
 
 static void apply_record(struct evidence_share *share,
-			 const struct store_record *record)
+			 const struct store_record *record,
+			 enum quarantine_source source)
 {
 	PartEvidence *message;
 
@@ -245,7 +302,8 @@
 	}
 	/* Of entries that store evidence at the same time, the last one replaces
 	 * what the others have written. */
-	if (merge_message(share, message).lacks && owns(share, message->part))
+	if (merge_message(share, message, source).lacks &&
+	    owns(share, message->part))
 		quarantine_save(share->quarantine, message->part);
 	part_evidence__free_unpacked(message, NULL);
 }
@@ -274,7 +332,7 @@
 	if (!share->page_key)
 		share->snapshot_offset = result->end_offset;
 	for (i = 0; i < result->records_nr; i++)
-		apply_record(share, &result->records[i]);
+		apply_record(share, &result->records[i], SOURCE_SNAPSHOT);
 	g_free(share->page_key);
 	share->page_key = NULL;
 	if (result->more && result->records_nr) {
@@ -310,7 +368,7 @@
 		return;
 	}
 	for (i = 0; i < result->records_nr; i++)
-		apply_record(share, &result->records[i]);
+		apply_record(share, &result->records[i], SOURCE_RECORDS);
 	share->next_offset = result->next_offset;
 	read_later(share, 0);
 }
@@ -353,6 +411,38 @@
 	share->retry_ms = uv_now(share->gateway->loop) + RETRY_MS;
 }
 
+static void add_record(struct evidence_share *share,
+		       const struct evidence *evidence)
+{
+	PartEvidence *message = message_create(evidence);
+	size_t len = part_evidence__get_packed_size(message);
+	uint8_t *bytes = g_malloc(len);
+	char *key = text_of(evidence->key);
+
+	part_evidence__pack(message, bytes);
+	store_add_keyed_record(share->records, key, bytes, len);
+	g_free(key);
+	g_free(bytes);
+	message_free(message);
+}
+
+/* Adds claims of trials. An entry that doesn't follow the topic can't tell whether it has
+ * won. */
+static void add_claims(struct evidence_share *share)
+{
+	struct evidence claim;
+
+	while (share->loaded &&
+	       quarantine_claim(share->quarantine, uv_now(share->gateway->loop),
+				&claim)) {
+		log_event("quarantine", LOG_LEVEL_INFO,
+			  "%s=%016" PRIx64 " trial=%u claimed crashes=%u",
+			  quarantine_key_label(claim.key), claim.key,
+			  claim.trials, evidence_crashes(&claim));
+		add_record(share, &claim);
+	}
+}
+
 static void add_changes(struct evidence_share *share)
 {
 	struct list *pos;
@@ -360,22 +450,11 @@
 
 	list_for_each (pos, quarantine_suspects(share->quarantine)) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
-		PartEvidence message;
-		uint8_t *bytes;
-		size_t len;
-		char *key;
 
 		if (!suspect->unsaved)
 			continue;
 		suspect->unsaved = false;
-		fill_message(&message, &suspect->evidence);
-		len = part_evidence__get_packed_size(&message);
-		bytes = g_malloc(len);
-		part_evidence__pack(&message, bytes);
-		key = text_of(suspect->evidence.key);
-		store_add_keyed_record(share->records, key, bytes, len);
-		g_free(key);
-		g_free(bytes);
+		add_record(share, &suspect->evidence);
 	}
 	for (i = 0; i < share->removals->len; i++)
 		store_add_keyed_record(share->records,
@@ -402,6 +481,7 @@
 	if (share->saving || now < share->retry_ms)
 		return;
 	add_changes(share);
+	add_claims(share);
 	if (!share->records->len)
 		return;
 	share->saving = true;
@@ -414,8 +494,8 @@
 {
 	struct evidence_share *share = g_new0(struct evidence_share, 1);
 	struct quarantine_options options = {
-		.owns = owns,
-		.item_stagger_ms = gateway->identity_hash % ITEM_STAGGER_MS,
+		.self = gateway->identity_hash,
+		.stagger_ms = gateway->identity_hash % CLAIM_STAGGER_MS,
 		.on_change = on_change,
 		.on_forget = on_forget,
 		.ctx = share,
--- a/briarplankd/gateway/evidence_share.h
+++ b/briarplankd/gateway/evidence_share.h
@@ -28,6 +28,12 @@
 /** Adds evidence that the other entries may lack to a load report. */
 void evidence_share_add_to_report(struct evidence_share *share, NodeLoad *load);
 
+/**
+ * Has the evidence told again: another entry is alive, which may have missed it behind a
+ * cut, or knows what this one has missed.
+ */
+void evidence_share_peer_alive(struct evidence_share *share);
+
 /** Frees what evidence_share_add_to_report() added. */
 void evidence_share_free_report(NodeLoad *load);
 
--- a/briarplankd/gateway/operator.c
+++ b/briarplankd/gateway/operator.c
@@ -169,7 +169,9 @@
 				     (crashes ? "suspected" : "cleared"));
 		row_add_number(row, "crashes", crashes);
 		row_add_number(row, "refuted", evidence->crashes_nr - crashes);
-		row_add_time(row, "last_crash", evidence->crashed_ms);
+		row_add_number(row, "trials",
+			       evidence_trials_in_vain(evidence));
+		row_add_time(row, "last_crash", evidence_crashed_ms(evidence));
 		json_object_array_add(rows, row);
 		g_free(key);
 	}
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -91,6 +91,7 @@
 	struct peers *peers = ctx;
 
 	log_event("peer", LOG_LEVEL_INFO, "entry=%s alive", peer->identity);
+	evidence_share_peer_alive(peers->gateway->evidence);
 	/* The entry may have started and wait for reports. */
 	peers_load_changed(peers);
 }
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -522,6 +522,11 @@
 	enum server_call_end end = call_end_of(call, link_end);
 	uint64_t now = uv_now(call->options.gateway->loop);
 
+	if (end == SERVER_CALL_NOT_RUN)
+		quarantine_note_not_run(
+			evidence_share_quarantine(
+				call->options.gateway->evidence),
+			call->options.prompt);
 	if (end != SERVER_CALL_COMPLETE) {
 		count_failure(call, end_names[end]);
 		log_event("server_call", LOG_LEVEL_WARN,
@@ -614,7 +619,7 @@
 	fleet_request_sent(server, options->class, call->started_ms);
 	quarantine_note_sent(
 		evidence_share_quarantine(options->gateway->evidence),
-		options->prompt, call->started_ms);
+		options->prompt);
 	peers_load_changed(options->gateway->peers);
 	call->pool = http_pool_ref(server_pool(options));
 	call->http = http_pool_acquire(call->pool,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -21,14 +21,17 @@
 #define SUSPECTS_MAX 1024
 /* Time after the last crash after which evidence is forgotten, in ms. */
 #define EVIDENCE_MS (15 * 60 * 1000)
-/* Time from the quarantine to the first trial, in ms. Each trial that crashes a
- * server multiplies it by TRIAL_GROWTH. */
+/* Time from the quarantine to the first trial, in ms. Each trial in vain doubles it, up
+ * to TRIAL_DOUBLINGS_MAX times, which keeps it below EVIDENCE_MS. */
 #define TRIAL_MS 10000
-#define TRIAL_GROWTH 4
-/* Number of crashes from which there are no further trials of a part, and of a
- * request. */
-#define TRIAL_CRASHES_MAX 8
-#define REQUEST_TRIAL_CRASHES_MAX 5
+#define TRIAL_DOUBLINGS_MAX 6
+/* Number of trials in vain from which a request is tried no more. A part is tried as long as
+ * items with it may be owed. */
+#define REQUEST_TRIALS_MAX 2
+/* Time after which a claim is taken to be lost, in ms. */
+#define CLAIM_MS 2000
+/* Time for which evidence that isn't quarantined is told in turn, in ms. */
+#define TOLD_MS 60000
 
 struct quarantine {
 	struct quarantine_options options;
@@ -105,13 +108,21 @@
 
 unsigned evidence_crashes(const struct evidence *evidence)
 {
-	return evidence->crashes_nr -
-	       (unsigned)__builtin_popcount(evidence->refuted);
+	unsigned nr = 0, i;
+
+	for (i = 0; i < evidence->crashes_nr; i++)
+		nr += !evidence->crashes[i].refuted;
+	return nr;
+}
+
+uint64_t evidence_crashed_ms(const struct evidence *evidence)
+{
+	return evidence->crashes_nr ? evidence->crashes[0].wall_ms : 0;
 }
 
 bool evidence_expired(const struct evidence *evidence, uint64_t wall_ms)
 {
-	return evidence->crashed_ms + EVIDENCE_MS <= wall_ms;
+	return evidence_crashed_ms(evidence) + EVIDENCE_MS <= wall_ms;
 }
 
 struct list *quarantine_suspects(struct quarantine *quarantine)
@@ -197,15 +208,16 @@
 	       g_hash_table_contains(quarantine->answered_before, &key);
 }
 
-static void set_trial(struct suspect *suspect, uint64_t now_ms)
+unsigned evidence_trials_in_vain(const struct evidence *evidence)
 {
-	unsigned failed =
-		evidence_crashes(&suspect->evidence) - QUARANTINE_CRASHES;
-	uint64_t ms = TRIAL_MS;
+	return evidence->trials - evidence->cleared_trials;
+}
 
-	while (failed--)
-		ms *= TRIAL_GROWTH;
-	suspect->trial_ms = now_ms + ms;
+/* Returns the time from the last crash to the next trial, in ms. */
+static uint64_t trial_interval(const struct evidence *evidence)
+{
+	return (uint64_t)TRIAL_MS
+	       << MIN(evidence_trials_in_vain(evidence), TRIAL_DOUBLINGS_MAX);
 }
 
 /* Handles a change of a suspect's evidence. */
@@ -218,11 +230,11 @@
 	suspect->cause = cause;
 	suspect->changed_ms = now_ms;
 	suspect->reported_ms = 0;
-	if (quarantined)
-		set_trial(suspect, now_ms);
+	suspect->trial_ms = now_ms + trial_interval(&suspect->evidence);
 	if (quarantined == suspect->quarantined)
 		return;
 	suspect->quarantined = quarantined;
+	suspect->trial = TRIAL_NONE;
 	if (quarantine->options.on_change)
 		quarantine->options.on_change(quarantine->options.ctx, suspect);
 }
@@ -231,10 +243,13 @@
 static bool refute(struct suspect *suspect)
 {
 	struct evidence *evidence = &suspect->evidence;
+	unsigned i;
 
 	if (!evidence_crashes(evidence))
 		return false;
-	evidence->refuted = (1U << evidence->crashes_nr) - 1;
+	for (i = 0; i < evidence->crashes_nr; i++)
+		evidence->crashes[i].refuted = true;
+	evidence->cleared_trials = evidence->trials;
 	return true;
 }
 
@@ -268,47 +283,45 @@
 		note_answered(quarantine, prompt->request, now_ms);
 }
 
-/* Returns the index of a crash, or -1. */
-static int find_crash(const struct evidence *evidence, uint64_t server)
+static struct evidence_crash *find_crash(struct evidence *evidence,
+					 uint64_t server)
 {
 	unsigned i;
 
 	for (i = 0; i < evidence->crashes_nr; i++) {
-		if (evidence->crashes[i] == server)
-			return (int)i;
+		if (evidence->crashes[i].server == server)
+			return &evidence->crashes[i];
 	}
-	return -1;
+	return NULL;
 }
 
-/* Removes the first refuted crash to make room; tells whether there was one. */
-static bool drop_refuted(struct evidence *evidence)
+/* Tells whether a crash is newer than another; of two at the same time, entries agree on
+ * one. */
+static bool is_newer(const struct evidence_crash *a,
+		     const struct evidence_crash *b)
 {
-	unsigned i;
-	uint32_t below;
-
-	if (!evidence->refuted)
-		return false;
-	i = (unsigned)__builtin_ctz(evidence->refuted);
-	below = (1U << i) - 1;
-	evidence->crashes_nr--;
-	memmove(&evidence->crashes[i], &evidence->crashes[i + 1],
-		(evidence->crashes_nr - i) * sizeof(evidence->crashes[0]));
-	evidence->refuted =
-		(evidence->refuted & below) | (evidence->refuted >> 1 & ~below);
-	return true;
+	return a->wall_ms != b->wall_ms ? a->wall_ms > b->wall_ms :
+					  a->server > b->server;
 }
 
-/* Adds a crash; tells whether it is new and there was room for it. */
-static bool add_crash(struct evidence *evidence, uint64_t server, bool refuted)
+/* Adds a crash of a server that has none yet, unless the evidence is full of newer ones;
+ * tells whether it was added. Whatever the order in which entries learn of crashes, they
+ * keep the same ones. */
+static bool add_crash(struct evidence *evidence,
+		      const struct evidence_crash *crash)
 {
-	if (find_crash(evidence, server) >= 0)
-		return false;
-	if (evidence->crashes_nr == EVIDENCE_CRASHES_MAX &&
-	    !drop_refuted(evidence))
-		return false;
-	if (refuted)
-		evidence->refuted |= 1U << evidence->crashes_nr;
-	evidence->crashes[evidence->crashes_nr++] = server;
+	unsigned i = evidence->crashes_nr;
+
+	if (i == EVIDENCE_CRASHES_MAX) {
+		if (!is_newer(crash, &evidence->crashes[i - 1]))
+			return false;
+		i--;
+	} else {
+		evidence->crashes_nr++;
+	}
+	for (; i && is_newer(crash, &evidence->crashes[i - 1]); i--)
+		evidence->crashes[i] = evidence->crashes[i - 1];
+	evidence->crashes[i] = *crash;
 	return true;
 }
 
@@ -345,11 +358,12 @@
 	g_hash_table_remove(quarantine->crashed, &server);
 	list_for_each (pos, &quarantine->suspects) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
-		int at = find_crash(&suspect->evidence, server);
+		struct evidence_crash *crash =
+			find_crash(&suspect->evidence, server);
 
-		if (at < 0 || suspect->evidence.refuted >> at & 1)
+		if (!crash || crash->refuted)
 			continue;
-		suspect->evidence.refuted |= 1U << at;
+		crash->refuted = true;
 		suspect->unsaved |= suspect->evidence.crashes_nr > 1;
 		changed(quarantine, suspect, CAUSE_ALIVE, now_ms);
 		refuted_nr++;
@@ -360,14 +374,18 @@
 static void blame(struct quarantine *quarantine, uint64_t key,
 		  const struct quarantine_crash *crash)
 {
+	struct evidence_crash new = {
+		.server = crash->server,
+		.wall_ms = crash->wall_ms,
+	};
 	struct suspect *suspect;
 
 	if (answered_lately(quarantine, key, crash->now_ms))
 		return;
 	suspect = get(quarantine, key);
-	if (!add_crash(&suspect->evidence, crash->server, false))
+	if (find_crash(&suspect->evidence, crash->server) ||
+	    !add_crash(&suspect->evidence, &new))
 		return;
-	suspect->evidence.crashed_ms = crash->wall_ms;
 	suspect->unsaved |= evidence_crashes(&suspect->evidence) > 1;
 	changed(quarantine, suspect, CAUSE_CRASH, crash->now_ms);
 }
@@ -409,27 +427,69 @@
 }
 
 /* Adds one crash of another entry's evidence. */
-static void merge_crash(struct evidence *own, uint64_t server, bool refuted,
+static void merge_crash(struct evidence *own,
+			const struct evidence_crash *crash,
 			struct quarantine_merged *merged)
 {
-	int at = find_crash(own, server);
-	uint32_t bit;
+	struct evidence_crash *known = find_crash(own, crash->server);
 
-	if (at < 0) {
-		merged->is_new |= add_crash(own, server, refuted);
+	if (!known) {
+		merged->is_new |= add_crash(own, crash);
 		return;
 	}
-	bit = 1U << at;
-	merged->is_new |= refuted && !(own->refuted & bit);
-	merged->lacks |= !refuted && (own->refuted & bit);
-	if (refuted)
-		own->refuted |= bit;
+	merged->is_new |= crash->refuted && !known->refuted;
+	merged->lacks |= known->refuted && !crash->refuted;
+	known->refuted |= crash->refuted;
+}
+
+/* Adds the trials of another entry's evidence. */
+static void merge_trials(struct suspect *suspect, const struct evidence *other,
+			 struct quarantine_merged *merged)
+{
+	struct evidence *own = &suspect->evidence;
+
+	merged->lacks |= own->trials > other->trials ||
+			 own->cleared_trials > other->cleared_trials;
+	own->cleared_trials = MAX(own->cleared_trials, other->cleared_trials);
+	own->trials = MAX(own->trials, own->cleared_trials);
+	if (other->trials <= own->trials)
+		return;
+	own->trials = other->trials;
+	own->claimant = other->claimant;
+	/* This entry's trial, if it has one, is another's now. */
+	if (suspect->trial != TRIAL_CLAIMED)
+		suspect->trial = TRIAL_NONE;
+	merged->is_new = true;
+}
+
+/* Settles this entry's claim as its own record, or one before it, is read. */
+static void settle_claim(const struct quarantine *quarantine,
+			 struct suspect *suspect, const struct evidence *record)
+{
+	if (suspect->trial != TRIAL_CLAIMED ||
+	    record->trials < suspect->claimed_trial)
+		return;
+	suspect->trial =
+		record->claimant == quarantine->options.self &&
+				suspect->evidence.claimant ==
+					record->claimant &&
+				suspect->evidence.trials == record->trials ?
+			TRIAL_GRANTED :
+			TRIAL_NONE;
+}
+
+/* Returns how long ago the last crash was, in ms; 0 by a clock that is behind. */
+static uint64_t crash_age(const struct evidence *evidence, uint64_t wall_ms)
+{
+	uint64_t crashed_ms = evidence_crashed_ms(evidence);
+
+	return wall_ms > crashed_ms ? wall_ms - crashed_ms : 0;
 }
 
 struct quarantine_merged quarantine_merge(struct quarantine *quarantine,
-					  const struct evidence *evidence,
-					  uint64_t now_ms)
+					  const struct quarantine_news *news)
 {
+	const struct evidence *evidence = news->evidence;
 	struct suspect *suspect = get(quarantine, evidence->key);
 	struct evidence *own = &suspect->evidence;
 	struct quarantine_merged merged = {
@@ -438,18 +498,27 @@
 	unsigned i;
 
 	for (i = 0; i < evidence->crashes_nr; i++) {
-		if (find_crash(own, evidence->crashes[i]) < 0)
-			note_crashed(quarantine, evidence->crashes[i], now_ms);
-		merge_crash(own, evidence->crashes[i],
-			    evidence->refuted >> i & 1, &merged);
+		const struct evidence_crash *crash = &evidence->crashes[i];
+
+		/* A server that crashed a while ago may have started again. */
+		if (!find_crash(own, crash->server) &&
+		    crash->wall_ms + ALIVE_MS > news->wall_ms)
+			note_crashed(quarantine, crash->server, news->now_ms);
+		merge_crash(own, crash, &merged);
 	}
-	own->crashed_ms = MAX(own->crashed_ms, evidence->crashed_ms);
+	merge_trials(suspect, evidence, &merged);
+	if (news->source == SOURCE_RECORDS)
+		settle_claim(quarantine, suspect, evidence);
 	if (!merged.is_new)
 		return merged;
 	/* The other entries must learn that this one answers it well. */
-	if (answered_lately(quarantine, own->key, now_ms) && refute(suspect))
+	if (answered_lately(quarantine, own->key, news->now_ms) &&
+	    refute(suspect))
 		suspect->unsaved = own->crashes_nr > 1;
-	changed(quarantine, suspect, CAUSE_TOLD, now_ms);
+	changed(quarantine, suspect, CAUSE_TOLD, news->now_ms);
+	if (news->source == SOURCE_SNAPSHOT)
+		suspect->trial_ms -=
+			MIN(trial_interval(own), crash_age(own, news->wall_ms));
 	return merged;
 }
 
@@ -461,22 +530,16 @@
 		suspect->unsaved = true;
 }
 
-/* Tells whether a request or an item with a quarantined key may be sent as a trial. An
- * item is owed wherever it waits, so that each entry tries its own. */
-static bool may_try(const struct quarantine *quarantine,
-		    const struct suspect *suspect, const struct prompt *prompt,
-		    uint64_t now_ms)
+static bool may_claim(const struct quarantine *quarantine,
+		      const struct suspect *suspect, uint64_t now_ms)
 {
-	const struct quarantine_options *options = &quarantine->options;
-	const struct evidence *evidence = &suspect->evidence;
-	unsigned crashes_max = is_request_key(evidence->key) ?
-				       REQUEST_TRIAL_CRASHES_MAX :
-				       TRIAL_CRASHES_MAX;
-	uint64_t stagger_ms = prompt->request ? 0 : options->item_stagger_ms;
-
-	return now_ms >= suspect->trial_ms + stagger_ms &&
-	       evidence_crashes(evidence) < crashes_max &&
-	       (!prompt->request || options->owns(options->ctx, evidence->key));
+	if (suspect->trial == TRIAL_CLAIMED &&
+	    now_ms - suspect->claimed_ms < CLAIM_MS)
+		return false;
+	if (is_request_key(suspect->evidence.key) &&
+	    evidence_trials_in_vain(&suspect->evidence) >= REQUEST_TRIALS_MAX)
+		return false;
+	return now_ms >= suspect->trial_ms + quarantine->options.stagger_ms;
 }
 
 struct quarantine_verdict quarantine_check(struct quarantine *quarantine,
@@ -484,43 +547,98 @@
 					   uint64_t now_ms, uint64_t wall_ms)
 {
 	struct quarantine_verdict verdict = { 0 };
+	struct suspect *last = NULL;
 	unsigned found = 0;
 	size_t i;
 
 	for (i = 0; i < keys_nr(prompt); i++) {
-		const struct suspect *suspect =
-			find(quarantine, key_at(prompt, i));
-		const struct evidence *evidence;
+		struct suspect *suspect = find(quarantine, key_at(prompt, i));
+		uint64_t end_ms;
 
 		if (!suspect || !suspect->quarantined)
 			continue;
-		evidence = &suspect->evidence;
-		verdict.refused |= found++ || !may_try(quarantine, suspect,
-						       prompt, now_ms);
-		verdict.key = evidence->key;
-		verdict.crashes = evidence_crashes(evidence);
+		verdict.refused |= found++ || suspect->trial != TRIAL_GRANTED;
+		verdict.key = suspect->evidence.key;
+		verdict.crashes = evidence_crashes(&suspect->evidence);
 		/* No trial is certain to succeed, so that the evidence holds
 		 * until it is forgotten. */
-		if (evidence->crashed_ms + EVIDENCE_MS > wall_ms)
-			verdict.retry_after_ms =
-				evidence->crashed_ms + EVIDENCE_MS - wall_ms;
+		end_ms = evidence_crashed_ms(&suspect->evidence) + EVIDENCE_MS;
+		if (end_ms > wall_ms)
+			verdict.retry_after_ms = end_ms - wall_ms;
+		last = suspect;
 	}
+	if (found == 1 && verdict.refused &&
+	    may_claim(quarantine, last, now_ms))
+		last->trial = TRIAL_WANTED;
 	return verdict;
 }
 
-void quarantine_note_sent(struct quarantine *quarantine,
-			  const struct prompt *prompt, uint64_t now_ms)
+bool quarantine_claim(struct quarantine *quarantine, uint64_t now_ms,
+		      struct evidence *claim)
+{
+	struct list *pos;
+
+	list_for_each (pos, &quarantine->suspects) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+
+		if (suspect->trial != TRIAL_WANTED)
+			continue;
+		suspect->trial = TRIAL_CLAIMED;
+		suspect->claimed_ms = now_ms;
+		suspect->claimed_trial = suspect->evidence.trials + 1;
+		*claim = suspect->evidence;
+		claim->trials = suspect->claimed_trial;
+		claim->claimant = quarantine->options.self;
+		return true;
+	}
+	return false;
+}
+
+/* Moves this entry's trials of a prompt's keys from one state to another. */
+static void move_trials(struct quarantine *quarantine,
+			const struct prompt *prompt, enum quarantine_trial from,
+			enum quarantine_trial to)
 {
 	size_t i;
 
 	for (i = 0; i < keys_nr(prompt); i++) {
 		struct suspect *suspect = find(quarantine, key_at(prompt, i));
 
-		if (suspect && suspect->quarantined)
-			set_trial(suspect, now_ms);
+		if (suspect && suspect->trial == from)
+			suspect->trial = to;
+	}
+}
+
+void quarantine_note_sent(struct quarantine *quarantine,
+			  const struct prompt *prompt)
+{
+	move_trials(quarantine, prompt, TRIAL_GRANTED, TRIAL_SENT);
+}
+
+void quarantine_note_not_run(struct quarantine *quarantine,
+			     const struct prompt *prompt)
+{
+	move_trials(quarantine, prompt, TRIAL_SENT, TRIAL_GRANTED);
+}
+
+void quarantine_tell_again(struct quarantine *quarantine, uint64_t now_ms)
+{
+	struct list *pos;
+
+	list_for_each (pos, &quarantine->suspects) {
+		struct suspect *suspect = list_entry(pos, struct suspect, link);
+
+		suspect->changed_ms = now_ms;
 	}
 }
 
+bool quarantine_told_in_turn(const struct suspect *suspect, uint64_t wall_ms)
+{
+	return suspect->quarantined ||
+	       (evidence_crashes(&suspect->evidence) &&
+		crash_age(&suspect->evidence, wall_ms) < TOLD_MS);
+}
+
 /* Tells which of two changes is reported first: the one whose last report is longer
  * ago, then the one with more crashes. */
 static bool comes_before(const struct suspect *a, const struct suspect *b)
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -10,6 +10,10 @@
  *
  * Items of jobs have no key of their own: they are owed, and are held only for a part.
  *
+ * Now and then one request or item is sent with a quarantined key, as a trial. The entries
+ * claim trials in the store, whose order decides, so that the fleet makes one at a time and
+ * makes them ever more rarely, however many entries have such requests.
+ *
  * Entries exchange their evidence. Merging it is commutative and idempotent, so
  * that it may arrive in any order, repeatedly, and by several ways.
  */
@@ -29,17 +33,29 @@
 
 struct quarantine;
 
+/** A server that ended. */
+struct evidence_crash {
+	/** Hash of the server's incarnation. */
+	uint64_t server;
+	/** Unix time of the crash at the entry that saw it, in ms. */
+	uint64_t wall_ms;
+	/** The key was answered well around it. */
+	bool refuted;
+};
+
 /** What is known of one key, from all entries. */
 struct evidence {
 	/** Key of a part (prompt_part_key()) or of a request (request_key()). */
 	uint64_t key;
-	/** Servers, by incarnation, that ended. */
-	uint64_t crashes[EVIDENCE_CRASHES_MAX];
+	/** The newest crashes, newest first. */
+	struct evidence_crash crashes[EVIDENCE_CRASHES_MAX];
 	unsigned crashes_nr;
-	/** Bit i is set if the key was answered well around crashes[i]. */
-	uint32_t refuted;
-	/** Unix time of the last crash, in ms. */
-	uint64_t crashed_ms;
+	/** Number of trials that all entries together have claimed, and the entry that
+	 * claimed the last one. */
+	unsigned trials;
+	uint64_t claimant;
+	/** Number of trials when the key was answered well last. */
+	unsigned cleared_trials;
 };
 
 /** What changed the evidence about a key last. */
@@ -54,6 +70,19 @@
 	CAUSE_TOLD,
 };
 
+/** How far a trial of this entry is. */
+enum quarantine_trial {
+	TRIAL_NONE,
+	/** A request came that may be the trial once the entry has claimed it. */
+	TRIAL_WANTED,
+	/** The claim isn't confirmed yet. */
+	TRIAL_CLAIMED,
+	/** The next request with the key is the trial. */
+	TRIAL_GRANTED,
+	/** The request was sent. */
+	TRIAL_SENT,
+};
+
 /** A key with evidence against it. */
 struct suspect {
 	struct list link;
@@ -61,8 +90,14 @@
 	bool quarantined;
 	/** What changed the evidence last. */
 	enum quarantine_cause cause;
-	/** Loop time from which one request may be sent as a trial, in ms. */
+	/** State of this entry's trial, and loop time from which a new one may be
+	 * claimed, in ms. */
+	enum quarantine_trial trial;
 	uint64_t trial_ms;
+	/** Number of the trial that this entry has claimed last, and loop time of the
+	 * claim, in ms. */
+	unsigned claimed_trial;
+	uint64_t claimed_ms;
 	/** Loop time of the last change that other entries need, in ms. */
 	uint64_t changed_ms;
 	/** Loop time at which quarantine_changes() returned the last change, in ms; 0
@@ -73,10 +108,10 @@
 };
 
 struct quarantine_options {
-	/** Tells whether this entry makes the trials of a key. */
-	bool (*owns)(void *ctx, uint64_t key);
-	/** Time by which this entry tries its items later than others, in ms. */
-	uint64_t item_stagger_ms;
+	/** Hash that identifies this process as a claimant; not 0. */
+	uint64_t self;
+	/** Time by which this entry claims trials later than others, in ms. */
+	uint64_t stagger_ms;
 	/** Called when a key is quarantined or released; may be NULL. */
 	void (*on_change)(void *ctx, const struct suspect *suspect);
 	/** Called before a suspect is forgotten; may be NULL. */
@@ -96,6 +131,12 @@
 /** Returns the number of crashes that nothing refutes. */
 unsigned evidence_crashes(const struct evidence *evidence);
 
+/** Returns the Unix time of the last crash, in ms. */
+uint64_t evidence_crashed_ms(const struct evidence *evidence);
+
+/** Returns the number of trials since the key was answered well last. */
+unsigned evidence_trials_in_vain(const struct evidence *evidence);
+
 /** How an answer went, and for what it speaks. */
 enum quarantine_answer {
 	/** It went on after its beginning: for the parts. */
@@ -143,6 +184,25 @@
 unsigned quarantine_note_alive(struct quarantine *quarantine, uint64_t server,
 			       uint64_t sent_ms, uint64_t now_ms);
 
+/** Where evidence came from. */
+enum quarantine_source {
+	/** From the report of another entry. */
+	SOURCE_REPORT,
+	/** From the newest values in the store, which this entry reads at its start. */
+	SOURCE_SNAPSHOT,
+	/** From the records of the store, in their order. */
+	SOURCE_RECORDS,
+};
+
+/** Evidence of another entry, or of this one as the store returns it. */
+struct quarantine_news {
+	const struct evidence *evidence;
+	enum quarantine_source source;
+	uint64_t now_ms;
+	/** Unix time, in ms. */
+	uint64_t wall_ms;
+};
+
 /** Result of a merge. */
 struct quarantine_merged {
 	/** This entry has learnt something. */
@@ -151,10 +211,22 @@
 	bool lacks;
 };
 
-/** Adds the evidence of another entry. */
+/** Adds evidence. */
 struct quarantine_merged quarantine_merge(struct quarantine *quarantine,
-					  const struct evidence *evidence,
-					  uint64_t now_ms);
+					  const struct quarantine_news *news);
+
+/**
+ * Claims a trial that is wanted: fills in the evidence to be stored, and returns whether
+ * there is one. The first claim among the store's records wins.
+ */
+bool quarantine_claim(struct quarantine *quarantine, uint64_t now_ms,
+		      struct evidence *claim);
+
+/** Has all that speaks against a key told once more to the other entries. */
+void quarantine_tell_again(struct quarantine *quarantine, uint64_t now_ms);
+
+/** Tells whether a suspect is told in turn, though it hasn't changed. */
+bool quarantine_told_in_turn(const struct suspect *suspect, uint64_t wall_ms);
 
 /** Marks the evidence about a key as not stored, unless it is a single crash. */
 void quarantine_save(struct quarantine *quarantine, uint64_t key);
@@ -169,14 +241,21 @@
 	uint64_t retry_after_ms;
 };
 
-/** Decides whether a request with this prompt may be sent to a server. */
+/**
+ * Decides whether a request with this prompt may be sent to a server. One that is refused
+ * while a trial is due has the trial claimed.
+ */
 struct quarantine_verdict quarantine_check(struct quarantine *quarantine,
 					   const struct prompt *prompt,
 					   uint64_t now_ms, uint64_t wall_ms);
 
 /** Records that a request was sent, which may be a trial. */
 void quarantine_note_sent(struct quarantine *quarantine,
-			  const struct prompt *prompt, uint64_t now_ms);
+			  const struct prompt *prompt);
+
+/** Records that a server did not run a request that was sent. */
+void quarantine_note_not_run(struct quarantine *quarantine,
+			     const struct prompt *prompt);
 
 /**
  * Returns up to changes_max suspects that have changed since a time, those that were
--- a/tests/quarantine_load.c
+++ b/tests/quarantine_load.c
@@ -31,6 +31,8 @@
 	LOAD_SOUND,
 	/* A request with the part that crashes servers. */
 	LOAD_BAD_PART,
+	/* An item with that part. */
+	LOAD_BAD_ITEM,
 	/* A sound request that others are equal to. */
 	LOAD_PLAIN,
 	/* The request that crashes servers, before its answer begins. */
@@ -63,6 +65,9 @@
 	GHashTable *stored;
 	GRand *random;
 	uint64_t now_ms;
+	/* Time until which one half of the entries is cut off from the other and from the
+	 * store, in ms. */
+	uint64_t cut_ms;
 	/* Crashes by the part and by the repeated request, the times of the fifth and of
 	 * the third of them, and the sends later than KNOWN_MS after these. */
 	unsigned crashes_bad;
@@ -75,23 +80,9 @@
 	unsigned sound_refused;
 };
 
-/* A request with one entry in the role of the owner is enough: its number is the
- * part modulo the number of entries. */
-struct owner {
-	unsigned entry;
-	unsigned entries_nr;
-};
-
-static bool owns(void *ctx, uint64_t key)
-{
-	const struct owner *owner = ctx;
-
-	return key % owner->entries_nr == owner->entry;
-}
-
-static struct quarantine *entry_create(struct owner *owner)
+static struct quarantine *entry_create(unsigned entry)
 {
-	struct quarantine_options options = { .owns = owns, .ctx = owner };
+	struct quarantine_options options = { .self = entry + 1 };
 
 	return quarantine_create(&options);
 }
@@ -124,8 +115,10 @@
 				  g_rand_int_range(load->random, 0, SESSIONS));
 	prompt.request =
 		target_key("unequal", (gint32)g_rand_int(load->random));
+	if (kind == LOAD_BAD_ITEM)
+		prompt.request = 0;
 	prompt_add(&prompt, "root");
-	prompt_add(&prompt, kind == LOAD_BAD_PART ? "bad" : session);
+	prompt_add(&prompt, kind == LOAD_SOUND ? session : "bad");
 	g_free(session);
 	return prompt;
 }
@@ -160,7 +153,8 @@
 /* Counts a request that is sent although the fleet must know that it crashes servers. */
 static void count_late(struct load *load, enum load_kind kind)
 {
-	load->bad_late += kind == LOAD_BAD_PART && load->fifth_ms &&
+	load->bad_late += (kind == LOAD_BAD_PART || kind == LOAD_BAD_ITEM) &&
+			  load->fifth_ms &&
 			  load->now_ms > load->fifth_ms + KNOWN_MS;
 	load->repeated_late += kind == LOAD_REPEATED && load->third_ms &&
 			       load->now_ms > load->third_ms + KNOWN_MS;
@@ -178,19 +172,18 @@
 	if (verdict.refused || server < 0)
 		return false;
 	count_late(load, call->kind);
-	quarantine_note_sent(quarantine, &call->prompt, load->now_ms);
+	quarantine_note_sent(quarantine, &call->prompt);
 	call->server = (unsigned)server;
 	call->sent_ms = load->now_ms;
 	call->sends++;
 	return true;
 }
 
-static void request(struct load *load, enum load_kind kind)
+static void request_at(struct load *load, enum load_kind kind, unsigned entry)
 {
 	struct call *call = g_new0(struct call, 1);
 
-	call->entry = (unsigned)g_rand_int_range(load->random, 0,
-						 (gint32)load->entries_nr);
+	call->entry = entry;
 	call->prompt = make_prompt(load, kind);
 	call->kind = kind;
 	list_init(&call->link);
@@ -201,6 +194,13 @@
 		call_free(call);
 }
 
+static void request(struct load *load, enum load_kind kind)
+{
+	request_at(load, kind,
+		   (unsigned)g_rand_int_range(load->random, 0,
+					      (gint32)load->entries_nr));
+}
+
 /* Handles the end of the server of a call. */
 static void call_crashed(struct load *load, struct call *call,
 			 struct quarantine_crash *crash)
@@ -281,6 +281,55 @@
 	}
 }
 
+static void merge(struct load *load, unsigned entry,
+		  const struct evidence *evidence,
+		  enum quarantine_source source)
+{
+	struct quarantine_news news = {
+		.evidence = evidence,
+		.source = source,
+		.now_ms = load->now_ms,
+		.wall_ms = load->now_ms,
+	};
+
+	quarantine_merge(load->entries[entry], &news);
+}
+
+static bool is_cut_off(const struct load *load, unsigned entry)
+{
+	return load->now_ms < load->cut_ms && entry % 2;
+}
+
+/* Stores the evidence of an entry, which all others read. */
+static void store(struct load *load, const struct evidence *evidence)
+{
+	struct evidence *copy = g_memdup2(evidence, sizeof(*copy));
+	unsigned i;
+
+	g_hash_table_replace(load->stored, &copy->key, copy);
+	for (i = 0; i < load->entries_nr; i++) {
+		if (!is_cut_off(load, i))
+			merge(load, i, evidence, SOURCE_RECORDS);
+	}
+}
+
+/* Stores all claims of trials that entries have at this moment, before they read any. */
+static void store_claims(struct load *load)
+{
+	GArray *claims = g_array_new(FALSE, FALSE, sizeof(struct evidence));
+	struct evidence claim;
+	guint i;
+
+	for (i = 0; i < load->entries_nr; i++) {
+		while (!is_cut_off(load, i) &&
+		       quarantine_claim(load->entries[i], load->now_ms, &claim))
+			g_array_append_val(claims, claim);
+	}
+	for (i = 0; i < claims->len; i++)
+		store(load, &g_array_index(claims, struct evidence, i));
+	g_array_free(claims, TRUE);
+}
+
 /* Sends the evidence of each entry to the others and to the store. */
 static void exchange(struct load *load)
 {
@@ -291,27 +340,27 @@
 		list_for_each (pos, quarantine_suspects(load->entries[i])) {
 			struct suspect *suspect =
 				list_entry(pos, struct suspect, link);
-			struct evidence *copy;
 
 			if (load->now_ms - suspect->changed_ms > 1500)
 				continue;
 			for (j = 0; j < load->entries_nr; j++) {
 				if (j != i &&
+				    is_cut_off(load, i) ==
+					    is_cut_off(load, j) &&
 				    g_rand_double(load->random) >= LOST_SHARE)
-					quarantine_merge(load->entries[j],
-							 &suspect->evidence,
-							 load->now_ms);
+					merge(load, j, &suspect->evidence,
+					      SOURCE_REPORT);
 			}
-			if (!suspect->unsaved)
+			if (!suspect->unsaved || is_cut_off(load, i))
 				continue;
 			suspect->unsaved = false;
-			copy = g_memdup2(&suspect->evidence, sizeof(*copy));
-			g_hash_table_replace(load->stored, &copy->key, copy);
+			store(load, &suspect->evidence);
 		}
 	}
+	store_claims(load);
 }
 
-static void restart_entries(struct load *load, struct owner *owners)
+static void restart_entries(struct load *load)
 {
 	GHashTableIter iter;
 	gpointer evidence;
@@ -322,15 +371,14 @@
 		call_free(list_entry(pos, struct call, link));
 	for (i = 0; i < load->entries_nr; i++) {
 		quarantine_destroy(load->entries[i]);
-		load->entries[i] = entry_create(&owners[i]);
+		load->entries[i] = entry_create(i);
 		g_hash_table_iter_init(&iter, load->stored);
 		while (g_hash_table_iter_next(&iter, NULL, &evidence))
-			quarantine_merge(load->entries[i], evidence,
-					 load->now_ms);
+			merge(load, i, evidence, SOURCE_SNAPSHOT);
 	}
 }
 
-static void play(struct load *load, struct owner *owners, int argc, char **argv)
+static void play(struct load *load, int argc, char **argv)
 {
 	uint64_t seconds = (uint64_t)script_arg_int(argc, argv, "seconds", 40);
 	uint64_t restart = (uint64_t)script_arg_int(argc, argv, "restart", 0);
@@ -339,6 +387,7 @@
 	double plain = (double)script_arg_int(argc, argv, "plain", 0);
 	double repeated = (double)script_arg_int(argc, argv, "repeated", 0);
 	unsigned crashes = (unsigned)script_arg_int(argc, argv, "crashes", 0);
+	unsigned items = (unsigned)script_arg_int(argc, argv, "items", 0);
 	uint64_t start_ms = load->now_ms;
 	unsigned i;
 
@@ -353,12 +402,19 @@
 			request(load, LOAD_BAD_PART);
 		if (ms > 2000 && g_rand_double(load->random) < repeated / 200)
 			request(load, LOAD_REPEATED);
+		for (i = 0; ms > 2000 && ms % 250 == 0 && i < items; i++)
+			request_at(load, LOAD_BAD_ITEM, i);
+		if (load->now_ms == load->cut_ms) {
+			for (i = 0; i < load->entries_nr; i++)
+				quarantine_tell_again(load->entries[i],
+						      load->now_ms);
+		}
 		if (ms % 2000 == 1000) {
 			for (i = 0; i < MIN(crashes, load->servers_nr); i++)
 				crash_server(load, i);
 		}
 		if (restart && ms == restart * 1000)
-			restart_entries(load, owners);
+			restart_entries(load);
 		advance_calls(load);
 		if (ms % EXCHANGE_MS == 0)
 			exchange(load);
@@ -375,7 +431,6 @@
 			(unsigned)script_arg_int(argc, argv, "servers", 9),
 		.now_ms = 100000,
 	};
-	struct owner *owners = g_new0(struct owner, load.entries_nr);
 	struct list *pos, *tmp;
 	unsigned i;
 
@@ -383,15 +438,14 @@
 	load.servers = g_new0(struct server, load.servers_nr);
 	load.stored = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
+	load.cut_ms = load.now_ms +
+		      1000 * (uint64_t)script_arg_int(argc, argv, "cut", 0);
 	load.random = g_rand_new_with_seed(
 		(guint32)script_arg_int(argc, argv, "seed", 1));
 	list_init(&load.calls);
-	for (i = 0; i < load.entries_nr; i++) {
-		owners[i].entry = i;
-		owners[i].entries_nr = load.entries_nr;
-		load.entries[i] = entry_create(&owners[i]);
-	}
-	play(&load, owners, argc, argv);
+	for (i = 0; i < load.entries_nr; i++)
+		load.entries[i] = entry_create(i);
+	play(&load, argc, argv);
 	g_string_append_printf(
 		out, "late %s, sound refused %s\n",
 		MAX(load.bad_late, load.repeated_late) <= LATE_MAX ?
@@ -412,5 +466,4 @@
 	g_rand_free(load.random);
 	g_free(load.entries);
 	g_free(load.servers);
-	g_free(owners);
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -15,34 +15,27 @@
 
 struct entry {
 	struct quarantine *quarantine;
-	/* This entry makes the trials. */
-	bool owner;
+	/* Number of records of the store that it has read. */
+	guint read_nr;
 };
 
 struct state {
 	struct entry entries[ENTRIES_MAX];
-	GString *changes;
+	/* Evidence in the store (struct evidence), in order. */
+	GArray *records;
 	uint64_t now_ms;
 };
 
-static bool owns(void *ctx, uint64_t key)
-{
-	const struct entry *entry = ctx;
-
-	(void)key;
-	return entry->owner;
-}
-
 static void *state_create(void)
 {
 	struct state *state = g_new0(struct state, 1);
 	size_t i;
 
 	state->now_ms = 5000;
+	state->records = g_array_new(FALSE, FALSE, sizeof(struct evidence));
 	for (i = 0; i < ENTRIES_MAX; i++) {
 		struct entry *entry = &state->entries[i];
-		struct quarantine_options options = { .owns = owns,
-						      .ctx = entry };
+		struct quarantine_options options = { .self = i + 1 };
 
 		entry->quarantine = quarantine_create(&options);
 	}
@@ -56,6 +49,7 @@
 
 	for (i = 0; i < ENTRIES_MAX; i++)
 		quarantine_destroy(state->entries[i].quarantine);
+	g_array_free(state->records, TRUE);
 	g_free(state);
 }
 
@@ -163,17 +157,56 @@
 	g_free(list);
 }
 
-/* tell FROM TO: merges all evidence of one entry into another */
+static void merge(struct state *state, struct entry *entry,
+		  const struct evidence *evidence,
+		  enum quarantine_source source)
+{
+	struct quarantine_news news = {
+		.evidence = evidence,
+		.source = source,
+		.now_ms = state->now_ms,
+		.wall_ms = WALL_MS + state->now_ms,
+	};
+
+	quarantine_merge(entry->quarantine, &news);
+}
+
+/* tell FROM TO: merges all evidence of one entry into another
+ * start FROM TO: the same, as the newest values that an entry reads at its start */
 static void tell(struct state *state, char **argv)
 {
 	struct quarantine *from = entry_arg(state, argv[1])->quarantine;
 	struct list *pos;
 
 	list_for_each (pos, quarantine_suspects(from))
-		quarantine_merge(
-			entry_arg(state, argv[2])->quarantine,
-			&list_entry(pos, struct suspect, link)->evidence,
-			state->now_ms);
+		merge(state, entry_arg(state, argv[2]),
+		      &list_entry(pos, struct suspect, link)->evidence,
+		      strcmp(argv[0], "start") ? SOURCE_REPORT :
+						 SOURCE_SNAPSHOT);
+}
+
+/* claim ENTRY: an entry's claims of trials reach the store */
+static void claim(struct state *state, char **argv, GString *out)
+{
+	struct quarantine *quarantine = entry_arg(state, argv[1])->quarantine;
+	struct evidence evidence;
+
+	while (quarantine_claim(quarantine, state->now_ms, &evidence)) {
+		g_array_append_val(state->records, evidence);
+		g_string_append_printf(out, "trial=%u\n", evidence.trials);
+	}
+}
+
+/* read ENTRY: an entry reads the records of the store that it hasn't read */
+static void read_records(struct state *state, char **argv)
+{
+	struct entry *entry = entry_arg(state, argv[1]);
+
+	for (; entry->read_nr < state->records->len; entry->read_nr++)
+		merge(state, entry,
+		      &g_array_index(state->records, struct evidence,
+				     entry->read_nr),
+		      SOURCE_RECORDS);
 }
 
 /* check ENTRY PROMPT [send|item]: the verdict; with "send" the request is sent. A prompt
@@ -199,7 +232,16 @@
 		g_string_append_printf(out, "%s\n",
 				       verdict.crashes ? "trial" : "allowed");
 	if (argc > 3 && !strcmp(argv[3], "send"))
-		quarantine_note_sent(quarantine, &prompt, state->now_ms);
+		quarantine_note_sent(quarantine, &prompt);
+	prompt_clear(&prompt);
+}
+
+/* not-run ENTRY PROMPT: the server did not run a request that was sent */
+static void not_run(struct state *state, char **argv)
+{
+	struct prompt prompt = prompt_arg(argv[2]);
+
+	quarantine_note_not_run(entry_arg(state, argv[1])->quarantine, &prompt);
 	prompt_clear(&prompt);
 }
 
@@ -277,8 +319,17 @@
 		answer(state, argv);
 	else if (!strcmp(name, "alive"))
 		alive(state, argv);
-	else if (!strcmp(name, "tell"))
+	else if (!strcmp(name, "tell") || !strcmp(name, "start"))
 		tell(state, argv);
+	else if (!strcmp(name, "claim"))
+		claim(state, argv, out);
+	else if (!strcmp(name, "read"))
+		read_records(state, argv);
+	else if (!strcmp(name, "not-run"))
+		not_run(state, argv);
+	else if (!strcmp(name, "tell-again"))
+		quarantine_tell_again(entry_arg(state, argv[1])->quarantine,
+				      state->now_ms);
 	else if (!strcmp(name, "check"))
 		check(state, argc, argv, out);
 	else if (!strcmp(name, "suspects"))
@@ -287,8 +338,6 @@
 		flood(state, argv);
 	else if (!strcmp(name, "same"))
 		same(argv, out);
-	else if (!strcmp(name, "owner"))
-		entry_arg(state, argv[1])->owner = true;
 	else if (!strcmp(name, "wait"))
 		state->now_ms += g_ascii_strtoull(argv[1], NULL, 10);
 	else if (!strcmp(name, "sweep"))
--- a/wire/evidence.pb-c.c
+++ b/wire/evidence.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &part_evidence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor part_evidence__field_descriptors[4] =
+static const ProtobufCFieldDescriptor part_evidence__field_descriptors[8] =
 {
   {
     "part",
@@ -102,17 +102,69 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "before_ms",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PartEvidence, n_before_ms),
+    offsetof(PartEvidence, before_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PartEvidence, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claimant",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PartEvidence, claimant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_trials",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PartEvidence, cleared_trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned part_evidence__field_indices_by_name[] = {
+  4,   /* field[4] = before_ms */
+  6,   /* field[6] = claimant */
+  7,   /* field[7] = cleared_trials */
   3,   /* field[3] = crashed_ms */
   1,   /* field[1] = crashes */
   0,   /* field[0] = part */
   2,   /* field[2] = refuted */
+  5,   /* field[5] = trials */
 };
 static const ProtobufCIntRange part_evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor part_evidence__descriptor =
 {
@@ -122,7 +174,7 @@
   "PartEvidence",
   "",
   sizeof(PartEvidence),
-  4,
+  8,
   part_evidence__field_descriptors,
   part_evidence__field_indices_by_name,
   1,  part_evidence__number_ranges,
--- a/wire/evidence.pb-c.h
+++ b/wire/evidence.pb-c.h
@@ -43,10 +43,22 @@
    * Unix time of the last crash, in ms.
    */
   uint64_t crashed_ms;
+  /*
+   * Time by which crashes[i] came before the last one, in ms.
+   */
+  size_t n_before_ms;
+  uint32_t *before_ms;
+  /*
+   * Number of trials that entries have claimed, the entry that claimed the last one, and
+   * the number when the key was cleared last.
+   */
+  uint32_t trials;
+  uint64_t claimant;
+  uint32_t cleared_trials;
 };
 #define PART_EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&part_evidence__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /* PartEvidence methods */
