Read the evidence before requests are sent, also if it takes a while

Callers: an entry that started while the evidence could not be read sent on requests that were known to crash servers, from two seconds on; those without a prompt at once. In the users' record entries read the evidence 2.3 s and more after their first answers.

Cause: the wait of two seconds took it that the other entries report their evidence by then. When all were killed, nobody has any to report.

Requests now start once the evidence was read. After two seconds they start without it if another entry that has read it is there, or if the store is away for this entry, and after ten in any case. An entry counts as loaded for the others only with the evidence. Plain requests wait as well; items that hold no part don't.

--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "evidence_share.h"
 #include "peers.h"
+#include "store_route.h"
 
 #define EVIDENCE_TOPIC "keyed.evidence"
 /* Timeout of a call for the topic, and pause before it is repeated, in ms. */
@@ -14,9 +15,11 @@
 /* Interval at which changes are stored and old evidence is forgotten, in ms. */
 #define SAVE_INTERVAL_MS 100
 #define SWEEP_INTERVAL_MS 1000
-/* Time after the start after which requests are sent although the topic could
- * not be read, in ms: the other entries have reported their evidence by then. */
+/* Time after the start for which the topic is waited for, in ms: in which the other
+ * entries report their evidence, if there are any that know it or the store is away, and
+ * otherwise. */
 #define LOAD_WAIT_MS 2000
+#define LOAD_WAIT_MAX_MS 10000
 /* Retry-After before that, in ms. */
 #define LOAD_RETRY_MS 200
 /* Time for which a change is part of each load report, in ms, and number of
@@ -37,6 +40,8 @@
 	int open_handles;
 	uint64_t started_ms;
 	uint64_t swept_ms;
+	/* The newest values were read once. */
+	bool read;
 	/* The newest values were read, and records from next_offset follow. */
 	bool loaded;
 	uint64_t next_offset;
@@ -117,6 +122,23 @@
 	return share->quarantine;
 }
 
+bool evidence_share_read(const struct evidence_share *share)
+{
+	return share->read;
+}
+
+bool evidence_share_known(const struct evidence_share *share)
+{
+	const struct gateway *gateway = share->gateway;
+	uint64_t waited_ms = uv_now(gateway->loop) - share->started_ms;
+
+	if (share->read || waited_ms >= LOAD_WAIT_MAX_MS)
+		return true;
+	return waited_ms >= LOAD_WAIT_MS &&
+	       (peers_have_loaded(gateway->peers) ||
+		!store_route_is_direct(gateway->store_route));
+}
+
 bool evidence_share_allows(struct evidence_share *share,
 			   const struct prompt *prompt,
 			   struct quarantine_verdict *verdict)
@@ -125,8 +147,8 @@
 
 	*verdict = quarantine_check(share->quarantine, prompt, now,
 				    gateway_wall_ms());
-	if (!share->loaded && prompt->parts_nr && !verdict->refused &&
-	    now - share->started_ms < LOAD_WAIT_MS) {
+	if (!verdict->refused && (prompt->parts_nr || prompt->request) &&
+	    !evidence_share_known(share)) {
 		verdict->refused = true;
 		verdict->retry_after_ms = LOAD_RETRY_MS;
 	}
@@ -343,6 +365,7 @@
 			log_event("quarantine", LOG_LEVEL_INFO,
 				  "evidence read end=%" PRIu64,
 				  share->snapshot_offset);
+		share->read = true;
 		share->loaded = true;
 		share->next_offset = share->snapshot_offset;
 	}
--- a/briarplankd/gateway/evidence_share.h
+++ b/briarplankd/gateway/evidence_share.h
@@ -16,10 +16,18 @@
 
 struct quarantine *evidence_share_quarantine(struct evidence_share *share);
 
+/** Tells whether the stored evidence was read. */
+bool evidence_share_read(const struct evidence_share *share);
+
+/**
+ * Tells whether requests may be judged by the evidence: it was read, or can't be had for now.
+ */
+bool evidence_share_known(const struct evidence_share *share);
+
 /**
  * Tells whether a request with this prompt may be sent. "verdict" is set in both
- * cases. While a starting entry does not know the evidence yet, only requests
- * without shared parts may be sent.
+ * cases. While a starting entry does not know the evidence yet, only items without
+ * shared parts may be sent.
  */
 bool evidence_share_allows(struct evidence_share *share,
 			   const struct prompt *prompt,
--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -132,6 +132,12 @@
 	       job_store_loaded(gateway->job_store);
 }
 
+bool gateway_may_send(const struct gateway *gateway)
+{
+	return directory_loaded(gateway->directory) &&
+	       evidence_share_known(gateway->evidence);
+}
+
 static void on_front(void *ctx, struct web_request *web)
 {
 	struct gateway *gateway = ctx;
@@ -141,7 +147,7 @@
 			    &call);
 	if (call.kind != PLATFORM_REQUEST && call.kind != PLATFORM_READY)
 		job_calls_start(gateway, web, &call);
-	else if (directory_loaded(gateway->directory) ||
+	else if (gateway_may_send(gateway) ||
 		 !start_queue_add(gateway->start_queue, web))
 		online_request_start(gateway, web, web_path(web),
 				     uv_now(gateway->loop));
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -104,6 +104,9 @@
 /** Returns a random number of 64 bits. */
 uint64_t gateway_random(void);
 
+/** Tells whether this node has read what it needs to send requests to servers. */
+bool gateway_may_send(const struct gateway *gateway);
+
 /**
  * Tells whether a request that may last until a loop time in ms comes too late to be
  * taken: the callers know by now that this process stops, which it would do before.
--- a/briarplankd/gateway/peers.c
+++ b/briarplankd/gateway/peers.c
@@ -233,7 +233,8 @@
 static bool is_loaded(const struct gateway *gateway)
 {
 	return directory_loaded(gateway->directory) &&
-	       job_store_loaded(gateway->job_store);
+	       job_store_loaded(gateway->job_store) &&
+	       evidence_share_read(gateway->evidence);
 }
 
 /* Returns this node's encoded load report; the caller frees it. */
@@ -505,6 +506,11 @@
 	       now - peers->entries_read_ms >= SETTLE_MS;
 }
 
+bool peers_have_loaded(const struct peers *peers)
+{
+	return peer_table_has_loaded(peers->table);
+}
+
 bool peers_may_wait(const struct peers *peers)
 {
 	return uv_now(peers->gateway->loop) - peers->started_ms <= COLD_WAIT_MS;
--- a/briarplankd/gateway/peers.h
+++ b/briarplankd/gateway/peers.h
@@ -71,6 +71,9 @@
  */
 bool peers_settled(const struct peers *peers);
 
+/** Tells whether another entry has loaded the store's data. */
+bool peers_have_loaded(const struct peers *peers);
+
 /** Interval at which a starting node asks peers_settled() again, in ms. */
 #define PEERS_SETTLE_CHECK_MS 20
 
--- a/briarplankd/gateway/start_queue.c
+++ b/briarplankd/gateway/start_queue.c
@@ -1,8 +1,7 @@
 #include "common/log.h"
-#include "directory.h"
 #include "start_queue.h"
 
-/* Interval at which it is checked whether the directory is loaded, in ms. */
+/* Interval at which it is checked whether requests may be sent, in ms. */
 #define CHECK_INTERVAL_MS 5
 /* Most requests that are kept; with small bodies they take a few megabytes. */
 #define KEPT_MAX 1000
@@ -67,7 +66,7 @@
 	struct start_queue *queue = timer->data;
 	const struct gateway *gateway = queue->gateway;
 	uint64_t keep_ms = (uint64_t)gateway->settings->start_hold_ms;
-	bool loaded = directory_loaded(gateway->directory);
+	bool loaded = gateway_may_send(gateway);
 	struct list *pos, *tmp;
 
 	if (loaded && queue->kept_nr)
