Let an answer speak for the parts of its prompt only as it goes on

A part that ends servers could be cleared by an answer that says nothing of it: one that began before the part did harm and only ends now, or one whose second data an entry finds after it has stood still, as the 250 ms in which an answer goes on were taken by the entry's clock alone. Nobody has seen either on real machines; both follow from the code, and a cleared part costs three servers again.

An answer now speaks for its parts once, as it goes on; its end speaks for the request only. Of a pause between two data 100 ms count, so that an answer has gone on when data has come several times.

The transcripts of quarantine fail before: the part is not blamed after an old answer has ended, and cleared by two data 2 s apart. process_gateway_crashing_part, crashing_request and crash_in_order pass.

--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -41,10 +41,6 @@
  * late copy of an earlier one, in ms. */
 #define COPY_WAIT_MS 250
 
-/* Time since the first byte of a body after which the server has begun the
- * answer without harm, in ms. */
-#define BEGINNING_MS 250
-
 struct server_call {
 	struct server_call_options options;
 	struct http_pool *pool;
@@ -67,10 +63,8 @@
 	enum http_link_framing framing;
 	/* Bytes of the body so far, unless it is a stream. */
 	size_t body_bytes;
-	/* Time at which the first byte of the body arrived; 0 before it. */
-	uint64_t begun_ms;
-	/* The answer went on after its beginning. */
-	bool went_on;
+	/* How far the body is. */
+	struct answer_progress progress;
 };
 
 static const char *const end_names[] = {
@@ -390,16 +384,6 @@
 		call->options.prompt, answer, now);
 }
 
-static void note_progress(struct server_call *call, uint64_t now)
-{
-	if (!call->begun_ms)
-		call->begun_ms = now;
-	if (call->went_on || now - call->begun_ms < BEGINNING_MS)
-		return;
-	call->went_on = true;
-	note_answer(call, ANSWER_GOES_ON, now);
-}
-
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct server_call *call = ctx;
@@ -407,7 +391,8 @@
 	uint64_t now = uv_now(call->options.gateway->loop);
 
 	fleet_data_received(call->server, now);
-	note_progress(call, now);
+	if (answer_progress_add(&call->progress, now))
+		note_answer(call, ANSWER_GOES_ON, now);
 	if (!count_body(call, len)) {
 		log_event("server_answer", LOG_LEVEL_WARN,
 			  "server=%s request=%s response is too long bytes=%zu "
@@ -471,7 +456,9 @@
 {
 	uint64_t now = uv_now(call->options.gateway->loop);
 
-	return call->begun_ms ? (int64_t)(now - call->begun_ms) : -1;
+	return call->progress.begun_ms ?
+		       (int64_t)(now - call->progress.begun_ms) :
+		       -1;
 }
 
 /* Tells whether a stream that the connection completed lacks its end. */
@@ -497,7 +484,7 @@
 		.round_trip_ms = http_link_round_trip_ms(call->http),
 		.data_ms = call->server->data_ms,
 		.answer_begun = call->head_received,
-		.answer_went_on = call->went_on,
+		.answer_went_on = call->progress.went_on,
 	};
 	bool complete = link_end == HTTP_LINK_COMPLETE;
 	bool broke_off = link_end == HTTP_LINK_NO_HEAD ||
@@ -510,10 +497,10 @@
 		quarantine_note_crash(quarantine, call->options.prompt, &crash);
 	else if (complete && call->framing != HTTP_LINK_UNTIL_CLOSE &&
 		 call->status >= 200 && call->status < 300)
-		note_answer(call, ANSWER_WHOLE, now);
-	else if (complete &&
-		 (call->framing != HTTP_LINK_UNTIL_CLOSE || call->begun_ms))
-		note_answer(call, ANSWER_FAILURE, now);
+		note_answer(call, answer_progress_whole(&call->progress), now);
+	else if (complete && (call->framing != HTTP_LINK_UNTIL_CLOSE ||
+			      call->progress.begun_ms))
+		note_answer(call, ANSWER_SURVIVED, now);
 }
 
 /* Reports how a call ended whose connection was given back or closed. */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -28,6 +28,10 @@
 /* Number of trials in vain from which a request is tried no more. A part is tried as long as
  * items with it may be owed. */
 #define REQUEST_TRIALS_MAX 2
+/* Time in which data comes after which an answer has gone on, and the part of a pause between
+ * data that counts, in ms: this process may have stood still meanwhile. */
+#define BEGINNING_MS 250
+#define PAUSE_MS 100
 /* Time after which a claim is taken to be lost, in ms. */
 #define CLAIM_MS 2000
 /* Time for which evidence that isn't quarantined is told in turn, in ms. */
@@ -253,6 +257,24 @@
 	return true;
 }
 
+bool answer_progress_add(struct answer_progress *progress, uint64_t now_ms)
+{
+	if (!progress->begun_ms)
+		progress->begun_ms = progress->data_ms = now_ms;
+	progress->gone_ms += MIN(now_ms - progress->data_ms, PAUSE_MS);
+	progress->data_ms = now_ms;
+	if (progress->went_on || progress->gone_ms < BEGINNING_MS)
+		return false;
+	progress->went_on = true;
+	return true;
+}
+
+enum quarantine_answer answer_progress_whole(
+	const struct answer_progress *progress)
+{
+	return progress->went_on ? ANSWER_SURVIVED : ANSWER_WHOLE;
+}
+
 static void note_answered(struct quarantine *quarantine, uint64_t key,
 			  uint64_t now_ms)
 {
@@ -277,7 +299,7 @@
 {
 	size_t i;
 
-	for (i = 0; answer != ANSWER_FAILURE && i < prompt->parts_nr; i++)
+	for (i = 0; answer != ANSWER_SURVIVED && i < prompt->parts_nr; i++)
 		note_answered(quarantine, prompt->parts[i], now_ms);
 	if (answer != ANSWER_GOES_ON && prompt->request)
 		note_answered(quarantine, prompt->request, now_ms);
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -143,11 +143,32 @@
 	ANSWER_GOES_ON,
 	/** It is whole: for the request and the parts. */
 	ANSWER_WHOLE,
-	/** It is whole, but a failure, or may be shorter than it should: for the
-	 * request, which the server survived. */
-	ANSWER_FAILURE,
+	/** It is whole, but a failure, or may be shorter than it should, or went on
+	 * before: for the request, which the server survived. */
+	ANSWER_SURVIVED,
 };
 
+/** How far an answer is. */
+struct answer_progress {
+	/** Loop time of the first and of the last data, in ms; 0 before any. */
+	uint64_t begun_ms;
+	uint64_t data_ms;
+	/** Time in which data came, in ms. */
+	uint64_t gone_ms;
+	/** The answer went on after its beginning. */
+	bool went_on;
+};
+
+/** Records that data came; returns whether the answer goes on from now on. */
+bool answer_progress_add(struct answer_progress *progress, uint64_t now_ms);
+
+/**
+ * Returns for what a whole answer speaks. For the parts it has spoken as it went on: their
+ * next answer may crash its server since.
+ */
+enum quarantine_answer answer_progress_whole(
+	const struct answer_progress *progress);
+
 /** Records an answer. */
 void quarantine_note_answer(struct quarantine *quarantine,
 			    const struct prompt *prompt,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -131,13 +131,38 @@
 	prompt_clear(&prompt);
 }
 
+/* progress ENTRY PROMPT [whole] MS...: data of an answer comes at these times from now on,
+ * and with "whole" the answer ends */
+static void progress(struct state *state, int argc, char **argv)
+{
+	struct quarantine *quarantine = entry_arg(state, argv[1])->quarantine;
+	struct prompt prompt = prompt_arg(argv[2]);
+	struct answer_progress progress = { 0 };
+	bool whole = !strcmp(argv[3], "whole");
+	uint64_t now_ms = state->now_ms;
+	int i;
+
+	for (i = whole ? 4 : 3; i < argc; i++) {
+		now_ms = state->now_ms + g_ascii_strtoull(argv[i], NULL, 10);
+		if (answer_progress_add(&progress, now_ms))
+			quarantine_note_answer(quarantine, &prompt,
+					       ANSWER_GOES_ON, now_ms);
+	}
+	state->now_ms = now_ms;
+	if (whole)
+		quarantine_note_answer(quarantine, &prompt,
+				       answer_progress_whole(&progress),
+				       now_ms);
+	prompt_clear(&prompt);
+}
+
 /* survive ENTRY PROMPT: the server answers with a failure, as a whole */
 static void survive(struct state *state, char **argv)
 {
 	struct prompt prompt = prompt_arg(argv[2]);
 
 	quarantine_note_answer(entry_arg(state, argv[1])->quarantine, &prompt,
-			       ANSWER_FAILURE, state->now_ms);
+			       ANSWER_SURVIVED, state->now_ms);
 	prompt_clear(&prompt);
 }
 
@@ -321,6 +346,8 @@
 		alive(state, argv);
 	else if (!strcmp(name, "tell") || !strcmp(name, "start"))
 		tell(state, argv);
+	else if (!strcmp(name, "progress"))
+		progress(state, argc, argv);
 	else if (!strcmp(name, "claim"))
 		claim(state, argv, out);
 	else if (!strcmp(name, "read"))
