Show what crowds of clients do to a gateway's memory, and set its limits

Callers that this system doesn't control ended a process by what they made it hold.

The settings node.memory_mb and node.descriptors tell a gateway what its VM has; nothing is limited yet.

--- a/briarplankd/gateway_settings.c
+++ b/briarplankd/gateway_settings.c
@@ -38,6 +38,16 @@
 	  .max = 1000000, .default_value = "1", .unit = "cores",
 	  .help = "processor time of this VM; entries with more of it read "
 		  "the store on behalf of the others" },
+	{ "node.memory_mb", SETTING_INT, GATEWAY(memory_mb), .min = 0,
+	  .max = 100000000, .unit = "MB", .default_value = "0",
+	  .help = "memory that the process may use, of which half is for "
+		  "what callers send and leave unread; 0 takes the memory of "
+		  "the VM" },
+	{ "node.descriptors", SETTING_INT, GATEWAY(descriptors), .min = 0,
+	  .max = 100000000, .default_value = "0",
+	  .help = "descriptors that the process may open, of which half are "
+		  "for callers' connections; 0 takes the limit of the "
+		  "process" },
 	{ "data_centres", SETTING_LIST, GATEWAY(data_centres), .required = true,
 	  .item_specs = data_centre_specs,
 	  .item_size = sizeof(struct data_centre_settings),
--- a/include/briarplankd/gateway_settings.h
+++ b/include/briarplankd/gateway_settings.h
@@ -22,6 +22,10 @@
 
 	/** Share of a processor core that this VM has, in thousandths. */
 	int64_t cpu_permille;
+	/** Memory that this process may use, in MB; 0 for that of the VM. */
+	int64_t memory_mb;
+	/** Number of descriptors that this process may open; 0 for its own limit. */
+	int64_t descriptors;
 
 	char *front_address;
 	char *ready_address;
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -74,6 +74,8 @@
 	cat >"$FLEET_DIR/$1.json" <<END
 {
 	"node": { "name": "$1", "ip": "127.0.0.1", "port": 0,
+		  "memory_mb": ${GATEWAY_MEMORY_MB:-0},
+		  "descriptors": ${GATEWAY_DESCRIPTORS:-0},
 		  "data_centre": "dc1", "region": "r1" },
 	"data_centres": [ { "name": "dc1", "region": "r1" } ],
 	"listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0",
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -40,7 +40,7 @@
 
 	if (argc < 2) {
 		fprintf(stderr,
-			"usage: standin engine|log|plain|proxy|raw|store|"
+			"usage: standin crowd|engine|log|plain|proxy|raw|store|"
 			"vms|weights|worker\n");
 		return EXIT_USAGE;
 	}
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -47,9 +47,9 @@
 };
 
 static const struct standin_command *const commands[] = {
-	&engine_command, &log_command,	   &plain_command,
-	&proxy_command,	 &raw_command,	   &store_command,
-	&vms_command,	 &weights_command, &worker_command,
+	&crowd_command,	  &engine_command, &log_command,   &plain_command,
+	&proxy_command,	  &raw_command,	   &store_command, &vms_command,
+	&weights_command, &worker_command,
 };
 
 const struct standin_command *standin_find(const char *name)
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -87,6 +87,7 @@
 	void (*on_fault_change)(void *state, const struct fault *fault);
 };
 
+extern const struct standin_command crowd_command;
 extern const struct standin_command engine_command;
 extern const struct standin_command log_command;
 extern const struct standin_command plain_command;
