--- a/briarplankd/gateway/evidence_share.c
+++ b/briarplankd/gateway/evidence_share.c
@@ -161,7 +161,7 @@
 static PartEvidence *message_create(const struct evidence *evidence)
 {
 	PartEvidence *message = g_new(PartEvidence, 1);
-	unsigned nr = evidence->crashes_nr, i;
+	unsigned nr = MIN(evidence->crashes_nr, EVIDENCE_CRASHES_MAX), i;
 
 	part_evidence__init(message);
 	message->part = evidence->key;
