Bound the memory and the connections of a gateway's callers as a whole

Callers saw a process end, or their connections fail, while others sent many bodies at once that stopped short of their end, or more connections than the process has descriptors.

Cause: what a caller sends was limited by request (4 MiB), with no bound over all requests together, and a body that stops has no timeout. Connections were accepted until descriptors ran out.

A web_budget counts what all HTTP servers of a process hold for callers: the input of requests, the copies that requests in progress lead to, answers and streams that wait to be read, and what servers have answered so far. Beyond half of the memory it closes the connections whose bytes times the time for which they have been held are most, and refuses requests with 503 that have arrived in full and don't fit. The kernel holds 128 KiB of a connection at most. Beyond half of the descriptors, connections that wait without a request make room for new ones. What stops within a request is closed after the idle timeout. Plain HTTP no longer switches to HTTP/2, whose streams aren't counted. The agents and entries of the stand-alone daemon have no budget yet.

Ruled out: deadlines for bodies, which cut slow uploads and are slower than a crowd; pausing reads, as those that hold most don't go on.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -5,11 +5,14 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "accounts.h"
 #include "batch.h"
 #include "briarplankd/gateway.h"
+#include "briarplankd/web_budget.h"
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/log.h"
@@ -53,6 +56,12 @@
 #define STOP_CHECK_MS 50
 /* Maximum size of a caller's request body, in bytes. */
 #define MAX_BODY_BYTES 4194304
+/* One part in so many of the process's memory and descriptors that callers may take up, and
+ * of the descriptors that connections of other entries may. */
+#define CALLERS_SHARE 2
+#define ENTRIES_SHARE 4
+/* Maximum number of connections for readiness checks, and of those for metrics. */
+#define CHECKS_CONNECTIONS_MAX 64
 /* Idle timeout of callers' connections if no configuration sets one, in ms. */
 #define IDLE_TIMEOUT_MS 15000
 
@@ -291,8 +300,49 @@
 		  "SIGHUP ignored: settings are read only at the start");
 }
 
+/* Returns the memory that the process may use, in bytes. */
+static size_t memory_bytes(const struct gateway_settings *settings)
+{
+	if (settings->memory_mb)
+		return (size_t)settings->memory_mb << 20;
+	return (size_t)sysconf(_SC_PHYS_PAGES) * (size_t)sysconf(_SC_PAGESIZE);
+}
+
+/* Returns the number of descriptors that the process may open. */
+static unsigned descriptors(const struct gateway_settings *settings)
+{
+	struct rlimit limit;
+
+	if (settings->descriptors)
+		return (unsigned)settings->descriptors;
+	if (getrlimit(RLIMIT_NOFILE, &limit) || limit.rlim_cur > INT32_MAX)
+		return INT32_MAX;
+	return (unsigned)limit.rlim_cur;
+}
+
+/* Returns bytes that are held for callers outside the HTTP servers. */
+static size_t held_elsewhere(void *ctx)
+{
+	const struct gateway *gateway = ctx;
+
+	return gateway->response_bytes;
+}
+
+static void open_budget(struct gateway *gateway)
+{
+	struct web_budget_options options = {
+		.loop = gateway->loop,
+		.bytes_max = memory_bytes(gateway->settings) / CALLERS_SHARE,
+		.held_elsewhere = held_elsewhere,
+		.ctx = gateway,
+		.metrics = gateway->metrics,
+	};
+
+	gateway->budget = web_budget_create(&options);
+}
+
 static struct web *open_web(struct gateway *gateway, const char *address,
-			    web_handler_fn fn)
+			    web_handler_fn fn, unsigned connections_max)
 {
 	struct web_options options = {
 		.loop = gateway->loop,
@@ -300,6 +350,8 @@
 		.max_body_bytes = MAX_BODY_BYTES,
 		.request_timeout_ms = IDLE_TIMEOUT_MS,
 		.metrics = gateway->metrics,
+		.connections_max = connections_max,
+		.budget = gateway->budget,
 	};
 	struct web *web = web_create(&options);
 
@@ -384,6 +436,9 @@
 		.max_body_bytes = NODE_REQUEST_BYTES,
 		.request_timeout_ms = NODE_REQUEST_TIMEOUT_MS,
 		.metrics = gateway->metrics,
+		.connections_max =
+			descriptors(gateway->settings) / ENTRIES_SHARE,
+		.budget = gateway->budget,
 	};
 	struct sockaddr_in addr;
 
@@ -410,16 +465,18 @@
 		},
 	};
 
+	open_budget(gateway);
 	if (!open_node_port(gateway) || !open_node_web(gateway))
 		return false;
-	gateway->front = open_web(gateway, settings->front_address, on_front);
-	gateway->ready =
-		gateway->front ?
-			open_web(gateway, settings->ready_address, on_ready) :
-			NULL;
+	gateway->front = open_web(gateway, settings->front_address, on_front,
+				  descriptors(settings) / CALLERS_SHARE);
+	gateway->ready = gateway->front ?
+				 open_web(gateway, settings->ready_address,
+					  on_ready, CHECKS_CONNECTIONS_MAX) :
+				 NULL;
 	gateway->metrics_web =
 		gateway->ready ? open_web(gateway, settings->metrics_address,
-					  on_metrics) :
+					  on_metrics, CHECKS_CONNECTIONS_MAX) :
 				 NULL;
 	if (!gateway->metrics_web)
 		return false;
@@ -463,6 +520,8 @@
 		web_destroy(gateway->metrics_web);
 	if (gateway->node_web)
 		web_destroy(gateway->node_web);
+	if (gateway->budget)
+		web_budget_destroy(gateway->budget);
 	batch_destroy(gateway->batch);
 	job_calls_destroy(gateway->job_calls);
 	store_destroy(gateway->store);
--- a/briarplankd/gateway/gateway.h
+++ b/briarplankd/gateway/gateway.h
@@ -70,6 +70,8 @@
 	struct list requests;
 	/** Bytes of unfinished responses of servers, without streams. */
 	size_t response_bytes;
+	/** Bound over the memory that callers of all HTTP servers take up. */
+	struct web_budget *budget;
 	/** HTTP server for callers. */
 	struct web *front;
 	/** HTTP server of the readiness check. */
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -13,11 +13,15 @@
 #include "common/error.h"
 #include "common/list.h"
 #include "common/log.h"
+#include "briarplankd/web_budget.h"
 #include "web_private.h"
 #include "web_problem.h"
 
 #define PART "web"
 
+/* Retry-After of a request for which there is no memory, in s. */
+#define FULL_RETRY_AFTER_S "1.000"
+
 /* Interval of checks for callers that disconnected early, in ms. */
 #define CALLER_CHECK_INTERVAL_MS 50
 #define LISTEN_BACKLOG 1024
@@ -43,17 +47,6 @@
 	void *ctx;
 };
 
-/* An accepted connection, which exists until its handle is closed. */
-struct connection {
-	struct list link;
-	uv_tcp_t tcp;
-	h2o_socket_t *sock;
-	/* Loop time at which it was accepted, in ms. */
-	uint64_t accepted_ms;
-	/* Number of checks in a row that found the connection stale. */
-	unsigned stale_checks;
-};
-
 struct route_handler {
 	h2o_handler_t super;
 	struct web *web;
@@ -84,6 +77,12 @@
 	struct route *route = route_find(web, request->path);
 
 	counter_add(web->requests_total, 1);
+	if (web->budget && !web_budget_admits(web->budget, req->entity.len)) {
+		web_add_header(request, "Retry-After", FULL_RETRY_AFTER_S);
+		web_problem(request, 503, "Not run",
+			    "no memory for the request now");
+		return 0;
+	}
 	if (route)
 		route->fn(route->ctx, request);
 	else
@@ -137,26 +136,139 @@
 			       CALLER_CHECK_INTERVAL_MS);
 }
 
+static void accept_connection(struct web *web);
+
 static void on_connection_closed(uv_handle_t *handle)
 {
-	struct connection *conn = list_entry(handle, struct connection, tcp);
+	struct web_connection *conn =
+		list_entry(handle, struct web_connection, tcp);
+	struct web *web = conn->web;
 
 	list_remove(&conn->link);
+	web->connections_nr--;
 	g_free(conn);
+	if (web->accept_waits && web->listening)
+		accept_connection(web);
 }
 
-static void on_connection(uv_stream_t *listener, int status)
+void web_connection_look(struct web_connection *conn, uint64_t now_ms)
 {
-	struct web *web = listener->data;
-	struct connection *conn;
+	if (conn->sock->bytes_read != conn->received) {
+		conn->received = conn->sock->bytes_read;
+		conn->received_ms = now_ms;
+	}
+	if (!conn->sock->input->size)
+		conn->holds_ms = 0;
+	else if (!conn->holds_ms)
+		conn->holds_ms = now_ms;
+}
 
-	if (status != 0)
-		return;
-	conn = g_new0(struct connection, 1);
+bool web_connection_closing(const struct web_connection *conn)
+{
+	return conn->shed || !conn->sock ||
+	       uv_is_closing((const uv_handle_t *)&conn->tcp);
+}
+
+void web_connection_shed(struct web_connection *conn)
+{
+	uv_os_fd_t fd;
+
+	conn->shed = true;
+	if (!uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
+		shutdown(fd, SHUT_RDWR);
+}
+
+/* Tells whether a request of the connection is in progress. */
+static bool is_busy(const struct web *web, const struct web_connection *conn)
+{
+	struct list *pos;
+
+	list_for_each (pos, &web->requests) {
+		if (web_request_uses(list_entry(pos, struct web_request, link),
+				     conn))
+			return true;
+	}
+	return false;
+}
+
+/* Tells which of two connections whose request hasn't arrived in full is closed first: one
+ * that never sent anything, then the one that has been idle for longest, then the one whose
+ * request began first. */
+static bool closes_before(const struct web_connection *a,
+			  const struct web_connection *b)
+{
+	if (!a->holds_ms != !b->holds_ms)
+		return !a->holds_ms;
+	if (a->holds_ms)
+		return a->holds_ms < b->holds_ms;
+	if (!a->sock->bytes_read != !b->sock->bytes_read)
+		return !a->sock->bytes_read;
+	return a->received_ms < b->received_ms;
+}
+
+/* Closes a connection without a request in progress to make room for a new one; returns
+ * whether there was one. */
+static bool make_room(struct web *web)
+{
+	struct web_connection *first = NULL;
+	uint64_t now = uv_now(web->loop);
+	struct list *pos;
+
+	list_for_each (pos, &web->connections) {
+		struct web_connection *conn =
+			list_entry(pos, struct web_connection, link);
+
+		if (web_connection_closing(conn))
+			continue;
+		web_connection_look(conn, now);
+		if ((!first || closes_before(conn, first)) &&
+		    !is_busy(web, conn))
+			first = conn;
+	}
+	if (first)
+		web_connection_shed(first);
+	return first != NULL;
+}
+
+/* Closes connections that have stopped within a request for longer than callers may be
+ * idle. */
+static void close_stalled(struct web *web)
+{
+	uint64_t now = uv_now(web->loop);
+	struct list *pos;
+
+	list_for_each (pos, &web->connections) {
+		struct web_connection *conn =
+			list_entry(pos, struct web_connection, link);
+
+		if (web_connection_closing(conn))
+			continue;
+		web_connection_look(conn, now);
+		if (conn->holds_ms &&
+		    now - conn->received_ms >=
+			    web->context.http1.req_timeout.timeout &&
+		    !is_busy(web, conn))
+			web_connection_shed(conn);
+	}
+}
+
+/* Accepts the connection that libuv has for the server, or closes it at once. */
+static void accept_connection(struct web *web)
+{
+	struct web_connection *conn = g_new0(struct web_connection, 1);
+	bool full = web->connections_max &&
+		    web->connections_nr >= web->connections_max;
+
+	web->accept_waits = false;
+	conn->web = web;
 	conn->accepted_ms = uv_now(web->loop);
+	conn->received_ms = conn->accepted_ms;
 	list_append(&web->connections, &conn->link);
+	web->connections_nr++;
 	uv_tcp_init(web->loop, &conn->tcp);
-	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+	if (uv_accept((uv_stream_t *)&web->listener,
+		      (uv_stream_t *)&conn->tcp) != 0 ||
+	    full) {
 		uv_close((uv_handle_t *)&conn->tcp, on_connection_closed);
 		return;
 	}
@@ -166,6 +278,20 @@
 	h2o_accept(&web->accept, conn->sock);
 }
 
+/* libuv accepts no further connection until this one has been taken over. */
+static void on_connection(uv_stream_t *listener, int status)
+{
+	struct web *web = listener->data;
+
+	if (status != 0)
+		return;
+	if (web->connections_max &&
+	    web->connections_nr >= web->connections_max && make_room(web))
+		web->accept_waits = true;
+	else
+		accept_connection(web);
+}
+
 static bool parse_address(const char *text, struct sockaddr_storage *addr)
 {
 	const char *colon = strrchr(text, ':');
@@ -206,6 +332,7 @@
 
 static bool listen_on(struct web *web, const char *address)
 {
+	int receive_bytes = WEB_RECEIVE_BYTES;
 	struct sockaddr_storage addr;
 	int rc;
 
@@ -216,6 +343,10 @@
 	uv_tcp_init(web->loop, &web->listener);
 	web->listener.data = web;
 	rc = uv_tcp_bind(&web->listener, (struct sockaddr *)&addr, 0);
+	/* Accepted connections inherit it. */
+	if (!rc && web->budget)
+		uv_recv_buffer_size((uv_handle_t *)&web->listener,
+				    &receive_bytes);
 	if (!rc)
 		rc = uv_listen((uv_stream_t *)&web->listener, LISTEN_BACKLOG,
 			       on_connection);
@@ -238,6 +369,8 @@
 	web->config.max_request_entity_size = options->max_body_bytes;
 	web->config.server_name = h2o_iovec_init(H2O_STRLIT("briarplank"));
 	web->config.http1.req_timeout = options->request_timeout_ms;
+	/* What HTTP/2 streams hold isn't counted, so that plain HTTP stays HTTP/1.1. */
+	web->config.http1.upgrade_to_http2 = options->tls != NULL;
 	host = h2o_config_register_host(
 		&web->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	path = h2o_config_register_path(host, "/", 0);
@@ -258,7 +391,7 @@
  * fails to close one over TLS: its handle stays open, neither readable nor
  * writable.
  */
-static bool is_stale(const struct connection *conn)
+static bool is_stale(const struct web_connection *conn)
 {
 	const uv_stream_t *stream = (const uv_stream_t *)&conn->tcp;
 
@@ -273,8 +406,8 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &web->connections) {
-		struct connection *conn =
-			list_entry(pos, struct connection, link);
+		struct web_connection *conn =
+			list_entry(pos, struct web_connection, link);
 
 		if (!is_stale(conn))
 			conn->stale_checks = 0;
@@ -286,6 +419,7 @@
 static void on_stale_timer(uv_timer_t *timer)
 {
 	close_stale(timer->data, STALE_CHECKS);
+	close_stalled(timer->data);
 }
 
 struct web *web_create(const struct web_options *options)
@@ -298,6 +432,9 @@
 	list_init(&web->routes);
 	list_init(&web->requests);
 	list_init(&web->connections);
+	web->connections_max = options->connections_max;
+	if (options->budget)
+		web_budget_add(options->budget, web);
 	web->requests_total = metrics_counter(
 		options->metrics, "briarplank_http_requests_total", "");
 	web->callers_left = metrics_counter(
@@ -330,7 +467,7 @@
 }
 
 /* Tells whether bytes of a request have arrived, read or not. */
-static bool has_input(const struct connection *conn, uv_os_fd_t fd)
+static bool has_input(const struct web_connection *conn, uv_os_fd_t fd)
 {
 	struct pollfd pollfd = { .fd = fd, .events = POLLIN };
 
@@ -343,8 +480,8 @@
 	uv_os_fd_t fd;
 
 	list_for_each (pos, &web->connections) {
-		struct connection *conn =
-			list_entry(pos, struct connection, link);
+		struct web_connection *conn =
+			list_entry(pos, struct web_connection, link);
 
 		if (uv_now(web->loop) - conn->accepted_ms < age_ms ||
 		    uv_is_closing((const uv_handle_t *)&conn->tcp) ||
@@ -397,8 +534,8 @@
 	list_for_each_safe (pos, tmp, &web->requests)
 		web_abort(list_entry(pos, struct web_request, link));
 	list_for_each (pos, &web->connections) {
-		struct connection *conn =
-			list_entry(pos, struct connection, link);
+		struct web_connection *conn =
+			list_entry(pos, struct web_connection, link);
 
 		if (!uv_fileno((uv_handle_t *)&conn->tcp, &fd))
 			shutdown(fd, SHUT_RDWR);
@@ -415,6 +552,8 @@
 void web_destroy(struct web *web)
 {
 	web_stop_listening(web);
+	if (web->budget)
+		list_remove(&web->budget_link);
 	abort_connections(web);
 	uv_timer_stop(&web->caller_timer);
 	uv_close((uv_handle_t *)&web->caller_timer, NULL);
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -11,8 +11,40 @@
 #include "briarplankd/web.h"
 #include "common/list.h"
 
+/** Bytes that the kernel may hold of what a connection has received, which are read at once. */
+#define WEB_RECEIVE_BYTES (128 << 10)
+
+/** An accepted connection, which exists until its handle is closed. */
+struct web_connection {
+	struct list link;
+	struct web *web;
+	uv_tcp_t tcp;
+	h2o_socket_t *sock;
+	/** Loop time at which it was accepted, in ms. */
+	uint64_t accepted_ms;
+	/** Number of checks in a row that found the connection stale. */
+	unsigned stale_checks;
+	/** Bytes that it had received at the last look, and loop time since which they are
+	 * the same, in ms. */
+	size_t received;
+	uint64_t received_ms;
+	/** Loop time since which it has held bytes of a caller, in ms; 0 without any. */
+	uint64_t holds_ms;
+	/** It is being closed to make room. */
+	bool shed;
+};
+
 struct web {
 	uv_loop_t *loop;
+	/** Bound over what it holds together with other servers, and link of its list; NULL
+	 * without one. */
+	struct web_budget *budget;
+	struct list budget_link;
+	/** Maximum number of connections; 0 for no limit. */
+	unsigned connections_max;
+	unsigned connections_nr;
+	/** A connection waits until another one has been closed for it. */
+	bool accept_waits;
 	h2o_globalconf_t config;
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
@@ -40,6 +72,10 @@
 	char *target;
 	char *path;
 	char *query;
+	/* Loop time at which it was read, in ms. */
+	uint64_t created_ms;
+	/* Bytes of an answer that is sent in one piece. */
+	size_t answer_len;
 	bool started;
 	bool ended;
 	bool complete;
@@ -53,6 +89,19 @@
 	void *on_flushed_ctx;
 };
 
+/** Notes what a connection has received since the last look. */
+void web_connection_look(struct web_connection *conn, uint64_t now_ms);
+
+/** Tells whether a connection is already being closed. */
+bool web_connection_closing(const struct web_connection *conn);
+
+/** Closes a connection, as if its peer had; h2o frees it when it reads the end. */
+void web_connection_shed(struct web_connection *conn);
+
+/** Tells whether the connection of a request is this one. */
+bool web_request_uses(const struct web_request *request,
+		      const struct web_connection *conn);
+
 /** Starts polling for callers that disconnect. */
 void web_poll_callers(struct web *web);
 
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -126,6 +126,7 @@
 
 	request->web = web;
 	request->req = req;
+	request->created_ms = uv_now(web->loop);
 	request->generator.proceed = on_proceed;
 	request->generator.stop = on_stop;
 	request->method = g_strndup(req->method.base, req->method.len);
@@ -140,6 +141,13 @@
 	return request;
 }
 
+bool web_request_uses(const struct web_request *request,
+		      const struct web_connection *conn)
+{
+	return request->req && request->req->conn->callbacks->get_socket(
+				       request->req->conn) == conn->sock;
+}
+
 const char *web_method(const struct web_request *request)
 {
 	return request->method;
@@ -260,6 +268,7 @@
 	request->req->res.content_length = len;
 	request->ended = true;
 	request->complete = true;
+	request->answer_len = len;
 	copy = h2o_strdup(&request->req->pool, body ? body : "", len);
 	h2o_start_response(request->req, &request->generator);
 	h2o_send(request->req, &copy, len ? 1 : 0, H2O_SEND_STATE_FINAL);
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -16,6 +16,7 @@
 #include "common/metrics.h"
 
 struct web;
+struct web_budget;
 struct web_request;
 
 struct web_options {
@@ -28,6 +29,11 @@
 	/** TLS context; NULL for plain HTTP. The server takes ownership. */
 	SSL_CTX *tls;
 	struct metrics *metrics;
+	/** Maximum number of connections, 0 for no limit: beyond it, the one that has been
+	 * idle for longest is closed, or else the new one. */
+	unsigned connections_max;
+	/** Bound over the memory that callers take up; NULL for none. */
+	struct web_budget *budget;
 };
 
 typedef void (*web_handler_fn)(void *ctx, struct web_request *request);
--- a/tests/process/deploy_build.sh
+++ b/tests/process/deploy_build.sh
@@ -30,7 +30,7 @@
 	-e 's/{{Provider.ReadsPerS}}/2000/' \
 	-e 's/{{Provider.CallBytes}}/2097152/; s/{{Provider.RetentionS}}/300/' \
 	-e 's/{{Bounds.GraceS}}/8/; s/{{Bounds.StatusS}}/120/' \
-	-e 's/{{Limits.CpuShare}}/0.5/' \
+	-e 's/{{Limits.CpuShare}}/0.5/; s/{{Limits.MemoryMb}}/290/; s/{{Limits.MaxFds}}/8200/' \
 	deploy/gateway.json >"$dir/settings.json"
 	! grep -n '{{' "$dir/settings.json" || {
 		echo "FAILED: the template has a field that this test doesn't fill in"
--- a/tests/process/gateway_crowd.sh
+++ b/tests/process/gateway_crowd.sh
@@ -31,6 +31,7 @@
 jobs) crowd="bodies 60 $((BODY - 1000))" path=/batch/crowd ;;
 unread) crowd="bodies 60 10" events="--events 500 --event-ms 1 --event-bytes 65536 --slots 60" ;;
 silent) crowd="silent 600 0" ;;
+stalled) crowd="length 600 100" ;;
 *) fleet_fail "unknown pattern $pattern" ;;
 esac
 
@@ -93,4 +94,11 @@
 curl -sf -X POST "http://$(fleet_address crowd)/calm"
 wait_until served after
 in_bounds "after the crowd"
+# A single request within the limits is served in calm.
+head -c $BODY /dev/zero | tr '\0' x >"$FLEET_DIR/large"
+large () {
+	test "$(gateway_status g1 "$1" /plain/large --data-binary "@$FLEET_DIR/large")" = 200
+}
+wait_until large after
+in_bounds "after a large request"
 echo "$pattern: within bounds, ordinary requests answered"
