--- a/tests/process/gateway_crowd.sh
+++ b/tests/process/gateway_crowd.sh
@@ -32,6 +32,7 @@
 unread) crowd="bodies 60 10" events="--events 500 --event-ms 1 --event-bytes 65536 --slots 60" ;;
 silent) crowd="silent 600 0" ;;
 stalled) crowd="length 600 100" ;;
+values) crowd="values 6 $((BODY - 1000))" path=/batch/crowd ;;
 *) fleet_fail "unknown pattern $pattern" ;;
 esac
 
--- a/tests/standin/crowd.c
+++ b/tests/standin/crowd.c
@@ -145,6 +145,23 @@
 		g_string_append_c(out, ' ');
 }
 
+/* A job of so many values that they are much larger decoded. */
+static void values_head(const struct crowd *crowd, GString *out)
+{
+	char *field =
+		g_strdup_printf("Content-Length: %zu\r\n\r\n", crowd->bytes);
+	size_t begin;
+
+	add_head(crowd, out, field);
+	g_free(field);
+	begin = out->len;
+	g_string_append(out, "{\"Items\":[[]");
+	while (out->len - begin < crowd->bytes - 4)
+		g_string_append(out, ",[]");
+	g_string_append(out, "]}    ");
+	g_string_truncate(out, begin + crowd->bytes);
+}
+
 static void silent_head(const struct crowd *crowd, GString *out)
 {
 	(void)crowd;
@@ -160,6 +177,7 @@
 	{ "pipelined", silent_head, whole_piece },
 	{ "silent", silent_head, NULL },
 	{ "tiny-chunks", chunked_head, tiny_piece },
+	{ "values", values_head, NULL },
 };
 
 static void client_open(struct client *client);
