Count the results that callers read, and refuse what doesn't fit

Callers saw a process end while many read the results of a large job at once: each read holds its outputs and the text of its answer, of 1 MB each, and all that come in one round of the event loop are answered within it.

Cause: what a handler holds for a request was bounded by request only. The budget counts answers, but between two counts any number can be made.

A handler reserves memory before it takes it up. A page of results ends where there is none, and a read without any result gets 503.

--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -245,6 +245,7 @@
 {
 	struct job_log *log = job_store_log(read->gateway->job_store);
 	const struct job *job = job_log_find(log, read->job);
+	bool full = false;
 	uint64_t i;
 
 	if (!job) {
@@ -259,9 +260,17 @@
 		    (read->outputs->len &&
 		     read->bytes + item->output.bytes > PAGE_BYTES))
 			break;
+		/* For the output, and for its place in the answer's text. */
+		if (!web_reserve(read->web, 2 * item->output.bytes)) {
+			full = true;
+			break;
+		}
 		page_add(read, item);
 	}
-	page_check(read);
+	if (full && !read->outputs->len)
+		read_refuse(read, 503, "no memory for the output now");
+	else
+		page_check(read);
 }
 
 /* Answers the call that ends a job. The record of the end may still be appended, so the
--- a/briarplankd/web_budget.c
+++ b/briarplankd/web_budget.c
@@ -46,7 +46,7 @@
 
 static size_t request_bytes(const struct web_request *request)
 {
-	size_t bytes = REQUEST_BYTES + request->answer_len +
+	size_t bytes = REQUEST_BYTES + request->answer_len + request->held +
 		       request->queue->allocated_len +
 		       request->in_flight->allocated_len;
 
@@ -212,18 +212,22 @@
 		make_room(budget);
 }
 
-bool web_budget_admits(struct web_budget *budget, size_t body_len)
+bool web_budget_reserve(struct web_budget *budget, size_t bytes)
 {
-	size_t wanted = REQUEST_BYTES + BODY_COPIES * body_len;
-
-	if (budget->held + wanted > budget->options.bytes_max) {
+	if (budget->held + bytes > budget->options.bytes_max) {
 		counter_add(budget->refused_total, 1);
 		return false;
 	}
-	budget->held += wanted;
+	budget->held += bytes;
 	return true;
 }
 
+bool web_budget_admits(struct web_budget *budget, size_t body_len)
+{
+	return web_budget_reserve(budget,
+				  REQUEST_BYTES + BODY_COPIES * body_len);
+}
+
 void web_budget_add(struct web_budget *budget, struct web *web)
 {
 	web->budget = budget;
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -74,8 +74,10 @@
 	char *query;
 	/* Loop time at which it was read, in ms. */
 	uint64_t created_ms;
-	/* Bytes of an answer that is sent in one piece. */
+	/* Bytes of an answer that is sent in one piece, and before it those that the
+	 * handler holds. */
 	size_t answer_len;
+	size_t held;
 	bool started;
 	bool ended;
 	bool complete;
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "briarplankd/web_budget.h"
 #include "web_private.h"
 #include "web_problem.h"
 
@@ -230,6 +231,16 @@
 	request->on_flushed_ctx = ctx;
 }
 
+bool web_reserve(struct web_request *request, size_t bytes)
+{
+	struct web_budget *budget = request->web->budget;
+
+	if (budget && !web_budget_reserve(budget, bytes))
+		return false;
+	request->held += bytes;
+	return true;
+}
+
 void web_add_header(struct web_request *request, const char *name,
 		    const char *value)
 {
@@ -269,6 +280,7 @@
 	request->ended = true;
 	request->complete = true;
 	request->answer_len = len;
+	request->held = 0;
 	copy = h2o_strdup(&request->req->pool, body ? body : "", len);
 	h2o_start_response(request->req, &request->generator);
 	h2o_send(request->req, &copy, len ? 1 : 0, H2O_SEND_STATE_FINAL);
--- a/include/briarplankd/web.h
+++ b/include/briarplankd/web.h
@@ -91,6 +91,12 @@
 void web_on_close(struct web_request *request, void (*fn)(void *ctx, bool sent),
 		  void *ctx);
 
+/**
+ * Reserves memory for what a handler holds for a request beyond its body, until its answer
+ * is sent. Returns false if there is none, see web_budget.h.
+ */
+bool web_reserve(struct web_request *request, size_t bytes);
+
 /** Adds a header to an answer that has not begun. */
 void web_add_header(struct web_request *request, const char *name,
 		    const char *value);
--- a/include/briarplankd/web_budget.h
+++ b/include/briarplankd/web_budget.h
@@ -37,4 +37,7 @@
 /** Tells whether a request with a body of this length may be served. */
 bool web_budget_admits(struct web_budget *budget, size_t body_len);
 
+/** Takes up memory if there is room; the next count finds who holds it. */
+bool web_budget_reserve(struct web_budget *budget, size_t bytes);
+
 #endif
--- a/tests/process/gateway_crowd.sh
+++ b/tests/process/gateway_crowd.sh
@@ -29,6 +29,7 @@
 pipelined) crowd="pipelined 60 8000000" ;;
 bodies) crowd="bodies 60 $((BODY - 1000))" ;;
 jobs) crowd="bodies 60 $((BODY - 1000))" path=/batch/crowd ;;
+results) crowd="reads 150 0" path=/lots/large events="--events 16 --event-ms 1 --event-bytes 60000" ;;
 unread) crowd="bodies 60 10" events="--events 500 --event-ms 1 --event-bytes 65536 --slots 60" ;;
 silent) crowd="silent 600 0" ;;
 stalled) crowd="length 600 100" ;;
@@ -76,6 +77,12 @@
 wait_until gateway_knows g1 server-1
 wait_until gateway_knows g1 server-2
 wait_until served before
+if test "$pattern" = results
+then
+	test "$(gateway_status g1 large /batch/x -d '{"Items":[{"Id":"large","Path":"/batch/x","Headers":{"X-Token-Count":"10,400000"},"Body":"cA==","Tokens":400010}]}')" = 202 ||
+		fleet_fail "the job was not accepted"
+	wait_until gateway_has_results g1 large 1
+fi
 fleet_standin crowd crowd
 idle=$(memory VmRSS)
 set -- $crowd
--- a/tests/standin/crowd.c
+++ b/tests/standin/crowd.c
@@ -162,6 +162,14 @@
 	g_string_truncate(out, begin + crowd->bytes);
 }
 
+static void read_head(const struct crowd *crowd, GString *out)
+{
+	g_string_append_printf(out,
+			       "GET %s HTTP/1.1\r\nHost: %s\r\n"
+			       "X-Deadline-Ms: 6000\r\n\r\n",
+			       crowd->path, crowd->host);
+}
+
 static void silent_head(const struct crowd *crowd, GString *out)
 {
 	(void)crowd;
@@ -175,6 +183,7 @@
 	{ "fields", open_head, field_piece },
 	{ "length", length_head, fill_piece },
 	{ "pipelined", silent_head, whole_piece },
+	{ "reads", read_head, NULL },
 	{ "silent", silent_head, NULL },
 	{ "tiny-chunks", chunked_head, tiny_piece },
 	{ "values", values_head, NULL },
