--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -151,8 +151,11 @@
 		accept_connection(web);
 }
 
-void web_connection_look(struct web_connection *conn, uint64_t now_ms)
+bool web_connection_look(struct web_connection *conn, uint64_t now_ms)
 {
+	if (conn->shed || !conn->sock ||
+	    uv_is_closing((const uv_handle_t *)&conn->tcp))
+		return false;
 	if (conn->sock->bytes_read != conn->received) {
 		conn->received = conn->sock->bytes_read;
 		conn->received_ms = now_ms;
@@ -161,12 +164,7 @@
 		conn->holds_ms = 0;
 	else if (!conn->holds_ms)
 		conn->holds_ms = now_ms;
-}
-
-bool web_connection_closing(const struct web_connection *conn)
-{
-	return conn->shed || !conn->sock ||
-	       uv_is_closing((const uv_handle_t *)&conn->tcp);
+	return true;
 }
 
 void web_connection_shed(struct web_connection *conn)
@@ -218,10 +216,8 @@
 		struct web_connection *conn =
 			list_entry(pos, struct web_connection, link);
 
-		if (web_connection_closing(conn))
-			continue;
-		web_connection_look(conn, now);
-		if ((!first || closes_before(conn, first)) &&
+		if (web_connection_look(conn, now) &&
+		    (!first || closes_before(conn, first)) &&
 		    !is_busy(web, conn))
 			first = conn;
 	}
@@ -241,10 +237,7 @@
 		struct web_connection *conn =
 			list_entry(pos, struct web_connection, link);
 
-		if (web_connection_closing(conn))
-			continue;
-		web_connection_look(conn, now);
-		if (conn->holds_ms &&
+		if (web_connection_look(conn, now) && conn->holds_ms &&
 		    now - conn->received_ms >=
 			    web->context.http1.req_timeout.timeout &&
 		    !is_busy(web, conn))
--- a/briarplankd/web_budget.c
+++ b/briarplankd/web_budget.c
@@ -64,10 +64,8 @@
 		struct web_connection *conn =
 			list_entry(pos, struct web_connection, link);
 
-		if (web_connection_closing(conn))
-			continue;
-		web_connection_look(conn, now_ms);
-		bytes += connection_bytes(conn);
+		if (web_connection_look(conn, now_ms))
+			bytes += connection_bytes(conn);
 	}
 	list_for_each (pos, &web->requests)
 		bytes += request_bytes(
@@ -125,7 +123,7 @@
 	return requests;
 }
 
-static void add_candidates(struct web *web, GArray *candidates)
+static void add_candidates(struct web *web, uint64_t now_ms, GArray *candidates)
 {
 	GHashTable *requests = map_requests(web);
 	struct list *pos;
@@ -135,7 +133,7 @@
 			list_entry(pos, struct web_connection, link);
 		struct candidate candidate = { .conn = conn };
 
-		if (web_connection_closing(conn))
+		if (!web_connection_look(conn, now_ms))
 			continue;
 		candidate.request = g_hash_table_lookup(requests, conn->sock);
 		if (!conn->holds_ms && !candidate.request)
@@ -187,7 +185,7 @@
 
 	list_for_each (pos, &budget->webs)
 		add_candidates(list_entry(pos, struct web, budget_link),
-			       candidates);
+			       budget->counted_ms, candidates);
 	g_array_sort_with_data(candidates, compare, &budget->counted_ms);
 	for (i = 0; i < candidates->len && budget->held > goal; i++)
 		shed(budget, &g_array_index(candidates, struct candidate, i));
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -91,11 +91,11 @@
 	void *on_flushed_ctx;
 };
 
-/** Notes what a connection has received since the last look. */
-void web_connection_look(struct web_connection *conn, uint64_t now_ms);
-
-/** Tells whether a connection is already being closed. */
-bool web_connection_closing(const struct web_connection *conn);
+/**
+ * Notes what a connection has received since the last look; returns false if it is already
+ * being closed.
+ */
+bool web_connection_look(struct web_connection *conn, uint64_t now_ms);
 
 /** Closes a connection, as if its peer had; h2o frees it when it reads the end. */
 void web_connection_shed(struct web_connection *conn);
