Admit requests without a body, and tell again what others can miss

A node whose callers hold too much refused also requests that take up next to nothing, its readiness check among them. Only requests with a body are refused now; the connection limit and the closing of the largest stay.

An entry that comes back is no longer told of single crashes that are refuted: they concern nobody, and would take the turn of evidence that does.

--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -77,7 +77,8 @@
 	struct route *route = route_find(web, request->path);
 
 	counter_add(web->requests_total, 1);
-	if (web->budget && !web_budget_admits(web->budget, req->entity.len)) {
+	if (web->budget && req->entity.len &&
+	    !web_budget_admits(web->budget, req->entity.len)) {
 		web_add_header(request, "Retry-After", FULL_RETRY_AFTER_S);
 		web_problem(request, 503, "Not run",
 			    "no memory for the request now");
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -650,7 +650,10 @@
 	list_for_each (pos, &quarantine->suspects) {
 		struct suspect *suspect = list_entry(pos, struct suspect, link);
 
-		suspect->changed_ms = now_ms;
+		/* Others may miss that more crashes than one are refuted. */
+		if (suspect->evidence.crashes_nr > 1 ||
+		    evidence_crashes(&suspect->evidence))
+			suspect->changed_ms = now_ms;
 	}
 }
 
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -243,7 +243,7 @@
 bool quarantine_claim(struct quarantine *quarantine, uint64_t now_ms,
 		      struct evidence *claim);
 
-/** Has all that speaks against a key told once more to the other entries. */
+/** Has the evidence told once more to the other entries. */
 void quarantine_tell_again(struct quarantine *quarantine, uint64_t now_ms);
 
 /** Tells whether a suspect is told in turn, though it hasn't changed. */
