Count the growth of a buffer that is being filled, and give memory back

And with the first large block that is freed glibc raises its threshold, and keeps the memory of later ones.

A connection that is receiving a request is counted with the buffer that it grows to. One whose request is in progress receives nothing, and is no longer counted with what it may receive: a sound stream takes up its own bytes only. A connection knows its request, instead of looking for it. Blocks of 128 KiB and more are given back as they are freed.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -2,6 +2,7 @@
  * Starts and stops the gateway process, and connects its parts.
  */
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
@@ -60,6 +61,8 @@
  * of the descriptors that connections of other entries may. */
 #define CALLERS_SHARE 2
 #define ENTRIES_SHARE 4
+/* Size from which the memory of a block is given back as it is freed, in bytes. */
+#define LARGE_BLOCK_BYTES (128 << 10)
 /* Maximum number of connections for readiness checks, and of those for metrics. */
 #define CHECKS_CONNECTIONS_MAX 64
 /* Idle timeout of callers' connections if no configuration sets one, in ms. */
@@ -338,6 +341,9 @@
 		.metrics = gateway->metrics,
 	};
 
+	/* Without a fixed threshold, glibc raises it with the first large block that is
+	 * freed, and keeps the memory of later ones. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
 	gateway->budget = web_budget_create(&options);
 }
 
--- a/briarplankd/web.c
+++ b/briarplankd/web.c
@@ -144,7 +144,18 @@
 	struct web_connection *conn =
 		list_entry(handle, struct web_connection, tcp);
 	struct web *web = conn->web;
+	struct list *pos;
+
+	/* h2o disposes of a request before its connection, or just after. */
+	for (pos = web->requests.next;
+	     conn->requests_nr && pos != &web->requests; pos = pos->next) {
+		struct web_request *request =
+			list_entry(pos, struct web_request, link);
 
+		if (request->conn == conn)
+			request->conn = NULL;
+	}
+	g_hash_table_remove(web->by_socket, conn->sock);
 	list_remove(&conn->link);
 	web->connections_nr--;
 	g_free(conn);
@@ -177,19 +188,6 @@
 		shutdown(fd, SHUT_RDWR);
 }
 
-/* Tells whether a request of the connection is in progress. */
-static bool is_busy(const struct web *web, const struct web_connection *conn)
-{
-	struct list *pos;
-
-	list_for_each (pos, &web->requests) {
-		if (web_request_uses(list_entry(pos, struct web_request, link),
-				     conn))
-			return true;
-	}
-	return false;
-}
-
 /* Tells which of two connections whose request hasn't arrived in full is closed first: one
  * that never sent anything, then the one that has been idle for longest, then the one whose
  * request began first. */
@@ -217,9 +215,8 @@
 		struct web_connection *conn =
 			list_entry(pos, struct web_connection, link);
 
-		if (web_connection_look(conn, now) &&
-		    (!first || closes_before(conn, first)) &&
-		    !is_busy(web, conn))
+		if (web_connection_look(conn, now) && !conn->requests_nr &&
+		    (!first || closes_before(conn, first)))
 			first = conn;
 	}
 	if (first)
@@ -239,9 +236,9 @@
 			list_entry(pos, struct web_connection, link);
 
 		if (web_connection_look(conn, now) && conn->holds_ms &&
+		    !conn->requests_nr &&
 		    now - conn->received_ms >=
-			    web->context.http1.req_timeout.timeout &&
-		    !is_busy(web, conn))
+			    web->context.http1.req_timeout.timeout)
 			web_connection_shed(conn);
 	}
 }
@@ -269,6 +266,7 @@
 	uv_tcp_nodelay(&conn->tcp, 1);
 	conn->sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
 					  on_connection_closed);
+	g_hash_table_insert(web->by_socket, conn->sock, conn);
 	h2o_accept(&web->accept, conn->sock);
 }
 
@@ -426,6 +424,7 @@
 	list_init(&web->routes);
 	list_init(&web->requests);
 	list_init(&web->connections);
+	web->by_socket = g_hash_table_new(NULL, NULL);
 	web->connections_max = options->connections_max;
 	if (options->budget)
 		web_budget_add(options->budget, web);
@@ -561,6 +560,7 @@
 		SSL_CTX_free(web->accept.ssl_ctx);
 	uv_run(web->loop, UV_RUN_NOWAIT);
 	routes_free(web);
+	g_hash_table_destroy(web->by_socket);
 	g_free(web->address);
 	g_free(web);
 }
--- a/briarplankd/web_budget.c
+++ b/briarplankd/web_budget.c
@@ -35,13 +35,15 @@
 	struct counter *held_gauge;
 };
 
-/* Counts for one that is receiving also what it may receive until the next count. */
+/* Counts for one that is receiving a request also what it may receive until the next count,
+ * and the buffer of twice the size that a full one is copied to. */
 static size_t connection_bytes(const struct web_connection *conn)
 {
-	return CONNECTION_BYTES +
-	       (conn->holds_ms ?
-			conn->sock->input->capacity + WEB_RECEIVE_BYTES :
-			0);
+	size_t input = conn->holds_ms ? conn->sock->input->capacity : 0;
+
+	if (conn->holds_ms && !conn->requests_nr)
+		input += input + WEB_RECEIVE_BYTES;
+	return CONNECTION_BYTES + input;
 }
 
 static size_t request_bytes(const struct web_request *request)
@@ -104,28 +106,8 @@
 	uint64_t since_ms;
 };
 
-/* Returns a map of sockets to the requests that they serve. */
-static GHashTable *map_requests(const struct web *web)
-{
-	GHashTable *requests = g_hash_table_new(NULL, NULL);
-	struct list *pos;
-
-	list_for_each (pos, &web->requests) {
-		struct web_request *request =
-			list_entry(pos, struct web_request, link);
-		h2o_conn_t *conn = request->req ? request->req->conn : NULL;
-
-		if (conn)
-			g_hash_table_insert(requests,
-					    conn->callbacks->get_socket(conn),
-					    request);
-	}
-	return requests;
-}
-
 static void add_candidates(struct web *web, uint64_t now_ms, GArray *candidates)
 {
-	GHashTable *requests = map_requests(web);
 	struct list *pos;
 
 	list_for_each (pos, &web->connections) {
@@ -135,7 +117,7 @@
 
 		if (!web_connection_look(conn, now_ms))
 			continue;
-		candidate.request = g_hash_table_lookup(requests, conn->sock);
+		candidate.request = conn->request;
 		if (!conn->holds_ms && !candidate.request)
 			continue;
 		candidate.bytes = connection_bytes(conn);
@@ -146,7 +128,6 @@
 		}
 		g_array_append_val(candidates, candidate);
 	}
-	g_hash_table_destroy(requests);
 }
 
 /* Returns the bytes of a candidate times the time for which it has held them. */
--- a/briarplankd/web_private.h
+++ b/briarplankd/web_private.h
@@ -30,6 +30,9 @@
 	uint64_t received_ms;
 	/** Loop time since which it has held bytes of a caller, in ms; 0 without any. */
 	uint64_t holds_ms;
+	/** Request in progress, the last one of several, and their number. */
+	struct web_request *request;
+	unsigned requests_nr;
 	/** It is being closed to make room. */
 	bool shed;
 };
@@ -54,6 +57,8 @@
 	struct list routes;
 	struct list requests;
 	struct list connections;
+	/** Maps a socket to its struct web_connection *. */
+	GHashTable *by_socket;
 	unsigned running;
 	uv_timer_t caller_timer;
 	/* Timer of checks for connections that h2o failed to close. */
@@ -65,6 +70,8 @@
 struct web_request {
 	struct list link;
 	struct web *web;
+	/* Connection that it came on; NULL once that is closed. */
+	struct web_connection *conn;
 	/* h2o's request; NULL once h2o has disposed of it. */
 	h2o_req_t *req;
 	h2o_generator_t generator;
@@ -100,10 +107,6 @@
 /** Closes a connection, as if its peer had; h2o frees it when it reads the end. */
 void web_connection_shed(struct web_connection *conn);
 
-/** Tells whether the connection of a request is this one. */
-bool web_request_uses(const struct web_request *request,
-		      const struct web_connection *conn);
-
 /** Starts polling for callers that disconnect. */
 void web_poll_callers(struct web *web);
 
--- a/briarplankd/web_request.c
+++ b/briarplankd/web_request.c
@@ -21,6 +21,11 @@
 {
 	list_remove(&request->link);
 	request->web->running--;
+	if (request->conn) {
+		request->conn->requests_nr--;
+		if (request->conn->request == request)
+			request->conn->request = NULL;
+	}
 	g_string_free(request->queue, TRUE);
 	g_string_free(request->in_flight, TRUE);
 	g_free(request->method);
@@ -136,19 +141,18 @@
 	request->in_flight = g_string_new(NULL);
 	list_append(&web->requests, &request->link);
 	web->running++;
+	request->conn = g_hash_table_lookup(
+		web->by_socket, req->conn->callbacks->get_socket(req->conn));
+	if (request->conn) {
+		request->conn->request = request;
+		request->conn->requests_nr++;
+	}
 	guard = h2o_mem_alloc_shared(&req->pool, sizeof(*guard),
 				     on_guard_dispose);
 	guard->request = request;
 	return request;
 }
 
-bool web_request_uses(const struct web_request *request,
-		      const struct web_connection *conn)
-{
-	return request->req && request->req->conn->callbacks->get_socket(
-				       request->req->conn) == conn->sock;
-}
-
 const char *web_method(const struct web_request *request)
 {
 	return request->method;
