--- a/review/harness-2/rig.c
+++ b/review/harness-2/rig.c
@@ -21,6 +21,9 @@
 /* Time after which a case ends as not run, in s. */
 #define TIME_MAX_S 118
 #define PROCESSES_MAX 1024
+#ifndef RIG_WORKER
+#define RIG_WORKER "build-review-2/worker"
+#endif
 #define RUNS_MAX 200000
 #define READY_MAX_MS 15000
 #define ANSWER_HEAD_MAX 32768
@@ -419,10 +422,12 @@
 
 void rig_worker_start(struct rig_worker *worker)
 {
-	static char program[] = "build-review-2/worker";
-	char port[16], slots[16], events[16], event_ms[16], line[64];
-	char *argv[] = { program, port,	    worker->id,	     slots,
-			 events,  event_ms, worker->version, NULL };
+	static char program[] = RIG_WORKER;
+	char port[16], slots[16], events[16], event_ms[16], event_bytes[16];
+	char line[64];
+	char *argv[] = { program,	  port,	       worker->id,
+			 slots,		  events,      event_ms,
+			 worker->version, event_bytes, NULL };
 	char *env[] = { NULL };
 	struct teller *teller = calloc(1, sizeof(*teller));
 	pthread_t thread;
@@ -434,6 +439,7 @@
 	snprintf(slots, sizeof(slots), "%d", worker->slots);
 	snprintf(events, sizeof(events), "%d", worker->events);
 	snprintf(event_ms, sizeof(event_ms), "%d", worker->event_ms);
+	snprintf(event_bytes, sizeof(event_bytes), "%d", worker->event_bytes);
 	if (pipe2(ends, O_CLOEXEC))
 		rig_fail("no pipe");
 	worker->pid = start(argv, env, ends[1]);
@@ -623,9 +629,11 @@
 	for (i = 0; i < items; i++) {
 		at += sprintf(at,
 			      "%s{\"Id\":\"%s-%u\",\"Path\":\"/batch/%u\","
-			      "\"Headers\":{\"X-Model\":\"m\"},"
+			      "\"Headers\":{\"X-Model\":\"m\","
+			      "\"X-Token-Count\":\"%u,%u\"},"
 			      "\"Tokens\":%u,\"Body\":\"",
-			      i ? "," : "", prefix, i, i, tokens);
+			      i ? "," : "", prefix, i, i, tokens / 6,
+			      tokens - tokens / 6, tokens);
 		memset(at, 'A', encoded);
 		at += encoded;
 		at += sprintf(at, "\"}");
--- a/review/harness-2/rig.h
+++ b/review/harness-2/rig.h
@@ -20,6 +20,7 @@
 #define RIG_RECORD_BYTES 262144
 #define RIG_CALL_BYTES 2097152
 #define RIG_STORE_BYTES 400000000ULL
+#define RIG_PART_BYTES 200000000ULL
 #define RIG_READS_PER_S 2000
 #define RIG_WRITES_PER_S 800
 #define RIG_HOST "ficu95.example"
@@ -78,9 +79,13 @@
 /** Writes a record with a key on behalf of the platform. */
 void rig_store_put(const char *topic, const char *key, const char *value);
 uint64_t rig_store_bytes(void);
+/** Returns the bytes of the partition that holds most. */
+uint64_t rig_store_fullest(void);
 /** Returns how many appends were refused because the store was full, and because a
  * record was too long. */
 unsigned rig_store_full_nr(void);
+/** Returns how many reads asked for records that are no longer kept. */
+unsigned rig_store_expired_nr(void);
 unsigned rig_store_too_long_nr(void);
 
 /** Writes a configuration with a safe, a resumable stream and a batch route. */
@@ -96,6 +101,8 @@
 	int slots;
 	int events;
 	int event_ms;
+	/** Bytes that make the data of each event longer. */
+	int event_bytes;
 	pid_t pid;
 };
 
@@ -149,7 +156,10 @@
 /** Makes a call on a connection of its own. The caller frees the body. */
 void rig_call(const struct rig_call *call, struct rig_answer *answer);
 
-/** Builds a job; the caller frees it. Item ids are PREFIX-N. */
+/**
+ * Builds a job; the caller frees it. Item ids are PREFIX-N, and a sixth of an item's tokens
+ * are those of its prompt.
+ */
 char *rig_job(const char *prefix, unsigned items, size_t body_bytes,
 	      unsigned tokens, size_t *len);
 /** Submits a job once and returns the status; 0 without an answer. */
--- a/review/harness-2/store.c
+++ b/review/harness-2/store.c
@@ -49,6 +49,9 @@
 	struct record *records;
 	size_t nr;
 	size_t allocated;
+	/* Offset of the oldest record that is kept, and bytes of those that are. */
+	size_t first;
+	uint64_t bytes;
 	uint64_t busy_until_ms;
 	struct producer *producers;
 	int producers_nr;
@@ -58,7 +61,7 @@
 static struct partition partitions[PARTITIONS_MAX];
 static int partitions_nr;
 static uint64_t bytes_held;
-static unsigned full_nr, too_long_nr;
+static unsigned full_nr, too_long_nr, expired_nr;
 static uint64_t second;
 static unsigned reads, writes;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -73,11 +76,30 @@
 	return bytes;
 }
 
+uint64_t rig_store_fullest(void)
+{
+	uint64_t bytes = 0;
+	int i;
+
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < partitions_nr; i++) {
+		if (partitions[i].bytes > bytes)
+			bytes = partitions[i].bytes;
+	}
+	pthread_mutex_unlock(&lock);
+	return bytes;
+}
+
 unsigned rig_store_full_nr(void)
 {
 	return full_nr;
 }
 
+unsigned rig_store_expired_nr(void)
+{
+	return expired_nr;
+}
+
 unsigned rig_store_too_long_nr(void)
 {
 	return too_long_nr;
@@ -103,6 +125,17 @@
 	return &partitions[i];
 }
 
+static void drop_oldest(struct partition *partition)
+{
+	struct record *record = &partition->records[partition->first++];
+
+	partition->bytes -= record->len;
+	bytes_held -= record->len;
+	free(record->data);
+	record->data = NULL;
+	record->len = 0;
+}
+
 static void add_record(struct partition *partition, const char *data,
 		       size_t len)
 {
@@ -119,6 +152,9 @@
 	record->len = len;
 	memcpy(record->data, data, len);
 	bytes_held += len;
+	partition->bytes += len;
+	while (partition->bytes > RIG_PART_BYTES)
+		drop_oldest(partition);
 }
 
 static size_t get_number(const char *at)
@@ -389,7 +425,7 @@
 	}
 	text = malloc(bytes);
 	at = put_number(text, partition->nr, 8);
-	at = put_number(at, 0, 8);
+	at = put_number(at, partition->first, 8);
 	for (i = from; (size_t)(at - text) < bytes; i++) {
 		const struct record *record = &partition->records[i];
 
@@ -413,16 +449,25 @@
 
 static void on_read(struct connection *conn, const struct http_request *request)
 {
-	char topic[64];
+	struct partition *partition;
+	char topic[64], text[64];
 
 	if (too_many(&reads, RIG_READS_PER_S)) {
 		answer_at(conn, rig_now_ms(), 429, NULL, 0);
 		return;
 	}
 	http_query_text(request->target, "Topic", topic, sizeof(topic));
-	conn->awaited = partition_of(
-		topic, (int)http_query(request->target, "part", 0));
+	partition = partition_of(topic,
+				 (int)http_query(request->target, "part", 0));
 	conn->from = (size_t)http_query(request->target, "From", 0);
+	if (conn->from < partition->first) {
+		snprintf(text, sizeof(text), "{\"StartOffset\":%zu}",
+			 partition->first);
+		expired_nr++;
+		answer_at(conn, rig_now_ms(), 410, text, strlen(text));
+		return;
+	}
+	conn->awaited = partition;
 	conn->max = (size_t)http_query(request->target, "MaxKb", MAX_KB) * 1024;
 	conn->until_ms = rig_now_ms() +
 			 (uint64_t)http_query(request->target, "WaitMs", 0);
--- a/review/harness-2/worker.c
+++ b/review/harness-2/worker.c
@@ -3,7 +3,7 @@
  * others and those meant for another server, and resumes streams. It writes a line for each
  * run to its standard output.
  *
- * worker PORT ID SLOTS EVENTS EVENT_MS VERSION
+ * worker PORT ID SLOTS EVENTS EVENT_MS VERSION EVENT_BYTES
  *
  * A body that begins with "deadly" ends the process as the run begins. A path that begins
  * with /plain/ gets a plain answer, any other one a stream.
@@ -19,12 +19,16 @@
 
 #include "http.h"
 
+#define EVENT_BYTES_MAX 330
+
 struct settings {
 	const char *id;
 	int slots;
 	int events;
 	int event_ms;
 	const char *version;
+	/* Text that makes each event longer. */
+	char padding[EVENT_BYTES_MAX + 1];
 };
 
 static int running;
@@ -100,19 +104,35 @@
 static bool send_event(const struct settings *settings, int fd, const char *id,
 		       int event)
 {
-	char text[320], chunk[400];
-	int len = snprintf(text, sizeof(text), "id: %d\ndata: %s-%d-%s\n\n",
-			   event, id, event, settings->version);
+	char text[EVENT_BYTES_MAX + 320], chunk[EVENT_BYTES_MAX + 400];
+	int len = snprintf(text, sizeof(text), "id: %d\ndata: %s-%d-%s%s\n\n",
+			   event, id, event, settings->version,
+			   settings->padding);
 
 	len = snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", len, text);
 	return !caller_left(fd) && http_send(fd, chunk, (size_t)len);
 }
 
+/* Returns the number of events of an answer: an event holds a token or more. */
+static int events_of(const struct settings *settings,
+		     const struct http_request *request)
+{
+	char tokens[64];
+	const char *comma;
+	int most;
+
+	if (!http_field(request->head, "X-Token-Count", tokens, sizeof(tokens)))
+		return settings->events;
+	comma = strchr(tokens, ',');
+	most = comma ? atoi(comma + 1) : settings->events;
+	return most < settings->events ? most : settings->events;
+}
+
 static bool run_stream(const struct settings *settings,
 		       const struct http_request *request, const char *id)
 {
 	char fields[512], head[768], last[32] = "0";
-	int event, len;
+	int events = events_of(settings, request), event, len;
 
 	http_field(request->head, "Last-Event-Id", last, sizeof(last));
 	put_fields(fields, sizeof(fields), settings, id);
@@ -122,7 +142,7 @@
 		       fields);
 	if (!http_send(request->fd, head, (size_t)len))
 		return false;
-	for (event = atoi(last) + 1; event <= settings->events; event++) {
+	for (event = atoi(last) + 1; event <= events; event++) {
 		sleep_ms(settings->event_ms);
 		if (!send_event(settings, request->fd, id, event)) {
 			tell(id, "cut");
@@ -165,8 +185,9 @@
 	static struct settings settings;
 	int listener;
 
-	if (argc != 7)
+	if (argc != 8 || atoi(argv[7]) > EVENT_BYTES_MAX)
 		return 2;
+	memset(settings.padding, '.', (size_t)atoi(argv[7]));
 	settings.id = argv[2];
 	settings.slots = atoi(argv[3]);
 	settings.events = atoi(argv[4]);
