--- a/review/harness-2/rig.c
+++ b/review/harness-2/rig.c
@@ -153,7 +153,8 @@
 		rig_fail("no temporary folder");
 	runs = calloc(RUNS_MAX, sizeof(*runs));
 	pthread_create(&thread, NULL, watch_time, NULL);
-	rig_record("trouble=%d folder=%s", rig_trouble, folder);
+	rig_record("trouble=%d folder=%s", rig_trouble,
+		   strrchr(folder, '/') + 1);
 }
 
 static void add_process(pid_t pid)
