--- a/review/harness-2/rig.c
+++ b/review/harness-2/rig.c
@@ -21,6 +21,10 @@
 /* Time after which a case ends as not run, in s. */
 #define TIME_MAX_S 118
 #define PROCESSES_MAX 1024
+/* Range of the ports of gateways and workers; a case takes about 30. */
+#define PORT_MIN 10000
+#define PORT_MAX 30000
+#define PORT_STEP 97
 #ifndef RIG_WORKER
 #define RIG_WORKER "build-review-2/worker"
 #endif
@@ -93,8 +97,13 @@
 		[RIG_NOT_RUN] = "the case did not run",
 	};
 	char path[128];
+	size_t at;
 	int i;
 
+	for (at = 0; at < runs_nr; at++)
+		fprintf(record, "%7.3f %s %s %s\n",
+			(double)runs[at].at_ms / 1000, runs[at].worker,
+			runs[at].what, runs[at].id);
 	rig_record("%s", texts[verdict]);
 	printf("%s\n", texts[verdict]);
 	pthread_mutex_lock(&processes_lock);
@@ -196,30 +205,36 @@
 	return pid;
 }
 
+/* Returns a free port below those that the system gives out by itself, so that nothing takes
+ * it before the process that it is for. */
 static int free_port(void)
 {
-	int listener, port = http_listen(0, &listener);
+	static int next;
+	int tries, listener;
 
-	if (port < 0)
-		rig_fail("no free port");
-	close(listener);
-	return port;
+	if (!next)
+		next = PORT_MIN + getpid() * PORT_STEP % (PORT_MAX - PORT_MIN);
+	for (tries = 0; tries < PORT_MAX - PORT_MIN; tries++) {
+		int port = next++;
+
+		if (next >= PORT_MAX)
+			next = PORT_MIN;
+		if (http_listen(port, &listener) < 0)
+			continue;
+		close(listener);
+		return port;
+	}
+	rig_fail("no free port");
 }
 
 /* Returns a port after which the next one is free, too. */
 static int free_ports(void)
 {
-	int tries;
+	int port = free_port(), after;
 
-	for (tries = 0; tries < 100; tries++) {
-		int port = free_port(), listener;
-
-		if (port >= 65535 || http_listen(port + 1, &listener) < 0)
-			continue;
-		close(listener);
-		return port;
-	}
-	rig_fail("no two free ports");
+	while ((after = free_port()) != port + 1)
+		port = after;
+	return port;
 }
 
 /* The settings as the platform fills them in, see deploy/gateway.json. */
--- a/review/harness-2/rig.h
+++ b/review/harness-2/rig.h
@@ -30,7 +30,7 @@
 
 /** Opens record.txt in the case's folder; ends the process when the time is over. */
 void rig_begin(const char *folder);
-/** Ends all processes and exits. */
+/** Records what workers have told, ends all processes and exits. */
 void rig_end(enum rig_verdict verdict) __attribute__((noreturn));
 /** Ends as not run, with a reason. */
 void rig_fail(const char *fmt, ...)
