Take an answer with a malformed status line for none

Cause: the parser, http_parser as Debian builds it (HTTP_PARSER_STRICT=0), reads any number up to 999 as a status and drops its digits, so that nothing behind it could have told. No check of ours stood in front.

Ruled out: a check of the number alone. "0200" and "HTTP/1.1 200" are read as 200.

Change: answer_syntax checks the bytes of a status line against RFC 9112 before the parser gets them, in the one place where all connections of gateways read answers (servers, store, other gateways). The parser now stops at the end of each answer, so that the check begins anew with the next one, also after interim and skipped ones. A malformed answer ends like any broken one: the request runs elsewhere if it may, else 502.

--- /dev/null
+++ b/net/answer_syntax.c
@@ -0,0 +1,100 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "answer_syntax.h"
+
+#define STATUS_DIGITS 3
+
+static bool in_line(struct answer_syntax *syntax, unsigned char c);
+
+/* Tells whether a byte may stand in text: reasons and values of fields. */
+static bool is_text(unsigned char c)
+{
+	return c == '\t' || (c >= ' ' && c != 0x7f);
+}
+
+static bool at_line_feed(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = in_line;
+	syntax->len = 0;
+	return c == '\n';
+}
+
+/* Takes the end of a line, which may be a line feed alone. */
+static bool end_line(struct answer_syntax *syntax, unsigned char c)
+{
+	if (c == '\n')
+		return at_line_feed(syntax, c);
+	syntax->next = at_line_feed;
+	return c == '\r';
+}
+
+static bool in_line(struct answer_syntax *syntax, unsigned char c)
+{
+	if (c == '\n' && !syntax->len)
+		syntax->next = NULL;
+	if (c != '\r')
+		syntax->len = c != '\n';
+	return true;
+}
+
+static bool in_reason(struct answer_syntax *syntax, unsigned char c)
+{
+	return is_text(c) || end_line(syntax, c);
+}
+
+/* The space after the status may be missing if there is no reason. */
+static bool after_status(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = in_reason;
+	return c == ' ' || end_line(syntax, c);
+}
+
+static bool in_status(struct answer_syntax *syntax, unsigned char c)
+{
+	bool first = !syntax->len++;
+
+	if (syntax->len == STATUS_DIGITS)
+		syntax->next = after_status;
+	return first ? c >= '1' && c <= '5' : g_ascii_isdigit(c);
+}
+
+static bool after_version(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = in_status;
+	syntax->len = 0;
+	return c == ' ';
+}
+
+static bool in_version(struct answer_syntax *syntax, unsigned char c)
+{
+	static const char prefix[] = "HTTP/1.";
+
+	if (syntax->len < strlen(prefix))
+		return c == prefix[syntax->len++];
+	syntax->next = after_version;
+	return g_ascii_isdigit(c);
+}
+
+void answer_syntax_begin(struct answer_syntax *syntax)
+{
+	memset(syntax, 0, sizeof(*syntax));
+	syntax->next = in_version;
+}
+
+size_t answer_syntax_check(struct answer_syntax *syntax, const char *data,
+			   size_t len)
+{
+	size_t i = 0;
+
+	if (!syntax->next)
+		return len;
+	while (i < len && syntax->next && !syntax->malformed) {
+		if (syntax->next(syntax, (unsigned char)data[i]))
+			i++;
+		else
+			syntax->malformed = true;
+	}
+	return i;
+}
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -5,6 +5,7 @@
 
 #include <http_parser.h>
 
+#include "answer_syntax.h"
 #include "common/error.h"
 #include "net/address.h"
 #include "net/http_link.h"
@@ -52,6 +53,7 @@
 	struct http_link_handlers handlers;
 	void *ctx;
 	http_parser parser;
+	struct answer_syntax syntax;
 	bool head_done;
 	bool message_done;
 	/* Bytes received in this exchange before head_done. */
@@ -236,12 +238,10 @@
 	struct http_link *link = parser->data;
 
 	g_array_set_size(link->fields, 0);
-	if (link->skipping) {
-		link->skipping = false;
-		return 0;
-	}
-	link->message_done = true;
 	http_parser_pause(parser, 1);
+	link->message_done = !link->skipping;
+	link->skipping = false;
+	answer_syntax_begin(&link->syntax);
 	return 0;
 }
 
@@ -254,10 +254,27 @@
 	exchange_end(link, HTTP_LINK_COMPLETE);
 }
 
+/* Parses the bytes of at most one answer, up to the first that isn't valid. Returns the
+ * number of bytes, or 0 if the first one isn't. */
+static size_t parse_valid(struct http_link *link, const char *data, size_t len)
+{
+	size_t valid = answer_syntax_check(&link->syntax, data, len);
+	size_t used = valid;
+	enum http_errno error;
+
+	/* The parser would take a call without bytes as the end of the connection. */
+	if (valid)
+		used = http_parser_execute(&link->parser, &parser_settings,
+					   data, valid);
+	error = HTTP_PARSER_ERRNO(&link->parser);
+	if (error == HPE_PAUSED)
+		http_parser_pause(&link->parser, 0);
+	return error == HPE_OK || error == HPE_PAUSED ? used : 0;
+}
+
 static void parse_bytes(struct http_link *link, const char *data, size_t len)
 {
 	size_t used;
-	enum http_errno error;
 
 	if (!link->busy) {
 		/* The bytes can't be an answer, as no request is in
@@ -267,17 +284,17 @@
 	}
 	if (!link->head_done)
 		link->preamble_bytes += len;
-	used = http_parser_execute(&link->parser, &parser_settings, data, len);
-	if (link->closing)
-		return;
-	if (!link->head_done && link->preamble_bytes > PREAMBLE_BYTES_MAX) {
-		exchange_end(link, HTTP_LINK_MALFORMED);
-		return;
-	}
-	error = HTTP_PARSER_ERRNO(&link->parser);
+	do {
+		used = parse_valid(link, data, len);
+		if (link->closing)
+			return;
+		data += used;
+		len -= used;
+	} while (used && len && !link->message_done);
 	if (link->message_done)
-		finish_message(link, used < len);
-	else if (error != HPE_OK)
+		finish_message(link, len > 0);
+	else if (len || (!link->head_done &&
+			 link->preamble_bytes > PREAMBLE_BYTES_MAX))
 		exchange_end(link, HTTP_LINK_MALFORMED);
 }
 
@@ -457,6 +474,7 @@
 	g_array_set_size(link->fields, 0);
 	g_string_truncate(link->name, 0);
 	g_string_truncate(link->value, 0);
+	answer_syntax_begin(&link->syntax);
 	http_parser_init(&link->parser, HTTP_RESPONSE);
 	link->parser.data = link;
 	if (link->connected)
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -15,6 +15,7 @@
 	struct list link;
 	struct raw_server *server;
 	uv_tcp_t tcp;
+	uv_shutdown_t shutdown;
 	bool answered;
 };
 
@@ -196,6 +197,12 @@
 	g_strfreev(replies);
 }
 
+static void on_shutdown(uv_shutdown_t *shutdown, int status)
+{
+	(void)shutdown;
+	(void)status;
+}
+
 static void on_conn_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
 {
 	struct raw_conn *conn = stream->data;
@@ -219,6 +226,9 @@
 		write_copy(&conn->tcp, server->bytes, strlen(server->bytes));
 	if (server->then == RAW_REPEAT)
 		conn_repeat(conn);
+	else if (server->then == RAW_FINISH)
+		uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp,
+			    on_shutdown);
 	else if (server->then != RAW_KEEP_OPEN && server->then != RAW_TRICKLE)
 		conn_close(conn, server->then == RAW_RESET);
 }
@@ -318,12 +328,6 @@
 	g_free(server);
 }
 
-static void on_shutdown(uv_shutdown_t *shutdown, int status)
-{
-	(void)shutdown;
-	(void)status;
-}
-
 static void on_client_read(uv_stream_t *stream, ssize_t nr, const uv_buf_t *buf)
 {
 	struct raw_client *client = stream->data;
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -14,6 +14,8 @@
 	RAW_KEEP_OPEN,
 	RAW_CLOSE,
 	RAW_RESET,
+	/** Sends a FIN and reads on. */
+	RAW_FINISH,
 	/** Sends the last line of its bytes again and again until the peer
 	 * closes. */
 	RAW_REPEAT,
--- a/tests/standin/raw.c
+++ b/tests/standin/raw.c
@@ -1,7 +1,7 @@
 /*
  * Simulated servers that send given bytes, valid HTTP or not.
  *
- * POST /peer?then=open|close|reset|repeat|trickle|replies opens a port whose connections answer
+ * POST /peer?then=open|close|reset|finish|repeat|trickle|replies opens a port whose connections answer
  * with the call's body and then do what "then" says; it returns the address.
  * GET /peer?address=IP:PORT returns how many connections the port had, how many
  * are open, how many bytes its repetitions wrote, and how many requests got a reply.
@@ -22,8 +22,9 @@
 {
 	static const char *const names[] = {
 		[RAW_KEEP_OPEN] = "open",  [RAW_CLOSE] = "close",
-		[RAW_RESET] = "reset",	   [RAW_REPEAT] = "repeat",
-		[RAW_TRICKLE] = "trickle", [RAW_REPLIES] = "replies",
+		[RAW_RESET] = "reset",	   [RAW_FINISH] = "finish",
+		[RAW_REPEAT] = "repeat",   [RAW_TRICKLE] = "trickle",
+		[RAW_REPLIES] = "replies",
 	};
 	size_t i;
 
--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -11,6 +11,8 @@
 
 /* Timeout for establishing a connection, in ms. */
 #define CONNECT_TIMEOUT_MS 2000
+/* Time for which a link reads nothing, in ms. */
+#define READ_LATE_MS 200
 
 struct state {
 	uv_loop_t loop;
@@ -128,6 +130,8 @@
 		return RAW_CLOSE;
 	if (!strcmp(text, "repeat"))
 		return RAW_REPEAT;
+	if (!strcmp(text, "finish"))
+		return RAW_FINISH;
 	return strcmp(text, "reset") ? RAW_KEEP_OPEN : RAW_RESET;
 }
 
@@ -143,8 +147,42 @@
 	g_free(bytes);
 }
 
-/* Commands: serve BYTES then=hold|close|reset|repeat
- * framed_only=0|1, no_listener, send id=ID,
+static bool is_connected(void *ctx)
+{
+	return http_link_connected_ms(((struct state *)ctx)->link) != 0;
+}
+
+/* Reads nothing until the server has ended the connection, while the request is still
+ * being written. */
+static void read_late(struct state *state)
+{
+	loop_wait(&state->loop, is_connected, state, LOOP_WAIT_MS);
+	http_link_pause(state->link, true);
+	loop_sleep(&state->loop, READ_LATE_MS);
+	http_link_pause(state->link, false);
+}
+
+static void send_request(struct state *state, int argc, char **argv)
+{
+	gsize len = (gsize)script_arg_int(argc, argv, "upload", 0);
+	GString *request = g_string_new(NULL);
+
+	g_string_append_printf(
+		request,
+		"%s / HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n",
+		script_arg(argc, argv, "method", "POST"), len);
+	g_string_set_size(request, request->len + len);
+	memset(request->str + request->len - len, 'x', len);
+	g_free(state->id);
+	state->id = g_strdup(script_arg(argc, argv, "id", NULL));
+	state->ended = false;
+	http_link_send(state->link, request, &handlers, state);
+	if (script_arg_int(argc, argv, "pause", 0))
+		read_late(state);
+}
+
+/* Commands: serve BYTES then=hold|close|reset|finish|repeat
+ * framed_only=0|1, no_listener, send id=ID method=METHOD upload=BYTES pause=0|1,
  * await_close, idle_limit. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
@@ -156,13 +194,7 @@
 		/* Port 1 of the loopback has no listener. */
 		open_link(state, "127.0.0.1:1", false);
 	} else if (!strcmp(argv[0], "send")) {
-		g_free(state->id);
-		state->id = g_strdup(script_arg(argc, argv, "id", NULL));
-		state->ended = false;
-		http_link_send(
-			state->link,
-			g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-			&handlers, state);
+		send_request(state, argc, argv);
 		if (!loop_wait(&state->loop, is_ended, state, LOOP_WAIT_MS))
 			g_string_append(out, "no end\n");
 	} else if (!strcmp(argv[0], "await_close")) {
