Take an answer that a reset cuts off for truncated, also during the upload

Cause: an answer without a length is complete if its connection ends in order, which is_orderly_close() asked of the socket's pending error. A write in progress may have taken that error before, and nothing looked at the status of writes; the read then finds an end like any other.

Ruled out: to take each such answer for truncated while the request isn't written to its end. A sound server that refuses an upload early ends its side with a FIN and reads on (RFC 9112, 9.6), and its answer is whole.

Change: ask for the socket's state, which no other call changes: after a FIN it is CLOSE_WAIT, after a reset CLOSE. A server that closes with a FIN while bytes of the upload are on the way may be told about by a reset before the end is read; such an answer without a length is taken for truncated, as the two can't be told apart then. A connection on which a write failed isn't offered for the next request any more.

--- a/net/http_link.c
+++ b/net/http_link.c
@@ -36,6 +36,8 @@
 	uint64_t connected_ms;
 	bool closing;
 	bool busy;
+	/* A request could not be written to its end. */
+	bool write_failed;
 	/* The connection ended as the server acknowledged nothing. */
 	bool timed_out;
 	/* The time in which sent bytes must be acknowledged now, in ms. */
@@ -249,7 +251,8 @@
 {
 	/* If the answer is complete before the whole request was written, the
 	 * server may not read the rest of the request. */
-	if (extra_bytes || !link->keep_alive || link->writes_pending)
+	if (extra_bytes || !link->keep_alive || link->writes_pending ||
+	    link->write_failed)
 		link->unusable = true;
 	exchange_end(link, HTTP_LINK_COMPLETE);
 }
@@ -324,18 +327,19 @@
 }
 
 /*
- * Tells whether the server closed the connection without a reset. After a short
- * read libuv reports UV_EOF for a reset too, so this peeks at the socket. The
- * difference matters for an answer that ends with the connection: a reset
- * truncates it.
+ * Tells whether the server closed the connection without a reset, which truncates an
+ * answer that ends with the connection. libuv reports UV_EOF for a reset too, after a
+ * short read or once a write has got the socket's error, but the socket's state differs.
  */
 static bool is_orderly_close(struct http_link *link)
 {
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
 	uv_os_fd_t fd;
-	char byte;
 
 	return !uv_fileno((uv_handle_t *)&link->tcp, &fd) &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	       !getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) &&
+	       info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 static void on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
@@ -357,8 +361,8 @@
 {
 	struct write *write = (struct write *)req;
 
-	(void)status;
 	write->link->writes_pending--;
+	write->link->write_failed |= status != 0;
 	g_string_free(write->data, TRUE);
 	g_free(write);
 }
