Take an answer with malformed fields for none

A length whose name held a blank wasn't seen, so that the body was another one than the server's.

Cause: as for malformed status lines, the parser's lenient build takes a blank for a part of a name.

Change: answer_syntax goes on to the fields: a name is a token, a value has no control bytes but tabs, and a line that begins with a blank is no field. RFC 9112, 5.2, lets a gateway discard an answer with a folded line.

--- a/net/answer_syntax.c
+++ b/net/answer_syntax.c
@@ -6,7 +6,13 @@
 
 #define STATUS_DIGITS 3
 
-static bool in_line(struct answer_syntax *syntax, unsigned char c);
+static bool at_line(struct answer_syntax *syntax, unsigned char c);
+
+/* Tells whether a byte may stand in the name of a field. */
+static bool is_token(unsigned char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
 
 /* Tells whether a byte may stand in text: reasons and values of fields. */
 static bool is_text(unsigned char c)
@@ -16,8 +22,7 @@
 
 static bool at_line_feed(struct answer_syntax *syntax, unsigned char c)
 {
-	syntax->next = in_line;
-	syntax->len = 0;
+	syntax->next = at_line;
 	return c == '\n';
 }
 
@@ -30,13 +35,32 @@
 	return c == '\r';
 }
 
-static bool in_line(struct answer_syntax *syntax, unsigned char c)
+static bool in_value(struct answer_syntax *syntax, unsigned char c)
+{
+	return is_text(c) || end_line(syntax, c);
+}
+
+static bool in_name(struct answer_syntax *syntax, unsigned char c)
 {
-	if (c == '\n' && !syntax->len)
-		syntax->next = NULL;
-	if (c != '\r')
-		syntax->len = c != '\n';
-	return true;
+	if (c == ':')
+		syntax->next = in_value;
+	return c == ':' || is_token(c);
+}
+
+static bool at_last_line_feed(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = NULL;
+	return c == '\n';
+}
+
+/* Takes the first byte of a field, or of the empty line after the last one. A line that
+ * begins with a blank would continue the one before, which is obsolete. */
+static bool at_line(struct answer_syntax *syntax, unsigned char c)
+{
+	if (c == '\n')
+		return at_last_line_feed(syntax, c);
+	syntax->next = c == '\r' ? at_last_line_feed : in_name;
+	return c == '\r' || is_token(c);
 }
 
 static bool in_reason(struct answer_syntax *syntax, unsigned char c)
--- a/tests/process/gateway_broken_answers.sh
+++ b/tests/process/gateway_broken_answers.sh
@@ -29,6 +29,8 @@
 broken () {
 	odd_server "$1" desk "$2"
 	expect "$1, repeatable" "$(gateway_status g1 "$1-p" /plain/x -d p)" 200
+	test "$(cat "$FLEET_DIR/body")" != no ||
+		fleet_fail "$1: the broken answer was passed on"
 	test "$(gateway_raw_count "$1" replies)" -ge 1 ||
 		fleet_fail "$1: the broken server was not asked"
 	odd_server_leaves "$1" desk
@@ -43,6 +45,12 @@
 broken status-600 "HTTP/1.1 600 Odd\r\n$SIGNED$BODY"
 broken status-4-digits "HTTP/1.1 0200 OK\r\n$SIGNED$BODY"
 broken version "HTTP/2.0 200 OK\r\n$SIGNED$BODY"
+broken field-name "HTTP/1.1 200 OK\r\nX Odd: 1\r\n$SIGNED$BODY"
+broken field-control "HTTP/1.1 200 OK\r\nX-\001Odd: 1\r\n$SIGNED$BODY"
+broken field-colon "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n$SIGNED$BODY"
+broken folded "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2\r\n$SIGNED$BODY"
+# The body would seem to have no end, or to be another one.
+broken length-name "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length : 2\r\n$BODY"
 
 # An item runs at another server after such an answer.
 odd_server item model "HTTP/1.1 000 \r\n$SIGNED$BODY"
