Follow the length and the coding that an answer gives, or take it for none

Callers could get another body than their server's: with a transfer coding that the gateway can't decode and whose field it doesn't pass on (gzip), with chunks after which other bytes stand than line ends, with a chunk's size that isn't followed by its extensions. With an answer of 204 or 304 that names a length, and with one to HEAD, the request waited for a body until its time was over; an interim answer with a length hid the final one.

Cause: the lenient parser skips the bytes at these places unread, and takes each length for that of a body.

Change: answer_syntax checks bodies in chunks too, skipping their data as a whole. The only coding that is taken is chunked, once, from HTTP/1.1 on; a length is a number. Answers that have no body by RFC 9112, 6.3, end with their head.

--- a/net/answer_syntax.c
+++ b/net/answer_syntax.c
@@ -5,6 +5,8 @@
 #include "answer_syntax.h"
 
 #define STATUS_DIGITS 3
+/* Number of digits of a chunk's size that fit into 64 bits. */
+#define CHUNK_DIGITS_MAX 16
 
 static bool at_line(struct answer_syntax *syntax, unsigned char c);
 
@@ -101,6 +103,94 @@
 	return g_ascii_isdigit(c);
 }
 
+/* Functions that check a body in chunks. */
+
+static bool at_chunk(struct answer_syntax *syntax, unsigned char c);
+
+static bool after_data_return(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = at_chunk;
+	return c == '\n';
+}
+
+static bool after_data(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = after_data_return;
+	return c == '\r';
+}
+
+static bool in_data(struct answer_syntax *syntax, unsigned char c)
+{
+	(void)c;
+	if (!--syntax->chunk_bytes)
+		syntax->next = after_data;
+	return true;
+}
+
+/* The last chunk, which is empty, is followed by fields and an empty line. */
+static bool at_chunk_line_feed(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = syntax->chunk_bytes ? in_data : at_line;
+	return c == '\n';
+}
+
+static bool in_extension(struct answer_syntax *syntax, unsigned char c)
+{
+	if (c == '\r')
+		syntax->next = at_chunk_line_feed;
+	return c == '\r' || is_text(c);
+}
+
+/* Takes what may stand between a chunk's size and its extensions. */
+static bool before_extension(struct answer_syntax *syntax, unsigned char c)
+{
+	if (c == ';')
+		syntax->next = in_extension;
+	return c == ';' || c == ' ' || c == '\t';
+}
+
+static bool in_chunk_size(struct answer_syntax *syntax, unsigned char c)
+{
+	int digit = g_ascii_xdigit_value((char)c);
+
+	if (digit >= 0) {
+		syntax->chunk_bytes =
+			syntax->chunk_bytes << 4 | (unsigned)digit;
+		return syntax->len++ < CHUNK_DIGITS_MAX;
+	}
+	if (c == '\r') {
+		syntax->next = at_chunk_line_feed;
+		return true;
+	}
+	syntax->next = before_extension;
+	return before_extension(syntax, c);
+}
+
+static bool at_chunk(struct answer_syntax *syntax, unsigned char c)
+{
+	syntax->next = in_chunk_size;
+	syntax->len = 0;
+	syntax->chunk_bytes = 0;
+	return g_ascii_isxdigit(c) && in_chunk_size(syntax, c);
+}
+
+/* Takes the data of a chunk as a whole, as its bytes may have any value. */
+static size_t skip_data(struct answer_syntax *syntax, size_t len)
+{
+	size_t skipped = 0;
+
+	if (syntax->next == in_data && syntax->chunk_bytes > 1) {
+		skipped = MIN(len, syntax->chunk_bytes - 1);
+		syntax->chunk_bytes -= skipped;
+	}
+	return skipped;
+}
+
+void answer_syntax_begin_chunks(struct answer_syntax *syntax)
+{
+	syntax->next = at_chunk;
+}
+
 void answer_syntax_begin(struct answer_syntax *syntax)
 {
 	memset(syntax, 0, sizeof(*syntax));
@@ -115,6 +205,7 @@
 	if (!syntax->next)
 		return len;
 	while (i < len && syntax->next && !syntax->malformed) {
+		i += skip_data(syntax, len - i - 1);
 		if (syntax->next(syntax, (unsigned char)data[i]))
 			i++;
 		else
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -56,6 +56,8 @@
 	void *ctx;
 	http_parser parser;
 	struct answer_syntax syntax;
+	/* The method of the request is HEAD. */
+	bool head_method;
 	bool head_done;
 	bool message_done;
 	/* Bytes received in this exchange before head_done. */
@@ -158,7 +160,8 @@
 	field = &g_array_index(link->fields, struct http_link_field,
 			       link->fields->len - 1);
 	field->name = g_strndup(link->name->str, link->name->len);
-	field->value = g_strndup(link->value->str, link->value->len);
+	field->value =
+		g_strchomp(g_strndup(link->value->str, link->value->len));
 	g_string_truncate(link->name, 0);
 	g_string_truncate(link->value, 0);
 	link->in_value = false;
@@ -201,16 +204,58 @@
 						      HTTP_LINK_LENGTH;
 }
 
+/* What on_headers_complete() returns to the parser. */
+enum { HEAD_MALFORMED = -1, BODY_FOLLOWS, NO_BODY_FOLLOWS };
+
+static bool is_number(const char *text)
+{
+	return *text && strspn(text, "0123456789") == strlen(text);
+}
+
+/* Tells whether the length and the coding that the fields give can be followed: the only
+ * coding of bodies is chunks, which HTTP/1.0 lacks. */
+static bool is_framing_valid(const struct http_link *link)
+{
+	unsigned codings = 0;
+	guint i;
+
+	for (i = 0; i < link->fields->len; i++) {
+		const struct http_link_field *field =
+			&g_array_index(link->fields, struct http_link_field, i);
+
+		if (!g_ascii_strcasecmp(field->name, "content-length") &&
+		    !is_number(field->value))
+			return false;
+		if (g_ascii_strcasecmp(field->name, "transfer-encoding") != 0)
+			continue;
+		if (codings++ || !link->parser.http_minor ||
+		    g_ascii_strcasecmp(field->value, "chunked") != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Tells whether an answer has no body whatever its fields say; see RFC 9112, 6.3. */
+static bool has_no_body(const struct http_link *link, unsigned status)
+{
+	return link->head_method || status / 100 == 1 || status == 204 ||
+	       status == 304;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_link *link = parser->data;
 	struct http_link_head head = { 0 };
+	bool no_body = has_no_body(link, parser->status_code);
 
 	field_finish(link);
-	/* An interim (1xx) answer has no body and the final one follows. */
+	/* No request asks for another protocol. */
+	if (!is_framing_valid(link) || parser->status_code == 101)
+		return HEAD_MALFORMED;
+	/* The final answer follows an interim one. */
 	if (parser->status_code / 100 == 1) {
 		link->skipping = true;
-		return 0;
+		return NO_BODY_FOLLOWS;
 	}
 	head.status = (int)parser->status_code;
 	head.fields = (const struct http_link_field *)link->fields->data;
@@ -223,7 +268,11 @@
 	parse_keep_alive(link, http_link_head_field(&head, "keep-alive"));
 	link->skipping = !link->handlers.on_head(link->ctx, &head);
 	link->head_done = !link->skipping;
-	return link->closing ? -1 : 0;
+	if (link->closing)
+		return HEAD_MALFORMED;
+	if (head.framing == HTTP_LINK_CHUNKED && !no_body)
+		answer_syntax_begin_chunks(&link->syntax);
+	return no_body ? NO_BODY_FOLLOWS : BODY_FOLLOWS;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -470,6 +519,7 @@
 	link->busy = true;
 	link->exchanges++;
 	link->request = request;
+	link->head_method = g_str_has_prefix(request->str, "HEAD ");
 	link->head_done = false;
 	link->message_done = false;
 	link->preamble_bytes = 0;
--- a/tests/process/gateway_broken_answers.sh
+++ b/tests/process/gateway_broken_answers.sh
@@ -51,6 +51,7 @@
 broken folded "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2\r\n$SIGNED$BODY"
 # The body would seem to have no end, or to be another one.
 broken length-name "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length : 2\r\n$BODY"
+broken coding "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2$BODY\r\n0\r\n\r\n"
 
 # An item runs at another server after such an answer.
 odd_server item model "HTTP/1.1 000 \r\n$SIGNED$BODY"
