Read answers in the stand-alone daemon and the client with the link of gateways

A broken answer of a backend server, of the platform's services or of an entry ended the process that had called: a length that isn't a number, or a coding other than chunked, ran into an assertion of the library (http1client.c:216). A status of 000, 099 or 600, a folded line and a chunk's size with other text behind it were taken for an answer. A head without end was kept in memory until the call's time was over, up to 120 s; two lengths, or a length beside chunks, held the call until then.

Cause: the stand-alone daemon, its agents and briarplankctl had a client of their own on libh2o's http1client, which is as lenient, keeps the whole head and can't be stopped in it. The link of gateways has the checks and the limits now, but they didn't use it.

Ruled out: checks behind libh2o. It reports a head only once it is whole, and asserts before it reports a malformed one.

Change: http_client keeps its interface and makes its calls with http_pool and http_link, which take IPv6 addresses and tell when a request is sent. One place reads all answers now.

--- a/include/net/address.h
+++ b/include/net/address.h
@@ -12,6 +12,9 @@
 /** Parses numeric IP:PORT; returns false for any other text. */
 bool address_parse(const char *text, struct sockaddr_in *addr);
 
+/** Parses numeric IP:PORT or, of IPv6, [IP]:PORT; returns false for any other text. */
+bool address_parse_any(const char *text, struct sockaddr_storage *addr);
+
 /** Tells whether a text is numeric IP:PORT to which one can connect. */
 bool address_is_destination(const char *text);
 
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -59,6 +59,8 @@
 
 /** Callbacks of an exchange. None is called after http_link_close(). */
 struct http_link_handlers {
+	/** The request is being written to an established connection; may be NULL. */
+	void (*on_sent)(void *ctx);
 	/**
 	 * Returns false for an answer that doesn't belong to this request. It
 	 * is skipped, and the next one is awaited.
@@ -72,7 +74,7 @@
 
 struct http_link_options {
 	uv_loop_t *loop;
-	/** Address of the server, as numeric IP:PORT. */
+	/** Address of the server, as numeric IP:PORT, of IPv6 as [IP]:PORT. */
 	const char *address;
 	/** Timeout for establishing the connection, in ms. */
 	uint32_t connect_timeout_ms;
--- a/include/standalone/http_client.h
+++ b/include/standalone/http_client.h
@@ -1,5 +1,5 @@
 /**
- * HTTP/1.1 client on a libuv loop, built on h2o.
+ * HTTP/1.1 client on a libuv loop, with a pool of connections for each server.
  *
  * The result of a call states what is known about its effect: only
  * HTTP_NOT_SENT guarantees that the server received no byte of the request.
--- a/net/address.c
+++ b/net/address.c
@@ -17,26 +17,58 @@
 	       !IN_MULTICAST(host);
 }
 
-bool address_parse(const char *text, struct sockaddr_in *addr)
+/* Parses what follows the host of an address; returns false unless it is a port. */
+static bool parse_port(const char *colon, in_port_t *port)
 {
-	const char *colon = strrchr(text, ':');
-	char host[INET_ADDRSTRLEN];
 	char *end;
-	guint64 port;
+	guint64 number;
 
 	/* g_ascii_strtoull() would skip spaces and take a sign. */
-	if (!colon || (size_t)(colon - text) >= sizeof(host) ||
-	    !g_ascii_isdigit(colon[1]))
+	if (*colon != ':' || !g_ascii_isdigit(colon[1]))
 		return false;
-	memcpy(host, text, colon - text);
-	host[colon - text] = '\0';
-	port = g_ascii_strtoull(colon + 1, &end, 10);
-	if (end == colon + 1 || *end || port > UINT16_MAX)
+	number = g_ascii_strtoull(colon + 1, &end, 10);
+	*port = htons((uint16_t)number);
+	return !*end && number <= UINT16_MAX;
+}
+
+/* Copies the host of an address, as inet_pton() ends it with the text. */
+static bool copy_host(const char *from, const char *end, char *host,
+		      size_t size)
+{
+	size_t len = end ? (size_t)(end - from) : size;
+
+	if (len >= size)
 		return false;
+	memcpy(host, from, len);
+	host[len] = '\0';
+	return true;
+}
+
+bool address_parse(const char *text, struct sockaddr_in *addr)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+
 	memset(addr, 0, sizeof(*addr));
 	addr->sin_family = AF_INET;
-	addr->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, host, &addr->sin_addr) == 1;
+	return copy_host(text, colon, host, sizeof(host)) &&
+	       parse_port(colon, &addr->sin_port) &&
+	       inet_pton(AF_INET, host, &addr->sin_addr) == 1;
+}
+
+bool address_parse_any(const char *text, struct sockaddr_storage *addr)
+{
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)addr;
+	const char *bracket = strrchr(text, ']');
+	char host[INET6_ADDRSTRLEN];
+
+	memset(addr, 0, sizeof(*addr));
+	if (*text != '[')
+		return address_parse(text, (struct sockaddr_in *)addr);
+	v6->sin6_family = AF_INET6;
+	return copy_host(text + 1, bracket, host, sizeof(host)) &&
+	       parse_port(bracket + 1, &v6->sin6_port) &&
+	       inet_pton(AF_INET6, host, &v6->sin6_addr) == 1;
 }
 
 char *address_format(const struct sockaddr_in *addr)
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -453,6 +453,8 @@
 		g_string_free(write->data, TRUE);
 		g_free(write);
 	}
+	if (link->handlers.on_sent)
+		link->handlers.on_sent(link->ctx);
 }
 
 static void on_connected(uv_connect_t *connect, int status)
@@ -482,7 +484,7 @@
 struct http_link *http_link_open(const struct http_link_options *options)
 {
 	struct http_link *link = g_new0(struct http_link, 1);
-	struct sockaddr_in addr;
+	struct sockaddr_storage addr;
 	int rc = -1;
 
 	link->loop = options->loop;
@@ -501,7 +503,7 @@
 	link->keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	link->name = g_string_new(NULL);
 	link->value = g_string_new(NULL);
-	if (address_parse(options->address, &addr))
+	if (address_parse_any(options->address, &addr))
 		rc = uv_tcp_connect(&link->connect, &link->tcp,
 				    (struct sockaddr *)&addr, on_connected);
 	/* A failure to start connecting is reported from the timer too, so that
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -33,7 +33,13 @@
 	const char *text;
 };
 
-static void start_call(struct state *state, bool fresh);
+struct call_params {
+	bool fresh;
+	/* Length of the request's body, in bytes. */
+	size_t upload;
+};
+
+static void start_call(struct state *state, const struct call_params *params);
 
 static void *state_create(void)
 {
@@ -98,16 +104,19 @@
 	if (!state->on_free)
 		return;
 	state->on_free--;
-	start_call(state, false);
+	start_call(state, &(struct call_params){ 0 });
 }
 
-static void start_call(struct state *state, bool fresh)
+static void start_call(struct state *state, const struct call_params *params)
 {
+	char *body = g_malloc0(params->upload);
 	struct http_call_options options = {
 		.address = raw_server_address(state->peer),
-		.method = "GET",
+		.method = params->upload ? "POST" : "GET",
 		.path = "/",
-		.fresh_connection = fresh,
+		.body = body,
+		.body_len = params->upload,
+		.fresh_connection = params->fresh,
 		.connect_timeout_ms = LOOP_WAIT_MS,
 		.first_byte_timeout_ms = LOOP_WAIT_MS,
 		.idle_timeout_ms = LOOP_WAIT_MS,
@@ -121,16 +130,21 @@
 
 	state->started++;
 	state->call = http_call_start(state->http, &options);
+	g_free(body);
 }
 
 static enum raw_close_mode parse_then(const char *text)
 {
 	if (!strcmp(text, "close"))
 		return RAW_CLOSE;
+	if (!strcmp(text, "repeat"))
+		return RAW_REPEAT;
+	if (!strcmp(text, "finish"))
+		return RAW_FINISH;
 	return strcmp(text, "reset") ? RAW_KEEP_OPEN : RAW_RESET;
 }
 
-/* peer BYTES [then=hold|close|reset]: starts a server that replies with the
+/* peer BYTES [then=hold|close|reset|finish|repeat]: starts a server that replies with the
  * bytes */
 static void cmd_peer(void *data, int argc, char **argv)
 {
@@ -143,21 +157,25 @@
 	g_free(bytes);
 }
 
-/* call [fresh=1] [pause=1] [nr=N]: starts calls; pause=1 pauses them at the
- * first body data */
+/* call [fresh=1] [pause=1] [nr=N] [upload=BYTES]: starts calls; pause=1 pauses them at
+ * the first body data */
 static void cmd_call(void *data, int argc, char **argv)
 {
 	struct state *state = data;
 	int64_t nr = script_arg_int(argc, argv, "nr", 1);
+	struct call_params params = {
+		.fresh = script_arg_int(argc, argv, "fresh", 0),
+		.upload = (size_t)script_arg_int(argc, argv, "upload", 0),
+	};
 
 	state->pause = script_arg_int(argc, argv, "pause", 0);
 	while (nr--)
-		start_call(state, script_arg_int(argc, argv, "fresh", 0));
+		start_call(state, &params);
 }
 
 static void on_late_start(uv_timer_t *timer)
 {
-	start_call(timer->data, false);
+	start_call(timer->data, &(struct call_params){ 0 });
 }
 
 /* late_start timer | late_start free=N: starts calls during the destruction */
