Bound the answers that the store's client keeps

A store, or an entry that relays its calls, that sends bytes without end made the gateway keep all of them until its memory was used up; each call went on as long as bytes came, up to 8 s and one more timeout.

Cause: the store's client appended what came to the answer, with no limit.

Change: one answer may hold 4 MB and twice what one append may (store.call_bytes), which is several times a read of 1 MB or a page of newest values; all unfinished answers together may be four times as long. A longer one ends like a broken one: the result is unknown, and the path counts as failed.

--- a/briarplankd/gateway/gateway.c
+++ b/briarplankd/gateway/gateway.c
@@ -391,6 +391,7 @@
 	struct store_options store = {
 		.loop = gateway->loop,
 		.address = settings->store_address,
+		.call_bytes = (size_t)settings->store_call_bytes,
 		.metrics = gateway->metrics,
 		.route = &store_route,
 	};
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -68,6 +68,8 @@
 	/** IP:PORT of the store; copied. */
 	const char *address;
 	struct metrics *metrics;
+	/** Maximum size of the records of one append, in bytes. */
+	size_t call_bytes;
 	/**
 	 * Callbacks that choose the path of each call; NULL if all calls go
 	 * directly to the store.
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -47,17 +47,20 @@
 	g_free(state);
 }
 
-/* serve BYTES: a store that answers each call with the bytes and closes */
+/* serve BYTES [then=close|repeat]: a store that answers each call with the bytes and
+ * closes, or repeats their last line until the client closes */
 static void cmd_serve(void *data, int argc, char **argv)
 {
+	bool repeat =
+		!strcmp(script_arg(argc, argv, "then", "close"), "repeat");
 	struct state *state = data;
 	char *bytes = g_strcompress(argv[1]);
 	struct store_options options = { .loop = &state->loop,
 					 .metrics = state->metrics };
 
-	(void)argc;
 	stop_serving(state);
-	state->peer = raw_server_create(&state->loop, bytes, RAW_CLOSE);
+	state->peer = raw_server_create(&state->loop, bytes,
+					repeat ? RAW_REPEAT : RAW_CLOSE);
 	options.address = raw_server_address(state->peer);
 	state->store = store_create(&options);
 	g_free(bytes);
@@ -156,11 +159,21 @@
 	read_topic(data, store_read_newest);
 }
 
+/* taken max_mb=N: tells whether the store could send no more than that */
+static void cmd_taken(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	uint64_t max = (uint64_t)script_arg_int(argc, argv, "max_mb", 0) << 20;
+
+	g_string_append(state->out, raw_server_repeated(state->peer) <= max ?
+					    "not more\n" :
+					    "more\n");
+}
+
 static const struct script_command commands[] = {
-	{ "append", cmd_append },
-	{ "newest", cmd_newest },
-	{ "read", cmd_read },
-	{ "serve", cmd_serve },
+	{ "append", cmd_append }, { "newest", cmd_newest },
+	{ "read", cmd_read },	  { "serve", cmd_serve },
+	{ "taken", cmd_taken },
 };
 
 static void command(void *data, int argc, char **argv, GString *out)
