Bound the pages that an entry takes from another one

An entry that sent a page without end made those that follow it keep all of it, for up to 5 s and one more timeout, as their memory lasted.

Cause: the client of readers had no limit, as that of the store.

Change: an answer of more than 8 MB ends the fetch; another reader is preferred then.

Evidence: a test of the client on its own, reader_client. On the code before, the entry could send more than 24 MB in 2 of 3 cases of endless.txt; all pass now. Broken answers (answers.txt: status 000, a blank in a name, no length) pass since the link checks them. gateway_directory and gateway_index pass.

--- a/briarplankd/gateway/reader_client.c
+++ b/briarplankd/gateway/reader_client.c
@@ -13,6 +13,9 @@
 #define REUSE_LIMIT_MS 4000
 /* Maximum time that an answer may take while its bytes arrive, in ms. */
 #define TRANSFER_MAX_MS 5000
+/* Maximum size of an answer, in bytes: several times that of a list of all servers with
+ * the configuration. */
+#define ANSWER_BYTES_MAX (8 << 20)
 /* Time for which a reader isn't chosen after a failed fetch, in ms. */
 #define AVOID_MS 2000
 
@@ -87,6 +90,13 @@
 	struct reader_client *client = ctx;
 	uint64_t now = uv_now(client->options.gateway->loop);
 
+	if (client->body->len + len > ANSWER_BYTES_MAX) {
+		log_event("directory", LOG_LEVEL_WARN,
+			  "%s: the reader's answer is too long bytes=%zu",
+			  client->options.name, client->body->len + len);
+		fetch_end(client, NULL);
+		return;
+	}
 	g_byte_array_append(client->body, (const guint8 *)data, (guint)len);
 	if (now - client->sent_ms < TRANSFER_MAX_MS)
 		uv_timer_start(&client->timer, on_timeout,
