End a command of briarplankctl whose answer has no end

briarplankctl never returned when an entry sent a body without end: it dropped what came after 64 MB and read on. Broken answers, as of status 000, were shown as the entry's; an answer with a malformed length or coding ended the program by SIGABRT until it got the gateways' reader.

Cause: a copy of the code that collects an answer, without the end that http_fetch() puts to one that is too long.

Change: http_fetch() collects the answers; one over 64 MB is truncated, and the command goes to the next entry or ends with status 3.

Evidence: process_ctl_broken_answers. On: "status-0: done", an answer of status 000 was shown; on the commit before: "endless-body: 124, not 3", as timeout(1) ended the program. It passes now, as do operators, operator_jobs and gateway_operator.

--- a/briarplankctl/client.c
+++ b/briarplankctl/client.c
@@ -7,14 +7,13 @@
 #include "client.h"
 #include "common/error.h"
 #include "common/settings.h"
-#include "standalone/http_client.h"
+#include "standalone/http_fetch.h"
 
 /* Maximum number of header fields of a request. */
 #define FIELDS_MAX 3
 #define SCHEME "http://"
 #define CONNECT_TIMEOUT_MS 2000
 #define ANSWER_TIMEOUT_MS 20000
-#define ANSWER_MAX_BYTES (64 << 20)
 /* Maximum number of attempts before the result counts as unknown. */
 #define COMMAND_ATTEMPTS_MAX 4
 #define COMMAND_RETRY_MS 500
@@ -96,26 +95,14 @@
 	g_free(client);
 }
 
-static void on_head(void *ctx, int status, const struct http_field *fields,
-		    size_t nr)
-{
-	((struct exchange *)ctx)->status = status;
-}
-
-static void on_body(void *ctx, const char *data, size_t len)
-{
-	struct exchange *exchange = ctx;
-
-	if (exchange->body->len + len <= ANSWER_MAX_BYTES)
-		g_string_append_len(exchange->body, data, (gssize)len);
-}
-
-static void on_end(void *ctx, enum http_result end)
+static void on_answer(void *ctx, const struct http_answer *answer)
 {
 	struct exchange *exchange = ctx;
 
 	exchange->ended = true;
-	exchange->end = end;
+	exchange->end = answer->end;
+	exchange->status = answer->status;
+	g_string_append_len(exchange->body, answer->body, (gssize)answer->len);
 }
 
 static void exchange_send(struct client *client,
@@ -136,10 +123,6 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.first_byte_timeout_ms = ANSWER_TIMEOUT_MS,
 		.idle_timeout_ms = ANSWER_TIMEOUT_MS,
-		.on_head = on_head,
-		.on_body = on_body,
-		.on_end = on_end,
-		.ctx = exchange,
 	};
 
 	if (client->authorization)
@@ -151,9 +134,8 @@
 			(struct http_field){ "Idempotency-Key", id };
 	options.fields_nr = fields_nr;
 	exchange->ended = false;
-	exchange->status = 0;
 	g_string_truncate(exchange->body, 0);
-	http_call_start(client->http, &options);
+	http_fetch(client->http, &options, on_answer, exchange);
 	while (!exchange->ended)
 		uv_run(&client->loop, UV_RUN_ONCE);
 }
