Don't go on with a stream or an item at an answer that isn't one of events

A stream had begun and broke off, and the next server answered with a signed 200 of text/plain: callers got that text in the middle of their stream as far as it had blank lines, and with a length the stream ended as if it were complete. An item was listed as completed, with the output up to where it had broken off.

Ruled out by the same test: error statuses (503 with and without a word that it has not run, 500 with a length, in chunks or by close, 404, 204), status 000, bytes that are no answer, an unsigned 200, a 200 without events that ends with its connection. In all of them the caller got the first events and a broken connection already.

Change: an answer that names another media type than text/event-stream doesn't go on with a stream, is no answer to an offer of a silent server's stream, and is none to an item. One that names none may.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -363,8 +363,9 @@
 	run->status = answer->status;
 	run->framing = answer->head->framing;
 	if (answer->status / 100 == 2 &&
-	    (answer->status != 200 || !answer->is_signed))
-		reject_response(run, "not a signed response with status 200");
+	    (answer->status != 200 || !answer->is_signed || answer->not_events))
+		reject_response(run, "not a signed response with status 200 "
+				     "and events");
 }
 
 static void on_body(void *ctx, const char *data, size_t len)
--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -79,7 +79,7 @@
 	/* The caller of a resumed stream already has the head of the first
 	 * response. */
 	if (web_answer_started(request->web)) {
-		if (!success || !answer->is_signed)
+		if (!success || !answer->is_signed || answer->not_events)
 			reject_response(request, SPOILED);
 		return;
 	}
--- a/briarplankd/gateway/online_stall.c
+++ b/briarplankd/gateway/online_stall.c
@@ -66,7 +66,8 @@
 {
 	struct gateway_request *request = ctx;
 
-	if (request->offer && answer->status / 100 == 2 && answer->is_signed)
+	if (request->offer && answer->status / 100 == 2 && answer->is_signed &&
+	    !answer->not_events)
 		change_server(request, "answers");
 	if (!request->offer) {
 		gateway_request_on_head(request, answer);
--- a/briarplankd/gateway/server_call.c
+++ b/briarplankd/gateway/server_call.c
@@ -34,6 +34,9 @@
 #define RESPONSE_BYTES_MAX (8 << 20)
 #define RESPONSES_BYTES_MAX (32 << 20)
 
+/* Media type of server-sent events. */
+#define EVENTS_TYPE "text/event-stream"
+
 /* Bytes of the prompt's parts that a line shows. */
 #define LOGGED_PARTS_BYTES 200
 
@@ -324,6 +327,17 @@
 	note_alive(call, head->status, now);
 }
 
+/* Tells whether the head names another media type than that of events; its parameters
+ * don't matter. */
+static bool names_other_type(const struct http_link_head *head)
+{
+	const char *type = http_link_head_field(head, "content-type");
+
+	return type && (g_ascii_strncasecmp(type, EVENTS_TYPE,
+					    strlen(EVENTS_TYPE)) != 0 ||
+			!strchr("; \t", type[strlen(EVENTS_TYPE)]));
+}
+
 static bool on_head(void *ctx, const struct http_link_head *head)
 {
 	struct server_call *call = ctx;
@@ -351,6 +365,7 @@
 		call->queued ? -1 : (double)(now - call->started_ms), now);
 	answer.is_signed =
 		http_link_head_field(head, platform_fields.signature) != NULL;
+	answer.not_events = names_other_type(head);
 	call->options.on_head(call->options.ctx, &answer);
 	return true;
 }
--- a/briarplankd/gateway/server_call.h
+++ b/briarplankd/gateway/server_call.h
@@ -34,6 +34,8 @@
 	int status;
 	/** The response carries a signature field of the server. */
 	bool is_signed;
+	/** The response names another media type than that of server-sent events. */
+	bool not_events;
 	const struct http_link_head *head;
 };
 
