Take an empty answer for no end of a stream in which an event had begun

A stream broke off inside an event, and the next server answered with a signed 200 of length 0: the caller's stream ended as if it were complete, without that event.

Cause: whether an answer is the end of its stream was read off that answer alone. What the answer before had begun was discarded unseen.

Change: the parser of events notes, when it discards an incomplete event, whether that had a line with its number. Until a numbered event has come, no answer is the end: the stream goes on elsewhere or is broken off, an item goes on and, after the second such answer, starts over. Other bytes behind the last event, as of a server that hands out wrong ones, don't count.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -386,8 +386,8 @@
 }
 
 /*
- * Handles a response that ended with its connection before its first event. It
- * may be the end of a resumed item, or have broken off. After the second one in
+ * Handles a response that ended before its first event, with its connection or after an
+ * event had begun elsewhere. It may be the end of a resumed item, or have broken off. After the second one in
  * a row the item starts over, as only its whole output tells.
  */
 static void run_ended_unsure(struct run *run)
@@ -395,7 +395,7 @@
 	bool again = run->ended_unsure;
 
 	log_event("item", LOG_LEVEL_INFO,
-		  "job=%s item=%s closed before its first event "
+		  "job=%s item=%s ended before its first event "
 		  "after_event=%" PRId64 ", %s",
 		  run->job->id, run->item->id, run->last_event,
 		  again ? "starts over" : "resumes again");
@@ -419,7 +419,7 @@
 		run->ended_unsure = false;
 	if (end == SERVER_CALL_COMPLETE && run->status == 200 &&
 	    !event_stream_broke_off(run->events, until_close) &&
-	    run->last_event >= 0)
+	    !event_stream_owes_event(run->events) && run->last_event >= 0)
 		run_done(run);
 	else if (end == SERVER_CALL_COMPLETE && run->status == 200 && !rest &&
 		 run->last_event >= 0)
--- a/briarplankd/gateway/online_answer.c
+++ b/briarplankd/gateway/online_answer.c
@@ -215,6 +215,15 @@
 	gateway_request_finish(request, "completed");
 }
 
+/* Tells whether a stream lacks its end, though its connection ended in order. */
+static bool stream_broke_off(const struct gateway_request *request)
+{
+	bool until_close = request->framing == HTTP_LINK_UNTIL_CLOSE;
+
+	return event_stream_broke_off(request->events, until_close) ||
+	       event_stream_owes_event(request->events);
+}
+
 void gateway_request_on_end(void *ctx, enum server_call_end end)
 {
 	struct gateway_request *request = ctx;
@@ -227,10 +236,7 @@
 		gateway_request_dispatch(request);
 		return;
 	case SERVER_CALL_COMPLETE:
-		if (request->streaming &&
-		    event_stream_broke_off(request->events,
-					   request->framing ==
-						   HTTP_LINK_UNTIL_CLOSE))
+		if (request->streaming && stream_broke_off(request))
 			retry_elsewhere(request, BROKE_OFF);
 		else if (!success && request->status >= 500 &&
 			 gateway_request_can_retry(request))
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -13,6 +13,9 @@
 	/* Bytes of complete events without a number since the last one with
 	 * a number. */
 	size_t unnumbered_bytes;
+	/* A numbered event had begun when the bytes of its attempt were discarded, and
+	 * none was parsed since. */
+	bool owes_event;
 };
 
 struct event_stream *event_stream_create(void)
@@ -33,8 +36,16 @@
 	g_free(stream);
 }
 
+/* Tells whether the bytes of an incomplete event hold a line with its number. */
+static bool has_id_line(const GString *buffer)
+{
+	return g_str_has_prefix(buffer->str, "id:") ||
+	       strstr(buffer->str, "\nid:");
+}
+
 void event_stream_reset(struct event_stream *stream)
 {
+	stream->owes_event |= has_id_line(stream->buffer);
 	g_string_truncate(stream->buffer, 0);
 	stream->has_event = false;
 	stream->unnumbered_bytes = 0;
@@ -115,6 +126,7 @@
 	while ((event_len = event_length(stream->buffer))) {
 		read_event(stream, event_len, &event);
 		stream->has_event = true;
+		stream->owes_event &= !event.has_id;
 		stream->unnumbered_bytes =
 			event.has_id ? 0 : stream->unnumbered_bytes + event_len;
 		fn(ctx, &event);
@@ -137,6 +149,11 @@
 	       EVENT_STREAM_BYTES_MAX;
 }
 
+bool event_stream_owes_event(const struct event_stream *stream)
+{
+	return stream->owes_event;
+}
+
 bool event_stream_broke_off(const struct event_stream *stream, bool until_close)
 {
 	return strspn(stream->buffer->str, "\r\n") < stream->buffer->len ||
--- a/include/core/event_stream.h
+++ b/include/core/event_stream.h
@@ -53,6 +53,12 @@
  */
 bool event_stream_overlong(const struct event_stream *stream);
 
+/**
+ * Tells whether an earlier attempt had begun a numbered event that no later one has brought
+ * yet. A response that ends now isn't the end of the stream, however it is framed.
+ */
+bool event_stream_owes_event(const struct event_stream *stream);
+
 /**
  * Tells whether a response that ended after the bytes so far broke off. That is
  * so inside an event; line ends alone after the last event don't begin another
--- a/tests/process/gateway_resumed_errors.sh
+++ b/tests/process/gateway_resumed_errors.sh
@@ -49,6 +49,7 @@
 then_error text-line "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n$SIGNED\r\nerror"
 then_error text-lines "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n$SIGNED\r\nerror\n\nmore of it\n\n"
 then_error text-length "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n${SIGNED}Content-Length: 7\r\n\r\nerror\n\n"
+then_error no-events "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n${SIGNED}Content-Length: 0\r\n\r\n"
 
 # An item whose output so far was resumed at such a server goes on elsewhere.
 gateway_raw_server item-1 model close \
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -49,7 +49,8 @@
 
 /*
  * Runs a command: "feed BYTES", where \n and \r are escapes, "repeat TIMES
- * BYTES", "rest" or "reset".
+ * BYTES", "rest", "owed"
+ * or "reset".
  */
 static void command(void *data, int argc, char **argv, GString *out)
 {
@@ -83,6 +84,10 @@
 			event_stream_broke_off(state->stream, true) ?
 				", broke off without a length" :
 				"");
+	} else if (!strcmp(argv[0], "owed")) {
+		g_string_append(out, event_stream_owes_event(state->stream) ?
+					     "an event\n" :
+					     "nothing\n");
 	} else if (!strcmp(argv[0], "reset")) {
 		event_stream_reset(state->stream);
 	}
