Bound what an agent keeps of its engine's short answers

An engine that sent a body without end as the answer to a question for its load, to one for its models or to an order made its agent keep 64 MB of it each time, with twice that while the buffer grew; an agent runs beside the engine on a VM of 192 MB.

Cause: these answers have the limit of the longest one, a read of the log.

Change: a call may name a smaller size to collect; those of the engine take 1 MB.

--- a/include/standalone/http_client.h
+++ b/include/standalone/http_client.h
@@ -44,6 +44,9 @@
 	size_t fields_nr;
 	const void *body;
 	size_t body_len;
+	/** Maximum size of a response that http_fetch() collects, in bytes; 0 for
+	 * HTTP_FETCH_MAX_BYTES. */
+	size_t collect_bytes_max;
 	/** Opens a new connection, as a pooled one may be closed already. */
 	bool fresh_connection;
 	/** Timeouts in ms; 0 disables one. */
--- a/include/standalone/http_fetch.h
+++ b/include/standalone/http_fetch.h
@@ -6,7 +6,7 @@
 
 #include "standalone/http_client.h"
 
-/** Maximum size of a response body in bytes. */
+/** Maximum size of a response body, in bytes, unless the options set another one. */
 #define HTTP_FETCH_MAX_BYTES (64 << 20)
 
 /** A response; valid during the callback. */
@@ -22,7 +22,7 @@
 
 /**
  * Starts a call. Of the options' callbacks only on_free is used; it is called
- * last, with ctx. A response above HTTP_FETCH_MAX_BYTES ends with HTTP_TRUNCATED.
+ * last, with ctx. A response above the maximum size ends with HTTP_TRUNCATED.
  * done is not called if the client is destroyed first.
  */
 void http_fetch(struct http_client *client,
--- a/standalone/backend_http.c
+++ b/standalone/backend_http.c
@@ -3,6 +3,8 @@
 #define CONNECT_TIMEOUT_MS 1000
 /* Timeout of the adapter's own requests, such as load queries, in ms. */
 #define QUERY_TIMEOUT_MS 2000
+/* Maximum size of the responses to them, in bytes. */
+#define QUERY_BYTES_MAX (1 << 20)
 
 struct backend_http *backend_http_create(const struct backend_ops *ops,
 					 struct http_client *http,
@@ -139,5 +141,6 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.first_byte_timeout_ms = QUERY_TIMEOUT_MS,
 		.idle_timeout_ms = QUERY_TIMEOUT_MS,
+		.collect_bytes_max = QUERY_BYTES_MAX,
 	};
 }
--- a/standalone/http_fetch.c
+++ b/standalone/http_fetch.c
@@ -8,6 +8,7 @@
 	void (*free_ctx)(void *ctx);
 	int status;
 	struct http_call *call;
+	size_t bytes_max;
 	GByteArray *body;
 };
 
@@ -38,7 +39,7 @@
 {
 	struct fetch *fetch = ctx;
 
-	if (fetch->body->len + len <= HTTP_FETCH_MAX_BYTES) {
+	if (fetch->body->len + len <= fetch->bytes_max) {
 		g_byte_array_append(fetch->body, (const guint8 *)data,
 				    (guint)len);
 		return;
@@ -67,6 +68,9 @@
 	fetch->done = done;
 	fetch->ctx = ctx;
 	fetch->free_ctx = options->on_free;
+	fetch->bytes_max = options->collect_bytes_max ?
+				   options->collect_bytes_max :
+				   HTTP_FETCH_MAX_BYTES;
 	fetch->body = g_byte_array_new();
 	own.on_sent = NULL;
 	own.on_head = on_head;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -101,7 +101,7 @@
 		      !strcmp(argv[1], "plain"));
 }
 
-/* raw BYTES [then=hold|close|reset]: starts a server that replies with the
+/* raw BYTES [then=hold|close|repeat|reset]: starts a server that replies with the
  * bytes */
 static void cmd_raw(void *data, int argc, char **argv)
 {
@@ -110,13 +110,25 @@
 	char *bytes = g_strcompress(argv[1]);
 
 	state->raw = raw_server_create(&state->loop, bytes,
-				       !strcmp(then, "hold")  ? RAW_KEEP_OPEN :
-				       !strcmp(then, "close") ? RAW_CLOSE :
-								RAW_RESET);
+				       !strcmp(then, "hold")   ? RAW_KEEP_OPEN :
+				       !strcmp(then, "close")  ? RAW_CLOSE :
+				       !strcmp(then, "repeat") ? RAW_REPEAT :
+								 RAW_RESET);
 	g_free(bytes);
 	make_adapters(state, raw_server_address(state->raw), false);
 }
 
+/* taken max_mb=N: tells whether the server could send no more than that */
+static void cmd_taken(void *data, int argc, char **argv)
+{
+	struct state *state = data;
+	uint64_t max = (uint64_t)script_arg_int(argc, argv, "max_mb", 0) << 20;
+
+	g_string_append(state->out, raw_server_repeated(state->raw) <= max ?
+					    "not more\n" :
+					    "more\n");
+}
+
 /* closed_port: uses a port on which no server listens any more */
 static void cmd_closed_port(void *data, int argc, char **argv)
 {
@@ -407,7 +419,7 @@
 	{ "order", cmd_order },	      { "raw", cmd_raw },
 	{ "read", cmd_read },	      { "received", cmd_received },
 	{ "sleep", cmd_sleep },	      { "start", cmd_start },
-	{ "vms", cmd_vms },
+	{ "taken", cmd_taken },	      { "vms", cmd_vms },
 };
 
 static void command(void *data, int argc, char **argv, GString *out)
