Name the parser's reply for a head that isn't taken, and compare bytes of one type

The linter found a comparison of a signed with an unsigned byte. HEAD_REJECTED stands for a malformed head and for a connection that is closed meanwhile.

--- a/net/answer_syntax.c
+++ b/net/answer_syntax.c
@@ -95,9 +95,9 @@
 
 static bool in_version(struct answer_syntax *syntax, unsigned char c)
 {
-	static const char prefix[] = "HTTP/1.";
+	static const unsigned char prefix[] = "HTTP/1.";
 
-	if (syntax->len < strlen(prefix))
+	if (syntax->len < sizeof(prefix) - 1)
 		return c == prefix[syntax->len++];
 	syntax->next = after_version;
 	return g_ascii_isdigit(c);
--- a/net/http_link.c
+++ b/net/http_link.c
@@ -205,7 +205,7 @@
 }
 
 /* What on_headers_complete() returns to the parser. */
-enum { HEAD_MALFORMED = -1, BODY_FOLLOWS, NO_BODY_FOLLOWS };
+enum { HEAD_REJECTED = -1, BODY_FOLLOWS, NO_BODY_FOLLOWS };
 
 static bool is_number(const char *text)
 {
@@ -251,7 +251,7 @@
 	field_finish(link);
 	/* No request asks for another protocol. */
 	if (!is_framing_valid(link) || parser->status_code == 101)
-		return HEAD_MALFORMED;
+		return HEAD_REJECTED;
 	/* The final answer follows an interim one. */
 	if (parser->status_code / 100 == 1) {
 		link->skipping = true;
@@ -269,7 +269,7 @@
 	link->skipping = !link->handlers.on_head(link->ctx, &head);
 	link->head_done = !link->skipping;
 	if (link->closing)
-		return HEAD_MALFORMED;
+		return HEAD_REJECTED;
 	if (head.framing == HTTP_LINK_CHUNKED && !no_body)
 		answer_syntax_begin_chunks(&link->syntax);
 	return no_body ? NO_BODY_FOLLOWS : BODY_FOLLOWS;
