Search each byte of a stream for the end of an event once

One server that sent lines without the end of an event in small chunks could occupy the gateway for a minute, until the answer was longer than one may be; requests of other clients waited or ran out of time.

Cause: with each piece that came, the parser of events searched the incomplete event from its first line on; and it moved all bytes behind each event to the front of its buffer.

Change: the search goes on where it ended, and the rest is moved once for all events of a piece.

--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -5,6 +5,9 @@
 
 #include "core/event_stream.h"
 
+/* Maximum length of the line ends that complete an event, without the last byte. */
+#define EVENT_END_BYTES 2
+
 struct event_stream {
 	GString *buffer;
 	GString *data;
@@ -51,17 +54,22 @@
 	stream->unnumbered_bytes = 0;
 }
 
-/* Returns the length of the first complete event, or 0. */
-static size_t event_length(const GString *buffer)
+/* Returns the length of the first complete event from a position on, or 0. Its last byte
+ * isn't before the position "searched". */
+static size_t event_length(const GString *buffer, size_t start, size_t searched)
 {
-	const char *at = buffer->str, *end = at + buffer->len;
+	const char *begin = buffer->str + start,
+		   *end = buffer->str + buffer->len;
+	const char *at = begin;
 
+	if (searched > start + EVENT_END_BYTES)
+		at = buffer->str + searched - EVENT_END_BYTES;
 	while ((at = memchr(at, '\n', (size_t)(end - at)))) {
 		at++;
 		if (at < end && *at == '\n')
-			return (size_t)(at + 1 - buffer->str);
+			return (size_t)(at + 1 - begin);
 		if (at + 1 < end && at[0] == '\r' && at[1] == '\n')
-			return (size_t)(at + 2 - buffer->str);
+			return (size_t)(at + 2 - begin);
 	}
 	return 0;
 }
@@ -92,10 +100,10 @@
 	g_string_append_len(stream->data, line, (gssize)len);
 }
 
-static void read_event(struct event_stream *stream, size_t len,
+static void read_event(struct event_stream *stream, size_t start, size_t len,
 		       struct stream_event *event)
 {
-	const char *at = stream->buffer->str, *end = at + len;
+	const char *at = stream->buffer->str + start, *end = at + len;
 	bool first_data = true;
 
 	memset(event, 0, sizeof(*event));
@@ -108,7 +116,7 @@
 		read_line(stream, event, at, (size_t)(stop - at), &first_data);
 		at = stop + 1;
 	}
-	event->raw = stream->buffer->str;
+	event->raw = stream->buffer->str + start;
 	event->raw_len = len;
 	event->data = stream->data->str;
 	event->data_len = stream->data->len;
@@ -120,21 +128,23 @@
 		       void *ctx)
 {
 	struct stream_event event;
-	size_t event_len;
+	size_t start = 0, searched = stream->buffer->len, event_len;
 
 	g_string_append_len(stream->buffer, bytes, (gssize)len);
-	while ((event_len = event_length(stream->buffer))) {
-		read_event(stream, event_len, &event);
+	while ((event_len = event_length(stream->buffer, start, searched))) {
+		read_event(stream, start, event_len, &event);
 		stream->has_event = true;
 		stream->owes_event &= !event.has_id;
 		stream->unnumbered_bytes =
 			event.has_id ? 0 : stream->unnumbered_bytes + event_len;
+		start += event_len;
 		fn(ctx, &event);
 		/* The callback may have reset the stream. */
-		if (stream->buffer->len < event_len)
+		if (stream->buffer->len < start)
 			return;
-		g_string_erase(stream->buffer, 0, (gssize)event_len);
 	}
+	/* Once for all events, as it moves the rest. */
+	g_string_erase(stream->buffer, 0, (gssize)start);
 }
 
 const char *event_stream_rest(const struct event_stream *stream, size_t *len)
