Connect to all addresses that the settings allow

The settings and briarplankctl take an IPv6 address without brackets too, as ::1:8080, and an IPv4 address in brackets. Since the stand-alone client makes its calls with the link of gateways, nothing was sent to them: "::1:38222 cannot be reached".

It takes all of their forms now, by libuv's functions as that check does.

--- a/include/net/address.h
+++ b/include/net/address.h
@@ -12,7 +12,10 @@
 /** Parses numeric IP:PORT; returns false for any other text. */
 bool address_parse(const char *text, struct sockaddr_in *addr);
 
-/** Parses numeric IP:PORT or, of IPv6, [IP]:PORT; returns false for any other text. */
+/**
+ * Parses numeric IP:PORT, also of IPv6, with or without brackets round the IP; returns false
+ * for any other text.
+ */
 bool address_parse_any(const char *text, struct sockaddr_storage *addr);
 
 /** Tells whether a text is numeric IP:PORT to which one can connect. */
--- a/include/net/http_link.h
+++ b/include/net/http_link.h
@@ -74,7 +74,7 @@
 
 struct http_link_options {
 	uv_loop_t *loop;
-	/** Address of the server, as numeric IP:PORT, of IPv6 as [IP]:PORT. */
+	/** Address of the server, see address_parse_any(). */
 	const char *address;
 	/** Timeout for establishing the connection, in ms. */
 	uint32_t connect_timeout_ms;
--- a/net/address.c
+++ b/net/address.c
@@ -1,7 +1,9 @@
 #include <arpa/inet.h>
+#include <net/if.h>
 #include <string.h>
 
 #include <glib.h>
+#include <uv.h>
 
 #include "net/address.h"
 
@@ -58,17 +60,18 @@
 
 bool address_parse_any(const char *text, struct sockaddr_storage *addr)
 {
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)addr;
-	const char *bracket = strrchr(text, ']');
-	char host[INET6_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	bool brackets = *text == '[' && colon && colon[-1] == ']';
+	char host[INET6_ADDRSTRLEN + IF_NAMESIZE];
+	in_port_t port;
 
 	memset(addr, 0, sizeof(*addr));
-	if (*text != '[')
-		return address_parse(text, (struct sockaddr_in *)addr);
-	v6->sin6_family = AF_INET6;
-	return copy_host(text + 1, bracket, host, sizeof(host)) &&
-	       parse_port(bracket + 1, &v6->sin6_port) &&
-	       inet_pton(AF_INET6, host, &v6->sin6_addr) == 1;
+	if (!copy_host(text + brackets, colon ? colon - brackets : NULL, host,
+		       sizeof(host)) ||
+	    !parse_port(colon, &port))
+		return false;
+	return !uv_ip4_addr(host, ntohs(port), (struct sockaddr_in *)addr) ||
+	       !uv_ip6_addr(host, ntohs(port), (struct sockaddr_in6 *)addr);
 }
 
 char *address_format(const struct sockaddr_in *addr)
--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "loop_wait.h"
+#include "net/address.h"
 #include "net/http_link.h"
 #include "raw_peer.h"
 #include "script.h"
@@ -181,9 +182,26 @@
 		read_late(state);
 }
 
+/* Prints what an address is taken for. */
+static void parse_address(const char *text, GString *out)
+{
+	struct sockaddr_storage addr;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&addr;
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)&addr;
+
+	if (!address_parse_any(text, &addr))
+		g_string_append(out, "no address\n");
+	else if (addr.ss_family == AF_INET6)
+		g_string_append_printf(out, "IPv6, port %u\n",
+				       ntohs(v6->sin6_port));
+	else
+		g_string_append_printf(out, "IPv4, port %u\n",
+				       ntohs(v4->sin_port));
+}
+
 /* Commands: serve BYTES then=hold|close|reset|finish|repeat
  * framed_only=0|1, no_listener, send id=ID method=METHOD upload=BYTES pause=0|1,
- * await_close, idle_limit. */
+ * await_close, idle_limit, parse ADDRESS. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
@@ -200,6 +218,8 @@
 	} else if (!strcmp(argv[0], "await_close")) {
 		if (!loop_wait(&state->loop, is_closed, state, LOOP_WAIT_MS))
 			g_string_append(out, "not closed\n");
+	} else if (!strcmp(argv[0], "parse")) {
+		parse_address(argv[1], out);
 	} else if (!strcmp(argv[0], "idle_limit")) {
 		g_string_append_printf(
 			out, "%" G_GUINT64_FORMAT " ms\n",
