Count the first bytes of an event's number as a begun event

A stream that broke off after "i" or "id" of the next event still ended as if it were complete at an empty answer, as only a whole "id:" counted as begun.

Evidence: a case of tests/event_stream/owed.txt got "nothing" before, "an event" now.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -387,8 +387,8 @@
 
 /*
  * Handles a response that ended before its first event, with its connection or after an
- * event had begun elsewhere. It may be the end of a resumed item, or have broken off. After the second one in
- * a row the item starts over, as only its whole output tells.
+ * event had begun elsewhere. It may be the end of a resumed item, or have broken off. After
+ * the second one in a row the item starts over, as only its whole output tells.
  */
 static void run_ended_unsure(struct run *run)
 {
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -39,11 +39,15 @@
 	g_free(stream);
 }
 
-/* Tells whether the bytes of an incomplete event hold a line with its number. */
+/* Tells whether the bytes of an incomplete event hold a line with its number, or begin
+ * one. */
 static bool has_id_line(const GString *buffer)
 {
-	return g_str_has_prefix(buffer->str, "id:") ||
-	       strstr(buffer->str, "\nid:");
+	static const char id[] = "id:";
+
+	return g_str_has_prefix(buffer->str, id) ||
+	       strstr(buffer->str, "\nid:") ||
+	       (buffer->len && g_str_has_prefix(id, buffer->str));
 }
 
 void event_stream_reset(struct event_stream *stream)
