Send signals only to processes that the test has started

A call, an agent or the test's own shell got SIGKILL from another test: scripts keep the ids of their processes until they end, and signal all of them then, also those that ended and were waited for long before.

A signal now goes only to a child that has not been waited for; its id can't be given to another process before the shell waits. The check and the signal are builtins, so that no child is reaped between them. The checks that a process lives ask the same.

--- a/tests/faults/online.sh
+++ b/tests/faults/online.sh
@@ -41,20 +41,16 @@
 	grep -q "$1 is up" "$FLEET_DIR/entry.log"
 }
 
-signal_agent () {
-	kill "-$2" "$(cat "$FLEET_DIR/$1.pid")"
-}
-
 prepare () {
 	row=$1
 	agents=$2
 	agent=$(word "$agents" killed)
-	test -z "$agent" || signal_agent "row-$row-$agent" KILL
+	test -z "$agent" || fleet_signal "row-$row-$agent" KILL
 	agent=$(word "$agents" frozen)
-	test -z "$agent" || signal_agent "row-$row-$agent" STOP
+	test -z "$agent" || fleet_signal "row-$row-$agent" STOP
 	resume_ms=$(word "$agents" resumed)
 	test -z "$resume_ms" ||
-		(sleep "$resume_ms"e-3; signal_agent "row-$row-a" CONT) &
+		(sleep "$resume_ms"e-3; fleet_signal "row-$row-a" CONT) &
 }
 
 # Sends a row's call to the entry; stores head, body and curl's exit status.
--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -24,6 +24,7 @@
 	set +e
 	for pid in $FLEET_PIDS
 	do
+		fleet_owns "$pid" || continue
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -73,6 +74,21 @@
 	cat "$FLEET_DIR/$1.pid"
 }
 
+# fleet_owns ID: tells whether this is a process that the test started and has not waited
+# for. The kernel may give the id of any other to a new process, of another test too.
+fleet_owns () {
+	{ read -r stat <"/proc/$1/stat"; } 2>/dev/null || return 1
+	# The name, in parentheses, may contain blanks.
+	set -- ${stat##*) }
+	FLEET_STATE=$1
+	test "$2" -eq $$
+}
+
+# fleet_runs NAME: tells whether a process has not ended.
+fleet_runs () {
+	fleet_owns "$(fleet_pid "$1")" && test "$FLEET_STATE" != Z
+}
+
 fleet_spawn () {
 	name=$1
 	shift
@@ -305,7 +321,8 @@
 
 # Sends a signal to a node by its name.
 fleet_signal () {
-	kill "-$2" "$(fleet_pid "$1")"
+	set -- "$(fleet_pid "$1")" "$2"
+	fleet_owns "$1" && kill "-$2" "$1"
 }
 
 # fleet_wait NAME: waits for a process to exit and returns its exit status.
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -193,7 +193,7 @@
 	gone=0
 	for pid in "$FLEET_DIR"/server-*.pid
 	do
-		kill -0 "$(cat "$pid")" 2>/dev/null || gone=$((gone + 1))
+		fleet_runs "$(basename "$pid" .pid)" || gone=$((gone + 1))
 	done
 	echo "$gone"
 }
--- a/tests/process/agent_broken_answers.sh
+++ b/tests/process/agent_broken_answers.sh
@@ -46,5 +46,5 @@
 	expect "$service" "$status" 504
 	grep -q BROKEN "$FLEET_DIR/$service.body" &&
 		fleet_fail "$service: the broken answer was passed on"
-	kill -0 "$(fleet_pid agent-$service)" || fleet_fail "$service: the agent has ended"
+	fleet_runs "agent-$service" || fleet_fail "$service: the agent has ended"
 done
--- a/tests/process/gateway_crowd.sh
+++ b/tests/process/gateway_crowd.sh
@@ -44,7 +44,7 @@
 
 # in_bounds WHEN: the process lives, within its memory and descriptors.
 in_bounds () {
-	kill -0 "$(fleet_pid g1)" 2>/dev/null || fleet_fail "$1: the process has ended"
+	fleet_runs g1 || fleet_fail "$1: the process has ended"
 	peak=$(($(memory VmHWM) - idle))
 	files=$(ls "/proc/$(fleet_pid g1)/fd" | wc -l)
 	test "$peak" -le "$PEAK_KB" ||
--- a/tests/process/gateway_endless_crowd.sh
+++ b/tests/process/gateway_endless_crowd.sh
@@ -42,7 +42,7 @@
 	done
 	gateway_list_address "$(cat "$FLEET_DIR/$1.raw")" model draining "$1"
 	wait_until grep -q "event=server id=$1 .* draining" "$FLEET_DIR/g1.log"
-	kill -0 "$(fleet_pid g1)" 2>/dev/null || fleet_fail "$1: the process has ended"
+	fleet_runs g1 || fleet_fail "$1: the process has ended"
 	peak=$(($(memory VmHWM) - idle))
 	test "$peak" -le "$PEAK_KB" ||
 		fleet_fail "$1: the peak is $peak KB above the idle process, not $PEAK_KB"
--- a/tests/process/gateway_odd_servers.sh
+++ b/tests/process/gateway_odd_servers.sh
@@ -34,7 +34,7 @@
 echo "requests: served"
 expect "malformed entries" "$(grep -c 'event=server id=.* malformed record' "$FLEET_DIR/g1.log")" 15
 expect "servers in use" "$(grep -c 'event=server id=.* ready' "$FLEET_DIR/g1.log")" 1
-kill -0 "$(fleet_pid g1)" || fleet_fail "the process has ended"
+fleet_runs g1 || fleet_fail "the process has ended"
 
 # What comes later is read.
 gateway_put keyed.servers port0 ""
--- a/tests/process/gateway_stop_series.sh
+++ b/tests/process/gateway_stop_series.sh
@@ -18,7 +18,7 @@
 # status, curl's exit status and number of events of each.
 caller () {
 	n=0
-	while kill -0 "$(fleet_pid g1)" 2>/dev/null
+	while fleet_runs g1
 	do
 		n=$((n + 1))
 		code=0
