Count an event as begun whatever its first line is

Callers of a stream that broke off inside an event got the end of a complete stream when the next server answered with an empty 200, if the cut was before the line with the event's number. Only that line, or its first bytes, counted as a begun event; a server may send the data first.

Each field of an event now counts, at the begin of any line, also cut off. Other bytes, comments and unknown fields alone still don't: they may follow the last event of a complete stream.

--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -16,8 +16,8 @@
 	/* Bytes of complete events without a number since the last one with
 	 * a number. */
 	size_t unnumbered_bytes;
-	/* A numbered event had begun when the bytes of its attempt were discarded, and
-	 * none was parsed since. */
+	/* An event had begun when the bytes of its attempt were discarded, and none with
+	 * a number was parsed since. */
 	bool owes_event;
 };
 
@@ -39,20 +39,39 @@
 	g_free(stream);
 }
 
-/* Tells whether the bytes of an incomplete event hold a line with its number, or begin
- * one. */
-static bool has_id_line(const GString *buffer)
+/* Tells whether a line is a field of an event, or the first bytes of one. */
+static bool is_field(const char *line, const char *end)
 {
-	static const char id[] = "id:";
+	static const char *const names[] = { "id:", "data:", "event:" };
+	size_t i;
 
-	return g_str_has_prefix(buffer->str, id) ||
-	       strstr(buffer->str, "\nid:") ||
-	       (buffer->len && g_str_has_prefix(id, buffer->str));
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (!strncmp(line, names[i],
+			     MIN(strlen(names[i]), (size_t)(end - line))))
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the bytes that no event was parsed from begin one, whose lines may come
+ * in any order. */
+static bool has_begun_event(const GString *buffer)
+{
+	const char *at = buffer->str, *end = at + buffer->len;
+
+	while (at && at < end) {
+		if (is_field(at, end))
+			return true;
+		at = memchr(at, '\n', (size_t)(end - at));
+		if (at)
+			at++;
+	}
+	return false;
 }
 
 void event_stream_reset(struct event_stream *stream)
 {
-	stream->owes_event |= has_id_line(stream->buffer);
+	stream->owes_event |= has_begun_event(stream->buffer);
 	g_string_truncate(stream->buffer, 0);
 	stream->has_event = false;
 	stream->unnumbered_bytes = 0;
--- a/include/core/event_stream.h
+++ b/include/core/event_stream.h
@@ -54,8 +54,8 @@
 bool event_stream_overlong(const struct event_stream *stream);
 
 /**
- * Tells whether an earlier attempt had begun a numbered event that no later one has brought
- * yet. A response that ends now isn't the end of the stream, however it is framed.
+ * Tells whether an earlier attempt had begun an event, and no later one has brought one with
+ * a number yet. A response that ends now isn't the end of the stream, however it is framed.
  */
 bool event_stream_owes_event(const struct event_stream *stream);
 
--- a/tests/process/gateway_resumed_errors.sh
+++ b/tests/process/gateway_resumed_errors.sh
@@ -11,11 +11,12 @@
 fleet_standin raw raw
 gateway_alone
 
-# then_error NAME BYTES: the stream that the server NAME-1 breaks off is resumed at a server
-# that answers with the bytes. The caller gets the first events, and no proper end.
+# then_error NAME BYTES [CUT]: the stream that the server NAME-1 breaks off, inside of an
+# event, is resumed at a server that answers with the bytes. The caller gets the first
+# events, and no proper end.
 then_error () {
 	gateway_raw_server "$1-1" model close \
-		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n$SIGNED\r\n${FIRST}id: 3\ndata: c"
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n$SIGNED\r\n$FIRST${3:-id: 3\ndata: c}"
 	wait_until gateway_knows_raw g1 "$1-1"
 	# The gateway prefers the server of its own data centre.
 	GATEWAY_ZONE=dc2 gateway_raw_server "$1-2" model close "$2"
@@ -50,6 +51,8 @@
 then_error text-lines "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n$SIGNED\r\nerror\n\nmore of it\n\n"
 then_error text-length "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n${SIGNED}Content-Length: 7\r\n\r\nerror\n\n"
 then_error no-events "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n${SIGNED}Content-Length: 0\r\n\r\n"
+then_error data-first "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n${SIGNED}Content-Length: 0\r\n\r\n" \
+	'data: c'
 
 # An item whose output so far was resumed at such a server goes on elsewhere.
 gateway_raw_server item-1 model close \
