--- /dev/null
+++ b/review/five-3.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Runs a case of review/11 to 15 without its disruption once and with it five times, and
+# prints the exit statuses: review/five-3.sh N
+cd "$(dirname "$0")/.." || exit 2
+TROUBLE=0 sh "review/$1/run.sh" >/dev/null 2>&1
+echo "case $1 without trouble: $?"
+for i in 1 2 3 4 5
+do
+	sh "review/$1/run.sh" >"${TMPDIR:-/tmp}/case-$1.out" 2>&1
+	echo "case $1 run $i: $? $(tail -n 1 "${TMPDIR:-/tmp}/case-$1.out")"
+done
