--- a/review/rig-3/worker.py
+++ b/review/rig-3/worker.py
@@ -3,7 +3,8 @@
 as a line of JSON.
 
 A prompt that has the part "badbad" ends the process as it begins to write the answer. A
-request with the body "empty" is answered with one event, whose data is empty."""
+request with the body "empty" is answered with one event, whose data is empty, and one with
+the body "fail " and a status with that status."""
 import argparse
 import asyncio
 import json
@@ -14,6 +15,7 @@
 
 BAD_PART = "badbad"
 EMPTY = b"empty"
+FAIL = b"fail "
 
 
 class Worker:
@@ -59,6 +61,12 @@
                 f"X-Server-Signature: {self.options.id}.{name}",
                 f"X-Server-Load: {self.running},{self.waiting},"
                 f"{self.options.slots}"]
+        if request.body.startswith(FAIL):
+            request.writer.write(web.answer_bytes(
+                int(request.body[len(FAIL):]), b"",
+                [tuple(line.split(": ", 1)) for line in head]))
+            self.note(end=name)
+            return
         if self.options.plain:
             await asyncio.sleep(self.options.event_ms / 1000)
             request.writer.write(web.answer_bytes(
