--- a/review/rig-3/fleet.py
+++ b/review/rig-3/fleet.py
@@ -315,6 +315,10 @@
 async def main(folder, run):
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
+    # Also ends all processes when the script itself is ended.
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8",
               buffering=1) as record:
         fleet = Fleet(record, trouble)
@@ -327,7 +331,7 @@
             print(f"BROKEN: {broken}" if broken else "held")
             status = 1 if broken else 0
         # Any other error is one of the rig, and says nothing about the rule.
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:
             fleet.note("rig", f"could not run: {error!r}")
             print(f"could not run: {error!r}")
         finally:
--- a/review/rig-3/store.py
+++ b/review/rig-3/store.py
@@ -9,6 +9,7 @@
 
 RECORD_BYTES = 262144
 CALL_BYTES = 2097152
+STORED_BYTES = 400 * 1000 * 1000
 REMEMBERED_APPENDS = 5
 
 
@@ -40,6 +41,8 @@
         self.address = None
         self.server = None
         self.refusals = 0
+        # Bytes of all records; none expires within the time of a case.
+        self.stored = 0
 
     async def start(self):
         self.server, port = await web.serve(self.on_request)
@@ -90,6 +93,10 @@
         if sum(map(len, records)) > CALL_BYTES:
             self.refuse(request, 413, "the records are longer than a call")
             return
+        size = sum(map(len, records))
+        if records and self.stored + size > STORED_BYTES:
+            self.refuse(request, 507, f"{self.stored} bytes are stored")
+            return
         answer = None
         producer = request.query.get("ProducerId")
         if producer:
@@ -100,6 +107,7 @@
                 return
         if not answer:
             first = len(partition.records)
+            self.stored += size
             for record in records:
                 partition.add(record, topic.startswith("keyed."))
             answer = {"Offset": first, "EndOffset": len(partition.records)}
