--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,6 @@
-"""A job whose item ids are long makes an index record that the store doesn't take. The
-gateway tries it for ever, and with it all records that it has to append afterwards."""
+"""One part of a prompt crashes servers. Sound items that share two other parts of that prompt
+are held, and no trial is ever made with them."""
+import asyncio
 import os
 import sys
 
@@ -8,50 +9,93 @@
 import fleet as rig  # noqa: E402
 
 FINISH_S = 18
-ROOT = "9c2e41:100"
+# Time after which a server that crashed is back, in s.
+BACK_S = 3
+# Time for which the caller is quiet before the requests that crash servers, in s.
+QUIET_S = 5
+# The part of all callers, two of this caller, and one of another caller.
+ALL = "5c1e07a2:200"
+CALLER = ALL + ",91bd3f06:150,e4402b7d:80"
+OTHER = ALL + ",0b0b0b0b:150"
+BAD = "badbad:40"
+GATEWAYS = ["g1", "g2"]
+
+
+async def bring_back(fleet, name):
+    """Starts a worker again, under its id and address, whenever it has crashed."""
+    while True:
+        await fleet.wait_end(name)
+        await asyncio.sleep(BACK_S)
+        await fleet.start_worker(name, port=fleet.port_of(name), events=20,
+                                 event_ms=20)
+
+
+async def online(fleet, number, name, prompt):
+    answer = await fleet.call(
+        GATEWAYS[number % 2], name, "POST", f"/once/{name}",
+        [("X-Model", "m"), ("X-Token-Count", "450,40"),
+         ("X-Prompt-Prefix", f"{prompt},{name.encode().hex()}:60")],
+        name.encode(), 5000)
+    return answer.status == 200 and answer.whole
+
+
+async def other_callers(fleet, served):
+    """Other callers share the first part and are served all the while."""
+    number = 0
+    while True:
+        number += 1
+        served.append(await online(fleet, number, f"other-{number}", OTHER))
+        await asyncio.sleep(0.1)
 
 
 async def run(fleet):
-    await fleet.start(["g1", "g2"])
-    workers = ["w1", "w2", "w3"]
+    await fleet.start(GATEWAYS)
+    workers = [f"w{i}" for i in range(1, 9)]
     for name in workers:
-        await fleet.start_worker(name, slots=8, events=60, event_ms=40)
-    await fleet.knows(["g1", "g2"], workers)
-
-    # A job in calm, as a check of the rig.
-    first = await fleet.submit("g1", "calm", [(f"calm-{i}", f"{ROOT},c{i}:250")
-                                              for i in range(4)])
-    if first.status != 202 or not await fleet.await_results("g2", "calm", 4, 12):
-        raise rig.CannotRun("the calm job was not completed")
-
-    # The job of another caller, which must not be lost.
-    accepted = await fleet.submit("g1", "sound", [
-        (f"sound-{i}", f"{ROOT},5d{i:02}:250") for i in range(10)])
+        await fleet.start_worker(name, events=20, event_ms=20)
+        fleet.tasks.append(asyncio.create_task(bring_back(fleet, name)))
+    await fleet.knows(GATEWAYS, workers)
+    served = []
+    fleet.tasks.append(asyncio.create_task(other_callers(fleet, served)))
+
+    before = 0
+    for i in range(6):
+        before += await online(fleet, i, f"before-{i}", CALLER)
+    calm = await fleet.submit("g1", "calm", [(f"calm-{i}", f"{CALLER},c{i}:60")
+                                             for i in range(5)])
+    if before < 6 or calm.status != 202 or \
+            len(await fleet.await_results("g2", "calm", 5, 15) or []) < 5:
+        raise rig.CannotRun("the fleet does not serve in calm")
+
+    await asyncio.sleep(QUIET_S)
+    for i in range(5):
+        if fleet.trouble:
+            await online(fleet, i, f"bad-{i}", f"{CALLER},{BAD}")
+        await asyncio.sleep(0.2)
+    crashes = sum("crash" in run for _, run in fleet.runs)
+
+    accepted = await fleet.submit("g2", "sound", [
+        (f"sound-{i}", f"{CALLER},d{i}:60") for i in range(10)])
     if accepted.status != 202:
         raise rig.CannotRun(f"the sound job was answered {accepted.status}")
-
-    # 200 items are allowed; the body has a tenth of MaxBodyBytes.
-    length = 1500 if fleet.trouble else 15
-    for gateway in ("g1", "g2"):
-        await fleet.submit(gateway, "long", [
-            (f"{i:03}-" + "x" * length, f"{ROOT},7e{i:02x}:250")
-            for i in range(200)])
-
-    # Jobs that come later, and the end of the sound job's traffic.
-    later = await fleet.submit("g2", "later", [
-        (f"later-{i}", f"{ROOT},6f{i:02}:250") for i in range(4)])
-    found = await fleet.await_results("g2", "sound", 10, FINISH_S + 12)
+    # No request with the bad part comes any more. The traffic has ended; jobs have
+    # FINISH_S more, and half of that again here.
+    found = await fleet.await_results("g1", "sound", 10, 1.5 * FINISH_S)
+    after = 0
+    for i in range(6):
+        after += await online(fleet, i, f"after-{i}", CALLER)
+    reached = {run["run"] for _, run in fleet.runs if "run" in run}
     missing = 10 - len(found or [])
-    ended = [run["end"] for _, run in fleet.runs if "end" in run]
-    at_workers = sum(f"sound-{i}" in ended for i in range(10))
-    again = await fleet.submit("g1", "later-2", [("later-2", f"{ROOT},71:250")])
-    fleet.note("rig", f"later job: {later.status}, and at the end: {again.status}; "
-               f"items of the sound job that workers finished: {at_workers}")
+    fleet.note("rig", f"crashes={crashes}; online of the caller: {before} of 6 "
+               f"before, {after} of 6 after; others: {sum(served)} of {len(served)}")
     if missing:
-        return (f"LOST: {missing} of 10 items of a job that was answered 202 are "
-                f"listed neither as completed nor as dead_lettered "
-                f"{FINISH_S + 12} s after the last job, though workers finished "
-                f"{at_workers} of them and are idle")
+        return (f"LOST: {missing} of 10 sound items of a job that was answered "
+                f"202 are listed neither as completed nor as dead_lettered "
+                f"{1.5 * FINISH_S:.0f} s later; "
+                f"{sum(f'sound-{i}' in reached for i in range(10))} of them ever "
+                f"reached one of the {len(workers)} workers, after {crashes} had "
+                f"crashed once. Online, {after} of 6 sound requests of the caller "
+                f"begin, {sum(served)} of {len(served)} of others did")
     return None
 
 
--- a/review/rig-3/fleet.py
+++ b/review/rig-3/fleet.py
@@ -21,7 +21,8 @@
 # Figures of the deployment sites/kfr-reclaim.toml.
 MEMORY_MB = 290
 SETTINGS = {
-    "data_centres": [{"name": "akl-a", "region": "akl"}],
+    "data_centres": [{"name": "akl-a", "region": "akl"},
+                     {"name": "chc-a", "region": "chc"}],
     "stop": {"grace_s": 8},
     "jobs": {"results_kept_s": 120},
 }
@@ -124,7 +125,7 @@
     # Workers.
 
     async def start_worker(self, name, service="model", version="v1", port=0,
-                           listed=True, **options):
+                           zone="akl-a", **options):
         """Starts a worker, or starts it again under its id and address."""
         here = os.path.dirname(os.path.abspath(__file__))
         command = [sys.executable, os.path.join(here, "worker.py"), "--id", name,
@@ -136,13 +137,12 @@
         line = json.loads(await asyncio.wait_for(process.stdout.readline(),
                                                  START_S))
         self.servers[name] = {
-            "Service": service, "Address": line["listens"], "Zone": "akl-a",
+            "Service": service, "Address": line["listens"], "Zone": zone,
             "Version": version, "Capacity": options.get("slots", 8),
             "State": "ready", "WarmupMs": 0, "Sequence": 1,
             "born": int(time.time() * 1000)}
         self.tasks.append(asyncio.create_task(self.follow_worker(name, process)))
-        if listed:
-            self.list_worker(name)
+        self.list_worker(name)
         self.note("rig", f"worker {name} {version} at {line['listens']}")
 
     async def follow_worker(self, name, process):
@@ -175,12 +175,12 @@
 
     # Gateways.
 
-    async def start_gateway(self, name):
+    async def start_gateway(self, name, zone="akl-a"):
         """Starts or restarts a gateway with the command of the deploy file."""
         path = os.path.join(self.folder, name + ".json")
         settings = {
             "node": {"name": name, "ip": "127.0.0.1", "port": 0,
-                     "data_centre": "akl-a", "region": "akl", "cpu_share": 0.5,
+                     "data_centre": zone, "region": zone[:3], "cpu_share": 0.5,
                      "memory_mb": self.memory_mb, "descriptors": 8200},
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0",
                        "metrics": "127.0.0.1:0"},
