Try prompts whose parts were beside one that crashes servers

Cause: a crash is evidence against all shared parts of the prompt that were not answered in the last seconds, so that the parts of a quiet caller are quarantined with the one at fault. quarantine_check() had a trial claimed only where exactly one key of a prompt is quarantined; each prompt of the caller held two. The condition kept requests with the crashing part from using up the trials of parts beside it.

Now what is sent is a trial of all quarantined keys that it holds, claimed in one append. A prompt without a possible cause of its own, i.e. each crash of its keys may have been caused by a quarantined key that it doesn't hold, is tried 1 s after the last crash instead of 10 s, and its Retry-After says so. Requests with the crashing part always hold a possible cause, so that they keep the pace that they had; a trial that crashes its server adds a crash without another cause.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -21,10 +21,15 @@
 #define SUSPECTS_MAX 1024
 /* Time after the last crash after which evidence is forgotten, in ms. */
 #define EVIDENCE_MS (15 * 60 * 1000)
-/* Time from the quarantine to the first trial, in ms. Each trial in vain doubles it, up
- * to TRIAL_DOUBLINGS_MAX times, which keeps it below EVIDENCE_MS. */
+/* Time from the last crash to the first trial of a prompt that must hold a key that crashes
+ * servers, and of one whose quarantined keys may only have been beside such a key, in ms.
+ * Each trial in vain doubles it, up to TRIAL_DOUBLINGS_MAX times, which keeps it below
+ * EVIDENCE_MS. */
 #define TRIAL_MS 10000
+#define TRIAL_BESIDE_MS 1000
 #define TRIAL_DOUBLINGS_MAX 6
+/* Time in which a trial that is due is claimed and its answer goes on, in ms. */
+#define TRIAL_RESULT_MS 1000
 /* Number of trials in vain from which a request is tried no more. A part is tried as long as
  * items with it may be owed. */
 #define REQUEST_TRIALS_MAX 2
@@ -217,11 +222,13 @@
 	return evidence->trials - evidence->cleared_trials;
 }
 
-/* Returns the time from the last crash to the next trial, in ms. */
-static uint64_t trial_interval(const struct evidence *evidence)
+/* Returns the time from the last crash to the next trial, in ms; first_ms is the time to
+ * the first one. */
+static uint64_t trial_interval(const struct evidence *evidence,
+			       uint64_t first_ms)
 {
-	return (uint64_t)TRIAL_MS
-	       << MIN(evidence_trials_in_vain(evidence), TRIAL_DOUBLINGS_MAX);
+	return first_ms << MIN(evidence_trials_in_vain(evidence),
+			       TRIAL_DOUBLINGS_MAX);
 }
 
 /* Handles a change of a suspect's evidence. */
@@ -234,7 +241,7 @@
 	suspect->cause = cause;
 	suspect->changed_ms = now_ms;
 	suspect->reported_ms = 0;
-	suspect->trial_ms = now_ms + trial_interval(&suspect->evidence);
+	suspect->trial_from_ms = now_ms;
 	if (quarantined == suspect->quarantined)
 		return;
 	suspect->quarantined = quarantined;
@@ -539,8 +546,8 @@
 		suspect->unsaved = own->crashes_nr > 1;
 	changed(quarantine, suspect, CAUSE_TOLD, news->now_ms);
 	if (news->source == SOURCE_SNAPSHOT)
-		suspect->trial_ms -=
-			MIN(trial_interval(own), crash_age(own, news->wall_ms));
+		suspect->trial_from_ms -= MIN(suspect->trial_from_ms,
+					      crash_age(own, news->wall_ms));
 	return merged;
 }
 
@@ -552,16 +559,130 @@
 		suspect->unsaved = true;
 }
 
-static bool may_claim(const struct quarantine *quarantine,
-		      const struct suspect *suspect, uint64_t now_ms)
+/* Returns the quarantined suspect with a key of a prompt, or NULL. */
+static struct suspect *quarantined_at(const struct quarantine *quarantine,
+				      const struct prompt *prompt, size_t i)
 {
-	if (suspect->trial == TRIAL_CLAIMED &&
-	    now_ms - suspect->claimed_ms < CLAIM_MS)
-		return false;
-	if (is_request_key(suspect->evidence.key) &&
-	    evidence_trials_in_vain(&suspect->evidence) >= REQUEST_TRIALS_MAX)
-		return false;
-	return now_ms >= suspect->trial_ms + quarantine->options.stagger_ms;
+	struct suspect *suspect = find(quarantine, key_at(prompt, i));
+
+	return suspect && suspect->quarantined ? suspect : NULL;
+}
+
+static bool has_key(const struct prompt *prompt, uint64_t key)
+{
+	size_t i;
+
+	for (i = 0; i < keys_nr(prompt); i++) {
+		if (key_at(prompt, i) == key)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a key may have caused a crash that is evidence against another key. Crashes
+ * that are older than all of a full list may have been dropped from it. */
+static bool may_have_caused(struct evidence *evidence,
+			    const struct evidence_crash *crash)
+{
+	const struct evidence_crash *known =
+		find_crash(evidence, crash->server);
+
+	if (known)
+		return !known->refuted;
+	return evidence->crashes_nr == EVIDENCE_CRASHES_MAX &&
+	       is_newer(&evidence->crashes[EVIDENCE_CRASHES_MAX - 1], crash);
+}
+
+/* Tells whether a quarantined key that the prompt doesn't hold may have caused a crash. */
+static bool has_other_cause(const struct quarantine *quarantine,
+			    const struct prompt *prompt,
+			    const struct evidence_crash *crash)
+{
+	struct list *pos;
+
+	list_for_each (pos, &quarantine->suspects) {
+		struct suspect *other = list_entry(pos, struct suspect, link);
+
+		if (other->quarantined &&
+		    may_have_caused(&other->evidence, crash) &&
+		    !has_key(prompt, other->evidence.key))
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the quarantined keys of a prompt may all have been only beside one that
+ * crashes servers: each of their crashes has a possible cause that the prompt doesn't hold.
+ * A trial of such a prompt tells them apart. */
+static bool was_only_beside(const struct quarantine *quarantine,
+			    const struct prompt *prompt)
+{
+	size_t i;
+	unsigned j;
+
+	for (i = 0; i < keys_nr(prompt); i++) {
+		const struct suspect *suspect =
+			quarantined_at(quarantine, prompt, i);
+
+		for (j = 0; suspect && j < suspect->evidence.crashes_nr; j++) {
+			const struct evidence_crash *crash =
+				&suspect->evidence.crashes[j];
+
+			if (!crash->refuted &&
+			    !has_other_cause(quarantine, prompt, crash))
+				return false;
+		}
+	}
+	return true;
+}
+
+/* Returns the loop time from which a trial of a suspect may be claimed, in ms; UINT64_MAX if
+ * it is tried no more. */
+static uint64_t trial_due_ms(const struct quarantine *quarantine,
+			     const struct suspect *suspect, uint64_t first_ms)
+{
+	const struct evidence *evidence = &suspect->evidence;
+
+	if (is_request_key(evidence->key) &&
+	    evidence_trials_in_vain(evidence) >= REQUEST_TRIALS_MAX)
+		return UINT64_MAX;
+	return suspect->trial_from_ms + trial_interval(evidence, first_ms) +
+	       quarantine->options.stagger_ms;
+}
+
+static bool is_claiming(const struct suspect *suspect, uint64_t now_ms)
+{
+	return suspect->trial == TRIAL_CLAIMED &&
+	       now_ms - suspect->claimed_ms < CLAIM_MS;
+}
+
+/* Has the trials claimed that this entry lacks for a prompt once all of them are due: what
+ * is sent is a trial of each quarantined key that it holds. Returns the loop time from which
+ * they are, in ms. */
+static uint64_t want_trials(struct quarantine *quarantine,
+			    const struct prompt *prompt, uint64_t first_ms,
+			    uint64_t now_ms)
+{
+	bool claiming = false;
+	uint64_t due_ms = 0;
+	size_t i;
+
+	for (i = 0; i < keys_nr(prompt); i++) {
+		struct suspect *suspect = quarantined_at(quarantine, prompt, i);
+
+		if (!suspect || suspect->trial == TRIAL_GRANTED)
+			continue;
+		claiming |= is_claiming(suspect, now_ms);
+		due_ms = MAX(due_ms,
+			     trial_due_ms(quarantine, suspect, first_ms));
+	}
+	for (i = 0; !claiming && due_ms <= now_ms && i < keys_nr(prompt); i++) {
+		struct suspect *suspect = quarantined_at(quarantine, prompt, i);
+
+		if (suspect && suspect->trial != TRIAL_GRANTED)
+			suspect->trial = TRIAL_WANTED;
+	}
+	return due_ms;
 }
 
 struct quarantine_verdict quarantine_check(struct quarantine *quarantine,
@@ -569,29 +690,36 @@
 					   uint64_t now_ms, uint64_t wall_ms)
 {
 	struct quarantine_verdict verdict = { 0 };
-	struct suspect *last = NULL;
-	unsigned found = 0;
+	uint64_t due_ms;
+	bool beside;
 	size_t i;
 
 	for (i = 0; i < keys_nr(prompt); i++) {
-		struct suspect *suspect = find(quarantine, key_at(prompt, i));
+		const struct suspect *suspect =
+			quarantined_at(quarantine, prompt, i);
 		uint64_t end_ms;
 
-		if (!suspect || !suspect->quarantined)
+		if (!suspect)
 			continue;
-		verdict.refused |= found++ || suspect->trial != TRIAL_GRANTED;
+		verdict.refused |= suspect->trial != TRIAL_GRANTED;
 		verdict.key = suspect->evidence.key;
 		verdict.crashes = evidence_crashes(&suspect->evidence);
 		/* No trial is certain to succeed, so that the evidence holds
 		 * until it is forgotten. */
 		end_ms = evidence_crashed_ms(&suspect->evidence) + EVIDENCE_MS;
 		if (end_ms > wall_ms)
-			verdict.retry_after_ms = end_ms - wall_ms;
-		last = suspect;
+			verdict.retry_after_ms =
+				MAX(verdict.retry_after_ms, end_ms - wall_ms);
 	}
-	if (found == 1 && verdict.refused &&
-	    may_claim(quarantine, last, now_ms))
-		last->trial = TRIAL_WANTED;
+	if (!verdict.refused)
+		return verdict;
+	beside = was_only_beside(quarantine, prompt);
+	due_ms = want_trials(quarantine, prompt,
+			     beside ? TRIAL_BESIDE_MS : TRIAL_MS, now_ms);
+	if (beside && due_ms != UINT64_MAX)
+		verdict.retry_after_ms =
+			MIN(verdict.retry_after_ms,
+			    MAX(due_ms, now_ms) - now_ms + TRIAL_RESULT_MS);
 	return verdict;
 }
 
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -10,9 +10,11 @@
  *
  * Items of jobs have no key of their own: they are owed, and are held only for a part.
  *
- * Now and then one request or item is sent with a quarantined key, as a trial. The entries
- * claim trials in the store, whose order decides, so that the fleet makes one at a time and
- * makes them ever more rarely, however many entries have such requests.
+ * Now and then one request or item is sent with a quarantined key, as a trial of all
+ * quarantined keys that it holds. The entries claim trials in the store, whose order decides,
+ * so that the fleet makes one at a time for each key and makes them ever more rarely, however
+ * many entries have such requests. A prompt whose keys may only have been beside one that
+ * crashes servers is tried soon.
  *
  * Entries exchange their evidence. Merging it is commutative and idempotent, so
  * that it may arrive in any order, repeatedly, and by several ways.
@@ -90,10 +92,10 @@
 	bool quarantined;
 	/** What changed the evidence last. */
 	enum quarantine_cause cause;
-	/** State of this entry's trial, and loop time from which a new one may be
-	 * claimed, in ms. */
+	/** State of this entry's trial, and loop time from which the time to the next
+	 * one counts, in ms. */
 	enum quarantine_trial trial;
-	uint64_t trial_ms;
+	uint64_t trial_from_ms;
 	/** Number of the trial that this entry has claimed last, and loop time of the
 	 * claim, in ms. */
 	unsigned claimed_trial;
--- a/tests/quarantine_load.c
+++ b/tests/quarantine_load.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "common/hash.h"
 #include "core/quarantine.h"
 #include "core/request_key.h"
@@ -20,6 +22,10 @@
 #define KNOWN_MS 4000
 #define LATE_MAX 3
 #define SESSIONS 40
+/* Time from the start at which a sound item of the caller waits at each entry, and time in
+ * which all must be sent, in ms. */
+#define CALLER_ITEMS_MS 5000
+#define CALLER_ITEMS_MAX_MS 18000
 /* Number of different requests of a plain service, and time of a call of one. */
 #define PLAIN_TARGETS 25
 #define PLAIN_CALL_MS 30
@@ -33,6 +39,10 @@
 	LOAD_BAD_PART,
 	/* An item with that part. */
 	LOAD_BAD_ITEM,
+	/* A request of a caller who has been quiet, with parts of the caller and the part that
+	 * crashes servers, and a sound item of that caller. */
+	LOAD_BAD_CALLER,
+	LOAD_CALLER_ITEM,
 	/* A sound request that others are equal to. */
 	LOAD_PLAIN,
 	/* The request that crashes servers, before its answer begins. */
@@ -76,6 +86,12 @@
 	unsigned crashes_repeated;
 	uint64_t third_ms;
 	unsigned repeated_late;
+	/* Number of the caller's parts, for each entry whether its item waits, the number of
+	 * items that do, and the time in which all were sent. */
+	unsigned caller_parts;
+	bool *waits;
+	unsigned waiting;
+	uint64_t caller_ms;
 	unsigned sound;
 	unsigned sound_refused;
 };
@@ -97,6 +113,18 @@
 	return key;
 }
 
+static void add_caller_parts(const struct load *load, struct prompt *prompt)
+{
+	unsigned i;
+
+	for (i = 0; i < load->caller_parts; i++) {
+		char *id = g_strdup_printf("caller%u", i);
+
+		prompt_add(prompt, id);
+		g_free(id);
+	}
+}
+
 static struct prompt make_prompt(struct load *load, enum load_kind kind)
 {
 	struct prompt prompt = { .text = g_strdup("") };
@@ -115,17 +143,29 @@
 				  g_rand_int_range(load->random, 0, SESSIONS));
 	prompt.request =
 		target_key("unequal", (gint32)g_rand_int(load->random));
-	if (kind == LOAD_BAD_ITEM)
+	if (kind == LOAD_BAD_ITEM || kind == LOAD_CALLER_ITEM)
 		prompt.request = 0;
 	prompt_add(&prompt, "root");
-	prompt_add(&prompt, kind == LOAD_SOUND ? session : "bad");
+	if (kind == LOAD_BAD_CALLER || kind == LOAD_CALLER_ITEM)
+		add_caller_parts(load, &prompt);
+	if (kind == LOAD_SOUND)
+		prompt_add(&prompt, session);
+	else if (kind != LOAD_CALLER_ITEM)
+		prompt_add(&prompt, "bad");
 	g_free(session);
 	return prompt;
 }
 
 static bool is_sound(enum load_kind kind)
 {
-	return kind == LOAD_SOUND || kind == LOAD_PLAIN;
+	return kind == LOAD_SOUND || kind == LOAD_PLAIN ||
+	       kind == LOAD_CALLER_ITEM;
+}
+
+static bool has_bad_part(enum load_kind kind)
+{
+	return kind == LOAD_BAD_PART || kind == LOAD_BAD_ITEM ||
+	       kind == LOAD_BAD_CALLER;
 }
 
 static void call_free(struct call *call)
@@ -153,8 +193,7 @@
 /* Counts a request that is sent although the fleet must know that it crashes servers. */
 static void count_late(struct load *load, enum load_kind kind)
 {
-	load->bad_late += (kind == LOAD_BAD_PART || kind == LOAD_BAD_ITEM) &&
-			  load->fifth_ms &&
+	load->bad_late += has_bad_part(kind) && load->fifth_ms &&
 			  load->now_ms > load->fifth_ms + KNOWN_MS;
 	load->repeated_late += kind == LOAD_REPEATED && load->third_ms &&
 			       load->now_ms > load->third_ms + KNOWN_MS;
@@ -168,7 +207,9 @@
 		quarantine, &call->prompt, load->now_ms, load->now_ms);
 	int server = choose_server(load);
 
-	load->sound_refused += is_sound(call->kind) && verdict.refused;
+	load->sound_refused += is_sound(call->kind) &&
+			       call->kind != LOAD_CALLER_ITEM &&
+			       verdict.refused;
 	if (verdict.refused || server < 0)
 		return false;
 	count_late(load, call->kind);
@@ -179,7 +220,8 @@
 	return true;
 }
 
-static void request_at(struct load *load, enum load_kind kind, unsigned entry)
+/* Returns whether the request was sent. */
+static bool request_at(struct load *load, enum load_kind kind, unsigned entry)
 {
 	struct call *call = g_new0(struct call, 1);
 
@@ -188,10 +230,26 @@
 	call->kind = kind;
 	list_init(&call->link);
 	load->sound += is_sound(kind);
-	if (send_call(load, call))
-		list_append(&load->calls, &call->link);
-	else
+	if (!send_call(load, call)) {
 		call_free(call);
+		return false;
+	}
+	list_append(&load->calls, &call->link);
+	return true;
+}
+
+/* Sends the caller's items that wait. */
+static void send_caller_items(struct load *load, uint64_t since_ms)
+{
+	unsigned i;
+
+	for (i = 0; i < load->entries_nr; i++) {
+		if (!load->waits[i] || !request_at(load, LOAD_CALLER_ITEM, i))
+			continue;
+		load->waits[i] = false;
+		load->waiting--;
+		load->caller_ms = load->now_ms - since_ms;
+	}
 }
 
 static void request(struct load *load, enum load_kind kind)
@@ -291,8 +349,14 @@
 		.now_ms = load->now_ms,
 		.wall_ms = load->now_ms,
 	};
-
-	quarantine_merge(load->entries[entry], &news);
+	struct quarantine_merged merged =
+		quarantine_merge(load->entries[entry], &news);
+
+	/* One of all entries stores what is reported, and what another record has
+	 * replaced. */
+	if (entry == evidence->key % load->entries_nr &&
+	    (source == SOURCE_REPORT ? merged.is_new : merged.lacks))
+		quarantine_save(load->entries[entry], evidence->key);
 }
 
 static bool is_cut_off(const struct load *load, unsigned entry)
@@ -388,6 +452,9 @@
 	double repeated = (double)script_arg_int(argc, argv, "repeated", 0);
 	unsigned crashes = (unsigned)script_arg_int(argc, argv, "crashes", 0);
 	unsigned items = (unsigned)script_arg_int(argc, argv, "items", 0);
+	double caller = (double)script_arg_int(argc, argv, "caller", 0);
+	uint64_t caller_for_ms =
+		1000 * (uint64_t)script_arg_int(argc, argv, "caller_for", 40);
 	uint64_t start_ms = load->now_ms;
 	unsigned i;
 
@@ -402,6 +469,15 @@
 			request(load, LOAD_BAD_PART);
 		if (ms > 2000 && g_rand_double(load->random) < repeated / 200)
 			request(load, LOAD_REPEATED);
+		if (ms > 2000 && ms < 2000 + caller_for_ms &&
+		    g_rand_double(load->random) < caller / 200)
+			request(load, LOAD_BAD_CALLER);
+		if (caller > 0 && ms == CALLER_ITEMS_MS) {
+			memset(load->waits, true, load->entries_nr);
+			load->waiting = load->entries_nr;
+		}
+		if (load->waiting && ms % 1000 == 0)
+			send_caller_items(load, start_ms + CALLER_ITEMS_MS);
 		for (i = 0; ms > 2000 && ms % 250 == 0 && i < items; i++)
 			request_at(load, LOAD_BAD_ITEM, i);
 		if (load->now_ms == load->cut_ms) {
@@ -434,6 +510,9 @@
 	struct list *pos, *tmp;
 	unsigned i;
 
+	load.caller_parts =
+		(unsigned)script_arg_int(argc, argv, "caller_parts", 2);
+	load.waits = g_new0(bool, load.entries_nr);
 	load.entries = g_new0(struct quarantine *, load.entries_nr);
 	load.servers = g_new0(struct server, load.servers_nr);
 	load.stored = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -453,11 +532,20 @@
 			"over the bound",
 		load.sound_refused * 100 <= load.sound ? "under 1 in 100" :
 							 "over 1 in 100");
+	if (script_arg_int(argc, argv, "caller", 0))
+		g_string_append_printf(
+			out, "items of the caller sent %s\n",
+			load.waiting || load.caller_ms > CALLER_ITEMS_MAX_MS ?
+				"too late or not at all" :
+				"in time");
 	if (script_arg_int(argc, argv, "figures", 0))
 		g_string_append_printf(
-			out, "crashes=%u+%u late=%u+%u refused=%u/%u\n",
+			out,
+			"crashes=%u+%u late=%u+%u refused=%u/%u items=%u"
+			" ms=%" G_GUINT64_FORMAT "\n",
 			load.crashes_bad, load.crashes_repeated, load.bad_late,
-			load.repeated_late, load.sound_refused, load.sound);
+			load.repeated_late, load.sound_refused, load.sound,
+			load.waiting, load.caller_ms);
 	list_for_each_safe (pos, tmp, &load.calls)
 		call_free(list_entry(pos, struct call, link));
 	for (i = 0; i < load.entries_nr; i++)
@@ -466,4 +554,5 @@
 	g_rand_free(load.random);
 	g_free(load.entries);
 	g_free(load.servers);
+	g_free(load.waits);
 }
