Let items cross to idle servers with one slot

Cause: a server of another region got an item only with two free slots, as a slot is kept for a request that isn't known here yet, and a server with one slot never has two.

Ruled out: servers that the gateway doesn't list (it lists all five), and the reserve over all servers of the other regions, which leaves three of five slots.

It now needs two free slots, or all of them if it has fewer. An item that meets a request there yields its slot like any other.

--- a/core/fleet_batch.c
+++ b/core/fleet_batch.c
@@ -13,6 +13,9 @@
 #define RESERVE_SHARE 0.06
 /* Additional reserve in other regions, whose load is known with more delay. */
 #define OTHER_REGION_RESERVE_SHARE 0.15
+/* Free slots of a server of another region that gets an item: one remains for a request
+ * that isn't known here yet. */
+#define OTHER_REGION_FREE 2
 
 /* Returns the recent peak of the online load, which decays linearly. */
 static double online_peak(struct fleet *fleet, const struct batch_query *query,
@@ -99,6 +102,14 @@
 	return mean->value;
 }
 
+/* Returns the free slots that a server must have to get an item. A server with fewer slots
+ * must be idle. */
+static double free_slots_needed(const struct server *server,
+				const struct batch_query *query)
+{
+	return query->other_region ? MIN(OTHER_REGION_FREE, server->slots) : 1;
+}
+
 /* Returns the weight of a server in the choice for a batch item; 0 if it has no
  * free slot. */
 static double batch_weight(const struct fleet *fleet,
@@ -109,7 +120,7 @@
 		      server_load(server, WORK_BATCH) -
 		      server_unattributed(server, query->now_ms);
 
-	if (free < (query->other_region ? 2 : 1) || server_is_paced(server))
+	if (free < free_slots_needed(server, query) || server_is_paced(server))
 		return 0;
 	if (server_has_connection(fleet, server))
 		free *= CONNECTED_WEIGHT;
