List items with an empty output as completed

Cause: platform_results_encode() told a dead-lettered item by an output of NULL. The outputs of a page are kept as GBytes, and g_bytes_get_data() returns NULL for zero bytes.

Ruled out: the run and its record (the log has "done events=1 bytes=0", and the record says that the item isn't dead), and the store, which returns the empty record.

A result now says whether its item is dead, from the item's state.

--- a/briarplankd/gateway/job_read.c
+++ b/briarplankd/gateway/job_read.c
@@ -24,7 +24,7 @@
 	 * NULL once the output is there or its read has failed. */
 	struct job_blob location;
 	struct job_bulk_read *blob;
-	/* The output, or NULL for a dead-lettered item. */
+	/* The output; NULL before it is there, and for a dead-lettered item. */
 	GBytes *data;
 	bool ready;
 };
@@ -159,6 +159,7 @@
 			&job->items[job->results[read->position + i]];
 
 		results[i].item = item->id;
+		results[i].dead = item->state == JOB_ITEM_DEAD;
 		if (output->data)
 			results[i].output = g_bytes_get_data(
 				output->data, &results[i].output_len);
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -148,9 +148,12 @@
 /** Decodes a batch job; returns NULL with an error message on failure. */
 struct job_request *platform_job_decode(const char *data, size_t len);
 
-/** One result of a page; output is NULL for a dead-lettered item. */
+/** One result of a page. */
 struct platform_result {
 	const char *item;
+	/** The item was given up and has no output. */
+	bool dead;
+	/** May be NULL if it has no bytes. */
 	const char *output;
 	size_t output_len;
 };
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -32,6 +32,7 @@
 	int64_t software;
 	int64_t event_bytes;
 	int64_t burst;
+	bool bare;
 };
 
 struct worker_state {
@@ -147,9 +148,14 @@
 	char *text;
 
 	run->event++;
-	text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64 "%s%s\n\n",
-			       run->event, run->id, run->event, state->mark,
-			       state->padding);
+	if (state->settings.bare)
+		text = g_strdup_printf("id: %" PRId64 "\ndata: \n\n",
+				       run->event);
+	else
+		text = g_strdup_printf("id: %" PRId64 "\ndata: %s-%" PRId64
+				       "%s%s\n\n",
+				       run->event, run->id, run->event,
+				       state->mark, state->padding);
 	web_stream_write(run->request, text, strlen(text));
 	g_free(text);
 }
@@ -464,6 +470,8 @@
 	  .help = "bytes that make each event longer" },
 	{ "burst", offsetof(struct worker_settings, burst), 1,
 	  .help = "events sent at a time" },
+	{ "bare", offsetof(struct worker_settings, bare), 0, .on_off = true,
+	  .help = "on: events have no text" },
 	{ "plain", offsetof(struct worker_settings, plain), 0, .on_off = true,
 	  .help = "on: answer with the body instead of a stream" },
 	{ 0 },
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -130,10 +130,11 @@
 {
 	const struct platform_result list[] = {
 		{ .item = "a", .output = "x\n\"y\"", .output_len = 5 },
-		{ .item = "b" },
+		{ .item = "b", .dead = true },
 		{ .item = "c", .output = "", .output_len = 0 },
+		{ .item = "d" },
 	};
-	char *text = platform_results_encode(5, 4, list, 3);
+	char *text = platform_results_encode(5, 4, list, G_N_ELEMENTS(list));
 
 	g_string_append_printf(out, "%s\n", text);
 	g_free(text);
