Count the entries of the output cache towards its limit

What operators would see: a node whose callers read many empty outputs keeps an entry of about 100 bytes for each as long as it runs, as the limit counted only the bytes of outputs and dropped nothing for empty ones.

--- a/briarplankd/gateway/job_outputs.c
+++ b/briarplankd/gateway/job_outputs.c
@@ -1,7 +1,7 @@
 #include "job_calls_private.h"
 
-/* Size limit of the output cache, in bytes. Most outputs are read soon after
- * they were written, by a client that polls. */
+/* Size limit of the output cache, in bytes, with its entries. Most outputs are read soon
+ * after they were written, by a client that polls. */
 #define CACHE_BYTES 2097152
 
 static uint64_t cache_key(const struct job_blob *location)
@@ -9,6 +9,12 @@
 	return location->offset << 10 | (uint64_t)location->partition;
 }
 
+/* An output without bytes takes memory too. */
+static size_t output_size(const struct job_output *output)
+{
+	return sizeof(*output) + output->len;
+}
+
 static void output_free(gpointer data)
 {
 	struct job_output *output = data;
@@ -31,12 +37,12 @@
 	output->len = len;
 	g_hash_table_insert(calls->cache, &output->key, output);
 	g_queue_push_tail(&calls->cache_order, output);
-	calls->cache_bytes += len;
+	calls->cache_bytes += output_size(output);
 	while (calls->cache_bytes > CACHE_BYTES) {
 		struct job_output *oldest =
 			g_queue_pop_head(&calls->cache_order);
 
-		calls->cache_bytes -= oldest->len;
+		calls->cache_bytes -= output_size(oldest);
 		g_hash_table_remove(calls->cache, &oldest->key);
 	}
 }
