Let streams go on at the service that began them

Cause: the service of a stream that is taken up was picked by the hash of the attempt that began it under the weights of the newest configuration. The version that began it was known, but no server of the picked service has it. From the same cause, a version that nobody knew was concluded from the only one of the picked service, which may be another service: the text would be joined from two.

Ruled out: that the version was not known (the logs of the old code say "no server has the software version that began the stream"), and the crash of the servers (with TROUBLE=0 all streams go on after it).

The version now names the service, if the route still gives that one requests; otherwise the refusal says that it left. A version is concluded only if the route has had the same services and weights for as long as streams are remembered, as seen by the entry or kept in keyed.software. Streams of other routes are told to other entries, and those begun before a change are told when it comes. Items that have output go on at the service that wrote it. Records of keyed.software are appended together.

--- a/briarplankd/gateway/batch_run.c
+++ b/briarplankd/gateway/batch_run.c
@@ -450,10 +450,17 @@
 const char *run_service(struct run *run)
 {
 	const struct route *route = run_route(run);
+	const char *service = NULL;
 
-	return route ? route_pick_service(route,
-					  hash_string(run->item->id, 0)) :
-		       NULL;
+	if (!route)
+		return NULL;
+	/* An item that has output goes on at the service that wrote it. */
+	if (run->last_event >= 0)
+		service = fleet_software_service(run->batch->gateway->fleet,
+						 run->software);
+	return service && route_has_service(route, service) ?
+		       service :
+		       route_pick_service(route, hash_string(run->item->id, 0));
 }
 
 /* Makes an item start over whose output so far no server can go on with. */
--- a/briarplankd/gateway/online.c
+++ b/briarplankd/gateway/online.c
@@ -28,6 +28,7 @@
 
 	g_free(request->route);
 	g_free(request->service);
+	g_free(request->picked_service);
 	g_free(request->account);
 	g_free(request->inputs.server);
 	g_free(request->inputs.software);
@@ -48,7 +49,9 @@
 {
 	struct stream_name name = {
 		.attempt = request->taken_up ? request->resumes : request->id,
-		.service = request->service,
+		.route = request->route,
+		.picks = request->picks,
+		.service = request->picked_service,
 		.timeout_ms = request->timeout_ms,
 	};
 
@@ -375,29 +378,53 @@
 	g_free(labels);
 }
 
+/* Has the stream go on at the service of the version that began it. Returns false if that
+ * service is known not to serve the route. */
+static bool follow_software(struct gateway_request *request,
+			    const struct route *route)
+{
+	const char *service = fleet_software_service(request->gateway->fleet,
+						     request->software);
+
+	if (!service)
+		return true;
+	if (!route || !route_has_service(route, service))
+		return false;
+	g_free(request->service);
+	request->service = g_strdup(service);
+	return true;
+}
+
 static void on_software(void *ctx, uint64_t software)
 {
 	struct gateway_request *request = ctx;
+	const struct route *route =
+		route_table_find(request->gateway->config, request->host,
+				 web_path(request->web));
 
 	request->question = NULL;
 	count_taken_up(request, software ? "asked" : "unknown");
 	request->software = software;
-	if (software)
-		gateway_request_dispatch(request);
-	else
+	if (!software)
 		gateway_request_refuse(request, 503, STREAM_LOST_RETRY_AFTER_S,
 				       "the software version that began the "
 				       "stream isn't known");
+	else if (!follow_software(request, route))
+		gateway_request_refuse(request, 503, STREAM_LOST_RETRY_AFTER_S,
+				       "the service that began the stream no "
+				       "longer serves the route");
+	else
+		gateway_request_dispatch(request);
 }
 
 /* Takes up a stream for its caller, at the software version that began it. */
-static void take_up(struct gateway_request *request)
+static void take_up(struct gateway_request *request, const struct route *route)
 {
 	struct stream_share *streams = request->gateway->streams;
 	struct stream_name name = gateway_request_stream(request);
 
 	request->software = stream_share_find(streams, &name);
-	if (!request->software ||
+	if (!request->software || !follow_software(request, route) ||
 	    fleet_software_gone(request->gateway->fleet, request->service,
 				request->software)) {
 		request->question =
@@ -409,6 +436,24 @@
 	gateway_request_dispatch(request);
 }
 
+/* Picks the service. That of a stream that is taken up is the one that began it; the weights
+ * name it only if they are those of that time. */
+static void pick_service(struct gateway_request *request,
+			 const struct route *route)
+{
+	const char *attempt =
+		request->taken_up ? request->resumes : request->id;
+	const char *picked =
+		attempt ? route_pick_service(route, hash_string(attempt, 0)) :
+			  route_sole_service(route);
+
+	request->picks = route_picks_hash(route);
+	request->picked_service = g_strdup(picked);
+	if (!picked)
+		picked = route_pick_service(route, hash_string(request->id, 0));
+	request->service = g_strdup(picked);
+}
+
 static void online_request_begin(struct gateway *gateway,
 				 struct web_request *web,
 				 const struct route *route,
@@ -425,10 +470,7 @@
 	request->account = account ? g_strdup(account->name) : NULL;
 	request->timeout_ms = route->timeout_ms;
 	read_last_event(request);
-	/* A stream goes on at the service that began it. */
-	request->service = g_strdup(route_pick_service(
-		route,
-		hash_string(request->resumes ? request->resumes : id, 0)));
+	pick_service(request, route);
 	request->config_version = gateway->config->version;
 	request->kind = route->kind;
 	request->repeatable = route_repeatable(route);
@@ -460,7 +502,7 @@
 	fleet_note_demand(gateway->fleet, request->service,
 			  request->arrived_ms);
 	if (request->kind == ROUTE_STREAM && request->taken_up)
-		take_up(request);
+		take_up(request, route);
 	else
 		gateway_request_dispatch(request);
 }
--- a/briarplankd/gateway/online_request.h
+++ b/briarplankd/gateway/online_request.h
@@ -46,7 +46,13 @@
 	struct web_request *web;
 	/* Name of the route, copied when the request arrived. */
 	char *route;
+	/* Service that runs it; for a stream that is taken up, that of the version that
+	 * began it. */
 	char *service;
+	/* Hash of the route's services and weights as it arrived, and the service that they
+	 * pick for the attempt that began the stream; NULL if they can't tell. */
+	uint64_t picks;
+	char *picked_service;
 	/* Name of the client account, copied when the request arrived; NULL for
 	 * none. */
 	char *account;
--- a/briarplankd/gateway/software_history.c
+++ b/briarplankd/gateway/software_history.c
@@ -17,15 +17,20 @@
 #define READ_AGAIN_MS 1500
 #define STORE_INSTEAD_MS 3000
 
-/* What is known of a service. */
+/* Space for a record, in bytes. */
+#define RECORD_BYTES 64
+
+/* What is known of a service or a route. */
 struct span {
-	uint64_t software;
-	/* Unix time since which no other version was listed, in ms. */
+	/* Hash of the version of a service, 0 for several, or of the services and weights
+	 * of a route. */
+	uint64_t value;
+	/* Unix time since which there was no other, in ms. */
 	uint64_t since_ms;
-	/* The version in the store, as far as this entry knows. */
-	uint64_t stored_software;
+	/* The value in the store, as far as this entry knows. */
+	uint64_t stored_value;
 	bool is_stored;
-	/* Loop time at which the stored version was first seen to differ; 0 while it
+	/* Loop time at which the stored value was first seen to differ; 0 while it
 	 * doesn't. */
 	uint64_t differs_ms;
 };
@@ -33,7 +38,7 @@
 struct software_history {
 	struct gateway *gateway;
 	uv_timer_t timer;
-	/* Maps the name of a service to its struct span *. */
+	/* Maps the name of a service, or route_key(), to its struct span *. */
 	GHashTable *spans;
 	/* The store was read since the list of servers is up to date. */
 	bool loaded;
@@ -42,15 +47,21 @@
 	char *page_key;
 };
 
-static struct span *span_get(struct software_history *history,
-			     const char *service)
+/* Returns the key of a route, which the caller frees. The names of services have no
+ * spaces. */
+static char *route_key(const char *route)
+{
+	return g_strdup_printf("route %016" PRIx64, hash_string(route, 0));
+}
+
+static struct span *span_get(struct software_history *history, const char *key)
 {
-	struct span *span = g_hash_table_lookup(history->spans, service);
+	struct span *span = g_hash_table_lookup(history->spans, key);
 
 	if (span)
 		return span;
 	span = g_new0(struct span, 1);
-	g_hash_table_insert(history->spans, g_strdup(service), span);
+	g_hash_table_insert(history->spans, g_strdup(key), span);
 	return span;
 }
 
@@ -67,16 +78,16 @@
 	message = software_span__unpack(NULL, record->len,
 					(const uint8_t *)record->data);
 	if (!message) {
-		log_event("software", LOG_LEVEL_WARN,
-			  "service=%s malformed record", record->key);
+		log_event("software", LOG_LEVEL_WARN, "key=%s malformed record",
+			  record->key);
 		return;
 	}
 	span = span_get(history, record->key);
 	span->is_stored = true;
-	span->stored_software = message->software;
+	span->stored_value = message->software;
 	/* Until the list of servers is compared with it, the record counts. */
 	if (!history->loaded) {
-		span->software = message->software;
+		span->value = message->software;
 		span->since_ms = message->since_ms;
 	}
 	software_span__free_unpacked(message, NULL);
@@ -105,7 +116,7 @@
 	}
 	if (!history->loaded)
 		log_event("software", LOG_LEVEL_INFO,
-			  "versions read services=%u",
+			  "versions read services_and_routes=%u",
 			  g_hash_table_size(history->spans));
 	history->loaded = true;
 }
@@ -133,53 +144,69 @@
 	history->storing = false;
 	if (result->status == STORE_OK)
 		return;
-	log_event("software", LOG_LEVEL_WARN, "version not stored: %s",
+	log_event("software", LOG_LEVEL_WARN, "versions not stored: %s",
 		  store_status_name(result->status));
 	/* Reads what is stored now. */
 	read_spans(history);
 }
 
-static void store_span(struct software_history *history, const char *service,
-		       struct span *span)
+/* Adds the record of a span to those that are stored next. */
+static void add_record(GString *records, const char *key, struct span *span)
 {
 	SoftwareSpan message = SOFTWARE_SPAN__INIT;
-	uint8_t bytes[64];
+	uint8_t bytes[RECORD_BYTES];
+
+	message.software = span->value;
+	message.since_ms = span->since_ms;
+	store_add_keyed_record(records, key, bytes,
+			       software_span__pack(&message, bytes));
+	span->is_stored = true;
+	span->stored_value = span->value;
+	span->differs_ms = 0;
+}
+
+static void store_records(struct software_history *history, GString *records)
+{
 	struct store_append append = {
 		.topic = SOFTWARE_TOPIC,
-		.records = g_string_new(NULL),
+		.records = records,
 		.timeout_ms = CALL_TIMEOUT_MS,
 		.done = on_stored,
 		.ctx = history,
 	};
 
-	message.software = span->software;
-	message.since_ms = span->since_ms;
-	store_add_keyed_record(append.records, service, bytes,
-			       software_span__pack(&message, bytes));
-	span->is_stored = true;
-	span->stored_software = span->software;
-	span->differs_ms = 0;
 	history->storing = true;
 	store_append(history->gateway->store, &append);
 }
 
-/* Compares the versions that are listed with what is known of the service. */
-static void update_span(struct software_history *history, const char *service,
-			struct span *span, uint64_t now)
+/* The value of a service or a route that holds now. */
+struct current_value {
+	const char *key;
+	const char *name;
+	bool is_route;
+	uint64_t value;
+};
+
+/* Compares it with what is known, and adds a record of what has to be stored. */
+static void update_span(struct software_history *history,
+			const struct current_value *current, GString *records)
 {
 	struct gateway *gateway = history->gateway;
-	uint64_t listed = fleet_sole_software(gateway->fleet, service, now);
+	struct span *span = span_get(history, current->key);
+	uint64_t now = uv_now(gateway->loop);
 
-	if (listed != span->software || !span->since_ms) {
+	if (current->value != span->value || !span->since_ms) {
 		log_event("software", LOG_LEVEL_INFO,
-			  "service=%s software=%016" PRIx64
-			  " before=%016" PRIx64 " stored=%016" PRIx64,
-			  service, listed, span->software,
-			  span->stored_software);
-		span->software = listed;
+			  "%s=%s %s=%016" PRIx64 " before=%016" PRIx64
+			  " stored=%016" PRIx64,
+			  current->is_route ? "route" : "service",
+			  current->name,
+			  current->is_route ? "picks" : "software",
+			  current->value, span->value, span->stored_value);
+		span->value = current->value;
 		span->since_ms = gateway_wall_ms();
 	}
-	if (span->is_stored && span->stored_software == span->software) {
+	if (span->is_stored && span->stored_value == span->value) {
 		span->differs_ms = 0;
 		return;
 	}
@@ -187,20 +214,63 @@
 		span->differs_ms = now;
 	if (history->storing || history->reading)
 		return;
-	if (peers_owns_hash(gateway->peers, hash_string(service, 0)) ||
+	if (peers_owns_hash(gateway->peers, hash_string(current->key, 0)) ||
 	    now - span->differs_ms >= STORE_INSTEAD_MS)
-		store_span(history, service, span);
+		add_record(records, current->key, span);
 	else if (now - span->differs_ms >= READ_AGAIN_MS)
 		read_spans(history);
 }
 
-static void on_check(uv_timer_t *timer)
+static void update_services(struct software_history *history, GString *records)
 {
-	struct software_history *history = timer->data;
 	struct gateway *gateway = history->gateway;
 	uint64_t now = uv_now(gateway->loop);
 	guint i;
 
+	for (i = 0; i < gateway->config->services->len; i++) {
+		const struct service *service =
+			g_ptr_array_index(gateway->config->services, i);
+		struct current_value current = {
+			.key = service->name,
+			.name = service->name,
+			.value = fleet_sole_software(gateway->fleet,
+						     service->name, now),
+		};
+
+		if (fleet_sole_software(gateway->fleet, service->name, 0) ||
+		    fleet_usable(gateway->fleet, service->name, now))
+			update_span(history, &current, records);
+	}
+}
+
+static void update_routes(struct software_history *history, GString *records)
+{
+	struct gateway *gateway = history->gateway;
+	guint i;
+
+	for (i = 0; i < gateway->config->routes->len; i++) {
+		const struct route *route =
+			g_ptr_array_index(gateway->config->routes, i);
+		char *key = route_key(route->name);
+		struct current_value current = {
+			.key = key,
+			.name = route->name,
+			.is_route = true,
+			.value = route_picks_hash(route),
+		};
+
+		if (route->kind == ROUTE_STREAM)
+			update_span(history, &current, records);
+		g_free(key);
+	}
+}
+
+static void on_check(uv_timer_t *timer)
+{
+	struct software_history *history = timer->data;
+	struct gateway *gateway = history->gateway;
+	GString *records;
+
 	/* What was listed meanwhile isn't known; others may have stored it. */
 	if (!directory_known_for_ms(gateway->directory)) {
 		history->loaded = false;
@@ -210,16 +280,15 @@
 		read_spans(history);
 		return;
 	}
-	for (i = 0; gateway->config && i < gateway->config->services->len;
-	     i++) {
-		const struct service *service =
-			g_ptr_array_index(gateway->config->services, i);
-
-		if (fleet_sole_software(gateway->fleet, service->name, 0) ||
-		    fleet_usable(gateway->fleet, service->name, now))
-			update_span(history, service->name,
-				    span_get(history, service->name), now);
-	}
+	if (!gateway->config)
+		return;
+	records = g_string_new(NULL);
+	update_services(history, records);
+	update_routes(history, records);
+	if (records->len)
+		store_records(history, records);
+	else
+		g_string_free(records, TRUE);
 }
 
 uint64_t software_history_sole(struct software_history *history,
@@ -228,12 +297,24 @@
 	struct gateway *gateway = history->gateway;
 	const struct span *span = g_hash_table_lookup(history->spans, service);
 
-	if (!history->loaded || !span || !span->software ||
+	if (!history->loaded || !span || !span->value ||
 	    span->since_ms + for_ms > gateway_wall_ms() ||
 	    fleet_sole_software(gateway->fleet, service,
-				uv_now(gateway->loop)) != span->software)
+				uv_now(gateway->loop)) != span->value)
 		return 0;
-	return span->software;
+	return span->value;
+}
+
+bool software_history_route_steady(const struct software_history *history,
+				   const char *route, uint64_t picks,
+				   uint64_t for_ms)
+{
+	char *key = route_key(route);
+	const struct span *span = g_hash_table_lookup(history->spans, key);
+
+	g_free(key);
+	return history->loaded && span && span->value == picks &&
+	       span->since_ms + for_ms <= gateway_wall_ms();
 }
 
 struct software_history *software_history_create(struct gateway *gateway)
--- a/briarplankd/gateway/stream_share.c
+++ b/briarplankd/gateway/stream_share.c
@@ -30,18 +30,28 @@
 	struct gateway *gateway;
 	struct stream_origins *origins;
 	uv_timer_t timer;
-	/* Names of services whose streams were not told to others, as they had one
-	 * version. */
+	/* Streams that were not told to others, as these can conclude their version: set of
+	 * struct untold by their route, service and weights. */
 	GHashTable *untold;
 	struct list questions;
 };
 
+struct untold {
+	uint64_t hash;
+	char *route;
+	uint64_t picks;
+	char *service;
+};
+
 struct stream_question {
 	struct list link;
 	struct stream_share *share;
 	uint64_t id;
 	uint64_t stream;
 	char *attempt;
+	char *route;
+	uint64_t picks;
+	/* Service that the route picks; NULL if it can't tell. */
 	char *service;
 	uint64_t ttl_ms;
 	/* The version that began the stream; 0 until it is known. */
@@ -79,6 +89,23 @@
 				   now > ttl_ms ? now - ttl_ms : 0);
 }
 
+/* Returns the version that began a stream as any entry can conclude it, or 0: the route has
+ * picked the same service for as long as streams are remembered, and that has had one
+ * version. */
+static uint64_t concluded_software(const struct stream_share *share,
+				   const struct stream_name *name,
+				   uint64_t ttl_ms)
+{
+	const struct gateway *gateway = share->gateway;
+
+	if (!name->service ||
+	    !directory_config_is_current(gateway->directory) ||
+	    !software_history_route_steady(gateway->software_history,
+					   name->route, name->picks, ttl_ms))
+		return 0;
+	return sole_software(share, name->service, ttl_ms);
+}
+
 static void send_origin(struct stream_share *share, uint64_t address,
 			StreamOrigin *origin)
 {
@@ -108,6 +135,33 @@
 		send_origin(share, addresses[i], &message);
 }
 
+static void untold_free(gpointer data)
+{
+	struct untold *untold = data;
+
+	g_free(untold->route);
+	g_free(untold->service);
+	g_free(untold);
+}
+
+static void note_untold(struct stream_share *share,
+			const struct stream_name *name)
+{
+	uint64_t hash = hash_combine(
+		hash_combine(hash_string(name->route, 0), name->picks),
+		hash_string(name->service, 0));
+	struct untold *untold;
+
+	if (g_hash_table_contains(share->untold, &hash))
+		return;
+	untold = g_new0(struct untold, 1);
+	untold->hash = hash;
+	untold->route = g_strdup(name->route);
+	untold->picks = name->picks;
+	untold->service = g_strdup(name->service);
+	g_hash_table_insert(share->untold, &untold->hash, untold);
+}
+
 void stream_share_begun(struct stream_share *share,
 			const struct stream_name *name, uint64_t software)
 {
@@ -120,28 +174,37 @@
 	};
 
 	stream_origins_add(share->origins, &origin, now_ms(share));
-	if (sole_software(share, name->service, ttl_ms) == software)
-		g_hash_table_add(share->untold, g_strdup(name->service));
+	if (concluded_software(share, name, ttl_ms) == software)
+		note_untold(share, name);
 	else
 		tell(share, &origin);
 }
 
-/* Tells the streams that this entry has begun once a service gets a second version. */
+/* Tells the streams that this entry has begun once others can't conclude where: a service
+ * gets a second version, or a route other weights. */
 static void on_check(uv_timer_t *timer)
 {
 	struct stream_share *share = timer->data;
 	GHashTableIter iter;
-	gpointer service;
+	gpointer value;
 	bool several = false;
 
 	g_hash_table_iter_init(&iter, share->untold);
-	while (g_hash_table_iter_next(&iter, &service, NULL)) {
-		if (sole_software(share, service, STREAM_ORIGIN_MS))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct untold *untold = value;
+		struct stream_name name = {
+			.route = untold->route,
+			.picks = untold->picks,
+			.service = untold->service,
+		};
+
+		if (concluded_software(share, &name, STREAM_ORIGIN_MS))
 			continue;
 		log_event("stream", LOG_LEVEL_INFO,
-			  "service=%s has several software versions, or none "
-			  "is known; other entries are told of its streams",
-			  (const char *)service);
+			  "route=%s service=%s has other weights or several "
+			  "software versions, or none is known; other entries "
+			  "are told of its streams",
+			  untold->route, untold->service);
 		several = true;
 		g_hash_table_iter_remove(&iter);
 	}
@@ -166,6 +229,7 @@
 	struct stream_question *question = handle->data;
 
 	g_free(question->attempt);
+	g_free(question->route);
 	g_free(question->service);
 	g_free(question);
 }
@@ -185,10 +249,11 @@
 	void *ctx = question->ctx;
 
 	log_event("stream", software ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-		  "attempt=%s service=%s software=%016" PRIx64
+		  "attempt=%s route=%s service=%s software=%016" PRIx64
 		  " %s unanswered=%u list_age_ms=%" PRIu64 " ms=%" PRIu64,
-		  question->attempt ? question->attempt : "-",
-		  question->service, software, reason, question->asked_nr,
+		  question->attempt ? question->attempt : "-", question->route,
+		  question->service ? question->service : "-", software, reason,
+		  question->asked_nr,
 		  now - directory_servers_as_of_ms(
 				question->share->gateway->directory),
 		  now - question->started_ms);
@@ -204,7 +269,7 @@
 	message.stream = question->stream;
 	message.question = question->id;
 	message.asked = true;
-	message.service = question->service;
+	message.service = question->service ? question->service : "";
 	message.ttl_ms = (uint32_t)question->ttl_ms;
 	for (i = 0; i < question->asked_nr; i++)
 		send_origin(question->share, question->asked[i], &message);
@@ -223,8 +288,8 @@
 /* Tells whether the list has a server at which the stream can go on. */
 static bool has_server(const struct stream_question *question)
 {
-	return !fleet_software_gone(question->share->gateway->fleet,
-				    question->service, question->software);
+	return fleet_software_serves(question->share->gateway->fleet,
+				     question->software);
 }
 
 static void question_check(struct stream_question *question)
@@ -237,8 +302,14 @@
 	if (!listed && elapsed < LIST_TIMEOUT_MS)
 		directory_refresh_servers(share->gateway->directory);
 	if (!question->software && listed) {
-		question->software = sole_software(share, question->service,
-						   question->ttl_ms);
+		struct stream_name name = {
+			.route = question->route,
+			.picks = question->picks,
+			.service = question->service,
+		};
+
+		question->software =
+			concluded_software(share, &name, question->ttl_ms);
 		if (question->software) {
 			question_end(question, "only one version serves");
 			return;
@@ -275,6 +346,8 @@
 	question->share = share;
 	question->id = gateway_random() | 1;
 	question->attempt = g_strdup(name->attempt);
+	question->route = g_strdup(name->route);
+	question->picks = name->picks;
 	question->service = g_strdup(name->service);
 	question->ttl_ms = stream_origin_ttl_ms(name->timeout_ms);
 	question->stream = name->attempt ? hash_string(name->attempt, 0) : 0;
@@ -380,8 +453,8 @@
 
 	share->gateway = gateway;
 	share->origins = stream_origins_create();
-	share->untold =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	share->untold = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      untold_free);
 	list_init(&share->questions);
 	uv_timer_init(gateway->loop, &share->timer);
 	share->timer.data = share;
--- a/briarplankd/gateway/stream_share.h
+++ b/briarplankd/gateway/stream_share.h
@@ -3,7 +3,8 @@
  * caller takes up a stream that another entry began.
  *
  * A stream is told to a few entries that its id selects, as soon as its first event
- * arrives. Nothing is sent while a service has one version.
+ * arrives. Nothing is sent while its route keeps its services and weights, and the service
+ * has one version.
  */
 #ifndef BRIARPLANKD_GATEWAY_STREAM_SHARE_H
 #define BRIARPLANKD_GATEWAY_STREAM_SHARE_H
@@ -20,6 +21,11 @@
 struct stream_name {
 	/** Id of the attempt that brought its first event; NULL if it isn't known. */
 	const char *attempt;
+	/** Route, and the hash of its services and weights (route_picks_hash()). */
+	const char *route;
+	uint64_t picks;
+	/** Service that these pick for the attempt, at which the stream began if they were
+	 * the same then; NULL if they can't tell. */
 	const char *service;
 	/** Timeout of its route, in ms. */
 	uint32_t timeout_ms;
@@ -39,8 +45,9 @@
 /**
  * Finds the version that began a stream, and a list of servers that is as new as the
  * question: asks the other entries unless known is the version, and reads the list. The
- * version is also known if that list shows that only one has served since the stream can
- * have begun. done is called once, not from within this function, with 0 if the version
+ * version is also known if the route has picked services by the same weights since the
+ * stream can have begun, and that list shows that only one version has served in the one
+ * that they pick. done is called once, not from within this function, with 0 if the version
  * stays unknown.
  */
 struct stream_question *stream_share_ask(
--- a/core/fleet_software.c
+++ b/core/fleet_software.c
@@ -10,15 +10,24 @@
 
 struct software {
 	uint64_t software_hash;
+	char *service;
 	uint64_t service_hash;
 	/* Loop time at which a server with it was listed last, in ms. */
 	uint64_t listed_ms;
 };
 
+static void software_free(gpointer data)
+{
+	struct software *software = data;
+
+	g_free(software->service);
+	g_free(software);
+}
+
 void fleet_software_init(struct fleet *fleet)
 {
 	fleet->software = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						NULL, g_free);
+						NULL, software_free);
 }
 
 void fleet_software_clear(struct fleet *fleet)
@@ -49,6 +58,7 @@
 		if (!software) {
 			software = g_new0(struct software, 1);
 			software->software_hash = server->software_hash;
+			software->service = g_strdup(server->service);
 			software->service_hash = server->service_hash;
 			g_hash_table_insert(fleet->software,
 					    &software->software_hash, software);
@@ -97,6 +107,40 @@
 	return found == SEVERAL ? 0 : found;
 }
 
+const char *fleet_software_service(struct fleet *fleet, uint64_t software_hash)
+{
+	const struct software *software =
+		g_hash_table_lookup(fleet->software, &software_hash);
+	struct list *pos;
+
+	if (software)
+		return software->service;
+	/* Those listed since the last sweep. */
+	list_for_each (pos, &fleet->servers) {
+		const struct server *server =
+			list_entry(pos, struct server, link);
+
+		if (server->listed && server->software_hash == software_hash)
+			return server->service;
+	}
+	return NULL;
+}
+
+bool fleet_software_serves(struct fleet *fleet, uint64_t software_hash)
+{
+	struct list *pos;
+
+	list_for_each (pos, &fleet->servers) {
+		const struct server *server =
+			list_entry(pos, struct server, link);
+
+		if (server->software_hash == software_hash &&
+		    server_serves(server, server->service))
+			return true;
+	}
+	return false;
+}
+
 bool fleet_software_gone(struct fleet *fleet, const char *service,
 			 uint64_t software_hash)
 {
--- a/core/route_table.c
+++ b/core/route_table.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/hash.h"
 #include "core/route_table.h"
 
 static void route_free(gpointer data)
@@ -114,13 +115,21 @@
 	return NULL;
 }
 
-const char *route_pick_service(const struct route *route, uint64_t hash)
+static uint64_t sum_of_weights(const struct route *route)
 {
-	uint64_t sum = 0, at;
+	uint64_t sum = 0;
 	size_t i;
 
 	for (i = 0; i < route->targets_nr; i++)
 		sum += route->targets[i].weight;
+	return sum;
+}
+
+const char *route_pick_service(const struct route *route, uint64_t hash)
+{
+	uint64_t sum = sum_of_weights(route), at;
+	size_t i;
+
 	if (!sum)
 		return route->targets_nr ? route->targets[0].service : NULL;
 	at = hash % sum;
@@ -132,6 +141,50 @@
 	return NULL;
 }
 
+bool route_has_service(const struct route *route, const char *service)
+{
+	bool weighted = sum_of_weights(route) > 0;
+	size_t i;
+
+	for (i = 0; i < route->targets_nr; i++) {
+		const struct route_target *target = &route->targets[i];
+
+		if (!g_strcmp0(target->service, service) &&
+		    (weighted ? target->weight > 0 : i == 0))
+			return true;
+	}
+	return false;
+}
+
+const char *route_sole_service(const struct route *route)
+{
+	const char *service = route_pick_service(route, 0);
+	size_t i;
+
+	for (i = 0; service && i < route->targets_nr; i++) {
+		if (g_strcmp0(route->targets[i].service, service) != 0 &&
+		    route_has_service(route, route->targets[i].service))
+			return NULL;
+	}
+	return service;
+}
+
+uint64_t route_picks_hash(const struct route *route)
+{
+	uint64_t hash = 0;
+	size_t i;
+
+	for (i = 0; i < route->targets_nr; i++) {
+		const struct route_target *target = &route->targets[i];
+
+		if (target->service)
+			hash = hash_combine(hash,
+					    hash_string(target->service, 0));
+		hash = hash_combine(hash, target->weight);
+	}
+	return hash | 1;
+}
+
 bool route_repeatable(const struct route *route)
 {
 	return route->kind == ROUTE_SAFE ||
--- a/include/core/fleet.h
+++ b/include/core/fleet.h
@@ -167,6 +167,15 @@
 uint64_t fleet_sole_software(struct fleet *fleet, const char *service,
 			     uint64_t since_ms);
 
+/**
+ * Returns the service of a version by its hash, of those that are listed or were in the
+ * last minutes; NULL if this entry knows none. Valid until the next change of the fleet.
+ */
+const char *fleet_software_service(struct fleet *fleet, uint64_t software_hash);
+
+/** Tells whether a server of a version takes new requests, by the version's hash. */
+bool fleet_software_serves(struct fleet *fleet, uint64_t software_hash);
+
 /**
  * Tells whether servers of other versions take new requests of a service, and none of
  * this one.
--- a/include/core/route_table.h
+++ b/include/core/route_table.h
@@ -119,6 +119,16 @@
  * request's hash; NULL if the route has no services. */
 const char *route_pick_service(const struct route *route, uint64_t hash);
 
+/** Tells whether the route gives requests to a service. */
+bool route_has_service(const struct route *route, const char *service);
+
+/** Returns the service that gets all requests of the route; NULL if there are several. */
+const char *route_sole_service(const struct route *route);
+
+/** Returns a hash of the route's services and weights; two routes with the same hash pick
+ * the same service for a request. Never 0. */
+uint64_t route_picks_hash(const struct route *route);
+
 /** Tells whether a request of this route may run more than once. */
 bool route_repeatable(const struct route *route);
 
--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -13,14 +13,25 @@
 # gateway_config VERSION [LIMIT]: writes a configuration with a resumable stream
 # route, one that can't be resumed, a plain route, and a batch route with a
 # limit of waiting tokens. GATEWAY_ACCOUNTS is its list of client accounts, if
-# there are any; the plain route is public then.
+# there are any; the plain route is public then. GATEWAY_WEIGHTS, as "9 1", splits the
+# first route and the batch route between the services model and model-b; a weight of 0
+# leaves the service out.
 gateway_config () {
+	targets='"Service":"model"'
+	if test -n "$GATEWAY_WEIGHTS"
+	then
+		targets=$(echo "$GATEWAY_WEIGHTS" | awk '{
+			if ($1) list = "{\"Service\":\"model\",\"Weight\":" $1 "}"
+			if ($2) list = list (list ? "," : "") "{\"Service\":\"model-b\",\"Weight\":" $2 "}"
+			print "\"Backends\":[" list "]"
+		}')
+	fi
 	gateway_put keyed.op config "{\"Version\":$1,\"Routes\":[
-	{\"Name\":\"stream\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/stream/\",\"Kind\":\"stream\",\"TimeoutMs\":8000,\"ObjectiveMs\":2000,\"Service\":\"model\",\"MaxAttempts\":2,\"CanResume\":true},
+	{\"Name\":\"stream\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/stream/\",\"Kind\":\"stream\",\"TimeoutMs\":8000,\"ObjectiveMs\":2000,$targets,\"MaxAttempts\":2,\"CanResume\":true},
 	{\"Name\":\"once\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/once/\",\"Kind\":\"stream\",\"TimeoutMs\":8000,\"ObjectiveMs\":2000,\"Service\":\"model\",\"MaxAttempts\":1,\"CanResume\":false},
 	{\"Name\":\"plain\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/plain/\",\"Kind\":\"safe\",\"TimeoutMs\":3000,\"ObjectiveMs\":1000,\"Service\":\"desk\",\"Public\":true,\"MaxAttempts\":3},
-	{\"Name\":\"batch\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/batch/\",\"Kind\":\"batch\",\"TimeoutMs\":9000,\"ObjectiveMs\":400,\"Service\":\"model\",\"MaxAttempts\":3,\"CanResume\":true,\"CompletionMs\":18000,\"RetentionS\":60,\"MaxCount\":${2:-0}}],
-	\"Services\":[{\"Name\":\"model\",\"HealthPath\":\"/health\",\"MaxConns\":300},{\"Name\":\"desk\",\"HealthPath\":\"/health\",\"MaxConns\":300}],
+	{\"Name\":\"batch\",\"Host\":\"$GATEWAY_HOST\",\"PathPrefix\":\"/batch/\",\"Kind\":\"batch\",\"TimeoutMs\":9000,\"ObjectiveMs\":400,$targets,\"MaxAttempts\":3,\"CanResume\":true,\"CompletionMs\":18000,\"RetentionS\":60,\"MaxCount\":${2:-0}}],
+	\"Services\":[{\"Name\":\"model\",\"HealthPath\":\"/health\",\"MaxConns\":300},{\"Name\":\"model-b\",\"HealthPath\":\"/health\",\"MaxConns\":300},{\"Name\":\"desk\",\"HealthPath\":\"/health\",\"MaxConns\":300}],
 	\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}${GATEWAY_ACCOUNTS:+,\"Tenants\":$GATEWAY_ACCOUNTS}}"
 }
 
--- a/tests/test_fleet_core.c
+++ b/tests/test_fleet_core.c
@@ -161,6 +161,18 @@
 	g_string_append(out, software ? "unknown\n" : "none\n");
 }
 
+/* service-of SERVICE VERSION: the service that the hash of a version leads to, and whether
+ * the version takes requests */
+static void service_of(struct state *state, char **argv, GString *out)
+{
+	uint64_t software = fleet_software_hash(argv[1], argv[2]);
+	const char *service = fleet_software_service(state->fleet, software);
+
+	g_string_append_printf(
+		out, "%s%s\n", service ? service : "unknown",
+		fleet_software_serves(state->fleet, software) ? " serves" : "");
+}
+
 static void choose(struct state *state, int argc, char **argv, GString *out)
 {
 	struct fleet_query query = {
@@ -308,6 +320,8 @@
 					    fleet_software_hash("s", argv[1])) ?
 				"gone" :
 				"not gone");
+	else if (!strcmp(argv[0], "service-of"))
+		service_of(state, argv, out);
 	else if (!strcmp(argv[0], "choose"))
 		choose(state, argc, argv, out);
 	else if (!strcmp(argv[0], "burst"))
--- a/tests/test_route_table.c
+++ b/tests/test_route_table.c
@@ -61,7 +61,8 @@
 	route_table_add(table, route);
 }
 
-/* route NAME ..., find HOST PATH, pick HOST PATH hashes=N */
+/* route NAME ..., find HOST PATH, pick HOST PATH hashes=N, has HOST PATH SERVICE,
+ * sole HOST PATH, same HOST PATH PATH: whether two routes pick alike */
 static void command(void *state, int argc, char **argv, GString *out)
 {
 	const struct route *route;
@@ -79,6 +80,22 @@
 		g_string_append_printf(out, "%s%s\n", route->name,
 				       route_repeatable(route) ? " repeatable" :
 								 "");
+	} else if (!strcmp(argv[0], "has")) {
+		g_string_append(out, route_has_service(route, argv[3]) ?
+					     "yes\n" :
+					     "no\n");
+	} else if (!strcmp(argv[0], "sole")) {
+		const char *service = route_sole_service(route);
+
+		g_string_append_printf(out, "%s\n",
+				       service ? service : "several");
+	} else if (!strcmp(argv[0], "same")) {
+		g_string_append(
+			out, route_picks_hash(route) ==
+					     route_picks_hash(route_table_find(
+						     state, argv[1], argv[3])) ?
+				     "yes\n" :
+				     "no\n");
 	} else if (!strcmp(argv[0], "pick")) {
 		int64_t to = script_arg_int(argc, argv, "hashes", 1);
 
