Store versions again after an append that failed

What callers would see: after all entries have restarted, streams of a service that has had one version are refused, as since when it has had it never got into the store. A record counted as stored when its append was sent, and a failed append led to a reading, which corrects only the keys that the store has: a first record that failed was never written again. Found by reading while routes were added to these records, and not seen in a run; process_gateway_route_history and _software_history pass. No test of its own: no stand-in fails one append alone.

--- a/briarplankd/gateway/software_history.c
+++ b/briarplankd/gateway/software_history.c
@@ -140,10 +140,15 @@
 static void on_stored(void *ctx, const struct store_append_result *result)
 {
 	struct software_history *history = ctx;
+	GHashTableIter iter;
+	gpointer value;
 
 	history->storing = false;
 	if (result->status == STORE_OK)
 		return;
+	g_hash_table_iter_init(&iter, history->spans);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct span *)value)->is_stored = false;
 	log_event("software", LOG_LEVEL_WARN, "versions not stored: %s",
 		  store_status_name(result->status));
 	/* Reads what is stored now. */
