Test heads of answers that stop in the middle

Operators of systems like ours report a server that stopped in the middle of its answer's head and closed, after which clients got a 200 with an empty or short body that was framed as whole. All clients of ours read answers by net/http_link.c, which reports an end before the last byte of a head as an answer without one, whatever the framing and however the connection ends.

Answers of the store and between gateways are covered by http_link alone.

--- a/tests/test_http_link.c
+++ b/tests/test_http_link.c
@@ -182,6 +182,39 @@
 		read_late(state);
 }
 
+static void close_all(struct state *state)
+{
+	http_link_close(state->link);
+	raw_server_destroy(state->peer);
+	state->link = NULL;
+	state->peer = NULL;
+	g_string_truncate(state->events, 0);
+}
+
+/* Sends a request for each beginning of a head that lacks its last byte or more, and prints
+ * the ends that differ from that of a connection without a head. */
+static void cuts(struct state *state, int argc, char **argv, GString *out)
+{
+	char *bytes = g_strcompress(argv[1]);
+	size_t len, nr = 0;
+
+	for (len = strlen(bytes) - 1; len; len--, nr++) {
+		bytes[len] = '\0';
+		state->peer = raw_server_create(
+			&state->loop, bytes,
+			parse_then(script_arg(argc, argv, "then", "close")));
+		open_link(state, raw_server_address(state->peer), false);
+		send_request(state, argc, argv);
+		if (!loop_wait(&state->loop, is_ended, state, LOOP_WAIT_MS) ||
+		    strcmp(state->events->str, "end: no head\n") != 0)
+			g_string_append_printf(out, "after %zu bytes: %s\n",
+					       len, state->events->str);
+		close_all(state);
+	}
+	g_string_append_printf(out, "cuts: %zu\n", nr);
+	g_free(bytes);
+}
+
 /* Prints what an address is taken for. */
 static void parse_address(const char *text, GString *out)
 {
@@ -201,13 +234,15 @@
 
 /* Commands: serve BYTES then=hold|close|reset|finish|repeat
  * framed_only=0|1, no_listener, send id=ID method=METHOD upload=BYTES pause=0|1,
- * await_close, idle_limit, parse ADDRESS. */
+ * await_close, idle_limit, parse ADDRESS, cuts HEAD then=close|reset|finish. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
 	struct state *state = data;
 
 	if (!strcmp(argv[0], "serve")) {
 		serve(state, argc, argv);
+	} else if (!strcmp(argv[0], "cuts")) {
+		cuts(state, argc, argv, out);
 	} else if (!strcmp(argv[0], "no_listener")) {
 		/* Port 1 of the loopback has no listener. */
 		open_link(state, "127.0.0.1:1", false);
