Forget versions and weights of what left the configuration

What operators would see: keyed.software grows by a record for each service and each route of streams that ever was, and every entry reads all of them when it starts. An entry forgets what the configuration has not had for 20 minutes, longer than streams are remembered, and the entry that the key selects removes the record.

--- a/briarplankd/gateway/software_history.c
+++ b/briarplankd/gateway/software_history.c
@@ -17,6 +17,9 @@
 #define READ_AGAIN_MS 1500
 #define STORE_INSTEAD_MS 3000
 
+/* Time after which what the configuration no longer has is forgotten, in ms: longer than
+ * any stream is remembered. */
+#define FORGET_MS (20 * 60 * 1000)
 /* Space for a record, in bytes. */
 #define RECORD_BYTES 64
 
@@ -33,6 +36,8 @@
 	/* Loop time at which the stored value was first seen to differ; 0 while it
 	 * doesn't. */
 	uint64_t differs_ms;
+	/* Loop time at which the configuration had it last, in ms. */
+	uint64_t seen_ms;
 };
 
 struct software_history {
@@ -61,6 +66,7 @@
 	if (span)
 		return span;
 	span = g_new0(struct span, 1);
+	span->seen_ms = uv_now(history->gateway->loop);
 	g_hash_table_insert(history->spans, g_strdup(key), span);
 	return span;
 }
@@ -200,6 +206,7 @@
 	struct span *span = span_get(history, current->key);
 	uint64_t now = uv_now(gateway->loop);
 
+	span->seen_ms = now;
 	if (current->value != span->value || !span->since_ms) {
 		log_event("software", LOG_LEVEL_INFO,
 			  "%s=%s %s=%016" PRIx64 " before=%016" PRIx64
@@ -270,6 +277,27 @@
 	}
 }
 
+/* Forgets routes and services that left the configuration, and has them removed from the
+ * store by the entry that is responsible for them. */
+static void forget_unseen(struct software_history *history, GString *records)
+{
+	struct gateway *gateway = history->gateway;
+	uint64_t now = uv_now(gateway->loop);
+	GHashTableIter iter;
+	gpointer key, value;
+
+	if (history->storing || history->reading)
+		return;
+	g_hash_table_iter_init(&iter, history->spans);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (now - ((struct span *)value)->seen_ms < FORGET_MS)
+			continue;
+		if (peers_owns_hash(gateway->peers, hash_string(key, 0)))
+			store_add_keyed_record(records, key, NULL, 0);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 static void on_check(uv_timer_t *timer)
 {
 	struct software_history *history = timer->data;
@@ -290,6 +318,7 @@
 	records = g_string_new(NULL);
 	update_services(history, records);
 	update_routes(history, records);
+	forget_unseen(history, records);
 	if (records->len)
 		store_records(history, records);
 	else
