--- a/tests/fleet/gateway.sh
+++ b/tests/fleet/gateway.sh
@@ -232,6 +232,13 @@
 	wait_until gateway_ready g2
 }
 
+# gateway_resumes NAME ATTEMPT: tells whether a node takes up the stream that an attempt
+# began, of which the caller has two events.
+gateway_resumes () {
+	test "$(gateway_status "$1" again /stream/x -d p -H 'Last-Event-Id: 2' \
+		-H "Resumes: $2")" = 200
+}
+
 # gateway_holds NAME ID: tells whether a server holds a request with the body
 # "hold EVENT" at that event.
 gateway_holds () {
--- a/tests/process/gateway_route_history.sh
+++ b/tests/process/gateway_route_history.sh
@@ -5,12 +5,6 @@
 . tests/fleet/gateway.sh
 fleet_begin
 
-# resumed NODE ATTEMPT: a stream that no node has begun is taken up.
-resumed () {
-	test "$(gateway_status "$1" again /stream/x -d p -H 'Last-Event-Id: 2' \
-		-H "Resumes: $2")" = 200
-}
-
 restart () {
 	for node in g1 g2
 	do
@@ -33,15 +27,15 @@
 	wait_until gateway_knows $node server-1
 	wait_until gateway_knows $node server-2
 done
-! resumed g1 earlier || fleet_fail "a new fleet took up a stream that it can't know"
+! gateway_resumes g1 earlier || fleet_fail "a new fleet took up a stream that it can't know"
 
 # The weights and the versions have been the same for as long as streams are remembered.
-wait_until resumed g1 earlier
+wait_until gateway_resumes g1 earlier
 restart
 FLEET_WAIT_MS=5000
 for node in g1 g2
 do
-	wait_until resumed $node earlier
+	wait_until gateway_resumes $node earlier
 done
 echo "restarted: taken up"
 
@@ -58,7 +52,7 @@
 	wait_until grep -q 'event=software versions read' "$FLEET_DIR/$node.log"
 	for i in 1 2 3 4
 	do
-		! resumed $node "earlier-$i" ||
+		! gateway_resumes $node "earlier-$i" ||
 			fleet_fail "$node took up a stream by weights that are new"
 	done
 done
--- a/tests/process/gateway_software_history.sh
+++ b/tests/process/gateway_software_history.sh
@@ -5,23 +5,17 @@
 . tests/fleet/gateway.sh
 fleet_begin
 
-# resumed NODE: a stream that no entry has begun is taken up.
-resumed () {
-	test "$(gateway_status "$1" again /stream/x -d p -H 'Last-Event-Id: 2' \
-		-H 'Resumes: earlier')" = 200
-}
-
 gateway_pair
 gateway_software_server server-1 1 --events 5
 for node in g1 g2
 do
 	wait_until gateway_knows $node server-1
 done
-! resumed g1 || fleet_fail "a new fleet took up a stream that it can't know"
+! gateway_resumes g1 earlier || fleet_fail "a new fleet took up a stream that it can't know"
 echo "new: refused"
 
 # The only version has been listed for as long as streams are remembered.
-wait_until resumed g1
+wait_until gateway_resumes g1 earlier
 for node in g1 g2
 do
 	fleet_signal $node KILL
@@ -32,8 +26,8 @@
 	wait_until gateway_ready $node
 done
 FLEET_WAIT_MS=5000
-wait_until resumed g1
-wait_until resumed g2
+wait_until gateway_resumes g1 earlier
+wait_until gateway_resumes g2 earlier
 echo "restarted: taken up"
 
 # A second version comes and goes while one entry is away.
@@ -48,6 +42,6 @@
 wait_until grep -q 'event=server id=.* ready' "$FLEET_DIR/g2.log"
 for i in 1 2 3 4 5
 do
-	! resumed g2 || fleet_fail "a stream went on that may be of the other version"
+	! gateway_resumes g2 earlier || fleet_fail "a stream went on that may be of the other version"
 done
 echo "second version: refused"
